--- /dev/null
+++ b/bench/Experiment.ts
@@ -0,0 +1,36 @@
+/**
+ * What every experiment reports, and how its bounds are judged.
+ */
+
+/** Figures by name: counts, ratios, or milliseconds where the name ends in Ms. */
+export type Figures = Record<string, number>;
+
+/** A bound on one figure of the policy. */
+export interface Bound {
+    readonly atMost?: number;
+    readonly atLeast?: number;
+}
+
+/** The measured result of one experiment. */
+export interface Report {
+    readonly baseline: Figures;
+    readonly policy: Figures;
+    readonly bounds: Record<string, Bound>;
+}
+
+/** One experiment: deterministic choices from the seed. */
+export interface Experiment {
+    readonly name: string;
+    run(seed: number): Promise<Report>;
+}
+
+/** The bounds that `report` breaks; a figure that is missing breaks its bound. */
+export function findBroken(report: Report): string[] {
+    return Object.entries(report.bounds)
+        .filter(([name, bound]) => {
+            const figure = report.policy[name];
+            return figure === undefined
+                || !(figure <= (bound.atMost ?? Infinity) && figure >= (bound.atLeast ?? -Infinity));
+        })
+        .map(([name]) => name);
+}
--- /dev/null
+++ b/bench/Main.ts
@@ -0,0 +1,33 @@
+/**
+ * Runs experiments: `npm run bench -- NAME [--seed N]`, or `all`. Each prints one JSON object as its last line.
+ */
+import * as commander from "commander";
+import * as experiments from "./Experiment";
+
+const all: readonly experiments.Experiment[] = [];
+
+async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
+    const report = await experiment.run(seed);
+    const held = experiments.findBroken(report).length === 0;
+    console.log(JSON.stringify({ experiment: experiment.name, seed, ...report, held }));
+    return held;
+}
+
+const program = new commander.Command("bench")
+    .argument("<name>", "experiment, or all")
+    .option("--seed <number>", "seed of the random choices", "1")
+    .action(async (name: string, options: { seed: string }) => {
+        const chosen = all.filter(experiment => name === "all" || experiment.name === name);
+        if (chosen.length === 0) {
+            program.error(
+                `unknown experiment ${name}; one of: ${all.map(experiment => experiment.name).join(", ")}, all`,
+            );
+        }
+        let held = true;
+        for (const experiment of chosen) {
+            held = await runOne(experiment, Number(options.seed)) && held;
+        }
+        process.exitCode = held ? 0 : 1;
+    });
+
+await program.parseAsync();
--- /dev/null
+++ b/src/common/Messages.ts
@@ -0,0 +1,172 @@
+/**
+ * The frames between the system's own processes: one envelope a frame, checked by schema on arrival.
+ * The first frame in each direction is a `hello`.
+ */
+import * as z from "zod";
+import * as configurations from "./Configuration";
+
+/** Version of the wire protocol, carried in the first frame. */
+export const PROTOCOL_VERSION = 1;
+/** Largest frame accepted, in bytes, without its length prefix. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+/** A heartbeat is sent when nothing else was for this long, in milliseconds. */
+export const HEARTBEAT_MS = 1_000;
+/** A peer that sent nothing for this long is taken for lost, in milliseconds. */
+export const PEER_SILENCE_MS = 3_500;
+
+const MAX_ID_LENGTH = 200;
+const id = z.string().min(1).max(MAX_ID_LENGTH);
+const count = z.number().min(0);
+
+/** What an agent says of its upstream; counts of calls and milliseconds. */
+const loadSchema = z.object({
+    /** Concurrency admitted now. */
+    limit: count,
+    active: count,
+    queued: count,
+    cold: z.boolean(),
+    draining: z.boolean(),
+    /** Expected time from arrival to answer for a new call. */
+    expectedMs: count,
+    /** Models loaded on the engine. */
+    models: z.array(configurations.nameSchema).max(1_000),
+});
+
+const helloSchema = z.object({
+    kind: z.literal("hello"),
+    protocol: z.int(),
+    role: z.enum(["entry", "agent", "status"]),
+    instance: configurations.nameSchema,
+    failureDomain: configurations.nameSchema,
+    /** Rises with each start of the instance; see Incarnation.ts. */
+    incarnation: z.int().min(0),
+    /** The service whose upstream an agent stands beside. */
+    service: configurations.nameSchema.optional(),
+});
+
+const callSchema = z.object({
+    kind: z.literal("call"),
+    /** Identifies the attempt on this connection. */
+    call: z.int().min(0),
+    /** The agent incarnation that the call is meant for. */
+    incarnation: z.int().min(0),
+    request: id,
+    stage: id,
+    attempt: z.int().min(0),
+    team: configurations.nameSchema,
+    priority: z.int().min(0).max(9),
+    /** Time left until the deadline when the frame was sent. */
+    remainingMs: z.number(),
+    service: configurations.nameSchema,
+    operation: configurations.nameSchema,
+    model: configurations.nameSchema.optional(),
+    /** The idempotency key; only non-idempotent operations use it. */
+    key: id.optional(),
+    stream: z.boolean(),
+    /** First stream offset wanted, in tokens. */
+    offset: z.int().min(0),
+    body: z.unknown(),
+});
+
+const cancelSchema = z.object({ kind: z.literal("cancel"), call: z.int().min(0) });
+
+/** Asks what became of an attempt sent on an earlier connection to the same incarnation. */
+const querySchema = z.object({
+    kind: z.literal("query"),
+    call: z.int().min(0),
+    incarnation: z.int().min(0),
+    request: id,
+    stage: id,
+    attempt: z.int().min(0),
+    /** Time since the attempt was first sent. */
+    ageMs: count,
+});
+
+const partSchema = z.object({
+    kind: z.literal("part"),
+    call: z.int().min(0),
+    /** Offset of the first token. */
+    offset: z.int().min(0),
+    tokens: z.array(z.string()).max(10_000),
+});
+
+const answerSchema = z.object({
+    kind: z.literal("answer"),
+    call: z.int().min(0),
+    code: z.int(),
+    detail: z.string().max(2_000).optional(),
+    retryAfterMs: z.number().optional(),
+    body: z.unknown(),
+    /** Time between dispatch and answer at the upstream. */
+    upstreamMs: count,
+    /** Time spent in the agent's queue. */
+    queuedMs: count,
+    tokens: z.int().min(0),
+    load: loadSchema,
+});
+
+const heartbeatSchema = z.object({
+    kind: z.literal("heartbeat"),
+    load: loadSchema.optional(),
+    /** Time since the configuration service last confirmed the sender's version; undefined when never. */
+    unconfirmedMs: count.optional(),
+    /** Digest of the sender's configuration in force. */
+    digest: z.string().max(64).optional(),
+});
+
+/** Asks for the changes since a version; 0 asks for the full content. */
+const fetchSchema = z.object({ kind: z.literal("fetch"), from: z.int().min(0) });
+
+const editSchema = z.object({
+    path: z.array(z.string().max(128)).min(1).max(8),
+    /** The new value; undefined removes the entry. */
+    value: z.unknown(),
+});
+
+const deltaSchema = z.object({
+    kind: z.literal("delta"),
+    from: z.int().min(0),
+    to: z.int().min(1),
+    digest: z.string().max(64),
+    edits: z.array(editSchema).max(100_000),
+});
+
+const fullSchema = z.object({ kind: z.literal("full"), digest: z.string().max(64), content: z.unknown() });
+
+/** Asks an agent whether it holds at least this version, so that keys may move; see KeyHome.ts. */
+const yieldSchema = z.object({ kind: z.literal("yield"), service: configurations.nameSchema, version: z.int().min(0) });
+const yieldedSchema = z.object({
+    kind: z.literal("yielded"),
+    service: configurations.nameSchema,
+    version: z.int().min(0),
+});
+
+const messageSchema = z.discriminatedUnion("kind", [
+    helloSchema,
+    callSchema,
+    cancelSchema,
+    querySchema,
+    partSchema,
+    answerSchema,
+    heartbeatSchema,
+    fetchSchema,
+    deltaSchema,
+    fullSchema,
+    yieldSchema,
+    yieldedSchema,
+]);
+
+/** Every frame: the sender's configuration version in force (0 for none), and a message. */
+export const envelopeSchema = z.object({ version: z.int().min(0), message: messageSchema });
+
+export type Envelope = z.infer<typeof envelopeSchema>;
+export type Message = z.infer<typeof messageSchema>;
+export type Load = z.infer<typeof loadSchema>;
+export type Hello = z.infer<typeof helloSchema>;
+export type Call = z.infer<typeof callSchema>;
+export type Query = z.infer<typeof querySchema>;
+export type Part = z.infer<typeof partSchema>;
+export type Answer = z.infer<typeof answerSchema>;
+export type Heartbeat = z.infer<typeof heartbeatSchema>;
+export type Edit = z.infer<typeof editSchema>;
+export type Delta = z.infer<typeof deltaSchema>;
--- /dev/null
+++ b/src/common/Settings.ts
@@ -0,0 +1,53 @@
+/**
+ * The settings of each process, from a YAML file. Types are inferred from the schemas.
+ */
+import * as z from "zod";
+import * as configurations from "./Configuration";
+
+/** An IPv4 number and a port. */
+const addressSchema = z.string().regex(
+    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+    "expected an IP number and a port, as 10.0.0.1:7000",
+);
+
+const commonShape = {
+    instance: configurations.nameSchema,
+    failureDomain: configurations.nameSchema,
+    region: configurations.nameSchema,
+    /** Where other processes of the system connect. */
+    peerListen: addressSchema,
+    /** Health, readiness, metrics and status by HTTP. */
+    adminListen: addressSchema,
+    configurationService: addressSchema,
+    instanceList: addressSchema,
+    logLevel: z.enum(["trace", "debug", "info", "warn", "error", "silent"]).default("info"),
+    /** Longest time a planned stop waits for work under way. */
+    stopLimitMs: z.int().min(0).default(60_000),
+};
+
+export const entrySettingsSchema = z.strictObject({
+    role: z.literal("entry"),
+    ...commonShape,
+    /** Where callers connect. */
+    callerListen: addressSchema,
+    maxBodyBytes: z.int().min(1).max(4_000_000).default(1_000_000),
+    /** Longest time a caller may take to send a request. */
+    requestTimeoutMs: z.int().min(1).default(10_000),
+});
+
+export const agentSettingsSchema = z.strictObject({
+    role: z.literal("agent"),
+    ...commonShape,
+    service: configurations.nameSchema,
+    /** The upstream that this agent stands beside. */
+    upstream: addressSchema,
+    weightStore: addressSchema.optional(),
+    /** Most entries that the at-most-once ledger holds. */
+    ledgerCapacity: z.int().min(1).default(100_000),
+});
+
+export const settingsSchema = z.discriminatedUnion("role", [entrySettingsSchema, agentSettingsSchema]);
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+export type AgentSettings = z.infer<typeof agentSettingsSchema>;
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/src/connection/FrameCodec.test.ts
@@ -0,0 +1,55 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as codes from "../common/Codes";
+import * as messages from "../common/Messages";
+import * as frames from "./FrameCodec";
+
+const { describe, expect, it } = vitest;
+
+const SEED = 11;
+
+const samples: messages.Envelope[] = [
+    { version: 0, message: { kind: "fetch", from: 3 } },
+    { version: 7, message: { kind: "part", call: 1, offset: 40, tokens: ["gold", " leaf"] } },
+    { version: 7, message: { kind: "cancel", call: 9 } },
+];
+
+describe("FrameDecoder", () => {
+    it("returns the same envelopes however the bytes are cut", () => {
+        const bytes = Buffer.concat(samples.map(frames.encodeFrame));
+        fc.assert(
+            fc.property(fc.array(fc.integer({ min: 1, max: bytes.length - 1 })), cuts => {
+                const decoder = new frames.FrameDecoder();
+                const edges = [0, ...cuts.sort((a, b) => a - b), bytes.length];
+                const decoded = edges.slice(1).flatMap((edge, index) =>
+                    decoder.push(bytes.subarray(edges[index], edge)).unwrapOr([])
+                );
+                expect(decoded).toEqual(samples);
+            }),
+            { seed: SEED },
+        );
+    });
+
+    const malformed: [string, Buffer, codes.ResultCode][] = [
+        ["an oversized frame", Buffer.from([0xff, 0, 0, 0]), codes.codes.frameTooLarge],
+        ["bytes that are not CBOR", Buffer.from([0, 0, 0, 2, 0xff, 0xff]), codes.codes.frameMalformed],
+        ["a value of the wrong shape", Buffer.from([0, 0, 0, 1, 0x01]), codes.codes.frameMalformed],
+    ];
+    it.each(malformed)("refuses %s", (_name, bytes, code) => {
+        const decoded = new frames.FrameDecoder().push(bytes);
+        expect(decoded.isErr && decoded.error.code).toBe(code);
+    });
+
+    it("never throws on random bytes", () => {
+        fc.assert(
+            fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
+                const content = Buffer.from(bytes);
+                const prefix = Buffer.alloc(4);
+                prefix.writeUInt32BE(content.length);
+                const decoded = new frames.FrameDecoder().push(Buffer.concat([prefix, content]));
+                expect(decoded.isErr || decoded.value.length <= 1).toBe(true);
+            }),
+            { seed: SEED },
+        );
+    });
+});
--- /dev/null
+++ b/src/connection/FrameCodec.ts
@@ -0,0 +1,90 @@
+/**
+ * Frames on a byte stream: four bytes of length, big endian, then one CBOR value.
+ */
+import * as cbor from "cbor-x";
+import * as result from "true-myth/result";
+import * as codes from "../common/Codes";
+import * as messages from "../common/Messages";
+
+const PREFIX_BYTES = 4;
+
+const encoder = new cbor.Encoder({ useRecords: false, mapsAsObjects: true });
+
+/** Encodes one envelope with its length prefix. */
+export function encodeFrame(envelope: messages.Envelope): Buffer {
+    const content = encoder.encode(envelope);
+    const frame = Buffer.allocUnsafe(PREFIX_BYTES + content.length);
+    frame.writeUInt32BE(content.length, 0);
+    frame.set(content, PREFIX_BYTES);
+    return frame;
+}
+
+/** Cuts a byte stream into checked envelopes. A failure ends the stream: nothing after it can be trusted. */
+export class FrameDecoder {
+    private chunks: Buffer[] = [];
+    private buffered = 0;
+
+    constructor(private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES) {}
+
+    /** Takes in bytes and returns the envelopes that they complete. */
+    push(chunk: Buffer): result.Result<messages.Envelope[], codes.Failure> {
+        this.chunks.push(chunk);
+        this.buffered += chunk.length;
+        const envelopes: messages.Envelope[] = [];
+        while (this.buffered >= PREFIX_BYTES) {
+            const length = this.peekLength();
+            if (length > this.maxFrameBytes) {
+                return result.err(codes.failure(codes.codes.frameTooLarge, `${length} bytes`));
+            }
+            if (this.buffered < PREFIX_BYTES + length) {
+                break;
+            }
+            const decoded = decodeContent(this.take(PREFIX_BYTES + length).subarray(PREFIX_BYTES));
+            if (decoded.isErr) {
+                return result.err(decoded.error);
+            }
+            envelopes.push(decoded.value);
+        }
+        return result.ok(envelopes);
+    }
+
+    private peekLength(): number {
+        const first = this.chunks[0];
+        if (first === undefined || first.length < PREFIX_BYTES) {
+            this.chunks = [Buffer.concat(this.chunks)];
+        }
+        return this.chunks[0]!.readUInt32BE(0);
+    }
+
+    private take(length: number): Buffer {
+        const first = this.chunks[0]!;
+        const joined = first.length >= length ? first : Buffer.concat(this.chunks);
+        if (joined !== first) {
+            this.chunks = [joined];
+        }
+        const rest = joined.subarray(length);
+        if (rest.length === 0) {
+            this.chunks.shift();
+        }
+        else {
+            this.chunks[0] = rest;
+        }
+        this.buffered -= length;
+        return joined.subarray(0, length);
+    }
+}
+
+function decodeContent(content: Buffer): result.Result<messages.Envelope, codes.Failure> {
+    let value: unknown;
+    try {
+        value = encoder.decode(content);
+    }
+    catch (error) {
+        return result.err(codes.failure(codes.codes.frameMalformed, String(error)));
+    }
+    const parsed = messages.envelopeSchema.safeParse(value);
+    if (!parsed.success) {
+        return result.err(codes.failure(codes.codes.frameMalformed, parsed.error.issues[0]?.message ?? "schema"));
+    }
+    return result.ok(parsed.data);
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import * as vitest from "vitest/config";
+
+export default vitest.defineConfig({
+    test: {
+        include: ["src/**/*.test.ts", "standins/**/*.test.ts", "bench/**/*.test.ts", "tests/**/*.test.ts"],
+        testTimeout: 60_000,
+        hookTimeout: 60_000,
+        pool: "forks",
+        maxWorkers: 6,
+    },
+});
