--- /dev/null
+++ b/src/commands/CodesTable.test.ts
@@ -0,0 +1,23 @@
+import * as fs from "node:fs";
+import * as vitest from "vitest";
+import * as codes from "../common/Codes";
+import * as tables from "./CodesTable";
+
+const { describe, expect, it } = vitest;
+
+describe("the table of result codes", () => {
+    it("is what docs/RESULT-CODES.md shows", () => {
+        expect(fs.readFileSync("docs/RESULT-CODES.md", "utf8")).toBe(tables.renderCodesPage());
+    });
+
+    it("has each number and name once", () => {
+        const rows = Object.values(codes.codes);
+        expect(new Set(rows.map(row => row.code)).size).toBe(rows.length);
+        expect(new Set(rows.map(row => row.name)).size).toBe(rows.length);
+    });
+
+    it.each(Object.values(codes.codes))("gives $name an outcome by its hundred", row => {
+        const expected = ["completed", "not-run", "not-run", "unknown"][Math.floor(row.code / 100)];
+        expect(row.outcome).toBe(expected);
+    });
+});
--- /dev/null
+++ b/src/commands/Demo.ts
@@ -0,0 +1,143 @@
+/**
+ * The command `demo`: the whole system with stand-ins in one process, shown at work.
+ */
+import * as fs from "node:fs";
+import * as configurations from "../common/Configuration";
+import * as logs from "../common/Log";
+import * as callers from "../../standins/Caller";
+import * as fleets from "../../standins/LocalFleet";
+import * as exits from "./Exits";
+import * as document from "./DemoConfiguration";
+
+const PIPELINE_PATH = "/v1/pipelines/report";
+const BOOKING_PATH = "/v1/services/bookings/book";
+const BACKGROUND_CALLS = 20;
+const OUT_DOMAIN = "zone-b";
+
+type Fleet = fleets.LocalFleet;
+
+function print(text: string): void {
+    fs.writeSync(1, `${text}\n`);
+}
+
+/** Prints the decisions of a process, and leaves its other log lines out. */
+function createDecisionLog(instance: string): logs.Log {
+    return logs.createLog(instance, "info", line => {
+        const record = JSON.parse(line) as Record<string, unknown>;
+        if (record["decision"] !== undefined) {
+            const { decision, request, stage, candidates, choice, reason } = record;
+            print(`  decision ${JSON.stringify({ instance, decision, request, stage, candidates, choice, reason })}`);
+        }
+    });
+}
+
+/** Runs the demonstration; resolves to the exit code. */
+export async function runDemo(): Promise<number> {
+    const state = { printsDecisions: true };
+    const fleet = await fleets.LocalFleet.start({
+        configuration: document.demoConfiguration,
+        entries: 2,
+        random: Math.random,
+        log: instance => state.printsDecisions && instance.startsWith("entry") ? createDecisionLog(instance) : logs.silentLog,
+        engine: () => ({ msPerToken: 2, firstTokenMs: 20 }),
+        plain: () => ({ serviceMs: 5 }),
+    });
+    print(`started: ${fleet.entries.size} entries, ${fleet.agents.size} agents in 2 failure domains`);
+    const results = [
+        await showPipeline(fleet),
+        await showStream(fleet),
+        await showRefusal(fleet),
+        await showAtMostOnce(fleet),
+        await showDomain(fleet),
+    ];
+    fleet.dispose();
+    const failed = results.filter(succeeded => !succeeded).length;
+    print(`demo: ${results.length - failed} passed, ${failed} failed`);
+    return failed === 0 ? exits.EXIT_OK : exits.EXIT_UNUSABLE;
+}
+
+async function showPipeline(fleet: Fleet): Promise<boolean> {
+    print("\n1. a pipeline of four stages");
+    const reply = await callReport(fleet);
+    printAnswer(reply);
+    for (const stage of reply.answer?.stages ?? []) {
+        print(`  stage ${JSON.stringify(stage)}`);
+    }
+    return reply.answer?.outcome === "completed";
+}
+
+async function showStream(fleet: Fleet): Promise<boolean> {
+    print("\n2. the same pipeline, streamed");
+    const reply = await callReport(fleet, { streams: true });
+    print(`  ${reply.tokens.length} tokens: ${reply.tokens.slice(0, 6).map(({ token }) => token).join("")}...`);
+    printAnswer(reply);
+    const inOrder = reply.tokens.every(({ offset }, index) => offset === index);
+    return reply.answer?.outcome === "completed" && inOrder && reply.tokens.length > 0;
+}
+
+async function showRefusal(fleet: Fleet): Promise<boolean> {
+    print("\n3. a request for a team that isn't published");
+    const reply = await callReport(fleet, { team: "nobody" });
+    printAnswer(reply);
+    return reply.answer?.outcome === "not-run";
+}
+
+async function showAtMostOnce(fleet: Fleet): Promise<boolean> {
+    print("\n4. a booking sent twice with one idempotency key, through both entries");
+    const key = document.createTimeOrderedKey();
+    const call = { path: BOOKING_PATH, team: "bench", key, body: { frame: 12 } };
+    const replies = [await fleet.call("entry-1", call), await fleet.call("entry-2", call)];
+    replies.forEach(printAnswer);
+    const runs = countExecutions(fleet, "bookings");
+    print(`  the upstreams ran it ${runs} time(s)`);
+    return runs === 1 && replies.every(reply => reply.answer?.outcome === "completed");
+}
+
+async function showDomain(fleet: Fleet): Promise<boolean> {
+    print(`\n5. failure domain ${OUT_DOMAIN} out of service, and back`);
+    const version = fleet.publish(draft => draft.failureDomains[OUT_DOMAIN]!.state = "out");
+    await waitForVersion(fleet, version);
+    const before = countWork(fleet);
+    await callInBackground(fleet);
+    const whileOut = countWork(fleet) - before;
+    print(`  new work in ${OUT_DOMAIN} while out: ${whileOut}`);
+    await waitForVersion(fleet, fleet.publish(draft => draft.failureDomains[OUT_DOMAIN]!.state = "in"));
+    await callInBackground(fleet);
+    const afterReturn = countWork(fleet) - before - whileOut;
+    print(`  new work in ${OUT_DOMAIN} after its return: ${afterReturn}`);
+    return whileOut === 0 && afterReturn > 0;
+}
+
+function callReport(
+    fleet: Fleet,
+    changes: Partial<Omit<callers.CallerCall, "address">> = {},
+): Promise<callers.CallerReply> {
+    const body = { prompt: "Describe the frame.", maxTokens: 40 };
+    return fleet.call("entry-1", { path: PIPELINE_PATH, team: "bench", body, ...changes });
+}
+
+async function callInBackground(fleet: Fleet): Promise<void> {
+    await Promise.all(Array.from({ length: BACKGROUND_CALLS }, () => callReport(fleet)));
+}
+
+async function waitForVersion(fleet: Fleet, version: number): Promise<void> {
+    const processes = [...fleet.entries.values(), ...fleet.agents.values()];
+    await fleet.waitFor(() => processes.every(process => process.version >= version));
+}
+
+function countWork(fleet: Fleet): number {
+    const domain = (slots: configurations.UpstreamService["slots"]): string[] =>
+        Object.entries(slots).filter(([, slot]) => slot.failureDomain === OUT_DOMAIN).map(([name]) => name);
+    const names = Object.values(fleet.configuration.services).flatMap(service => domain(service.slots));
+    return names.reduce((sum, name) => sum + fleet.upstreams.get(name)!.log.length, 0);
+}
+
+function countExecutions(fleet: Fleet, service: string): number {
+    const slots = Object.keys(fleet.configuration.services[service]!.slots);
+    return slots.reduce((sum, slot) => sum + fleet.upstreams.get(slot)!.log.length, 0);
+}
+
+function printAnswer(reply: callers.CallerReply): void {
+    const { outcome, code, name, stage, detail, retryAfterMs } = reply.answer ?? {};
+    print(`  answer ${JSON.stringify({ status: reply.status, outcome, code, name, stage, detail, retryAfterMs })}`);
+}
--- /dev/null
+++ b/src/commands/DemoConfiguration.ts
@@ -0,0 +1,78 @@
+/**
+ * The published configuration of the demonstration: two failure domains, a pipeline of four stages, and a
+ * plain service whose calls may not be repeated.
+ */
+import * as crypto from "node:crypto";
+import * as clocks from "../common/Clock";
+import * as configurations from "../common/Configuration";
+
+const UUID_VERSION_7 = 0x70;
+const UUID_VARIANT = 0x80;
+
+function slots(prefix: string): Record<string, { failureDomain: string }> {
+    return { [`${prefix}-1`]: { failureDomain: "zone-a" }, [`${prefix}-2`]: { failureDomain: "zone-b" } };
+}
+
+function pool(prefix: string, operation: string): unknown {
+    return {
+        kind: "plain",
+        operations: { [operation]: { idempotent: true } },
+        warmConcurrency: 32,
+        coldConcurrency: 8,
+        slots: slots(prefix),
+    };
+}
+
+/** The document, with defaults filled in. */
+export const demoConfiguration: configurations.Configuration = configurations.configurationSchema.parse({
+    version: 1,
+    preset: "ordinary",
+    presets: {
+        ordinary: { retryRatio: 0.2, hedgeRatio: 0, shedBelowPriority: 0 },
+        peak: { retryRatio: 0.1, hedgeRatio: 0, shedBelowPriority: 3 },
+        maintenance: { retryRatio: 0.2, hedgeRatio: 0, shedBelowPriority: 0 },
+    },
+    failureDomains: { "zone-a": { region: "local" }, "zone-b": { region: "local" } },
+    teams: { bench: { weight: 2 }, office: { weight: 1 } },
+    models: { drafting: { weightReads: 1 } },
+    services: {
+        encoders: pool("encoder", "encode"),
+        retrievers: pool("retriever", "retrieve"),
+        rerankers: pool("reranker", "rerank"),
+        engines: {
+            kind: "engine",
+            operations: { generate: { idempotent: true, streams: true } },
+            warmConcurrency: 16,
+            coldConcurrency: 4,
+            slots: slots("engine"),
+        },
+        bookings: {
+            kind: "plain",
+            operations: { book: { idempotent: false }, lookup: { idempotent: true } },
+            warmConcurrency: 16,
+            coldConcurrency: 4,
+            slots: slots("booking"),
+        },
+    },
+    pipelines: {
+        report: {
+            deadlineMs: 4_000,
+            stages: [
+                { name: "encode", service: "encoders", operation: "encode" },
+                { name: "retrieve", service: "retrievers", operation: "retrieve" },
+                { name: "rerank", service: "rerankers", operation: "rerank" },
+                { name: "generate", service: "engines", operation: "generate", model: "drafting" },
+            ],
+        },
+    },
+});
+
+/** Makes an idempotency key that carries the time of its creation (UUID version 7). */
+export function createTimeOrderedKey(): string {
+    const bytes = crypto.randomBytes(16);
+    bytes.writeUIntBE(Math.floor(clocks.systemClock.wall()), 0, 6);
+    bytes[6] = (bytes[6]! & 0x0f) | UUID_VERSION_7;
+    bytes[8] = (bytes[8]! & 0x3f) | UUID_VARIANT;
+    const hex = bytes.toString("hex");
+    return [hex.slice(0, 8), hex.slice(8, 12), hex.slice(12, 16), hex.slice(16, 20), hex.slice(20)].join("-");
+}
--- /dev/null
+++ b/src/commands/Status.ts
@@ -0,0 +1,31 @@
+/**
+ * The command `status`: prints what a process believes, from its admin address.
+ */
+import * as http from "node:http";
+import * as exits from "./Exits";
+
+const STATUS_TIMEOUT_MS = 5_000;
+
+/** Prints the status as JSON; resolves to the exit code. */
+export async function printStatus(address: string): Promise<number> {
+    try {
+        process.stdout.write(await read(`http://${address}/status`));
+        return exits.EXIT_OK;
+    }
+    catch (error) {
+        console.error(`${address}: ${error instanceof Error ? error.message : String(error)}`);
+        return exits.EXIT_UNUSABLE;
+    }
+}
+
+function read(url: string): Promise<string> {
+    return new Promise((resolve, reject) => {
+        const request = http.get(url, { timeout: STATUS_TIMEOUT_MS }, response => {
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
+        });
+        request.on("timeout", () => request.destroy(new Error("timeout")));
+        request.on("error", reject);
+    });
+}
--- /dev/null
+++ b/src/connection/AgentClient.ts
@@ -0,0 +1,159 @@
+/**
+ * The entry's side of a connection to an agent: numbers the calls on it and matches parts and answers to
+ * them. An answer or part is accepted only for a call that waits on this connection; all else is dropped.
+ */
+import * as clocks from "../common/Clock";
+import * as emitters from "../common/Emitter";
+import * as messages from "../common/Messages";
+import * as peers from "./PeerConnection";
+
+/** A call without what the connection itself adds. */
+export type CallContent = Omit<messages.Call, "kind" | "call" | "incarnation">;
+/** A query without what the connection itself adds. */
+export type QueryContent = Omit<messages.Query, "kind" | "call" | "incarnation">;
+
+/** A call under way. */
+export interface PendingCall {
+    /** The agent's answer; undefined when the connection ended before it came. */
+    readonly answer: Promise<messages.Answer | undefined>;
+    /** Asks the agent to stop the work; a later answer is dropped. */
+    cancel(): void;
+}
+
+interface Waiter {
+    readonly settle: (answer: messages.Answer | undefined) => void;
+    readonly onPart: ((part: messages.Part) => void) | undefined;
+}
+
+/** One connection to one incarnation of an agent. */
+export class AgentClient implements clocks.Disposable {
+    private readonly waiting = new Map<number, Waiter>();
+    private readonly loadEmitter = new emitters.Emitter<messages.Load>();
+    private nextCall = 1;
+    private sentSinceLoad = 0;
+    private droppedCount = 0;
+    private lastLoad: messages.Load | undefined;
+
+    /** Fires for each load word of the agent. */
+    readonly onLoad = this.loadEmitter.event;
+
+    constructor(private readonly connection: peers.PeerConnection) {
+        connection.onClose(() => this.loseAll());
+    }
+
+    get instance(): string {
+        return this.connection.remote.instance;
+    }
+
+    get incarnation(): number {
+        return this.connection.remote.incarnation;
+    }
+
+    get isClosed(): boolean {
+        return this.connection.isClosed;
+    }
+
+    /** The agent's last load word. */
+    get load(): messages.Load | undefined {
+        return this.lastLoad;
+    }
+
+    /** Calls sent since the last load word. */
+    get pending(): number {
+        return this.sentSinceLoad;
+    }
+
+    /** Calls that wait for an answer. */
+    get waitingCount(): number {
+        return this.waiting.size;
+    }
+
+    /** Parts and answers that matched no waiting call. */
+    get dropped(): number {
+        return this.droppedCount;
+    }
+
+    /** Sends a call. */
+    call(content: CallContent, onPart?: (part: messages.Part) => void): PendingCall {
+        const call = this.nextCall++;
+        this.sentSinceLoad++;
+        return this.wait(call, { kind: "call", call, incarnation: this.incarnation, ...content }, onPart);
+    }
+
+    /** Asks what became of an attempt that was sent to this incarnation on an earlier connection. */
+    query(content: QueryContent): PendingCall {
+        const call = this.nextCall++;
+        return this.wait(call, { kind: "query", call, incarnation: this.incarnation, ...content }, undefined);
+    }
+
+    /** Takes in a message of the agent. */
+    handle(message: messages.Message): void {
+        if (message.kind === "heartbeat") {
+            this.noteLoad(message.load);
+        }
+        else if (message.kind === "part") {
+            this.handlePart(message);
+        }
+        else if (message.kind === "answer") {
+            this.noteLoad(message.load);
+            this.settle(message.call, message);
+        }
+    }
+
+    dispose(): void {
+        this.loadEmitter.dispose();
+        this.connection.dispose();
+    }
+
+    private wait(call: number, message: messages.Message, onPart: Waiter["onPart"]): PendingCall {
+        const answer = new Promise<messages.Answer | undefined>(resolve => {
+            this.waiting.set(call, { settle: resolve, onPart });
+        });
+        if (!this.connection.send(message)) {
+            this.settle(call, undefined);
+        }
+        return { answer, cancel: () => this.cancel(call) };
+    }
+
+    private cancel(call: number): void {
+        const waiter = this.waiting.get(call);
+        if (waiter !== undefined) {
+            this.waiting.delete(call);
+            this.connection.send({ kind: "cancel", call });
+            waiter.settle(undefined);
+        }
+    }
+
+    private handlePart(part: messages.Part): void {
+        const waiter = this.waiting.get(part.call);
+        if (waiter?.onPart === undefined) {
+            this.droppedCount++;
+            return;
+        }
+        waiter.onPart(part);
+    }
+
+    private settle(call: number, answer: messages.Answer | undefined): void {
+        const waiter = this.waiting.get(call);
+        if (waiter === undefined) {
+            this.droppedCount++;
+            return;
+        }
+        this.waiting.delete(call);
+        waiter.settle(answer);
+    }
+
+    private noteLoad(load: messages.Load | undefined): void {
+        if (load !== undefined) {
+            this.lastLoad = load;
+            this.sentSinceLoad = 0;
+            this.loadEmitter.fire(load);
+        }
+    }
+
+    private loseAll(): void {
+        for (const call of [...this.waiting.keys()]) {
+            this.settle(call, undefined);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/AdminServer.ts
@@ -0,0 +1,48 @@
+/**
+ * Health, readiness, metrics and status of a process over HTTP, for the platform's balancer and operators.
+ */
+import * as http from "node:http";
+import * as prom from "prom-client";
+import * as listeners from "./Listener";
+
+/** What a process tells about itself. */
+export interface AdminSource {
+    /** Whether the balancer may send work here. */
+    isReady(): boolean;
+    /** What the process believes, as JSON. */
+    status(): unknown;
+    readonly registry: prom.Registry;
+}
+
+/** Starts the admin server on `address`, an IP number and a port. */
+export async function listenAdmin(address: string, source: AdminSource): Promise<listeners.Listener> {
+    const server = http.createServer((request, response) => void answer(source, request, response));
+    return listeners.listen(server, address);
+}
+
+async function answer(
+    source: AdminSource,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+): Promise<void> {
+    request.resume();
+    switch (request.url) {
+        case "/healthz":
+            return send(response, 200, "text/plain", "ok\n");
+        case "/readyz":
+            return source.isReady()
+                ? send(response, 200, "text/plain", "ready\n")
+                : send(response, 503, "text/plain", "not ready\n");
+        case "/metrics":
+            return send(response, 200, source.registry.contentType, await source.registry.metrics());
+        case "/status":
+            return send(response, 200, "application/json", JSON.stringify(source.status(), undefined, 2) + "\n");
+        default:
+            return send(response, 404, "text/plain", "not found\n");
+    }
+}
+
+function send(response: http.ServerResponse, status: number, contentType: string, body: string): void {
+    response.writeHead(status, { "content-type": contentType });
+    response.end(body);
+}
--- /dev/null
+++ b/src/process/AgentPool.ts
@@ -0,0 +1,100 @@
+/**
+ * The connections of an entry to agents, one client for each connected agent instance.
+ */
+import * as clocks from "../common/Clock";
+import * as messages from "../common/Messages";
+import * as agentClients from "../connection/AgentClient";
+import * as peerConnections from "../connection/PeerConnection";
+
+/** How often a lost agent is looked for while an attempt's fate is open. */
+const RECOVER_POLL_MS = 25;
+
+/** Holds one client for each connected agent. */
+export class AgentPool implements clocks.Disposable {
+    private readonly clients = new Map<string, agentClients.AgentClient>();
+    private readonly byConnection = new Map<peerConnections.PeerConnection, agentClients.AgentClient>();
+
+    constructor(private readonly clock: clocks.Clock) {}
+
+    /** Takes in a new connection; connections to other roles are left alone. */
+    add(connection: peerConnections.PeerConnection): void {
+        if (connection.remote.role !== "agent") {
+            return;
+        }
+        const client = new agentClients.AgentClient(connection);
+        this.byConnection.set(connection, client);
+        this.clients.set(client.instance, client);
+        connection.onClose(() => this.remove(connection));
+    }
+
+    /** Takes in a message that came on a connection. */
+    handle(connection: peerConnections.PeerConnection, message: messages.Message): void {
+        this.byConnection.get(connection)?.handle(message);
+    }
+
+    /** The client of an instance; undefined while it isn't connected. */
+    find(instance: string): agentClients.AgentClient | undefined {
+        return this.clients.get(instance);
+    }
+
+    /** All connected agents. */
+    get all(): readonly agentClients.AgentClient[] {
+        return [...this.clients.values()];
+    }
+
+    /**
+     * Asks an incarnation what became of an attempt whose connection was lost. Waits for a new connection until
+     * the deadline; undefined when the incarnation is gone or didn't answer.
+     */
+    async recover(
+        instance: string,
+        incarnation: number,
+        query: agentClients.QueryContent,
+        signal: AbortSignal,
+    ): Promise<messages.Answer | undefined> {
+        const startedMs = this.clock.now();
+        while (!signal.aborted) {
+            const client = this.clients.get(instance);
+            if (client !== undefined && client.incarnation !== incarnation) {
+                return undefined;
+            }
+            const ageMs = query.ageMs + this.clock.now() - startedMs;
+            const answer = await this.ask(client, { ...query, ageMs }, signal);
+            if (answer !== undefined) {
+                return answer;
+            }
+            await clocks.sleep(this.clock, RECOVER_POLL_MS, signal);
+        }
+        return undefined;
+    }
+
+    dispose(): void {
+        for (const client of this.clients.values()) {
+            client.dispose();
+        }
+    }
+
+    private async ask(
+        client: agentClients.AgentClient | undefined,
+        query: agentClients.QueryContent,
+        signal: AbortSignal,
+    ): Promise<messages.Answer | undefined> {
+        if (client === undefined) {
+            return undefined;
+        }
+        const pending = client.query(query);
+        const cancel = (): void => pending.cancel();
+        signal.addEventListener("abort", cancel, { once: true });
+        const answer = await pending.answer;
+        signal.removeEventListener("abort", cancel);
+        return answer;
+    }
+
+    private remove(connection: peerConnections.PeerConnection): void {
+        const client = this.byConnection.get(connection);
+        this.byConnection.delete(connection);
+        if (client !== undefined && this.clients.get(client.instance) === client) {
+            this.clients.delete(client.instance);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/AgentProcess.ts
@@ -0,0 +1,367 @@
+/**
+ * An agent instance: stands beside one upstream and is the only way to it for this system.
+ */
+import * as prom from "prom-client";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
+import * as emitters from "../common/Emitter";
+import * as logs from "../common/Log";
+import * as messages from "../common/Messages";
+import * as ports from "../common/Ports";
+import * as settingsFile from "../common/Settings";
+import * as peerConnections from "../connection/PeerConnection";
+import * as upstreamWorks from "../request/UpstreamWork";
+import * as adminServers from "./AdminServer";
+import * as limits from "./AdmissionLimit";
+import * as attemptMemories from "./AttemptMemory";
+import * as queues from "./FairQueue";
+import * as homeClaims from "./HomeClaim";
+import * as incarnations from "./Incarnation";
+import * as ledgers from "./Ledger";
+import * as listeners from "./Listener";
+import * as nodes from "./Node";
+import * as yields from "./YieldRequests";
+
+const PROBE_PERIOD_MS = 500;
+const PROBE_TIMEOUT_MS = 2_000;
+const ATTEMPT_CAPACITY = 100_000;
+const DRAIN_POLL_MS = 10;
+
+/** What a test or experiment may replace. */
+export interface AgentOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly random: () => number;
+    readonly source: ports.ConfigurationSource;
+    readonly instanceList: ports.InstanceList;
+    readonly engine: ports.ModelEngine;
+    readonly weightStore?: ports.WeightStore | undefined;
+    /** Concurrency bounds; undefined for the published ones. */
+    readonly bounds?: () => { coldConcurrency: number; warmConcurrency: number };
+}
+
+/** A running agent. */
+export class AgentProcess implements clocks.Disposable {
+    private readonly store = new emitters.DisposableStore();
+    private readonly node: nodes.Node;
+    private readonly limit: limits.AdmissionLimit;
+    private readonly queue: queues.FairQueue;
+    private readonly ledger: ledgers.Ledger;
+    private readonly attempts: attemptMemories.AttemptMemory;
+    private readonly claim: homeClaims.HomeClaim;
+    private readonly yields: yields.YieldRequests;
+    private readonly incarnation: number;
+    private readonly works = new Map<peerConnections.PeerConnection, Map<number, upstreamWorks.UpstreamWork>>();
+    private readonly registry = new prom.Registry();
+    private readonly ends = new prom.Counter({
+        name: "cumincrank_agent_calls_total",
+        help: "Calls by code",
+        labelNames: ["code"],
+        registers: [this.registry],
+    });
+    private readonly workContext: upstreamWorks.WorkContext;
+    private readonly stopped = new AbortController();
+    private admin: listeners.Listener | undefined;
+    private isDraining = false;
+    private boot: string | undefined;
+
+    private constructor(
+        private readonly settings: settingsFile.AgentSettings,
+        private readonly options: AgentOptions,
+    ) {
+        const { clock, log, random } = options;
+        this.incarnation = incarnations.createIncarnation(clock, random);
+        this.limit = this.store.add(new limits.AdmissionLimit(() => this.findBounds()));
+        this.queue = this.store.add(
+            new queues.FairQueue({
+                clock,
+                limit: this.limit,
+                weight: team => this.findWeight(team),
+                shedBelowPriority: () => nodes.findPreset(this.configuration)?.shedBelowPriority ?? 0,
+            }),
+        );
+        const lifetimeMs = (): number => this.configuration?.keyLifetimeMs ?? Infinity;
+        const capacity = settings.ledgerCapacity;
+        this.ledger = this.store.add(new ledgers.Ledger({ clock, capacity, lifetimeMs, startedWallMs: clock.wall() }));
+        this.attempts = new attemptMemories.AttemptMemory({ clock, capacity: ATTEMPT_CAPACITY });
+        this.node = this.store.add(this.createNode());
+        this.yields = new yields.YieldRequests({
+            clock,
+            service: settings.service,
+            find: instance => this.node.membership.find(instance),
+            context: () => this.node.createPeerContext(),
+        });
+        this.claim = this.store.add(
+            new homeClaims.HomeClaim({
+                clock,
+                slot: settings.instance,
+                lifetimeMs,
+                confirm: (instance, version) => this.yields.confirm(instance, version),
+            }),
+        );
+        this.workContext = this.createWorkContext();
+        this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
+        this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
+        this.store.add(this.node.membership.onChange(() => this.applyVersion()));
+        prom.collectDefaultMetrics({ register: this.registry });
+        this.registerGauges();
+    }
+
+    /** Starts an agent; rejects when an address can't be used. */
+    static async start(settings: settingsFile.AgentSettings, options: AgentOptions): Promise<AgentProcess> {
+        const agent = new AgentProcess(settings, options);
+        await agent.node.start();
+        agent.admin = agent.store.add(
+            await adminServers.listenAdmin(settings.adminListen, {
+                isReady: () => !agent.isDraining && agent.node.isReady,
+                status: () => agent.status(),
+                registry: agent.registry,
+            }),
+        );
+        void agent.probe();
+        return agent;
+    }
+
+    get peerAddress(): string {
+        return this.node.peerAddress;
+    }
+
+    get adminAddress(): string {
+        return this.admin?.address ?? "";
+    }
+
+    get isReady(): boolean {
+        return !this.isDraining && this.node.isReady;
+    }
+
+    /** Planned stop: says so to every peer, refuses new work, finishes all work under way, then ends. */
+    async stop(): Promise<number> {
+        const { clock, log } = this.options;
+        this.isDraining = true;
+        this.node.announce();
+        const limitMs = clock.now() + this.settings.stopLimitMs;
+        while (this.workCount > 0 && clock.now() < limitMs) {
+            await clocks.sleep(clock, DRAIN_POLL_MS);
+        }
+        const cut = this.workCount;
+        if (cut > 0) {
+            log.warn({ code: codes.codes.stopLimit.code, cut }, "planned stop cut work");
+        }
+        this.dispose();
+        return cut;
+    }
+
+    /** Ends at once, as a kill would. */
+    dispose(): void {
+        this.isDraining = true;
+        this.stopped.abort();
+        this.store.dispose();
+    }
+
+    /** What the agent believes, for operators. */
+    status(): unknown {
+        return {
+            role: "agent",
+            service: this.settings.service,
+            ...this.node.status(),
+            ready: this.isReady,
+            draining: this.isDraining,
+            load: this.describeLoad(),
+            ledger: this.ledger.size,
+            boot: this.boot,
+        };
+    }
+
+    private get configuration(): configurations.Configuration | undefined {
+        return this.node.replica.current?.configuration;
+    }
+
+    private get workCount(): number {
+        let count = 0;
+        this.works.forEach(works => count += works.size);
+        return count;
+    }
+
+    private createNode(): nodes.Node {
+        const { settings, options } = this;
+        return new nodes.Node({
+            settings,
+            ...options,
+            hello: {
+                kind: "hello",
+                protocol: messages.PROTOCOL_VERSION,
+                role: "agent",
+                instance: settings.instance,
+                failureDomain: settings.failureDomain,
+                incarnation: this.incarnation,
+                service: settings.service,
+            },
+            load: () => this.describeLoad(),
+            wantsAgents: () => [],
+            onConnected: connection => this.connect(connection),
+            onMessage: (connection, envelope) => this.receive(connection, envelope),
+        });
+    }
+
+    private createWorkContext(): upstreamWorks.WorkContext {
+        const { clock, log, engine } = this.options;
+        return {
+            clock,
+            log,
+            engine,
+            service: this.settings.service,
+            slot: this.settings.instance,
+            incarnation: this.incarnation,
+            queue: this.queue,
+            ledger: this.ledger,
+            attempts: this.attempts,
+            configuration: () => this.configuration,
+            isDraining: () => this.isDraining,
+            isRefreshing: () => this.node.isRefreshing,
+            unreadMs: () => this.node.unreadMs,
+            catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
+            decideHome: key => this.claim.decide(key),
+            noteBoot: boot => this.noteBoot(boot),
+            load: () => this.describeLoad(),
+        };
+    }
+
+    private connect(connection: peerConnections.PeerConnection): void {
+        const works = new Map<number, upstreamWorks.UpstreamWork>();
+        this.works.set(connection, works);
+        connection.onClose(() => {
+            works.forEach(work => work.cancel());
+            if (works.size === 0) {
+                this.works.delete(connection);
+            }
+        });
+    }
+
+    private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
+        const { message, version } = envelope;
+        switch (message.kind) {
+            case "call":
+                return void this.serve(connection, message, version);
+            case "cancel":
+                return this.works.get(connection)?.get(message.call)?.cancel();
+            case "query":
+                return void this.answerQuery(connection, message);
+            case "yield":
+                return void this.answerYield(connection, message.service, message.version);
+            default:
+                return;
+        }
+    }
+
+    private async serve(
+        connection: peerConnections.PeerConnection,
+        call: messages.Call,
+        version: number,
+    ): Promise<void> {
+        const works = this.works.get(connection) ?? new Map<number, upstreamWorks.UpstreamWork>();
+        const work = new upstreamWorks.UpstreamWork(this.workContext, call, version, part => {
+            connection.send({ kind: "part", call: call.call, offset: part.offset, tokens: [...part.tokens] });
+        });
+        works.set(call.call, work);
+        const answer = await work.run();
+        works.delete(call.call);
+        this.ends.inc({ code: String(answer.code) });
+        connection.send(answer);
+        if (connection.isClosed && works.size === 0) {
+            this.works.delete(connection);
+        }
+    }
+
+    private async answerQuery(connection: peerConnections.PeerConnection, query: messages.Query): Promise<void> {
+        const isMine = query.incarnation === this.incarnation;
+        const found = isMine
+            ? this.attempts.query(upstreamWorks.identifyAttempt(query), query.ageMs)
+            : { kind: "forgotten" as const };
+        const answer = found.kind === "running" ? await found.settled : found.kind === "answered" ? found.answer : undefined;
+        const code = found.kind === "not-run" ? codes.codes.tombstoned : codes.codes.connectionLost;
+        connection.send({ ...(answer ?? this.createAnswer(code)), call: query.call });
+    }
+
+    /** Confirms a version that other processes hold, after catching up with it. */
+    private async answerYield(
+        connection: peerConnections.PeerConnection,
+        service: string,
+        version: number,
+    ): Promise<void> {
+        await this.node.catchUp(version, PROBE_TIMEOUT_MS);
+        connection.send({ kind: "yielded", service, version: this.node.replica.version });
+    }
+
+    private createAnswer(code: codes.ResultCode): messages.Answer {
+        const load = this.describeLoad();
+        return { kind: "answer", call: 0, code: code.code, body: undefined, upstreamMs: 0, queuedMs: 0, tokens: 0, load };
+    }
+
+    private applyVersion(): void {
+        const current = this.node.replica.current;
+        if (current === undefined) {
+            return;
+        }
+        const service = current.configuration.services[this.settings.service];
+        const listed = this.node.membership.listed(this.settings.service);
+        this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
+    }
+
+    /** Watches the upstream for signs of a restart, one probe after another. */
+    private async probe(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)]);
+            const probed = await this.options.engine.probe(timeout);
+            if (probed.isOk) {
+                this.noteBoot(probed.value.boot);
+            }
+            else if (probed.error.code.code === codes.codes.connectFailed.code && !this.stopped.signal.aborted) {
+                this.limit.becomeCold("the upstream accepts no connection");
+            }
+            await clocks.sleep(this.options.clock, PROBE_PERIOD_MS, this.stopped.signal);
+        }
+    }
+
+    private noteBoot(boot: string): void {
+        if (this.boot !== undefined && this.boot !== boot) {
+            this.limit.becomeCold("the upstream's boot identity changed");
+        }
+        this.boot = boot;
+    }
+
+    private findBounds(): { coldConcurrency: number; warmConcurrency: number } {
+        const published = this.configuration?.services[this.settings.service];
+        return this.options.bounds?.() ?? published ?? { coldConcurrency: 1, warmConcurrency: 1 };
+    }
+
+    private findWeight(team: string): number {
+        const weight = this.configuration?.teams[team]?.weight ?? 1;
+        return weight * (nodes.findPreset(this.configuration)?.teamWeights[team] ?? 1);
+    }
+
+    private describeLoad(): messages.Load {
+        return {
+            limit: this.limit.limit,
+            active: this.limit.active,
+            queued: this.queue.queued,
+            cold: this.limit.isCold,
+            draining: this.isDraining,
+            expectedMs: this.queue.expectedMs,
+            models: [],
+        };
+    }
+
+    private registerGauges(): void {
+        const gauge = (name: string, help: string, read: () => number): void => {
+            new prom.Gauge({ name, help, registers: [this.registry], collect() {
+                this.set(read());
+            } });
+        };
+        gauge("cumincrank_agent_limit", "Concurrency admitted", () => this.limit.limit);
+        gauge("cumincrank_agent_active", "Calls at the upstream", () => this.limit.active);
+        gauge("cumincrank_agent_queued", "Calls waiting", () => this.queue.queued);
+        gauge("cumincrank_agent_ledger_entries", "Entries of the at-most-once ledger", () => this.ledger.size);
+        gauge("cumincrank_configuration_version", "Version in force", () => this.node.replica.version);
+    }
+}
--- /dev/null
+++ b/src/process/CallerServer.ts
@@ -0,0 +1,207 @@
+/**
+ * The HTTP server that callers connect to: one task for each request.
+ */
+import * as http from "node:http";
+import * as result from "true-myth/result";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
+import * as answers from "../request/CallerAnswer";
+import * as callerRequests from "../request/CallerRequest";
+import * as deadlines from "../request/Deadline";
+import * as pipelineRuns from "../request/PipelineRun";
+import * as stageCalls from "../request/StageCall";
+import * as entryMetrics from "./EntryMetrics";
+import * as listeners from "./Listener";
+
+const HEADERS_TIMEOUT_MS = 5_000;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const MAX_HEADER_BYTES = 16_384;
+const DEFAULT_OPERATION_DEADLINE_MS = 4_000;
+
+/** What the server needs from its process. */
+export interface CallerContext {
+    readonly clock: clocks.Clock;
+    readonly metrics: entryMetrics.EntryMetrics;
+    readonly pipeline: pipelineRuns.PipelineContext;
+    /** Why no request is taken now; undefined when requests are taken. */
+    readonly refusal: () => codes.Failure | undefined;
+    readonly configuration: () => configurations.Configuration | undefined;
+    /** Decides before any cost whether the stages can finish in time and by priority. */
+    readonly admit: (
+        pipeline: string,
+        stages: readonly configurations.Stage[],
+        deadline: deadlines.Deadline,
+        priority: number,
+    ) => codes.Failure | undefined;
+    readonly maxBodyBytes: number;
+    readonly requestTimeoutMs: number;
+}
+
+interface PreparedRequest {
+    readonly configuration: configurations.Configuration;
+    readonly pipeline: string;
+    readonly stages: readonly configurations.Stage[];
+    readonly deadline: deadlines.Deadline;
+}
+
+/** Accepts callers' requests. */
+export class CallerServer implements clocks.Disposable {
+    private readonly server: http.Server;
+    private listener: listeners.Listener | undefined;
+    private activeCount = 0;
+    private idleWaiters: (() => void)[] = [];
+
+    constructor(private readonly context: CallerContext) {
+        this.server = http.createServer({
+            requestTimeout: context.requestTimeoutMs,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            maxHeaderSize: MAX_HEADER_BYTES,
+        }, (request, response) => void this.serve(request, response));
+    }
+
+    /** Requests under way. */
+    get active(): number {
+        return this.activeCount;
+    }
+
+    get address(): string {
+        return this.listener?.address ?? "";
+    }
+
+    async listen(address: string): Promise<void> {
+        this.listener = await listeners.listen(this.server, address);
+    }
+
+    /** Stops accepting connections and resolves when all requests under way have ended. */
+    async drain(): Promise<void> {
+        this.listener?.stopAccepting();
+        this.server.closeIdleConnections();
+        while (this.activeCount > 0) {
+            await new Promise<void>(resolve => this.idleWaiters.push(resolve));
+        }
+    }
+
+    dispose(): void {
+        this.listener?.dispose();
+    }
+
+    private async serve(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        this.activeCount++;
+        response.on("error", () => response.destroy());
+        try {
+            await this.serveRequest(message, response);
+        }
+        finally {
+            this.activeCount--;
+            if (this.activeCount === 0) {
+                this.idleWaiters.splice(0).forEach(resolve => resolve());
+            }
+        }
+    }
+
+    private async serveRequest(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const startedMs = this.context.clock.now();
+        const request = await callerRequests.readCallerRequest(message, this.context.maxBodyBytes);
+        if (request.isErr) {
+            response.setHeader("connection", "close");
+            answers.writeAnswer(response, request.error.code.status, answers.describeFailure(request.error));
+            return;
+        }
+        const prepared = this.prepare(request.value);
+        if (prepared.isErr) {
+            const body = answers.describeFailure(prepared.error, request.value.request);
+            this.recordRefusal(request.value, prepared.error.code, startedMs);
+            answers.writeAnswer(response, prepared.error.code.status, body);
+            return;
+        }
+        const end = await this.run(request.value, prepared.value, response);
+        const { deadline, pipeline } = prepared.value;
+        const elapsedMs = this.context.clock.now() - startedMs;
+        this.context.metrics.recordRequest(pipeline, request.value.team, end.code, elapsedMs, !deadline.isExpired);
+    }
+
+    private async run(
+        request: callerRequests.CallerRequest,
+        prepared: PreparedRequest,
+        response: http.ServerResponse,
+    ): Promise<pipelineRuns.PipelineEnd> {
+        const gone = new AbortController();
+        response.on("close", () => gone.abort());
+        const stream = new answers.EventStream(response);
+        const end = await pipelineRuns.runPipeline(this.context.pipeline, prepared.configuration, prepared.stages, {
+            ...request,
+            pipeline: prepared.pipeline,
+            deadline: prepared.deadline,
+            signal: gone.signal,
+            onToken: request.streams ? (offset, token) => stream.writeToken(offset, token) : undefined,
+        });
+        const body = answers.describeEnd(request.request, end);
+        if (stream.hasBegun || (request.streams && end.code.outcome === "completed")) {
+            stream.writeEnd(body);
+        }
+        else {
+            answers.writeAnswer(response, end.code.status, body);
+        }
+        return end;
+    }
+
+    private prepare(request: callerRequests.CallerRequest): result.Result<PreparedRequest, codes.Failure> {
+        const refusal = this.context.refusal();
+        const configuration = this.context.configuration();
+        if (refusal !== undefined || configuration === undefined) {
+            return result.err(refusal ?? codes.failure(codes.codes.notReady, "no configuration", 1_000));
+        }
+        if (!Object.hasOwn(configuration.teams, request.team)) {
+            return result.err(codes.failure(codes.codes.unknownTeam, request.team));
+        }
+        const found = findStages(configuration, request.target);
+        if (found.isErr) {
+            return result.err(found.error);
+        }
+        const { pipeline, stages, deadlineMs } = found.value;
+        const totalMs = Math.min(request.deadlineMs ?? deadlineMs, deadlineMs);
+        const deadline = new deadlines.Deadline(this.context.clock, totalMs);
+        const refused = this.context.admit(pipeline, stages, deadline, request.priority);
+        return refused === undefined ? result.ok({ configuration, pipeline, stages, deadline }) : result.err(refused);
+    }
+
+    private recordRefusal(request: callerRequests.CallerRequest, code: codes.ResultCode, startedMs: number): void {
+        // Names that aren't published would let callers create metric series without end.
+        const configuration = this.context.configuration();
+        const { target } = request;
+        const isKnown = target.kind === "pipeline" && Object.hasOwn(configuration?.pipelines ?? {}, target.pipeline);
+        const pipeline = isKnown ? target.pipeline : "other";
+        const team = Object.hasOwn(configuration?.teams ?? {}, request.team) ? request.team : "other";
+        this.context.metrics.recordRequest(pipeline, team, code, this.context.clock.now() - startedMs, false);
+    }
+}
+
+interface FoundStages {
+    readonly pipeline: string;
+    readonly stages: readonly configurations.Stage[];
+    readonly deadlineMs: number;
+}
+
+/** Looks up a pipeline, or makes one of a single stage for an operation called directly. */
+function findStages(
+    configuration: configurations.Configuration,
+    target: callerRequests.Target,
+): result.Result<FoundStages, codes.Failure> {
+    if (target.kind === "pipeline") {
+        if (!Object.hasOwn(configuration.pipelines, target.pipeline)) {
+            return result.err(codes.failure(codes.codes.unknownPipeline, target.pipeline));
+        }
+        return result.ok({ pipeline: target.pipeline, ...configuration.pipelines[target.pipeline]! });
+    }
+    const { service, operation } = target;
+    const known = Object.hasOwn(configuration.services, service)
+        && stageCalls.findOperation(configuration, service, operation) !== undefined;
+    if (!known) {
+        return result.err(codes.failure(codes.codes.unknownOperation, `${service}/${operation}`));
+    }
+    const pipeline = `${service}.${operation}`;
+    const stages = [{ name: operation, service, operation }];
+    return result.ok({ pipeline, stages, deadlineMs: DEFAULT_OPERATION_DEADLINE_MS });
+}
--- /dev/null
+++ b/src/process/EntryProcess.ts
@@ -0,0 +1,283 @@
+/**
+ * An entry instance: takes callers' requests and runs their pipelines on agents.
+ */
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
+import * as emitters from "../common/Emitter";
+import * as logs from "../common/Log";
+import * as messages from "../common/Messages";
+import * as ports from "../common/Ports";
+import * as settingsFile from "../common/Settings";
+import * as deadlines from "../request/Deadline";
+import * as pipelineRuns from "../request/PipelineRun";
+import * as keyHomes from "../version/KeyHome";
+import * as adminServers from "./AdminServer";
+import * as agentPools from "./AgentPool";
+import * as callerServers from "./CallerServer";
+import * as entryMetrics from "./EntryMetrics";
+import * as incarnations from "./Incarnation";
+import * as listeners from "./Listener";
+import * as nodes from "./Node";
+import * as retryBudgets from "./RetryBudget";
+import * as stageHistories from "./StageHistory";
+import * as choices from "./UpstreamChoice";
+
+const NOT_READY_RETRY_MS = 1_000;
+const SHED_RETRY_MS = 1_000;
+
+/** What a test or experiment may replace; the defaults are the product's. */
+export interface EntryOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly random: () => number;
+    readonly source: ports.ConfigurationSource;
+    readonly instanceList: ports.InstanceList;
+    /** Chooses among candidates; undefined for the product's own policy. */
+    readonly choose?: (request: choices.ChoiceRequest) => choices.Choice | undefined;
+    /** Whether requests that can't finish in time are refused before they cost anything. */
+    readonly admitsByDeadline?: boolean;
+}
+
+/** A running entry. */
+export class EntryProcess implements clocks.Disposable {
+    readonly metrics = new entryMetrics.EntryMetrics();
+    private readonly store = new emitters.DisposableStore();
+    private readonly node: nodes.Node;
+    private readonly pool: agentPools.AgentPool;
+    private readonly history: stageHistories.StageHistory;
+    private readonly choice: choices.UpstreamChoice;
+    private readonly retryBudget: retryBudgets.RetryBudget;
+    private readonly hedgeBudget: retryBudgets.RetryBudget;
+    private readonly callers: callerServers.CallerServer;
+    private admin: listeners.Listener | undefined;
+    private isDraining = false;
+
+    private constructor(
+        private readonly settings: settingsFile.EntrySettings,
+        private readonly options: EntryOptions,
+    ) {
+        const { clock, log, random } = options;
+        this.pool = this.store.add(new agentPools.AgentPool(clock));
+        this.history = new stageHistories.StageHistory({ clock });
+        this.choice = new choices.UpstreamChoice({ ...settings, clock, random });
+        const ratio = (name: "retryRatio" | "hedgeRatio") => () => nodes.findPreset(this.configuration)?.[name] ?? 0;
+        this.retryBudget = new retryBudgets.RetryBudget({ clock, ratio: ratio("retryRatio") });
+        this.hedgeBudget = new retryBudgets.RetryBudget({ clock, ratio: ratio("hedgeRatio"), reserve: 0 });
+        this.node = this.store.add(
+            new nodes.Node({
+                settings,
+                clock,
+                log,
+                random,
+                source: options.source,
+                instanceList: options.instanceList,
+                hello: {
+                    kind: "hello",
+                    protocol: messages.PROTOCOL_VERSION,
+                    role: "entry",
+                    instance: settings.instance,
+                    failureDomain: settings.failureDomain,
+                    incarnation: incarnations.createIncarnation(clock, random),
+                },
+                load: () => undefined,
+                wantsAgents: () => Object.keys(this.configuration?.services ?? {}),
+                onConnected: connection => this.pool.add(connection),
+                onMessage: (connection, envelope) => this.pool.handle(connection, envelope.message),
+            }),
+        );
+        this.callers = this.store.add(
+            new callerServers.CallerServer({
+                clock,
+                metrics: this.metrics,
+                pipeline: this.createPipelineContext(),
+                refusal: () => this.findRefusal(),
+                configuration: () => this.configuration,
+                admit: (pipeline, stages, deadline, priority) => this.admit(pipeline, stages, deadline, priority),
+                maxBodyBytes: settings.maxBodyBytes,
+                requestTimeoutMs: settings.requestTimeoutMs,
+            }),
+        );
+        this.registerGauges();
+    }
+
+    /** Starts an entry; rejects when an address can't be used. */
+    static async start(settings: settingsFile.EntrySettings, options: EntryOptions): Promise<EntryProcess> {
+        const entry = new EntryProcess(settings, options);
+        await entry.node.start();
+        entry.admin = entry.store.add(
+            await adminServers.listenAdmin(settings.adminListen, {
+                isReady: () => entry.isReady,
+                status: () => entry.status(),
+                registry: entry.metrics.registry,
+            }),
+        );
+        await entry.callers.listen(settings.callerListen);
+        return entry;
+    }
+
+    get callerAddress(): string {
+        return this.callers.address;
+    }
+
+    get peerAddress(): string {
+        return this.node.peerAddress;
+    }
+
+    get adminAddress(): string {
+        return this.admin?.address ?? "";
+    }
+
+    get isReady(): boolean {
+        return !this.isDraining && this.node.isReady;
+    }
+
+    /** The configuration in force. */
+    get configuration(): configurations.Configuration | undefined {
+        return this.node.replica.current?.configuration;
+    }
+
+    /** Names of the agents that are connected. */
+    get connectedAgents(): readonly string[] {
+        return this.pool.all.map(client => client.instance);
+    }
+
+    /** Planned stop: no new work, all work under way finishes, then everything ends. Resolves to what was cut. */
+    async stop(): Promise<number> {
+        this.isDraining = true;
+        const limit = new AbortController();
+        const timeout = clocks.sleep(this.options.clock, this.settings.stopLimitMs, limit.signal);
+        await Promise.race([this.callers.drain(), timeout]);
+        limit.abort();
+        const cut = this.callers.active;
+        if (cut > 0) {
+            this.options.log.warn({ code: codes.codes.stopLimit.code, cut }, "planned stop cut work");
+        }
+        this.dispose();
+        return cut;
+    }
+
+    /** Ends at once, as a kill would. */
+    dispose(): void {
+        this.isDraining = true;
+        this.store.dispose();
+    }
+
+    /** What the entry believes, for operators. */
+    status(): unknown {
+        return {
+            role: "entry",
+            ...this.node.status(),
+            ready: this.isReady,
+            draining: this.isDraining,
+            active: this.callers.active,
+            agents: this.pool.all.map(client => ({
+                instance: client.instance,
+                incarnation: client.incarnation,
+                waiting: client.waitingCount,
+                dropped: client.dropped,
+                load: client.load,
+            })),
+        };
+    }
+
+    private findRefusal(): codes.Failure | undefined {
+        if (this.isDraining) {
+            return codes.failure(codes.codes.draining, this.settings.instance, NOT_READY_RETRY_MS);
+        }
+        return this.node.isReady ? undefined : codes.failure(codes.codes.notReady, "no view yet", NOT_READY_RETRY_MS);
+    }
+
+    private admit(
+        pipeline: string,
+        stages: readonly configurations.Stage[],
+        deadline: deadlines.Deadline,
+        priority: number,
+    ): codes.Failure | undefined {
+        const shedBelow = nodes.findPreset(this.configuration)?.shedBelowPriority ?? 0;
+        const isSaturated = stages.some(stage => this.isSaturated(stage.service));
+        if (priority < shedBelow && isSaturated) {
+            return codes.failure(codes.codes.shed, `priority ${priority} is below ${shedBelow}`, SHED_RETRY_MS);
+        }
+        if (this.options.admitsByDeadline === false) {
+            return undefined;
+        }
+        return this.history.canFinish(pipeline, stages.map(stage => stage.name), deadline.remainingMs);
+    }
+
+    /** Whether every usable instance of a service says that it is full. */
+    private isSaturated(service: string): boolean {
+        const candidates = this.findCandidates(service);
+        return candidates.length > 0
+            && candidates.every(({ load, pending }) => load !== undefined && load.active + pending >= load.limit);
+    }
+
+    private createPipelineContext(): pipelineRuns.PipelineContext {
+        const { clock, log } = this.options;
+        return {
+            log,
+            history: this.history,
+            retryBudget: this.retryBudget,
+            hedgeBudget: this.hedgeBudget,
+            choose: this.options.choose ?? (request => this.choice.choose(request)),
+            recordSuccess: (instance, upstreamMs, totalMs) => this.choice.recordSuccess(instance, upstreamMs, totalMs),
+            recordFailure: instance => this.choice.recordFailure(instance),
+            candidates: service => this.findCandidates(service),
+            client: instance => this.pool.find(instance),
+            home: (service, key) => this.findHome(service, key),
+            recover: (instance, incarnation, query, deadline) =>
+                this.recover(instance, incarnation, query, deadline),
+            recordCost: (pipeline, cost) => this.metrics.recordStage(pipeline, cost),
+            now: () => clock.now(),
+            schedule: (delayMs, callback) => clock.schedule(delayMs, callback),
+        };
+    }
+
+    private findCandidates(service: string): choices.Candidate[] {
+        const configuration = this.configuration;
+        if (configuration === undefined) {
+            return [];
+        }
+        const candidates: choices.Candidate[] = [];
+        for (const member of this.node.membership.agents(service)) {
+            const client = this.pool.find(member.instance);
+            const isOut = configurations.findOutOfService(configuration, service, member.instance) !== undefined;
+            if (client === undefined || isOut || client.load?.draining) {
+                continue;
+            }
+            const region = configuration.failureDomains[member.failureDomain]?.region ?? this.settings.region;
+            const { load, pending } = client;
+            candidates.push({ instance: member.instance, failureDomain: member.failureDomain, region, load, pending });
+        }
+        return candidates;
+    }
+
+    private findHome(service: string, key: string): string | undefined {
+        return keyHomes.findHome(key, Object.keys(this.configuration?.services[service]?.slots ?? {}));
+    }
+
+    private async recover(
+        instance: string,
+        incarnation: number,
+        query: Parameters<agentPools.AgentPool["recover"]>[2],
+        deadline: deadlines.Deadline,
+    ): Promise<messages.Answer | undefined> {
+        const expiry = new AbortController();
+        const timer = this.options.clock.schedule(deadline.remainingMs, () => expiry.abort());
+        const answer = await this.pool.recover(instance, incarnation, query, expiry.signal);
+        timer.dispose();
+        return answer;
+    }
+
+    private registerGauges(): void {
+        const { metrics, node } = this;
+        metrics.gauge("cumincrank_active_requests", "Requests under way", () => this.callers.active);
+        metrics.gauge("cumincrank_configuration_version", "Version in force", () => node.replica.version);
+        metrics.gauge(
+            "cumincrank_unconfirmed_seconds",
+            "Time since the version was confirmed",
+            () => (node.replica.unconfirmedMs ?? Infinity) / 1_000,
+        );
+        metrics.gauge("cumincrank_connected_agents", "Connected agents", () => this.pool.all.length);
+    }
+}
--- /dev/null
+++ b/src/process/Node.ts
@@ -0,0 +1,265 @@
+/**
+ * What an entry and an agent have in common: the peer listener and mesh, the configuration replica and its
+ * reader, the view of the instances, and the detection of pauses.
+ */
+import * as net from "node:net";
+import * as clocks from "../common/Clock";
+import * as configurations from "../common/Configuration";
+import * as emitters from "../common/Emitter";
+import * as logs from "../common/Log";
+import * as messages from "../common/Messages";
+import * as ports from "../common/Ports";
+import * as peerConnections from "../connection/PeerConnection";
+import * as readers from "./ConfigurationReader";
+import * as replicas from "./ConfigurationReplica";
+import * as listeners from "./Listener";
+import * as memberships from "./Membership";
+import * as pauses from "./PauseMonitor";
+import * as meshes from "./PeerMesh";
+
+/** Peers that each process holds for configuration, beside the connections that carry work. */
+const GOSSIP_PEERS = 4;
+const LIST_POLL_MS = 1_000;
+const LIST_TIMEOUT_MS = 3_000;
+/** A late event loop of this length is treated as a pause of the process. */
+const PAUSE_BOUND_MS = 1_000;
+/** Frames read this soon after a pause may have waited for all of it. */
+const UNREAD_WINDOW_MS = 500;
+/** After a pause, work waits this long at most for a peer's newer version. */
+const REFRESH_TIMEOUT_MS = 1_500;
+
+/** What a node needs from its owner. */
+export interface NodeOptions {
+    readonly settings: {
+        readonly instance: string;
+        readonly failureDomain: string;
+        readonly region: string;
+        readonly peerListen: string;
+    };
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly random: () => number;
+    readonly source: ports.ConfigurationSource;
+    readonly instanceList: ports.InstanceList;
+    readonly hello: messages.Hello;
+    readonly load: () => messages.Load | undefined;
+    /** Services whose agents the process connects to. */
+    readonly wantsAgents: () => readonly string[];
+    readonly onConnected?: (connection: peerConnections.PeerConnection) => void;
+    readonly onMessage: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
+}
+
+/** One process of the system among the others. */
+export class Node implements clocks.Disposable {
+    readonly replica: replicas.ConfigurationReplica;
+    readonly membership: memberships.Membership;
+    readonly pause: pauses.PauseMonitor;
+    readonly mesh: meshes.PeerMesh;
+    private readonly reader: readers.ConfigurationReader;
+    private readonly store = new emitters.DisposableStore();
+    private readonly stopped = new AbortController();
+    private listener: listeners.Listener | undefined;
+    private hasListed = false;
+    private refreshUntilMs = 0;
+
+    constructor(private readonly options: NodeOptions) {
+        const { clock, log, random, settings } = options;
+        this.replica = this.store.add(new replicas.ConfigurationReplica({ clock, log }));
+        this.membership = this.store.add(
+            new memberships.Membership({
+                clock,
+                self: settings.instance,
+                failureDomain: settings.failureDomain,
+                region: settings.region,
+            }),
+        );
+        this.pause = this.store.add(new pauses.PauseMonitor({ clock, boundMs: PAUSE_BOUND_MS }));
+        this.mesh = this.store.add(
+            new meshes.PeerMesh({
+                context: this.createPeerContext(),
+                replica: this.replica,
+                wanted: () => this.findWantedPeers(),
+                onConnected: connection => this.connect(connection),
+                onLost: connection => this.membership.noteLost(connection.remote.instance),
+                onEnvelope: (connection, envelope) => this.receive(connection, envelope),
+                log,
+            }),
+        );
+        this.reader = this.store.add(
+            new readers.ConfigurationReader({
+                clock,
+                random,
+                source: options.source,
+                replica: this.replica,
+                self: settings.instance,
+                peers: () => this.membership.instances,
+                log,
+            }),
+        );
+        this.store.add(this.pause.onWake(pausedMs => this.refresh(pausedMs)));
+    }
+
+    /** Opens the peer listener and starts the tasks. */
+    async start(): Promise<void> {
+        const server = net.createServer(socket => void this.accept(socket));
+        this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen));
+        this.reader.start();
+        this.mesh.start();
+        void this.pollList();
+    }
+
+    get peerAddress(): string {
+        return this.listener?.address ?? "";
+    }
+
+    /** Whether the process has a configuration and has asked for the list of instances. */
+    get isReady(): boolean {
+        return this.replica.current !== undefined && this.hasListed;
+    }
+
+    /** Whether the process woke from a pause and hasn't heard from a peer since; it dispatches nothing. */
+    get isRefreshing(): boolean {
+        if (this.pause.check() > 0) {
+            return true;
+        }
+        return this.options.clock.now() < this.refreshUntilMs;
+    }
+
+    /** Time that a frame read now may have waited while the process was paused, in milliseconds. */
+    get unreadMs(): number {
+        return this.pause.pausedWithin(UNREAD_WINDOW_MS);
+    }
+
+    /** Waits until a version is in force; resolves to whether it came in time. */
+    async catchUp(version: number, timeoutMs: number): Promise<boolean> {
+        if (this.replica.version >= version) {
+            return true;
+        }
+        const reached = new AbortController();
+        const listener = this.replica.onVersion(() => this.replica.version >= version && reached.abort());
+        await clocks.sleep(this.options.clock, timeoutMs, reached.signal);
+        listener.dispose();
+        return this.replica.version >= version;
+    }
+
+    /** Tells every peer at once what the next heartbeat would say. */
+    announce(): void {
+        const heartbeat = this.createPeerContext().heartbeat();
+        this.mesh.connections.forEach(connection => connection.send(heartbeat));
+    }
+
+    /** Part of what the process tells operators. */
+    status(): Record<string, unknown> {
+        const current = this.replica.current;
+        return {
+            instance: this.options.settings.instance,
+            failureDomain: this.options.settings.failureDomain,
+            incarnation: this.options.hello.incarnation,
+            version: this.replica.version,
+            preset: current?.configuration.preset,
+            unconfirmedMs: this.replica.unconfirmedMs,
+            listAgeMs: this.membership.listAgeMs,
+            rejected: this.replica.rejected,
+            out: describeOut(current),
+            peers: this.mesh.connections.map(connection => connection.remote.instance),
+        };
+    }
+
+    dispose(): void {
+        this.stopped.abort();
+        this.store.dispose();
+    }
+
+    /** What the connections of this process tell their peers. */
+    createPeerContext(): peerConnections.PeerContext {
+        return {
+            clock: this.options.clock,
+            hello: () => this.options.hello,
+            version: () => this.replica.version,
+            heartbeat: () => ({
+                kind: "heartbeat",
+                load: this.options.load(),
+                unconfirmedMs: this.replica.unconfirmedMs,
+                digest: this.replica.current?.digest,
+            }),
+        };
+    }
+
+    private async accept(socket: net.Socket): Promise<void> {
+        const accepted = await peerConnections.PeerConnection.accept(socket, this.createPeerContext());
+        if (accepted.isErr) {
+            this.options.log.warn({ code: accepted.error.code.code, detail: accepted.error.detail }, "peer refused");
+            return;
+        }
+        this.mesh.accept(accepted.value);
+    }
+
+    private connect(connection: peerConnections.PeerConnection): void {
+        this.membership.noteConnected(connection.remote);
+        this.options.onConnected?.(connection);
+    }
+
+    private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
+        if (envelope.version <= this.replica.version && this.pause.check() === 0) {
+            this.refreshUntilMs = 0;
+        }
+        if (envelope.message.kind === "heartbeat" && envelope.message.load?.draining) {
+            this.membership.noteDraining(connection.remote.instance);
+        }
+        this.options.onMessage(connection, envelope);
+    }
+
+    private refresh(pausedMs: number): void {
+        this.options.log.warn({ pausedMs }, "woke from a pause");
+        this.refreshUntilMs = this.options.clock.now() + REFRESH_TIMEOUT_MS;
+        this.mesh.connections.forEach(connection => connection.send({ kind: "fetch", from: this.replica.version }));
+    }
+
+    private findWantedPeers(): { instance: string; address: string }[] {
+        const wanted = new Map<string, string>();
+        for (const member of this.membership.peers(GOSSIP_PEERS)) {
+            wanted.set(member.instance, member.address);
+        }
+        for (const service of this.options.wantsAgents()) {
+            for (const member of this.membership.agents(service)) {
+                wanted.set(member.instance, member.address);
+            }
+        }
+        return [...wanted].map(([instance, address]) => ({ instance, address }));
+    }
+
+    private async pollList(): Promise<void> {
+        const { clock, instanceList, log } = this.options;
+        while (!this.stopped.signal.aborted) {
+            const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(LIST_TIMEOUT_MS)]);
+            const rows = await instanceList.read(timeout);
+            if (rows.isOk) {
+                this.hasListed = true;
+                this.membership.updateList(rows.value);
+            }
+            else if (!this.stopped.signal.aborted) {
+                log.debug({ code: rows.error.code.code, detail: rows.error.detail }, "instance list unavailable");
+            }
+            await clocks.sleep(clock, LIST_POLL_MS, this.stopped.signal);
+        }
+    }
+}
+
+function describeOut(current: replicas.VersionInForce | undefined): Record<string, readonly string[]> {
+    if (current === undefined) {
+        return {};
+    }
+    const { failureDomains, services } = current.configuration;
+    const upstreams = Object.values(services).flatMap(service => Object.entries(service.slots));
+    return {
+        failureDomains: Object.entries(failureDomains).filter(([, domain]) => domain.state === "out").map(([name]) => name),
+        upstreams: upstreams.filter(([, slot]) => slot.state === "out").map(([name]) => name),
+    };
+}
+
+/** The preset in force. */
+export function findPreset(
+    configuration: configurations.Configuration | undefined,
+): configurations.Preset | undefined {
+    return configuration?.presets[configuration.preset];
+}
--- /dev/null
+++ b/src/request/CallerAnswer.ts
@@ -0,0 +1,93 @@
+/**
+ * Writes the answer to a caller: one JSON object, or server-sent events with offsets and an explicit last
+ * event. Every answer names its outcome and numbered code.
+ */
+import * as http from "node:http";
+import * as codes from "../common/Codes";
+import * as pipelineRuns from "./PipelineRun";
+
+/** Bytes waiting to be read by the caller above which its stream is ended. */
+const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+const MS_PER_SECOND = 1_000;
+
+/** The JSON of an answer, and of the last event of a stream. */
+export interface AnswerBody {
+    readonly outcome: codes.Outcome;
+    readonly code: number;
+    readonly name: string;
+    readonly request?: string | undefined;
+    readonly stage?: string | undefined;
+    readonly detail?: string | undefined;
+    readonly retryAfterMs?: number | undefined;
+    readonly result?: unknown;
+    readonly stages?: pipelineRuns.PipelineEnd["costs"];
+}
+
+/** Describes how a request ended. */
+export function describeEnd(request: string, end: pipelineRuns.PipelineEnd): AnswerBody {
+    return {
+        outcome: end.code.outcome ?? "unknown",
+        code: end.code.code,
+        name: end.code.name,
+        request,
+        stage: end.stage,
+        detail: end.detail,
+        retryAfterMs: end.retryAfterMs,
+        result: end.body,
+        stages: end.costs,
+    };
+}
+
+/** Describes a request that was refused before any stage. */
+export function describeFailure(failure: codes.Failure, request?: string): AnswerBody {
+    const { code, detail, retryAfterMs } = failure;
+    return { outcome: code.outcome ?? "unknown", code: code.code, name: code.name, request, detail, retryAfterMs };
+}
+
+/** Writes a whole answer with its HTTP status. */
+export function writeAnswer(response: http.ServerResponse, status: number, body: AnswerBody): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const headers: http.OutgoingHttpHeaders = {
+        "content-type": "application/json",
+        "cumincrank-outcome": body.outcome,
+        "cumincrank-code": String(body.code),
+    };
+    if (body.retryAfterMs !== undefined) {
+        headers["retry-after"] = String(Math.ceil(body.retryAfterMs / MS_PER_SECOND));
+    }
+    response.writeHead(status, headers);
+    response.end(JSON.stringify(body));
+}
+
+/** A stream of server-sent events; its headers go out with the first token. */
+export class EventStream {
+    constructor(private readonly response: http.ServerResponse) {}
+
+    get hasBegun(): boolean {
+        return this.response.headersSent;
+    }
+
+    /** Sends one token. Ends the connection of a caller that doesn't read. */
+    writeToken(offset: number, token: string): void {
+        this.begin();
+        this.response.write(`id: ${offset}\nevent: token\ndata: ${JSON.stringify(token)}\n\n`);
+        if (this.response.writableLength > MAX_UNSENT_BYTES) {
+            this.response.destroy();
+        }
+    }
+
+    /** Sends the last event: `end` when the answer is whole, else `error`. */
+    writeEnd(body: AnswerBody): void {
+        this.begin();
+        const event = body.outcome === "completed" ? "end" : "error";
+        this.response.end(`event: ${event}\ndata: ${JSON.stringify(body)}\n\n`);
+    }
+
+    private begin(): void {
+        if (!this.response.headersSent) {
+            this.response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
+        }
+    }
+}
--- /dev/null
+++ b/src/request/PipelineRun.ts
@@ -0,0 +1,124 @@
+/**
+ * Runs the stages of one request in order under one deadline, and says how the whole ended.
+ */
+import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
+import * as entryMetrics from "../process/EntryMetrics";
+import * as stageHistories from "../process/StageHistory";
+import * as deadlines from "./Deadline";
+import * as stageCalls from "./StageCall";
+
+/** A request as the caller made it. */
+export interface PipelineRequest {
+    readonly request: string;
+    readonly pipeline: string;
+    readonly team: string;
+    readonly priority: number;
+    readonly key?: string | undefined;
+    readonly prefix?: string | undefined;
+    readonly input: unknown;
+    readonly deadline: deadlines.Deadline;
+    readonly signal: AbortSignal;
+    readonly onToken?: ((offset: number, token: string) => void) | undefined;
+}
+
+/** How a request ended. */
+export interface PipelineEnd {
+    readonly code: codes.ResultCode;
+    readonly detail: string | undefined;
+    readonly retryAfterMs: number | undefined;
+    /** The stage that failed. */
+    readonly stage: string | undefined;
+    readonly body: unknown;
+    readonly costs: readonly entryMetrics.StageCost[];
+}
+
+/** What the requests of a process share. */
+export interface PipelineContext extends stageCalls.StageContext {
+    readonly history: stageHistories.StageHistory;
+    readonly recordCost: (pipeline: string, cost: entryMetrics.StageCost) => void;
+}
+
+/** Runs a request under the configuration that was in force when it came. Never rejects. */
+export async function runPipeline(
+    context: PipelineContext,
+    configuration: configurations.Configuration,
+    stages: readonly configurations.Stage[],
+    request: PipelineRequest,
+): Promise<PipelineEnd> {
+    const costs: entryMetrics.StageCost[] = [];
+    let previous: unknown;
+    let mayHaveRun = false;
+    for (const [index, stage] of stages.entries()) {
+        const work = prepareStage(context, configuration, stages, index, request, previous);
+        const startedMs = context.now();
+        const end = await new stageCalls.StageCall(context, work).run();
+        const cost = describeCost(stage, end);
+        costs.push(cost);
+        context.recordCost(request.pipeline, cost);
+        if (end.code.code !== codes.codes.ok.code) {
+            return describeFailure(stage, end, mayHaveRun, costs);
+        }
+        context.history.record(request.pipeline, stage.name, context.now() - startedMs);
+        mayHaveRun = mayHaveRun || end.mayHaveRun;
+        previous = end.body;
+    }
+    return { code: codes.codes.ok, detail: undefined, retryAfterMs: undefined, stage: undefined, body: previous, costs };
+}
+
+function prepareStage(
+    context: PipelineContext,
+    configuration: configurations.Configuration,
+    stages: readonly configurations.Stage[],
+    index: number,
+    request: PipelineRequest,
+    previous: unknown,
+): stageCalls.StageWork {
+    const stage = stages[index]!;
+    const operation = stageCalls.findOperation(configuration, stage.service, stage.operation);
+    const names = stages.slice(index).map(other => other.name);
+    const isLast = index === stages.length - 1;
+    return {
+        request: request.request,
+        pipeline: request.pipeline,
+        stage: stage.name,
+        service: stage.service,
+        operation: stage.operation,
+        model: stage.model,
+        idempotent: operation?.idempotent ?? false,
+        team: request.team,
+        priority: request.priority,
+        key: request.key,
+        prefix: request.prefix,
+        body: index === 0 ? request.input : extendInput(request.input, previous),
+        deadline: request.deadline,
+        shareMs: context.history.share(request.pipeline, names, request.deadline.remainingMs),
+        hedgeAfterMs: context.history.hedgeAfterMs(request.pipeline, stage.name),
+        signal: request.signal,
+        onToken: isLast && operation?.streams ? request.onToken : undefined,
+    };
+}
+
+/** A later stage gets the caller's input and the result of the stage before it. */
+function extendInput(input: unknown, previous: unknown): unknown {
+    const isObject = typeof input === "object" && input !== undefined && !Array.isArray(input);
+    return isObject ? { ...input, previous } : { input, previous };
+}
+
+function describeCost(stage: configurations.Stage, end: stageCalls.StageEnd): entryMetrics.StageCost {
+    const { instance, upstreamMs, tokens, attempts, retries, hedges } = end;
+    return { stage: stage.name, service: stage.service, instance, upstreamMs, tokens, attempts, retries, hedges };
+}
+
+/** A request whose earlier stages ran, or whose failed stage may have run, is never called "not run". */
+function describeFailure(
+    stage: configurations.Stage,
+    end: stageCalls.StageEnd,
+    earlierRan: boolean,
+    costs: readonly entryMetrics.StageCost[],
+): PipelineEnd {
+    const ran = earlierRan || end.mayHaveRun;
+    const code = end.code.outcome === "not-run" && ran ? codes.codes.partlyRun : end.code;
+    const detail = code === end.code ? end.detail : `${end.code.name}${end.detail === undefined ? "" : `: ${end.detail}`}`;
+    return { code, detail, retryAfterMs: end.retryAfterMs, stage: stage.name, body: end.body, costs };
+}
--- /dev/null
+++ b/src/request/UpstreamWork.ts
@@ -0,0 +1,296 @@
+/**
+ * Serves one call on an agent: checks, at-most-once, admission, a last check right before the dispatch, the
+ * upstream call, and the answer. Everything refused before the dispatch is "not run".
+ */
+import * as result from "true-myth/result";
+import * as pattern from "ts-pattern";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
+import * as fingerprints from "../common/Fingerprint";
+import * as logs from "../common/Log";
+import * as messages from "../common/Messages";
+import * as ports from "../common/Ports";
+import * as limits from "../process/AdmissionLimit";
+import * as attemptMemories from "../process/AttemptMemory";
+import * as queues from "../process/FairQueue";
+import * as ledgers from "../process/Ledger";
+import * as deadlines from "./Deadline";
+
+const REFUSED_RETRY_MS = 500;
+/** Longest wait for a version that the caller's entry already has. */
+const CATCH_UP_TIMEOUT_MS = 500;
+
+/** What the calls of an agent share. */
+export interface WorkContext {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly service: string;
+    readonly slot: string;
+    readonly incarnation: number;
+    readonly engine: ports.ModelEngine;
+    readonly queue: queues.FairQueue;
+    readonly ledger: ledgers.Ledger;
+    readonly attempts: attemptMemories.AttemptMemory;
+    readonly configuration: () => configurations.Configuration | undefined;
+    readonly isDraining: () => boolean;
+    /** Whether the process woke from a pause and may not dispatch; asked right before each dispatch. */
+    readonly isRefreshing: () => boolean;
+    /** Time that a frame read now may have waited unread, in milliseconds. */
+    readonly unreadMs: () => number;
+    /** Resolves to whether this version or a later one came into force in time. */
+    readonly catchUp: (version: number, timeoutMs: number) => Promise<boolean>;
+    readonly decideHome: (key: string) => codes.Failure | undefined;
+    readonly noteBoot: (boot: string) => void;
+    readonly load: () => messages.Load;
+}
+
+/** What is known when a call ends. */
+interface WorkEnd {
+    readonly code: codes.ResultCode;
+    readonly detail?: string | undefined;
+    readonly retryAfterMs?: number | undefined;
+    readonly body?: unknown;
+    readonly upstreamMs: number;
+    readonly queuedMs: number;
+    readonly tokens: number;
+}
+
+function refused(failure: codes.Failure, queuedMs = 0): WorkEnd {
+    return { ...failure, upstreamMs: 0, queuedMs, tokens: 0 };
+}
+
+/** One call being served; used once. */
+export class UpstreamWork {
+    private readonly abort = new AbortController();
+    private readonly deadline: deadlines.Deadline;
+    private hasDispatched = false;
+    private operation: configurations.Operation = { idempotent: false, streams: false };
+
+    constructor(
+        private readonly context: WorkContext,
+        private readonly call: messages.Call,
+        private readonly version: number,
+        private readonly sendPart: (part: ports.UpstreamPart) => void,
+    ) {
+        const remainingMs = call.remainingMs - context.unreadMs();
+        this.deadline = deadlines.Deadline.fromRemaining(context.clock, remainingMs);
+    }
+
+    /** The caller no longer waits. Work that may not be repeated goes on once it was dispatched. */
+    cancel(): void {
+        if (!this.hasDispatched || this.operation.idempotent) {
+            this.abort.abort();
+        }
+    }
+
+    /** Serves the call. Never rejects. */
+    async run(): Promise<messages.Answer> {
+        const failure = await this.check();
+        const end = failure === undefined ? await this.runChecked() : refused(failure);
+        const { request, stage, attempt, team } = this.call;
+        this.context.log.debug({ request, stage, attempt, team, code: end.code.code, queuedMs: end.queuedMs }, "call ended");
+        return this.describe(end);
+    }
+
+    private describe(end: WorkEnd): messages.Answer {
+        return {
+            kind: "answer",
+            call: this.call.call,
+            code: end.code.code,
+            detail: end.detail?.slice(0, 1_000),
+            retryAfterMs: end.retryAfterMs,
+            body: end.body,
+            upstreamMs: end.upstreamMs,
+            queuedMs: end.queuedMs,
+            tokens: end.tokens,
+            load: this.context.load(),
+        };
+    }
+
+    /** Whether the call may be taken at all. */
+    private async check(): Promise<codes.Failure | undefined> {
+        const { context, call } = this;
+        if (call.incarnation !== context.incarnation) {
+            return codes.failure(codes.codes.otherIncarnation, `now ${context.incarnation}`, 0);
+        }
+        if (context.isDraining()) {
+            return codes.failure(codes.codes.draining, context.slot, REFUSED_RETRY_MS);
+        }
+        if (!await context.catchUp(this.version, CATCH_UP_TIMEOUT_MS)) {
+            return codes.failure(codes.codes.refreshing, `version ${this.version} not seen yet`, REFUSED_RETRY_MS);
+        }
+        const operation = findOperation(context.configuration(), call);
+        if (operation === undefined) {
+            return codes.failure(codes.codes.unknownOperation, `${call.service}/${call.operation}`);
+        }
+        this.operation = operation;
+        return this.checkDispatch();
+    }
+
+    /** Whether a call may be dispatched now; asked on arrival and again right before the dispatch. */
+    private checkDispatch(): codes.Failure | undefined {
+        const { context } = this;
+        if (context.isRefreshing()) {
+            return codes.failure(codes.codes.refreshing, context.slot, REFUSED_RETRY_MS);
+        }
+        const configuration = context.configuration();
+        const out = configuration === undefined
+            ? "upstream"
+            : configurations.findOutOfService(configuration, context.service, context.slot);
+        if (out !== undefined) {
+            const code = out === "upstream" ? codes.codes.upstreamOut : codes.codes.domainOut;
+            return codes.failure(code, context.slot, REFUSED_RETRY_MS);
+        }
+        if (this.deadline.isExpired) {
+            return codes.failure(codes.codes.expired, `${Math.round(this.deadline.remainingMs)} ms left`);
+        }
+        return this.abort.signal.aborted ? codes.failure(codes.codes.cancelled, "caller gone") : undefined;
+    }
+
+    private async runChecked(): Promise<WorkEnd> {
+        if (this.operation.idempotent) {
+            return this.admitAndDispatch();
+        }
+        const identity = identifyAttempt(this.call);
+        if (!this.context.attempts.begin(identity)) {
+            return refused(codes.failure(codes.codes.tombstoned, identity));
+        }
+        const end = this.call.key === undefined ? await this.admitAndDispatch() : await this.runKeyed(this.call.key);
+        this.context.attempts.finish(identity, this.describe(end));
+        return end;
+    }
+
+    private async runKeyed(key: string): Promise<WorkEnd> {
+        const notHome = this.context.decideHome(key);
+        if (notHome !== undefined) {
+            return refused(notHome);
+        }
+        const { team, service, operation, body } = this.call;
+        const decision = this.context.ledger.begin({ team, service, operation, key }, fingerprints.fingerprint(body));
+        return pattern.match(decision)
+            .with({ kind: "refused" }, ({ failure }) => Promise.resolve(refused(failure)))
+            .with({ kind: "settled" }, ({ record }) => Promise.resolve(describeRecord(record)))
+            .with({ kind: "running" }, ({ settled }) => this.waitForRecord(settled))
+            .with({ kind: "run" }, ({ run }) => this.runEntry(run))
+            .exhaustive();
+    }
+
+    private async runEntry(run: ledgers.LedgerRun): Promise<WorkEnd> {
+        const end = await this.admitAndDispatch();
+        if (end.code.outcome === "not-run") {
+            run.withdraw(codes.failure(end.code, end.detail ?? "", end.retryAfterMs));
+        }
+        else {
+            run.settle({ code: end.code.code, body: end.body, detail: end.detail });
+        }
+        return end;
+    }
+
+    /** Waits for the attempt that runs under the same key, at most until this call's own deadline. */
+    private async waitForRecord(settled: Promise<ledgers.LedgerRecord>): Promise<WorkEnd> {
+        const expiry = new AbortController();
+        const timeout = clocks.sleep(this.context.clock, this.deadline.remainingMs, expiry.signal);
+        const record = await Promise.race([settled, timeout.then(() => undefined)]);
+        expiry.abort();
+        return record === undefined
+            ? refused(codes.failure(codes.codes.stillRunning, "same key", REFUSED_RETRY_MS))
+            : describeRecord(record);
+    }
+
+    private async admitAndDispatch(): Promise<WorkEnd> {
+        const { team, priority } = this.call;
+        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal: this.abort.signal };
+        const admitted = await this.context.queue.enter(ticket);
+        if (admitted.isErr) {
+            return refused(admitted.error);
+        }
+        const permit = admitted.value;
+        const failure = this.checkDispatch();
+        if (failure !== undefined) {
+            permit.finish({ kind: "neutral" });
+            return refused(failure, permit.queuedMs);
+        }
+        return this.dispatch(permit);
+    }
+
+    private async dispatch(permit: queues.Permit): Promise<WorkEnd> {
+        const startedMs = this.context.clock.now();
+        this.hasDispatched = true;
+        let firstTokenMs: number | undefined;
+        const reply = await this.callUpstream(part => {
+            firstTokenMs ??= this.context.clock.now() - startedMs;
+            this.sendPart(part);
+        });
+        const upstreamMs = this.context.clock.now() - startedMs;
+        permit.finish(describeCompletion(reply, upstreamMs, firstTokenMs));
+        const { queuedMs } = permit;
+        if (reply.isErr) {
+            return { ...reply.error, upstreamMs, queuedMs, tokens: 0 };
+        }
+        const { code, body, tokens, boot } = reply.value;
+        if (boot !== undefined) {
+            this.context.noteBoot(boot);
+        }
+        return { code, body, tokens, upstreamMs, queuedMs };
+    }
+
+    private async callUpstream(onPart: (part: ports.UpstreamPart) => void): ports.Reply<ports.UpstreamAnswer> {
+        const { call, context } = this;
+        const upstreamCall: ports.UpstreamCall = {
+            request: call.request,
+            operation: call.operation,
+            model: call.model,
+            priority: call.priority,
+            key: call.key,
+            remainingMs: this.deadline.remainingMs,
+            body: call.body,
+            freshConnection: !this.operation.idempotent,
+        };
+        // An answer after the deadline helps nobody; work that may not be repeated is let run to learn its result.
+        const timeout = this.operation.idempotent
+            ? context.clock.schedule(upstreamCall.remainingMs, () => this.abort.abort(codes.codes.upstreamTimeout))
+            : undefined;
+        const reply = call.stream && this.operation.streams
+            ? await context.engine.stream(upstreamCall, call.offset, onPart, this.abort.signal)
+            : await context.engine.call(upstreamCall, this.abort.signal);
+        timeout?.dispose();
+        const timedOut = this.abort.signal.reason === codes.codes.upstreamTimeout;
+        return reply.isErr && timedOut
+            ? result.err(codes.failure(codes.codes.upstreamTimeout, "deadline passed at the upstream"))
+            : reply;
+    }
+}
+
+/** Names an attempt, the same in calls and in queries. */
+export function identifyAttempt(attempt: { request: string; stage: string; attempt: number }): string {
+    return `${attempt.request}/${attempt.stage}/${attempt.attempt}`;
+}
+
+function findOperation(
+    configuration: configurations.Configuration | undefined,
+    call: messages.Call,
+): configurations.Operation | undefined {
+    const operations = configuration?.services[call.service]?.operations;
+    return operations !== undefined && Object.hasOwn(operations, call.operation) ? operations[call.operation] : undefined;
+}
+
+function describeRecord(record: ledgers.LedgerRecord): WorkEnd {
+    const code = codes.findCode(record.code) ?? codes.codes.malformedAnswer;
+    return { code, body: record.body, detail: record.detail, upstreamMs: 0, queuedMs: 0, tokens: 0 };
+}
+
+function describeCompletion(
+    reply: result.Result<ports.UpstreamAnswer, codes.Failure>,
+    latencyMs: number,
+    firstTokenMs: number | undefined,
+): limits.Completion {
+    if (reply.isOk) {
+        return { kind: "success", latencyMs, ...(firstTokenMs === undefined ? {} : { firstTokenMs }) };
+    }
+    return pattern.match(reply.error.code.code)
+        .returnType<limits.Completion>()
+        .with(codes.codes.connectFailed.code, () => ({ kind: "refused-connection" }))
+        .with(codes.codes.cancelled.code, codes.codes.cancelledRunning.code, () => ({ kind: "neutral" }))
+        .otherwise(() => ({ kind: "failed" }));
+}
--- /dev/null
+++ b/standins/Caller.ts
@@ -0,0 +1,125 @@
+/**
+ * Calls an entry over HTTP as a caller would, and tells what came back.
+ */
+import * as http from "node:http";
+import * as clocks from "../src/common/Clock";
+import * as answers from "../src/request/CallerAnswer";
+
+/** What to ask an entry. */
+export interface CallerCall {
+    /** IP number and port of the entry. */
+    readonly address: string;
+    readonly path: string;
+    readonly team: string;
+    readonly body: unknown;
+    readonly key?: string | undefined;
+    readonly deadlineMs?: number | undefined;
+    readonly priority?: number | undefined;
+    readonly streams?: boolean | undefined;
+    readonly agent?: http.Agent | undefined;
+    readonly signal?: AbortSignal | undefined;
+}
+
+/** One token with its offset. */
+export interface ReceivedToken {
+    readonly offset: number;
+    readonly token: string;
+}
+
+/** What came back. */
+export interface CallerReply {
+    /** HTTP status; 0 when the connection ended before an answer. */
+    readonly status: number;
+    /** The answer, or the last event of a stream; undefined when none came. */
+    readonly answer: answers.AnswerBody | undefined;
+    readonly retryAfter: string | undefined;
+    readonly tokens: readonly ReceivedToken[];
+    readonly elapsedMs: number;
+    readonly firstTokenMs: number | undefined;
+}
+
+/** Sends a call; never rejects. */
+export function callEntry(call: CallerCall): Promise<CallerReply> {
+    const clock = clocks.systemClock;
+    const startedMs = clock.now();
+    const separator = call.address.lastIndexOf(":");
+    const content = Buffer.from(JSON.stringify(call.body));
+    return new Promise(resolve => {
+        const events = new EventReader(() => clock.now() - startedMs);
+        const finish = (status: number, text: string, retryAfter?: string): void => {
+            const elapsedMs = clock.now() - startedMs;
+            const { tokens, firstTokenMs } = events;
+            resolve({ status, answer: events.last ?? parseAnswer(text), retryAfter, tokens, elapsedMs, firstTokenMs });
+        };
+        const request = http.request({
+            host: call.address.slice(0, separator),
+            port: Number(call.address.slice(separator + 1)),
+            method: "POST",
+            path: call.path,
+            agent: call.agent,
+            signal: call.signal,
+            headers: describeHeaders(call, content.length),
+        }, response => {
+            const isStream = response.headers["content-type"] === "text/event-stream";
+            const chunks: string[] = [];
+            response.setEncoding("utf8");
+            response.on("data", (chunk: string) => isStream ? events.push(chunk) : chunks.push(chunk));
+            response.on("error", () => finish(response.statusCode ?? 0, ""));
+            response.on("end", () => finish(response.statusCode ?? 0, chunks.join(""), response.headers["retry-after"]));
+        });
+        request.on("error", () => finish(0, ""));
+        request.end(content);
+    });
+}
+
+function describeHeaders(call: CallerCall, length: number): http.OutgoingHttpHeaders {
+    return {
+        "content-type": "application/json",
+        "content-length": length,
+        "cumincrank-team": call.team,
+        ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
+        ...(call.deadlineMs === undefined ? {} : { "cumincrank-deadline-ms": call.deadlineMs }),
+        ...(call.priority === undefined ? {} : { "cumincrank-priority": call.priority }),
+        ...(call.streams ? { accept: "text/event-stream" } : {}),
+    };
+}
+
+function parseAnswer(text: string): answers.AnswerBody | undefined {
+    try {
+        return JSON.parse(text) as answers.AnswerBody;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Reads server-sent events. */
+class EventReader {
+    readonly tokens: ReceivedToken[] = [];
+    firstTokenMs: number | undefined;
+    last: answers.AnswerBody | undefined;
+    private rest = "";
+
+    constructor(private readonly elapsed: () => number) {}
+
+    push(chunk: string): void {
+        const events = (this.rest + chunk).split("\n\n");
+        this.rest = events.pop() ?? "";
+        events.forEach(event => this.take(event));
+    }
+
+    private take(event: string): void {
+        const fields = new Map(event.split("\n").map(line => {
+            const colon = line.indexOf(": ");
+            return [line.slice(0, colon), line.slice(colon + 2)];
+        }));
+        const data = fields.get("data") ?? "";
+        if (fields.get("event") === "token") {
+            this.firstTokenMs ??= this.elapsed();
+            this.tokens.push({ offset: Number(fields.get("id")), token: JSON.parse(data) as string });
+        }
+        else {
+            this.last = parseAnswer(data);
+        }
+    }
+}
