--- /dev/null
+++ b/src/process/adapters/InstanceListService.ts
@@ -0,0 +1,35 @@
+/**
+ * The platform's lagging list of instances by HTTP: `GET /instances`.
+ */
+import * as z from "zod";
+import * as configurations from "../../common/Configuration";
+import * as ports from "../../common/Ports";
+import * as requests from "./HttpRequest";
+import * as platform from "./PlatformRequest";
+
+const READ_TIMEOUT_MS = 3_000;
+const MAX_LIST_BYTES = 32 * 1024 * 1024;
+const MAX_ROWS = 100_000;
+
+const rowSchema = z.object({
+    instance: configurations.nameSchema,
+    role: z.enum(["entry", "agent"]),
+    service: configurations.nameSchema.optional(),
+    failureDomain: configurations.nameSchema,
+    address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
+    state: z.enum(["live", "leaving"]),
+});
+
+const listSchema = z.array(rowSchema).max(MAX_ROWS);
+
+/** Connects the port to the list at `address`, an IP number and a port. */
+export function createInstanceList(address: string): ports.InstanceList {
+    const client = requests.createClient(address);
+    const request: requests.Request = {
+        method: "GET",
+        path: "/instances",
+        timeoutMs: READ_TIMEOUT_MS,
+        maxAnswerBytes: MAX_LIST_BYTES,
+    };
+    return { read: signal => platform.read(client, request, listSchema, signal) };
+}
--- /dev/null
+++ b/src/process/adapters/PlainUpstream.test.ts
@@ -0,0 +1,144 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as standIns from "../../../standins/PlainServiceStandIn";
+import * as codes from "../../common/Codes";
+import * as ports from "../../common/Ports";
+import * as plain from "./PlainUpstream";
+
+const { afterEach, beforeEach, describe, expect, it } = vitest;
+
+const SEED = 5;
+const never = new AbortController().signal;
+
+let upstream: standIns.PlainServiceStandIn;
+let service: ports.PlainService;
+
+function makeCall(changes: Partial<ports.UpstreamCall> = {}): ports.UpstreamCall {
+    return {
+        request: "request-1",
+        operation: "book",
+        priority: 5,
+        key: "schlüssel 1",
+        remainingMs: 10_000,
+        body: { frame: 7 },
+        freshConnection: false,
+        ...changes,
+    };
+}
+
+async function codeOf(call: ports.UpstreamCall, signal = never): Promise<codes.ResultCode> {
+    const reply = await service.call(call, signal);
+    return reply.isOk ? reply.value.code : reply.error.code;
+}
+
+beforeEach(async () => {
+    upstream = await standIns.PlainServiceStandIn.listen();
+    service = plain.createPlainService(upstream.address);
+});
+
+afterEach(() => upstream.dispose());
+
+describe.each([true, false])("PlainUpstream with freshConnection %s", freshConnection => {
+    const cases: [string, standIns.PlainServiceFaults, Partial<ports.UpstreamCall>, codes.ResultCode, number][] = [
+        ["no fault", {}, {}, codes.codes.ok, 1],
+        ["a slow answer", { delayMs: 20 }, {}, codes.codes.ok, 1],
+        ["a rejection", { byNumber: { 1: "reject" } }, {}, codes.codes.upstreamRejected, 0],
+        ["status 404", { status: 404 }, {}, codes.codes.upstreamRejected, 0],
+        ["status 500", { status: 500 }, {}, codes.codes.upstreamFailed, 0],
+        ["status 302", { status: 302 }, {}, codes.codes.upstreamFailed, 0],
+        ["a reset before the effect", { resetBeforeEffect: true }, {}, codes.codes.upstreamReset, 0],
+        ["a reset after the effect", { resetAfterEffect: true }, {}, codes.codes.upstreamReset, 1],
+        ["a hang", { hang: true }, { remainingMs: 50 }, codes.codes.upstreamTimeout, 0],
+        ["a hang after the effect", { byNumber: { 1: "hang" } }, { remainingMs: 100 }, codes.codes.upstreamTimeout, 1],
+        ["malformed JSON", { malformed: true }, {}, codes.codes.malformedAnswer, 0],
+        ["an oversized answer", { oversizedBytes: 5_000_000 }, {}, codes.codes.malformedAnswer, 0],
+        ["bytes that are no HTTP", { rawBase64: "AAECAwQF" }, {}, codes.codes.malformedAnswer, 0],
+        ["a connection accepted and destroyed", { down: true }, {}, codes.codes.upstreamReset, 0],
+        ["no time left", {}, { remainingMs: 0 }, codes.codes.expired, 0],
+        ["a body that can't be encoded", {}, { body: 1n }, codes.codes.invalidRequest, 0],
+        ["an operation that is no path", {}, { operation: "a b\n" }, codes.codes.invalidRequest, 0],
+        ["a model that is no header", {}, { model: "a\r\nb" }, codes.codes.invalidRequest, 0],
+    ];
+    it.each(cases)("maps %s", async (_name, faults, changes, code, effects) => {
+        upstream.faults = faults;
+        expect(await codeOf(makeCall({ freshConnection, ...changes }))).toBe(code);
+        expect(upstream.log.length).toBe(effects);
+    });
+
+    it("carries request, key and body there, and body and boot back", async () => {
+        const reply = await service.call(makeCall({ freshConnection }), never);
+        const body = { operation: "book", input: { frame: 7 }, sequence: 1 };
+        expect(reply.unwrapOr(undefined)).toEqual({ code: codes.codes.ok, body, tokens: 0, boot: upstream.boot });
+        expect(upstream.log).toMatchObject([{ request: "request-1", key: "schlüssel 1", operation: "book" }]);
+    });
+
+    it("proves not run only by a refused connection", async () => {
+        upstream.stop();
+        expect(await codeOf(makeCall({ freshConnection }))).toBe(codes.codes.connectFailed);
+        await upstream.start();
+        expect(await codeOf(makeCall({ freshConnection }))).toBe(codes.codes.ok);
+    });
+
+    it("is cancelled before connecting and cancelled-running after dispatch", async () => {
+        expect(await codeOf(makeCall({ freshConnection }), AbortSignal.abort())).toBe(codes.codes.cancelled);
+        const early = new AbortController();
+        const undispatched = codeOf(makeCall({ freshConnection }), early.signal);
+        early.abort();
+        expect(await undispatched).toBe(codes.codes.cancelled);
+        expect(upstream.log).toEqual([]);
+        const late = new AbortController();
+        upstream.onCall = () => {
+            setImmediate(() => late.abort());
+            return "hang";
+        };
+        expect(await codeOf(makeCall({ freshConnection }), late.signal)).toBe(codes.codes.cancelledRunning);
+        expect(upstream.log.length).toBe(1);
+    });
+
+    it("never throws on random bytes", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.uint8Array({ maxLength: 100 }), async bytes => {
+                upstream.faults = { rawBase64: Buffer.from(bytes).toString("base64") };
+                const code = await codeOf(makeCall({ freshConnection }));
+                expect([codes.codes.malformedAnswer, codes.codes.upstreamReset]).toContain(code);
+            }),
+            { seed: SEED, numRuns: 40 },
+        );
+    });
+});
+
+describe("PlainUpstream connections", () => {
+    it("takes a reset on a reused connection for a lost one", async () => {
+        expect(await codeOf(makeCall())).toBe(codes.codes.ok);
+        upstream.faults = { down: true };
+        expect(await codeOf(makeCall())).toBe(codes.codes.upstreamReset);
+    });
+
+    const reuse: [boolean, number][] = [[false, 1], [true, 3]];
+    it.each(reuse)("with freshConnection %s, three calls open %s connections", async (freshConnection, opened) => {
+        for (let number = 0; number < 3; number++) {
+            await codeOf(makeCall({ freshConnection }));
+        }
+        expect(upstream.connections).toBe(opened);
+    });
+
+    const probes: [string, standIns.PlainServiceFaults, codes.ResultCode | undefined][] = [
+        ["no fault", {}, undefined],
+        ["a failure", { status: 500 }, codes.codes.upstreamFailed],
+        ["an answer without identity", { status: 200 }, codes.codes.malformedAnswer],
+        ["a hang", { hang: true }, codes.codes.upstreamTimeout],
+    ];
+    it.each(probes)("probes with %s", async (_name, faults, code) => {
+        upstream.faults = faults;
+        const reply = await service.probe(never);
+        expect(reply.isErr ? reply.error.code : undefined).toBe(code);
+        expect(reply.isErr || reply.value.boot === upstream.boot).toBe(true);
+    });
+
+    it("sees another boot identity after a restart", async () => {
+        const before = (await service.probe(never)).unwrapOr({ boot: "" });
+        upstream.restart();
+        const after = await plain.createPlainService(upstream.address).probe(never);
+        expect(after.unwrapOr(before)).not.toEqual(before);
+    });
+});
--- /dev/null
+++ b/src/process/adapters/PlainUpstream.ts
@@ -0,0 +1,97 @@
+/**
+ * A plain service by HTTP: `POST /call/OPERATION` with a JSON body, and `GET /healthz`. The header `x-boot`
+ * of each answer names the upstream process; `x-tokens` counts what it produced.
+ */
+import * as result from "true-myth/result";
+import * as codes from "../../common/Codes";
+import * as ports from "../../common/Ports";
+import * as requests from "./HttpRequest";
+
+const PROBE_TIMEOUT_MS = 1_000;
+/** Status of a caller's error that the upstream answers with. */
+const MIN_REJECTED_STATUS = 400;
+const MIN_FAILED_STATUS = 500;
+
+/** Connects the port to the upstream at `address`, an IP number and a port. */
+export function createPlainService(address: string): ports.PlainService {
+    const client = requests.createClient(address);
+    return {
+        call: (call, signal) => callUpstream(client, call, signal),
+        probe: signal => probeUpstream(client, signal),
+    };
+}
+
+/** Runs one call; failures as the port says. */
+export async function callUpstream(
+    client: requests.Client,
+    call: ports.UpstreamCall,
+    signal: AbortSignal,
+): ports.Reply<ports.UpstreamAnswer> {
+    const reply = await requests.send(client, describeCall("call", call), signal);
+    return reply.isErr ? result.err(reply.error) : readAnswer(reply.value);
+}
+
+/** Asks for the boot identity. */
+export async function probeUpstream(
+    client: requests.Client,
+    signal: AbortSignal,
+): ports.Reply<{ readonly boot: string }> {
+    const request: requests.Request = { method: "GET", path: "/healthz", timeoutMs: PROBE_TIMEOUT_MS };
+    const reply = await requests.send(client, request, signal);
+    if (reply.isErr) {
+        return result.err(reply.error);
+    }
+    if (!requests.isSuccess(reply.value.status)) {
+        return result.err(codes.failure(codes.codes.upstreamFailed, `status ${reply.value.status}`));
+    }
+    const boot = requests.readHeader(reply.value, "x-boot");
+    return boot === undefined
+        ? result.err(codes.failure(codes.codes.malformedAnswer, "no boot identity"))
+        : result.ok({ boot });
+}
+
+/** The request of a call; `kind` is the first part of its path. */
+export function describeCall(kind: "call" | "stream", call: ports.UpstreamCall): requests.Request {
+    return {
+        method: "POST",
+        path: `/${kind}/${call.operation}`,
+        headers: describeHeaders(call),
+        body: call.body,
+        timeoutMs: call.remainingMs,
+        freshConnection: call.freshConnection,
+    };
+}
+
+function describeHeaders(call: ports.UpstreamCall): Record<string, string> {
+    const headers: Record<string, string> = {
+        "x-request": encodeURIComponent(call.request),
+        "x-priority": String(call.priority),
+        "x-remaining-ms": String(Math.floor(call.remainingMs)),
+    };
+    if (call.key !== undefined) {
+        headers["x-key"] = encodeURIComponent(call.key);
+    }
+    if (call.model !== undefined) {
+        headers["x-model"] = call.model;
+    }
+    return headers;
+}
+
+/** Maps a whole answer by its status: 2xx is ok, 4xx rejected, everything else failed. */
+export function readAnswer(answer: requests.Answer): result.Result<ports.UpstreamAnswer, codes.Failure> {
+    const isRejected = answer.status >= MIN_REJECTED_STATUS && answer.status < MIN_FAILED_STATUS;
+    if (!requests.isSuccess(answer.status) && !isRejected) {
+        return result.err(codes.failure(codes.codes.upstreamFailed, `status ${answer.status}`));
+    }
+    return requests.parseJson(answer.body).map(body => ({
+        code: isRejected ? codes.codes.upstreamRejected : codes.codes.ok,
+        body,
+        tokens: readTokens(answer),
+        boot: requests.readHeader(answer, "x-boot"),
+    }));
+}
+
+function readTokens(answer: requests.Answer): number {
+    const tokens = Number(requests.readHeader(answer, "x-tokens"));
+    return Number.isSafeInteger(tokens) && tokens >= 0 ? tokens : 0;
+}
--- /dev/null
+++ b/standins/ConfigurationServiceStandIn.ts
@@ -0,0 +1,116 @@
+/**
+ * Stands in for the platform's configuration service: `GET /configuration` and the long poll
+ * `GET /configuration/watch?after=VERSION`. Each call counts against the rate.
+ */
+import * as http from "node:http";
+import * as clocks from "../src/common/Clock";
+import * as rates from "./CallRate";
+import * as standIns from "./HttpStandIn";
+
+const DEFAULT_WATCH_MS = 20_000;
+
+/** Options; a missing rate is unlimited. */
+export interface ConfigurationServiceOptions extends standIns.ListenOptions {
+    readonly document?: unknown;
+    readonly callsPerSecond?: number | undefined;
+    /** Longest time a watch waits. */
+    readonly watchMs?: number | undefined;
+}
+
+/** Faults of this stand-in. */
+export interface ConfigurationServiceFaults extends standIns.Faults {
+    /** Whether the first document ever published is served in place of the last. */
+    answerOld?: boolean | undefined;
+}
+
+/** The configuration service. */
+export class ConfigurationServiceStandIn extends standIns.HttpStandIn {
+    override faults: ConfigurationServiceFaults = {};
+    /** Documents read. */
+    reads = 0;
+    /** Watches waiting now. */
+    watching = 0;
+    private readonly documents: unknown[] = [];
+    private wakers = new Set<() => void>();
+    private readonly rate: rates.CallRate;
+
+    private constructor(private readonly options: ConfigurationServiceOptions) {
+        super();
+        this.rate = new rates.CallRate(options.callsPerSecond ?? Infinity);
+        if (options.document !== undefined) {
+            this.documents.push(options.document);
+        }
+    }
+
+    static async listen(options: ConfigurationServiceOptions = {}): Promise<ConfigurationServiceStandIn> {
+        const standIn = new ConfigurationServiceStandIn(options);
+        await standIn.start(options.port ?? 0);
+        return standIn;
+    }
+
+    /** Puts a document in force and wakes the watches. */
+    publish(document: unknown): void {
+        this.documents.push(document);
+        for (const wake of [...this.wakers]) {
+            wake();
+        }
+    }
+
+    override describe(): Record<string, unknown> {
+        const { calls, reads, watching } = this;
+        return { calls, reads, watching, refused: this.rate.refused };
+    }
+
+    protected override async handle(incoming: standIns.Incoming, response: http.ServerResponse): Promise<void> {
+        const waitMs = this.rate.take();
+        if (waitMs !== undefined) {
+            standIns.answer(response, 429, undefined, { "retry-after": String(waitMs / 1_000) });
+        }
+        else if (incoming.path === "/configuration") {
+            this.reads++;
+            this.answerDocument(response, 404);
+        }
+        else if (incoming.path === "/configuration/watch") {
+            await this.watch(Number(incoming.query.get("after") ?? 0), response);
+        }
+        else {
+            standIns.answer(response, 404);
+        }
+    }
+
+    private async watch(after: number, response: http.ServerResponse): Promise<void> {
+        this.watching++;
+        if (versionOf(this.documents.at(-1)) <= after) {
+            await this.waitForDocument(response);
+        }
+        this.watching--;
+        if (versionOf(this.documents.at(-1)) > after) {
+            this.answerDocument(response, 204);
+        }
+        else {
+            standIns.answer(response, 204);
+        }
+    }
+
+    private waitForDocument(response: http.ServerResponse): Promise<void> {
+        return new Promise(resolve => {
+            const wake = () => {
+                timer.dispose();
+                this.wakers.delete(wake);
+                resolve();
+            };
+            const timer = clocks.systemClock.schedule(this.options.watchMs ?? DEFAULT_WATCH_MS, wake);
+            this.wakers.add(wake);
+            response.once("close", wake);
+        });
+    }
+
+    private answerDocument(response: http.ServerResponse, emptyStatus: number): void {
+        const document = this.faults.answerOld === true ? this.documents[0] : this.documents.at(-1);
+        standIns.answer(response, document === undefined ? emptyStatus : 200, document);
+    }
+}
+
+function versionOf(document: unknown): number {
+    return Number((document as { version?: unknown } | undefined)?.version ?? 0);
+}
--- /dev/null
+++ b/standins/LaggedValue.ts
@@ -0,0 +1,32 @@
+/**
+ * A value that readers see as it was some time ago.
+ */
+import * as clocks from "../src/common/Clock";
+
+const MAX_HISTORY = 10_000;
+
+/** The history of one value. */
+export class LaggedValue<T> {
+    private readonly history: { readonly atMs: number; readonly value: T }[];
+
+    constructor(first: T) {
+        this.history = [{ atMs: -Infinity, value: first }];
+    }
+
+    set(value: T): void {
+        this.history.push({ atMs: clocks.systemClock.now(), value });
+        if (this.history.length > MAX_HISTORY) {
+            this.history.splice(0, MAX_HISTORY / 2);
+        }
+    }
+
+    /** The value as of `lagMs` ago, or the oldest kept. */
+    get(lagMs: number): T {
+        const asOfMs = clocks.systemClock.now() - lagMs;
+        let index = this.history.length - 1;
+        while (index > 0 && this.history[index]!.atMs > asOfMs) {
+            index--;
+        }
+        return this.history[index]!.value;
+    }
+}
--- /dev/null
+++ b/standins/Main.ts
@@ -0,0 +1,106 @@
+/**
+ * Runs stand-ins in a process of their own: `node dist/standins.cjs --spec FILE`. The YAML file names the
+ * stand-ins; a control port takes `POST /control` and `GET /log?standin=NAME`. Prints `ready ADDRESS`, with that
+ * of the control port, when all listen.
+ */
+import * as commander from "commander";
+import * as fs from "node:fs";
+import * as http from "node:http";
+import * as yaml from "yaml";
+import * as z from "zod";
+import * as configurationServices from "./ConfigurationServiceStandIn";
+import * as engines from "./EngineStandIn";
+import * as standIns from "./HttpStandIn";
+import * as instanceLists from "./InstanceListStandIn";
+import * as plainServices from "./PlainServiceStandIn";
+import * as weightStores from "./WeightStoreStandIn";
+
+const specSchema = z.strictObject({
+    controlPort: z.int().min(0),
+    standIns: z.array(z.strictObject({
+        name: z.string(),
+        kind: z.enum(["configuration", "instances", "weights", "plain", "engine"]),
+        /** Listening port and the options of the kind. */
+        options: z.record(z.string(), z.unknown()).default({}),
+    })),
+});
+
+const controlSchema = z.strictObject({
+    standin: z.string(),
+    /** `faults` replaces all faults; the others call the method of that name. */
+    action: z.enum(["faults", "publish", "set", "restart", "stop", "start", "cutConnections"]),
+    arguments: z.array(z.unknown()).default([]),
+});
+
+/** Makes a stand-in of each kind from its options. */
+const makers = {
+    configuration: configurationServices.ConfigurationServiceStandIn.listen,
+    instances: instanceLists.InstanceListStandIn.listen,
+    weights: weightStores.WeightStoreStandIn.listen,
+    plain: plainServices.PlainServiceStandIn.listen,
+    engine: engines.EngineStandIn.listen,
+};
+
+/** The control port. */
+class Control extends standIns.HttpStandIn {
+    readonly byName = new Map<string, standIns.HttpStandIn>();
+
+    constructor() {
+        super();
+    }
+
+    override describe(): Record<string, unknown> {
+        return Object.fromEntries([...this.byName].map(([name, standIn]) => [name, standIn.describe()]));
+    }
+
+    protected override async handle(incoming: standIns.Incoming, response: http.ServerResponse): Promise<void> {
+        if (incoming.path === "/log") {
+            const standIn = this.byName.get(incoming.query.get("standin") ?? "");
+            const body = standIn && { address: standIn.address, ...standIn.describe() };
+            standIns.answer(response, body === undefined ? 404 : 200, body);
+            return;
+        }
+        const control = controlSchema.safeParse(incoming.body);
+        if (incoming.path !== "/control" || !control.success) {
+            standIns.answer(response, 400, { error: control.error?.message ?? incoming.path });
+            return;
+        }
+        await this.apply(control.data, response);
+    }
+
+    private async apply(control: z.infer<typeof controlSchema>, response: http.ServerResponse): Promise<void> {
+        const standIn = this.byName.get(control.standin);
+        if (standIn === undefined) {
+            standIns.answer(response, 404, { error: control.standin });
+            return;
+        }
+        if (control.action === "faults") {
+            standIn.faults = (control.arguments[0] ?? {}) as standIns.Faults;
+            standIns.answer(response, 200, {});
+            return;
+        }
+        const method: unknown = Reflect.get(standIn, control.action);
+        if (typeof method !== "function") {
+            standIns.answer(response, 400, { error: control.action });
+            return;
+        }
+        await Reflect.apply(method, standIn, control.arguments);
+        standIns.answer(response, 200, {});
+    }
+}
+
+async function run(file: string): Promise<void> {
+    const spec = specSchema.parse(yaml.parse(fs.readFileSync(file, "utf8")));
+    const control = new Control();
+    for (const { name, kind, options } of spec.standIns) {
+        control.byName.set(name, await makers[kind](options as standIns.ListenOptions));
+    }
+    await control.start(spec.controlPort);
+    console.log(`ready ${control.address}`);
+    process.once("SIGTERM", () => process.exit(0));
+}
+
+void new commander.Command("standins")
+    .requiredOption("--spec <file>", "YAML file that names the stand-ins")
+    .action((options: { spec: string }) => run(options.spec))
+    .parseAsync();
--- /dev/null
+++ b/standins/PlainServiceStandIn.ts
@@ -0,0 +1,152 @@
+/**
+ * Stands in for a plain service: `POST /call/OPERATION` and `GET /healthz`. The log records each effect.
+ */
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import * as clocks from "../src/common/Clock";
+import * as executions from "./ExecutionLog";
+import * as standIns from "./HttpStandIn";
+import * as capacities from "./UpstreamCapacity";
+
+/** What becomes of a call: only `ok`, `reset-after` and `hang` have the effect; `reject` answers 422. */
+export type Behaviour = "ok" | "reset-before" | "reset-after" | "error" | "reject" | "hang";
+
+/** A call as `onCall` sees it. */
+export interface ServiceCall {
+    /** Number of the call, from 1. */
+    readonly number: number;
+    readonly operation: string;
+    readonly key: string | undefined;
+    readonly request: string;
+    readonly body: unknown;
+}
+
+/** Options. */
+export interface PlainServiceOptions extends standIns.ListenOptions, capacities.CapacityOptions {
+    /** Time that each call takes. */
+    readonly serviceMs?: number | undefined;
+}
+
+/** Faults of this stand-in. */
+export interface PlainServiceFaults extends standIns.Faults {
+    resetBeforeEffect?: boolean | undefined;
+    resetAfterEffect?: boolean | undefined;
+    /** Behaviour of single calls, by their number from 1. */
+    byNumber?: Record<number, Behaviour> | undefined;
+}
+
+/** The plain service. */
+export class PlainServiceStandIn extends standIns.HttpStandIn {
+    override faults: PlainServiceFaults = {};
+    readonly log: executions.Execution[] = [];
+    /** Decides over each call that no fault names. */
+    onCall: (call: ServiceCall) => Behaviour = () => "ok";
+    readonly capacity: capacities.UpstreamCapacity;
+    /** Boot identity. */
+    boot = createBoot();
+    private received = 0;
+
+    private constructor(private readonly options: PlainServiceOptions) {
+        super();
+        this.capacity = new capacities.UpstreamCapacity(options);
+    }
+
+    static async listen(options: PlainServiceOptions = {}): Promise<PlainServiceStandIn> {
+        const standIn = new PlainServiceStandIn(options);
+        await standIn.start(options.port ?? 0);
+        return standIn;
+    }
+
+    /** Cuts all calls and comes back cold with a new boot identity. The log stays. */
+    restart(): void {
+        this.boot = createBoot();
+        this.capacity.restart();
+        this.cutConnections();
+    }
+
+    override describe(): Record<string, unknown> {
+        const { calls, log, boot } = this;
+        const { excess, maxActive, violations, active } = this.capacity;
+        return { calls, log, boot, excess, maxActive, violations, active };
+    }
+
+    protected override async handle(incoming: standIns.Incoming, response: http.ServerResponse): Promise<void> {
+        const operation = /^\/call\/([^/]+)$/.exec(incoming.path)?.[1];
+        if (incoming.path === "/healthz") {
+            standIns.answer(response, 200, {}, { "x-boot": this.boot });
+        }
+        else if (operation === undefined) {
+            standIns.answer(response, 404, {}, { "x-boot": this.boot });
+        }
+        else {
+            await this.serveCall(operation, incoming, response);
+        }
+    }
+
+    private async serveCall(
+        operation: string,
+        incoming: standIns.Incoming,
+        response: http.ServerResponse,
+    ): Promise<void> {
+        const { boot } = this;
+        const behaviour = this.decide(operation, incoming);
+        const running = this.capacity.enter(Number(incoming.headers["x-priority"] ?? 0));
+        if (this.options.serviceMs !== undefined) {
+            await clocks.sleep(clocks.systemClock, this.options.serviceMs);
+        }
+        const hasFailed = running.hasFallen || boot !== this.boot;
+        this.capacity.leave(running, !hasFailed && behaviour === "ok");
+        if (hasFailed) {
+            standIns.answer(response, 500, { error: "overloaded" }, { "x-boot": this.boot });
+            return;
+        }
+        this.behave(behaviour, operation, incoming, response);
+    }
+
+    private decide(operation: string, incoming: standIns.Incoming): Behaviour {
+        const number = ++this.received;
+        if (this.faults.resetBeforeEffect === true) {
+            return "reset-before";
+        }
+        if (this.faults.resetAfterEffect === true) {
+            return "reset-after";
+        }
+        const key = standIns.readEncoded(incoming.headers, "x-key");
+        const request = standIns.readEncoded(incoming.headers, "x-request") ?? "";
+        return this.faults.byNumber?.[number]
+            ?? this.onCall({ number, operation, key, request, body: incoming.body });
+    }
+
+    private behave(
+        behaviour: Behaviour,
+        operation: string,
+        incoming: standIns.Incoming,
+        response: http.ServerResponse,
+    ): void {
+        const headers = { "x-boot": this.boot };
+        if (behaviour === "ok" || behaviour === "reset-after" || behaviour === "hang") {
+            executions.append(this.log, incoming.headers, operation);
+        }
+        switch (behaviour) {
+            case "ok":
+                standIns.answer(response, 200, { operation, input: incoming.body, sequence: this.log.length }, headers);
+                break;
+            case "reject":
+                standIns.answer(response, 422, { error: "rejected" }, headers);
+                break;
+            case "error":
+                standIns.answer(response, 500, { error: "failed" }, headers);
+                break;
+            case "reset-before":
+            case "reset-after":
+                response.destroy();
+                break;
+            case "hang":
+                break;
+        }
+    }
+}
+
+function createBoot(): string {
+    return `plain-${crypto.randomUUID()}`;
+}
--- /dev/null
+++ b/standins/WeightStoreStandIn.ts
@@ -0,0 +1,55 @@
+/**
+ * Stands in for the rate-limited weight store: `POST /weights/MODEL/reads`.
+ */
+import * as http from "node:http";
+import * as rates from "./CallRate";
+import * as standIns from "./HttpStandIn";
+
+/** Options; a missing rate is unlimited. */
+export interface WeightStoreOptions extends standIns.ListenOptions {
+    readonly readsPerSecond?: number | undefined;
+}
+
+/** The weight store. */
+export class WeightStoreStandIn extends standIns.HttpStandIn {
+    /** Reads granted, by model. */
+    readonly reads: Record<string, number> = {};
+    private readonly rate: rates.CallRate;
+
+    private constructor(options: WeightStoreOptions) {
+        super();
+        this.rate = new rates.CallRate(options.readsPerSecond ?? Infinity);
+    }
+
+    static async listen(options: WeightStoreOptions = {}): Promise<WeightStoreStandIn> {
+        const standIn = new WeightStoreStandIn(options);
+        await standIn.start(options.port ?? 0);
+        return standIn;
+    }
+
+    /** Reads refused above the rate. */
+    get overRate(): number {
+        return this.rate.refused;
+    }
+
+    override describe(): Record<string, unknown> {
+        return { calls: this.calls, reads: this.reads, overRate: this.overRate };
+    }
+
+    protected override handle(incoming: standIns.Incoming, response: http.ServerResponse): Promise<void> {
+        const model = /^\/weights\/([^/]+)\/reads$/.exec(incoming.path)?.[1];
+        const waitMs = model === undefined ? undefined : this.rate.take();
+        if (model === undefined) {
+            standIns.answer(response, 404);
+        }
+        else if (waitMs !== undefined) {
+            standIns.answer(response, 429, undefined, { "retry-after": String(waitMs / 1_000) });
+        }
+        else {
+            const name = decodeURIComponent(model);
+            this.reads[name] = (this.reads[name] ?? 0) + 1;
+            standIns.answer(response, 200, {});
+        }
+        return Promise.resolve();
+    }
+}
