--- /dev/null
+++ b/src/common/TimeOrderedKey.ts
@@ -0,0 +1,11 @@
+/**
+ * Idempotency keys that carry their creation time: version 7 UUIDs (RFC 9562).
+ */
+
+const UUID_V7 = /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+/** When `key` was created, in milliseconds since 1970; undefined when it carries no time. */
+export function readCreationTime(key: string): number | undefined {
+    const [, high, low] = UUID_V7.exec(key) ?? [];
+    return high === undefined || low === undefined ? undefined : Number.parseInt(high + low, 16);
+}
--- /dev/null
+++ b/src/process/AdmissionLimit.ts
@@ -0,0 +1,166 @@
+/**
+ * The exact concurrency limit of one upstream. It starts cold, rises only with successful completions at
+ * healthy latency, and falls on failures and on any sign of a restart.
+ */
+import * as emitters from "../common/Emitter";
+import * as ranges from "./LatencyRange";
+
+/** Factor by which a failure lowers the limit. */
+const FAILURE_FACTOR = 0.7;
+/** Share of the limit that one round of successes adds while it is far from warm. */
+const GROWTH_RATIO = 0.5;
+/** Share of the warm limit that one round adds close to warm. */
+const WARM_STEP_RATIO = 1 / 16;
+
+/** Calls that an upstream bears. */
+export interface ConcurrencyBounds {
+    readonly coldConcurrency: number;
+    readonly warmConcurrency: number;
+}
+
+/** How an admitted call ended; neutral says nothing about the upstream. Durations are in milliseconds. */
+export type Completion =
+    | { readonly kind: "success"; readonly latencyMs: number; readonly firstTokenMs?: number | undefined }
+    | { readonly kind: "failed" }
+    | { readonly kind: "refused-connection" }
+    | { readonly kind: "neutral" };
+
+/** One admitted call; given back exactly once. */
+export interface Ticket {
+    /** Count of cold starts when the call was admitted. */
+    readonly coldEpoch: number;
+    /** Count of reductions when the call was admitted. */
+    readonly reductions: number;
+}
+
+/** Admits calls up to a limit that follows the health of the upstream. */
+export class AdmissionLimit {
+    private readonly held = new Set<Ticket>();
+    private readonly firstTokens = new ranges.LatencyRange();
+    private readonly latencies = new ranges.LatencyRange();
+    private readonly changeEmitter = new emitters.Emitter<void>();
+    private readonly coldEmitter = new emitters.Emitter<string>();
+    private coldEpoch = 0;
+    private reductions = 0;
+    private successes = 0;
+    private cold = true;
+    /** The limit while warm or warming; unused while cold. */
+    private raised = 0;
+
+    /** Fires when a call was given back or the limit moved. */
+    readonly onChange: emitters.Event<void> = this.changeEmitter.event;
+    /** Fires with the reason when the limit fell to cold. */
+    readonly onCold: emitters.Event<string> = this.coldEmitter.event;
+
+    constructor(private readonly bounds: () => ConcurrencyBounds) {}
+
+    /** Calls that may be active at once. */
+    get limit(): number {
+        const { cold, warm } = this.readBounds();
+        return this.cold ? cold : Math.min(warm, Math.max(cold, this.raised));
+    }
+
+    /** Calls admitted and not given back. May exceed the limit after a fall. */
+    get active(): number {
+        return this.held.size;
+    }
+
+    /** Whether no round of successes has completed since the last cold start. */
+    get isCold(): boolean {
+        return this.cold;
+    }
+
+    /** Admits one call; undefined at the limit. */
+    tryAcquire(): Ticket | undefined {
+        if (this.held.size >= this.limit) {
+            return undefined;
+        }
+        const ticket: Ticket = { coldEpoch: this.coldEpoch, reductions: this.reductions };
+        this.held.add(ticket);
+        return ticket;
+    }
+
+    /** Gives an admitted call back. A second call with the same ticket does nothing. */
+    release(ticket: Ticket, completion: Completion): void {
+        if (!this.held.delete(ticket)) {
+            return;
+        }
+        if (completion.kind === "refused-connection") {
+            this.becomeCold("connection refused");
+        }
+        else if (ticket.coldEpoch === this.coldEpoch) {
+            this.learn(ticket, completion);
+        }
+        this.changeEmitter.fire();
+    }
+
+    /** Falls to cold at once; calls admitted before don't count towards warming. */
+    becomeCold(reason: string): void {
+        const noticeable = !this.cold || this.successes > 0;
+        this.coldEpoch += 1;
+        this.successes = 0;
+        this.cold = true;
+        if (noticeable) {
+            this.coldEmitter.fire(reason);
+            this.changeEmitter.fire();
+        }
+    }
+
+    dispose(): void {
+        this.changeEmitter.dispose();
+        this.coldEmitter.dispose();
+    }
+
+    private learn(ticket: Ticket, completion: Completion): void {
+        if (completion.kind === "failed") {
+            this.reduce(ticket);
+        }
+        else if (completion.kind === "success") {
+            this.learnSuccess(completion.latencyMs, completion.firstTokenMs);
+        }
+    }
+
+    private learnSuccess(latencyMs: number, firstTokenMs: number | undefined): void {
+        const firstTokenHealthy = firstTokenMs === undefined || this.firstTokens.observe(firstTokenMs);
+        const latencyHealthy = this.latencies.observe(latencyMs);
+        if (!firstTokenHealthy && !this.cold) {
+            this.becomeCold("first-token latency out of range");
+        }
+        else if (firstTokenHealthy && latencyHealthy) {
+            this.countSuccess();
+        }
+    }
+
+    private countSuccess(): void {
+        this.successes += 1;
+        const limit = this.limit;
+        if (this.successes < limit) {
+            return;
+        }
+        const { warm } = this.readBounds();
+        const step = limit < warm / 2 ? limit * GROWTH_RATIO : warm * WARM_STEP_RATIO;
+        this.successes = 0;
+        this.raised = Math.min(warm, limit + Math.max(1, Math.floor(step)));
+        this.cold = false;
+    }
+
+    /** Lowers the limit once for all the calls that were admitted under the same limit. */
+    private reduce(ticket: Ticket): void {
+        this.successes = 0;
+        if (ticket.reductions !== this.reductions) {
+            return;
+        }
+        this.reductions += 1;
+        this.raised = Math.floor(this.limit * FAILURE_FACTOR);
+    }
+
+    private readBounds(): { cold: number; warm: number } {
+        const bounds = this.bounds();
+        const warm = atLeastOne(bounds.warmConcurrency);
+        return { cold: Math.min(warm, atLeastOne(bounds.coldConcurrency)), warm };
+    }
+}
+
+function atLeastOne(value: number): number {
+    return value >= 1 ? Math.floor(value) : 1;
+}
--- /dev/null
+++ b/src/process/LatencyRange.ts
@@ -0,0 +1,49 @@
+/**
+ * The learned range of a latency: a moving mean and a moving mean deviation, in milliseconds.
+ */
+
+/** Observations before the range is judged. */
+const MIN_OBSERVATIONS = 8;
+/** Weight of one observation in the moving means. */
+const SMOOTHING = 0.1;
+/** Deviations above the mean that are still in range. */
+const MAX_DEVIATIONS = 8;
+/** Multiple of the mean that is always in range. */
+const MIN_RATIO = 3;
+/** Latency that is always in range, in milliseconds. */
+const MIN_BOUND_MS = 20;
+
+/** Learns a latency and tells values far above it. */
+export class LatencyRange {
+    private observations = 0;
+    private meanMs = 0;
+    private deviationMs = 0;
+
+    /** Upper end of the range, in milliseconds; infinite until enough was observed. */
+    get boundMs(): number {
+        if (this.observations < MIN_OBSERVATIONS) {
+            return Infinity;
+        }
+        return Math.max(MIN_BOUND_MS, this.meanMs * MIN_RATIO, this.meanMs + this.deviationMs * MAX_DEVIATIONS);
+    }
+
+    /** Takes in a latency; false when it is out of range. An invalid value is out of range and not learned. */
+    observe(latencyMs: number): boolean {
+        if (!(latencyMs >= 0 && latencyMs < Infinity)) {
+            return false;
+        }
+        const boundMs = this.boundMs;
+        this.learn(Math.min(latencyMs, boundMs));
+        return latencyMs <= boundMs;
+    }
+
+    private learn(latencyMs: number): void {
+        this.observations += 1;
+        const weight = Math.max(SMOOTHING, 1 / this.observations);
+        const differenceMs = latencyMs - this.meanMs;
+        this.meanMs += weight * differenceMs;
+        if (this.observations > 1) {
+            this.deviationMs += weight * (Math.abs(differenceMs) - this.deviationMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/Ledger.ts
@@ -0,0 +1,209 @@
+/**
+ * The at-most-once ledger of keyed non-idempotent calls, kept in memory for one incarnation. It never forgets
+ * a call within the key lifetime: a full ledger refuses, and so does one that may have lost its memory.
+ */
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as timeOrderedKeys from "../common/TimeOrderedKey";
+
+/** Largest difference allowed for between the clocks of callers and agents. */
+const CLOCK_SKEW_MS = 5_000;
+/** Time between removals of entries past the key lifetime. */
+const PURGE_PERIOD_MS = 1_000;
+
+/** What a keyed call is known by. */
+export interface CallIdentity {
+    readonly team: string;
+    readonly service: string;
+    readonly operation: string;
+    readonly key: string;
+}
+
+/** The answer to a keyed call, given alike to every retry; unknown outcomes too. */
+export interface LedgerRecord {
+    readonly code: number;
+    readonly body: unknown;
+    readonly detail?: string | undefined;
+}
+
+/** The right to run a keyed call once. Only the first of settle and withdraw has an effect. */
+export interface LedgerRun {
+    /** Records the outcome. */
+    settle(record: LedgerRecord): void;
+    /** Forgets the key; allowed only when certainly nothing was dispatched. Waiting retries get the failure. */
+    withdraw(failure: codes.Failure): void;
+}
+
+/** What to do with a keyed call. */
+export type Decision =
+    | { readonly kind: "run"; readonly run: LedgerRun }
+    | { readonly kind: "running"; readonly settled: Promise<LedgerRecord> }
+    | { readonly kind: "settled"; readonly record: LedgerRecord }
+    | { readonly kind: "refused"; readonly failure: codes.Failure };
+
+export interface LedgerOptions {
+    readonly clock: clocks.Clock;
+    /** Most entries held. */
+    readonly capacity: number;
+    /** How long a caller may retry with the same key. */
+    readonly lifetimeMs: () => number;
+    /** When this incarnation started, in milliseconds since 1970. */
+    readonly startedWallMs: number;
+}
+
+interface Entry {
+    readonly fingerprint: string;
+    /** Creation time that the key carries, in milliseconds since 1970. */
+    readonly createdMs: number | undefined;
+    readonly beganMs: number;
+    readonly lifetimeMs: number;
+    readonly settled: Promise<LedgerRecord>;
+    readonly resolve: (record: LedgerRecord) => void;
+    record: LedgerRecord | undefined;
+}
+
+/** Remembers keyed calls and decides which may run. */
+export class Ledger implements clocks.Disposable {
+    /** Entries in the order of their begin. */
+    private readonly entries = new Map<string, Entry>();
+    private readonly startedMs: number;
+    /** Calls with untimed keys begun up to this time, on the clock's scale, may have been forgotten. */
+    private forgottenUpToMs: number;
+    /** Calls with keys created up to this time, in milliseconds since 1970, may have been forgotten. */
+    private forgottenCreatedMs: number;
+    private readonly purgeTimer: clocks.Disposable;
+
+    constructor(private readonly options: LedgerOptions) {
+        this.startedMs = options.clock.now();
+        this.forgottenUpToMs = this.startedMs;
+        this.forgottenCreatedMs = options.startedWallMs + CLOCK_SKEW_MS;
+        this.purgeTimer = clocks.every(options.clock, PURGE_PERIOD_MS, () => this.purge());
+    }
+
+    /** Entries held. */
+    get size(): number {
+        return this.entries.size;
+    }
+
+    /** Decides a keyed call, and remembers it when it may run. `fingerprint` stands for its body. */
+    begin(identity: CallIdentity, fingerprint: string): Decision {
+        this.purge();
+        const name = JSON.stringify([identity.team, identity.service, identity.operation, identity.key]);
+        const entry = this.entries.get(name);
+        if (entry !== undefined) {
+            return decideKnown(entry, fingerprint);
+        }
+        const failure = this.checkForgotten(identity.key) ?? this.checkCapacity();
+        return failure === undefined
+            ? { kind: "run", run: this.add(name, identity.key, fingerprint) }
+            : { kind: "refused", failure };
+    }
+
+    dispose(): void {
+        this.purgeTimer.dispose();
+    }
+
+    private add(name: string, key: string, fingerprint: string): LedgerRun {
+        let resolve: (record: LedgerRecord) => void = () => {};
+        const settled = new Promise<LedgerRecord>(done => resolve = done);
+        const beganMs = this.options.clock.now();
+        const lifetimeMs = this.options.lifetimeMs();
+        const createdMs = timeOrderedKeys.readCreationTime(key);
+        const entry: Entry = { fingerprint, createdMs, beganMs, lifetimeMs, settled, resolve, record: undefined };
+        this.entries.set(name, entry);
+        return {
+            settle: record => this.settle(entry, record),
+            withdraw: failure => this.withdraw(name, entry, failure),
+        };
+    }
+
+    private settle(entry: Entry, record: LedgerRecord): void {
+        if (entry.record === undefined) {
+            entry.record = record;
+            entry.resolve(record);
+        }
+    }
+
+    private withdraw(name: string, entry: Entry, failure: codes.Failure): void {
+        if (entry.record === undefined) {
+            this.entries.delete(name);
+            this.settle(entry, { code: failure.code.code, body: undefined, detail: failure.detail });
+        }
+    }
+
+    /** Refuses a key that may have been begun before what the ledger remembers. */
+    private checkForgotten(key: string): codes.Failure | undefined {
+        const createdMs = timeOrderedKeys.readCreationTime(key);
+        return createdMs === undefined ? this.checkUntimed() : this.checkTimed(createdMs);
+    }
+
+    private checkTimed(createdMs: number): codes.Failure | undefined {
+        const wallMs = this.options.startedWallMs + this.options.clock.now() - this.startedMs;
+        const aheadMs = createdMs - wallMs - CLOCK_SKEW_MS;
+        if (aheadMs > 0) {
+            return codes.failure(codes.codes.invalidRequest, "the key's creation time is in the future", aheadMs);
+        }
+        const oldestMs = Math.max(this.forgottenCreatedMs, wallMs - this.options.lifetimeMs());
+        return createdMs <= oldestMs
+            ? codes.failure(codes.codes.keyTooOld, `created ${Math.ceil(oldestMs - createdMs)} ms too early`)
+            : undefined;
+    }
+
+    private checkUntimed(): codes.Failure | undefined {
+        const waitMs = this.forgottenUpToMs + this.options.lifetimeMs() - this.options.clock.now();
+        return waitMs > 0
+            ? codes.failure(codes.codes.keyTooOld, "the key carries no creation time", waitMs)
+            : undefined;
+    }
+
+    private checkCapacity(): codes.Failure | undefined {
+        if (this.entries.size < this.options.capacity) {
+            return undefined;
+        }
+        const [oldest] = this.entries.values();
+        const waitMs = oldest === undefined ? 0 : this.expiry(oldest) - this.options.clock.now();
+        return codes.failure(
+            codes.codes.ledgerFull,
+            `${this.entries.size} entries`,
+            Math.max(PURGE_PERIOD_MS, waitMs),
+        );
+    }
+
+    private purge(): void {
+        const nowMs = this.options.clock.now();
+        for (const [name, entry] of this.entries) {
+            if (this.expiry(entry) > nowMs) {
+                return;
+            }
+            if (entry.record !== undefined) {
+                this.forget(name, entry);
+            }
+        }
+    }
+
+    private forget(name: string, entry: Entry): void {
+        this.entries.delete(name);
+        if (entry.createdMs === undefined) {
+            this.forgottenUpToMs = Math.max(this.forgottenUpToMs, entry.beganMs);
+        }
+        else {
+            this.forgottenCreatedMs = Math.max(this.forgottenCreatedMs, entry.createdMs);
+        }
+    }
+
+    /** When an entry may be forgotten. A key may have been created up to the allowed skew after its begin. */
+    private expiry(entry: Entry): number {
+        const lifetimeMs = Math.max(entry.lifetimeMs, this.options.lifetimeMs());
+        return entry.beganMs + lifetimeMs + CLOCK_SKEW_MS;
+    }
+}
+
+function decideKnown(entry: Entry, fingerprint: string): Decision {
+    if (entry.fingerprint !== fingerprint) {
+        const failure = codes.failure(codes.codes.keyReused, "the key was used with another body");
+        return { kind: "refused", failure };
+    }
+    return entry.record === undefined
+        ? { kind: "running", settled: entry.settled }
+        : { kind: "settled", record: entry.record };
+}
