--- /dev/null
+++ b/src/process/FairQueue.test.ts
@@ -0,0 +1,239 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as limits from "./AdmissionLimit";
+import * as queues from "./FairQueue";
+
+const { describe, expect, it } = vitest;
+
+const SEED = 41;
+const SERVICE_MS = 100;
+const STEP_MS = 5;
+const TICK_MS = 20;
+
+interface Outcome {
+    readonly team: string;
+    readonly endedMs: number;
+    readonly queuedMs: number | undefined;
+    readonly code: string;
+}
+
+/** An upstream with a fixed service time behind a queue, moved by a manual clock. */
+class Bench {
+    readonly clock = new clocks.ManualClock(0);
+    readonly outcomes: Outcome[] = [];
+    readonly limit: limits.AdmissionLimit;
+    readonly queue: queues.FairQueue;
+    shedBelowPriority = 0;
+
+    constructor(concurrency: number, weights: Record<string, number> = {}) {
+        this.limit = new limits.AdmissionLimit(() => ({
+            coldConcurrency: concurrency,
+            warmConcurrency: concurrency,
+        }));
+        this.queue = new queues.FairQueue({
+            clock: this.clock,
+            limit: this.limit,
+            weight: team => weights[team] ?? 1,
+            shedBelowPriority: () => this.shedBelowPriority,
+        });
+    }
+
+    enter(team: string, deadlineMs: number, priority = 5, serviceMs = SERVICE_MS, signal = noAbort): void {
+        const ticket = { team, priority, deadlineMs: this.clock.now() + deadlineMs, signal };
+        void this.queue.enter(ticket).then(admission => {
+            const endedMs = this.clock.now();
+            if (admission.isErr) {
+                this.outcomes.push({ team, endedMs, queuedMs: undefined, code: admission.error.code.name });
+                return;
+            }
+            expect([ticket.deadlineMs > endedMs, signal.aborted]).toEqual([true, false]);
+            const { queuedMs, finish } = admission.value;
+            this.outcomes.push({ team, endedMs, queuedMs, code: "ok" });
+            this.clock.schedule(serviceMs, () => finish({ kind: "success", latencyMs: serviceMs }));
+        });
+    }
+
+    async run(forMs: number, eachStep: (nowMs: number) => void = () => {}): Promise<void> {
+        for (let passedMs = 0; passedMs < forMs; passedMs += STEP_MS) {
+            eachStep(this.clock.now());
+            await flush();
+            this.clock.advance(STEP_MS);
+            await flush();
+        }
+    }
+
+    count(team: string, code = "ok"): number {
+        return this.outcomes.filter(outcome => outcome.team === team && outcome.code === code).length;
+    }
+}
+
+const noAbort = new AbortController().signal;
+
+async function flush(): Promise<void> {
+    for (let turn = 0; turn < 8; turn++) {
+        await Promise.resolve();
+    }
+}
+
+/** A bench whose service time is known, with all places taken by the team `busy`. */
+async function createBusy(concurrency: number): Promise<Bench> {
+    const bench = new Bench(concurrency);
+    bench.enter("learning", 1_000);
+    await bench.run(SERVICE_MS + STEP_MS);
+    for (let index = 0; index < concurrency; index++) {
+        bench.enter("busy", 10_000);
+    }
+    await flush();
+    bench.outcomes.length = 0;
+    return bench;
+}
+
+describe("FairQueue", () => {
+    const refusals: [string, (bench: Bench) => void, string, number][] = [
+        ["no time for the service", bench => bench.enter("a", SERVICE_MS - 1), "deadline-unreachable", 0],
+        ["no time for the queue", bench => bench.enter("a", SERVICE_MS + 10), "overloaded", 0],
+        ["a deadline in the past", bench => bench.enter("a", -1), "expired", 0],
+        ["a deadline that is no number", bench => bench.enter("a", Number.NaN), "invalid-request", 0],
+        ["an endless deadline", bench => bench.enter("a", Infinity), "invalid-request", 0],
+        ["a priority that is no number", bench => bench.enter("a", 900, Number.NaN), "invalid-request", 0],
+        ["an aborted signal", bench => bench.enter("a", 900, 5, 1, AbortSignal.abort()), "cancelled", 0],
+        [
+            "low priority under overload",
+            bench => {
+                bench.shedBelowPriority = 5;
+                [5, 5, 5, 4].forEach(priority => bench.enter("a", 5_000, priority));
+            },
+            "shed",
+            0,
+        ],
+        [
+            "a drain",
+            bench => {
+                bench.enter("a", 900);
+                bench.queue.failAll(codes.failure(codes.codes.draining, "stop"));
+            },
+            "draining",
+            0,
+        ],
+        [
+            "an upstream that hangs",
+            bench => {
+                bench.limit.becomeCold("hang");
+                bench.enter("a", 400);
+            },
+            "overloaded",
+            350,
+        ],
+    ];
+    it.each(refusals)("refuses for %s", async (name, act, code, withinMs) => {
+        const bench = await createBusy(2);
+        if (name === "an upstream that hangs") {
+            // Takes all places with calls that don't end.
+            for (let index = 0; index < 2; index++) {
+                bench.enter("busy", 60_000, 9, 50_000);
+            }
+            await bench.run(SERVICE_MS + STEP_MS);
+            bench.outcomes.length = 0;
+        }
+        const startMs = bench.clock.now();
+        act(bench);
+        await bench.run(withinMs);
+        await flush();
+        const refused = bench.outcomes.filter(outcome => outcome.code === code);
+        expect(refused.length).toBe(1);
+        expect(refused[0]!.endedMs - startMs).toBeLessThanOrEqual(withinMs);
+    });
+
+    it("gives a cancelled call's turn to the next one", async () => {
+        const bench = await createBusy(1);
+        const controller = new AbortController();
+        bench.enter("a", 5_000, 5, SERVICE_MS, controller.signal);
+        bench.enter("b", 5_000);
+        controller.abort();
+        expect(bench.queue.queued).toBe(1);
+        await bench.run(SERVICE_MS + STEP_MS);
+        expect([bench.count("a", "cancelled"), bench.count("b")]).toEqual([1, 1]);
+    });
+
+    it("goes by priority within a team", async () => {
+        const bench = await createBusy(1);
+        const order: number[] = [];
+        for (const priority of [1, 5, 9, 5]) {
+            const ticket = { team: "a", priority, deadlineMs: 5_000, signal: noAbort };
+            void bench.queue.enter(ticket).then(admission => {
+                order.push(priority);
+                admission.map(permit => permit.finish({ kind: "neutral" }));
+            });
+        }
+        await bench.run(2 * SERVICE_MS);
+        expect(order).toEqual([9, 5, 5, 1]);
+    });
+
+    it("shares by weight and lends what is unused", async () => {
+        const bench = new Bench(4, { a: 3, b: 1 });
+        for (let index = 0; index < 400; index++) {
+            bench.enter("a", 60_000);
+        }
+        await bench.run(1_000);
+        expect(bench.count("a")).toBeGreaterThanOrEqual(40);
+        const lent = bench.count("a");
+        for (let index = 0; index < 200; index++) {
+            bench.enter("b", 60_000);
+        }
+        await bench.run(4_000);
+        expect((bench.count("a") - lent) / bench.count("b")).toBeCloseTo(3, 0);
+    });
+
+    it("holds no quiet team back for another team's burst", async () => {
+        const bench = new Bench(4);
+        await bench.run(8_000, nowMs => {
+            for (let index = 0; index < (nowMs % 1_000 === 0 ? 300 : 0); index++) {
+                bench.enter("burst", 3_000);
+            }
+            if (nowMs % SERVICE_MS === 50) {
+                bench.enter("quiet", 300);
+            }
+        });
+        const quiet = bench.outcomes.filter(outcome => outcome.team === "quiet");
+        expect(quiet.filter(outcome => outcome.code !== "ok")).toEqual([]);
+        expect(Math.max(...quiet.map(outcome => outcome.queuedMs!))).toBeLessThanOrEqual(SERVICE_MS + STEP_MS);
+        expect(bench.count("burst")).toBeGreaterThan(200);
+        expect(bench.count("burst", "overloaded")).toBeGreaterThan(0);
+    });
+
+    it("grants nothing expired or cancelled and answers everything before its deadline", async () => {
+        const call = fc.record({
+            team: fc.constantFrom("a", "b", "c"),
+            priority: fc.nat(9),
+            deadlineMs: fc.integer({ min: 20, max: 900 }),
+            serviceMs: fc.integer({ min: 10, max: 200 }),
+            waitMs: fc.constantFrom(0, 0, 0, 0, 20, 50),
+            abort: fc.constantFrom(false, false, false, true),
+        });
+        await fc.assert(
+            fc.asyncProperty(fc.array(call, { maxLength: 120 }), async calls => {
+                const bench = new Bench(3);
+                const latestMs: number[] = [];
+                for (const { team, priority, deadlineMs, serviceMs, waitMs, abort } of calls) {
+                    const controller = new AbortController();
+                    latestMs.push(bench.clock.now() + deadlineMs);
+                    bench.enter(team, deadlineMs, priority, serviceMs, controller.signal);
+                    if (abort) {
+                        controller.abort();
+                    }
+                    await bench.run(waitMs);
+                    expect(bench.limit.active).toBeLessThanOrEqual(bench.limit.limit);
+                }
+                await bench.run(1_000);
+                expect([bench.outcomes.length, bench.queue.queued]).toEqual([calls.length, 0]);
+                const ended = bench.outcomes.map(outcome => outcome.endedMs).sort((a, b) => a - b);
+                latestMs.sort((a, b) => a - b).forEach((limitMs, index) => {
+                    expect(ended[index]).toBeLessThanOrEqual(limitMs + TICK_MS);
+                });
+            }),
+            { seed: SEED, numRuns: 40 },
+        );
+    });
+});
--- /dev/null
+++ b/src/process/FairQueue.ts
@@ -0,0 +1,310 @@
+/**
+ * The queue in front of one upstream: shares the admission limit among teams by weight, lends unused share, and
+ * holds only work that can still meet its deadline by the learned service times.
+ */
+import * as result from "true-myth/result";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as limits from "./AdmissionLimit";
+import * as serviceTimes from "./ServiceTimes";
+import * as teamQueues from "./TeamQueues";
+
+/** Items that one team may have waiting. */
+const MAX_WAITING_PER_TEAM = 2_000;
+/** Time between checks of what can still meet its deadline. */
+const SWEEP_PERIOD_MS = 20;
+/** Cost of a call whose service time is unknown, in milliseconds. */
+const DEFAULT_COST_MS = 100;
+/** Least cost of a call, in milliseconds. */
+const MIN_COST_MS = 0.01;
+/** Share of the expected wait that a waiting call must still have, so that noise doesn't refuse accepted work. */
+const WAITING_TOLERANCE = 0.8;
+/** Share of the time until the deadline that a call waits at most while service times are unknown. */
+const UNKNOWN_WAIT_RATIO = 0.5;
+/** Shortest advice on when to come back. */
+const MIN_RETRY_AFTER_MS = 10;
+
+/** A call that asks for admission. */
+export interface CallTicket {
+    readonly team: string;
+    /** Higher goes first within the team. */
+    readonly priority: number;
+    /** On the scale of clock.now(). */
+    readonly deadlineMs: number;
+    readonly signal: AbortSignal;
+    /** What service times are learned by, such as operation and model. */
+    readonly operation?: string | undefined;
+}
+
+/** Leave to dispatch one call now. */
+export interface Permit {
+    readonly queuedMs: number;
+    /** Gives the place back; must be called once, and a second call does nothing. */
+    finish(completion: limits.Completion): void;
+}
+
+export type Admission = result.Result<Permit, codes.Failure>;
+
+export interface FairQueueOptions {
+    readonly clock: clocks.Clock;
+    readonly limit: limits.AdmissionLimit;
+    readonly weight: (team: string) => number;
+    readonly shedBelowPriority: () => number;
+}
+
+interface WaitingCall {
+    readonly ticket: CallTicket;
+    readonly priority: number;
+    readonly operation: string;
+    readonly enteredMs: number;
+    readonly answer: (admission: Admission) => void;
+}
+
+type Queue = teamQueues.TeamQueue<WaitingCall>;
+
+/** Admits calls in fair order, or refuses them at once. */
+export class FairQueue implements clocks.Disposable {
+    private readonly clock: clocks.Clock;
+    private readonly limit: limits.AdmissionLimit;
+    private readonly times: serviceTimes.ServiceTimes;
+    private readonly teams: teamQueues.TeamQueues<WaitingCall>;
+    private readonly limitListener: clocks.Disposable;
+    private sweepTimer: clocks.Disposable | undefined;
+
+    constructor(private readonly options: FairQueueOptions) {
+        this.clock = options.clock;
+        this.limit = options.limit;
+        this.times = new serviceTimes.ServiceTimes(options.clock);
+        this.teams = new teamQueues.TeamQueues(options.weight);
+        this.limitListener = options.limit.onChange(() => this.dispatch());
+    }
+
+    /** Calls waiting. */
+    get queued(): number {
+        return this.teams.size;
+    }
+
+    /** Expected time from arrival to answer for a new call, in milliseconds; 0 while nothing was learned. */
+    get expectedMs(): number {
+        return this.expectWait(this.teams.size) + (this.times.meanMs ?? 0);
+    }
+
+    /** Waits for admission. Never throws; a refused or cancelled call was not run. */
+    async enter(ticket: CallTicket): Promise<Admission> {
+        const admission = await this.admit(ticket);
+        if (admission.isOk && ticket.signal.aborted) {
+            admission.value.finish({ kind: "neutral" });
+            return result.err(codes.failure(codes.codes.cancelled, "cancelled on admission"));
+        }
+        return admission;
+    }
+
+    /** Refuses everything that waits. */
+    failAll(failure: codes.Failure): void {
+        for (const queue of [...this.teams.waitingTeams]) {
+            for (const call of [...queue.waiting]) {
+                this.refuse(queue, call, failure);
+            }
+        }
+    }
+
+    dispose(): void {
+        this.limitListener.dispose();
+        this.failAll(codes.failure(codes.codes.draining, "the queue is closed"));
+        this.sweepTimer?.dispose();
+    }
+
+    private admit(ticket: CallTicket): Admission | Promise<Admission> {
+        const failure = checkTicket(ticket) ?? this.checkDeadline(ticket);
+        if (failure !== undefined) {
+            return result.err(failure);
+        }
+        const queue = this.teams.open(ticket.team);
+        const mustWait = this.teams.size > 0 || this.limit.active >= this.limit.limit;
+        const refused = mustWait ? this.checkWait(queue, ticket) : undefined;
+        return refused === undefined ? this.wait(queue, ticket) : result.err(refused);
+    }
+
+    private wait(queue: Queue, ticket: CallTicket): Promise<Admission> {
+        return new Promise(resolve => {
+            const call: WaitingCall = {
+                ticket,
+                priority: ticket.priority,
+                operation: ticket.operation ?? "",
+                enteredMs: this.clock.now(),
+                answer,
+            };
+            const cancel = () => this.refuse(queue, call, codes.failure(codes.codes.cancelled, "cancelled in queue"));
+            function answer(admission: Admission): void {
+                ticket.signal.removeEventListener("abort", cancel);
+                resolve(admission);
+            }
+            ticket.signal.addEventListener("abort", cancel, { once: true });
+            this.teams.insert(queue, this.teams.findPosition(queue, call.priority), call);
+            this.dispatch();
+            this.startSweeping();
+        });
+    }
+
+    /** Grants places while there are any. */
+    private dispatch(): void {
+        while (this.limit.active < this.limit.limit) {
+            const queue = this.teams.findNext();
+            const call = queue?.waiting[0];
+            if (queue === undefined || call === undefined) {
+                return;
+            }
+            const failure = this.checkDeadline(call.ticket);
+            if (failure === undefined) {
+                this.grant(queue, call);
+            }
+            else {
+                this.refuse(queue, call, failure);
+            }
+        }
+    }
+
+    private grant(queue: Queue, call: WaitingCall): void {
+        const place = this.limit.tryAcquire();
+        if (place === undefined) {
+            return;
+        }
+        const grantedMs = this.clock.now();
+        const cost = this.times.expect(call.operation) ?? DEFAULT_COST_MS;
+        this.teams.remove(queue, call);
+        this.teams.charge(queue, Math.max(MIN_COST_MS, cost));
+        const finish = (completion: limits.Completion) => {
+            queue.active -= 1;
+            if (completion.kind === "success") {
+                this.times.observe(call.operation, this.clock.now() - grantedMs);
+            }
+            this.limit.release(place, completion);
+        };
+        call.answer(result.ok(createPermit(grantedMs - call.enteredMs, finish)));
+    }
+
+    private refuse(queue: Queue, call: WaitingCall, failure: codes.Failure): void {
+        if (this.teams.remove(queue, call)) {
+            call.answer(result.err(failure));
+        }
+    }
+
+    /** Whether the call could end in time if it started now. */
+    private checkDeadline(ticket: CallTicket): codes.Failure | undefined {
+        const remainingMs = ticket.deadlineMs - this.clock.now();
+        if (remainingMs <= 0) {
+            return codes.failure(codes.codes.expired, `${Math.round(-remainingMs)} ms past the deadline`);
+        }
+        const neededMs = this.times.expectAtLeast(ticket.operation ?? "");
+        return remainingMs < neededMs
+            ? codes.failure(
+                codes.codes.deadlineUnreachable,
+                `${Math.round(remainingMs)} ms left, ${Math.round(neededMs)} ms needed`,
+                Math.max(MIN_RETRY_AFTER_MS, neededMs),
+            )
+            : undefined;
+    }
+
+    /** Whether a new call that has to wait may do so. */
+    private checkWait(queue: Queue, ticket: CallTicket): codes.Failure | undefined {
+        const position = this.teams.findPosition(queue, ticket.priority);
+        const waitMs = this.expectWait(this.teams.countAhead(queue, position));
+        const remainingMs = ticket.deadlineMs - this.clock.now();
+        if (waitMs + this.times.expectAtLeast(ticket.operation ?? "") > remainingMs) {
+            return this.createOverload(waitMs, `${Math.round(waitMs)} ms of queue, ${Math.round(remainingMs)} ms left`);
+        }
+        if (ticket.priority < this.options.shedBelowPriority() && this.isOverloadedBy(queue)) {
+            return codes.failure(codes.codes.shed, `priority ${ticket.priority}`, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+        }
+        return this.makeRoom(queue, position, waitMs);
+    }
+
+    /** Whether more waits than the limit admits and the team uses its share or more. */
+    private isOverloadedBy(queue: Queue): boolean {
+        const limit = this.limit.limit;
+        const used = queue.active + queue.waiting.length;
+        return this.teams.size >= limit && used >= limit * this.teams.findShare(queue);
+    }
+
+    /** Displaces the team's own last call when the team has too many waiting. */
+    private makeRoom(queue: Queue, position: number, waitMs: number): codes.Failure | undefined {
+        if (queue.waiting.length < MAX_WAITING_PER_TEAM) {
+            return undefined;
+        }
+        const failure = this.createOverload(waitMs, `${queue.waiting.length} calls of the team wait`);
+        if (position === queue.waiting.length) {
+            return failure;
+        }
+        this.refuse(queue, queue.waiting.at(-1)!, failure);
+        return undefined;
+    }
+
+    private createOverload(waitMs: number, detail: string): codes.Failure {
+        return codes.failure(codes.codes.overloaded, detail, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+    }
+
+    /** Expected wait behind `ahead` calls, in milliseconds; 0 while nothing was learned. */
+    private expectWait(ahead: number): number {
+        const limit = this.limit.limit;
+        const before = ahead + 1 + this.limit.active - limit;
+        return before <= 0 ? 0 : before * (this.times.meanMs ?? 0) / limit;
+    }
+
+    private startSweeping(): void {
+        if (this.sweepTimer === undefined && this.teams.size > 0) {
+            this.sweepTimer = this.clock.schedule(SWEEP_PERIOD_MS, () => {
+                this.sweepTimer = undefined;
+                this.sweep();
+                this.dispatch();
+                this.startSweeping();
+            });
+        }
+    }
+
+    /** Refuses what can no longer meet its deadline. */
+    private sweep(): void {
+        for (const queue of [...this.teams.waitingTeams]) {
+            for (let position = 0; position < queue.waiting.length;) {
+                const call = queue.waiting[position]!;
+                const failure = this.checkDeadline(call.ticket) ?? this.checkRemainingWait(queue, position, call);
+                if (failure === undefined) {
+                    position += 1;
+                }
+                else {
+                    this.refuse(queue, call, failure);
+                }
+            }
+        }
+    }
+
+    private checkRemainingWait(queue: Queue, position: number, call: WaitingCall): codes.Failure | undefined {
+        const waitMs = this.expectWait(this.teams.countAhead(queue, position));
+        const remainingMs = call.ticket.deadlineMs - this.clock.now();
+        const neededMs = waitMs * WAITING_TOLERANCE + this.times.expectAtLeast(call.operation);
+        const totalMs = call.ticket.deadlineMs - call.enteredMs;
+        const tooLong = this.times.meanMs === undefined && remainingMs < totalMs * UNKNOWN_WAIT_RATIO;
+        return tooLong || neededMs > remainingMs
+            ? this.createOverload(waitMs, `${Math.round(remainingMs)} ms left in the queue`)
+            : undefined;
+    }
+}
+
+function createPermit(queuedMs: number, finish: (completion: limits.Completion) => void): Permit {
+    let finished = false;
+    return {
+        queuedMs,
+        finish(completion) {
+            if (!finished) {
+                finished = true;
+                finish(completion);
+            }
+        },
+    };
+}
+
+function checkTicket(ticket: CallTicket): codes.Failure | undefined {
+    if (!Number.isFinite(ticket.deadlineMs) || !Number.isFinite(ticket.priority)) {
+        return codes.failure(codes.codes.invalidRequest, "the deadline or the priority isn't a number");
+    }
+    return ticket.signal.aborted ? codes.failure(codes.codes.cancelled, "cancelled on arrival") : undefined;
+}
--- /dev/null
+++ b/src/process/ServiceTimes.ts
@@ -0,0 +1,74 @@
+/**
+ * Learned service times by operation, in milliseconds. An estimate that wasn't confirmed for a while no longer
+ * counts, so that one slow episode can't make everything look unreachable for good.
+ */
+import * as clocks from "../common/Clock";
+
+/** Weight of one observation in the moving means. */
+const SMOOTHING = 0.1;
+/** Shortest time that an estimate stays valid without a new observation. */
+const MIN_VALIDITY_MS = 5_000;
+/** An estimate stays valid for at least this many times its own value. */
+const VALIDITY_RATIO = 4;
+/** Operations remembered; the one learned longest ago goes first. */
+const MAX_OPERATIONS = 256;
+
+interface Estimate {
+    meanMs: number;
+    deviationMs: number;
+    learnedMs: number;
+}
+
+/** Moving estimates of how long calls take at the upstream. */
+export class ServiceTimes {
+    private readonly estimates = new Map<string, Estimate>();
+    private overall: Estimate | undefined;
+
+    constructor(private readonly clock: clocks.Clock) {}
+
+    /** Mean over all operations; undefined when nothing valid was learned. */
+    get meanMs(): number | undefined {
+        return this.isValid(this.overall) ? this.overall.meanMs : undefined;
+    }
+
+    /** Mean of one operation, or over all when it is unknown; undefined when nothing valid was learned. */
+    expect(operation: string): number | undefined {
+        const estimate = this.estimates.get(operation);
+        return this.isValid(estimate) ? estimate.meanMs : this.meanMs;
+    }
+
+    /** Time below which the operation hardly ever ends; 0 when nothing valid was learned. */
+    expectAtLeast(operation: string): number {
+        const estimate = this.estimates.get(operation);
+        return this.isValid(estimate) ? Math.max(0, estimate.meanMs - estimate.deviationMs) : 0;
+    }
+
+    /** Takes in the time that a successful call took. */
+    observe(operation: string, serviceMs: number): void {
+        const nowMs = this.clock.now();
+        const estimate = learn(this.estimates.get(operation), serviceMs, nowMs);
+        this.overall = learn(this.overall, serviceMs, nowMs);
+        this.estimates.delete(operation);
+        this.estimates.set(operation, estimate);
+        if (this.estimates.size > MAX_OPERATIONS) {
+            const [oldest] = this.estimates.keys();
+            this.estimates.delete(oldest!);
+        }
+    }
+
+    private isValid(estimate: Estimate | undefined): estimate is Estimate {
+        return estimate !== undefined
+            && this.clock.now() - estimate.learnedMs <= Math.max(MIN_VALIDITY_MS, estimate.meanMs * VALIDITY_RATIO);
+    }
+}
+
+function learn(estimate: Estimate | undefined, serviceMs: number, learnedMs: number): Estimate {
+    if (estimate === undefined) {
+        return { meanMs: serviceMs, deviationMs: 0, learnedMs };
+    }
+    const differenceMs = serviceMs - estimate.meanMs;
+    estimate.meanMs += SMOOTHING * differenceMs;
+    estimate.deviationMs += SMOOTHING * (Math.abs(differenceMs) - estimate.deviationMs);
+    estimate.learnedMs = learnedMs;
+    return estimate;
+}
