--- /dev/null
+++ b/src/common/RendezvousHash.ts
@@ -0,0 +1,35 @@
+/**
+ * Rendezvous hashing: every process that knows the same names ranks them alike for a key, and a name that
+ * joins or leaves moves only the keys that it wins or held.
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const UINT32_RANGE = 2 ** 32;
+
+/** The rank of `name` for `key`: the highest score wins. A name of twice the weight wins twice as many keys. */
+export function score(key: string, name: string, weight = 1): number {
+    const separated = addToHash(hashText(FNV_OFFSET, key), 0);
+    const uniform = (finish(hashText(separated, name)) + 0.5) / UINT32_RANGE;
+    return -weight / Math.log(uniform);
+}
+
+function hashText(start: number, text: string): number {
+    let hash = start;
+    for (let index = 0; index < text.length; index++) {
+        hash = addToHash(hash, text.charCodeAt(index));
+    }
+    return hash;
+}
+
+function addToHash(hash: number, unit: number): number {
+    return Math.imul(hash ^ unit, FNV_PRIME);
+}
+
+/** Spreads the differences of the last characters over all bits. */
+function finish(hash: number): number {
+    let mixed = hash;
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/src/process/RetryBudget.ts
@@ -0,0 +1,68 @@
+/**
+ * Bounds how many extra attempts a process makes, as a token bucket that first attempts fill.
+ */
+import * as clocks from "../common/Clock";
+
+const DEFAULT_RESERVE = 10;
+/** Time in which an empty bucket regains its whole reserve without any traffic. */
+const RESERVE_REFILL_MS = 60_000;
+/** First attempts whose earnings may be kept. */
+const KEPT_FIRST_ATTEMPTS = 1_000;
+
+export interface RetryBudgetOptions {
+    readonly clock: clocks.Clock;
+    /** Share of first attempts that may be repeated, 0 to 1; read at each use. */
+    readonly ratio: () => number;
+    /** Extra attempts allowed without traffic. */
+    readonly reserve?: number;
+}
+
+/** Extra attempts never exceed the ratio times the first attempts plus the slowly refilled reserve. */
+export class RetryBudget {
+    private readonly reserve: number;
+    private earned = 0;
+    private reserveLeft: number;
+    private refilledMs: number;
+
+    constructor(private readonly options: RetryBudgetOptions) {
+        this.reserve = options.reserve ?? DEFAULT_RESERVE;
+        this.reserveLeft = this.reserve;
+        this.refilledMs = options.clock.now();
+    }
+
+    /** Counts one first attempt. */
+    earn(): void {
+        const ratio = this.options.ratio();
+        this.earned = Math.min(this.earned + ratio, ratio * KEPT_FIRST_ATTEMPTS);
+    }
+
+    /** Takes one extra attempt; false when the budget is spent, or when the ratio is 0. */
+    trySpend(): boolean {
+        if (this.options.ratio() <= 0) {
+            return false;
+        }
+        this.refill();
+        if (this.earned >= 1) {
+            this.earned--;
+            return true;
+        }
+        if (this.reserveLeft >= 1) {
+            this.reserveLeft--;
+            return true;
+        }
+        return false;
+    }
+
+    /** Extra attempts available now. */
+    get balance(): number {
+        this.refill();
+        return this.options.ratio() <= 0 ? 0 : this.earned + this.reserveLeft;
+    }
+
+    private refill(): void {
+        const nowMs = this.options.clock.now();
+        const gained = (nowMs - this.refilledMs) * this.reserve / RESERVE_REFILL_MS;
+        this.reserveLeft = Math.min(this.reserve, this.reserveLeft + gained);
+        this.refilledMs = nowMs;
+    }
+}
--- /dev/null
+++ b/src/process/StageHistory.test.ts
@@ -0,0 +1,70 @@
+import * as vitest from "vitest";
+import * as clocks from "../common/Clock";
+import * as deadlines from "../request/Deadline";
+import * as histories from "./StageHistory";
+
+const { expect, it } = vitest;
+
+const STAGES = ["encode", "generate"];
+
+function createHistory(encodeMs: number, generateMs: number): [histories.StageHistory, clocks.ManualClock] {
+    const clock = new clocks.ManualClock();
+    const history = new histories.StageHistory({ clock });
+    for (let sample = 0; sample < 100; sample++) {
+        history.record("p", "encode", encodeMs);
+        history.record("p", "generate", generateMs);
+    }
+    return [history, clock];
+}
+
+const shares: [number, number, number, number][] = [
+    [100, 300, 1_000, 700],
+    [100, 300, 400, 100],
+    [100, 300, 200, 50],
+];
+it.each(shares)("with needs of %d and %d ms cuts %d ms", (encodeMs, generateMs, remainingMs, expected) => {
+    const [history] = createHistory(encodeMs, generateMs);
+    const share = history.share("p", STAGES, remainingMs);
+    expect(Math.abs(share - expected)).toBeLessThan(10);
+});
+
+const admissions: [number, number, string][] = [
+    [1_000, 0.9, "fits"],
+    [200, 0.9, "deadline-unreachable"],
+    [200, 0.001, "probe"],
+    [0, 0.001, "deadline-unreachable"],
+];
+it.each(admissions)("judges %d ms with a draw of %d as %s", (remainingMs, draw, expected) => {
+    const [history] = createHistory(100, 300);
+    const judged = histories.canFinish(history, "p", STAGES, remainingMs, () => draw);
+    expect(judged.isOk ? judged.value : judged.error.code.name).toBe(expected);
+});
+
+it("heals from a bad history, by probes or by time", () => {
+    const [history, clock] = createHistory(100, 5_000);
+    clock.advance(35_000);
+    for (let probe = 0; probe < 20; probe++) {
+        history.record("p", "generate", 50);
+    }
+    clock.advance(35_000);
+    expect(history.quantile("p", "generate", 0.5)).toBe(50);
+    clock.advance(70_000);
+    expect(history.quantile("p", "generate", 0.5)).toBeUndefined();
+    expect(histories.canFinish(history, "p", STAGES, 10, () => 0.9).isOk).toBe(true);
+});
+
+it("gives a hedge age only with enough samples", () => {
+    const [history] = createHistory(100, 300);
+    history.record("p", "rare", 10);
+    expect(history.hedgeAfterMs("p", "encode")).toBe(100);
+    expect(history.hedgeAfterMs("p", "rare")).toBeUndefined();
+});
+
+it("counts a deadline down to 0", () => {
+    const clock = new clocks.ManualClock();
+    const deadline = deadlines.Deadline.fromRemaining(clock, 100);
+    clock.advance(60);
+    expect([deadline.remainingMs, deadline.isExpired]).toEqual([40, false]);
+    clock.advance(60);
+    expect([deadline.remainingMs, deadline.isExpired]).toEqual([0, true]);
+});
--- /dev/null
+++ b/src/process/StageHistory.ts
@@ -0,0 +1,165 @@
+/**
+ * How long the stages of each pipeline took lately, and what follows for deadlines and hedges.
+ */
+import * as hdr from "hdr-histogram-js";
+import * as result from "true-myth/result";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+
+/** Samples are forgotten after one to two windows. */
+const WINDOW_MS = 30_000;
+const MAX_DURATION_MS = 600_000;
+/** Fewer samples than this say nothing about a stage. */
+const MIN_SAMPLES = 10;
+const MIN_HEDGE_SAMPLES = 50;
+const QUANTILE_CACHE_MS = 250;
+const SHARE_QUANTILE = 0.9;
+const HEDGE_QUANTILE = 0.95;
+const ADMISSION_QUANTILE = 0.5;
+/** Share of unpromising requests that are let through, so that the history is measured anew. */
+const PROBE_SHARE = 0.02;
+
+interface CachedQuantile {
+    readonly value: number;
+    readonly atMs: number;
+}
+
+/** Durations of one stage in a rotating window. */
+class StageWindow {
+    private readonly current = createHistogram();
+    /** The current window and the one before. */
+    private readonly recent = createHistogram();
+    private readonly cache = new Map<number, CachedQuantile>();
+    private startedMs: number;
+
+    constructor(nowMs: number) {
+        this.startedMs = nowMs;
+    }
+
+    record(durationMs: number, nowMs: number): void {
+        this.rotate(nowMs);
+        const value = Math.round(Math.min(Math.max(durationMs, 1), MAX_DURATION_MS));
+        this.current.recordValue(value);
+        this.recent.recordValue(value);
+    }
+
+    quantile(q: number, minSamples: number, nowMs: number): number | undefined {
+        this.rotate(nowMs);
+        if (this.recent.totalCount < minSamples) {
+            return undefined;
+        }
+        const cached = this.cache.get(q);
+        if (cached !== undefined && nowMs - cached.atMs < QUANTILE_CACHE_MS) {
+            return cached.value;
+        }
+        const value = this.recent.getValueAtPercentile(q * 100);
+        this.cache.set(q, { value, atMs: nowMs });
+        return value;
+    }
+
+    private rotate(nowMs: number): void {
+        const elapsedMs = nowMs - this.startedMs;
+        if (elapsedMs < WINDOW_MS) {
+            return;
+        }
+        this.recent.reset();
+        if (elapsedMs < 2 * WINDOW_MS) {
+            this.recent.add(this.current);
+        }
+        this.current.reset();
+        this.cache.clear();
+        this.startedMs = nowMs;
+    }
+}
+
+function createHistogram(): hdr.Histogram {
+    return hdr.build({
+        bitBucketSize: 32,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: MAX_DURATION_MS,
+        numberOfSignificantValueDigits: 2,
+        useWebAssembly: false,
+    });
+}
+
+/** Learned quantiles for each stage of each pipeline; all durations in milliseconds. */
+export class StageHistory {
+    private readonly pipelines = new Map<string, Map<string, StageWindow>>();
+
+    constructor(private readonly options: { readonly clock: clocks.Clock }) {}
+
+    /** Notes that a stage took `durationMs`, queueing included. */
+    record(pipeline: string, stage: string, durationMs: number): void {
+        const nowMs = this.options.clock.now();
+        let stages = this.pipelines.get(pipeline);
+        if (stages === undefined) {
+            stages = new Map();
+            this.pipelines.set(pipeline, stages);
+        }
+        let window = stages.get(stage);
+        if (window === undefined) {
+            window = new StageWindow(nowMs);
+            stages.set(stage, window);
+        }
+        window.record(durationMs, nowMs);
+    }
+
+    /** The duration that a share `q` of calls stayed within; undefined without enough recent samples. */
+    quantile(pipeline: string, stage: string, q: number, minSamples = MIN_SAMPLES): number | undefined {
+        const window = this.pipelines.get(pipeline)?.get(stage);
+        return window?.quantile(q, minSamples, this.options.clock.now());
+    }
+
+    /** Sum of the quantiles of `stages`; a stage without history counts 0. */
+    remainingNeed(pipeline: string, stages: readonly string[], q: number): number {
+        return stages.reduce((sum, stage) => sum + (this.quantile(pipeline, stage, q) ?? 0), 0);
+    }
+
+    /**
+     * The time that the first of `stages` may use so that the later ones keep their learned need. When the
+     * learned needs exceed `remainingMs`, all stages are cut in proportion.
+     */
+    share(pipeline: string, stages: readonly string[], remainingMs: number): number {
+        const [first, ...later] = stages;
+        if (first === undefined || later.length === 0) {
+            return remainingMs;
+        }
+        const laterMs = this.remainingNeed(pipeline, later, SHARE_QUANTILE);
+        const firstMs = this.quantile(pipeline, first, SHARE_QUANTILE);
+        if (firstMs === undefined) {
+            return Math.max(remainingMs - laterMs, remainingMs / stages.length);
+        }
+        return Math.max(remainingMs - laterMs, remainingMs * firstMs / (firstMs + laterMs));
+    }
+
+    /** The age at which an unanswered call is worth a hedge; undefined without enough recent samples. */
+    hedgeAfterMs(pipeline: string, stage: string): number | undefined {
+        return this.quantile(pipeline, stage, HEDGE_QUANTILE, MIN_HEDGE_SAMPLES);
+    }
+}
+
+/** Why a request was let through. */
+export type Admission = "fits" | "probe";
+
+/**
+ * Decides before anything is spent whether `stages` can finish in `remainingMs`. Fails with
+ * deadline-unreachable. A small share passes as probes, drawn from `random` (0 to 1), so that a history which
+ * no longer holds is measured anew.
+ */
+export function canFinish(
+    history: StageHistory,
+    pipeline: string,
+    stages: readonly string[],
+    remainingMs: number,
+    random: () => number,
+): result.Result<Admission, codes.Failure> {
+    const needMs = history.remainingNeed(pipeline, stages, ADMISSION_QUANTILE);
+    if (remainingMs > 0 && needMs <= remainingMs) {
+        return result.ok("fits");
+    }
+    if (remainingMs > 0 && random() < PROBE_SHARE) {
+        return result.ok("probe");
+    }
+    const detail = `needs ${Math.round(needMs)} ms, has ${Math.round(remainingMs)} ms`;
+    return result.err(codes.failure(codes.codes.deadlineUnreachable, detail));
+}
--- /dev/null
+++ b/src/request/StreamAssembly.ts
@@ -0,0 +1,41 @@
+/**
+ * Puts the parts of a stream together, which may come from several upstreams one after another.
+ */
+
+/** Tokens of a stream, the first of them at `offset`. */
+export interface StreamPart {
+    readonly offset: number;
+    readonly tokens: readonly string[];
+}
+
+/** What became of a part. */
+export type Acceptance = "delivered" | "duplicate" | "gap";
+
+/** Delivers each token once and in order. */
+export class StreamAssembly {
+    private nextOffset = 0;
+
+    constructor(private readonly onToken: (offset: number, token: string) => void) {}
+
+    /** Offset of the next token to deliver, in tokens. */
+    get next(): number {
+        return this.nextOffset;
+    }
+
+    /** Delivers what is new in `part`; nothing of a part that begins after the next token. */
+    accept(part: StreamPart): Acceptance {
+        if (part.offset > this.nextOffset) {
+            return "gap";
+        }
+        const known = this.nextOffset - part.offset;
+        if (known >= part.tokens.length) {
+            return "duplicate";
+        }
+        for (const token of part.tokens.slice(known)) {
+            const offset = this.nextOffset;
+            this.nextOffset++;
+            this.onToken(offset, token);
+        }
+        return "delivered";
+    }
+}
