--- /dev/null
+++ b/src/process/DomainSpread.ts
@@ -0,0 +1,76 @@
+/**
+ * Selects bounded subsets of instances, deterministic for each process and spread over failure domains.
+ * A member that joins or leaves moves few others, since each domain's order is by rendezvous hash.
+ */
+import * as rendezvous from "../common/RendezvousHash";
+
+/** Share of a subset taken from near failure domains first, when there are far ones too. */
+const NEAR_SHARE = 0.75;
+
+/** What a selection needs to know of an instance. */
+export interface Ranked {
+    readonly failureDomain: string;
+    /** Rendezvous score of the instance for the selecting process. */
+    readonly rank: number;
+}
+
+export interface SpreadOptions {
+    /** The selecting process's instance name. */
+    readonly self: string;
+    /** The selecting process's failure domain. */
+    readonly failureDomain: string;
+    /** Whether a failure domain lies in the own region. */
+    readonly isNear: (failureDomain: string) => boolean;
+}
+
+/** At most `size` instances: near domains in turns, with a part kept for far ones. */
+export function selectSpread<T extends Ranked>(all: readonly T[], size: number, options: SpreadOptions): readonly T[] {
+    if (all.length <= size) {
+        return all;
+    }
+    const near = takeInTurns(all.filter(item => options.isNear(item.failureDomain)), options);
+    const far = takeInTurns(all.filter(item => !options.isNear(item.failureDomain)), options);
+    const nearCount = Math.min(near.length, Math.max(Math.ceil(size * NEAR_SHARE), size - far.length));
+    return [...near.slice(0, nearCount), ...far.slice(0, size - nearCount)];
+}
+
+/** At most `count` instances: half from the own failure domain, the others from the other domains in turns. */
+export function selectPeers<T extends Ranked>(all: readonly T[], count: number, options: SpreadOptions): readonly T[] {
+    const own = takeInTurns(all.filter(item => item.failureDomain === options.failureDomain), options);
+    const others = takeInTurns(all.filter(item => item.failureDomain !== options.failureDomain), options);
+    const ownCount = Math.min(own.length, Math.max(Math.ceil(count / 2), count - others.length));
+    return [...own.slice(0, ownCount), ...others.slice(0, count - ownCount)];
+}
+
+/** Orders instances so that each turn takes the best one left of every failure domain. */
+function takeInTurns<T extends Ranked>(items: readonly T[], options: SpreadOptions): T[] {
+    const byDomain = new Map<string, T[]>();
+    for (const item of items) {
+        const group = byDomain.get(item.failureDomain) ?? [];
+        group.push(item);
+        byDomain.set(item.failureDomain, group);
+    }
+    const groups = [...byDomain]
+        .map(([domain, group]) => ({ order: rankDomain(domain, options), group: sortByRank(group) }))
+        .sort((a, b) => b.order - a.order)
+        .map(entry => entry.group);
+    const longest = Math.max(0, ...groups.map(group => group.length));
+    const ordered: T[] = [];
+    for (let turn = 0; turn < longest; turn++) {
+        for (const group of groups) {
+            const item = group[turn];
+            if (item !== undefined) {
+                ordered.push(item);
+            }
+        }
+    }
+    return ordered;
+}
+
+function rankDomain(domain: string, options: SpreadOptions): number {
+    return domain === options.failureDomain ? Infinity : rendezvous.score(options.self, domain);
+}
+
+function sortByRank<T extends Ranked>(group: readonly T[]): T[] {
+    return [...group].sort((a, b) => b.rank - a.rank);
+}
