--- /dev/null
+++ b/src/process/InstanceRecords.ts
@@ -0,0 +1,152 @@
+/**
+ * What an entry learned of each upstream instance from its own calls, and the ejection of those that fail.
+ */
+import * as clocks from "../common/Clock";
+
+/** Weight of a new sample in the moving averages. */
+const SAMPLE_WEIGHT = 0.1;
+const DEFAULT_SERVICE_MS = 100;
+const MAX_CONSECUTIVE_FAILURES = 5;
+const MAX_ERROR_RATE = 0.5;
+const MIN_ERROR_RATE_CALLS = 20;
+const FIRST_EJECTION_MS = 5_000;
+const MAX_EJECTION_MS = 60_000;
+/** Time after which a trial call without an outcome is given up. */
+const TRIAL_TIMEOUT_MS = 30_000;
+/** Time without an ejection after which the next one is short again. */
+const EJECTION_MEMORY_MS = 300_000;
+/** Growth per sample of the learned shortest distance, so that it follows a changed path. */
+const DISTANCE_GROWTH = 1.01;
+
+/** An instance as its calls showed it; times in milliseconds. */
+interface InstanceRecord {
+    serviceMs: number | undefined;
+    /** Shortest recent time between sending and answer that the upstream didn't account for. */
+    distanceMs: number | undefined;
+    errorRate: number;
+    calls: number;
+    consecutiveFailures: number;
+    ejections: number;
+    /** End of the ejection; undefined while not ejected. A trial call is due from then on. */
+    ejectedUntilMs: number | undefined;
+    trialStartedMs: number | undefined;
+}
+
+/** The records of all instances by name. */
+export class InstanceRecords {
+    private readonly records = new Map<string, InstanceRecord>();
+    private meanServiceMs = DEFAULT_SERVICE_MS;
+
+    constructor(private readonly clock: clocks.Clock) {}
+
+    recordSuccess(instance: string, upstreamMs: number, totalMs: number): void {
+        const record = this.obtain(instance);
+        record.serviceMs = average(record.serviceMs, upstreamMs);
+        this.meanServiceMs = average(this.meanServiceMs, upstreamMs);
+        const outsideMs = Math.max(0, totalMs - upstreamMs);
+        record.distanceMs = Math.min(outsideMs, (record.distanceMs ?? Infinity) * DISTANCE_GROWTH);
+        record.consecutiveFailures = 0;
+        record.calls++;
+        record.errorRate = average(record.errorRate, 0);
+        if (record.trialStartedMs !== undefined) {
+            record.ejectedUntilMs = undefined;
+            record.trialStartedMs = undefined;
+        }
+    }
+
+    recordFailure(instance: string): void {
+        const record = this.obtain(instance);
+        record.consecutiveFailures++;
+        record.calls++;
+        record.errorRate = average(record.errorRate, 1);
+        const failing = record.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES
+            || (record.errorRate > MAX_ERROR_RATE && record.calls >= MIN_ERROR_RATE_CALLS);
+        const failedTrial = record.trialStartedMs !== undefined;
+        if (failedTrial || (failing && record.ejectedUntilMs === undefined)) {
+            this.eject(record);
+        }
+    }
+
+    /** Whether the instance gets no calls now. One whose ejection has run out gets a single trial call. */
+    isEjected(instance: string): boolean {
+        const record = this.records.get(instance);
+        if (record?.ejectedUntilMs === undefined) {
+            return false;
+        }
+        return !this.isTrialDueFor(record);
+    }
+
+    isTrialDue(instance: string): boolean {
+        const record = this.records.get(instance);
+        return record?.ejectedUntilMs !== undefined && this.isTrialDueFor(record);
+    }
+
+    startTrial(instance: string): void {
+        this.obtain(instance).trialStartedMs = this.clock.now();
+    }
+
+    forget(instance: string): void {
+        this.records.delete(instance);
+    }
+
+    /** Mean time that the upstream took; undefined before the first answer. */
+    findServiceMs(instance: string): number | undefined {
+        return this.records.get(instance)?.serviceMs;
+    }
+
+    findDistanceMs(instance: string): number {
+        return this.records.get(instance)?.distanceMs ?? 0;
+    }
+
+    /** Share of failed calls, 0 to 1. */
+    findErrorRate(instance: string): number {
+        return this.records.get(instance)?.errorRate ?? 0;
+    }
+
+    /** Service time taken for an instance that nothing is known of. */
+    get neutralServiceMs(): number {
+        return this.meanServiceMs;
+    }
+
+    private isTrialDueFor(record: InstanceRecord): boolean {
+        const nowMs = this.clock.now();
+        const trialMs = record.trialStartedMs;
+        return nowMs >= record.ejectedUntilMs! && (trialMs === undefined || nowMs - trialMs > TRIAL_TIMEOUT_MS);
+    }
+
+    private eject(record: InstanceRecord): void {
+        const nowMs = this.clock.now();
+        if (record.ejectedUntilMs !== undefined && nowMs - record.ejectedUntilMs > EJECTION_MEMORY_MS) {
+            record.ejections = 0;
+        }
+        const durationMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** record.ejections);
+        record.ejections++;
+        record.ejectedUntilMs = nowMs + durationMs;
+        record.trialStartedMs = undefined;
+        record.errorRate = 0;
+        record.calls = 0;
+        record.consecutiveFailures = 0;
+    }
+
+    private obtain(instance: string): InstanceRecord {
+        let record = this.records.get(instance);
+        if (record === undefined) {
+            record = {
+                serviceMs: undefined,
+                distanceMs: undefined,
+                errorRate: 0,
+                calls: 0,
+                consecutiveFailures: 0,
+                ejections: 0,
+                ejectedUntilMs: undefined,
+                trialStartedMs: undefined,
+            };
+            this.records.set(instance, record);
+        }
+        return record;
+    }
+}
+
+function average(mean: number | undefined, sample: number): number {
+    return mean === undefined ? sample : mean + (sample - mean) * SAMPLE_WEIGHT;
+}
--- /dev/null
+++ b/src/process/UpstreamChoice.test.ts
@@ -0,0 +1,139 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as clocks from "../common/Clock";
+import * as messages from "../common/Messages";
+import * as choices from "./UpstreamChoice";
+
+const { expect, it } = vitest;
+
+const SEED = 24;
+const CHOICES = 200;
+
+function load(active: number, change: Partial<messages.Load> = {}): messages.Load {
+    const idle = { limit: 8, queued: 0, cold: false, draining: false, expectedMs: 100, models: ["m"] };
+    return { ...idle, active, ...change };
+}
+
+function candidate(instance: string, change: Partial<choices.Candidate> = {}): choices.Candidate {
+    return { instance, failureDomain: "d0", region: "r0", load: load(0), pending: 0, ...change };
+}
+
+function request(change: Partial<choices.ChoiceRequest>): choices.ChoiceRequest {
+    const plain = { service: "s", operation: "o", avoidInstances: new Set<string>(), avoidDomains: new Set<string>() };
+    return { ...plain, candidates: [], ...change };
+}
+
+function create(seed = 1): [choices.UpstreamChoice, clocks.ManualClock] {
+    const clock = new clocks.ManualClock();
+    let state = seed;
+    const random = (): number => {
+        state = Math.imul(state, 1_103_515_245) + 12_345 >>> 0;
+        return state / 2 ** 32;
+    };
+    return [new choices.UpstreamChoice({ clock, random, failureDomain: "d0", region: "r0" }), clock];
+}
+
+/** The instances chosen in many choices, sorted. */
+function chosen(policy: choices.UpstreamChoice, wanted: choices.ChoiceRequest): string[] {
+    const names = Array.from({ length: CHOICES }, () => policy.choose(wanted)?.candidate.instance ?? "");
+    return [...new Set(names)].sort();
+}
+
+const busy = { load: load(20) };
+const far = { failureDomain: "d9", region: "r9" };
+const tables: [string, Partial<choices.ChoiceRequest>, string[]][] = [
+    ["nothing without candidates", {}, [""]],
+    ["no draining instance", { candidates: [candidate("a", { load: load(0, { draining: true }) })] }, [""]],
+    ["the own region first", { candidates: [candidate("a"), candidate("b", far), candidate("c")] }, ["a", "c"]],
+    ["near failure domains alike", {
+        candidates: [candidate("a"), candidate("b", { failureDomain: "d1" }), candidate("c", { failureDomain: "d2" })],
+    }, ["a", "b", "c"]],
+    ["another region when the own is saturated", { candidates: [candidate("a", busy), candidate("b", far)] }, ["b"]],
+    ["the less loaded of two", { candidates: [candidate("a"), candidate("b", busy)] }, ["a"]],
+    ["by pending calls too", { candidates: [candidate("a", { pending: 9 }), candidate("b")] }, ["b"]],
+    ["a warm instance before a cold one", {
+        candidates: [candidate("a", { load: load(1, { limit: 1, cold: true }) }), candidate("b", { load: load(1) })],
+    }, ["b"]],
+    ["an engine that holds the model", {
+        model: "m",
+        candidates: [candidate("a", { load: load(0, { models: [] }) }), candidate("b", busy)],
+    }, ["b"]],
+    ["another domain for a retry", {
+        avoidDomains: new Set(["d0"]),
+        candidates: [candidate("a"), candidate("b", { failureDomain: "d1", ...busy })],
+    }, ["b"]],
+    ["an avoided domain when nothing else is left", {
+        avoidDomains: new Set(["d0"]),
+        avoidInstances: new Set(["b"]),
+        candidates: [candidate("a"), candidate("b")],
+    }, ["a"]],
+    ["an avoided instance when it is the only one", {
+        avoidInstances: new Set(["a"]),
+        candidates: [candidate("a")],
+    }, ["a"]],
+    ["no avoided instance of several", {
+        avoidInstances: new Set(["a", "b"]),
+        candidates: [candidate("a"), candidate("b")],
+    }, [""]],
+];
+it.each(tables)("chooses %s", (_name, change, expected) => {
+    expect(chosen(create()[0], request(change))).toEqual(expected);
+});
+
+const affinities: [string, number, string][] = [["equal", 0, "prefix"], ["higher", 12, "expected"]];
+it.each(affinities)("follows the prefix under %s load", (_name, pending, reason) => {
+    const [policy] = create();
+    policy.recordPrefix("b", "p", true);
+    const candidates = [candidate("a"), candidate("b", { pending })];
+    expect(policy.choose(request({ prefix: "p", candidates }))?.reason).toBe(reason);
+});
+
+it("forgets prefixes with their holder, their event and time", () => {
+    const drops: ((policy: choices.UpstreamChoice, clock: clocks.ManualClock) => void)[] = [
+        policy => policy.forget("b"),
+        policy => policy.recordPrefix("b", "p", false),
+        (_policy, clock) => clock.advance(600_000),
+    ];
+    for (const drop of drops) {
+        const [policy, clock] = create();
+        policy.recordPrefix("b", "p", true);
+        drop(policy, clock);
+        const wanted = request({ prefix: "p", candidates: [candidate("a"), candidate("b")] });
+        expect(policy.choose(wanted)?.reason).toBe("expected");
+    }
+});
+
+it("ejects a failing instance for a growing time and takes it back by one trial call", () => {
+    const [policy, clock] = create();
+    const wanted = request({ candidates: ["a", "b", "c"].map(name => candidate(name)) });
+    for (let call = 0; call < 5; call++) {
+        policy.recordFailure("b");
+    }
+    expect(chosen(policy, wanted)).not.toContain("b");
+    clock.advance(5_000);
+    expect(policy.choose(wanted)).toMatchObject({ reason: "trial", candidate: { instance: "b" } });
+    expect(chosen(policy, wanted)).not.toContain("b");
+    policy.recordFailure("b");
+    clock.advance(5_000);
+    expect(chosen(policy, wanted)).not.toContain("b");
+    clock.advance(5_000);
+    expect(policy.choose(wanted)?.reason).toBe("trial");
+    policy.recordSuccess("b", 50, 60);
+    expect(chosen(policy, wanted)).toContain("b");
+});
+
+it("always finds an instance and never avoids more than a third for failures", () => {
+    fc.assert(
+        fc.property(fc.integer({ min: 3, max: 12 }), fc.array(fc.nat(11), { maxLength: 200 }), (count, failures) => {
+            const [policy] = create(count);
+            const candidates = Array.from({ length: count }, (_, index) => candidate(`i${index}`));
+            for (const index of failures) {
+                policy.recordFailure(`i${index}`);
+            }
+            const names = Array.from({ length: CHOICES }, () => policy.choose(request({ candidates }))?.considered);
+            expect(names).not.toContain(undefined);
+            expect(new Set(names.flat()).size).toBeGreaterThanOrEqual(count - Math.floor(count / 3));
+        }),
+        { seed: SEED },
+    );
+});
