--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -131,6 +131,11 @@
         return this.admin?.address ?? "";
     }
 
+    /** The configuration version in force; 0 for none. */
+    get version(): number {
+        return this.node.replica.version;
+    }
+
     get isReady(): boolean {
         return !this.isDraining && this.node.isReady;
     }
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -132,6 +132,11 @@
         return !this.isDraining && this.node.isReady;
     }
 
+    /** The configuration version in force; 0 for none. */
+    get version(): number {
+        return this.node.replica.version;
+    }
+
     /** The configuration in force. */
     get configuration(): configurations.Configuration | undefined {
         return this.node.replica.current?.configuration;
@@ -202,7 +207,10 @@
         if (this.options.admitsByDeadline === false) {
             return undefined;
         }
-        return this.history.canFinish(pipeline, stages.map(stage => stage.name), deadline.remainingMs);
+        const names = stages.map(stage => stage.name);
+        const { random } = this.options;
+        const admitted = stageHistories.canFinish(this.history, pipeline, names, deadline.remainingMs, random);
+        return admitted.isErr ? admitted.error : undefined;
     }
 
     /** Whether every usable instance of a service says that it is full. */
--- a/src/process/Membership.ts
+++ b/src/process/Membership.ts
@@ -182,6 +182,17 @@
         return subset;
     }
 
+    /** Names of all known agents of a service, whether or not they take work. */
+    listed(service: string): readonly string[] {
+        const names: string[] = [];
+        for (const record of this.records.values()) {
+            if (record.role === "agent" && record.service === service) {
+                names.push(record.instance);
+            }
+        }
+        return names;
+    }
+
     find(instance: string): Member | undefined {
         return this.records.get(instance);
     }
