--- /dev/null
+++ b/src/process/adapters/PlatformRequest.test.ts
@@ -0,0 +1,169 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as configurationStandIns from "../../../standins/ConfigurationServiceStandIn";
+import * as standIns from "../../../standins/HttpStandIn";
+import * as listStandIns from "../../../standins/InstanceListStandIn";
+import * as weightStandIns from "../../../standins/WeightStoreStandIn";
+import * as codes from "../../common/Codes";
+import * as ports from "../../common/Ports";
+import * as configurationServices from "./ConfigurationService";
+import * as instanceLists from "./InstanceListService";
+import * as weightStores from "./WeightStoreService";
+
+const { afterEach, describe, expect, it } = vitest;
+
+const SEED = 7;
+const never = new AbortController().signal;
+const opened: standIns.HttpStandIn[] = [];
+
+function keep<T extends standIns.HttpStandIn>(standIn: T): T {
+    opened.push(standIn);
+    return standIn;
+}
+
+function makeRow(instance: string, state: "live" | "leaving" = "live"): ports.ListedInstance {
+    return { instance, role: "agent", service: "menus", failureDomain: "a", address: "127.0.0.1:7000", state };
+}
+
+/** Opens one platform service and a function that reads from it. */
+type Opener = () => Promise<[standIns.HttpStandIn, (signal: AbortSignal) => ports.Reply<unknown>]>;
+
+const openers: [string, Opener][] = [
+    ["configuration read", async () => {
+        const standIn = keep(
+            await configurationStandIns.ConfigurationServiceStandIn.listen({ document: { version: 1 } }),
+        );
+        return [standIn, signal => configurationServices.createConfigurationSource(standIn.address).read(signal)];
+    }],
+    ["configuration watch", async () => {
+        const standIn = keep(
+            await configurationStandIns.ConfigurationServiceStandIn.listen({ document: { version: 1 } }),
+        );
+        return [standIn, signal => configurationServices.createConfigurationSource(standIn.address).watch(0, signal)];
+    }],
+    ["instance list", async () => {
+        const standIn = keep(await listStandIns.InstanceListStandIn.listen({ rows: [makeRow("i")] }));
+        return [standIn, signal => instanceLists.createInstanceList(standIn.address).read(signal)];
+    }],
+    ["weight store", async () => {
+        const standIn = keep(await weightStandIns.WeightStoreStandIn.listen());
+        return [standIn, signal => weightStores.createWeightStore(standIn.address).read("m", signal)];
+    }],
+];
+
+afterEach(() => opened.splice(0).forEach(standIn => standIn.dispose()));
+
+describe.each(openers)("%s", (_name, open) => {
+    const faults: [string, standIns.Faults, codes.ResultCode | undefined][] = [
+        ["no fault", {}, undefined],
+        ["a slow answer", { delayMs: 20 }, undefined],
+        ["malformed JSON", { malformed: true }, codes.codes.sourceUnavailable],
+        ["an oversized answer", { oversizedBytes: 33 * 1024 * 1024 }, codes.codes.sourceUnavailable],
+        ["status 500", { status: 500 }, codes.codes.sourceUnavailable],
+        ["status 404", { status: 404 }, codes.codes.sourceUnavailable],
+        ["status 429", { status: 429 }, codes.codes.overloaded],
+        ["a connection accepted and destroyed", { down: true }, codes.codes.sourceUnavailable],
+        ["bytes that are no HTTP", { rawBase64: "/wA=" }, codes.codes.sourceUnavailable],
+    ];
+    it.each(faults)("answers with %s", async (_fault, fault, code) => {
+        const [standIn, read] = await open();
+        standIn.faults = fault;
+        const reply = await read(never);
+        expect(reply.isErr ? reply.error.code : undefined).toBe(code);
+    });
+
+    it("fails when refused and comes back", async () => {
+        const [standIn, read] = await open();
+        standIn.stop();
+        expect((await read(never)).isErr).toBe(true);
+        await standIn.start();
+        expect((await read(never)).isOk).toBe(true);
+    });
+
+    it("ends a hanging read by its signal", async () => {
+        const [standIn, read] = await open();
+        standIn.faults = { hang: true };
+        const controller = new AbortController();
+        const reply = read(controller.signal);
+        await vitest.vi.waitFor(() => expect(standIn.calls).toBe(1));
+        controller.abort();
+        expect((await reply).isErr).toBe(true);
+    });
+
+    it("never throws on random bytes", async () => {
+        const [standIn, read] = await open();
+        await fc.assert(
+            fc.asyncProperty(fc.uint8Array({ maxLength: 100 }), async bytes => {
+                standIn.faults = { rawBase64: Buffer.from(bytes).toString("base64") };
+                expect((await read(never)).isErr).toBe(true);
+            }),
+            { seed: SEED, numRuns: 30 },
+        );
+    });
+});
+
+describe("ConfigurationService", () => {
+    it("wakes a watch by a newer document, and answers undefined when the wait ran out", async () => {
+        const options = { document: { version: 1 }, watchMs: 50 };
+        const standIn = keep(await configurationStandIns.ConfigurationServiceStandIn.listen(options));
+        const source = configurationServices.createConfigurationSource(standIn.address);
+        const ranOut = await source.watch(1, never);
+        expect([ranOut.isOk, ranOut.unwrapOr("failed")]).toEqual([true, undefined]);
+        const woken = source.watch(1, never);
+        await vitest.vi.waitFor(() => expect(standIn.watching).toBe(1));
+        standIn.publish({ version: 2 });
+        expect((await woken).unwrapOr(undefined)).toEqual({ version: 2 });
+        expect(standIn.watching).toBe(0);
+    });
+
+    it("hands on an old answer as it is, and a refusal above the rate", async () => {
+        const options = { document: { version: 1 }, callsPerSecond: 2 };
+        const standIn = keep(await configurationStandIns.ConfigurationServiceStandIn.listen(options));
+        const source = configurationServices.createConfigurationSource(standIn.address);
+        standIn.publish({ version: 2 });
+        standIn.faults = { answerOld: true };
+        expect((await source.read(never)).unwrapOr(undefined)).toEqual({ version: 1 });
+        standIn.faults = {};
+        expect((await source.read(never)).unwrapOr(undefined)).toEqual({ version: 2 });
+        const refused = await source.read(never);
+        expect(refused.isErr && refused.error.code).toBe(codes.codes.overloaded);
+        expect(refused.isErr && refused.error.retryAfterMs).toBeGreaterThan(0);
+    });
+});
+
+describe("InstanceListService", () => {
+    const lags: [number, readonly ports.ListedInstance[]][] = [
+        [0, [makeRow("i", "leaving")]],
+        [600_000, [makeRow("i")]],
+    ];
+    it.each(lags)("reads rows as of %s ms ago", async (lagMs, rows) => {
+        const standIn = keep(await listStandIns.InstanceListStandIn.listen({ rows: [makeRow("i")], lagMs }));
+        standIn.set([makeRow("i", "leaving")]);
+        expect((await instanceLists.createInstanceList(standIn.address).read(never)).unwrapOr([])).toEqual(rows);
+    });
+
+    const broken: [string, object][] = [
+        ["a host name for an address", { address: "localhost:1" }],
+        ["an unknown state", { state: "gone" }],
+        ["an unknown role", { role: "leader" }],
+        ["no name", { instance: undefined }],
+    ];
+    it.each(broken)("refuses a list with %s", async (_name, changes) => {
+        const row = { ...makeRow("i"), ...changes } as ports.ListedInstance;
+        const standIn = keep(await listStandIns.InstanceListStandIn.listen({ rows: [makeRow("j"), row] }));
+        const reply = await instanceLists.createInstanceList(standIn.address).read(never);
+        expect(reply.isErr && reply.error.code).toBe(codes.codes.sourceUnavailable);
+    });
+});
+
+describe("WeightStoreService", () => {
+    it("is overloaded above the rate, and says when to come back", async () => {
+        const standIn = keep(await weightStandIns.WeightStoreStandIn.listen({ readsPerSecond: 1 }));
+        const store = weightStores.createWeightStore(standIn.address);
+        expect((await store.read("m/1", never)).isOk).toBe(true);
+        const refused = await store.read("m/1", never);
+        expect(refused.isErr && refused.error.code).toBe(codes.codes.overloaded);
+        expect(refused.isErr && refused.error.retryAfterMs).toBeGreaterThan(0);
+        expect([standIn.reads, standIn.overRate]).toEqual([{ "m/1": 1 }, 1]);
+    });
+});
--- a/src/process/adapters/TokenStream.ts
+++ b/src/process/adapters/TokenStream.ts
@@ -12,7 +12,7 @@
 const NEWLINE = 0x0a;
 
 const partSchema = z.object({ offset: z.int().min(0), tokens: z.array(z.string()).max(MAX_TOKENS_PER_PART) });
-const endSchema = z.object({ end: z.literal(true), tokens: z.int().min(0), body: z.unknown() });
+const endSchema = z.object({ end: z.literal(true), tokens: z.int().min(0), body: z.unknown().optional() });
 const lineSchema = z.union([endSchema, partSchema]);
 
 /** The last line of a stream. */
