--- a/src/process/adapters/EngineUpstream.test.ts
+++ b/src/process/adapters/EngineUpstream.test.ts
@@ -73,6 +73,7 @@
         ["malformed", { malformed: true }, codes.codes.streamBroken, 0],
         ["an endless line", { oversizedBytes: 600_000 }, codes.codes.malformedAnswer, 0],
         ["a reset before the answer", { down: true }, codes.codes.upstreamReset, 0],
+        ["an answer to another request", { otherRequest: true }, codes.codes.malformedAnswer, 0],
         ["a line of no JSON", { rawBase64: rawAnswer("{x\n") }, codes.codes.malformedAnswer, 0],
         [
             "a part too far on",
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -36,6 +36,8 @@
     /** Whether to use a connection of its own. */
     readonly freshConnection?: boolean;
     readonly maxAnswerBytes?: number;
+    /** A header of the request that the answer repeats; one with another value answers another request. */
+    readonly echoedHeader?: string;
     /** Takes the chunks of a 2xx body in place of collecting them; a failure ends the exchange. */
     readonly onChunk?: (chunk: Buffer) => codes.Failure | undefined;
 }
@@ -142,11 +144,22 @@
 
     private receive(response: http.IncomingMessage): void {
         this.hasAnswerStarted = true;
+        if (!this.isEchoed(response)) {
+            this.fail(codes.codes.malformedAnswer, "an answer to another request");
+            return;
+        }
         response.on("data", (chunk: Buffer) => this.take(response, chunk));
         response.on("error", error => this.fail(codeOf(error), error.message));
         response.on("end", () => this.finish(response));
     }
 
+    /** Whether the answer repeats the agreed header, or leaves it out. */
+    private isEchoed(response: http.IncomingMessage): boolean {
+        const name = this.request.echoedHeader;
+        const value = name === undefined ? undefined : response.headers[name];
+        return name === undefined || value === undefined || value === this.request.headers?.[name];
+    }
+
     private take(response: http.IncomingMessage, chunk: Buffer): void {
         if (this.isSettled) {
             return;
--- a/src/process/adapters/PlainUpstream.test.ts
+++ b/src/process/adapters/PlainUpstream.test.ts
@@ -52,6 +52,7 @@
         ["a hang after the effect", { byNumber: { 1: "hang" } }, { remainingMs: 100 }, codes.codes.upstreamTimeout, 1],
         ["malformed JSON", { malformed: true }, {}, codes.codes.malformedAnswer, 0],
         ["an oversized answer", { oversizedBytes: 5_000_000 }, {}, codes.codes.malformedAnswer, 0],
+        ["an answer to another request", { otherRequest: true }, {}, codes.codes.malformedAnswer, 1],
         ["bytes that are no HTTP", { rawBase64: "AAECAwQF" }, {}, codes.codes.malformedAnswer, 0],
         ["a connection accepted and destroyed", { down: true }, {}, codes.codes.upstreamReset, 0],
         ["no time left", {}, { remainingMs: 0 }, codes.codes.expired, 0],
--- a/src/process/adapters/PlainUpstream.ts
+++ b/src/process/adapters/PlainUpstream.ts
@@ -1,6 +1,7 @@
 /**
  * A plain service by HTTP: `POST /call/OPERATION` with a JSON body, and `GET /healthz`. The header `x-boot`
- * of each answer names the upstream process; `x-tokens` counts what it produced.
+ * of each answer names the upstream process, `x-tokens` counts what it produced, and `x-request`, where the
+ * upstream repeats it, must be the request's own.
  */
 import * as result from "true-myth/result";
 import * as codes from "../../common/Codes";
@@ -8,6 +9,8 @@
 import * as requests from "./HttpRequest";
 
 const PROBE_TIMEOUT_MS = 1_000;
+/** Names the request; an answer that repeats it must name the same. */
+const REQUEST_HEADER = "x-request";
 /** Status of a caller's error that the upstream answers with. */
 const MIN_REJECTED_STATUS = 400;
 const MIN_FAILED_STATUS = 500;
@@ -56,6 +59,7 @@
         method: "POST",
         path: `/${kind}/${call.operation}`,
         headers: describeHeaders(call),
+        echoedHeader: REQUEST_HEADER,
         body: call.body,
         timeoutMs: call.remainingMs,
         freshConnection: call.freshConnection,
@@ -64,7 +68,7 @@
 
 function describeHeaders(call: ports.UpstreamCall): Record<string, string> {
     const headers: Record<string, string> = {
-        "x-request": encodeURIComponent(call.request),
+        [REQUEST_HEADER]: encodeURIComponent(call.request),
         "x-priority": String(call.priority),
         "x-remaining-ms": String(Math.floor(call.remainingMs)),
     };
--- a/standins/HttpStandIn.ts
+++ b/standins/HttpStandIn.ts
@@ -22,6 +22,8 @@
     oversizedBytes?: number | undefined;
     /** Raw bytes, base64, to answer with before the connection is closed. */
     rawBase64?: string | undefined;
+    /** Whether answers name another request than their own. */
+    otherRequest?: boolean | undefined;
     /** HTTP status of every answer. */
     status?: number | undefined;
 }
@@ -117,6 +119,10 @@
         if (faults.delayMs !== undefined) {
             await clocks.sleep(clocks.systemClock, faults.delayMs);
         }
+        const name = request.headers["x-request"];
+        if (name !== undefined) {
+            response.setHeader("x-request", faults.otherRequest === true ? "other" : name);
+        }
         if (!answerFaulty(faults, request, response)) {
             await this.handle(describeIncoming(request, body), response);
         }
