--- a/src/common/RendezvousHash.ts
+++ b/src/common/RendezvousHash.ts
@@ -7,8 +7,14 @@
 const FNV_PRIME = 0x01000193;
 const UINT32_RANGE = 2 ** 32;
 
-/** The rank of `name` for `key`: the highest score wins. A name of twice the weight wins twice as many keys. */
+/**
+ * The rank of `name` for `key`: the highest score wins. A name of twice the weight wins twice as many keys, one
+ * without weight none.
+ */
 export function score(key: string, name: string, weight = 1): number {
+    if (!(weight > 0)) {
+        return -Infinity;
+    }
     const separated = addToHash(hashText(FNV_OFFSET, key), 0);
     const uniform = (finish(hashText(separated, name)) + 0.5) / UINT32_RANGE;
     return -weight / Math.log(uniform);
