--- /dev/null
+++ b/src/process/ConfigurationReplica.test.ts
@@ -0,0 +1,199 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import type * as configurations from "../common/Configuration";
+import * as logs from "../common/Log";
+import type * as messages from "../common/Messages";
+import * as deltas from "../version/ConfigurationDelta";
+import * as samples from "../version/SampleConfiguration";
+import * as replicas from "./ConfigurationReplica";
+
+const { describe, expect, it } = vitest;
+
+const SEED = 13;
+
+function publish(version: number, weight = version): configurations.Configuration {
+    const configuration = samples.sampleConfiguration(version);
+    configuration.teams["bench"]!.weight = weight;
+    return configuration;
+}
+
+function createReplica(clock: clocks.Clock = new clocks.ManualClock()): replicas.ConfigurationReplica {
+    return new replicas.ConfigurationReplica({ clock, log: logs.silentLog });
+}
+
+function heartbeat(replica: replicas.ConfigurationReplica): messages.Envelope {
+    const digest = replica.current?.digest;
+    return {
+        version: replica.version,
+        message: { kind: "heartbeat", unconfirmedMs: replica.unconfirmedMs, digest },
+    };
+}
+
+/** Lets `to` observe a frame of `from`, with answers carried back and forth until none is left. */
+function exchange(
+    from: replicas.ConfigurationReplica,
+    to: replicas.ConfigurationReplica,
+    first: messages.Envelope = heartbeat(from),
+): messages.Message[] {
+    const sent: messages.Message[] = [];
+    const deliver = (
+        target: replicas.ConfigurationReplica,
+        origin: replicas.ConfigurationReplica,
+        envelope: messages.Envelope,
+    ) => target.observe(envelope, message => {
+        sent.push(message);
+        deliver(origin, target, { version: target.version, message });
+        return true;
+    }, "peer");
+    deliver(to, from, first);
+    return sent;
+}
+
+describe("ConfigurationReplica.offer", () => {
+    const invalid = { ...publish(4), preset: "ghost" };
+    const cases: [string, unknown[], (string | number)[], number][] = [
+        ["goes up", [publish(1), publish(3)], ["applied", "applied"], 3],
+        ["knows the same content", [publish(2), publish(2)], ["applied", "same"], 2],
+        ["ignores a lower version", [publish(5), publish(4)], ["applied", 501], 5],
+        ["ignores a lower invalid version", [publish(5), invalid], ["applied", 501], 5],
+        ["keeps its content in a conflict", [publish(2, 1), publish(2, 9)], ["applied", 502], 2],
+        ["keeps its content when an invalid twin appears", [publish(4), invalid], ["applied", 502], 4],
+        ["rejects invalid content whole", [publish(3), invalid], ["applied", 500], 3],
+        ["takes valid content after invalid", [invalid, publish(4)], [500, "applied"], 4],
+        ["rejects what isn't a document", [undefined, 5, "x", []], [500, 500, 500, 500], 0],
+    ];
+    it.each(cases)("%s", (_name, contents, outcomes, version) => {
+        const replica = createReplica();
+        const seen = contents.map(content => {
+            const offered = replica.offer(content, "service");
+            return offered.isOk ? offered.value : offered.error.code.code;
+        });
+        expect(seen).toEqual(outcomes);
+        expect(replica.version).toBe(version);
+    });
+
+    it("raises one alarm for each conflict and each rejected version", () => {
+        const replica = createReplica();
+        const alarms: codes.Failure[] = [];
+        replica.onAlarm(alarm => alarms.push(alarm));
+        for (const content of [publish(1, 1), publish(1, 2), publish(1, 2), invalid, invalid]) {
+            replica.offer(content, "service");
+        }
+        expect(alarms.map(({ code }) => code.code)).toEqual([502, 500]);
+        expect(replica.rejected.map(rejected => rejected.version)).toEqual([4]);
+    });
+});
+
+describe("ConfigurationReplica.observe", () => {
+    it.each([[0, "full"], [1, "delta"], [2, "delta"]])("brings a peer at version %i up by %s", (base, kind) => {
+        const [ahead, behind] = [createReplica(), createReplica()];
+        [1, 2, 3, 4].forEach(version => ahead.offer(publish(version), "service"));
+        behind.offer(publish(base), "service");
+        expect(exchange(ahead, behind).map(message => message.kind)).toEqual(["fetch", kind]);
+        expect(behind.current?.digest).toBe(ahead.current?.digest);
+    });
+
+    it("gives edits across a version that it skipped itself", () => {
+        const [ahead, behind] = [createReplica(), createReplica()];
+        [1, 3].forEach(version => ahead.offer(publish(version), "service"));
+        behind.offer(publish(2), "service");
+        expect(exchange(ahead, behind).map(message => message.kind)).toEqual(["fetch", "delta"]);
+        expect(behind.version).toBe(3);
+    });
+
+    it("fetches the full content after a delta that doesn't apply", () => {
+        const [ahead, behind] = [createReplica(), createReplica()];
+        [1, 2].forEach(version => ahead.offer(publish(version), "service"));
+        behind.offer({ ...publish(1), keyLifetimeMs: 5_000 }, "service");
+        expect(exchange(ahead, behind).map(message => message.kind)).toEqual(["fetch", "delta", "fetch", "full"]);
+        expect(behind.current?.digest).toBe(ahead.current?.digest);
+        expect(behind.counters.gaps).toBe(1);
+    });
+
+    it("has one fetch outstanding until its timeout", () => {
+        const clock = new clocks.ManualClock();
+        const replica = createReplica(clock);
+        let sent = 0;
+        const see = () => replica.observe({ version: 5, message: { kind: "heartbeat" } }, () => ++sent > 0, "peer");
+        see();
+        see();
+        expect(sent).toBe(1);
+        clock.advance(replicas.FETCH_TIMEOUT_MS);
+        see();
+        expect(sent).toBe(2);
+    });
+
+    it("doesn't fetch a version known to be invalid until the retry time", () => {
+        const clock = new clocks.ManualClock();
+        const replica = createReplica(clock);
+        replica.offer({ ...publish(5), preset: "ghost" }, "service");
+        let sent = 0;
+        const see = () => replica.observe({ version: 5, message: { kind: "heartbeat" } }, () => ++sent > 0, "peer");
+        see();
+        expect(sent).toBe(0);
+        clock.advance(replicas.REJECTED_RETRY_MS);
+        see();
+        expect(sent).toBe(1);
+    });
+
+    it("learns confirmations only for its own version and digest, never younger than the peer's", () => {
+        const clock = new clocks.ManualClock();
+        const [left, right, other] = [createReplica(clock), createReplica(clock), createReplica(clock)];
+        left.offer(publish(2), "service");
+        right.offer(publish(2), "service");
+        other.offer(publish(2, 9), "service");
+        left.confirm(0);
+        clock.advance(700);
+        exchange(left, other);
+        expect(other.unconfirmedMs).toBeUndefined();
+        expect(other.counters.conflicts).toBe(1);
+        exchange(left, right);
+        expect(right.unconfirmedMs).toBe(700);
+        right.confirm(900);
+        expect(right.unconfirmedMs).toBe(700);
+    });
+});
+
+describe("a group of replicas", () => {
+    const SIZE = 4;
+    const step = fc.oneof(
+        fc.record({ kind: fc.constant("publish"), at: fc.nat(SIZE - 1), version: fc.integer({ min: 1, max: 30 }) }),
+        fc.record({ kind: fc.constant("restart"), at: fc.nat(SIZE - 1), version: fc.constant(0) }),
+        fc.record({ kind: fc.constant("gossip"), at: fc.nat(SIZE - 1), version: fc.nat(SIZE - 1) }),
+    );
+
+    it("never goes back, and agrees once all have talked", () => {
+        fc.assert(
+            fc.property(fc.array(step, { maxLength: 60 }), steps => {
+                const clock = new clocks.ManualClock();
+                const group = Array.from({ length: SIZE }, () => createReplica(clock));
+                for (const { kind, at, version } of steps) {
+                    const before = group[at]!.version;
+                    clock.advance(replicas.FETCH_TIMEOUT_MS);
+                    if (kind === "restart") {
+                        group[at] = createReplica(clock);
+                    }
+                    else if (kind === "publish") {
+                        group[at]!.offer(publish(version), "service");
+                    }
+                    else if (version !== at) {
+                        exchange(group[version]!, group[at]!);
+                    }
+                    expect(kind === "restart" || group[at]!.version >= before).toBe(true);
+                }
+                const highest = Math.max(...group.map(replica => replica.version));
+                for (let round = 0; round < SIZE; round++) {
+                    clock.advance(replicas.FETCH_TIMEOUT_MS);
+                    group.forEach((replica, index) => exchange(group[(index + 1) % SIZE]!, replica));
+                }
+                for (const replica of group) {
+                    expect(replica.version).toBe(highest);
+                    expect(replica.current?.digest).toBe(highest === 0 ? undefined : deltas.digest(publish(highest)));
+                }
+            }),
+            { seed: SEED, numRuns: 300 },
+        );
+    });
+});
--- /dev/null
+++ b/src/process/ConfigurationReplica.ts
@@ -0,0 +1,312 @@
+/**
+ * The configuration in force in this process, and its exchange with peers. Versions only go up; a lower
+ * one is ignored, two contents of one version raise an alarm, and an invalid one is rejected whole.
+ */
+import * as result from "true-myth/result";
+import * as tsPattern from "ts-pattern";
+import type * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import type * as configurations from "../common/Configuration";
+import * as emitters from "../common/Emitter";
+import type * as logs from "../common/Log";
+import type * as messages from "../common/Messages";
+import * as checks from "../version/ConfigurationCheck";
+import * as deltas from "../version/ConfigurationDelta";
+import * as deltaLogs from "./DeltaLog";
+
+/** Time to wait for the answer to a fetch before another one may be sent. */
+export const FETCH_TIMEOUT_MS = 1_000;
+/** Time during which a version that failed its checks isn't fetched again. */
+export const REJECTED_RETRY_MS = 60_000;
+/** Most rejected versions, and most alarms already given, that are remembered. */
+const MAX_REMEMBERED = 100;
+
+/** A configuration that passed all checks. */
+export interface VersionInForce {
+    readonly configuration: configurations.Configuration;
+    readonly digest: string;
+    /** When it came into force here, on the clock's scale. */
+    readonly receivedMs: number;
+}
+
+/** A version that failed its checks. */
+export interface RejectedVersion {
+    readonly version: number;
+    readonly reason: string;
+    readonly atMs: number;
+}
+
+/** What the replica has met since the start of the process. */
+export interface ConfigurationCounters {
+    applied: number;
+    older: number;
+    conflicts: number;
+    invalid: number;
+    gaps: number;
+    fetchesSent: number;
+    deltasSent: number;
+    fullsSent: number;
+}
+
+/** Sends a message to the peer that a frame came from; false when its connection has ended. */
+export type Send = (message: messages.Message) => boolean;
+
+/** What a replica needs from its owner. */
+export interface ConfigurationReplicaOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+}
+
+/** Holds the version in force. */
+export class ConfigurationReplica implements clocks.Disposable {
+    private inForce: VersionInForce | undefined;
+    private confirmedMs: number | undefined;
+    private fetch: { readonly peer: string; readonly sentMs: number } | undefined;
+    private readonly deltaLog = new deltaLogs.DeltaLog();
+    private rejectedVersions: RejectedVersion[] = [];
+    private alarmed: string[] = [];
+    private readonly versionEmitter = new emitters.Emitter<VersionInForce>();
+    private readonly alarmEmitter = new emitters.Emitter<codes.Failure>();
+
+    /** Fires after a higher version came into force. */
+    readonly onVersion = this.versionEmitter.event;
+    /** Fires once for each conflict and for each rejected version. */
+    readonly onAlarm = this.alarmEmitter.event;
+    readonly counters: ConfigurationCounters = {
+        applied: 0,
+        older: 0,
+        conflicts: 0,
+        invalid: 0,
+        gaps: 0,
+        fetchesSent: 0,
+        deltasSent: 0,
+        fullsSent: 0,
+    };
+
+    constructor(private readonly options: ConfigurationReplicaOptions) {}
+
+    /** The version in force; undefined until the first one. */
+    get current(): VersionInForce | undefined {
+        return this.inForce;
+    }
+
+    /** The number of the version in force; 0 for none. */
+    get version(): number {
+        return this.inForce?.configuration.version ?? 0;
+    }
+
+    /** Time since the configuration service was last known to hold nothing newer; undefined when never. */
+    get unconfirmedMs(): number | undefined {
+        return this.confirmedMs === undefined ? undefined : this.options.clock.now() - this.confirmedMs;
+    }
+
+    /** Versions that failed their checks, oldest first. */
+    get rejected(): readonly RejectedVersion[] {
+        return this.rejectedVersions;
+    }
+
+    /**
+     * Takes a document from the configuration service or a peer, unchecked. `source` names it in the log.
+     * Errors: configuration-older, configuration-conflict, configuration-invalid; nothing changes then.
+     */
+    offer(content: unknown, source: string): result.Result<"applied" | "same", codes.Failure> {
+        const claimed = readVersion(content);
+        if (claimed !== undefined && claimed < this.version) {
+            this.counters.older++;
+            return result.err(codes.failure(codes.codes.configurationOlder, `${claimed} < ${this.version}`));
+        }
+        const checked = checks.checkConfiguration(content);
+        if (checked.isErr) {
+            return result.err(this.reject(claimed, checked.error, source));
+        }
+        const text = deltas.canonicalize(checked.value);
+        const digest = deltas.digestText(text);
+        if (claimed === this.version) {
+            return this.compare(digest, source);
+        }
+        this.putInForce(checked.value, digest, text.length, source);
+        return result.ok("applied");
+    }
+
+    /** Notes that `ageMs` ago the configuration service held nothing newer. */
+    confirm(ageMs: number): void {
+        const atMs = this.options.clock.now() - ageMs;
+        if (this.confirmedMs === undefined || atMs > this.confirmedMs) {
+            this.confirmedMs = atMs;
+        }
+    }
+
+    /** Takes in any frame from a peer; `send` answers on the same connection. */
+    observe(envelope: messages.Envelope, send: Send, peer: string): void {
+        tsPattern.match(envelope.message)
+            .with({ kind: "heartbeat" }, heartbeat => this.compareHeartbeat(envelope.version, heartbeat, peer))
+            .with({ kind: "fetch" }, ({ from }) => this.answerFetch(from, send))
+            .with({ kind: "delta" }, delta => this.receiveDelta(delta, send, peer))
+            .with({ kind: "full" }, ({ content }) => this.receiveFull(content, peer))
+            .otherwise(() => undefined);
+        if (envelope.version > this.version && !this.isKnownInvalid(envelope.version)) {
+            this.sendFetch(this.version, send, peer);
+        }
+    }
+
+    dispose(): void {
+        this.versionEmitter.dispose();
+        this.alarmEmitter.dispose();
+    }
+
+    private putInForce(
+        configuration: configurations.Configuration,
+        digest: string,
+        bytes: number,
+        source: string,
+    ): void {
+        const previous = this.inForce;
+        if (previous === undefined) {
+            this.deltaLog.reset(bytes);
+        }
+        else {
+            const edits = deltas.diff(previous.configuration, configuration);
+            this.deltaLog.add(previous.configuration.version, edits, bytes);
+        }
+        this.inForce = { configuration, digest, receivedMs: this.options.clock.now() };
+        this.fetch = undefined;
+        this.counters.applied++;
+        this.rejectedVersions = this.rejectedVersions.filter(({ version }) => version !== configuration.version);
+        const { version, preset } = configuration;
+        this.options.log.info({ version, preset, digest, source }, "configuration in force");
+        this.versionEmitter.fire(this.inForce);
+    }
+
+    private compare(digest: string, source: string): result.Result<"same", codes.Failure> {
+        if (digest === this.inForce?.digest) {
+            return result.ok("same");
+        }
+        this.counters.conflicts++;
+        const conflict = codes.failure(
+            codes.codes.configurationConflict,
+            `version ${this.version} has digest ${this.inForce?.digest}, from ${source} ${digest}`,
+        );
+        this.raise(conflict, `conflict ${this.version} ${digest}`);
+        return result.err(conflict);
+    }
+
+    private reject(
+        version: number | undefined,
+        problems: readonly checks.Problem[],
+        source: string,
+    ): codes.Failure {
+        const first = problems[0];
+        const reason = `${first?.path}: ${first?.value}, expected ${first?.expected} (${problems.length} problems)`;
+        if (version !== undefined && version === this.version) {
+            const conflict = codes.failure(codes.codes.configurationConflict, `version ${version}, ${reason}`);
+            this.counters.conflicts++;
+            this.raise(conflict, `conflict ${version} invalid`);
+            return conflict;
+        }
+        this.counters.invalid++;
+        const invalid = codes.failure(
+            codes.codes.configurationInvalid,
+            `version ${version} from ${source}, ${reason}`,
+        );
+        const rejected = { version: version ?? 0, reason, atMs: this.options.clock.now() };
+        this.rejectedVersions = [
+            ...this.rejectedVersions.filter(other => other.version !== rejected.version),
+            rejected,
+        ].slice(-MAX_REMEMBERED);
+        this.raise(invalid, `invalid ${version} ${reason}`);
+        return invalid;
+    }
+
+    /** Fires an alarm unless one with the same key was given already. */
+    private raise(alarm: codes.Failure, key: string): void {
+        if (this.alarmed.includes(key)) {
+            return;
+        }
+        this.alarmed = [...this.alarmed, key].slice(-MAX_REMEMBERED);
+        this.options.log.error({ code: alarm.code.code, detail: alarm.detail }, alarm.code.text);
+        this.alarmEmitter.fire(alarm);
+    }
+
+    private compareHeartbeat(version: number, heartbeat: messages.Heartbeat, peer: string): void {
+        if (version !== this.version || this.inForce === undefined) {
+            return;
+        }
+        if (heartbeat.digest !== undefined && this.compare(heartbeat.digest, peer).isErr) {
+            return;
+        }
+        if (heartbeat.unconfirmedMs !== undefined) {
+            this.confirm(heartbeat.unconfirmedMs);
+        }
+    }
+
+    private answerFetch(from: number, send: Send): void {
+        if (this.inForce === undefined || from >= this.version) {
+            return;
+        }
+        const { configuration, digest } = this.inForce;
+        const edits = this.deltaLog.findEdits(from);
+        if (edits === undefined) {
+            this.counters.fullsSent++;
+            send({ kind: "full", digest, content: configuration });
+        }
+        else {
+            this.counters.deltasSent++;
+            send({ kind: "delta", from, to: configuration.version, digest, edits });
+        }
+    }
+
+    private receiveDelta(delta: messages.Delta, send: Send, peer: string): void {
+        this.endFetch(peer);
+        if (delta.to <= this.version || this.inForce === undefined) {
+            return;
+        }
+        if (delta.from !== this.version) {
+            this.counters.gaps++;
+            this.sendFetch(this.version, send, peer);
+            return;
+        }
+        const content = deltas.apply(this.inForce.configuration, delta.edits);
+        if (readVersion(content) !== delta.to || deltas.digestText(deltas.canonicalize(content)) !== delta.digest) {
+            this.counters.gaps++;
+            const detail = `${delta.from} to ${delta.to} from ${peer}`;
+            this.options.log.warn({ code: codes.codes.configurationGap.code, detail }, "delta doesn't apply");
+            this.sendFetch(0, send, peer);
+            return;
+        }
+        this.offer(content, peer);
+    }
+
+    private receiveFull(content: unknown, peer: string): void {
+        this.endFetch(peer);
+        this.offer(content, peer);
+    }
+
+    private sendFetch(from: number, send: Send, peer: string): void {
+        const nowMs = this.options.clock.now();
+        if (this.fetch !== undefined && nowMs - this.fetch.sentMs < FETCH_TIMEOUT_MS) {
+            return;
+        }
+        if (send({ kind: "fetch", from })) {
+            this.fetch = { peer, sentMs: nowMs };
+            this.counters.fetchesSent++;
+        }
+    }
+
+    private endFetch(peer: string): void {
+        if (this.fetch?.peer === peer) {
+            this.fetch = undefined;
+        }
+    }
+
+    private isKnownInvalid(version: number): boolean {
+        const nowMs = this.options.clock.now();
+        return this.rejectedVersions.some(rejected =>
+            rejected.version === version && nowMs - rejected.atMs < REJECTED_RETRY_MS
+        );
+    }
+}
+
+function readVersion(content: unknown): number | undefined {
+    const version = typeof content === "object" && content ? (content as { version?: unknown }).version : undefined;
+    return typeof version === "number" && Number.isSafeInteger(version) ? version : undefined;
+}
--- /dev/null
+++ b/src/process/DeltaLog.ts
@@ -0,0 +1,65 @@
+/**
+ * The edits that led to the version in force, kept within bounds so that a peer a little behind gets
+ * them in place of the full content.
+ */
+import type * as messages from "../common/Messages";
+
+/** Most changes kept. */
+export const MAX_DELTAS = 256;
+/** Most bytes of changes kept, as JSON. */
+export const MAX_DELTA_BYTES = 1_048_576;
+
+interface Change {
+    readonly from: number;
+    readonly edits: readonly messages.Edit[];
+    readonly bytes: number;
+}
+
+/** Changes between versions, oldest first. */
+export class DeltaLog {
+    private changes: Change[] = [];
+    private bytes = 0;
+    private contentBytes = 0;
+
+    /** Forgets all changes. `contentBytes` is the size of the content in force. */
+    reset(contentBytes: number): void {
+        this.changes = [];
+        this.bytes = 0;
+        this.contentBytes = contentBytes;
+    }
+
+    /** Appends the change that led from version `from` to the one now in force. */
+    add(from: number, edits: readonly messages.Edit[], contentBytes: number): void {
+        const bytes = JSON.stringify(edits).length;
+        this.changes.push({ from, edits, bytes });
+        this.bytes += bytes;
+        this.contentBytes = contentBytes;
+        while (this.changes.length > MAX_DELTAS || this.bytes > MAX_DELTA_BYTES) {
+            this.bytes -= this.changes.shift()!.bytes;
+        }
+    }
+
+    /**
+     * Edits from version `from` to the one in force; undefined when they aren't kept or exceed the full content.
+     * A version that this process skipped gets the edits since the one before it: they set whole values, so
+     * they fit unless a value changed and changed back in between, which the receiver's digest check finds.
+     */
+    findEdits(from: number): messages.Edit[] | undefined {
+        const first = this.findLastAtMost(from);
+        if (from === 0 || first < 0) {
+            return undefined;
+        }
+        const changes = this.changes.slice(first);
+        const bytes = changes.reduce((sum, change) => sum + change.bytes, 0);
+        return bytes > this.contentBytes ? undefined : changes.flatMap(change => change.edits);
+    }
+
+    /** Index of the last change whose base is at most `from`; -1 for none. */
+    private findLastAtMost(from: number): number {
+        let index = this.changes.length - 1;
+        while (index >= 0 && this.changes[index]!.from > from) {
+            index--;
+        }
+        return index;
+    }
+}
--- /dev/null
+++ b/src/version/ConfigurationDelta.test.ts
@@ -0,0 +1,75 @@
+import * as cbor from "cbor-x";
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import type * as configurations from "../common/Configuration";
+import * as deltas from "./ConfigurationDelta";
+import * as samples from "./SampleConfiguration";
+
+const { describe, expect, it } = vitest;
+
+const SEED = 12;
+
+const state = fc.constantFrom("in" as const, "out" as const);
+const name = fc.constantFrom("a", "b", "c", "valueOf");
+const slots = fc.dictionary(name, fc.record({ failureDomain: fc.constantFrom("west", "east"), state }));
+const stage = fc.record(
+    { name, service: name, operation: name, model: fc.option(name, { nil: undefined }) },
+);
+const configuration: fc.Arbitrary<configurations.Configuration> = fc.record({
+    version: fc.integer({ min: 1, max: 9 }),
+    preset: fc.constantFrom("ordinary", "peak"),
+    teams: fc.dictionary(name, fc.record({ weight: fc.integer({ min: 1, max: 3 }) })),
+    pipelines: fc.dictionary(name, fc.record({ deadlineMs: fc.constantFrom(1, 2), stages: fc.array(stage) })),
+    services: fc.dictionary(
+        name,
+        slots.map(value => ({ ...samples.sampleConfiguration(1).services["engines"]!, slots: value })),
+    ),
+}).map(parts => ({ ...samples.sampleConfiguration(1), ...parts }));
+
+describe("ConfigurationDelta", () => {
+    it("restores the target from the base and the edits, also after encoding", () => {
+        fc.assert(
+            fc.property(configuration, configuration, (from, to) => {
+                const before = deltas.canonicalize(from);
+                const edits = cbor.decode(cbor.encode(deltas.diff(from, to)));
+                const applied = deltas.apply(from, edits) as configurations.Configuration;
+                expect(applied).toEqual(to);
+                expect(deltas.digest(applied)).toBe(deltas.digest(to));
+                expect(deltas.canonicalize(from)).toBe(before);
+            }),
+            { seed: SEED },
+        );
+    });
+
+    it("has equal digests only for equal contents", () => {
+        fc.assert(
+            fc.property(configuration, configuration, (from, to) => {
+                const same = deltas.canonicalize(from) === deltas.canonicalize(to);
+                expect(deltas.digest(from) === deltas.digest(to)).toBe(same);
+                expect(deltas.diff(from, to).length === 0).toBe(same);
+            }),
+            { seed: SEED },
+        );
+    });
+
+    it("writes one slot's change of state as one edit", () => {
+        const from = samples.sampleConfiguration(3);
+        const to = structuredClone(from);
+        to.services["engines"]!.slots["engine-1"]!.state = "out";
+        const path = ["services", "engines", "slots", "engine-1", "state"];
+        expect(deltas.diff(from, to)).toEqual([{ path, value: "out" }]);
+    });
+
+    it("ignores the order of names", () => {
+        const from = samples.sampleConfiguration(3);
+        const reversed = Object.fromEntries(Object.entries(from).reverse()) as configurations.Configuration;
+        expect(deltas.digest(reversed)).toBe(deltas.digest(from));
+    });
+
+    it("leaves prototypes alone", () => {
+        const applied = deltas.apply({}, [{ path: ["__proto__", "polluted"], value: true }]);
+        expect((applied as { polluted?: unknown }).polluted).toBeUndefined();
+        deltas.apply({}, [{ path: ["constructor", "polluted"], value: true }]);
+        expect((Object as { polluted?: unknown }).polluted).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/src/version/ConfigurationDelta.ts
@@ -0,0 +1,110 @@
+/**
+ * Differences between two configurations as edits of keyed entries, and the digest that proves that two
+ * processes hold the same content.
+ */
+import * as crypto from "node:crypto";
+import type * as configurations from "../common/Configuration";
+import type * as messages from "../common/Messages";
+
+/** Length of a digest, in hexadecimal digits. */
+const DIGEST_LENGTH = 32;
+/** Longest path of an edit; deeper records are replaced whole. */
+const MAX_PATH_LENGTH = 8;
+/** Assigning this name would change an object's prototype. */
+const PROTOTYPE_NAME = "__proto__";
+
+type Entries = Record<string, unknown>;
+
+/** The digest of a configuration's canonical JSON. */
+export function digest(configuration: configurations.Configuration): string {
+    return digestText(canonicalize(configuration));
+}
+
+/** The digest of a canonical text: the start of its SHA-256, in hexadecimal. */
+export function digestText(text: string): string {
+    return crypto.createHash("sha256").update(text).digest("hex").slice(0, DIGEST_LENGTH);
+}
+
+/** JSON with the names of every record in order, and without entries that are undefined. */
+export function canonicalize(value: unknown): string {
+    if (Array.isArray(value)) {
+        return `[${value.map(canonicalize).join(",")}]`;
+    }
+    if (!isRecord(value)) {
+        return JSON.stringify(value) ?? "{}";
+    }
+    const entries = Object.keys(value)
+        .filter(name => value[name] !== undefined)
+        .sort()
+        .map(name => `${JSON.stringify(name)}:${canonicalize(value[name])}`);
+    return `{${entries.join(",")}}`;
+}
+
+/** The edits that turn `from` into `to`. Arrays and values are replaced whole. */
+export function diff(from: configurations.Configuration, to: configurations.Configuration): messages.Edit[] {
+    const edits: messages.Edit[] = [];
+    collectEdits(from, to, [], edits);
+    return edits;
+}
+
+/** The content of `base` after `edits`; `base` stays unchanged and shares untouched parts with the outcome. */
+export function apply(base: unknown, edits: readonly messages.Edit[]): unknown {
+    const copies = new Set<object>();
+    const root = { content: base } as Entries;
+    copies.add(root);
+    for (const edit of edits) {
+        if (!edit.path.includes(PROTOTYPE_NAME)) {
+            applyEdit(root, ["content", ...edit.path], edit.value, copies);
+        }
+    }
+    return root["content"];
+}
+
+function isRecord(value: unknown): value is Entries {
+    return typeof value === "object" && !!value && !Array.isArray(value);
+}
+
+function collectEdits(from: Entries, to: Entries, path: readonly string[], edits: messages.Edit[]): void {
+    for (const name of Object.keys(from)) {
+        if (from[name] !== undefined && readOwn(to, name) === undefined) {
+            edits.push({ path: [...path, name], value: undefined });
+        }
+    }
+    for (const name of Object.keys(to)) {
+        const before = readOwn(from, name);
+        const after = to[name];
+        if (isRecord(before) && isRecord(after) && path.length + 1 < MAX_PATH_LENGTH) {
+            collectEdits(before, after, [...path, name], edits);
+        }
+        else if (after !== undefined && (before === undefined || canonicalize(before) !== canonicalize(after))) {
+            edits.push({ path: [...path, name], value: after });
+        }
+    }
+}
+
+function readOwn(record: Entries, name: string): unknown {
+    return Object.hasOwn(record, name) ? record[name] : undefined;
+}
+
+/** Sets or removes one entry below `root`, copying each record on the way that isn't in `copies` yet. */
+function applyEdit(root: Entries, path: readonly string[], value: unknown, copies: Set<object>): void {
+    let record = root;
+    for (const name of path.slice(0, -1)) {
+        const child = readOwn(record, name);
+        if (isRecord(child) && copies.has(child)) {
+            record = child;
+            continue;
+        }
+        const copy: Entries = isRecord(child) ? { ...child } : {};
+        copies.add(copy);
+        record[name] = copy;
+        record = copy;
+    }
+    const last = path[path.length - 1]!;
+    if (value === undefined) {
+        delete record[last];
+    }
+    else {
+        record[last] = value;
+    }
+}
