--- a/src/process/InstanceRecords.ts
+++ b/src/process/InstanceRecords.ts
@@ -18,6 +18,9 @@
 /** Growth per sample of the learned shortest distance, so that it follows a changed path. */
 const DISTANCE_GROWTH = 1.01;
 
+/** What was learned of an instance loses its weight over this time without outcomes, so that it is tried again. */
+const LEARNED_LIFETIME_MS = 30_000;
+
 /** An instance as its calls showed it; times in milliseconds. */
 interface InstanceRecord {
     serviceMs: number | undefined;
@@ -30,6 +33,8 @@
     /** End of the ejection; undefined while not ejected. A trial call is due from then on. */
     ejectedUntilMs: number | undefined;
     trialStartedMs: number | undefined;
+    /** Time of the latest outcome. */
+    learnedMs: number;
 }
 
 /** The records of all instances by name. */
@@ -41,6 +46,7 @@
 
     recordSuccess(instance: string, upstreamMs: number, totalMs: number): void {
         const record = this.obtain(instance);
+        record.learnedMs = this.clock.now();
         record.serviceMs = average(record.serviceMs, upstreamMs);
         this.meanServiceMs = average(this.meanServiceMs, upstreamMs);
         const outsideMs = Math.max(0, totalMs - upstreamMs);
@@ -56,6 +62,7 @@
 
     recordFailure(instance: string): void {
         const record = this.obtain(instance);
+        record.learnedMs = this.clock.now();
         record.consecutiveFailures++;
         record.calls++;
         record.errorRate = average(record.errorRate, 1);
@@ -89,18 +96,25 @@
         this.records.delete(instance);
     }
 
-    /** Mean time that the upstream took; undefined before the first answer. */
+    /** Mean time that the upstream took, nearing the neutral time with age; undefined before the first answer. */
     findServiceMs(instance: string): number | undefined {
-        return this.records.get(instance)?.serviceMs;
+        const record = this.records.get(instance);
+        if (record?.serviceMs === undefined) {
+            return undefined;
+        }
+        return this.meanServiceMs + (record.serviceMs - this.meanServiceMs) * this.findWeight(record);
     }
 
+    /** Time between sending and answer that the upstream doesn't account for. */
     findDistanceMs(instance: string): number {
-        return this.records.get(instance)?.distanceMs ?? 0;
+        const record = this.records.get(instance);
+        return record?.distanceMs === undefined ? 0 : record.distanceMs * this.findWeight(record);
     }
 
     /** Share of failed calls, 0 to 1. */
     findErrorRate(instance: string): number {
-        return this.records.get(instance)?.errorRate ?? 0;
+        const record = this.records.get(instance);
+        return record === undefined ? 0 : record.errorRate * this.findWeight(record);
     }
 
     /** Service time taken for an instance that nothing is known of. */
@@ -108,6 +122,11 @@
         return this.meanServiceMs;
     }
 
+    /** Weight of what was learned, from 1 right after an outcome down to 0. */
+    private findWeight(record: InstanceRecord): number {
+        return Math.max(0, 1 - (this.clock.now() - record.learnedMs) / LEARNED_LIFETIME_MS);
+    }
+
     private isTrialDueFor(record: InstanceRecord): boolean {
         const nowMs = this.clock.now();
         const trialMs = record.trialStartedMs;
@@ -140,6 +159,7 @@
                 ejections: 0,
                 ejectedUntilMs: undefined,
                 trialStartedMs: undefined,
+                learnedMs: this.clock.now(),
             };
             this.records.set(instance, record);
         }
--- a/src/process/UpstreamChoice.test.ts
+++ b/src/process/UpstreamChoice.test.ts
@@ -122,6 +122,21 @@
     expect(chosen(policy, wanted)).toContain("b");
 });
 
+const lessons: [string, (policy: choices.UpstreamChoice) => void][] = [
+    ["was slow", policy => policy.recordSuccess("b", 5_000, 5_010)],
+    ["is far", policy => policy.recordSuccess("b", 50, 5_000)],
+    ["fails at times", policy => policy.recordFailure("b")],
+];
+it.each(lessons)("avoids an instance that %s, and tries it again after a while", (_name, teach) => {
+    const [policy, clock] = create();
+    const wanted = request({ candidates: [candidate("a", { failureDomain: "d1" }), candidate("b")] });
+    policy.recordSuccess("a", 50, 60);
+    teach(policy);
+    expect(chosen(policy, wanted)).toEqual(["a"]);
+    clock.advance(30_000);
+    expect(chosen(policy, wanted)).toContain("b");
+});
+
 it("always finds an instance and never avoids more than a third for failures", () => {
     fc.assert(
         fc.property(fc.integer({ min: 3, max: 12 }), fc.array(fc.nat(11), { maxLength: 200 }), (count, failures) => {
