--- a/src/process/InstanceRecords.ts
+++ b/src/process/InstanceRecords.ts
@@ -29,7 +29,9 @@
     errorRate: number;
     calls: number;
     consecutiveFailures: number;
+    /** Ejections without a long time between them. */
     ejections: number;
+    lastEjectedMs: number;
     /** End of the ejection; undefined while not ejected. A trial call is due from then on. */
     ejectedUntilMs: number | undefined;
     trialStartedMs: number | undefined;
@@ -135,9 +137,10 @@
 
     private eject(record: InstanceRecord): void {
         const nowMs = this.clock.now();
-        if (record.ejectedUntilMs !== undefined && nowMs - record.ejectedUntilMs > EJECTION_MEMORY_MS) {
+        if (nowMs - record.lastEjectedMs > EJECTION_MEMORY_MS) {
             record.ejections = 0;
         }
+        record.lastEjectedMs = nowMs;
         const durationMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** record.ejections);
         record.ejections++;
         record.ejectedUntilMs = nowMs + durationMs;
@@ -157,6 +160,7 @@
                 calls: 0,
                 consecutiveFailures: 0,
                 ejections: 0,
+                lastEjectedMs: 0,
                 ejectedUntilMs: undefined,
                 trialStartedMs: undefined,
                 learnedMs: this.clock.now(),
--- a/src/process/UpstreamChoice.test.ts
+++ b/src/process/UpstreamChoice.test.ts
@@ -122,6 +122,20 @@
     expect(chosen(policy, wanted)).toContain("b");
 });
 
+it.each([[20_000, false], [400_000, true]])("%d ms after an ejection the next is short: %s", (waitMs, isShort) => {
+    const [policy, clock] = create();
+    const wanted = request({ candidates: ["a", "b", "c"].map(name => candidate(name)) });
+    const eject = (): void => Array.from({ length: 5 }).forEach(() => policy.recordFailure("b"));
+    eject();
+    clock.advance(5_000);
+    policy.choose(wanted);
+    policy.recordSuccess("b", 50, 60);
+    clock.advance(waitMs);
+    eject();
+    clock.advance(5_000);
+    expect(policy.choose(wanted)?.reason === "trial").toBe(isShort);
+});
+
 const lessons: [string, (policy: choices.UpstreamChoice) => void][] = [
     ["was slow", policy => policy.recordSuccess("b", 5_000, 5_010)],
     ["is far", policy => policy.recordSuccess("b", 50, 5_000)],
