--- /dev/null
+++ b/src/version/Placement.ts
@@ -0,0 +1,111 @@
+/**
+ * Which models an engine should hold: a pure function of the published configuration, the slots believed
+ * alive, and what the engine holds. Agents with the same inputs get the same answer.
+ */
+import * as configurations from "../common/Configuration";
+import * as hashes from "../common/RendezvousHash";
+
+/** Part of a model's replica count that a holder may rank below it and still keep the model. */
+const KEEP_MARGIN_RATIO = 0.25;
+const ROUNDING_TOLERANCE = 1e-9;
+
+/** What placement depends on. */
+export interface PlacementInputs {
+    readonly configuration: configurations.Configuration;
+    readonly service: string;
+    readonly slot: string;
+    /** Slots that the agent believes alive and in service. */
+    readonly live: ReadonlySet<string>;
+    /** Models that the engine holds now. */
+    readonly held: ReadonlySet<string>;
+}
+
+/** Decides which models an engine should hold. */
+export type WantedFinder = (inputs: PlacementInputs) => readonly string[];
+
+/** Slots in the order of their scores for a model, highest first; ties by name. */
+export function rankSlots(model: string, slots: Iterable<string>): string[] {
+    return [...slots]
+        .map(slot => ({ slot, score: hashes.score(model, slot) }))
+        .sort((a, b) => b.score - a.score || (a.slot < b.slot ? -1 : 1))
+        .map(entry => entry.slot);
+}
+
+/** Models placed on a service: those of the preset in force and those that its pipeline stages name. */
+export function listModels(configuration: configurations.Configuration, service: string): string[] {
+    const models = new Set(Object.keys(configuration.presets[configuration.preset]?.modelShare ?? {}));
+    for (const pipeline of Object.values(configuration.pipelines)) {
+        for (const stage of pipeline.stages) {
+            if (stage.service === service && stage.model !== undefined) {
+                models.add(stage.model);
+            }
+        }
+    }
+    return [...models].sort();
+}
+
+/** Number of slots that should hold a model: its share of the slots in service, at least one. */
+export function countReplicas(configuration: configurations.Configuration, service: string, model: string): number {
+    const slots = Object.keys(configuration.services[service]?.slots ?? {});
+    const inService = slots.filter(slot => configurations.findOutOfService(configuration, service, slot) === undefined);
+    const share = configuration.presets[configuration.preset]?.modelShare[model] ?? 0;
+    return Math.max(1, Math.ceil(share * inService.length - ROUNDING_TOLERANCE));
+}
+
+/**
+ * The first `count` slots of a ranking; where all of them lie in one failure domain, the last is replaced by
+ * the best slot of another.
+ */
+export function chooseSlots(
+    configuration: configurations.Configuration,
+    service: string,
+    ranked: readonly string[],
+    count: number,
+): string[] {
+    const slots = configuration.services[service]?.slots ?? {};
+    const chosen = ranked.slice(0, count);
+    const domain = slots[chosen[0] ?? ""]?.failureDomain;
+    if (chosen.length < 2 || chosen.some(slot => slots[slot]?.failureDomain !== domain)) {
+        return chosen;
+    }
+    const other = ranked.find(slot => slots[slot]?.failureDomain !== domain);
+    return other === undefined ? chosen : [...chosen.slice(0, -1), other];
+}
+
+/** The models that the slot's engine should hold. An engine out of service keeps what it holds. */
+export function findWantedModels(options: PlacementInputs): readonly string[] {
+    const { configuration, service, slot, live, held } = options;
+    if (configurations.findOutOfService(configuration, service, slot) !== undefined) {
+        return [...held].sort();
+    }
+    const candidates = new Set([slot]);
+    for (const other of live) {
+        if (configurations.findOutOfService(configuration, service, other) === undefined) {
+            candidates.add(other);
+        }
+    }
+    return listModels(configuration, service).filter(model => {
+        const count = countReplicas(configuration, service, model);
+        const ranked = rankSlots(model, candidates);
+        const margin = Math.max(1, Math.ceil(count * KEEP_MARGIN_RATIO));
+        const keeps = held.has(model) && ranked.indexOf(slot) < count + margin;
+        return keeps || chooseSlots(configuration, service, ranked, count).includes(slot);
+    });
+}
+
+/**
+ * Whether the slot may unload a model that it doesn't want: enough other holders remain, and among the
+ * holders above that number this slot ranks lowest, so that agents with the same view unload one at a time.
+ * The first-ranked holder never may.
+ */
+export function mayUnload(options: PlacementInputs, model: string, otherHolders: readonly string[]): boolean {
+    const { configuration, service, slot, live } = options;
+    const others = otherHolders.filter(other =>
+        other !== slot && live.has(other)
+        && configurations.findOutOfService(configuration, service, other) === undefined
+    );
+    const holders = rankSlots(model, new Set([slot, ...others]));
+    const count = countReplicas(configuration, service, model);
+    const kept = new Set(chooseSlots(configuration, service, holders, count));
+    return holders.filter(holder => !kept.has(holder)).at(-1) === slot;
+}
