--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,8 +3,9 @@
  */
 import * as commander from "commander";
 import * as experiments from "./Experiment";
+import * as placement from "./Placement";
 
-const all: readonly experiments.Experiment[] = [];
+const all: readonly experiments.Experiment[] = [placement.placement];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
     const report = await experiment.run(seed);
--- /dev/null
+++ b/bench/PlacementMeasures.ts
@@ -0,0 +1,100 @@
+/**
+ * What the experiment `placement` measures of engines and orders: coverage and needless reloads.
+ */
+import * as experiments from "./Experiment";
+import * as policies from "./PlacementPolicies";
+import * as worlds from "./PlacementWorld";
+
+/** An unload below the wanted count is blamed for a model's loss within this time, in milliseconds. */
+const BLAME_MS = 30_000;
+/** A reload this soon after an unload is counted, in milliseconds. */
+const RELOAD_MS = 60_000;
+
+/**
+ * Counts moments at which a model that was loaded before has no loaded replica. They are put down to deaths
+ * only when the last replica went by a death and no recent unload had left fewer than the wanted count.
+ */
+export class CoverageMeasure {
+    readonly figures: experiments.Figures = {
+        uncoveredMoments: 0,
+        uncoveredAllDiedMoments: 0,
+        unloadsBelowWanted: 0,
+    };
+    private readonly blamedMs = new Map<string, number>();
+    private readonly lastHeldMs = new Map<string, Map<worlds.EngineState, number>>();
+    private readonly cause = new Map<string, "deaths" | "orders">();
+
+    measure(engines: readonly worlds.EngineState[], nowMs: number): void {
+        for (const service of ["checking", "ignoring"]) {
+            const members = engines.filter(engine => engine.service === service);
+            policies.MODELS.forEach(model => this.measureModel(`${service}/${model}`, model, members, nowMs));
+        }
+    }
+
+    /** Notes an unload that left `remaining` loaded replicas where its agent wanted `wanted`. */
+    noteUnload(key: string, remaining: number, wanted: number, nowMs: number): void {
+        if (remaining < wanted) {
+            this.figures["unloadsBelowWanted"]!++;
+            this.blamedMs.set(key, nowMs);
+        }
+    }
+
+    private measureModel(key: string, model: string, members: readonly worlds.EngineState[], nowMs: number): void {
+        const lastHeld = this.lastHeldMs.get(key) ?? new Map<worlds.EngineState, number>();
+        this.lastHeldMs.set(key, lastHeld);
+        const holders = members.filter(engine => engine.models.has(model));
+        holders.forEach(engine => lastHeld.set(engine, nowMs));
+        if (holders.length > 0) {
+            this.cause.delete(key);
+        }
+        else if (lastHeld.size > 0) {
+            const isBlamed = nowMs - (this.blamedMs.get(key) ?? -Infinity) < BLAME_MS;
+            const cause = this.cause.get(key) ?? (isBlamed ? "orders" : findCause(lastHeld));
+            this.cause.set(key, cause);
+            this.figures[cause === "deaths" ? "uncoveredAllDiedMoments" : "uncoveredMoments"]!++;
+        }
+    }
+}
+
+/** How the last replicas went. */
+function findCause(lastHeld: ReadonlyMap<worlds.EngineState, number>): "deaths" | "orders" {
+    const latestMs = Math.max(...lastHeld.values());
+    const last = [...lastHeld].filter(([, heldMs]) => heldMs === latestMs);
+    return last.every(([engine, heldMs]) => engine.diedMs >= heldMs) ? "deaths" : "orders";
+}
+
+interface ModelChange {
+    readonly action: string;
+    readonly agent: number;
+    readonly inputChanges: number;
+    readonly boot: number;
+    readonly atMs: number;
+}
+
+/** Counts a load, unload and load of one model on one engine: without a change of inputs, and within a minute. */
+export class FlapMeasure {
+    readonly figures: experiments.Figures = { flaps: 0, reloadsWithin60s: 0 };
+    private readonly changes = new Map<string, ModelChange[]>();
+
+    record(effect: worlds.Effect, inputChanges: number, atMs: number): void {
+        const { engine, order, agent } = effect;
+        const key = `${engine.service}/${engine.slot}/${order.subject}`;
+        const changes = this.changes.get(key) ?? [];
+        this.changes.set(key, changes);
+        changes.push({ action: order.action, agent, inputChanges, boot: engine.boot, atMs });
+        const [first, second, third] = changes.slice(-3);
+        if (first?.action !== "load" || second?.action !== "unload" || third?.action !== "load") {
+            return;
+        }
+        if (third.atMs - second.atMs < RELOAD_MS) {
+            this.figures["reloadsWithin60s"]!++;
+        }
+        if (isSameInput(first, third)) {
+            this.figures["flaps"]!++;
+        }
+    }
+}
+
+function isSameInput(a: ModelChange, b: ModelChange): boolean {
+    return a.agent === b.agent && a.inputChanges === b.inputChanges && a.boot === b.boot;
+}
--- /dev/null
+++ b/bench/PlacementWorld.ts
@@ -0,0 +1,183 @@
+/**
+ * Small fakes for the experiment `placement`: engines, a weight store and pausable clocks, made of functions
+ * on one manual clock. Networks delay every message by up to MAX_DELAY_MS.
+ */
+import * as xoroshiro from "pure-rand/generator/xoroshiro128plus";
+import * as result from "true-myth/result";
+import * as clocks from "../src/common/Clock";
+import * as codes from "../src/common/Codes";
+import * as ports from "../src/common/Ports";
+
+const MAX_DELAY_MS = 20;
+/** Reads a second that the weight store allows, and the burst that it tolerates. */
+const STORE_READS_PER_SECOND = 10;
+const STORE_BURST = 3;
+
+/** Uniform numbers from 0 to 1 by seed. */
+export function createRandom(seed: number): () => number {
+    const generator = xoroshiro.xoroshiro128plus(seed);
+    return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+/** A process's clock: while the process is paused its timers wait, and its wall clock is off by `offsetMs`. */
+export class ProcessClock implements clocks.Clock {
+    private paused = false;
+    private waiting: (() => void)[] = [];
+
+    constructor(private readonly world: clocks.Clock, private readonly offsetMs: number) {}
+
+    now(): number {
+        return this.world.now();
+    }
+
+    wall(): number {
+        return this.world.wall() + this.offsetMs;
+    }
+
+    schedule(delayMs: number, callback: () => void): clocks.Disposable {
+        let disposed = false;
+        const fire = () => this.whenRunning(() => disposed || callback());
+        const timer = this.world.schedule(delayMs, fire);
+        return {
+            dispose: () => {
+                disposed = true;
+                timer.dispose();
+            },
+        };
+    }
+
+    /** Calls back now, or when the pause ends. */
+    whenRunning(callback: () => void): void {
+        if (this.paused) {
+            this.waiting.push(callback);
+        }
+        else {
+            callback();
+        }
+    }
+
+    get isPaused(): boolean {
+        return this.paused;
+    }
+
+    pause(): void {
+        this.paused = true;
+    }
+
+    resume(): void {
+        this.paused = false;
+        for (const callback of this.waiting.splice(0)) {
+            callback();
+        }
+    }
+}
+
+/** One engine: its memory is lost when it dies. */
+export interface EngineState {
+    readonly service: string;
+    readonly slot: string;
+    readonly checks: boolean;
+    alive: boolean;
+    boot: number;
+    models: Set<string>;
+    fence: number;
+    diedMs: number;
+}
+
+/** An order that took effect. */
+export interface Effect {
+    readonly engine: EngineState;
+    readonly agent: number;
+    readonly order: ports.EngineOrder;
+    /** When the agent checked and sent it. */
+    readonly sentMs: number;
+}
+
+/** The store's reads, and those above its rate. */
+export class StoreState {
+    reads = 0;
+    exceeded = 0;
+    private tokens = STORE_BURST;
+    private atMs = 0;
+
+    read(nowMs: number): result.Result<void, codes.Failure> {
+        this.tokens = Math.min(STORE_BURST, this.tokens + (nowMs - this.atMs) * STORE_READS_PER_SECOND / 1_000);
+        this.atMs = nowMs;
+        this.reads++;
+        if (this.tokens < 1) {
+            this.exceeded++;
+            return result.err(codes.failure(codes.codes.overloaded, "weight store", 500));
+        }
+        this.tokens--;
+        return result.ok(undefined);
+    }
+}
+
+/** Carries messages with a delay; answers reach a paused process when it wakes. */
+export class Network {
+    constructor(private readonly world: clocks.Clock, private readonly random: () => number) {}
+
+    async exchange<T>(process: ProcessClock, serve: () => T): Promise<T> {
+        await clocks.sleep(this.world, this.random() * MAX_DELAY_MS);
+        const answer = serve();
+        await clocks.sleep(this.world, this.random() * MAX_DELAY_MS);
+        await new Promise<void>(resolve => process.whenRunning(resolve));
+        return answer;
+    }
+}
+
+const unused = () => Promise.reject(new Error("not used by placement"));
+
+/** An agent's port to its engine. `isHeldBack` tells that an order stays unwritten until the process wakes. */
+export function createEngine(
+    state: EngineState,
+    agent: number,
+    process: ProcessClock,
+    network: Network,
+    isHeldBack: () => boolean,
+    onEffect: (effect: Effect) => void,
+): ports.ModelEngine {
+    const readReport = (): result.Result<ports.EngineReport, codes.Failure> =>
+        state.alive
+            ? result.ok({
+                boot: `${state.boot}`,
+                active: 0,
+                models: [...state.models],
+                fence: state.fence,
+                role: "generation",
+            })
+            : result.err(codes.failure(codes.codes.sourceUnavailable, "engine is down"));
+    const apply = (order: ports.EngineOrder, sentMs: number): result.Result<ports.EngineReport, codes.Failure> => {
+        if (state.alive && state.checks && order.fence < state.fence) {
+            return result.err(codes.failure(codes.codes.orderRefused, `highest is ${state.fence}`));
+        }
+        if (state.alive) {
+            state.fence = Math.max(state.fence, order.fence);
+            if (order.action === "load") {
+                state.models.add(order.subject);
+            }
+            else if (order.action === "unload") {
+                state.models.delete(order.subject);
+            }
+            onEffect({ engine: state, agent, order, sentMs });
+        }
+        return readReport();
+    };
+    return {
+        call: unused,
+        probe: unused,
+        stream: unused,
+        cacheEvents: unused,
+        exportCache: unused,
+        importCache: unused,
+        report: () => network.exchange(process, readReport),
+        order: async order => {
+            const sentMs = process.now();
+            if (order.action !== "role" && isHeldBack()) {
+                process.pause();
+                await new Promise<void>(resolve => process.whenRunning(resolve));
+            }
+            return network.exchange(process, () => apply(order, sentMs));
+        },
+    };
+}
--- a/src/process/OrderLease.test.ts
+++ b/src/process/OrderLease.test.ts
@@ -18,6 +18,9 @@
     it.each(cases)("%s", (_name, startedAgoMs, askedAgoMs, tickAgoMs, expected) => {
         const clock = new clocks.ManualClock();
         const lease = new leases.OrderLease(clock);
+        if (askedAgoMs !== undefined) {
+            lease.confirmListed(clock.now());
+        }
         for (let passedMs = 0; passedMs < startedAgoMs; passedMs += 100) {
             clock.advance(Math.min(100, startedAgoMs - passedMs));
             lease.tick();
--- a/src/process/OrderLease.ts
+++ b/src/process/OrderLease.ts
@@ -1,12 +1,13 @@
 /**
  * The lease under which an agent sends orders to an engine that ignores fencing numbers. The agent holds it
- * while its loop runs on time and the platform's list has named it recently; a new agent first waits until
- * its predecessor's lease has ended.
+ * while its loop runs on time and the platform's list has named it recently. A new agent waits LEASE_MS and
+ * a margin from its first confirmation by the list: from then on the list no longer confirms its predecessor.
  *
  * Remaining window: the check and the write of the order are one turn of the event loop. A process paused
  * between them, or an order delayed in the network, can reach the engine after the lease has ended. The order
- * then takes effect if the delay exceeds the time left of the lease plus the successor's margin. The
- * platform's list lags too: a replaced agent that it still names keeps its lease for that lag and LEASE_MS.
+ * then takes effect, whatever the length of the pause. LEASE_MARGIN_MS covers the drift of two clocks over a
+ * lease and two readers of the list seeing a change at different moments; a difference above it opens the
+ * window by the excess.
  */
 import * as clocks from "../common/Clock";
 
@@ -17,13 +18,12 @@
 
 /** One agent's lease on its engine. */
 export class OrderLease {
-    private readonly startedMs: number;
+    private firstListedMs: number | undefined;
     private tickedMs: number;
     private listedMs: number | undefined;
 
     constructor(private readonly clock: clocks.Clock) {
-        this.startedMs = clock.now();
-        this.tickedMs = this.startedMs;
+        this.tickedMs = clock.now();
     }
 
     /** Notes that the process's loop runs; a gap above the lease voids earlier confirmations. */
@@ -37,6 +37,7 @@
 
     /** Notes that the list names this agent for its slot; `askedMs` is when the read was sent. */
     confirmListed(askedMs: number): void {
+        this.firstListedMs ??= this.clock.now();
         this.listedMs = Math.max(this.listedMs ?? askedMs, askedMs);
     }
 
@@ -48,6 +49,7 @@
 
     /** Whether an order may be sent now; ask in the same turn as the write. */
     get mayOrder(): boolean {
-        return this.isCurrent && this.clock.now() - this.startedMs >= LEASE_MS + LEASE_MARGIN_MS;
+        const sinceMs = this.firstListedMs ?? Infinity;
+        return this.isCurrent && this.clock.now() - sinceMs >= LEASE_MS + LEASE_MARGIN_MS;
     }
 }
--- a/src/process/PlacementTask.ts
+++ b/src/process/PlacementTask.ts
@@ -16,8 +16,10 @@
 
 /** Time between two rounds, in milliseconds. */
 const ROUND_MS = 500;
-/** How long a change must be wanted without a break before it is ordered, in milliseconds. */
-const SETTLE_MS = 3_000;
+/** How long a load must be wanted without a break before it is ordered, in milliseconds. */
+const LOAD_SETTLE_MS = 3_000;
+/** The same for an unload, in milliseconds. */
+const UNLOAD_SETTLE_MS = 15_000;
 /** Longest wait for an answer of the engine or the weight store, in milliseconds. */
 const CALL_TIMEOUT_MS = 10_000;
 /** Wait after a failed read of the weight store that names no time, in milliseconds. */
@@ -70,6 +72,7 @@
     private readonly pendingSinceMs = new Map<string, number>();
     private readonly readsDone = new Map<string, number>();
     private readPauseUntilMs = 0;
+    private lastWanted: { inputKey: string; models: readonly string[] } | undefined;
     private turnOrder: { version: number; order: readonly string[] } | undefined;
 
     /** Fires after each order that was read back. */
@@ -111,13 +114,17 @@
             return;
         }
         this.heldModels = report.value.models;
+        this.heldModels.forEach(model => this.readsDone.delete(model));
         this.fence ??= this.nextFence(report.value.fence);
         const inputs = this.readInputs();
         if (inputs === undefined || !this.options.maySend()) {
             this.pendingSinceMs.clear();
             return;
         }
-        const wanted = (this.options.findWanted ?? placements.findWantedModels)(inputs);
+        if (this.options.checksFencing() && report.value.role !== "" && report.value.fence < this.fence) {
+            await this.claim(report.value.role, this.fence);
+        }
+        const wanted = this.findWanted(inputs);
         const missing = wanted.filter(model => !inputs.held.has(model));
         const surplus = this.heldModels.filter(model => !wanted.includes(model));
         this.notePending([...missing.map(model => `load ${model}`), ...surplus.map(model => `unload ${model}`)]);
@@ -126,12 +133,34 @@
             await this.load(load);
             return;
         }
-        const unload = surplus.find(model => this.isSettled(`unload ${model}`) && this.isSafe(inputs, model));
+        const unload = surplus.find(model => this.isSettled("unload", model) && this.isSafe(inputs, model));
         if (unload !== undefined) {
             await this.order("unload", unload, "unwanted and held elsewhere");
         }
     }
 
+    /** Orders the role that the engine has already, so that it refuses the predecessor's orders from now on. */
+    private async claim(role: string, fence: number): Promise<void> {
+        const answer = await this.call(signal =>
+            this.options.engine.order({ fence, action: "role", subject: role }, signal)
+        );
+        this.options.log.info({ decision: "placement", action: "role", role, reason: "claim", fence });
+        if (answer.isErr && answer.error.code === codes.codes.orderRefused) {
+            await this.resolveRefusal(fence);
+        }
+    }
+
+    /** Computes the wanted models again only when an input has changed. */
+    private findWanted(inputs: placements.PlacementInputs): readonly string[] {
+        const parts = [inputs.configuration.version, [...inputs.live].sort(), [...inputs.held].sort()];
+        const inputKey = JSON.stringify(parts);
+        if (this.lastWanted?.inputKey !== inputKey) {
+            const models = (this.options.findWanted ?? placements.findWantedModels)(inputs);
+            this.lastWanted = { inputKey, models };
+        }
+        return this.lastWanted.models;
+    }
+
     private readInputs(): placements.PlacementInputs | undefined {
         const configuration = this.options.configuration();
         if (configuration === undefined) {
@@ -155,15 +184,16 @@
         }
     }
 
-    private isSettled(change: string): boolean {
-        const sinceMs = this.pendingSinceMs.get(change) ?? Infinity;
-        return this.options.clock.now() - sinceMs >= (this.options.settleMs ?? SETTLE_MS);
+    private isSettled(action: "load" | "unload", model: string): boolean {
+        const sinceMs = this.pendingSinceMs.get(`${action} ${model}`) ?? Infinity;
+        const defaultMs = action === "load" ? LOAD_SETTLE_MS : UNLOAD_SETTLE_MS;
+        return this.options.clock.now() - sinceMs >= (this.options.settleMs ?? defaultMs);
     }
 
     /** A model that no live slot holds is loaded without settling. */
     private isDue(inputs: placements.PlacementInputs, model: string): boolean {
         const holders = this.options.holders(model).filter(slot => inputs.live.has(slot));
-        return holders.length === 0 || this.isSettled(`load ${model}`);
+        return holders.length === 0 || this.isSettled("load", model);
     }
 
     private isSafe(inputs: placements.PlacementInputs, model: string): boolean {
@@ -193,7 +223,9 @@
         if (delayMs > 0) {
             await clocks.sleep(clock, delayMs, this.stopping.signal);
         }
-        if (this.findTurnDelay() !== 0 || !this.options.maySend() || this.stopping.signal.aborted) {
+        // Two incarnations of one slot share its turns, so only the leased one reads.
+        const mayRead = this.options.maySend() && this.options.lease.mayOrder && !this.stopping.signal.aborted;
+        if (this.findTurnDelay() !== 0 || !mayRead) {
             return;
         }
         this.readPauseUntilMs = clock.now() + turns.READ_TURN_MS;
@@ -223,7 +255,7 @@
     private async order(action: "load" | "unload", model: string, reason: string): Promise<boolean> {
         const { engine, lease, log, checksFencing, maySend } = this.options;
         const fence = this.fence;
-        if (fence === undefined || this.stopping.signal.aborted || !maySend()) {
+        if (fence === undefined || this.stopped || this.stopping.signal.aborted || !maySend()) {
             return false;
         }
         if (!checksFencing() && !lease.mayOrder) {
@@ -254,7 +286,10 @@
         return effective;
     }
 
-    /** A number at or above this incarnation's start that it didn't take itself belongs to a later one. */
+    /**
+     * A number above this incarnation's own was taken after it, by a later incarnation: ordering ends for
+     * good. Otherwise the engine wants a higher number, which only the listed agent takes.
+     */
     private async resolveRefusal(fence: number): Promise<void> {
         const report = await this.call(signal => this.options.engine.report(signal));
         if (report.isErr) {
@@ -279,8 +314,11 @@
 
     private async call<T>(send: (signal: AbortSignal) => ports.Reply<T>): ports.Reply<T> {
         const limit = new AbortController();
-        const timer = this.options.clock.schedule(CALL_TIMEOUT_MS, () => limit.abort());
-        const answer = await send(AbortSignal.any([limit.signal, this.stopping.signal]));
+        const abort = () => limit.abort();
+        const timer = this.options.clock.schedule(CALL_TIMEOUT_MS, abort);
+        this.stopping.signal.addEventListener("abort", abort, { once: true });
+        const answer = await send(limit.signal);
+        this.stopping.signal.removeEventListener("abort", abort);
         timer.dispose();
         return answer;
     }
--- /dev/null
+++ b/src/process/RateTurn.test.ts
@@ -0,0 +1,35 @@
+import * as fc from "fast-check";
+import * as vitest from "vitest";
+import * as clocks from "../common/Clock";
+import * as turns from "./RateTurn";
+
+const { describe, expect, it } = vitest;
+const ORDER = ["x/a", "x/b", "x/c"];
+
+describe("findTurnDelay", () => {
+    const cases: [string, number, string, number | undefined][] = [
+        ["at the start of the own turn", 300, "x/a", 0],
+        ["late in the own turn", 350, "x/a", 250],
+        ["before the own turn", 300, "x/b", 100],
+        ["after the own turn", 500, "x/b", 200],
+        ["without a turn", 300, "x/d", undefined],
+    ];
+    it.each(cases)("%s", (_name, wallMs, owner, expected) => {
+        expect(turns.findTurnDelay(ORDER, owner, new clocks.ManualClock(wallMs))).toBe(expected);
+    });
+
+    it("gives each moment to at most one owner, and each owner a turn after its delay", () => {
+        fc.assert(
+            fc.property(fc.integer({ min: 1_000, max: 2 ** 41 }), wallMs => {
+                const clock = new clocks.ManualClock(wallMs);
+                const delays = ORDER.map(owner => turns.findTurnDelay(ORDER, owner, clock)!);
+                expect(delays.filter(delayMs => delayMs === 0).length).toBeLessThanOrEqual(1);
+                delays.forEach((delayMs, index) => {
+                    const later = new clocks.ManualClock(wallMs + delayMs);
+                    expect(turns.findTurnDelay(ORDER, ORDER[index]!, later)).toBe(0);
+                });
+            }),
+            { seed: 32 },
+        );
+    });
+});
