--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,9 +3,10 @@
  */
 import * as commander from "commander";
 import * as experiments from "./Experiment";
+import * as placement from "./Placement";
 import * as routings from "./Routing";
 
-const all: readonly experiments.Experiment[] = [routings.routing];
+const all: readonly experiments.Experiment[] = [routings.routing, placement.placement];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
     const report = await experiment.run(seed);
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -65,7 +65,7 @@
     stream: z.boolean(),
     /** First stream offset wanted, in tokens. */
     offset: z.int().min(0),
-    body: z.unknown(),
+    body: z.unknown().optional(),
 });
 
 const cancelSchema = z.object({ kind: z.literal("cancel"), call: z.int().min(0) });
@@ -96,7 +96,7 @@
     code: z.int(),
     detail: z.string().max(2_000).optional(),
     retryAfterMs: z.number().optional(),
-    body: z.unknown(),
+    body: z.unknown().optional(),
     /** Time between dispatch and answer at the upstream. */
     upstreamMs: count,
     /** Time spent in the agent's queue. */
@@ -120,7 +120,7 @@
 const editSchema = z.object({
     path: z.array(z.string().max(128)).min(1).max(8),
     /** The new value; undefined removes the entry. */
-    value: z.unknown(),
+    value: z.unknown().optional(),
 });
 
 const deltaSchema = z.object({
@@ -131,7 +131,7 @@
     edits: z.array(editSchema).max(100_000),
 });
 
-const fullSchema = z.object({ kind: z.literal("full"), digest: z.string().max(64), content: z.unknown() });
+const fullSchema = z.object({ kind: z.literal("full"), digest: z.string().max(64), content: z.unknown().optional() });
 
 /** Asks an agent whether it holds at least this version, so that keys may move; see KeyHome.ts. */
 const yieldSchema = z.object({ kind: z.literal("yield"), service: configurations.nameSchema, version: z.int().min(0) });
