--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -16,6 +16,7 @@
 import * as limits from "./AdmissionLimit";
 import * as attemptMemories from "./AttemptMemory";
 import * as queues from "./FairQueue";
+import * as agentPlacements from "./AgentPlacement";
 import * as homeClaims from "./HomeClaim";
 import * as incarnations from "./Incarnation";
 import * as ledgers from "./Ledger";
@@ -26,6 +27,8 @@
 const PROBE_PERIOD_MS = 500;
 const PROBE_TIMEOUT_MS = 2_000;
 const ATTEMPT_CAPACITY = 100_000;
+/** Agents of the same service that an agent hears from; they tell which models they hold. */
+const SAME_SERVICE_PEERS = 8;
 const DRAIN_POLL_MS = 10;
 
 /** What a test or experiment may replace. */
@@ -50,6 +53,7 @@
     private readonly ledger: ledgers.Ledger;
     private readonly attempts: attemptMemories.AttemptMemory;
     private readonly claim: homeClaims.HomeClaim;
+    private readonly placement: agentPlacements.AgentPlacement;
     private readonly yields: yields.YieldRequests;
     private readonly incarnation: number;
     private readonly works = new Map<peerConnections.PeerConnection, Map<number, upstreamWorks.UpstreamWork>>();
@@ -84,7 +88,7 @@
         const lifetimeMs = (): number => this.configuration?.keyLifetimeMs ?? Infinity;
         const capacity = settings.ledgerCapacity;
         this.ledger = this.store.add(new ledgers.Ledger({ clock, capacity, lifetimeMs, startedWallMs: clock.wall() }));
-        this.attempts = new attemptMemories.AttemptMemory({ clock, capacity: ATTEMPT_CAPACITY });
+        this.attempts = this.store.add(new attemptMemories.AttemptMemory({ clock, capacity: ATTEMPT_CAPACITY }));
         this.node = this.store.add(this.createNode());
         this.yields = new yields.YieldRequests({
             clock,
@@ -98,6 +102,16 @@
                 slot: settings.instance,
                 lifetimeMs,
                 confirm: (instance, version) => this.yields.confirm(instance, version),
+                onAlarm: failure => log.warn({ code: failure.code.code, detail: failure.detail }, "home claim"),
+            }),
+        );
+        this.placement = this.store.add(
+            new agentPlacements.AgentPlacement({
+                ...options,
+                service: settings.service,
+                slot: settings.instance,
+                node: this.node,
+                isDraining: () => this.isDraining,
             }),
         );
         this.workContext = this.createWorkContext();
@@ -119,6 +133,7 @@
                 registry: agent.registry,
             }),
         );
+        agent.placement.start();
         void agent.probe();
         return agent;
     }
@@ -203,7 +218,8 @@
                 service: settings.service,
             },
             load: () => this.describeLoad(),
-            wantsAgents: () => [],
+            wantsAgents: () => [settings.service],
+            subsetSize: SAME_SERVICE_PEERS,
             onConnected: connection => this.connect(connection),
             onMessage: (connection, envelope) => this.receive(connection, envelope),
         });
@@ -246,6 +262,8 @@
     private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
         const { message, version } = envelope;
         switch (message.kind) {
+            case "heartbeat":
+                return this.placement.noteModels(connection.remote, message.load?.models ?? []);
             case "call":
                 return void this.serve(connection, message, version);
             case "cancel":
@@ -281,7 +299,7 @@
     private async answerQuery(connection: peerConnections.PeerConnection, query: messages.Query): Promise<void> {
         const isMine = query.incarnation === this.incarnation;
         const found = isMine
-            ? this.attempts.query(upstreamWorks.identifyAttempt(query), query.ageMs)
+            ? this.attempts.query(query, query.ageMs)
             : { kind: "forgotten" as const };
         const answer = found.kind === "running" ? await found.settled : found.kind === "answered" ? found.answer : undefined;
         const code = found.kind === "not-run" ? codes.codes.tombstoned : codes.codes.connectionLost;
@@ -353,7 +371,7 @@
             cold: this.limit.isCold,
             draining: this.isDraining,
             expectedMs: this.queue.expectedMs,
-            models: [],
+            models: [...this.placement.held],
         };
     }
 
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -45,10 +45,19 @@
     readonly load: () => messages.Load | undefined;
     /** Services whose agents the process connects to. */
     readonly wantsAgents: () => readonly string[];
+    /** Most agents of one service that the process connects to. */
+    readonly subsetSize?: number;
     readonly onConnected?: (connection: peerConnections.PeerConnection) => void;
     readonly onMessage: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
 }
 
+/** The platform's list, and when it was asked for. */
+export interface ListRead {
+    readonly rows: readonly ports.ListedInstance[];
+    /** On the scale of the clock's `now`. */
+    readonly askedMs: number;
+}
+
 /** One process of the system among the others. */
 export class Node implements clocks.Disposable {
     readonly replica: replicas.ConfigurationReplica;
@@ -58,10 +67,14 @@
     private readonly reader: readers.ConfigurationReader;
     private readonly store = new emitters.DisposableStore();
     private readonly stopped = new AbortController();
+    private readonly listEmitter = this.store.add(new emitters.Emitter<ListRead>());
     private listener: listeners.Listener | undefined;
     private hasListed = false;
     private refreshUntilMs = 0;
 
+    /** Fires for each list read from the platform. */
+    readonly onList = this.listEmitter.event;
+
     constructor(private readonly options: NodeOptions) {
         const { clock, log, random, settings } = options;
         this.replica = this.store.add(new replicas.ConfigurationReplica({ clock, log }));
@@ -71,6 +84,8 @@
                 self: settings.instance,
                 failureDomain: settings.failureDomain,
                 region: settings.region,
+                regionOf: domain => this.replica.current?.configuration.failureDomains[domain]?.region,
+                ...(options.subsetSize === undefined ? {} : { subsetSize: options.subsetSize }),
             }),
         );
         this.pause = this.store.add(new pauses.PauseMonitor({ clock, boundMs: PAUSE_BOUND_MS }));
@@ -80,7 +95,7 @@
                 replica: this.replica,
                 wanted: () => this.findWantedPeers(),
                 onConnected: connection => this.connect(connection),
-                onLost: connection => this.membership.noteLost(connection.remote.instance),
+                onLost: instance => this.membership.noteLost(instance),
                 onEnvelope: (connection, envelope) => this.receive(connection, envelope),
                 log,
             }),
@@ -231,11 +246,13 @@
     private async pollList(): Promise<void> {
         const { clock, instanceList, log } = this.options;
         while (!this.stopped.signal.aborted) {
+            const askedMs = clock.now();
             const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(LIST_TIMEOUT_MS)]);
             const rows = await instanceList.read(timeout);
             if (rows.isOk) {
                 this.hasListed = true;
                 this.membership.updateList(rows.value);
+                this.listEmitter.fire({ rows: rows.value, askedMs });
             }
             else if (!this.stopped.signal.aborted) {
                 log.debug({ code: rows.error.code.code, detail: rows.error.detail }, "instance list unavailable");
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -152,12 +152,11 @@
         if (this.operation.idempotent) {
             return this.admitAndDispatch();
         }
-        const identity = identifyAttempt(this.call);
-        if (!this.context.attempts.begin(identity)) {
-            return refused(codes.failure(codes.codes.tombstoned, identity));
+        if (!this.context.attempts.begin(this.call)) {
+            return refused(codes.failure(codes.codes.tombstoned, `attempt ${this.call.attempt}`));
         }
         const end = this.call.key === undefined ? await this.admitAndDispatch() : await this.runKeyed(this.call.key);
-        this.context.attempts.finish(identity, this.describe(end));
+        this.context.attempts.finish(this.call, this.describe(end));
         return end;
     }
 
@@ -199,8 +198,8 @@
     }
 
     private async admitAndDispatch(): Promise<WorkEnd> {
-        const { team, priority } = this.call;
-        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal: this.abort.signal };
+        const { team, priority, operation } = this.call;
+        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal: this.abort.signal, operation };
         const admitted = await this.context.queue.enter(ticket);
         if (admitted.isErr) {
             return refused(admitted.error);
@@ -262,11 +261,6 @@
     }
 }
 
-/** Names an attempt, the same in calls and in queries. */
-export function identifyAttempt(attempt: { request: string; stage: string; attempt: number }): string {
-    return `${attempt.request}/${attempt.stage}/${attempt.attempt}`;
-}
-
 function findOperation(
     configuration: configurations.Configuration | undefined,
     call: messages.Call,
