--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -2,9 +2,10 @@
  * Runs experiments: `npm run bench -- NAME [--seed N]`, or `all`. Each prints one JSON object as its last line.
  */
 import * as commander from "commander";
+import * as configuration from "./Configuration";
 import * as experiments from "./Experiment";
 
-const all: readonly experiments.Experiment[] = [];
+const all: readonly experiments.Experiment[] = [configuration.configuration];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
     const report = await experiment.run(seed);
--- /dev/null
+++ b/bench/VersionTracker.ts
@@ -0,0 +1,100 @@
+/**
+ * When each publication came into force at each replica, counted from when the replica could be reached.
+ */
+import * as hdr from "hdr-histogram-js";
+import type * as clocks from "../src/common/Clock";
+import type * as fleets from "./ConfigurationFleet";
+
+interface Publication {
+    readonly version: number;
+    readonly atMs: number;
+}
+
+/** A time during which some replicas couldn't learn of publications. */
+interface Fault {
+    readonly affects: (index: number) => boolean;
+    readonly fromMs: number;
+    untilMs: number;
+}
+
+/** Lags over all pairs of a publication and a replica. */
+export interface LagSummary {
+    readonly medianMs: number;
+    readonly p99Ms: number;
+    readonly maxMs: number;
+}
+
+/** Follows publications through a fleet. */
+export class VersionTracker {
+    readonly startedMs: number;
+    /** Times that a replica went to a lower version. */
+    reverts = 0;
+    private readonly publications: Publication[] = [];
+    private readonly faults: Fault[] = [];
+    private readonly held = new Map<fleets.FleetReplica, number>();
+    private readonly lags = hdr.build({ highestTrackableValue: 600_000, numberOfSignificantValueDigits: 3 });
+
+    constructor(private readonly clock: clocks.Clock) {
+        this.startedMs = clock.now();
+    }
+
+    notePublication(version: number): void {
+        this.publications.push({ version, atMs: this.clock.now() });
+    }
+
+    beginFault(affects: (index: number) => boolean): Fault {
+        const fault = { affects, fromMs: this.clock.now(), untilMs: Infinity };
+        this.faults.push(fault);
+        return fault;
+    }
+
+    endFault(fault: Fault): void {
+        fault.untilMs = this.clock.now();
+    }
+
+    /** Records the lags of all publications that `version` brings to the replica. */
+    noteInForce(replica: fleets.FleetReplica, version: number): void {
+        const nowMs = this.clock.now();
+        const before = this.held.get(replica) ?? this.findBase(replica);
+        this.reverts += version < before ? 1 : 0;
+        this.held.set(replica, version);
+        for (const publication of this.publications) {
+            if (publication.version > before && publication.version <= version) {
+                this.lags.recordValue(Math.max(0, Math.round(nowMs - this.reachableMs(replica, publication))));
+            }
+        }
+    }
+
+    /** Pairs of a publication and a replica where it isn't in force. */
+    countMissing(replicas: readonly fleets.FleetReplica[]): number {
+        return replicas.reduce((sum, replica) => {
+            const held = this.held.get(replica) ?? 0;
+            return sum + this.publications.filter(({ version }) => version > held).length;
+        }, 0);
+    }
+
+    summarize(): LagSummary {
+        return {
+            medianMs: this.lags.getValueAtPercentile(50),
+            p99Ms: this.lags.getValueAtPercentile(99),
+            maxMs: this.lags.maxValue,
+        };
+    }
+
+    /** Of the publications before a replica's start, only the newest concerns it: the version before that one. */
+    private findBase(replica: fleets.FleetReplica): number {
+        const earlier = this.publications.filter(({ atMs }) => atMs < replica.startedMs);
+        return (earlier.at(-1)?.version ?? 1) - 1;
+    }
+
+    /** When the replica could first learn of the publication: after its own start and the faults in between. */
+    private reachableMs(replica: fleets.FleetReplica, publication: Publication): number {
+        let atMs = Math.max(publication.atMs, replica.startedMs);
+        for (const fault of this.faults) {
+            if (fault.affects(replica.index) && atMs >= fault.fromMs && atMs < fault.untilMs) {
+                atMs = fault.untilMs;
+            }
+        }
+        return atMs;
+    }
+}
--- a/src/commands/Main.ts
+++ b/src/commands/Main.ts
@@ -3,6 +3,7 @@
  */
 import * as commander from "commander";
 import * as resultCodes from "../common/Codes";
+import * as checks from "./Check";
 
 const program = new commander.Command("cumincrank")
     .description("Serving system for multi-stage model pipelines")
@@ -16,6 +17,13 @@
         }
     });
 
+program.command("check")
+    .description("validates settings or a published configuration")
+    .argument("<file>", "YAML file")
+    .action((file: string) => {
+        process.exitCode = checks.checkFile(file, line => console.log(line));
+    });
+
 program.command("demo")
     .description("runs the system with stand-ins in one process")
     .action(() => {
--- /dev/null
+++ b/src/common/SettingsFile.ts
@@ -0,0 +1,54 @@
+/**
+ * Reads files of settings and of published configurations, both YAML.
+ */
+import * as fs from "node:fs";
+import * as result from "true-myth/result";
+import * as yaml from "yaml";
+import * as checks from "../version/ConfigurationCheck";
+import * as settings from "./Settings";
+
+/** Largest file read, in bytes. */
+const MAX_FILE_BYTES = 4 * 1024 * 1024;
+
+/** Reads and checks the settings of a process. */
+export function readSettings(path: string): result.Result<settings.Settings, readonly checks.Problem[]> {
+    return readYaml(path).andThen(checkSettings);
+}
+
+/** Checks settings that were read already. */
+export function checkSettings(content: unknown): result.Result<settings.Settings, readonly checks.Problem[]> {
+    const parsed = settings.settingsSchema.safeParse(content);
+    return parsed.success
+        ? result.ok(parsed.data)
+        : result.err(checks.listSchemaProblems(parsed.error, content));
+}
+
+/** Reads a YAML file of one document. */
+export function readYaml(path: string): result.Result<unknown, readonly checks.Problem[]> {
+    return readText(path).andThen(parseYaml);
+}
+
+function readText(path: string): result.Result<string, readonly checks.Problem[]> {
+    try {
+        const { size } = fs.statSync(path);
+        return size > MAX_FILE_BYTES
+            ? refuse(`${size} bytes`, `at most ${MAX_FILE_BYTES} bytes`)
+            : result.ok(fs.readFileSync(path, "utf8"));
+    }
+    catch (error) {
+        return refuse(String(error), "a readable file");
+    }
+}
+
+function parseYaml(text: string): result.Result<unknown, readonly checks.Problem[]> {
+    try {
+        return result.ok(yaml.parse(text));
+    }
+    catch (error) {
+        return refuse(String(error).split("\n")[0]!, "YAML of one document");
+    }
+}
+
+function refuse<T>(value: string, expected: string): result.Result<T, readonly checks.Problem[]> {
+    return result.err([{ path: "", value: checks.renderValue(value), expected }]);
+}
--- a/src/process/ConfigurationReplica.test.ts
+++ b/src/process/ConfigurationReplica.test.ts
@@ -15,7 +15,7 @@
 
 function publish(version: number, weight = version): configurations.Configuration {
     const configuration = samples.sampleConfiguration(version);
-    configuration.teams["bench"]!.weight = weight;
+    configuration.teams["team-a"]!.weight = weight;
     return configuration;
 }
 
--- /dev/null
+++ b/src/process/PeerMesh.ts
@@ -0,0 +1,162 @@
+/**
+ * The connections to other processes of the system. One task for each wanted peer connects, reads and
+ * reconnects with backoff; one task for each accepted connection reads it. Every frame goes to the
+ * configuration replica, and a new version is told to all peers at once.
+ */
+import * as clocks from "../common/Clock";
+import * as emitters from "../common/Emitter";
+import type * as logs from "../common/Log";
+import type * as messages from "../common/Messages";
+import * as peerConnections from "../connection/PeerConnection";
+import type * as replicas from "./ConfigurationReplica";
+
+const FIRST_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 2_000;
+/** A connection that lasted this long resets the backoff. */
+const STABLE_MS = 1_000;
+/** Time between two comparisons of the wanted peers with the running tasks. */
+const RECONCILE_INTERVAL_MS = 1_000;
+
+/** A process to connect to. */
+export interface WantedPeer {
+    readonly instance: string;
+    /** IP number and port. */
+    readonly address: string;
+}
+
+/** What a mesh needs from its owner. */
+export interface PeerMeshOptions {
+    readonly context: peerConnections.PeerContext;
+    readonly replica: replicas.ConfigurationReplica;
+    /** The peers to hold a connection to; asked again once a second. */
+    readonly wanted: () => readonly WantedPeer[];
+    /** Called for every frame, after the replica has seen it. */
+    readonly onEnvelope?: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
+    readonly log: logs.Log;
+    /** Uniform in [0, 1); spreads reconnects. */
+    readonly random?: () => number;
+}
+
+/** Holds the peer connections of one process. */
+export class PeerMesh implements clocks.Disposable {
+    private readonly open = new Set<peerConnections.PeerConnection>();
+    private readonly tasks = new Map<string, AbortController>();
+    private readonly disposables = new emitters.DisposableStore();
+    private readonly random: () => number;
+    private disposed = false;
+
+    constructor(private readonly options: PeerMeshOptions) {
+        this.random = options.random ?? Math.random;
+    }
+
+    /** The open connections, both opened and accepted. */
+    get connections(): readonly peerConnections.PeerConnection[] {
+        return [...this.open];
+    }
+
+    /** Starts to connect to the wanted peers. */
+    start(): void {
+        const { context, replica } = this.options;
+        this.disposables.add(replica.onVersion(() => this.announce()));
+        this.disposables.add(clocks.every(context.clock, RECONCILE_INTERVAL_MS, () => this.reconcile()));
+        this.reconcile();
+    }
+
+    /** Takes over a connection that a peer opened, after both hellos. */
+    accept(connection: peerConnections.PeerConnection): void {
+        void this.serve(connection);
+    }
+
+    /** Closes all connections and ends all tasks. */
+    dispose(): void {
+        this.disposed = true;
+        this.disposables.dispose();
+        for (const task of this.tasks.values()) {
+            task.abort();
+        }
+        this.tasks.clear();
+        for (const connection of this.open) {
+            connection.dispose();
+        }
+    }
+
+    private announce(): void {
+        for (const connection of this.open) {
+            connection.send(this.options.context.heartbeat());
+        }
+    }
+
+    private reconcile(): void {
+        const wanted = new Map(this.options.wanted().map(peer => [describePeer(peer), peer]));
+        for (const [key, task] of this.tasks) {
+            if (!wanted.has(key)) {
+                task.abort();
+                this.tasks.delete(key);
+            }
+        }
+        for (const [key, peer] of wanted) {
+            if (!this.tasks.has(key)) {
+                const task = new AbortController();
+                this.tasks.set(key, task);
+                void this.keepConnected(peer, task.signal);
+            }
+        }
+    }
+
+    /** The task of one wanted peer. */
+    private async keepConnected(peer: WantedPeer, signal: AbortSignal): Promise<void> {
+        const { context, log } = this.options;
+        let failures = 0;
+        while (!signal.aborted) {
+            const opened = await peerConnections.PeerConnection.open(peer.address, context);
+            const openedMs = context.clock.now();
+            failures++;
+            if (opened.isOk) {
+                await this.serveWhileWanted(opened.value, signal);
+                failures = context.clock.now() - openedMs < STABLE_MS ? failures : 0;
+            }
+            else {
+                log.debug(
+                    { peer: peer.instance, code: opened.error.code.code, detail: opened.error.detail },
+                    "no peer",
+                );
+            }
+            const backoffMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** failures);
+            await clocks.sleep(context.clock, backoffMs * (0.5 + this.random() / 2), signal);
+        }
+    }
+
+    private async serveWhileWanted(
+        connection: peerConnections.PeerConnection,
+        signal: AbortSignal,
+    ): Promise<void> {
+        const end = () => connection.dispose();
+        signal.addEventListener("abort", end, { once: true });
+        if (signal.aborted) {
+            end();
+        }
+        await this.serve(connection);
+        signal.removeEventListener("abort", end);
+    }
+
+    /** Reads one connection to its end. */
+    private async serve(connection: peerConnections.PeerConnection): Promise<void> {
+        if (this.disposed) {
+            connection.dispose();
+            return;
+        }
+        const { context, replica, onEnvelope } = this.options;
+        const send = (message: messages.Message) => connection.send(message);
+        this.open.add(connection);
+        send(context.heartbeat());
+        for (let envelope = await connection.next(); envelope !== undefined; envelope = await connection.next()) {
+            replica.observe(envelope, send, connection.remote.instance);
+            onEnvelope?.(connection, envelope);
+        }
+        this.open.delete(connection);
+    }
+}
+
+function describePeer(peer: WantedPeer): string {
+    return `${peer.instance} ${peer.address}`;
+}
--- a/src/version/ConfigurationCheck.test.ts
+++ b/src/version/ConfigurationCheck.test.ts
@@ -51,7 +51,7 @@
         ["pipelines.answer.stages.1.name", "encode", "pipelines.answer.stages.1.name"],
         ["services.encoders.operations.encode.idempotent", false, "pipelines.answer.stages.0.operation"],
         ["services.encoders.operations.encode.streams", true, "pipelines.answer.stages.0.operation"],
-        ["surprise", 1, ""],
+        ["surprise", 1, "surprise"],
     ];
     it.each(bad)("refuses %s = %j", (path, value, expected) => {
         expect(readPaths(change(path, value))).toContain(expected);
--- a/src/version/ConfigurationCheck.ts
+++ b/src/version/ConfigurationCheck.ts
@@ -36,9 +36,13 @@
 
 /** Turns the issues of a failed schema check of `content` into problems. */
 export function listSchemaProblems(error: z.ZodError, content: unknown): readonly Problem[] {
-    return error.issues.slice(0, MAX_PROBLEMS).map(issue =>
-        problem(issue.path.map(String), valueAt(content, issue.path), issue.message)
-    );
+    return error.issues.slice(0, MAX_PROBLEMS).flatMap(issue => {
+        const names = issue.code === "unrecognized_keys" ? issue.keys.map(key => [key]) : [[]];
+        return names.map(name => {
+            const path = [...issue.path, ...name];
+            return problem(path.map(String), valueAt(content, path), issue.message);
+        });
+    });
 }
 
 /** Writes a value in one short line. */
--- a/src/version/SampleConfiguration.ts
+++ b/src/version/SampleConfiguration.ts
@@ -16,13 +16,13 @@
         preset: "ordinary",
         presets: {
             ordinary: preset,
-            peak: { ...preset, teamWeights: { bench: 2 }, modelShare: { "model-a": 0.5 } },
+            peak: { ...preset, teamWeights: { "team-a": 2 }, modelShare: { "model-a": 0.5 } },
         },
         failureDomains: {
-            west: { region: "cascadia", state: "in" },
-            east: { region: "cascadia", state: "in" },
+            west: { region: "region-1", state: "in" },
+            east: { region: "region-1", state: "in" },
         },
-        teams: { bench: { weight: 1 }, museum: { weight: 2 } },
+        teams: { "team-a": { weight: 1 }, "team-b": { weight: 2 } },
         services: {
             engines: {
                 kind: "engine",
