--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -2,11 +2,16 @@
  * Runs experiments: `npm run bench -- NAME [--seed N]`, or `all`. Each prints one JSON object as its last line.
  */
 import * as commander from "commander";
+import * as configuration from "./Configuration";
 import * as experiments from "./Experiment";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
 
-const all: readonly experiments.Experiment[] = [routings.routing, placement.placement];
+const all: readonly experiments.Experiment[] = [
+    configuration.configuration,
+    routings.routing,
+    placement.placement,
+];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
     const report = await experiment.run(seed);
--- a/src/commands/Demo.ts
+++ b/src/commands/Demo.ts
@@ -2,15 +2,18 @@
  * The command `demo`: the whole system with stand-ins in one process, shown at work.
  */
 import * as fs from "node:fs";
-import * as configurations from "../common/Configuration";
-import * as logs from "../common/Log";
 import * as callers from "../../standins/Caller";
 import * as fleets from "../../standins/LocalFleet";
-import * as exits from "./Exits";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
+import * as logs from "../common/Log";
 import * as document from "./DemoConfiguration";
+import * as exits from "./Exits";
 
 const PIPELINE_PATH = "/v1/pipelines/report";
 const BOOKING_PATH = "/v1/services/bookings/book";
+const REMEMBERED_POLL_MS = 1_000;
 const BACKGROUND_CALLS = 20;
 const OUT_DOMAIN = "zone-b";
 
@@ -21,10 +24,10 @@
 }
 
 /** Prints the decisions of a process, and leaves its other log lines out. */
-function createDecisionLog(instance: string): logs.Log {
+function createDecisionLog(instance: string, prints: () => boolean): logs.Log {
     return logs.createLog(instance, "info", line => {
         const record = JSON.parse(line) as Record<string, unknown>;
-        if (record["decision"] !== undefined) {
+        if (record["decision"] !== undefined && prints()) {
             const { decision, request, stage, candidates, choice, reason } = record;
             print(`  decision ${JSON.stringify({ instance, decision, request, stage, candidates, choice, reason })}`);
         }
@@ -38,7 +41,10 @@
         configuration: document.demoConfiguration,
         entries: 2,
         random: Math.random,
-        log: instance => state.printsDecisions && instance.startsWith("entry") ? createDecisionLog(instance) : logs.silentLog,
+        log: instance =>
+            instance.startsWith("entry")
+                ? createDecisionLog(instance, () => state.printsDecisions)
+                : logs.silentLog,
         engine: () => ({ msPerToken: 2, firstTokenMs: 20 }),
         plain: () => ({ serviceMs: 5 }),
     });
@@ -48,8 +54,9 @@
         await showStream(fleet),
         await showRefusal(fleet),
         await showAtMostOnce(fleet),
-        await showDomain(fleet),
     ];
+    state.printsDecisions = false;
+    results.push(await showDomain(fleet));
     fleet.dispose();
     const failed = results.filter(succeeded => !succeeded).length;
     print(`demo: ${results.length - failed} passed, ${failed} failed`);
@@ -84,13 +91,27 @@
 
 async function showAtMostOnce(fleet: Fleet): Promise<boolean> {
     print("\n4. a booking sent twice with one idempotency key, through both entries");
-    const key = document.createTimeOrderedKey();
-    const call = { path: BOOKING_PATH, team: "bench", key, body: { frame: 12 } };
-    const replies = [await fleet.call("entry-1", call), await fleet.call("entry-2", call)];
-    replies.forEach(printAnswer);
+    const first = await bookWhenRemembered(fleet);
+    const second = await fleet.call("entry-2", first.call);
+    [first.reply, second].forEach(printAnswer);
     const runs = countExecutions(fleet, "bookings");
     print(`  the upstreams ran it ${runs} time(s)`);
-    return runs === 1 && replies.every(reply => reply.answer?.outcome === "completed");
+    return runs === 1 && [first.reply, second].every(reply => reply.answer?.outcome === "completed");
+}
+
+/** A key must be newer than the memory of its home by more than clocks may differ, so fresh agents refuse at first. */
+async function bookWhenRemembered(
+    fleet: Fleet,
+): Promise<{ call: Omit<callers.CallerCall, "address">; reply: callers.CallerReply }> {
+    for (;;) {
+        const call = { path: BOOKING_PATH, team: "bench", key: document.createTimeOrderedKey(), body: { frame: 12 } };
+        const reply = await fleet.call("entry-1", call);
+        if (reply.answer?.code !== codes.codes.keyTooOld.code) {
+            return { call, reply };
+        }
+        printAnswer(reply);
+        await clocks.sleep(clocks.systemClock, REMEMBERED_POLL_MS);
+    }
 }
 
 async function showDomain(fleet: Fleet): Promise<boolean> {
--- a/src/commands/Main.ts
+++ b/src/commands/Main.ts
@@ -2,24 +2,52 @@
  * The command line of the one binary `cumincrank`.
  */
 import * as commander from "commander";
-import * as resultCodes from "../common/Codes";
+import * as checks from "./Check";
+import * as tables from "./CodesTable";
+import * as demos from "./Demo";
+import * as serving from "./Serve";
+import * as statuses from "./Status";
 
 const program = new commander.Command("cumincrank")
     .description("Serving system for multi-stage model pipelines")
-    .version("0.1.0");
+    .version("0.1.0")
+    .addHelpText("after", "\nExit codes: 0 done, 1 can't run here, 2 invalid file or argument, 3 a stop cut work.")
+    .exitOverride(error => process.exit(error.exitCode === 0 ? 0 : 2));
+
+for (const role of ["entry", "agent"] as const) {
+    program.command(role)
+        .description(`runs ${role === "entry" ? "an entry instance" : "the agent beside an upstream instance"}`)
+        .requiredOption("--settings <file>", "YAML file with the settings")
+        .action(async (options: { settings: string }) => {
+            process.exit(await serving.serve(role, options.settings));
+        });
+}
+
+program.command("check")
+    .description("validates settings or a published configuration")
+    .argument("<file>", "YAML file")
+    .action((file: string) => {
+        process.exitCode = checks.checkFile(file, line => console.log(line));
+    });
+
+program.command("status")
+    .description("prints what a process believes")
+    .argument("<address>", "its admin address, as 10.0.0.1:7102")
+    .action(async (address: string) => {
+        process.exitCode = await statuses.printStatus(address);
+    });
 
 program.command("codes")
     .description("prints the table of result codes")
-    .action(() => {
-        for (const row of Object.values(resultCodes.codes)) {
-            console.log(`${row.code}\t${row.name}\t${row.outcome ?? "-"}\t${row.status}\t${row.text}`);
-        }
+    .option("--markdown", "as the page docs/RESULT-CODES.md")
+    .action((options: { markdown?: boolean }) => {
+        process.stdout.write(options.markdown ? tables.renderCodesPage() : tables.renderCodes());
     });
 
 program.command("demo")
     .description("runs the system with stand-ins in one process")
-    .action(() => {
-        console.log("demo: not built yet");
+    .action(async () => {
+        process.exit(await demos.runDemo());
     });
 
 void program.parseAsync();
--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -13,8 +13,8 @@
 import * as weightStores from "../process/adapters/WeightStoreService";
 import * as agentProcesses from "../process/AgentProcess";
 import * as entryProcesses from "../process/EntryProcess";
+import * as checks from "./Check";
 import * as exits from "./Exits";
-import * as problems from "./Problems";
 
 /** What both kinds of process offer to the command line. */
 interface RunningProcess {
@@ -32,11 +32,11 @@
     }
     const settings = settingsFiles.readSettings(path);
     if (settings.isErr) {
-        problems.print(path, settings.error);
+        checks.writeProblems(path, settings.error, console.error);
         return exits.EXIT_INVALID;
     }
     if (settings.value.role !== role) {
-        problems.print(path, [{ path: "role", value: settings.value.role, expected: role }]);
+        checks.writeProblems(path, [{ path: "role", value: settings.value.role, expected: role }], console.error);
         return exits.EXIT_INVALID;
     }
     return run(settings.value);
--- a/src/common/Codes.ts
+++ b/src/common/Codes.ts
@@ -63,7 +63,6 @@
         "The instance responsible for this key is unavailable.",
     ),
     handoverPending: row(209, "handover-pending", "not-run", 503, "The previous home of this key hasn't yielded yet."),
-    keyTooOld: row(210, "key-too-old", "not-run", 409, "The key may be older than the memory of its home."),
     ledgerFull: row(211, "ledger-full", "not-run", 503, "The at-most-once ledger is full."),
     notReady: row(212, "not-ready", "not-run", 503, "The process doesn't know the configuration yet."),
     refreshing: row(213, "refreshing", "not-run", 503, "The process woke from a pause and is refreshing its view."),
@@ -90,6 +89,7 @@
     streamBroken: row(307, "stream-broken", "unknown", 502, "The stream broke and couldn't be resumed."),
     stopLimit: row(308, "stop-limit", "unknown", 503, "A planned stop reached its time limit and cut the work."),
     stillRunning: row(309, "still-running", "unknown", 504, "The call is still running; ask again with the same key."),
+    keyTooOld: row(310, "key-too-old", "unknown", 409, "The key's home restarted; an earlier call may have run."),
 
     frameTooLarge: row(400, "frame-too-large", undefined, 500, "A frame exceeds the size limit."),
     frameMalformed: row(401, "frame-malformed", undefined, 500, "A frame isn't valid CBOR or fails its schema."),
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -133,13 +133,9 @@
 
 const fullSchema = z.object({ kind: z.literal("full"), digest: z.string().max(64), content: z.unknown().optional() });
 
-/** Asks an agent whether it holds at least this version, so that keys may move; see KeyHome.ts. */
-const yieldSchema = z.object({ kind: z.literal("yield"), service: configurations.nameSchema, version: z.int().min(0) });
-const yieldedSchema = z.object({
-    kind: z.literal("yielded"),
-    service: configurations.nameSchema,
-    version: z.int().min(0),
-});
+/** Asks a peer to catch up with a version and to answer; the answer's envelope tells the version it holds. */
+const confirmSchema = z.object({ kind: z.literal("confirm"), token: z.int().min(0), version: z.int().min(0) });
+const confirmedSchema = z.object({ kind: z.literal("confirmed"), token: z.int().min(0) });
 
 const messageSchema = z.discriminatedUnion("kind", [
     helloSchema,
@@ -152,8 +148,8 @@
     fetchSchema,
     deltaSchema,
     fullSchema,
-    yieldSchema,
-    yieldedSchema,
+    confirmSchema,
+    confirmedSchema,
 ]);
 
 /** Every frame: the sender's configuration version in force (0 for none), and a message. */
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -14,15 +14,15 @@
 import * as upstreamWorks from "../request/UpstreamWork";
 import * as adminServers from "./AdminServer";
 import * as limits from "./AdmissionLimit";
+import * as agentPlacements from "./AgentPlacement";
 import * as attemptMemories from "./AttemptMemory";
 import * as queues from "./FairQueue";
-import * as agentPlacements from "./AgentPlacement";
 import * as homeClaims from "./HomeClaim";
 import * as incarnations from "./Incarnation";
 import * as ledgers from "./Ledger";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
-import * as yields from "./YieldRequests";
+import * as confirmations from "./VersionConfirmation";
 
 const PROBE_PERIOD_MS = 500;
 const PROBE_TIMEOUT_MS = 2_000;
@@ -54,7 +54,7 @@
     private readonly attempts: attemptMemories.AttemptMemory;
     private readonly claim: homeClaims.HomeClaim;
     private readonly placement: agentPlacements.AgentPlacement;
-    private readonly yields: yields.YieldRequests;
+    private readonly confirmation: confirmations.VersionConfirmation;
     private readonly incarnation: number;
     private readonly works = new Map<peerConnections.PeerConnection, Map<number, upstreamWorks.UpstreamWork>>();
     private readonly registry = new prom.Registry();
@@ -90,9 +90,8 @@
         this.ledger = this.store.add(new ledgers.Ledger({ clock, capacity, lifetimeMs, startedWallMs: clock.wall() }));
         this.attempts = this.store.add(new attemptMemories.AttemptMemory({ clock, capacity: ATTEMPT_CAPACITY }));
         this.node = this.store.add(this.createNode());
-        this.yields = new yields.YieldRequests({
+        this.confirmation = new confirmations.VersionConfirmation({
             clock,
-            service: settings.service,
             find: instance => this.node.membership.find(instance),
             context: () => this.node.createPeerContext(),
         });
@@ -101,7 +100,7 @@
                 clock,
                 slot: settings.instance,
                 lifetimeMs,
-                confirm: (instance, version) => this.yields.confirm(instance, version),
+                confirm: (instance, version) => this.confirmation.confirm(instance, version),
                 onAlarm: failure => log.warn({ code: failure.code.code, detail: failure.detail }, "home claim"),
             }),
         );
@@ -270,8 +269,6 @@
                 return this.works.get(connection)?.get(message.call)?.cancel();
             case "query":
                 return void this.answerQuery(connection, message);
-            case "yield":
-                return void this.answerYield(connection, message.service, message.version);
             default:
                 return;
         }
@@ -301,24 +298,27 @@
         const found = isMine
             ? this.attempts.query(query, query.ageMs)
             : { kind: "forgotten" as const };
-        const answer = found.kind === "running" ? await found.settled : found.kind === "answered" ? found.answer : undefined;
+        const answer = found.kind === "running"
+            ? await found.settled
+            : found.kind === "answered"
+            ? found.answer
+            : undefined;
         const code = found.kind === "not-run" ? codes.codes.tombstoned : codes.codes.connectionLost;
         connection.send({ ...(answer ?? this.createAnswer(code)), call: query.call });
     }
 
-    /** Confirms a version that other processes hold, after catching up with it. */
-    private async answerYield(
-        connection: peerConnections.PeerConnection,
-        service: string,
-        version: number,
-    ): Promise<void> {
-        await this.node.catchUp(version, PROBE_TIMEOUT_MS);
-        connection.send({ kind: "yielded", service, version: this.node.replica.version });
-    }
-
     private createAnswer(code: codes.ResultCode): messages.Answer {
         const load = this.describeLoad();
-        return { kind: "answer", call: 0, code: code.code, body: undefined, upstreamMs: 0, queuedMs: 0, tokens: 0, load };
+        return {
+            kind: "answer",
+            call: 0,
+            code: code.code,
+            body: undefined,
+            upstreamMs: 0,
+            queuedMs: 0,
+            tokens: 0,
+            load,
+        };
     }
 
     private applyVersion(): void {
@@ -377,9 +377,14 @@
 
     private registerGauges(): void {
         const gauge = (name: string, help: string, read: () => number): void => {
-            new prom.Gauge({ name, help, registers: [this.registry], collect() {
-                this.set(read());
-            } });
+            new prom.Gauge({
+                name,
+                help,
+                registers: [this.registry],
+                collect() {
+                    this.set(read());
+                },
+            });
         };
         gauge("cumincrank_agent_limit", "Concurrency admitted", () => this.limit.limit);
         gauge("cumincrank_agent_active", "Calls at the upstream", () => this.limit.active);
--- a/src/process/EntryMetrics.ts
+++ b/src/process/EntryMetrics.ts
@@ -34,7 +34,10 @@
         "stage",
     ]);
     private readonly tokens = this.counter("cumincrank_stage_tokens_total", "Tokens generated", ["pipeline", "stage"]);
-    private readonly retries = this.counter("cumincrank_stage_retries_total", "Retries paid for", ["pipeline", "stage"]);
+    private readonly retries = this.counter("cumincrank_stage_retries_total", "Retries paid for", [
+        "pipeline",
+        "stage",
+    ]);
     private readonly hedges = this.counter("cumincrank_stage_hedges_total", "Hedges paid for", ["pipeline", "stage"]);
     private readonly duration = new prom.Histogram({
         name: "cumincrank_request_seconds",
@@ -50,9 +53,14 @@
 
     /** Shows a number that is read at each scrape. */
     gauge(name: string, help: string, read: () => number): void {
-        new prom.Gauge({ name, help, registers: [this.registry], collect() {
-            this.set(read());
-        } });
+        new prom.Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
     }
 
     /** Records the end of a request. */
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -233,8 +233,7 @@
             candidates: service => this.findCandidates(service),
             client: instance => this.pool.find(instance),
             home: (service, key) => this.findHome(service, key),
-            recover: (instance, incarnation, query, deadline) =>
-                this.recover(instance, incarnation, query, deadline),
+            recover: (instance, incarnation, query, deadline) => this.recover(instance, incarnation, query, deadline),
             recordCost: (pipeline, cost) => this.metrics.recordStage(pipeline, cost),
             now: () => clock.now(),
             schedule: (delayMs, callback) => clock.schedule(delayMs, callback),
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -25,6 +25,11 @@
 const PAUSE_BOUND_MS = 1_000;
 /** Frames read this soon after a pause may have waited for all of it. */
 const UNREAD_WINDOW_MS = 500;
+/** Peers whose word on the version a new process waits for. */
+const CONSULTED_PEERS = 2;
+/** A new process that reaches too few peers goes on with what it has after this time. */
+const CONSULT_TIMEOUT_MS = 3_000;
+const CONFIRM_TIMEOUT_MS = 2_000;
 /** After a pause, work waits this long at most for a peer's newer version. */
 const REFRESH_TIMEOUT_MS = 1_500;
 
@@ -70,6 +75,10 @@
     private readonly listEmitter = this.store.add(new emitters.Emitter<ListRead>());
     private listener: listeners.Listener | undefined;
     private hasListed = false;
+    private startedMs = 0;
+    private refreshToken = 0;
+    /** Peers that have sent a frame. */
+    private readonly heardFrom = new Set<string>();
     private refreshUntilMs = 0;
 
     /** Fires for each list read from the platform. */
@@ -95,7 +104,7 @@
                 replica: this.replica,
                 wanted: () => this.findWantedPeers(),
                 onConnected: connection => this.connect(connection),
-                onLost: instance => this.membership.noteLost(instance),
+                onLost: instance => this.lose(instance),
                 onEnvelope: (connection, envelope) => this.receive(connection, envelope),
                 log,
             }),
@@ -118,6 +127,7 @@
     async start(): Promise<void> {
         const server = net.createServer(socket => void this.accept(socket));
         this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen));
+        this.startedMs = this.options.clock.now();
         this.reader.start();
         this.mesh.start();
         void this.pollList();
@@ -127,9 +137,18 @@
         return this.listener?.address ?? "";
     }
 
-    /** Whether the process has a configuration and has asked for the list of instances. */
+    /**
+     * Whether the process has a configuration, the list, and the word of several peers on the version, so that a
+     * stale configuration service alone can't make it act on an old one.
+     */
     get isReady(): boolean {
-        return this.replica.current !== undefined && this.hasListed;
+        return this.replica.current !== undefined && this.hasListed && this.hasConsulted;
+    }
+
+    private get hasConsulted(): boolean {
+        const waitedMs = this.options.clock.now() - this.startedMs;
+        const known = this.membership.peers(GOSSIP_PEERS).length;
+        return this.heardFrom.size >= Math.min(CONSULTED_PEERS, known) || waitedMs > CONSULT_TIMEOUT_MS;
     }
 
     /** Whether the process woke from a pause and hasn't heard from a peer since; it dispatches nothing. */
@@ -215,19 +234,44 @@
     }
 
     private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
-        if (envelope.version <= this.replica.version && this.pause.check() === 0) {
-            this.refreshUntilMs = 0;
-        }
-        if (envelope.message.kind === "heartbeat" && envelope.message.load?.draining) {
+        const { message } = envelope;
+        this.heardFrom.add(connection.remote.instance);
+        if (message.kind === "heartbeat" && message.load?.draining) {
             this.membership.noteDraining(connection.remote.instance);
         }
+        else if (message.kind === "confirm") {
+            void this.confirm(connection, message.token, message.version);
+        }
+        else if (message.kind === "confirmed" && message.token === this.refreshToken) {
+            void this.endRefresh(envelope.version);
+        }
         this.options.onMessage(connection, envelope);
     }
 
+    private async confirm(connection: peerConnections.PeerConnection, token: number, version: number): Promise<void> {
+        await this.catchUp(version, CONFIRM_TIMEOUT_MS);
+        connection.send({ kind: "confirmed", token });
+    }
+
+    /** Asks every peer for its version; the first answer that was asked for after the pause ends the refresh. */
     private refresh(pausedMs: number): void {
         this.options.log.warn({ pausedMs }, "woke from a pause");
         this.refreshUntilMs = this.options.clock.now() + REFRESH_TIMEOUT_MS;
-        this.mesh.connections.forEach(connection => connection.send({ kind: "fetch", from: this.replica.version }));
+        this.refreshToken++;
+        const question = { kind: "confirm" as const, token: this.refreshToken, version: this.replica.version };
+        this.mesh.connections.forEach(connection => connection.send(question));
+    }
+
+    private async endRefresh(version: number): Promise<void> {
+        if (await this.catchUp(version, REFRESH_TIMEOUT_MS)) {
+            this.refreshUntilMs = 0;
+        }
+    }
+
+    private lose(instance: string): void {
+        if (!this.mesh.connections.some(connection => connection.remote.instance === instance)) {
+            this.membership.noteLost(instance);
+        }
     }
 
     private findWantedPeers(): { instance: string; address: string }[] {
@@ -269,7 +313,9 @@
     const { failureDomains, services } = current.configuration;
     const upstreams = Object.values(services).flatMap(service => Object.entries(service.slots));
     return {
-        failureDomains: Object.entries(failureDomains).filter(([, domain]) => domain.state === "out").map(([name]) => name),
+        failureDomains: Object.entries(failureDomains).filter(([, domain]) => domain.state === "out").map(([name]) =>
+            name
+        ),
         upstreams: upstreams.filter(([, slot]) => slot.state === "out").map(([name]) => name),
     };
 }
--- a/src/process/YieldRequests.ts
+++ b/src/process/VersionConfirmation.ts
@@ -4,24 +4,26 @@
  */
 import * as clocks from "../common/Clock";
 import * as peerConnections from "../connection/PeerConnection";
+import * as homeClaims from "./HomeClaim";
 import * as memberships from "./Membership";
 
-const YIELD_TIMEOUT_MS = 3_000;
+const CONFIRM_TIMEOUT_MS = 3_000;
 
-/** What the requests need from their process. */
-export interface YieldOptions {
+/** What the questions need from their process. */
+export interface ConfirmationOptions {
     readonly clock: clocks.Clock;
-    readonly service: string;
     readonly find: (instance: string) => memberships.Member | undefined;
     readonly context: () => peerConnections.PeerContext;
 }
 
 /** Sends the questions. */
-export class YieldRequests {
-    constructor(private readonly options: YieldOptions) {}
+export class VersionConfirmation {
+    private nextToken = 1;
+
+    constructor(private readonly options: ConfirmationOptions) {}
 
     /** Asks one instance; "gone" only when the platform's list no longer names it. */
-    async confirm(instance: string, version: number): Promise<"yielded" | "gone" | "unreachable"> {
+    async confirm(instance: string, version: number): Promise<homeClaims.Confirmation> {
         const member = this.options.find(instance);
         if (member === undefined) {
             return "gone";
@@ -31,23 +33,21 @@
             return "unreachable";
         }
         const connection = opened.value;
-        const timer = this.options.clock.schedule(YIELD_TIMEOUT_MS, () => connection.dispose());
-        const confirmed = connection.remote.instance === instance && await this.ask(connection, version);
+        const timer = this.options.clock.schedule(CONFIRM_TIMEOUT_MS, () => connection.dispose());
+        const isConfirmed = connection.remote.instance === instance && await this.ask(connection, version);
         timer.dispose();
         connection.dispose();
-        return confirmed ? "yielded" : "unreachable";
+        return isConfirmed ? "yielded" : "unreachable";
     }
 
     private async ask(connection: peerConnections.PeerConnection, version: number): Promise<boolean> {
-        connection.send({ kind: "yield", service: this.options.service, version });
-        for (;;) {
-            const envelope = await connection.next();
-            if (envelope === undefined) {
-                return false;
-            }
-            if (envelope.message.kind === "yielded") {
-                return envelope.message.version >= version;
+        const token = this.nextToken++;
+        connection.send({ kind: "confirm", token, version });
+        for (let envelope = await connection.next(); envelope !== undefined; envelope = await connection.next()) {
+            if (envelope.message.kind === "confirmed" && envelope.message.token === token) {
+                return envelope.version >= version;
             }
         }
+        return false;
     }
 }
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -63,7 +63,14 @@
         mayHaveRun = mayHaveRun || end.mayHaveRun;
         previous = end.body;
     }
-    return { code: codes.codes.ok, detail: undefined, retryAfterMs: undefined, stage: undefined, body: previous, costs };
+    return {
+        code: codes.codes.ok,
+        detail: undefined,
+        retryAfterMs: undefined,
+        stage: undefined,
+        body: previous,
+        costs,
+    };
 }
 
 function prepareStage(
@@ -119,6 +126,8 @@
 ): PipelineEnd {
     const ran = earlierRan || end.mayHaveRun;
     const code = end.code.outcome === "not-run" && ran ? codes.codes.partlyRun : end.code;
-    const detail = code === end.code ? end.detail : `${end.code.name}${end.detail === undefined ? "" : `: ${end.detail}`}`;
+    const detail = code === end.code
+        ? end.detail
+        : `${end.code.name}${end.detail === undefined ? "" : `: ${end.detail}`}`;
     return { code, detail, retryAfterMs: end.retryAfterMs, stage: stage.name, body: end.body, costs };
 }
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -89,7 +89,10 @@
         const failure = await this.check();
         const end = failure === undefined ? await this.runChecked() : refused(failure);
         const { request, stage, attempt, team } = this.call;
-        this.context.log.debug({ request, stage, attempt, team, code: end.code.code, queuedMs: end.queuedMs }, "call ended");
+        this.context.log.debug(
+            { request, stage, attempt, team, code: end.code.code, queuedMs: end.queuedMs },
+            "call ended",
+        );
         return this.describe(end);
     }
 
@@ -266,7 +269,9 @@
     call: messages.Call,
 ): configurations.Operation | undefined {
     const operations = configuration?.services[call.service]?.operations;
-    return operations !== undefined && Object.hasOwn(operations, call.operation) ? operations[call.operation] : undefined;
+    return operations !== undefined && Object.hasOwn(operations, call.operation)
+        ? operations[call.operation]
+        : undefined;
 }
 
 function describeRecord(record: ledgers.LedgerRecord): WorkEnd {
--- a/standins/Caller.ts
+++ b/standins/Caller.ts
@@ -65,7 +65,10 @@
             response.setEncoding("utf8");
             response.on("data", (chunk: string) => isStream ? events.push(chunk) : chunks.push(chunk));
             response.on("error", () => finish(response.statusCode ?? 0, ""));
-            response.on("end", () => finish(response.statusCode ?? 0, chunks.join(""), response.headers["retry-after"]));
+            response.on(
+                "end",
+                () => finish(response.statusCode ?? 0, chunks.join(""), response.headers["retry-after"]),
+            );
         });
         request.on("error", () => finish(0, ""));
         request.end(content);
@@ -109,10 +112,12 @@
     }
 
     private take(event: string): void {
-        const fields = new Map(event.split("\n").map(line => {
-            const colon = line.indexOf(": ");
-            return [line.slice(0, colon), line.slice(colon + 2)];
-        }));
+        const fields = new Map(
+            event.split("\n").map(line => {
+                const colon = line.indexOf(": ");
+                return [line.slice(0, colon), line.slice(colon + 2)];
+            }),
+        );
         const data = fields.get("data") ?? "";
         if (fields.get("event") === "token") {
             this.firstTokenMs ??= this.elapsed();
--- a/standins/LocalFleet.ts
+++ b/standins/LocalFleet.ts
@@ -156,9 +156,8 @@
     /** Resolves when every entry is ready and connected to every agent. */
     async waitUntilConnected(): Promise<void> {
         await this.waitFor(() =>
-            [...this.entries.values()].every(entry =>
-                entry.isReady && entry.connectedAgents.length >= this.agents.size
-            ) && [...this.agents.values()].every(agent => agent.isReady)
+            [...this.entries.values()].every(entry => entry.isReady && entry.connectedAgents.length >= this.agents.size)
+            && [...this.agents.values()].every(agent => agent.isReady)
         );
     }
 
@@ -223,7 +222,13 @@
         const rows: ports.ListedInstance[] = [];
         for (const [instance, entry] of this.entries) {
             const failureDomain = Object.keys(this.document.failureDomains)[0]!;
-            rows.push({ instance, role: "entry", failureDomain, address: entry.peerAddress, state: this.stateOf(instance) });
+            rows.push({
+                instance,
+                role: "entry",
+                failureDomain,
+                address: entry.peerAddress,
+                state: this.stateOf(instance),
+            });
         }
         for (const [instance, agent] of this.agents) {
             const service = this.findService(instance);
