--- a/src/version/Placement.ts
+++ b/src/version/Placement.ts
@@ -8,6 +8,28 @@
 /** Part of a model's replica count that a holder may rank below it and still keep the model. */
 const KEEP_MARGIN_RATIO = 0.25;
 const ROUNDING_TOLERANCE = 1e-9;
+/** Scores kept before all are dropped and computed anew. */
+const MAX_KEPT_SCORES = 100_000;
+
+/** Scores by model and slot; they depend on nothing else. */
+const keptScores = new Map<string, Map<string, number>>();
+let keptScoreCount = 0;
+
+function findScore(model: string, slot: string): number {
+    const kept = keptScores.get(model)?.get(slot);
+    if (kept !== undefined) {
+        return kept;
+    }
+    if (keptScoreCount >= MAX_KEPT_SCORES) {
+        keptScores.clear();
+        keptScoreCount = 0;
+    }
+    const score = hashes.score(model, slot);
+    const scores = keptScores.get(model) ?? new Map<string, number>();
+    keptScores.set(model, scores.set(slot, score));
+    keptScoreCount++;
+    return score;
+}
 
 /** What placement depends on. */
 export interface PlacementInputs {
@@ -26,7 +48,7 @@
 /** Slots in the order of their scores for a model, highest first; ties by name. */
 export function rankSlots(model: string, slots: Iterable<string>): string[] {
     return [...slots]
-        .map(slot => ({ slot, score: hashes.score(model, slot) }))
+        .map(slot => ({ slot, score: findScore(model, slot) }))
         .sort((a, b) => b.score - a.score || (a.slot < b.slot ? -1 : 1))
         .map(entry => entry.slot);
 }
@@ -46,10 +68,17 @@
 
 /** Number of slots that should hold a model: its share of the slots in service, at least one. */
 export function countReplicas(configuration: configurations.Configuration, service: string, model: string): number {
+    return countShare(configuration, model, countInService(configuration, service));
+}
+
+function countInService(configuration: configurations.Configuration, service: string): number {
     const slots = Object.keys(configuration.services[service]?.slots ?? {});
-    const inService = slots.filter(slot => configurations.findOutOfService(configuration, service, slot) === undefined);
+    return slots.filter(slot => configurations.findOutOfService(configuration, service, slot) === undefined).length;
+}
+
+function countShare(configuration: configurations.Configuration, model: string, inService: number): number {
     const share = configuration.presets[configuration.preset]?.modelShare[model] ?? 0;
-    return Math.max(1, Math.ceil(share * inService.length - ROUNDING_TOLERANCE));
+    return Math.max(1, Math.ceil(share * inService - ROUNDING_TOLERANCE));
 }
 
 /**
@@ -84,8 +113,9 @@
             candidates.add(other);
         }
     }
+    const inService = countInService(configuration, service);
     return listModels(configuration, service).filter(model => {
-        const count = countReplicas(configuration, service, model);
+        const count = countShare(configuration, model, inService);
         const ranked = rankSlots(model, candidates);
         const margin = Math.max(1, Math.ceil(count * KEEP_MARGIN_RATIO));
         const keeps = held.has(model) && ranked.indexOf(slot) < count + margin;
