--- a/src/common/Configuration.ts
+++ b/src/common/Configuration.ts
@@ -104,3 +104,14 @@
     }
     return configuration.failureDomains[entry.failureDomain]?.state === "in" ? undefined : "failure-domain";
 }
+
+/** Finds a published operation; undefined when the service or the operation has no such name. */
+export function findOperation(
+    configuration: Configuration | undefined,
+    service: string,
+    operation: string,
+): Operation | undefined {
+    const services = configuration?.services ?? {};
+    const operations = Object.hasOwn(services, service) ? services[service]!.operations : {};
+    return Object.hasOwn(operations, operation) ? operations[operation] : undefined;
+}
--- /dev/null
+++ b/src/connection/AgentServer.ts
@@ -0,0 +1,95 @@
+/**
+ * The agent's side of its connections: one task for each call, found again by its number for a cancellation.
+ */
+import * as codes from "../common/Codes";
+import * as messages from "../common/Messages";
+import * as upstreamWorks from "../request/UpstreamWork";
+import * as peerConnections from "./PeerConnection";
+
+type Works = Map<number, upstreamWorks.UpstreamWork>;
+
+/** Serves the calls and queries of all connections of an agent. */
+export class AgentServer {
+    private readonly works = new Map<peerConnections.PeerConnection, Works>();
+
+    constructor(
+        private readonly context: upstreamWorks.WorkContext,
+        private readonly onEnd: (answer: messages.Answer) => void,
+    ) {}
+
+    /** Calls under way on all connections, ended ones included. */
+    get workCount(): number {
+        let count = 0;
+        this.works.forEach(works => count += works.size);
+        return count;
+    }
+
+    /** Takes in a new connection. When it ends, what may be stopped of its work is stopped. */
+    connect(connection: peerConnections.PeerConnection): void {
+        const works: Works = new Map();
+        this.works.set(connection, works);
+        connection.onClose(() => {
+            works.forEach(work => work.cancel());
+            this.forgetIfEnded(connection, works);
+        });
+    }
+
+    /** Takes in a message of a connection; kinds that aren't about calls are left alone. */
+    handle(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
+        const { message, version } = envelope;
+        if (message.kind === "call") {
+            void this.serve(connection, message, version);
+        }
+        else if (message.kind === "cancel") {
+            this.works.get(connection)?.get(message.call)?.cancel();
+        }
+        else if (message.kind === "query") {
+            void this.answerQuery(connection, message);
+        }
+    }
+
+    private async serve(
+        connection: peerConnections.PeerConnection,
+        call: messages.Call,
+        version: number,
+    ): Promise<void> {
+        const works = this.works.get(connection);
+        if (works === undefined || works.has(call.call)) {
+            return;
+        }
+        const work = new upstreamWorks.UpstreamWork(this.context, call, version, part => {
+            connection.send({ kind: "part", call: call.call, offset: part.offset, tokens: [...part.tokens] });
+        });
+        works.set(call.call, work);
+        const answer = await work.run();
+        works.delete(call.call);
+        this.onEnd(answer);
+        connection.send(answer);
+        this.forgetIfEnded(connection, works);
+    }
+
+    private forgetIfEnded(connection: peerConnections.PeerConnection, works: Works): void {
+        if (connection.isClosed && works.size === 0) {
+            this.works.delete(connection);
+        }
+    }
+
+    private async answerQuery(connection: peerConnections.PeerConnection, query: messages.Query): Promise<void> {
+        const { attempts, incarnation } = this.context;
+        const found = query.incarnation === incarnation
+            ? attempts.query(query, query.ageMs)
+            : { kind: "forgotten" as const };
+        if (found.kind === "running" || found.kind === "answered") {
+            const answer = found.kind === "running" ? await found.settled : found.answer;
+            connection.send({ ...answer, call: query.call });
+            return;
+        }
+        const code = found.kind === "not-run" ? codes.codes.tombstoned : codes.codes.connectionLost;
+        connection.send(this.createAnswer(query.call, code));
+    }
+
+    private createAnswer(call: number, code: codes.ResultCode): messages.Answer {
+        const load = this.context.load();
+        return { kind: "answer", call, code: code.code, upstreamMs: 0, queuedMs: 0, tokens: 0, load };
+    }
+}
--- a/src/process/AdminServer.ts
+++ b/src/process/AdminServer.ts
@@ -26,7 +26,7 @@
     response: http.ServerResponse,
 ): Promise<void> {
     request.resume();
-    switch (request.url) {
+    switch (request.url ?? "") {
         case "/healthz":
             return send(response, 200, "text/plain", "ok\n");
         case "/readyz":
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -10,6 +10,7 @@
 import * as messages from "../common/Messages";
 import * as ports from "../common/Ports";
 import * as settingsFile from "../common/Settings";
+import * as agentServers from "../connection/AgentServer";
 import * as peerConnections from "../connection/PeerConnection";
 import * as upstreamWorks from "../request/UpstreamWork";
 import * as adminServers from "./AdminServer";
@@ -22,10 +23,9 @@
 import * as ledgers from "./Ledger";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
+import * as upstreamWatches from "./UpstreamWatch";
 import * as confirmations from "./VersionConfirmation";
 
-const PROBE_PERIOD_MS = 500;
-const PROBE_TIMEOUT_MS = 2_000;
 const ATTEMPT_CAPACITY = 100_000;
 /** Agents of the same service that an agent hears from; they tell which models they hold. */
 const SAME_SERVICE_PEERS = 8;
@@ -56,7 +56,6 @@
     private readonly placement: agentPlacements.AgentPlacement;
     private readonly confirmation: confirmations.VersionConfirmation;
     private readonly incarnation: number;
-    private readonly works = new Map<peerConnections.PeerConnection, Map<number, upstreamWorks.UpstreamWork>>();
     private readonly registry = new prom.Registry();
     private readonly ends = new prom.Counter({
         name: "cumincrank_agent_calls_total",
@@ -64,11 +63,10 @@
         labelNames: ["code"],
         registers: [this.registry],
     });
-    private readonly workContext: upstreamWorks.WorkContext;
-    private readonly stopped = new AbortController();
+    private readonly server: agentServers.AgentServer;
+    private readonly watch: upstreamWatches.UpstreamWatch;
     private admin: listeners.Listener | undefined;
     private isDraining = false;
-    private boot: string | undefined;
 
     private constructor(
         private readonly settings: settingsFile.AgentSettings,
@@ -113,7 +111,10 @@
                 isDraining: () => this.isDraining,
             }),
         );
-        this.workContext = this.createWorkContext();
+        this.watch = this.store.add(new upstreamWatches.UpstreamWatch(clock, options.engine, this.limit));
+        this.server = new agentServers.AgentServer(this.createWorkContext(), answer => {
+            this.ends.inc({ code: String(answer.code) });
+        });
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
@@ -133,7 +134,7 @@
             }),
         );
         agent.placement.start();
-        void agent.probe();
+        agent.watch.start();
         return agent;
     }
 
@@ -160,10 +161,10 @@
         this.isDraining = true;
         this.node.announce();
         const limitMs = clock.now() + this.settings.stopLimitMs;
-        while (this.workCount > 0 && clock.now() < limitMs) {
+        while (this.server.workCount > 0 && clock.now() < limitMs) {
             await clocks.sleep(clock, DRAIN_POLL_MS);
         }
-        const cut = this.workCount;
+        const cut = this.server.workCount;
         if (cut > 0) {
             log.warn({ code: codes.codes.stopLimit.code, cut }, "planned stop cut work");
         }
@@ -174,7 +175,6 @@
     /** Ends at once, as a kill would. */
     dispose(): void {
         this.isDraining = true;
-        this.stopped.abort();
         this.store.dispose();
     }
 
@@ -188,7 +188,7 @@
             draining: this.isDraining,
             load: this.describeLoad(),
             ledger: this.ledger.size,
-            boot: this.boot,
+            boot: this.watch.boot,
         };
     }
 
@@ -196,12 +196,6 @@
         return this.node.replica.current?.configuration;
     }
 
-    private get workCount(): number {
-        let count = 0;
-        this.works.forEach(works => count += works.size);
-        return count;
-    }
-
     private createNode(): nodes.Node {
         const { settings, options } = this;
         return new nodes.Node({
@@ -219,7 +213,7 @@
             load: () => this.describeLoad(),
             wantsAgents: () => [settings.service],
             subsetSize: SAME_SERVICE_PEERS,
-            onConnected: connection => this.connect(connection),
+            onConnected: connection => this.server.connect(connection),
             onMessage: (connection, envelope) => this.receive(connection, envelope),
         });
     }
@@ -242,83 +236,16 @@
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
             decideHome: key => this.claim.decide(key),
-            noteBoot: boot => this.noteBoot(boot),
+            noteBoot: boot => this.watch.noteBoot(boot),
             load: () => this.describeLoad(),
         };
     }
 
-    private connect(connection: peerConnections.PeerConnection): void {
-        const works = new Map<number, upstreamWorks.UpstreamWork>();
-        this.works.set(connection, works);
-        connection.onClose(() => {
-            works.forEach(work => work.cancel());
-            if (works.size === 0) {
-                this.works.delete(connection);
-            }
-        });
-    }
-
     private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
-        const { message, version } = envelope;
-        switch (message.kind) {
-            case "heartbeat":
-                return this.placement.noteModels(connection.remote, message.load?.models ?? []);
-            case "call":
-                return void this.serve(connection, message, version);
-            case "cancel":
-                return this.works.get(connection)?.get(message.call)?.cancel();
-            case "query":
-                return void this.answerQuery(connection, message);
-            default:
-                return;
+        if (envelope.message.kind === "heartbeat") {
+            this.placement.noteModels(connection.remote, envelope.message.load?.models ?? []);
         }
-    }
-
-    private async serve(
-        connection: peerConnections.PeerConnection,
-        call: messages.Call,
-        version: number,
-    ): Promise<void> {
-        const works = this.works.get(connection) ?? new Map<number, upstreamWorks.UpstreamWork>();
-        const work = new upstreamWorks.UpstreamWork(this.workContext, call, version, part => {
-            connection.send({ kind: "part", call: call.call, offset: part.offset, tokens: [...part.tokens] });
-        });
-        works.set(call.call, work);
-        const answer = await work.run();
-        works.delete(call.call);
-        this.ends.inc({ code: String(answer.code) });
-        connection.send(answer);
-        if (connection.isClosed && works.size === 0) {
-            this.works.delete(connection);
-        }
-    }
-
-    private async answerQuery(connection: peerConnections.PeerConnection, query: messages.Query): Promise<void> {
-        const isMine = query.incarnation === this.incarnation;
-        const found = isMine
-            ? this.attempts.query(query, query.ageMs)
-            : { kind: "forgotten" as const };
-        const answer = found.kind === "running"
-            ? await found.settled
-            : found.kind === "answered"
-            ? found.answer
-            : undefined;
-        const code = found.kind === "not-run" ? codes.codes.tombstoned : codes.codes.connectionLost;
-        connection.send({ ...(answer ?? this.createAnswer(code)), call: query.call });
-    }
-
-    private createAnswer(code: codes.ResultCode): messages.Answer {
-        const load = this.describeLoad();
-        return {
-            kind: "answer",
-            call: 0,
-            code: code.code,
-            body: undefined,
-            upstreamMs: 0,
-            queuedMs: 0,
-            tokens: 0,
-            load,
-        };
+        this.server.handle(connection, envelope);
     }
 
     private applyVersion(): void {
@@ -331,28 +258,6 @@
         this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
     }
 
-    /** Watches the upstream for signs of a restart, one probe after another. */
-    private async probe(): Promise<void> {
-        while (!this.stopped.signal.aborted) {
-            const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)]);
-            const probed = await this.options.engine.probe(timeout);
-            if (probed.isOk) {
-                this.noteBoot(probed.value.boot);
-            }
-            else if (probed.error.code.code === codes.codes.connectFailed.code && !this.stopped.signal.aborted) {
-                this.limit.becomeCold("the upstream accepts no connection");
-            }
-            await clocks.sleep(this.options.clock, PROBE_PERIOD_MS, this.stopped.signal);
-        }
-    }
-
-    private noteBoot(boot: string): void {
-        if (this.boot !== undefined && this.boot !== boot) {
-            this.limit.becomeCold("the upstream's boot identity changed");
-        }
-        this.boot = boot;
-    }
-
     private findBounds(): { coldConcurrency: number; warmConcurrency: number } {
         const published = this.configuration?.services[this.settings.service];
         return this.options.bounds?.() ?? published ?? { coldConcurrency: 1, warmConcurrency: 1 };
--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -10,7 +10,6 @@
 import * as callerRequests from "../request/CallerRequest";
 import * as deadlines from "../request/Deadline";
 import * as pipelineRuns from "../request/PipelineRun";
-import * as stageCalls from "../request/StageCall";
 import * as entryMetrics from "./EntryMetrics";
 import * as listeners from "./Listener";
 
@@ -160,8 +159,8 @@
         if (found.isErr) {
             return result.err(found.error);
         }
-        const { pipeline, stages, deadlineMs } = found.value;
-        const totalMs = Math.min(request.deadlineMs ?? deadlineMs, deadlineMs);
+        const { pipeline, stages, deadlineMs, maxDeadlineMs } = found.value;
+        const totalMs = Math.min(request.deadlineMs ?? deadlineMs, maxDeadlineMs);
         const deadline = new deadlines.Deadline(this.context.clock, totalMs);
         const refused = this.context.admit(pipeline, stages, deadline, request.priority);
         return refused === undefined ? result.ok({ configuration, pipeline, stages, deadline }) : result.err(refused);
@@ -182,6 +181,8 @@
     readonly pipeline: string;
     readonly stages: readonly configurations.Stage[];
     readonly deadlineMs: number;
+    /** A caller may ask for a shorter deadline than the published one, not for a longer one. */
+    readonly maxDeadlineMs: number;
 }
 
 /** Looks up a pipeline, or makes one of a single stage for an operation called directly. */
@@ -193,15 +194,15 @@
         if (!Object.hasOwn(configuration.pipelines, target.pipeline)) {
             return result.err(codes.failure(codes.codes.unknownPipeline, target.pipeline));
         }
-        return result.ok({ pipeline: target.pipeline, ...configuration.pipelines[target.pipeline]! });
+        const { stages, deadlineMs } = configuration.pipelines[target.pipeline]!;
+        return result.ok({ pipeline: target.pipeline, stages, deadlineMs, maxDeadlineMs: deadlineMs });
     }
     const { service, operation } = target;
-    const known = Object.hasOwn(configuration.services, service)
-        && stageCalls.findOperation(configuration, service, operation) !== undefined;
-    if (!known) {
+    if (configurations.findOperation(configuration, service, operation) === undefined) {
         return result.err(codes.failure(codes.codes.unknownOperation, `${service}/${operation}`));
     }
     const pipeline = `${service}.${operation}`;
     const stages = [{ name: operation, service, operation }];
-    return result.ok({ pipeline, stages, deadlineMs: DEFAULT_OPERATION_DEADLINE_MS });
+    const deadlineMs = DEFAULT_OPERATION_DEADLINE_MS;
+    return result.ok({ pipeline, stages, deadlineMs, maxDeadlineMs: Infinity });
 }
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -6,6 +6,7 @@
 import * as entryMetrics from "../process/EntryMetrics";
 import * as stageHistories from "../process/StageHistory";
 import * as deadlines from "./Deadline";
+import * as stageShapes from "./Stage";
 import * as stageCalls from "./StageCall";
 
 /** A request as the caller made it. */
@@ -34,7 +35,7 @@
 }
 
 /** What the requests of a process share. */
-export interface PipelineContext extends stageCalls.StageContext {
+export interface PipelineContext extends stageShapes.StageContext {
     readonly history: stageHistories.StageHistory;
     readonly recordCost: (pipeline: string, cost: entryMetrics.StageCost) => void;
 }
@@ -80,9 +81,9 @@
     index: number,
     request: PipelineRequest,
     previous: unknown,
-): stageCalls.StageWork {
+): stageShapes.StageWork {
     const stage = stages[index]!;
-    const operation = stageCalls.findOperation(configuration, stage.service, stage.operation);
+    const operation = configurations.findOperation(configuration, stage.service, stage.operation);
     const names = stages.slice(index).map(other => other.name);
     const isLast = index === stages.length - 1;
     return {
@@ -112,7 +113,7 @@
     return isObject ? { ...input, previous } : { input, previous };
 }
 
-function describeCost(stage: configurations.Stage, end: stageCalls.StageEnd): entryMetrics.StageCost {
+function describeCost(stage: configurations.Stage, end: stageShapes.StageEnd): entryMetrics.StageCost {
     const { instance, upstreamMs, tokens, attempts, retries, hedges } = end;
     return { stage: stage.name, service: stage.service, instance, upstreamMs, tokens, attempts, retries, hedges };
 }
@@ -120,7 +121,7 @@
 /** A request whose earlier stages ran, or whose failed stage may have run, is never called "not run". */
 function describeFailure(
     stage: configurations.Stage,
-    end: stageCalls.StageEnd,
+    end: stageShapes.StageEnd,
     earlierRan: boolean,
     costs: readonly entryMetrics.StageCost[],
 ): PipelineEnd {
--- /dev/null
+++ b/src/request/StageAttempt.ts
@@ -0,0 +1,133 @@
+/**
+ * One attempt of a stage: one call on one instance, and what can be said of it when it ended.
+ */
+import * as codes from "../common/Codes";
+import * as messages from "../common/Messages";
+import * as agentClients from "../connection/AgentClient";
+import * as choices from "../process/UpstreamChoice";
+import * as stages from "./Stage";
+import * as streams from "./StreamAssembly";
+
+/** Time past the deadline that the agent's own word on an expired call may take. */
+const ANSWER_GRACE_MS = 30;
+
+/** How an attempt ended. */
+export interface AttemptEnd {
+    readonly instance: string;
+    readonly failureDomain: string;
+    readonly code: codes.ResultCode;
+    readonly answer: messages.Answer | undefined;
+    readonly detail?: string | undefined;
+    readonly retryAfterMs?: number | undefined;
+}
+
+/** An attempt; used once. */
+export class StageAttempt {
+    constructor(
+        private readonly context: stages.StageContext,
+        private readonly work: stages.StageWork,
+        private readonly assembly: streams.StreamAssembly | undefined,
+        private readonly attempt: number,
+    ) {}
+
+    /** Sends the call and waits for its end; never rejects. An aborted signal cancels it. */
+    async run(candidate: choices.Candidate, signal: AbortSignal): Promise<AttemptEnd> {
+        const client = this.context.client(candidate.instance);
+        if (client === undefined) {
+            return this.describe(candidate, codes.codes.noInstance);
+        }
+        if (signal.aborted) {
+            return this.describe(candidate, codes.codes.cancelled);
+        }
+        const sentMs = this.context.now();
+        const answer = await this.exchange(client, signal) ?? await this.recover(client, candidate, signal, sentMs);
+        return answer === undefined
+            ? this.endWithoutAnswer(client, candidate, signal)
+            : this.endWithAnswer(candidate, answer, this.context.now() - sentMs);
+    }
+
+    private async exchange(
+        client: agentClients.AgentClient,
+        signal: AbortSignal,
+    ): Promise<messages.Answer | undefined> {
+        const { work, assembly } = this;
+        const content: agentClients.CallContent = {
+            ...this.identify(),
+            team: work.team,
+            priority: work.priority,
+            remainingMs: Math.min(work.deadline.remainingMs, work.shareMs),
+            service: work.service,
+            operation: work.operation,
+            model: work.model,
+            key: work.key,
+            stream: assembly !== undefined,
+            offset: assembly?.next ?? 0,
+            body: work.body,
+        };
+        const pending = client.call(content, assembly === undefined ? undefined : part => assembly.accept(part));
+        const cancel = (): void => pending.cancel();
+        signal.addEventListener("abort", cancel, { once: true });
+        // The agent answers in time by itself; the timer covers one that was paused or cut off.
+        const timer = this.context.schedule(content.remainingMs + ANSWER_GRACE_MS, cancel);
+        const answer = await pending.answer;
+        timer.dispose();
+        signal.removeEventListener("abort", cancel);
+        return answer;
+    }
+
+    /** A call that may not be repeated is asked after on the incarnation that got it. */
+    private async recover(
+        client: agentClients.AgentClient,
+        candidate: choices.Candidate,
+        signal: AbortSignal,
+        sentMs: number,
+    ): Promise<messages.Answer | undefined> {
+        const { work, context } = this;
+        if (work.idempotent || signal.aborted) {
+            return undefined;
+        }
+        const query = { ...this.identify(), ageMs: context.now() - sentMs };
+        return context.recover(candidate.instance, client.incarnation, query, work.deadline);
+    }
+
+    private identify(): { request: string; stage: string; attempt: number } {
+        return { request: this.work.request, stage: this.work.stage, attempt: this.attempt };
+    }
+
+    private endWithoutAnswer(
+        client: agentClients.AgentClient,
+        candidate: choices.Candidate,
+        signal: AbortSignal,
+    ): AttemptEnd {
+        if (signal.aborted) {
+            return this.describe(candidate, codes.codes.cancelledRunning);
+        }
+        this.context.recordFailure(candidate.instance);
+        const code = client.isClosed ? codes.codes.connectionLost : codes.codes.upstreamTimeout;
+        return this.describe(candidate, code, candidate.instance);
+    }
+
+    private endWithAnswer(candidate: choices.Candidate, answer: messages.Answer, totalMs: number): AttemptEnd {
+        const { instance, failureDomain } = candidate;
+        const code = this.judge(answer);
+        if (code.outcome === "completed") {
+            this.context.recordSuccess(instance, answer.upstreamMs, totalMs);
+        }
+        else if (code.outcome === "unknown") {
+            this.context.recordFailure(instance);
+        }
+        return { instance, failureDomain, code, answer, detail: answer.detail, retryAfterMs: answer.retryAfterMs };
+    }
+
+    /** A stream is whole only when every token of it was delivered. */
+    private judge(answer: messages.Answer): codes.ResultCode {
+        const isCutShort = this.assembly !== undefined && answer.code === codes.codes.ok.code
+            && this.assembly.next !== answer.tokens;
+        return isCutShort ? codes.codes.streamBroken : codes.findCode(answer.code) ?? codes.codes.malformedAnswer;
+    }
+
+    private describe(candidate: choices.Candidate, code: codes.ResultCode, detail?: string): AttemptEnd {
+        const { instance, failureDomain } = candidate;
+        return { instance, failureDomain, code, answer: undefined, detail };
+    }
+}
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -3,13 +3,9 @@
  * as far as the operation's idempotency, the budgets and the deadline allow.
  */
 import * as codes from "../common/Codes";
-import * as configurations from "../common/Configuration";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as agentClients from "../connection/AgentClient";
-import * as retryBudgets from "../process/RetryBudget";
 import * as choices from "../process/UpstreamChoice";
-import * as deadlines from "./Deadline";
+import * as stages from "./Stage";
+import * as attempts from "./StageAttempt";
 import * as streams from "./StreamAssembly";
 
 /** Refusals that show a wrong choice rather than a lack of capacity; choosing again costs no retry. */
@@ -29,94 +25,6 @@
 const MAX_ATTEMPTS = 12;
 /** Time that an answer needs on its way back; less than this left ends the attempts. */
 const MIN_ATTEMPT_MS = 2;
-/** Time past the deadline that the agent's own word on an expired call may take. */
-const ANSWER_GRACE_MS = 30;
-
-/** One stage to run. */
-export interface StageWork {
-    readonly request: string;
-    readonly pipeline: string;
-    readonly stage: string;
-    readonly service: string;
-    readonly operation: string;
-    readonly model?: string | undefined;
-    readonly idempotent: boolean;
-    readonly team: string;
-    readonly priority: number;
-    readonly key?: string | undefined;
-    readonly prefix?: string | undefined;
-    readonly body: unknown;
-    readonly deadline: deadlines.Deadline;
-    /** Time this stage may use, in milliseconds. */
-    readonly shareMs: number;
-    /** When to send a second attempt, in milliseconds; undefined for no hedge. */
-    readonly hedgeAfterMs: number | undefined;
-    readonly signal: AbortSignal;
-    /** Takes the tokens of a streaming stage, each once and in order. */
-    readonly onToken?: ((offset: number, token: string) => void) | undefined;
-}
-
-/** How a stage ended. */
-export interface StageEnd {
-    readonly code: codes.ResultCode;
-    readonly detail: string | undefined;
-    readonly retryAfterMs: number | undefined;
-    readonly body: unknown;
-    readonly instance: string | undefined;
-    readonly upstreamMs: number;
-    readonly tokens: number;
-    readonly attempts: number;
-    readonly retries: number;
-    readonly hedges: number;
-    /** Whether an upstream may have seen any part of the work. */
-    readonly mayHaveRun: boolean;
-}
-
-/** What the stages of a process share. */
-export interface StageContext {
-    readonly log: logs.Log;
-    readonly choose: (request: choices.ChoiceRequest) => choices.Choice | undefined;
-    readonly recordSuccess: (instance: string, upstreamMs: number, totalMs: number) => void;
-    readonly recordFailure: (instance: string) => void;
-    readonly retryBudget: retryBudgets.RetryBudget;
-    readonly hedgeBudget: retryBudgets.RetryBudget;
-    /** Usable instances of a service now, by the newest word on what is out. */
-    readonly candidates: (service: string) => readonly choices.Candidate[];
-    /** The connection to an instance; undefined when there is none. */
-    readonly client: (instance: string) => agentClients.AgentClient | undefined;
-    /** The instance responsible for a key. */
-    readonly home: (service: string, key: string) => string | undefined;
-    /** Asks the incarnation what became of an attempt whose connection was lost. */
-    readonly recover: (
-        instance: string,
-        incarnation: number,
-        query: agentClients.QueryContent,
-        deadline: deadlines.Deadline,
-    ) => Promise<messages.Answer | undefined>;
-    readonly now: () => number;
-    readonly schedule: (delayMs: number, callback: () => void) => { dispose(): void };
-}
-
-interface AttemptEnd {
-    readonly instance: string;
-    readonly failureDomain: string;
-    readonly code: codes.ResultCode;
-    readonly answer: messages.Answer | undefined;
-    readonly detail?: string | undefined;
-    readonly retryAfterMs?: number | undefined;
-}
-
-/** Finds the published operation of a stage. */
-export function findOperation(
-    configuration: configurations.Configuration,
-    service: string,
-    operation: string,
-): configurations.Operation | undefined {
-    const published = configuration.services[service];
-    return published === undefined || !Object.hasOwn(published.operations, operation)
-        ? undefined
-        : published.operations[operation];
-}
 
 /** The run of one stage; used once. */
 export class StageCall {
@@ -131,13 +39,13 @@
     private upstreamMs = 0;
     private mayHaveRun = false;
 
-    constructor(private readonly context: StageContext, private readonly work: StageWork) {
+    constructor(private readonly context: stages.StageContext, private readonly work: stages.StageWork) {
         const onToken = work.onToken;
         this.assembly = onToken === undefined ? undefined : new streams.StreamAssembly(onToken);
     }
 
     /** Runs the stage to its end. Never rejects. */
-    async run(): Promise<StageEnd> {
+    async run(): Promise<stages.StageEnd> {
         this.context.retryBudget.earn();
         this.context.hedgeBudget.earn();
         for (;;) {
@@ -198,7 +106,7 @@
     }
 
     /** Sends one attempt, and a second one elsewhere when the first is slow and the budget allows. */
-    private async attemptWithHedge(candidate: choices.Candidate): Promise<AttemptEnd> {
+    private async attemptWithHedge(candidate: choices.Candidate): Promise<attempts.AttemptEnd> {
         const hedgeAfterMs = this.work.hedgeAfterMs;
         const mayHedge = hedgeAfterMs !== undefined && this.work.idempotent && this.assembly === undefined;
         if (!mayHedge) {
@@ -236,7 +144,10 @@
         return choice.candidate;
     }
 
-    private settledWithin(attempt: Promise<AttemptEnd>, afterMs: number): Promise<AttemptEnd | undefined> {
+    private settledWithin(
+        attempt: Promise<attempts.AttemptEnd>,
+        afterMs: number,
+    ): Promise<attempts.AttemptEnd | undefined> {
         return new Promise(resolve => {
             const timer = this.context.schedule(afterMs, () => resolve(undefined));
             void attempt.then(end => {
@@ -246,99 +157,15 @@
         });
     }
 
-    private async attempt(candidate: choices.Candidate, signal: AbortSignal): Promise<AttemptEnd> {
-        const { instance, failureDomain } = candidate;
-        const attempt = this.attempts++;
-        const client = this.context.client(instance);
-        if (client === undefined) {
-            return { instance, failureDomain, code: codes.codes.noInstance, answer: undefined };
-        }
-        if (signal.aborted) {
-            return { instance, failureDomain, code: codes.codes.cancelled, answer: undefined };
-        }
-        const sentMs = this.context.now();
-        const answer = await this.exchange(client, attempt, signal);
-        if (answer === undefined) {
-            return this.endWithoutAnswer(client, candidate, attempt, signal, sentMs);
-        }
-        return this.endWithAnswer(candidate, answer, this.context.now() - sentMs);
-    }
-
-    private async exchange(
-        client: agentClients.AgentClient,
-        attempt: number,
-        signal: AbortSignal,
-    ): Promise<messages.Answer | undefined> {
-        const { work, assembly } = this;
-        const content: agentClients.CallContent = {
-            ...this.identify(attempt),
-            team: work.team,
-            priority: work.priority,
-            remainingMs: Math.min(work.deadline.remainingMs, work.shareMs),
-            service: work.service,
-            operation: work.operation,
-            model: work.model,
-            key: work.key,
-            stream: assembly !== undefined,
-            offset: assembly?.next ?? 0,
-            body: work.body,
-        };
-        const pending = client.call(content, assembly === undefined ? undefined : part => assembly.accept(part));
-        const cancel = (): void => pending.cancel();
-        signal.addEventListener("abort", cancel, { once: true });
-        // The agent answers in time by itself; the timer covers one that was paused or cut off.
-        const timer = this.context.schedule(content.remainingMs + ANSWER_GRACE_MS, cancel);
-        const answer = await pending.answer;
-        timer.dispose();
-        signal.removeEventListener("abort", cancel);
-        return answer;
-    }
-
-    private identify(attempt: number): { request: string; stage: string; attempt: number } {
-        return { request: this.work.request, stage: this.work.stage, attempt };
-    }
-
-    private async endWithoutAnswer(
-        client: agentClients.AgentClient,
-        candidate: choices.Candidate,
-        attempt: number,
-        signal: AbortSignal,
-        sentMs: number,
-    ): Promise<AttemptEnd> {
-        const { instance, failureDomain } = candidate;
-        if (!this.work.idempotent && !signal.aborted) {
-            const query = { ...this.identify(attempt), ageMs: this.context.now() - sentMs };
-            const answer = await this.context.recover(instance, client.incarnation, query, this.work.deadline);
-            if (answer !== undefined) {
-                return this.endWithAnswer(candidate, answer, 0);
-            }
-        }
-        this.mayHaveRun = true;
-        if (signal.aborted) {
-            return { instance, failureDomain, code: codes.codes.cancelledRunning, answer: undefined };
-        }
-        this.context.recordFailure(instance);
-        const code = client.isClosed ? codes.codes.connectionLost : codes.codes.upstreamTimeout;
-        return { instance, failureDomain, code, answer: undefined, detail: instance };
-    }
-
-    private endWithAnswer(candidate: choices.Candidate, answer: messages.Answer, totalMs: number): AttemptEnd {
-        const { instance, failureDomain } = candidate;
-        const code = codes.findCode(answer.code) ?? codes.codes.malformedAnswer;
-        this.upstreamMs += answer.upstreamMs;
-        if (code.outcome !== "not-run") {
-            this.mayHaveRun = true;
-        }
-        if (code.outcome === "completed") {
-            this.context.recordSuccess(instance, answer.upstreamMs, totalMs);
-        }
-        else if (code.outcome === "unknown") {
-            this.context.recordFailure(instance);
-        }
-        return { instance, failureDomain, code, answer, detail: answer.detail, retryAfterMs: answer.retryAfterMs };
+    private async attempt(candidate: choices.Candidate, signal: AbortSignal): Promise<attempts.AttemptEnd> {
+        const attempt = new attempts.StageAttempt(this.context, this.work, this.assembly, this.attempts++);
+        const end = await attempt.run(candidate, signal);
+        this.upstreamMs += end.answer?.upstreamMs ?? 0;
+        this.mayHaveRun = this.mayHaveRun || end.code.outcome !== "not-run";
+        return end;
     }
 
-    private mayTryAgain(attempt: AttemptEnd): boolean {
+    private mayTryAgain(attempt: attempts.AttemptEnd): boolean {
         const { work } = this;
         const { code } = attempt;
         if (code.outcome === "completed" || work.signal.aborted || this.attempts >= MAX_ATTEMPTS) {
@@ -378,10 +205,10 @@
 
     private end(
         code: codes.ResultCode,
-        attempt: AttemptEnd | undefined,
+        attempt: attempts.AttemptEnd | undefined,
         detail: string | undefined,
         retryAfterMs: number | undefined,
-    ): StageEnd {
+    ): stages.StageEnd {
         return {
             code,
             detail,
@@ -399,7 +226,10 @@
 }
 
 /** The first of two attempts that completed; else the one that ended last. */
-async function firstCompleted(first: Promise<AttemptEnd>, second: Promise<AttemptEnd>): Promise<AttemptEnd> {
+async function firstCompleted(
+    first: Promise<attempts.AttemptEnd>,
+    second: Promise<attempts.AttemptEnd>,
+): Promise<attempts.AttemptEnd> {
     const early = await Promise.race([first, second]);
     if (early.code.outcome === "completed") {
         return early;
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -123,7 +123,7 @@
         if (!await context.catchUp(this.version, CATCH_UP_TIMEOUT_MS)) {
             return codes.failure(codes.codes.refreshing, `version ${this.version} not seen yet`, REFUSED_RETRY_MS);
         }
-        const operation = findOperation(context.configuration(), call);
+        const operation = configurations.findOperation(context.configuration(), call.service, call.operation);
         if (operation === undefined) {
             return codes.failure(codes.codes.unknownOperation, `${call.service}/${call.operation}`);
         }
@@ -264,16 +264,6 @@
     }
 }
 
-function findOperation(
-    configuration: configurations.Configuration | undefined,
-    call: messages.Call,
-): configurations.Operation | undefined {
-    const operations = configuration?.services[call.service]?.operations;
-    return operations !== undefined && Object.hasOwn(operations, call.operation)
-        ? operations[call.operation]
-        : undefined;
-}
-
 function describeRecord(record: ledgers.LedgerRecord): WorkEnd {
     const code = codes.findCode(record.code) ?? codes.codes.malformedAnswer;
     return { code, body: record.body, detail: record.detail, upstreamMs: 0, queuedMs: 0, tokens: 0 };
