--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,7 +7,8 @@
 
 const shared = { bundle: true, platform: "node", target: "node20", logLevel: "warning" };
 /** Lets CommonJS libraries inside an ES module bundle call require. */
-const requireBanner = "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);";
+const requireBanner = "import { createRequire as makeBundleRequire } from 'node:module';"
+    + " const require = makeBundleRequire(import.meta.url);";
 
 const bundles = [
     { entryPoints: ["src/commands/Main.ts"], outfile: "dist/cumincrank.cjs", format: "cjs" },
--- a/src/process/ConfigurationReader.ts
+++ b/src/process/ConfigurationReader.ts
@@ -31,7 +31,7 @@
 /** Age of the last confirmation above which a process that holds no watch may read. */
 export const STALE_AFTER_MS = 10_000;
 const FIRST_BACKOFF_MS = 500;
-const MAX_BACKOFF_MS = 4_000;
+const MAX_BACKOFF_MS = 2_000;
 const MS_PER_SECOND = 1_000;
 
 /** What a reader needs from its owner. */
--- a/src/process/ConfigurationReplica.ts
+++ b/src/process/ConfigurationReplica.ts
@@ -9,7 +9,7 @@
 import type * as configurations from "../common/Configuration";
 import * as emitters from "../common/Emitter";
 import type * as logs from "../common/Log";
-import type * as messages from "../common/Messages";
+import * as messages from "../common/Messages";
 import * as checks from "../version/ConfigurationCheck";
 import * as deltas from "../version/ConfigurationDelta";
 import * as deltaLogs from "./DeltaLog";
@@ -18,6 +18,12 @@
 export const FETCH_TIMEOUT_MS = 1_000;
 /** Time during which a version that failed its checks isn't fetched again. */
 export const REJECTED_RETRY_MS = 60_000;
+/** Added to the age of a confirmation for its way from a peer, so that it can't grow younger by going around. */
+export const HOP_AGE_MS = 50;
+/** Silence of all peers that shows that this process was paused and reads frames that waited. */
+export const PAUSE_MS = 2 * messages.HEARTBEAT_MS;
+/** Time after a pause during which confirmations by peers may have waited, and don't count. */
+const AFTER_PAUSE_MS = messages.HEARTBEAT_MS;
 /** Most rejected versions, and most alarms already given, that are remembered. */
 const MAX_REMEMBERED = 100;
 
@@ -61,6 +67,8 @@
 export class ConfigurationReplica implements clocks.Disposable {
     private inForce: VersionInForce | undefined;
     private confirmedMs: number | undefined;
+    private observedMs: number | undefined;
+    private pauseEndMs = -Infinity;
     private fetch: { readonly peer: string; readonly sentMs: number } | undefined;
     private readonly deltaLog = new deltaLogs.DeltaLog();
     private rejectedVersions: RejectedVersion[] = [];
@@ -138,6 +146,7 @@
 
     /** Takes in any frame from a peer; `send` answers on the same connection. */
     observe(envelope: messages.Envelope, send: Send, peer: string): void {
+        this.notePause();
         tsPattern.match(envelope.message)
             .with({ kind: "heartbeat" }, heartbeat => this.compareHeartbeat(envelope.version, heartbeat, peer))
             .with({ kind: "fetch" }, ({ from }) => this.answerFetch(from, send))
@@ -234,11 +243,20 @@
         if (heartbeat.digest !== undefined && this.compare(heartbeat.digest, peer).isErr) {
             return;
         }
-        if (heartbeat.unconfirmedMs !== undefined) {
-            this.confirm(heartbeat.unconfirmedMs);
+        const afterPause = this.options.clock.now() - this.pauseEndMs < AFTER_PAUSE_MS;
+        if (heartbeat.unconfirmedMs !== undefined && !afterPause) {
+            this.confirm(heartbeat.unconfirmedMs + HOP_AGE_MS);
         }
     }
 
+    private notePause(): void {
+        const nowMs = this.options.clock.now();
+        if (this.observedMs !== undefined && nowMs - this.observedMs > PAUSE_MS) {
+            this.pauseEndMs = nowMs;
+        }
+        this.observedMs = nowMs;
+    }
+
     private answerFetch(from: number, send: Send): void {
         if (this.inForce === undefined || from >= this.version) {
             return;
