--- a/bench/Configuration.ts
+++ b/bench/Configuration.ts
@@ -74,7 +74,6 @@
         const seconds = (this.clock.now() - startMs) / MS_PER_SECOND;
         const cpu = process.cpuUsage(startCpu);
         const bytes = this.fleet.carriedBytes - startBytes;
-        const counters = this.sumCounters();
         sampling.dispose();
         this.fleet.dispose();
         const lags = this.tracker.summarize();
@@ -94,7 +93,10 @@
             bytesPerSecondPerReplica: 2 * bytes / seconds / REPLICAS,
             idleBytesPerSecondPerReplica: idleBytes,
             cpuMsPerSecondPerReplica: (cpu.user + cpu.system) / MS_PER_SECOND / seconds / REPLICAS,
-            ...counters,
+            applied: this.fleet.sumCounter("applied"),
+            deltasSent: this.fleet.sumCounter("deltasSent"),
+            fullsSent: this.fleet.sumCounter("fullsSent"),
+            gaps: this.fleet.sumCounter("gaps"),
         };
     }
 
@@ -209,16 +211,6 @@
         return Math.max(...counts) + this.waiting;
     }
 
-    private sumCounters(): experiments.Figures {
-        const sum = (read: (counters: replicas.ConfigurationCounters) => number) =>
-            this.fleet.replicas.reduce((total, { replica }) => total + read(replica.counters), 0);
-        return {
-            deltasSent: sum(counters => counters.deltasSent),
-            fullsSent: sum(counters => counters.fullsSent),
-            gaps: sum(counters => counters.gaps),
-        };
-    }
-
     private pause(delayMs: number): Promise<void> {
         return clocks.sleep(this.clock, delayMs);
     }
--- a/bench/ConfigurationFleet.ts
+++ b/bench/ConfigurationFleet.ts
@@ -131,6 +131,7 @@
     private readonly ports: number[] = [];
     private readonly sockets = new Set<net.Socket>();
     private closedBytes = 0;
+    private readonly counters: replicas.ConfigurationCounters[] = [];
 
     constructor(readonly options: FleetOptions) {
         this.names = Array.from({ length: options.size }, (_, index) => nameReplica(index));
@@ -203,12 +204,18 @@
         );
     }
 
+    /** The sum of one counter over all replicas, those that were replaced included. */
+    sumCounter(name: keyof replicas.ConfigurationCounters): number {
+        return this.counters.reduce((sum, counters) => sum + counters[name], 0);
+    }
+
     dispose(): void {
         this.replicas.forEach(replica => replica.dispose());
     }
 
     private async create(index: number): Promise<void> {
         const replica = new FleetReplica(this, index);
+        this.counters.push(replica.replica.counters);
         this.ports[index] = await replica.listen();
         this.replicas[index] = replica;
     }
--- a/src/process/ConfigurationReplica.ts
+++ b/src/process/ConfigurationReplica.ts
@@ -57,6 +57,13 @@
 /** Sends a message to the peer that a frame came from; false when its connection has ended. */
 export type Send = (message: messages.Message) => boolean;
 
+/** A delta that applied: the canonical text and digest of its outcome. */
+interface Change {
+    readonly text: string;
+    readonly digest: string;
+    readonly edits: readonly messages.Edit[];
+}
+
 /** What a replica needs from its owner. */
 export interface ConfigurationReplicaOptions {
     readonly clock: clocks.Clock;
@@ -123,17 +130,7 @@
             this.counters.older++;
             return result.err(codes.failure(codes.codes.configurationOlder, `${claimed} < ${this.version}`));
         }
-        const checked = checks.checkConfiguration(content);
-        if (checked.isErr) {
-            return result.err(this.reject(claimed, checked.error, source));
-        }
-        const text = deltas.canonicalize(checked.value);
-        const digest = deltas.digestText(text);
-        if (claimed === this.version) {
-            return this.compare(digest, source);
-        }
-        this.putInForce(checked.value, digest, text.length, source);
-        return result.ok("applied");
+        return this.take(content, claimed, source);
     }
 
     /** Notes that `ageMs` ago the configuration service held nothing newer. */
@@ -163,20 +160,38 @@
         this.alarmEmitter.dispose();
     }
 
-    private putInForce(
-        configuration: configurations.Configuration,
-        digest: string,
-        bytes: number,
+    /** Checks a document that isn't below the version in force; `change` is what is known of one built from a delta. */
+    private take(
+        content: unknown,
+        claimed: number | undefined,
         source: string,
-    ): void {
-        const previous = this.inForce;
-        if (previous === undefined) {
+        change?: Change,
+    ): result.Result<"applied" | "same", codes.Failure> {
+        const checked = checks.checkConfiguration(content);
+        if (checked.isErr) {
+            return result.err(this.reject(claimed, checked.error, source));
+        }
+        const text = change?.text ?? deltas.canonicalize(checked.value);
+        const digest = change?.digest ?? deltas.digestText(text);
+        if (claimed === this.version) {
+            return this.compare(digest, source);
+        }
+        this.logChange(checked.value, text.length, change?.edits);
+        this.putInForce(checked.value, digest, source);
+        return result.ok("applied");
+    }
+
+    private logChange(to: configurations.Configuration, bytes: number, edits?: readonly messages.Edit[]): void {
+        const from = this.inForce?.configuration;
+        if (from === undefined) {
             this.deltaLog.reset(bytes);
         }
         else {
-            const edits = deltas.diff(previous.configuration, configuration);
-            this.deltaLog.add(previous.configuration.version, edits, bytes);
+            this.deltaLog.add(from.version, edits ?? deltas.diff(from, to), bytes);
         }
+    }
+
+    private putInForce(configuration: configurations.Configuration, digest: string, source: string): void {
         this.inForce = { configuration, digest, receivedMs: this.options.clock.now() };
         this.fetch = undefined;
         this.counters.applied++;
@@ -284,14 +299,15 @@
             return;
         }
         const content = deltas.apply(this.inForce.configuration, delta.edits);
-        if (readVersion(content) !== delta.to || deltas.digestText(deltas.canonicalize(content)) !== delta.digest) {
+        const text = deltas.canonicalize(content);
+        if (readVersion(content) !== delta.to || deltas.digestText(text) !== delta.digest) {
             this.counters.gaps++;
             const detail = `${delta.from} to ${delta.to} from ${peer}`;
             this.options.log.warn({ code: codes.codes.configurationGap.code, detail }, "delta doesn't apply");
             this.sendFetch(0, send, peer);
             return;
         }
-        this.offer(content, peer);
+        this.take(content, delta.to, peer, { text, digest: delta.digest, edits: delta.edits });
     }
 
     private receiveFull(content: unknown, peer: string): void {
