--- a/src/process/ConfigurationReplica.ts
+++ b/src/process/ConfigurationReplica.ts
@@ -9,7 +9,7 @@
 import type * as configurations from "../common/Configuration";
 import * as emitters from "../common/Emitter";
 import type * as logs from "../common/Log";
-import type * as messages from "../common/Messages";
+import * as messages from "../common/Messages";
 import * as checks from "../version/ConfigurationCheck";
 import * as deltas from "../version/ConfigurationDelta";
 import * as deltaLogs from "./DeltaLog";
@@ -18,6 +18,12 @@
 export const FETCH_TIMEOUT_MS = 1_000;
 /** Time during which a version that failed its checks isn't fetched again. */
 export const REJECTED_RETRY_MS = 60_000;
+/** Added to the age of a confirmation for its way from a peer, so that it can't grow younger by going around. */
+export const HOP_AGE_MS = 50;
+/** Silence of all peers that shows that this process was paused and reads frames that waited. */
+export const PAUSE_MS = 2 * messages.HEARTBEAT_MS;
+/** Time after a pause during which confirmations by peers may have waited, and don't count. */
+const AFTER_PAUSE_MS = messages.HEARTBEAT_MS;
 /** Most rejected versions, and most alarms already given, that are remembered. */
 const MAX_REMEMBERED = 100;
 
@@ -51,6 +57,13 @@
 /** Sends a message to the peer that a frame came from; false when its connection has ended. */
 export type Send = (message: messages.Message) => boolean;
 
+/** A delta that applied: the canonical text and digest of its outcome. */
+interface Change {
+    readonly text: string;
+    readonly digest: string;
+    readonly edits: readonly messages.Edit[];
+}
+
 /** What a replica needs from its owner. */
 export interface ConfigurationReplicaOptions {
     readonly clock: clocks.Clock;
@@ -61,6 +74,8 @@
 export class ConfigurationReplica implements clocks.Disposable {
     private inForce: VersionInForce | undefined;
     private confirmedMs: number | undefined;
+    private observedMs: number | undefined;
+    private pauseEndMs = -Infinity;
     private fetch: { readonly peer: string; readonly sentMs: number } | undefined;
     private readonly deltaLog = new deltaLogs.DeltaLog();
     private rejectedVersions: RejectedVersion[] = [];
@@ -115,17 +130,7 @@
             this.counters.older++;
             return result.err(codes.failure(codes.codes.configurationOlder, `${claimed} < ${this.version}`));
         }
-        const checked = checks.checkConfiguration(content);
-        if (checked.isErr) {
-            return result.err(this.reject(claimed, checked.error, source));
-        }
-        const text = deltas.canonicalize(checked.value);
-        const digest = deltas.digestText(text);
-        if (claimed === this.version) {
-            return this.compare(digest, source);
-        }
-        this.putInForce(checked.value, digest, text.length, source);
-        return result.ok("applied");
+        return this.take(content, claimed, source);
     }
 
     /** Notes that `ageMs` ago the configuration service held nothing newer. */
@@ -138,6 +143,7 @@
 
     /** Takes in any frame from a peer; `send` answers on the same connection. */
     observe(envelope: messages.Envelope, send: Send, peer: string): void {
+        this.notePause();
         tsPattern.match(envelope.message)
             .with({ kind: "heartbeat" }, heartbeat => this.compareHeartbeat(envelope.version, heartbeat, peer))
             .with({ kind: "fetch" }, ({ from }) => this.answerFetch(from, send))
@@ -154,20 +160,38 @@
         this.alarmEmitter.dispose();
     }
 
-    private putInForce(
-        configuration: configurations.Configuration,
-        digest: string,
-        bytes: number,
+    /** Checks a document that isn't below the version in force; `change` is what is known of one built from a delta. */
+    private take(
+        content: unknown,
+        claimed: number | undefined,
         source: string,
-    ): void {
-        const previous = this.inForce;
-        if (previous === undefined) {
+        change?: Change,
+    ): result.Result<"applied" | "same", codes.Failure> {
+        const checked = checks.checkConfiguration(content);
+        if (checked.isErr) {
+            return result.err(this.reject(claimed, checked.error, source));
+        }
+        const text = change?.text ?? deltas.canonicalize(checked.value);
+        const digest = change?.digest ?? deltas.digestText(text);
+        if (claimed === this.version) {
+            return this.compare(digest, source);
+        }
+        this.logChange(checked.value, text.length, change?.edits);
+        this.putInForce(checked.value, digest, source);
+        return result.ok("applied");
+    }
+
+    private logChange(to: configurations.Configuration, bytes: number, edits?: readonly messages.Edit[]): void {
+        const from = this.inForce?.configuration;
+        if (from === undefined) {
             this.deltaLog.reset(bytes);
         }
         else {
-            const edits = deltas.diff(previous.configuration, configuration);
-            this.deltaLog.add(previous.configuration.version, edits, bytes);
+            this.deltaLog.add(from.version, edits ?? deltas.diff(from, to), bytes);
         }
+    }
+
+    private putInForce(configuration: configurations.Configuration, digest: string, source: string): void {
         this.inForce = { configuration, digest, receivedMs: this.options.clock.now() };
         this.fetch = undefined;
         this.counters.applied++;
@@ -234,11 +258,20 @@
         if (heartbeat.digest !== undefined && this.compare(heartbeat.digest, peer).isErr) {
             return;
         }
-        if (heartbeat.unconfirmedMs !== undefined) {
-            this.confirm(heartbeat.unconfirmedMs);
+        const afterPause = this.options.clock.now() - this.pauseEndMs < AFTER_PAUSE_MS;
+        if (heartbeat.unconfirmedMs !== undefined && !afterPause) {
+            this.confirm(heartbeat.unconfirmedMs + HOP_AGE_MS);
         }
     }
 
+    private notePause(): void {
+        const nowMs = this.options.clock.now();
+        if (this.observedMs !== undefined && nowMs - this.observedMs > PAUSE_MS) {
+            this.pauseEndMs = nowMs;
+        }
+        this.observedMs = nowMs;
+    }
+
     private answerFetch(from: number, send: Send): void {
         if (this.inForce === undefined || from >= this.version) {
             return;
@@ -266,14 +299,15 @@
             return;
         }
         const content = deltas.apply(this.inForce.configuration, delta.edits);
-        if (readVersion(content) !== delta.to || deltas.digestText(deltas.canonicalize(content)) !== delta.digest) {
+        const text = deltas.canonicalize(content);
+        if (readVersion(content) !== delta.to || deltas.digestText(text) !== delta.digest) {
             this.counters.gaps++;
             const detail = `${delta.from} to ${delta.to} from ${peer}`;
             this.options.log.warn({ code: codes.codes.configurationGap.code, detail }, "delta doesn't apply");
             this.sendFetch(0, send, peer);
             return;
         }
-        this.offer(content, peer);
+        this.take(content, delta.to, peer, { text, digest: delta.digest, edits: delta.edits });
     }
 
     private receiveFull(content: unknown, peer: string): void {
