--- a/src/process/AdmissionLimit.test.ts
+++ b/src/process/AdmissionLimit.test.ts
@@ -39,6 +39,21 @@
         expect([limit.limit, limit.isCold, reasons.length]).toEqual([expected, cold, cold ? 1 : 0]);
     });
 
+    it.each([[1, 2], [2, 3], [4, 3], [5, 4], [9, 6]])("after %d successes admits %d", (successes, expected) => {
+        const limit = new limits.AdmissionLimit(() => bounds);
+        complete(limit, success, successes);
+        expect(limit.limit).toBe(expected);
+    });
+
+    it("takes each call back once", () => {
+        const limit = new limits.AdmissionLimit(() => bounds);
+        const ticket = limit.tryAcquire()!;
+        for (let index = 0; index < 5; index++) {
+            limit.release(ticket, success);
+        }
+        expect([limit.active, limit.limit]).toEqual([0, 2]);
+    });
+
     it("lowers the limit once for calls admitted under the same limit", () => {
         const limit = createWarm();
         const tickets = Array.from({ length: 10 }, () => limit.tryAcquire()!);
--- a/src/process/FairQueue.test.ts
+++ b/src/process/FairQueue.test.ts
@@ -163,6 +163,51 @@
         expect([bench.count("a", "cancelled"), bench.count("b")]).toEqual([1, 1]);
     });
 
+    it("grants nothing that expired while the process was paused", async () => {
+        const bench = new Bench(1);
+        const signal = new AbortController().signal;
+        const ticket = { team: "busy", priority: 5, deadlineMs: bench.clock.now() + 900, signal };
+        const admission = await bench.queue.enter(ticket);
+        bench.enter("a", 300);
+        bench.clock.skip(500);
+        admission.map(permit => permit.finish({ kind: "neutral" }));
+        await flush();
+        expect([bench.count("a"), bench.count("a", "expired")]).toEqual([0, 1]);
+    });
+
+    it.each([[4_000, "deadline-unreachable"], [6_000, "ok"]])(
+        "after %d ms without calls answers %s",
+        async (idleMs, code) => {
+            const bench = await createBusy(1);
+            await bench.run(SERVICE_MS + idleMs);
+            bench.enter("a", SERVICE_MS / 2);
+            await flush();
+            expect(bench.count("a", code)).toBe(1);
+        },
+    );
+
+    it("sheds only the work of teams that use their share", async () => {
+        const bench = await createBusy(2);
+        bench.shedBelowPriority = 5;
+        [5, 5, 5].forEach(priority => bench.enter("burst", 5_000, priority));
+        bench.enter("burst", 5_000, 4);
+        bench.enter("quiet", 5_000, 4);
+        await bench.run(4 * SERVICE_MS);
+        expect([bench.count("burst", "shed"), bench.count("quiet")]).toEqual([1, 1]);
+    });
+
+    it("displaces a team's own last call when too many wait", async () => {
+        const bench = new Bench(1);
+        bench.enter("quiet", 60_000);
+        bench.enter("quiet", 60_000, 0);
+        for (let index = 0; index < 2_001; index++) {
+            bench.enter("burst", 60_000, 1);
+        }
+        bench.enter("burst", 60_000, 2);
+        await flush();
+        expect([bench.count("burst", "overloaded"), bench.queue.queued]).toEqual([2, 2_001]);
+    });
+
     it("goes by priority within a team", async () => {
         const bench = await createBusy(1);
         const order: number[] = [];
--- a/src/process/HomeClaim.test.ts
+++ b/src/process/HomeClaim.test.ts
@@ -146,6 +146,17 @@
         expect(decideOwn(["a", "b", "c"])).toEqual(["handover-pending"]);
     });
 
+    it("doesn't take a confirmation of an older version for one of a newer", async () => {
+        const { claim, words, decideOwn } = createClaim();
+        words["b"] = "yielded";
+        claim.update(1, ["a", "b"], []);
+        words["b"] = "unreachable";
+        claim.update(2, ["a"], ["b"]);
+        await flush();
+        expect(decideOwn(["a"], ["a", "b"])).toEqual(["served"]);
+        expect(claim.decide(findMoved(["a"], ["a", "b"]))?.code.name).toBe("handover-pending");
+    });
+
     it("asks an unreachable instance ever more rarely", async () => {
         const { clock, claim, asked } = createClaim();
         claim.update(1, ["a", "b"], []);
--- a/src/process/Ledger.test.ts
+++ b/src/process/Ledger.test.ts
@@ -96,7 +96,7 @@
         const clock = new clocks.ManualClock();
         let lifetimeMs = 10_000;
         const ledger = createLedger(clock, 10, () => lifetimeMs);
-        clock.advance(lifetimeMs);
+        clock.advance(LIFETIME_MS);
         const timed = createKey(clock.wall(), 1);
         run(ledger, "a").settle(answer);
         run(ledger, timed).settle(answer);
