--- a/src/process/AttemptMemory.ts
+++ b/src/process/AttemptMemory.ts
@@ -27,6 +27,7 @@
     | { readonly kind: "not-run" }
     | { readonly kind: "forgotten" };
 
+/** What an attempt memory needs. */
 export interface AttemptMemoryOptions {
     readonly clock: clocks.Clock;
     /** Most attempts and tombstones held. */
--- a/src/process/FairQueue.ts
+++ b/src/process/FairQueue.ts
@@ -43,8 +43,10 @@
     finish(completion: limits.Completion): void;
 }
 
+/** A permit, or why the call was not run. */
 export type Admission = result.Result<Permit, codes.Failure>;
 
+/** What a queue needs; weights are relative, and priorities below the bound are shed under overload. */
 export interface FairQueueOptions {
     readonly clock: clocks.Clock;
     readonly limit: limits.AdmissionLimit;
@@ -108,6 +110,7 @@
         }
     }
 
+    /** Refuses what waits and stops the timer. */
     dispose(): void {
         this.limitListener.dispose();
         this.failAll(codes.failure(codes.codes.draining, "the queue is closed"));
--- a/src/process/HomeClaim.ts
+++ b/src/process/HomeClaim.ts
@@ -13,6 +13,7 @@
 /** An instance's word on a version; unreachable is asked again. */
 export type Confirmation = "yielded" | "gone" | "unreachable";
 
+/** What a home claim needs. */
 export interface HomeClaimOptions {
     readonly clock: clocks.Clock;
     /** This agent's slot. */
--- a/src/process/Ledger.ts
+++ b/src/process/Ledger.ts
@@ -41,6 +41,7 @@
     | { readonly kind: "settled"; readonly record: LedgerRecord }
     | { readonly kind: "refused"; readonly failure: codes.Failure };
 
+/** What a ledger needs. */
 export interface LedgerOptions {
     readonly clock: clocks.Clock;
     /** Most entries held. */
--- a/src/process/PauseMonitor.ts
+++ b/src/process/PauseMonitor.ts
@@ -6,6 +6,7 @@
 
 const TICK_PERIOD_MS = 50;
 
+/** What a pause monitor needs. */
 export interface PauseMonitorOptions {
     readonly clock: clocks.Clock;
     /** Stretches longer than this are pauses; must exceed the tick period of 50 ms with some margin. */
--- a/src/process/TeamQueues.ts
+++ b/src/process/TeamQueues.ts
@@ -61,6 +61,7 @@
         return position;
     }
 
+    /** Adds an item at a position among the team's own. */
     insert(queue: TeamQueue<T>, position: number, item: T): void {
         if (queue.waiting.length === 0) {
             queue.startTag = Math.max(queue.startTag, this.virtualTime);
@@ -70,6 +71,7 @@
         this.waitingCount += 1;
     }
 
+    /** Removes a waiting item; false when it does not wait. */
     remove(queue: TeamQueue<T>, item: T): boolean {
         const position = queue.waiting.indexOf(item);
         if (position < 0) {
