Restart virtual time when idle, and count the progress of active calls in the queue's estimates

A history test of bursts against a quiet team found both: a team's earlier use still counted after an idle time, and a waiting call was refused shortly before its turn.

--- a/src/process/FairQueue.test.ts
+++ b/src/process/FairQueue.test.ts
@@ -237,7 +237,34 @@
         expect((bench.count("a") - lent) / bench.count("b")).toBeCloseTo(3, 0);
     });
 
-    it("holds no quiet team back for another team's burst", async () => {
+    it("holds no quiet team back for other teams' bursts", async () => {
+        const history = fc.record({
+            concurrency: fc.integer({ min: 1, max: 6 }),
+            bursts: fc.array(fc.nat(200), { minLength: 4, maxLength: 4 }),
+            phaseMs: fc.nat(19).map(steps => steps * STEP_MS),
+        });
+        await fc.assert(
+            fc.asyncProperty(history, async ({ concurrency, bursts, phaseMs }) => {
+                const bench = new Bench(concurrency);
+                await bench.run(2_000, nowMs => {
+                    for (let index = 0; index < (nowMs % 500 === 0 ? bursts[nowMs / 500]! : 0); index++) {
+                        bench.enter(`burst-${index % 2}`, 3_000);
+                    }
+                    if (nowMs % 400 === 300 + phaseMs) {
+                        bench.enter("quiet", 450);
+                    }
+                });
+                const quiet = bench.outcomes.filter(outcome => outcome.team === "quiet");
+                expect(quiet.filter(outcome => outcome.code !== "ok")).toEqual([]);
+                // What runs at its arrival, and then at most one call of each of the two other teams.
+                const boundMs = SERVICE_MS * (1 + 2 / concurrency) + STEP_MS;
+                expect(Math.max(0, ...quiet.map(outcome => outcome.queuedMs!))).toBeLessThanOrEqual(boundMs);
+            }),
+            { seed: SEED, numRuns: 30 },
+        );
+    });
+
+    it("serves a burst from one team and refuses what is beyond its deadline", async () => {
         const bench = new Bench(4);
         await bench.run(8_000, nowMs => {
             for (let index = 0; index < (nowMs % 1_000 === 0 ? 300 : 0); index++) {
--- a/src/process/FairQueue.ts
+++ b/src/process/FairQueue.ts
@@ -19,6 +19,8 @@
 const MIN_COST_MS = 0.01;
 /** Share of the expected wait that a waiting call must still have, so that noise doesn't refuse accepted work. */
 const WAITING_TOLERANCE = 0.8;
+/** Multiple of the expected service time after which active calls are overdue. */
+const OVERDUE_RATIO = 2;
 /** Share of the time until the deadline that a call waits at most while service times are unknown. */
 const UNKNOWN_WAIT_RATIO = 0.5;
 /** Shortest advice on when to come back. */
@@ -71,6 +73,8 @@
     private readonly times: serviceTimes.ServiceTimes;
     private readonly teams: teamQueues.TeamQueues<WaitingCall>;
     private readonly limitListener: clocks.Disposable;
+    /** Sum of the times at which the active calls were granted. */
+    private grantedSumMs = 0;
     private sweepTimer: clocks.Disposable | undefined;
 
     constructor(private readonly options: FairQueueOptions) {
@@ -173,11 +177,13 @@
             return;
         }
         const grantedMs = this.clock.now();
+        this.grantedSumMs += grantedMs;
         const cost = this.times.expect(call.operation) ?? DEFAULT_COST_MS;
         this.teams.remove(queue, call);
         this.teams.charge(queue, Math.max(MIN_COST_MS, cost));
         const finish = (completion: limits.Completion) => {
-            queue.active -= 1;
+            this.teams.finish(queue);
+            this.grantedSumMs -= grantedMs;
             if (completion.kind === "success") {
                 this.times.observe(call.operation, this.clock.now() - grantedMs);
             }
@@ -253,6 +259,13 @@
         return before <= 0 ? 0 : before * (this.times.meanMs ?? 0) / limit;
     }
 
+    /** Mean time that the active calls have behind them; 0 when they take so long that it tells nothing. */
+    private findProgress(): number {
+        const meanMs = this.times.meanMs ?? 0;
+        const activeMs = this.clock.now() - this.grantedSumMs / Math.max(1, this.limit.active);
+        return activeMs > meanMs * OVERDUE_RATIO ? 0 : Math.min(activeMs, meanMs);
+    }
+
     private startSweeping(): void {
         if (this.sweepTimer === undefined && this.teams.size > 0) {
             this.sweepTimer = this.clock.schedule(SWEEP_PERIOD_MS, () => {
@@ -283,7 +296,8 @@
     private checkRemainingWait(queue: Queue, position: number, call: WaitingCall): codes.Failure | undefined {
         const waitMs = this.expectWait(this.teams.countAhead(queue, position));
         const remainingMs = call.ticket.deadlineMs - this.clock.now();
-        const neededMs = waitMs * WAITING_TOLERANCE + this.times.expectAtLeast(call.operation);
+        const neededMs = Math.max(0, waitMs * WAITING_TOLERANCE - this.findProgress())
+            + this.times.expectAtLeast(call.operation);
         const totalMs = call.ticket.deadlineMs - call.enteredMs;
         const tooLong = this.times.meanMs === undefined && remainingMs < totalMs * UNKNOWN_WAIT_RATIO;
         return tooLong || neededMs > remainingMs
--- a/src/process/TeamQueues.ts
+++ b/src/process/TeamQueues.ts
@@ -26,6 +26,8 @@
     private readonly teams = new Map<string, TeamQueue<T>>();
     private readonly backlogged = new Set<TeamQueue<T>>();
     private virtualTime = 0;
+    private latestTag = 0;
+    private activeCount = 0;
     private waitingCount = 0;
 
     constructor(private readonly readWeight: (team: string) => number) {}
@@ -102,6 +104,17 @@
         this.virtualTime = queue.startTag;
         queue.startTag += cost / queue.weight;
         queue.active += 1;
+        this.activeCount += 1;
+        this.latestTag = Math.max(this.latestTag, queue.startTag);
+    }
+
+    /** Ends one active item. What teams used before an idle time doesn't count against them. */
+    finish(queue: TeamQueue<T>): void {
+        queue.active -= 1;
+        this.activeCount -= 1;
+        if (this.activeCount === 0 && this.waitingCount === 0) {
+            this.virtualTime = this.latestTag;
+        }
     }
 
     /** Items that start before the team's item at `position`, by the shares of the teams with waiting items. */
