--- a/src/process/FairQueue.test.ts
+++ b/src/process/FairQueue.test.ts
@@ -163,6 +163,51 @@
         expect([bench.count("a", "cancelled"), bench.count("b")]).toEqual([1, 1]);
     });
 
+    it("grants nothing that expired while the process was paused", async () => {
+        const bench = new Bench(1);
+        const signal = new AbortController().signal;
+        const ticket = { team: "busy", priority: 5, deadlineMs: bench.clock.now() + 900, signal };
+        const admission = await bench.queue.enter(ticket);
+        bench.enter("a", 300);
+        bench.clock.skip(500);
+        admission.map(permit => permit.finish({ kind: "neutral" }));
+        await flush();
+        expect([bench.count("a"), bench.count("a", "expired")]).toEqual([0, 1]);
+    });
+
+    it.each([[4_000, "deadline-unreachable"], [6_000, "ok"]])(
+        "after %d ms without calls answers %s",
+        async (idleMs, code) => {
+            const bench = await createBusy(1);
+            await bench.run(SERVICE_MS + idleMs);
+            bench.enter("a", SERVICE_MS / 2);
+            await flush();
+            expect(bench.count("a", code)).toBe(1);
+        },
+    );
+
+    it("sheds only the work of teams that use their share", async () => {
+        const bench = await createBusy(2);
+        bench.shedBelowPriority = 5;
+        [5, 5, 5].forEach(priority => bench.enter("burst", 5_000, priority));
+        bench.enter("burst", 5_000, 4);
+        bench.enter("quiet", 5_000, 4);
+        await bench.run(4 * SERVICE_MS);
+        expect([bench.count("burst", "shed"), bench.count("quiet")]).toEqual([1, 1]);
+    });
+
+    it("displaces a team's own last call when too many wait", async () => {
+        const bench = new Bench(1);
+        bench.enter("quiet", 60_000);
+        bench.enter("quiet", 60_000, 0);
+        for (let index = 0; index < 2_001; index++) {
+            bench.enter("burst", 60_000, 1);
+        }
+        bench.enter("burst", 60_000, 2);
+        await flush();
+        expect([bench.count("burst", "overloaded"), bench.queue.queued]).toEqual([2, 2_001]);
+    });
+
     it("goes by priority within a team", async () => {
         const bench = await createBusy(1);
         const order: number[] = [];
@@ -192,7 +237,34 @@
         expect((bench.count("a") - lent) / bench.count("b")).toBeCloseTo(3, 0);
     });
 
-    it("holds no quiet team back for another team's burst", async () => {
+    it("holds no quiet team back for other teams' bursts", async () => {
+        const history = fc.record({
+            concurrency: fc.integer({ min: 1, max: 6 }),
+            bursts: fc.array(fc.nat(200), { minLength: 4, maxLength: 4 }),
+            phaseMs: fc.nat(19).map(steps => steps * STEP_MS),
+        });
+        await fc.assert(
+            fc.asyncProperty(history, async ({ concurrency, bursts, phaseMs }) => {
+                const bench = new Bench(concurrency);
+                await bench.run(2_000, nowMs => {
+                    for (let index = 0; index < (nowMs % 500 === 0 ? bursts[nowMs / 500]! : 0); index++) {
+                        bench.enter(`burst-${index % 2}`, 3_000);
+                    }
+                    if (nowMs % 400 === 300 + phaseMs) {
+                        bench.enter("quiet", 450);
+                    }
+                });
+                const quiet = bench.outcomes.filter(outcome => outcome.team === "quiet");
+                expect(quiet.filter(outcome => outcome.code !== "ok")).toEqual([]);
+                // What runs at its arrival, and then at most one call of each of the two other teams.
+                const boundMs = SERVICE_MS * (1 + 2 / concurrency) + STEP_MS;
+                expect(Math.max(0, ...quiet.map(outcome => outcome.queuedMs!))).toBeLessThanOrEqual(boundMs);
+            }),
+            { seed: SEED, numRuns: 30 },
+        );
+    });
+
+    it("serves a burst from one team and refuses what is beyond its deadline", async () => {
         const bench = new Bench(4);
         await bench.run(8_000, nowMs => {
             for (let index = 0; index < (nowMs % 1_000 === 0 ? 300 : 0); index++) {
--- a/src/process/TeamQueues.ts
+++ b/src/process/TeamQueues.ts
@@ -26,6 +26,8 @@
     private readonly teams = new Map<string, TeamQueue<T>>();
     private readonly backlogged = new Set<TeamQueue<T>>();
     private virtualTime = 0;
+    private latestTag = 0;
+    private activeCount = 0;
     private waitingCount = 0;
 
     constructor(private readonly readWeight: (team: string) => number) {}
@@ -61,6 +63,7 @@
         return position;
     }
 
+    /** Adds an item at a position among the team's own. */
     insert(queue: TeamQueue<T>, position: number, item: T): void {
         if (queue.waiting.length === 0) {
             queue.startTag = Math.max(queue.startTag, this.virtualTime);
@@ -70,6 +73,7 @@
         this.waitingCount += 1;
     }
 
+    /** Removes a waiting item; false when it does not wait. */
     remove(queue: TeamQueue<T>, item: T): boolean {
         const position = queue.waiting.indexOf(item);
         if (position < 0) {
@@ -100,6 +104,17 @@
         this.virtualTime = queue.startTag;
         queue.startTag += cost / queue.weight;
         queue.active += 1;
+        this.activeCount += 1;
+        this.latestTag = Math.max(this.latestTag, queue.startTag);
+    }
+
+    /** Ends one active item. What teams used before an idle time doesn't count against them. */
+    finish(queue: TeamQueue<T>): void {
+        queue.active -= 1;
+        this.activeCount -= 1;
+        if (this.activeCount === 0 && this.waitingCount === 0) {
+            this.virtualTime = this.latestTag;
+        }
     }
 
     /** Items that start before the team's item at `position`, by the shares of the teams with waiting items. */
