--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -118,6 +118,7 @@
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
+        this.store.add(this.node.onList(() => this.applyVersion()));
         prom.collectDefaultMetrics({ register: this.registry });
         this.registerGauges();
     }
@@ -231,6 +232,7 @@
             ledger: this.ledger,
             attempts: this.attempts,
             configuration: () => this.configuration,
+            isReady: () => this.node.isReady,
             isDraining: () => this.isDraining,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
@@ -250,7 +252,8 @@
 
     private applyVersion(): void {
         const current = this.node.replica.current;
-        if (current === undefined) {
+        // Without the list every other agent would look gone.
+        if (current === undefined || !this.node.isReady) {
             return;
         }
         const service = current.configuration.services[this.settings.service];
--- a/src/process/VersionConfirmation.ts
+++ b/src/process/VersionConfirmation.ts
@@ -45,7 +45,8 @@
         connection.send({ kind: "confirm", token, version });
         for (let envelope = await connection.next(); envelope !== undefined; envelope = await connection.next()) {
             if (envelope.message.kind === "confirmed" && envelope.message.token === token) {
-                return envelope.version >= version;
+                // A peer that is ahead may know of a change that this process has yet to see.
+                return envelope.version >= version && envelope.version <= this.options.context().version();
             }
         }
         return false;
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -33,6 +33,7 @@
     readonly ledger: ledgers.Ledger;
     readonly attempts: attemptMemories.AttemptMemory;
     readonly configuration: () => configurations.Configuration | undefined;
+    readonly isReady: () => boolean;
     readonly isDraining: () => boolean;
     /** Whether the process woke from a pause and may not dispatch; asked right before each dispatch. */
     readonly isRefreshing: () => boolean;
@@ -120,6 +121,9 @@
         if (context.isDraining()) {
             return codes.failure(codes.codes.draining, context.slot, REFUSED_RETRY_MS);
         }
+        if (!context.isReady()) {
+            return codes.failure(codes.codes.notReady, context.slot, REFUSED_RETRY_MS);
+        }
         if (!await context.catchUp(this.version, CATCH_UP_TIMEOUT_MS)) {
             return codes.failure(codes.codes.refreshing, `version ${this.version} not seen yet`, REFUSED_RETRY_MS);
         }
