--- /dev/null
+++ b/bench/Programs.ts
@@ -0,0 +1,69 @@
+/**
+ * Programs that an experiment starts as processes of their own, and ends by their id.
+ */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as readline from "node:readline";
+import * as clocks from "../src/common/Clock";
+
+/** Collects garbage in the program that loads it, so that its live heap can be read. */
+const COLLECT_SCRIPT = "process.on(\"SIGUSR2\", () => globalThis.gc());\n";
+
+/** Starts programs and ends all of them together. */
+export class Programs implements clocks.Disposable {
+    private readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-bench-"));
+    private readonly children: childProcess.ChildProcess[] = [];
+
+    /** Runs `script` by node and reads its standard output to the end; `onLine` takes each line. */
+    start(script: string, args: readonly string[], onLine?: (line: string) => void): childProcess.ChildProcess {
+        const collect = this.write("collect.cjs", COLLECT_SCRIPT);
+        const profile = process.env["BENCH_CPU_PROFILE"];
+        const profiling = profile === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profile}`];
+        const options = ["--expose-gc", "--require", collect, ...profiling, script, ...args];
+        const child = childProcess.spawn(process.execPath, options, { stdio: ["ignore", "pipe", "inherit"] });
+        this.children.push(child);
+        if (onLine === undefined) {
+            child.stdout.resume();
+        }
+        else {
+            readline.createInterface({ input: child.stdout }).on("line", onLine);
+        }
+        return child;
+    }
+
+    /** Runs a program that prints `ready ADDRESS`; resolves to the address. */
+    startReady(script: string, args: readonly string[]): Promise<string> {
+        return new Promise(resolve => {
+            this.start(script, args, line => {
+                if (line.startsWith("ready ")) {
+                    resolve(line.slice("ready ".length));
+                }
+            });
+        });
+    }
+
+    /** Writes a file for a program to read; returns its path. */
+    write(name: string, content: string): string {
+        const file = path.join(this.directory, name);
+        fs.writeFileSync(file, content);
+        return file;
+    }
+
+    dispose(): void {
+        this.children.forEach(child => child.kill("SIGTERM"));
+        fs.rmSync(this.directory, { recursive: true });
+    }
+}
+
+/** An address on 127.0.0.1 whose port was free a moment ago. */
+export function findFreeAddress(): Promise<string> {
+    return new Promise(resolve => {
+        const server = net.createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as net.AddressInfo;
+            server.close(() => resolve(`127.0.0.1:${port}`));
+        });
+    });
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,7 @@
     { entryPoints: ["src/Library.ts"], outfile: "dist/library.mjs", format: "esm", banner: { js: requireBanner } },
     { entryPoints: ["bench/Main.ts"], outfile: "dist/bench.mjs", format: "esm", banner: { js: requireBanner } },
     { entryPoints: ["standins/Main.ts"], outfile: "dist/standins.cjs", format: "cjs" },
+    { entryPoints: ["standins/Bare.ts"], outfile: "dist/bare.cjs", format: "cjs" },
 ];
 
 fs.mkdirSync("dist", { recursive: true });
--- /dev/null
+++ b/standins/Bare.ts
@@ -0,0 +1,106 @@
+/**
+ * The plainest programs for comparison: `upstream` answers each call with its own body and streams tokens as
+ * fast as it can; `proxy` hands requests on to the next address by node:http and does nothing else. Both
+ * print `ready ADDRESS` and tell their processor time at `GET /usage`.
+ */
+import * as commander from "commander";
+import * as http from "node:http";
+import type * as net from "node:net";
+
+const KEEP_ALIVE_MS = 60_000;
+const TOKENS = 1_000;
+
+/** What a program used since its start: processor time in microseconds, memory in bytes. */
+interface Usage {
+    readonly cpuMicros: number;
+    readonly residentBytes: number;
+}
+
+/** Streams under way with the number of tokens sent; each turn of the event loop sends one token to each. */
+const streams = new Map<http.ServerResponse, number>();
+
+function step(): void {
+    for (const [response, sent] of streams) {
+        if (sent === TOKENS || response.destroyed) {
+            streams.delete(response);
+            response.end(`${JSON.stringify({ end: true, tokens: TOKENS })}\n`);
+        }
+        else if (response.write(`{"offset":${sent},"tokens":["token${sent} "]}\n`)) {
+            streams.set(response, sent + 1);
+        }
+        else {
+            streams.set(response, sent + 1);
+            streams.delete(response);
+            response.once("drain", () => addStream(response, sent + 1));
+        }
+    }
+    if (streams.size > 0) {
+        setImmediate(step);
+    }
+}
+
+function addStream(response: http.ServerResponse, sent: number): void {
+    streams.set(response, sent);
+    if (streams.size === 1) {
+        setImmediate(step);
+    }
+}
+
+function serveUpstream(request: http.IncomingMessage, response: http.ServerResponse): void {
+    response.setHeader("x-boot", `bare-${process.pid}`);
+    const path = request.url ?? "";
+    if (path.startsWith("/call/")) {
+        response.setHeader("content-type", "application/json");
+        request.pipe(response);
+        return;
+    }
+    request.resume();
+    if (path.startsWith("/stream/")) {
+        response.writeHead(200, { "content-type": "application/x-ndjson" });
+        addStream(response, 0);
+        return;
+    }
+    const report = { boot: `bare-${process.pid}`, active: streams.size, models: [], fence: 0, role: "mixed" };
+    response.end(JSON.stringify(path === "/report" ? report : path.startsWith("/cache/events") ? [] : {}));
+}
+
+/** Hands each request on to `next`, an IP number and a port. */
+function createProxy(next: string): http.RequestListener {
+    const agent = new http.Agent({ keepAlive: true, scheduling: "lifo" });
+    const [host, port] = next.split(":");
+    return (request, response) => {
+        const { method, url, headers } = request;
+        const options = { host, port, agent, method, path: url, headers };
+        const outgoing = http.request(options, answer => {
+            response.writeHead(answer.statusCode ?? 502, answer.headers);
+            answer.pipe(response);
+        });
+        outgoing.on("error", () => response.destroy());
+        request.pipe(outgoing);
+    };
+}
+
+function describeUsage(): Usage {
+    const { user, system } = process.cpuUsage();
+    return { cpuMicros: user + system, residentBytes: process.memoryUsage.rss() };
+}
+
+function listen(serve: http.RequestListener): void {
+    const server = http.createServer((request, response) => {
+        if (request.url === "/usage") {
+            response.end(JSON.stringify(describeUsage()));
+            return;
+        }
+        serve(request, response);
+    });
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.listen(0, "127.0.0.1", () => console.log(`ready 127.0.0.1:${(server.address() as net.AddressInfo).port}`));
+    process.once("SIGTERM", () => process.exit(0));
+}
+
+const program = new commander.Command("bare");
+program.command("upstream").action(() => listen(serveUpstream));
+program.command("proxy").argument("<next>", "address to hand on to").action((next: string) =>
+    listen(createProxy(next))
+);
+program.parse();
