Abort and link signals only where a request needs it

Change: a caller counts as gone only when its answer wasn't finished; hedging is prepared only where the preset allows any.

--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -127,7 +127,11 @@
         response: http.ServerResponse,
     ): Promise<pipelineRuns.PipelineEnd> {
         const gone = new AbortController();
-        response.on("close", () => gone.abort());
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                gone.abort();
+            }
+        });
         const stream = new answers.EventStream(response);
         const end = await pipelineRuns.runPipeline(this.context.pipeline, prepared.configuration, prepared.stages, {
             ...request,
--- a/src/process/RetryBudget.ts
+++ b/src/process/RetryBudget.ts
@@ -53,6 +53,11 @@
         return false;
     }
 
+    /** Whether the ratio allows no extra attempt at all. */
+    get isOff(): boolean {
+        return this.options.ratio() <= 0;
+    }
+
     /** Extra attempts available now. */
     get balance(): number {
         this.refill();
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -108,8 +108,8 @@
     /** Sends one attempt, and a second one elsewhere when the first is slow and the budget allows. */
     private async attemptWithHedge(candidate: choices.Candidate): Promise<attempts.AttemptEnd> {
         const hedgeAfterMs = this.work.hedgeAfterMs;
-        const mayHedge = hedgeAfterMs !== undefined && this.work.idempotent && this.assembly === undefined;
-        if (!mayHedge) {
+        const mayHedge = this.work.idempotent && this.assembly === undefined && !this.context.hedgeBudget.isOff;
+        if (!mayHedge || hedgeAfterMs === undefined) {
             return this.attempt(candidate, this.work.signal);
         }
         const cancelFirst = new AbortController();
