Measure slopes for the capacity page

npm run bench -- slopes measures bytes, memory and processor time on the product's own code at three or more sizes each, fits lines and writes their table into docs/CAPACITY.md.

--- a/bench/HttpLoad.ts
+++ b/bench/HttpLoad.ts
@@ -4,12 +4,17 @@
 import * as http from "node:http";
 import * as clocks from "../src/common/Clock";
 
-/** What callers send, and how an answer's units are counted. */
-export interface Load {
+/** One request by POST. */
+export interface Request {
+    /** IP number and port. */
     readonly address: string;
     readonly path: string;
     readonly headers: http.OutgoingHttpHeaders;
     readonly body: string;
+}
+
+/** What callers send, and how an answer's units are counted. */
+export interface Load extends Request {
     readonly callers: number;
     readonly requests: number;
     /** Text that each unit of an answer begins with; undefined counts answers. */
@@ -45,11 +50,9 @@
 
 /** One request; resolves to the units of its answer, undefined for any failure. */
 function call(load: Load, agent: http.Agent): Promise<number | undefined> {
-    const [host, port] = load.address.split(":");
-    const { path, marker } = load;
-    const headers = { ...load.headers, "content-type": "application/json", "content-length": load.body.length };
+    const { marker } = load;
     return new Promise(resolve => {
-        const request = http.request({ host, port, path, method: "POST", agent, headers }, answer => {
+        const request = http.request(describe(load, agent), answer => {
             let units = marker === undefined ? 1 : 0;
             let rest = "";
             answer.setEncoding("latin1");
@@ -68,6 +71,27 @@
     });
 }
 
+/** Sends the same request `count` times at once, and leaves them open until the result is disposed. */
+export function holdOpen(request: Request, count: number): clocks.Disposable {
+    const agent = new http.Agent({ maxSockets: count });
+    for (let index = 0; index < count; index++) {
+        const outgoing = http.request(describe(request, agent), answer => {
+            answer.on("error", () => undefined);
+            answer.resume();
+        });
+        outgoing.on("error", () => undefined);
+        outgoing.end(request.body);
+    }
+    return { dispose: () => agent.destroy() };
+}
+
+function describe(request: Request, agent: http.Agent): http.RequestOptions {
+    const [host, port] = request.address.split(":");
+    const { path, body } = request;
+    const headers = { ...request.headers, "content-type": "application/json", "content-length": body.length };
+    return { host, port, path, method: "POST", agent, headers };
+}
+
 /** The text that `GET address/path` answers; empty when it can't be reached. */
 export function read(address: string, path: string): Promise<string> {
     return new Promise(resolve => {
--- /dev/null
+++ b/bench/LinearFit.ts
@@ -0,0 +1,36 @@
+/**
+ * Straight lines through measured points.
+ */
+
+/** One measured point. */
+export interface Point {
+    readonly size: number;
+    readonly value: number;
+}
+
+/** A line by least squares. */
+export interface Line {
+    /** Growth of the value for each unit of size. */
+    readonly slope: number;
+    /** The value at size 0. */
+    readonly fixed: number;
+    /** Largest distance of a point from the line, as a share of the largest value. */
+    readonly residual: number;
+}
+
+/** Fits a line; needs two different sizes. */
+export function fit(points: readonly Point[]): Line {
+    const meanSize = mean(points.map(point => point.size));
+    const meanValue = mean(points.map(point => point.value));
+    const covariance = mean(points.map(point => (point.size - meanSize) * (point.value - meanValue)));
+    const variance = mean(points.map(point => (point.size - meanSize) ** 2));
+    const slope = covariance / variance;
+    const fixed = meanValue - slope * meanSize;
+    const distances = points.map(point => Math.abs(point.value - fixed - slope * point.size));
+    const largest = Math.max(...points.map(point => Math.abs(point.value)));
+    return { slope, fixed, residual: largest === 0 ? 0 : Math.max(...distances) / largest };
+}
+
+function mean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -7,6 +7,7 @@
 import * as overheads from "./Overhead";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
+import * as slopes from "./Slopes";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
@@ -23,9 +24,13 @@
 }
 
 const program = new commander.Command("bench")
-    .argument("<name>", "experiment, or all")
+    .argument("<name>", "experiment, or all; slopes writes the table of docs/CAPACITY.md")
     .option("--seed <number>", "seed of the random choices", "1")
     .action(async (name: string, options: { seed: string }) => {
+        if (name === "slopes") {
+            process.exitCode = await slopes.writeSlopes() ? 0 : 1;
+            return;
+        }
         const chosen = all.filter(experiment => name === "all" || experiment.name === name);
         if (chosen.length === 0) {
             program.error(
--- /dev/null
+++ b/bench/SlopeBytes.ts
@@ -0,0 +1,90 @@
+/**
+ * Bytes of the frames between the system's processes, and of the documents that it reads.
+ */
+import type * as messages from "../src/common/Messages";
+import * as frames from "../src/connection/FrameCodec";
+import * as deltas from "../src/version/ConfigurationDelta";
+import * as slopes from "./Slope";
+import * as samples from "./SlopeSamples";
+
+const VERSION = 1_000_000;
+const BODY_SIZES = [128, 512, 4_096, 32_768];
+const SLOT_SIZES = [120, 1_200, 6_000, 12_000];
+const ROW_SIZES = [130, 1_300, 12_900];
+
+function countFrame(message: messages.Message): number {
+    return frames.encodeFrame({ version: VERSION, message }).length;
+}
+
+function createDelta(edits: number): messages.Delta {
+    const edit = { path: ["services", "service-1", "slots", "engine-1-100", "state"], value: "out" };
+    const digest = "0123456789abcdef0123456789abcdef";
+    return { kind: "delta", from: VERSION - 1, to: VERSION, digest, edits: Array<messages.Edit>(edits).fill(edit) };
+}
+
+/** Counts all of them. */
+export function measureAll(): slopes.Slope[] {
+    const bytes = (symbol: string, quantity: string, per: string, sizes: number[], count: (size: number) => number) => {
+        return { symbol, quantity, unit: "B" as const, per, points: slopes.measureAt(sizes, count) };
+    };
+    return [
+        bytes(
+            "b_beat",
+            "heartbeat of an agent",
+            "model held",
+            [0, 4, 12, 36],
+            models => countFrame(samples.createHeartbeat(models)),
+        ),
+        bytes(
+            "b_beat_entry",
+            "heartbeat of an entry",
+            "(constant)",
+            [0, 1, 2],
+            () => countFrame(samples.createHeartbeat(undefined)),
+        ),
+        bytes("b_call", "frame of a call", "body byte", BODY_SIZES, size => countFrame(samples.createCall(size))),
+        bytes(
+            "b_answer",
+            "frame of an answer",
+            "body byte",
+            BODY_SIZES,
+            size => countFrame(samples.createAnswer(size)),
+        ),
+        bytes(
+            "b_part",
+            "frame of a stream's part",
+            "token",
+            [1, 4, 16, 64],
+            size => countFrame(samples.createPart(size)),
+        ),
+        bytes("b_delta", "frame of a delta", "edit", [1, 4, 16, 64], size => countFrame(createDelta(size))),
+        bytes(
+            "b_fetch",
+            "frame of a fetch",
+            "(constant)",
+            [1, 1_000, 100_000],
+            from => countFrame({ kind: "fetch", from: VERSION - from }),
+        ),
+        bytes(
+            "b_config",
+            "configuration as JSON",
+            "slot",
+            SLOT_SIZES,
+            size => deltas.canonicalize(samples.createConfiguration(VERSION, size)).length,
+        ),
+        bytes(
+            "b_full",
+            "frame of a full content",
+            "slot",
+            SLOT_SIZES,
+            size => countFrame({ kind: "full", digest: "", content: samples.createConfiguration(VERSION, size) }),
+        ),
+        bytes(
+            "b_list",
+            "instance list as JSON",
+            "row",
+            ROW_SIZES,
+            size => JSON.stringify(samples.createRows(size)).length,
+        ),
+    ];
+}
--- /dev/null
+++ b/bench/SlopeMemory.ts
@@ -0,0 +1,162 @@
+/**
+ * Memory that a process holds for each thing that it remembers.
+ */
+import * as net from "node:net";
+import * as clocks from "../src/common/Clock";
+import * as logs from "../src/common/Log";
+import type * as messages from "../src/common/Messages";
+import * as peerConnections from "../src/connection/PeerConnection";
+import * as attemptMemories from "../src/process/AttemptMemory";
+import * as replicas from "../src/process/ConfigurationReplica";
+import * as deltaLogs from "../src/process/DeltaLog";
+import * as ledgers from "../src/process/Ledger";
+import * as memberships from "../src/process/Membership";
+import * as prefixes from "../src/process/PrefixHolders";
+import * as stageHistories from "../src/process/StageHistory";
+import * as slopes from "./Slope";
+import * as samples from "./SlopeSamples";
+
+const CONNECTIONS = [100, 300, 900];
+const SETTLE_MS = 300;
+const ENTRIES = [1_000, 5_000, 20_000];
+const SLOT_SIZES = [120, 1_200, 6_000, 12_000];
+const ROW_SIZES = [130, 1_300, 12_900];
+const KEY_LIFETIME_MS = 600_000;
+const clock = clocks.systemClock;
+
+/** A body of about 200 bytes. */
+function createBody(index: number): unknown {
+    return { operation: "book", input: { text: `${index} ${"x".repeat(150)}` }, sequence: index };
+}
+
+function fillLedger(count: number): ledgers.Ledger {
+    const manual = new clocks.ManualClock();
+    const lifetimeMs = (): number => KEY_LIFETIME_MS;
+    const ledger = new ledgers.Ledger({ clock: manual, capacity: count, lifetimeMs, startedWallMs: manual.wall() });
+    // Keys without a creation time are taken only when a lifetime has passed since the start.
+    manual.skip(2 * KEY_LIFETIME_MS);
+    for (let index = 0; index < count; index++) {
+        const identity = { team: "team-1", service: "bookings", operation: "book", key: `key-${1e9 + index}` };
+        const decision = ledger.begin(identity, "x".repeat(42) + index % 10);
+        if (decision.kind === "run") {
+            decision.run.settle({ code: 1_000, body: createBody(index) });
+        }
+    }
+    return ledger;
+}
+
+function fillAttempts(count: number): attemptMemories.AttemptMemory {
+    const memory = new attemptMemories.AttemptMemory({ clock, capacity: count });
+    memory.dispose();
+    for (let index = 0; index < count; index++) {
+        const id = { request: `00000000-0000-4000-8000-${1e11 + index}`, stage: "book", attempt: 0 };
+        memory.begin(id);
+        memory.finish(id, { ...samples.createAnswer(0), body: createBody(index) });
+    }
+    return memory;
+}
+
+function fillPrefixes(count: number): prefixes.PrefixHolders {
+    const holders = new prefixes.PrefixHolders(clock);
+    for (let index = 0; index < count; index++) {
+        holders.record(index.toString(16).padStart(40, "0"), `engine-${index % 32}`, true);
+    }
+    return holders;
+}
+
+function fillHistory(stages: number): stageHistories.StageHistory {
+    const history = new stageHistories.StageHistory({ clock });
+    for (let index = 0; index < stages; index++) {
+        for (let sample = 1; sample <= 100; sample++) {
+            history.record("pipeline-1", `stage-${index}`, sample * 37);
+        }
+    }
+    return history;
+}
+
+function fillMembership(rows: number): memberships.Membership {
+    const options = { clock, self: "self", failureDomain: "domain-1", region: "region-1" };
+    const membership = new memberships.Membership(options);
+    membership.updateList(
+        JSON.parse(JSON.stringify(samples.createRows(rows))) as ReturnType<typeof samples.createRows>,
+    );
+    membership.agents("service-1");
+    membership.peers(4);
+    return membership;
+}
+
+function fillReplica(slots: number): replicas.ConfigurationReplica {
+    const replica = new replicas.ConfigurationReplica({ clock, log: logs.silentLog });
+    replica.offer(JSON.parse(JSON.stringify(samples.createConfiguration(1, slots))), "bench");
+    return replica;
+}
+
+function fillDeltaLog(count: number): deltaLogs.DeltaLog {
+    const log = new deltaLogs.DeltaLog();
+    for (let index = 0; index < count; index++) {
+        const path = ["services", "service-1", "slots", `engine-1-${index}`, "state"];
+        log.add(index + 1, [{ path, value: "out" }, { path: ["version"], value: index + 2 }], 1_000_000);
+    }
+    return log;
+}
+
+function createContext(): peerConnections.PeerContext {
+    const hello: messages.Hello = {
+        kind: "hello",
+        protocol: 1,
+        role: "agent",
+        instance: "agent-1",
+        failureDomain: "domain-1",
+        incarnation: 1,
+    };
+    return { clock, hello: () => hello, version: () => 1, heartbeat: () => samples.createHeartbeat(4) };
+}
+
+/** Memory of connections with both ends in this process; each end counts. */
+async function measureConnections(count: number): Promise<number> {
+    const accepted: Promise<unknown>[] = [];
+    const ends: clocks.Disposable[] = [];
+    const context = createContext();
+    const server = net.createServer(socket => {
+        accepted.push(
+            peerConnections.PeerConnection.accept(socket, context).then(end => end.map(kept => ends.push(kept))),
+        );
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    await clocks.sleep(clock, SETTLE_MS);
+    const before = slopes.readLiveBytes();
+    for (let index = 0; index < count; index++) {
+        const opened = await peerConnections.PeerConnection.open(address, context);
+        opened.map(end => ends.push(end));
+    }
+    await Promise.all(accepted);
+    const bytes = (slopes.readLiveBytes() - before) / ends.length * count;
+    ends.forEach(end => end.dispose());
+    server.close();
+    return bytes;
+}
+
+/** Measures all of them. */
+export async function measureAll(): Promise<slopes.Slope[]> {
+    const bytes = (symbol: string, quantity: string, per: string, sizes: number[], fill: (size: number) => unknown) => {
+        fill(sizes[0]!);
+        const points = slopes.measureAt(sizes, size => slopes.measureBytes(() => fill(size)));
+        return { symbol, quantity, unit: "B" as const, per, points };
+    };
+    const connections: { size: number; value: number }[] = [];
+    await measureConnections(CONNECTIONS[0]!);
+    for (const size of CONNECTIONS) {
+        connections.push({ size, value: await measureConnections(size) });
+    }
+    return [
+        { symbol: "m_peer", quantity: "peer connections", unit: "B", per: "connection", points: connections },
+        bytes("m_ledger", "ledger, answers of 200 B", "entry", ENTRIES, fillLedger),
+        bytes("m_attempt", "attempt memory, answers of 200 B", "entry", ENTRIES, fillAttempts),
+        bytes("m_prefix", "prefix holders", "prefix", ENTRIES, fillPrefixes),
+        bytes("m_stage", "stage history", "stage", [10, 30, 60], fillHistory),
+        bytes("m_row", "membership", "listed instance", ROW_SIZES, fillMembership),
+        bytes("m_config", "configuration in force", "slot", SLOT_SIZES, fillReplica),
+        bytes("m_delta", "delta log, one edit a version", "version kept", [64, 128, 256], fillDeltaLog),
+    ];
+}
--- /dev/null
+++ b/bench/SlopeTime.ts
@@ -0,0 +1,199 @@
+/**
+ * Processor time of the work that a process does for control and for each request.
+ */
+import * as clocks from "../src/common/Clock";
+import type * as configurations from "../src/common/Configuration";
+import * as logs from "../src/common/Log";
+import type * as messages from "../src/common/Messages";
+import * as randoms from "../src/common/Random";
+import * as frames from "../src/connection/FrameCodec";
+import * as instanceLists from "../src/process/adapters/InstanceListService";
+import * as replicas from "../src/process/ConfigurationReplica";
+import * as memberships from "../src/process/Membership";
+import * as choices from "../src/process/UpstreamChoice";
+import * as watcherChoices from "../src/process/WatcherChoice";
+import * as deltas from "../src/version/ConfigurationDelta";
+import * as placements from "../src/version/Placement";
+import * as slopes from "./Slope";
+import * as samples from "./SlopeSamples";
+
+const BODY_SIZES = [128, 4_096, 32_768];
+const SLOT_SIZES = [120, 1_200, 6_000, 12_000];
+const ROW_SIZES = [130, 1_300, 12_900];
+const CANDIDATES = [4, 8, 16, 32];
+const SERVICE = "service-1";
+/** Deltas measured, times the slots and a fixed part of each. */
+const DELTA_WORK = 250_000;
+const DELTA_FIXED_WORK = 500;
+const SEED = 7;
+
+function roundTrip(message: messages.Message): () => void {
+    const decoder = new frames.FrameDecoder();
+    return () => void decoder.push(frames.encodeFrame({ version: 1, message }));
+}
+
+function createReplica(slots: number): replicas.ConfigurationReplica {
+    const replica = new replicas.ConfigurationReplica({ clock: clocks.systemClock, log: logs.silentLog });
+    replica.offer(samples.createConfiguration(1, slots), "bench");
+    return replica;
+}
+
+/** Time of a delta with one edit, its check and its digest, at a replica. */
+function measureDelta(slots: number): number {
+    const first = createReplica(slots).current!.configuration;
+    const prepared = createDeltas(first, Math.ceil(DELTA_WORK / (slots + DELTA_FIXED_WORK)));
+    applyDeltas(createReplica(slots), prepared);
+    const replica = createReplica(slots);
+    const start = process.cpuUsage();
+    applyDeltas(replica, prepared);
+    const { user, system } = process.cpuUsage(start);
+    return (user + system) / prepared.length;
+}
+
+function applyDeltas(replica: replicas.ConfigurationReplica, prepared: readonly messages.Delta[]): void {
+    for (const message of prepared) {
+        replica.observe({ version: message.to, message }, () => true, "peer");
+    }
+}
+
+function createDeltas(first: configurations.Configuration, count: number): messages.Delta[] {
+    const prepared: messages.Delta[] = [];
+    let from = first;
+    for (let index = 0; index < count; index++) {
+        const to = samples.changeSlot(from);
+        const edits = deltas.diff(from, to);
+        prepared.push({ kind: "delta", from: from.version, to: to.version, digest: deltas.digest(to), edits });
+        from = to;
+    }
+    return prepared;
+}
+
+/** Time of a full document, its check, its digest and its comparison with the one in force. */
+function measureDocument(slots: number): number {
+    const replica = createReplica(slots);
+    return slopes.measureCpuMicros(() => {
+        replica.offer(samples.changeSlot(replica.current!.configuration), "bench");
+    });
+}
+
+function measureChoice(candidates: number): number {
+    const random = randoms.createRandom(SEED);
+    const options = { clock: clocks.systemClock, random, failureDomain: "domain-1", region: "region-1" };
+    const choice = new choices.UpstreamChoice(options);
+    const request = {
+        service: SERVICE,
+        operation: "run",
+        model: "model-1",
+        avoidInstances: new Set<string>(),
+        avoidDomains: new Set<string>(),
+        candidates: Array.from({ length: candidates }, (_, index) => ({
+            instance: `engine-${index}`,
+            failureDomain: `domain-${index % 4}`,
+            region: "region-1",
+            load: samples.createLoad(4),
+            pending: 0,
+        })),
+    };
+    return slopes.measureCpuMicros(() => repeat(100, () => choice.choose(request))) / 100;
+}
+
+function measurePlacement(slots: number): number {
+    const configuration = samples.createConfiguration(1, slots);
+    const names = Object.keys(configuration.services[SERVICE]!.slots);
+    const live = new Set(names.slice(0, 9));
+    const held = new Set(["model-1", "model-2"]);
+    const inputs = { configuration, service: SERVICE, slot: names[0]!, live, held };
+    return slopes.measureCpuMicros(() => placements.findWantedModels(inputs));
+}
+
+function createMembership(): memberships.Membership {
+    const options = { clock: clocks.systemClock, self: "self", failureDomain: "domain-1", region: "region-1" };
+    return new memberships.Membership(options);
+}
+
+/** Time of one read of the instance list: parsing, the check by schema, and taking it in unchanged. */
+function measureList(rows: number): number {
+    const text = JSON.stringify(samples.createRows(rows));
+    const membership = createMembership();
+    return slopes.measureCpuMicros(() => {
+        membership.updateList(instanceLists.listSchema.parse(JSON.parse(text)));
+    });
+}
+
+/** Time of choosing the subsets anew after the view has changed. */
+function measureSubset(rows: number): number {
+    const membership = createMembership();
+    membership.updateList(samples.createRows(rows));
+    let incarnation = 1;
+    return slopes.measureCpuMicros(() => {
+        const hello = { kind: "hello" as const, protocol: 1, role: "agent" as const, instance: "instance-1" };
+        const more = { failureDomain: "domain-1", incarnation: incarnation++, service: SERVICE };
+        membership.noteConnected({ ...hello, ...more });
+        membership.agents(SERVICE);
+        membership.peers(4);
+    });
+}
+
+function measureWatcherChoice(instances: number): number {
+    const names = samples.createRows(instances).map(row => row.instance);
+    const choice = new watcherChoices.WatcherChoice("self", 8);
+    let epoch = 0;
+    return slopes.measureCpuMicros(() => choice.isChosen(names, epoch++));
+}
+
+/** Time of one heartbeat: encoding, decoding and comparing. */
+function measureHeartbeat(models: number): number {
+    const replica = createReplica(120);
+    const digest = replica.current!.digest;
+    const message = { ...samples.createHeartbeat(models), digest };
+    const decoder = new frames.FrameDecoder();
+    return slopes.measureCpuMicros(() => {
+        decoder.push(frames.encodeFrame({ version: 1, message }));
+        replica.observe({ version: 1, message }, () => true, "peer");
+    });
+}
+
+function repeat(count: number, work: () => void): void {
+    for (let index = 0; index < count; index++) {
+        work();
+    }
+}
+
+/** Measures all of them. */
+export function measureAll(): slopes.Slope[] {
+    const micros = (symbol: string, quantity: string, per: string, sizes: number[], run: (size: number) => number) => {
+        return { symbol, quantity, unit: "us" as const, per, points: slopes.measureAt(sizes, run) };
+    };
+    const trip = (message: messages.Message): number => slopes.measureCpuMicros(roundTrip(message));
+    return [
+        micros("t_choice", "routing decision", "candidate", CANDIDATES, measureChoice),
+        micros(
+            "t_call",
+            "encoding and decoding a call",
+            "body byte",
+            BODY_SIZES,
+            size => trip(samples.createCall(size)),
+        ),
+        micros(
+            "t_answer",
+            "encoding and decoding an answer",
+            "body byte",
+            BODY_SIZES,
+            size => trip(samples.createAnswer(size)),
+        ),
+        micros(
+            "t_part",
+            "encoding and decoding a stream's part",
+            "token",
+            [1, 4, 16, 64],
+            size => trip(samples.createPart(size)),
+        ),
+        micros("t_beat", "heartbeat, both sides", "model held", [0, 4, 12, 36], measureHeartbeat),
+        micros("t_delta", "delta of one edit applied", "slot", SLOT_SIZES, measureDelta),
+        micros("t_document", "document read from the service", "slot", SLOT_SIZES, measureDocument),
+        micros("t_list", "instance list read, unchanged", "row", ROW_SIZES, measureList),
+        micros("t_subset", "subsets after a change of the view", "row", ROW_SIZES, measureSubset),
+        micros("t_watcher", "choice of the watchers, once an epoch", "instance", ROW_SIZES, measureWatcherChoice),
+        micros("t_place", "placement of one engine", "slot", SLOT_SIZES, measurePlacement),
+    ];
+}
--- /dev/null
+++ b/bench/Slopes.ts
@@ -0,0 +1,56 @@
+/**
+ * Measures the slopes that docs/CAPACITY.md works with on the product's own code, and writes their table into
+ * that page between two markers.
+ */
+import * as fs from "node:fs";
+import * as fits from "./LinearFit";
+import type * as slopes from "./Slope";
+import * as bytes from "./SlopeBytes";
+import * as flights from "./SlopeFlight";
+import * as memory from "./SlopeMemory";
+import * as times from "./SlopeTime";
+
+const PAGE = "docs/CAPACITY.md";
+const BEGIN = "<!-- slopes: written by npm run bench -- slopes -->";
+const END = "<!-- end of slopes -->";
+
+/** Measures all slopes and rewrites the page's table; resolves to whether the page has the markers. */
+export async function writeSlopes(): Promise<boolean> {
+    const measured = [
+        ...bytes.measureAll(),
+        ...await memory.measureAll(),
+        ...await flights.measureAll(),
+        ...times.measureAll(),
+    ];
+    const table = renderTable(measured);
+    console.log(table);
+    const page = fs.readFileSync(PAGE, "utf8");
+    const begin = page.indexOf(BEGIN);
+    const end = page.indexOf(END);
+    if (begin < 0 || end < begin) {
+        console.error(`${PAGE} has no markers for the table`);
+        return false;
+    }
+    fs.writeFileSync(PAGE, `${page.slice(0, begin + BEGIN.length)}\n\n${table}\n${page.slice(end)}`);
+    return true;
+}
+
+function renderTable(measured: readonly slopes.Slope[]): string {
+    const rows = measured.map(slope => {
+        const line = fits.fit(slope.points);
+        const points = slope.points.map(({ size, value }) => `${size}: ${round(value)}`).join(", ");
+        const residual = `${Math.round(line.residual * 100)}%`;
+        const cells = [slope.symbol, slope.quantity, slope.unit, round(line.fixed), round(line.slope), slope.per];
+        return `| ${[...cells, residual, points].join(" | ")} |`;
+    });
+    return [
+        "| symbol | quantity | unit | fixed | slope | per | residual | measured (size: value) |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+        ...rows,
+        "",
+    ].join("\n");
+}
+
+function round(value: number): string {
+    return String(Number(value.toPrecision(value >= 1_000 ? 4 : 3)));
+}
--- a/src/process/adapters/InstanceListService.ts
+++ b/src/process/adapters/InstanceListService.ts
@@ -20,7 +20,8 @@
     state: z.enum(["live", "leaving"]),
 });
 
-const listSchema = z.array(rowSchema).max(MAX_ROWS);
+/** The whole list. */
+export const listSchema = z.array(rowSchema).max(MAX_ROWS);
 
 /** Connects the port to the list at `address`, an IP number and a port. */
 export function createInstanceList(address: string): ports.InstanceList {
--- a/standins/Bare.ts
+++ b/standins/Bare.ts
@@ -1,6 +1,7 @@
 /**
  * The plainest programs for comparison: `upstream` answers each call with its own body and streams tokens as
- * fast as it can; `proxy` hands requests on to the next address by node:http and does nothing else. Both
+ * fast as it can, but for the operations `hold`, which gets no answer, and `stall`, which gets one token;
+ * `proxy` hands requests on to the next address by node:http and does nothing else. Both
  * print `ready ADDRESS` and tell their processor time at `GET /usage`.
  */
 import * as commander from "commander";
@@ -49,12 +50,21 @@
 function serveUpstream(request: http.IncomingMessage, response: http.ServerResponse): void {
     response.setHeader("x-boot", `bare-${process.pid}`);
     const path = request.url ?? "";
+    if (path === "/call/hold") {
+        request.resume();
+        return;
+    }
     if (path.startsWith("/call/")) {
         response.setHeader("content-type", "application/json");
         request.pipe(response);
         return;
     }
     request.resume();
+    if (path === "/stream/stall") {
+        response.writeHead(200, { "content-type": "application/x-ndjson" });
+        response.write("{\"offset\":0,\"tokens\":[\"token0 \"]}\n");
+        return;
+    }
     if (path.startsWith("/stream/")) {
         response.writeHead(200, { "content-type": "application/x-ndjson" });
         addStream(response, 0);
