Write the events of one turn of the event loop to a caller at once

Cause: under the experiment overhead the entry made one write, with its own chunk header, for each token. Change: EventStream gathers the events of one turn of the event loop; the last event goes out with them.

--- a/src/request/CallerAnswer.ts
+++ b/src/request/CallerAnswer.ts
@@ -63,6 +63,9 @@
 
 /** A stream of server-sent events; its headers go out with the first token. */
 export class EventStream {
+    /** Events of this turn of the event loop; they go out in one write. */
+    private unwritten = "";
+
     constructor(private readonly response: http.ServerResponse) {}
 
     get hasBegun(): boolean {
@@ -72,17 +75,30 @@
     /** Sends one token. Ends the connection of a caller that doesn't read. */
     writeToken(offset: number, token: string): void {
         this.begin();
-        this.response.write(`id: ${offset}\nevent: token\ndata: ${JSON.stringify(token)}\n\n`);
-        if (this.response.writableLength > MAX_UNSENT_BYTES) {
-            this.response.destroy();
+        if (this.unwritten === "") {
+            setImmediate(() => this.flush());
         }
+        this.unwritten += `id: ${offset}\nevent: token\ndata: ${JSON.stringify(token)}\n\n`;
     }
 
     /** Sends the last event: `end` when the answer is whole, else `error`. */
     writeEnd(body: AnswerBody): void {
         this.begin();
         const event = body.outcome === "completed" ? "end" : "error";
-        this.response.end(`event: ${event}\ndata: ${JSON.stringify(body)}\n\n`);
+        const last = `event: ${event}\ndata: ${JSON.stringify(body)}\n\n`;
+        this.response.end(this.unwritten + last);
+        this.unwritten = "";
+    }
+
+    private flush(): void {
+        if (this.unwritten === "") {
+            return;
+        }
+        this.response.write(this.unwritten);
+        this.unwritten = "";
+        if (this.response.writableLength > MAX_UNSENT_BYTES) {
+            this.response.destroy();
+        }
     }
 
     private begin(): void {
