Join the tokens of one turn of the event loop into one part

Change: the agent gathers a stream's tokens of one turn of the event loop into one part, bounded by tokens and characters; parts that don't follow each other stay apart, and what was gathered goes out before the answer.

--- a/src/connection/AgentServer.ts
+++ b/src/connection/AgentServer.ts
@@ -4,6 +4,7 @@
 import * as codes from "../common/Codes";
 import * as messages from "../common/Messages";
 import * as upstreamWorks from "../request/UpstreamWork";
+import * as partBatches from "./PartBatch";
 import * as peerConnections from "./PeerConnection";
 
 type Works = Map<number, upstreamWorks.UpstreamWork>;
@@ -57,13 +58,15 @@
         if (works === undefined || works.has(call.call)) {
             return;
         }
-        const work = new upstreamWorks.UpstreamWork(this.context, call, version, part => {
-            connection.send({ kind: "part", call: call.call, offset: part.offset, tokens: [...part.tokens] });
+        const parts = new partBatches.PartBatch(({ offset, tokens }) => {
+            connection.send({ kind: "part", call: call.call, offset, tokens: [...tokens] });
         });
+        const work = new upstreamWorks.UpstreamWork(this.context, call, version, part => parts.add(part));
         works.set(call.call, work);
         const answer = await work.run();
         works.delete(call.call);
         this.onEnd(answer);
+        parts.flush();
         connection.send(answer);
         this.forgetIfEnded(connection, works);
     }
--- /dev/null
+++ b/src/connection/PartBatch.test.ts
@@ -0,0 +1,40 @@
+import * as vitest from "vitest";
+import type * as ports from "../common/Ports";
+import * as batches from "./PartBatch";
+
+const { expect, it } = vitest;
+
+type Part = [offset: number, ...tokens: string[]];
+const long = Array.from({ length: batches.MAX_BATCH_TOKENS }, (_, index) => `${index}`);
+const wide = "x".repeat(batches.MAX_BATCH_CHARACTERS);
+
+/** Parts of each turn of the event loop, and the parts sent. */
+const tables: [string, Part[][], Part[]][] = [
+    ["joins the parts of one turn", [[[0, "a"], [1, "b", "c"], [3, "d"]]], [[0, "a", "b", "c", "d"]]],
+    ["sends each turn's parts", [[[0, "a"]], [[1, "b"], [2, "c"]]], [[0, "a"], [1, "b", "c"]]],
+    ["keeps parts apart that don't follow", [[[0, "a"], [5, "b"]]], [[0, "a"], [5, "b"]]],
+    ["keeps a repeated part apart", [[[0, "a", "b"], [1, "b", "c"]]], [[0, "a", "b"], [1, "b", "c"]]],
+    ["bounds a part", [[[0, ...long], [long.length, "x"]]], [[0, ...long], [long.length, "x"]]],
+    ["bounds a part's characters", [[[0, wide], [1, "x"]]], [[0, wide], [1, "x"]]],
+    ["sends nothing for an empty part", [[[4]]], []],
+];
+it.each(tables)("%s", (_, turns, expected) => {
+    const sent: ports.UpstreamPart[] = [];
+    const deferred: (() => void)[] = [];
+    const batch = new batches.PartBatch(part => sent.push(part), callback => deferred.push(callback));
+    for (const turn of turns) {
+        turn.forEach(([offset, ...tokens]) => batch.add({ offset, tokens }));
+        deferred.splice(0).forEach(callback => callback());
+    }
+    expect(sent).toEqual(expected.map(([offset, ...tokens]) => ({ offset, tokens })));
+});
+
+it("sends what was gathered when told to, once", () => {
+    const sent: ports.UpstreamPart[] = [];
+    const deferred: (() => void)[] = [];
+    const batch = new batches.PartBatch(part => sent.push(part), callback => deferred.push(callback));
+    batch.add({ offset: 0, tokens: ["a"] });
+    batch.flush();
+    deferred.forEach(callback => callback());
+    expect(sent).toEqual([{ offset: 0, tokens: ["a"] }]);
+});
