--- /dev/null
+++ b/tests/CallerInterface.test.ts
@@ -0,0 +1,168 @@
+import * as fc from "fast-check";
+import * as http from "node:http";
+import * as net from "node:net";
+import * as vitest from "vitest";
+import * as demo from "../src/commands/DemoConfiguration";
+import * as codes from "../src/common/Codes";
+import * as fleets from "../standins/LocalFleet";
+
+const { afterAll, beforeAll, describe, expect, it } = vitest;
+
+const SEED = 31;
+const PIPELINE_PATH = "/v1/pipelines/report";
+const OVERSIZED_BYTES = 1_100_000;
+
+let fleet: fleets.LocalFleet;
+
+beforeAll(async () => {
+    fleet = await fleets.LocalFleet.start({
+        configuration: demo.demoConfiguration,
+        entries: 1,
+        random: () => 0.5,
+        engine: () => ({ msPerToken: 1 }),
+    });
+});
+
+afterAll(() => fleet.dispose());
+
+interface RawReply {
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    text: string;
+}
+
+function address(): { host: string; port: number } {
+    const [host, port] = fleet.entries.get("entry-1")!.callerAddress.split(":");
+    return { host: host!, port: Number(port) };
+}
+
+function send(path: string, method: string, headers: http.OutgoingHttpHeaders, body: string): Promise<RawReply> {
+    return new Promise((resolve, reject) => {
+        const request = http.request({ ...address(), path, method, headers, agent: false }, response => {
+            let text = "";
+            response.setEncoding("utf8");
+            response.on("data", (chunk: string) => text += chunk);
+            response.on("end", () => resolve({ status: response.statusCode ?? 0, headers: response.headers, text }));
+        });
+        request.on("error", reject);
+        request.end(body);
+    });
+}
+
+function sendBytes(bytes: Uint8Array): Promise<void> {
+    return new Promise(resolve => {
+        const socket = net.connect(address());
+        socket.on("error", () => resolve());
+        socket.on("close", () => resolve());
+        socket.resume();
+        socket.end(bytes);
+    });
+}
+
+const team = { "cumincrank-team": "bench" };
+
+describe("the interface to callers", () => {
+    const accepted: [string, string, http.OutgoingHttpHeaders, string][] = [
+        ["a pipeline", PIPELINE_PATH, team, "{\"prompt\":\"frame\",\"maxTokens\":3}"],
+        ["an empty body", PIPELINE_PATH, team, ""],
+        ["a plain operation", "/v1/services/bookings/lookup", team, "{\"id\":1}"],
+        ["a null body", PIPELINE_PATH, team, "null"],
+    ];
+    it.each(accepted)("completes %s", async (_name, path, headers, body) => {
+        const reply = await send(path, "POST", headers, body);
+        expect(JSON.parse(reply.text)).toMatchObject({ outcome: "completed", code: 0 });
+        expect(reply.headers["cumincrank-outcome"]).toBe("completed");
+    });
+
+    const refused: [string, string, string, http.OutgoingHttpHeaders, string, codes.ResultCode][] = [
+        ["another method", PIPELINE_PATH, "GET", team, "", codes.codes.unknownPath],
+        ["another path", "/v2/pipelines/report", "POST", team, "{}", codes.codes.unknownPath],
+        ["a path with a bad name", "/v1/pipelines/a%2Fb", "POST", team, "{}", codes.codes.unknownPath],
+        ["an unknown pipeline", "/v1/pipelines/other", "POST", team, "{}", codes.codes.unknownPipeline],
+        [
+            "a pipeline named like a property",
+            "/v1/pipelines/constructor",
+            "POST",
+            team,
+            "{}",
+            codes.codes.unknownPipeline,
+        ],
+        ["an unknown operation", "/v1/services/bookings/burn", "POST", team, "{}", codes.codes.unknownOperation],
+        ["an unknown team", PIPELINE_PATH, "POST", { "cumincrank-team": "nobody" }, "{}", codes.codes.unknownTeam],
+        ["no team", PIPELINE_PATH, "POST", {}, "{}", codes.codes.invalidRequest],
+        ["a malformed body", PIPELINE_PATH, "POST", team, "{", codes.codes.invalidRequest],
+        [
+            "a negative deadline",
+            PIPELINE_PATH,
+            "POST",
+            { ...team, "cumincrank-deadline-ms": "-5" },
+            "{}",
+            codes.codes.invalidRequest,
+        ],
+        [
+            "a priority out of range",
+            PIPELINE_PATH,
+            "POST",
+            { ...team, "cumincrank-priority": "10" },
+            "{}",
+            codes.codes.invalidRequest,
+        ],
+        [
+            "a key with spaces",
+            PIPELINE_PATH,
+            "POST",
+            { ...team, "idempotency-key": "a b" },
+            "{}",
+            codes.codes.invalidRequest,
+        ],
+        [
+            "an oversized body",
+            PIPELINE_PATH,
+            "POST",
+            team,
+            `"${"x".repeat(OVERSIZED_BYTES)}"`,
+            codes.codes.bodyTooLarge,
+        ],
+    ];
+    it.each(refused)("refuses %s as not run", async (_name, path, method, headers, body, code) => {
+        const reply = await send(path, method, headers, body);
+        expect(JSON.parse(reply.text)).toMatchObject({ outcome: "not-run", code: code.code });
+        expect(reply.status).toBe(code.status);
+    });
+
+    it("goes on serving after random bytes", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.uint8Array({ maxLength: 300 }), async bytes => {
+                await sendBytes(bytes);
+            }),
+            { seed: SEED, numRuns: 30 },
+        );
+        const reply = await send(PIPELINE_PATH, "POST", team, "{\"maxTokens\":1}");
+        expect(JSON.parse(reply.text)).toMatchObject({ outcome: "completed" });
+    });
+
+    it("streams tokens with offsets and an explicit last event", async () => {
+        const reply = await send(PIPELINE_PATH, "POST", { ...team, accept: "text/event-stream" }, "{\"maxTokens\":5}");
+        const events = reply.text.split("\n\n").filter(event => event !== "");
+        expect(events.map(event => /^id: (\d+)/.exec(event)?.[1])).toEqual(["0", "1", "2", "3", "4", undefined]);
+        expect(events.at(-1)).toMatch(/^event: end\ndata: .*"outcome":"completed"/);
+    });
+
+    it("cancels the work upstream when the caller goes away", async () => {
+        const engines = ["engine-1", "engine-2"].map(name => fleet.upstreams.get(name)!);
+        const cancelled = (): number =>
+            engines.reduce((sum, engine) => sum + Number(engine.describe()["cancelled"] ?? 0), 0);
+        const gone = new AbortController();
+        const reply = fleet.call("entry-1", {
+            path: PIPELINE_PATH,
+            team: "bench",
+            body: { maxTokens: 3_000 },
+            streams: true,
+            signal: gone.signal,
+        });
+        await fleet.waitFor(() => engines.some(engine => engine.capacity.active > 0));
+        gone.abort();
+        expect((await reply).answer).toBeUndefined();
+        await fleet.waitFor(() => cancelled() > 0);
+    });
+});
