--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -231,6 +231,7 @@
             recordSuccess: (instance, upstreamMs, totalMs) => this.choice.recordSuccess(instance, upstreamMs, totalMs),
             recordFailure: instance => this.choice.recordFailure(instance),
             candidates: service => this.findCandidates(service),
+            explainNone: service => this.explainNone(service),
             client: instance => this.pool.find(instance),
             home: (service, key) => this.findHome(service, key),
             recover: (instance, incarnation, query, deadline) => this.recover(instance, incarnation, query, deadline),
@@ -259,6 +260,17 @@
         return candidates;
     }
 
+    /** A service of which every slot is out says so; else its instances can't be reached. */
+    private explainNone(service: string): codes.ResultCode {
+        const { configuration } = this;
+        const slots = Object.keys(configuration?.services[service]?.slots ?? {});
+        const reasons = slots.map(slot => configurations.findOutOfService(configuration!, service, slot));
+        if (slots.length === 0 || reasons.includes(undefined)) {
+            return codes.codes.noInstance;
+        }
+        return reasons.includes("failure-domain") ? codes.codes.domainOut : codes.codes.upstreamOut;
+    }
+
     private findHome(service: string, key: string): string | undefined {
         return keyHomes.findHome(key, Object.keys(this.configuration?.services[service]?.slots ?? {}));
     }
--- a/src/request/Stage.ts
+++ b/src/request/Stage.ts
@@ -59,6 +59,8 @@
     readonly hedgeBudget: retryBudgets.RetryBudget;
     /** Usable instances of a service now, by the newest word on what is out. */
     readonly candidates: (service: string) => readonly choices.Candidate[];
+    /** Why a service has no usable instance: out of service, or none reachable. */
+    readonly explainNone: (service: string) => codes.ResultCode;
     /** The connection to an instance; undefined when there is none. */
     readonly client: (instance: string) => agentClients.AgentClient | undefined;
     /** The instance responsible for a key. */
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -25,6 +25,7 @@
 const MAX_ATTEMPTS = 12;
 /** Time that an answer needs on its way back; less than this left ends the attempts. */
 const MIN_ATTEMPT_MS = 2;
+const NO_INSTANCE_RETRY_MS = 1_000;
 
 /** The run of one stage; used once. */
 export class StageCall {
@@ -81,7 +82,8 @@
             candidates,
         });
         if (choice === undefined) {
-            return { isErr: true, code: codes.codes.noInstance, detail: work.service, retryAfterMs: 1_000 };
+            const code = context.explainNone(work.service);
+            return { isErr: true, code, detail: work.service, retryAfterMs: NO_INSTANCE_RETRY_MS };
         }
         this.logDecision(choice.candidate.instance, choice.considered, choice.reason);
         return { isErr: false, candidate: choice.candidate };
@@ -93,7 +95,7 @@
         const candidate = candidates.find(other => other.instance === home);
         if (candidate === undefined) {
             const detail = home ?? this.work.service;
-            return { isErr: true, code: codes.codes.homeUnavailable, detail, retryAfterMs: 1_000 };
+            return { isErr: true, code: codes.codes.homeUnavailable, detail, retryAfterMs: NO_INSTANCE_RETRY_MS };
         }
         this.logDecision(candidate.instance, [candidate.instance], "home of the key");
         return { isErr: false, candidate };
--- a/standins/Main.ts
+++ b/standins/Main.ts
@@ -27,8 +27,8 @@
 
 const controlSchema = z.strictObject({
     standin: z.string(),
-    /** `faults` replaces all faults; the others call the method of that name. */
-    action: z.enum(["faults", "publish", "set", "restart", "stop", "start", "cutConnections"]),
+    /** `faults` replaces all faults, `publishFile` publishes a YAML file; the others call the method of that name. */
+    action: z.enum(["faults", "publishFile", "publish", "set", "restart", "stop", "start", "cutConnections"]),
     arguments: z.array(z.unknown()).default([]),
 });
 
@@ -79,6 +79,11 @@
             standIns.answer(response, 200, {});
             return;
         }
+        if (control.action === "publishFile" && standIn instanceof configurationServices.ConfigurationServiceStandIn) {
+            standIn.publish(readYaml(String(control.arguments[0])));
+            standIns.answer(response, 200, {});
+            return;
+        }
         const method: unknown = Reflect.get(standIn, control.action);
         if (typeof method !== "function") {
             standIns.answer(response, 400, { error: control.action });
@@ -89,11 +94,20 @@
     }
 }
 
+function readYaml(file: string): unknown {
+    return yaml.parse(fs.readFileSync(file, "utf8"));
+}
+
+/** A configuration service may name its document's YAML file in place of the document. */
+function resolveOptions({ documentFile, ...options }: Record<string, unknown>): standIns.ListenOptions {
+    return documentFile === undefined ? options : { ...options, document: readYaml(String(documentFile)) } as object;
+}
+
 async function run(file: string): Promise<void> {
-    const spec = specSchema.parse(yaml.parse(fs.readFileSync(file, "utf8")));
+    const spec = specSchema.parse(readYaml(file));
     const control = new Control();
     for (const { name, kind, options } of spec.standIns) {
-        control.byName.set(name, await makers[kind](options as standIns.ListenOptions));
+        control.byName.set(name, await makers[kind](resolveOptions(options)));
     }
     await control.start(spec.controlPort);
     console.log(`ready ${control.address}`);
--- a/tests/CallerInterface.test.ts
+++ b/tests/CallerInterface.test.ts
@@ -148,6 +148,30 @@
         expect(events.at(-1)).toMatch(/^event: end\ndata: .*"outcome":"completed"/);
     });
 
+    const outs: [string, (draft: typeof demo.demoConfiguration) => void, codes.ResultCode][] = [
+        [
+            "every upstream of a service is out",
+            draft => Object.values(draft.services["bookings"]!.slots).forEach(slot => slot.state = "out"),
+            codes.codes.upstreamOut,
+        ],
+        [
+            "every failure domain is out",
+            draft => Object.values(draft.failureDomains).forEach(domain => domain.state = "out"),
+            codes.codes.domainOut,
+        ],
+    ];
+    it.each(outs)("says so when %s", async (_name, change, code) => {
+        const entry = fleet.entries.get("entry-1")!;
+        const before = fleet.configuration;
+        const outVersion = fleet.publish(change);
+        await fleet.waitFor(() => entry.version >= outVersion);
+        const reply = await send("/v1/services/bookings/lookup", "POST", team, "{}");
+        expect(JSON.parse(reply.text)).toMatchObject({ outcome: "not-run", code: code.code, retryAfterMs: 1_000 });
+        const { services, failureDomains } = before;
+        const backVersion = fleet.publish(draft => Object.assign(draft, structuredClone({ services, failureDomains })));
+        await fleet.waitFor(() => entry.version >= backVersion);
+    });
+
     it("cancels the work upstream when the caller goes away", async () => {
         const engines = ["engine-1", "engine-2"].map(name => fleet.upstreams.get(name)!);
         const cancelled = (): number =>
