Refuse on the agent a call whose model the engine doesn't hold

Cause: an entry with an old word on an engine's models sends the stage there; the engine's 404 counts as completed and rejected. Change: the agent compares the call with the engine's last report and refuses as not run (220), and the entry chooses again without spending a retry. Also: an entry sends calls only on connections that it opened itself, since an agent may end its gossip connections.

--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -45,7 +45,12 @@
     /** Fires once, when the connection ends. */
     readonly onClose = this.closeEmitter.event;
 
-    private constructor(private readonly socket: net.Socket, private readonly context: PeerContext) {
+    private constructor(
+        private readonly socket: net.Socket,
+        private readonly context: PeerContext,
+        /** Whether this process opened the connection. */
+        readonly isOpener: boolean,
+    ) {
         this.lastHeardMs = context.clock.now();
         this.lastSentMs = this.lastHeardMs;
         socket.setNoDelay(true);
@@ -69,7 +74,7 @@
             socket.destroy();
             return result.err(codes.failure(codes.codes.peerUnreachable, `${address}: ${failed}`));
         }
-        return PeerConnection.handshake(socket, context);
+        return PeerConnection.handshake(socket, context, true);
     }
 
     /** Takes over an accepted socket and waits for the peer's hello. */
@@ -77,14 +82,15 @@
         socket: net.Socket,
         context: PeerContext,
     ): Promise<result.Result<PeerConnection, codes.Failure>> {
-        return PeerConnection.handshake(socket, context);
+        return PeerConnection.handshake(socket, context, false);
     }
 
     private static async handshake(
         socket: net.Socket,
         context: PeerContext,
+        isOpener: boolean,
     ): Promise<result.Result<PeerConnection, codes.Failure>> {
-        const connection = new PeerConnection(socket, context);
+        const connection = new PeerConnection(socket, context, isOpener);
         const timer = context.clock.schedule(HANDSHAKE_TIMEOUT_MS, () => {
             connection.close(codes.failure(codes.codes.peerSilent, "no hello"));
         });
--- a/src/process/AgentPlacement.ts
+++ b/src/process/AgentPlacement.ts
@@ -52,6 +52,11 @@
         return this.task?.held ?? [];
     }
 
+    /** Whether the engine holds a model by its last report; true beside a plain service and before the first report. */
+    holds(model: string): boolean {
+        return this.task?.hasReport !== true || this.task.held.includes(model);
+    }
+
     /** Takes in which models another agent's engine holds. */
     noteModels(remote: messages.Hello, models: readonly string[]): void {
         if (remote.service === this.options.service) {
--- a/src/process/AgentPool.ts
+++ b/src/process/AgentPool.ts
@@ -16,9 +16,9 @@
 
     constructor(private readonly clock: clocks.Clock) {}
 
-    /** Takes in a new connection; connections to other roles are left alone. */
+    /** Takes in a new connection to an agent. One that the agent opened is for gossip, and the agent may end it. */
     add(connection: peerConnections.PeerConnection): void {
-        if (connection.remote.role !== "agent") {
+        if (connection.remote.role !== "agent" || !connection.isOpener) {
             return;
         }
         const client = new agentClients.AgentClient(connection);
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -237,6 +237,7 @@
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
+            holdsModel: model => this.placement.holds(model),
             decideHome: key => this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
             load: () => this.describeLoad(),
--- a/src/process/PlacementTask.ts
+++ b/src/process/PlacementTask.ts
@@ -68,6 +68,7 @@
     private heldModels: readonly string[] = [];
     private fence: number | undefined;
     private stopped = false;
+    private reported = false;
     /** When each pending change was first wanted, by action and model. */
     private readonly pendingSinceMs = new Map<string, number>();
     private readonly readsDone = new Map<string, number>();
@@ -90,6 +91,11 @@
         return this.heldModels;
     }
 
+    /** Whether the engine has reported its models. */
+    get hasReport(): boolean {
+        return this.reported;
+    }
+
     /** Whether ordering ended because a later incarnation orders this engine. */
     get isStopped(): boolean {
         return this.stopped;
@@ -114,6 +120,7 @@
             return;
         }
         this.heldModels = report.value.models;
+        this.reported = true;
         this.heldModels.forEach(model => this.readsDone.delete(model));
         this.fence ??= this.nextFence(report.value.fence);
         const inputs = this.readInputs();
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -41,6 +41,8 @@
     readonly unreadMs: () => number;
     /** Resolves to whether this version or a later one came into force in time. */
     readonly catchUp: (version: number, timeoutMs: number) => Promise<boolean>;
+    /** Whether the upstream can serve the model by its last report. */
+    readonly holdsModel: (model: string) => boolean;
     readonly decideHome: (key: string) => codes.Failure | undefined;
     readonly noteBoot: (boot: string) => void;
     readonly load: () => messages.Load;
@@ -149,6 +151,10 @@
             const code = out === "upstream" ? codes.codes.upstreamOut : codes.codes.domainOut;
             return codes.failure(code, context.slot, REFUSED_RETRY_MS);
         }
+        const { model } = this.call;
+        if (model !== undefined && !context.holdsModel(model)) {
+            return codes.failure(codes.codes.modelNotLoaded, model, REFUSED_RETRY_MS);
+        }
         if (this.deadline.isExpired) {
             return codes.failure(codes.codes.expired, `${Math.round(this.deadline.remainingMs)} ms left`);
         }
