Publish how many calls an upstream completes before it bears more

Change: a service may publish coldCalls (8 when it doesn't); the limit stays cold until as many successes.

--- a/src/common/Configuration.ts
+++ b/src/common/Configuration.ts
@@ -50,6 +50,8 @@
     warmConcurrency: z.int().min(1).max(100_000),
     /** Concurrency that an upstream bears right after its start. */
     coldConcurrency: z.int().min(1).max(100_000),
+    /** Calls that an upstream completes after its start before it bears more; undefined for the default. */
+    coldCalls: z.int().min(0).max(100_000).optional(),
     /** The upstreams of the service by instance name. */
     slots: z.record(nameSchema, slotSchema),
 });
--- a/src/process/AdmissionLimit.test.ts
+++ b/src/process/AdmissionLimit.test.ts
@@ -45,6 +45,12 @@
         expect(limit.limit).toBe(expected);
     });
 
+    it.each([[7, 2], [8, 3], [11, 4]])("with 8 cold calls, after %d successes admits %d", (successes, expected) => {
+        const limit = new limits.AdmissionLimit(() => ({ ...bounds, coldCalls: 8 }));
+        complete(limit, success, successes);
+        expect(limit.limit).toBe(expected);
+    });
+
     it("takes each call back once", () => {
         const limit = new limits.AdmissionLimit(() => bounds);
         const ticket = limit.tryAcquire()!;
--- a/src/process/AdmissionLimit.ts
+++ b/src/process/AdmissionLimit.ts
@@ -16,6 +16,8 @@
 export interface ConcurrencyBounds {
     readonly coldConcurrency: number;
     readonly warmConcurrency: number;
+    /** Successes after a cold start before the limit rises; undefined for one round at the cold concurrency. */
+    readonly coldCalls?: number | undefined;
 }
 
 /** How an admitted call ended; neutral says nothing about the upstream. Durations are in milliseconds. */
@@ -134,10 +136,10 @@
     private countSuccess(): void {
         this.successes += 1;
         const limit = this.limit;
-        if (this.successes < limit) {
+        const { warm, coldCalls } = this.readBounds();
+        if (this.successes < Math.max(limit, this.cold ? coldCalls : 0)) {
             return;
         }
-        const { warm } = this.readBounds();
         const step = limit < warm / 2 ? limit * GROWTH_RATIO : warm * WARM_STEP_RATIO;
         this.successes = 0;
         this.raised = Math.min(warm, limit + Math.max(1, Math.floor(step)));
@@ -154,10 +156,11 @@
         this.raised = Math.floor(this.limit * FAILURE_FACTOR);
     }
 
-    private readBounds(): { cold: number; warm: number } {
+    private readBounds(): { cold: number; warm: number; coldCalls: number } {
         const bounds = this.bounds();
         const warm = atLeastOne(bounds.warmConcurrency);
-        return { cold: Math.min(warm, atLeastOne(bounds.coldConcurrency)), warm };
+        const cold = Math.min(warm, atLeastOne(bounds.coldConcurrency));
+        return { cold, warm, coldCalls: bounds.coldCalls ?? 0 };
     }
 }
 
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -30,6 +30,8 @@
 /** Agents of the same service that an agent hears from; they tell which models they hold. */
 const SAME_SERVICE_PEERS = 8;
 const DRAIN_POLL_MS = 10;
+/** Successes after a cold start before the limit rises, for services that publish no number. */
+const DEFAULT_COLD_CALLS = 8;
 
 /** What a test or experiment may replace. */
 export interface AgentOptions {
@@ -41,7 +43,7 @@
     readonly engine: ports.ModelEngine;
     readonly weightStore?: ports.WeightStore | undefined;
     /** Concurrency bounds; undefined for the published ones. */
-    readonly bounds?: () => { coldConcurrency: number; warmConcurrency: number };
+    readonly bounds?: () => limits.ConcurrencyBounds;
 }
 
 /** A running agent. */
@@ -261,9 +263,13 @@
         this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
     }
 
-    private findBounds(): { coldConcurrency: number; warmConcurrency: number } {
+    private findBounds(): limits.ConcurrencyBounds {
         const published = this.configuration?.services[this.settings.service];
-        return this.options.bounds?.() ?? published ?? { coldConcurrency: 1, warmConcurrency: 1 };
+        const bounds = this.options.bounds?.();
+        if (bounds !== undefined || published === undefined) {
+            return bounds ?? { coldConcurrency: 1, warmConcurrency: 1 };
+        }
+        return { coldCalls: DEFAULT_COLD_CALLS, ...published };
     }
 
     private findWeight(team: string): number {
