Keep an abandoned call's place until the upstream no longer holds it

Cause: a cancelled or late call gave its place back at once, while the engine noticed the closed connection later; an answer gave it back before its boot identity was taken in. Change: on a cold upstream an abandoned call works on to its end (30 s at most) in its place; on a warm one the connection is closed and the place is kept for 50 ms more. The caller is answered at once as before.

--- a/src/common/Ports.ts
+++ b/src/common/Ports.ts
@@ -49,6 +49,8 @@
     readonly key?: string | undefined;
     /** Time the upstream has for its answer. */
     readonly remainingMs: number;
+    /** Time after which the exchange is given up; undefined for the remaining time. */
+    readonly timeoutMs?: number | undefined;
     readonly body: unknown;
     /** Whether a connection of its own must be used, since a reset on a reused one proves nothing. */
     readonly freshConnection: boolean;
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -68,6 +68,7 @@
     private readonly server: agentServers.AgentServer;
     private readonly watch: upstreamWatches.UpstreamWatch;
     private admin: listeners.Listener | undefined;
+    private readonly stopped = new AbortController();
     private isDraining = false;
 
     private constructor(
@@ -178,6 +179,7 @@
     /** Ends at once, as a kill would. */
     dispose(): void {
         this.isDraining = true;
+        this.stopped.abort();
         this.store.dispose();
     }
 
@@ -241,6 +243,8 @@
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
             decideHome: key => this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
+            isCold: () => this.limit.isCold,
+            stopped: this.stopped.signal,
             load: () => this.describeLoad(),
         };
     }
--- a/src/process/adapters/PlainUpstream.ts
+++ b/src/process/adapters/PlainUpstream.ts
@@ -61,7 +61,7 @@
         headers: describeHeaders(call),
         echoedHeader: REQUEST_HEADER,
         body: call.body,
-        timeoutMs: call.remainingMs,
+        timeoutMs: call.timeoutMs ?? call.remainingMs,
         freshConnection: call.freshConnection,
     };
 }
--- /dev/null
+++ b/src/request/UpstreamDispatch.test.ts
@@ -0,0 +1,120 @@
+import * as result from "true-myth/result";
+import * as vitest from "vitest";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as ports from "../common/Ports";
+import * as limits from "../process/AdmissionLimit";
+import * as dispatches from "./UpstreamDispatch";
+
+const { describe, expect, it } = vitest;
+
+const call: dispatches.DispatchedCall = {
+    request: "r",
+    operation: "generate",
+    priority: 0,
+    remainingMs: 1_000,
+    body: {},
+    freshConnection: false,
+    stream: undefined,
+    endsAtDeadline: true,
+};
+const answer: ports.UpstreamAnswer = { code: codes.codes.ok, body: {}, tokens: 0, boot: "boot-2" };
+
+/** An upstream that answers on demand, or with a failure once the exchange is aborted. */
+class Fixture {
+    readonly clock = new clocks.ManualClock();
+    readonly events: string[] = [];
+    readonly caller = new AbortController();
+    readonly stopped = new AbortController();
+    private settle: (reply: result.Result<ports.UpstreamAnswer, codes.Failure>) => void = () => undefined;
+
+    constructor(private readonly isCold: boolean) {}
+
+    run(): Promise<dispatches.DispatchEnd> {
+        const engine = {
+            call: (_: ports.UpstreamCall, signal: AbortSignal) =>
+                new Promise<result.Result<ports.UpstreamAnswer, codes.Failure>>(resolve => {
+                    this.settle = resolve;
+                    signal.addEventListener("abort", () => {
+                        this.events.push("closed");
+                        resolve(result.err(codes.failure(codes.codes.cancelledRunning, "aborted")));
+                    });
+                }),
+        };
+        const dispatch = new dispatches.UpstreamDispatch({
+            clock: this.clock,
+            engine: engine as unknown as ports.ModelEngine,
+            noteBoot: boot => this.events.push(boot),
+            isCold: () => this.isCold,
+            stopped: this.stopped.signal,
+        }, { queuedMs: 0, finish: (completion: limits.Completion) => this.events.push(completion.kind) });
+        return dispatch.run(call, this.caller.signal);
+    }
+
+    answer(): void {
+        this.settle(result.ok(answer));
+    }
+
+    /** Lets promises run. */
+    async turn(): Promise<void> {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+describe("UpstreamDispatch", () => {
+    it("takes in the boot identity before it gives the place back", async () => {
+        const fixture = new Fixture(false);
+        const end = fixture.run();
+        fixture.answer();
+        expect((await end).reply.isOk).toBe(true);
+        expect(fixture.events).toEqual(["boot-2", "success"]);
+    });
+
+    const causes: [string, (fixture: Fixture) => void, codes.ResultCode, string][] = [
+        ["a caller goes", fixture => fixture.caller.abort(), codes.codes.cancelledRunning, "neutral"],
+        ["a deadline passes", fixture => fixture.clock.advance(1_000), codes.codes.upstreamTimeout, "failed"],
+    ];
+    it.each(causes)("when %s, a cold upstream keeps the place until it answers", async (_, act, code, completion) => {
+        const fixture = new Fixture(true);
+        const end = fixture.run();
+        act(fixture);
+        const { reply } = await end;
+        expect(reply.isErr && reply.error.code).toBe(code);
+        fixture.clock.advance(5_000);
+        await fixture.turn();
+        expect(fixture.events).toEqual([]);
+        fixture.answer();
+        await fixture.turn();
+        expect(fixture.events).toEqual(["closed", "boot-2", completion]);
+    });
+
+    it.each(causes)("when %s, a warm upstream keeps the place while it notices", async (_, act, code, completion) => {
+        const fixture = new Fixture(false);
+        const end = fixture.run();
+        act(fixture);
+        const { reply } = await end;
+        expect(reply.isErr && reply.error.code).toBe(code);
+        expect(fixture.events).toEqual(["closed"]);
+        fixture.clock.advance(50);
+        await fixture.turn();
+        expect(fixture.events).toEqual(["closed", completion]);
+    });
+
+    it.each([["the process ends", 0], ["a cold upstream never answers", 30_000]])(
+        "ends an abandoned call when %s",
+        async (_, waitMs) => {
+            const fixture = new Fixture(true);
+            const end = fixture.run();
+            fixture.caller.abort();
+            await end;
+            if (waitMs > 0) {
+                fixture.clock.advance(waitMs);
+            }
+            else {
+                fixture.stopped.abort();
+            }
+            await fixture.turn();
+            expect(fixture.events).toEqual(["closed", "neutral"]);
+        },
+    );
+});
--- /dev/null
+++ b/src/request/UpstreamDispatch.ts
@@ -0,0 +1,160 @@
+/**
+ * One dispatched call: runs it on the upstream and gives its place back when the upstream no longer holds the
+ * work, which may be later than the moment at which nobody waits for the answer any more.
+ */
+import * as result from "true-myth/result";
+import * as pattern from "ts-pattern";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as ports from "../common/Ports";
+import * as limits from "../process/AdmissionLimit";
+import * as queues from "../process/FairQueue";
+
+/** Time that an upstream needs at most to notice that a connection was closed. */
+const SETTLE_MS = 50;
+/** Longest time that a cold upstream may go on with an abandoned call. */
+const ABANDONED_LIMIT_MS = 30_000;
+
+/** What the dispatched calls of an agent share. */
+export interface DispatchContext {
+    readonly clock: clocks.Clock;
+    readonly engine: ports.ModelEngine;
+    readonly noteBoot: (boot: string) => void;
+    /** Whether the upstream bears only its cold concurrency by the last word. */
+    readonly isCold: () => boolean;
+    /** Aborts when the process ends. */
+    readonly stopped: AbortSignal;
+}
+
+/** What to dispatch. */
+export interface DispatchedCall extends ports.UpstreamCall {
+    /** Offset and taker of a stream's tokens; undefined for a call. */
+    readonly stream: { readonly offset: number; readonly onPart: (part: ports.UpstreamPart) => void } | undefined;
+    /** Whether the call may be given up at its deadline. */
+    readonly endsAtDeadline: boolean;
+}
+
+/** How a dispatched call ended for the one who waits. */
+export interface DispatchEnd {
+    readonly reply: result.Result<ports.UpstreamAnswer, codes.Failure>;
+    readonly upstreamMs: number;
+}
+
+type Reply = DispatchEnd["reply"];
+
+/** A call at the upstream; used once. */
+export class UpstreamDispatch {
+    private readonly exchange = new AbortController();
+    private readonly startedMs: number;
+    private firstTokenMs: number | undefined;
+    private isAbandoned = false;
+
+    constructor(private readonly context: DispatchContext, private readonly permit: queues.Permit) {
+        this.startedMs = context.clock.now();
+    }
+
+    /** Runs the call until it ends or `signal` aborts. Never rejects. */
+    async run(call: DispatchedCall, signal: AbortSignal): Promise<DispatchEnd> {
+        const ended = new AbortController();
+        const deadline = new AbortController();
+        const timer = call.endsAtDeadline
+            ? this.context.clock.schedule(call.remainingMs, () => deadline.abort())
+            : undefined;
+        const pending = this.start(call);
+        const given = AbortSignal.any([signal, deadline.signal]);
+        const early = await Promise.race([pending, waitForAbort(given, ended.signal)]);
+        timer?.dispose();
+        ended.abort();
+        const reply = early ?? await this.abandon(pending, deadline.signal.aborted);
+        if (early !== undefined) {
+            this.finish(early);
+        }
+        return { reply, upstreamMs: this.elapsedMs };
+    }
+
+    private get elapsedMs(): number {
+        return this.context.clock.now() - this.startedMs;
+    }
+
+    private start(call: DispatchedCall): Promise<Reply> {
+        const { engine, clock } = this.context;
+        const { signal } = this.exchange;
+        const timeoutMs = call.endsAtDeadline ? call.remainingMs + ABANDONED_LIMIT_MS : call.remainingMs;
+        if (call.stream === undefined) {
+            return engine.call({ ...call, timeoutMs }, signal);
+        }
+        const { offset, onPart } = call.stream;
+        return engine.stream({ ...call, timeoutMs }, offset, part => {
+            this.firstTokenMs ??= clock.now() - this.startedMs;
+            if (!this.isAbandoned) {
+                onPart(part);
+            }
+        }, signal);
+    }
+
+    /** Takes in the restart first, so that the place isn't granted anew under the limit of before. */
+    private finish(reply: Reply): void {
+        if (reply.isOk && reply.value.boot !== undefined) {
+            this.context.noteBoot(reply.value.boot);
+        }
+        this.permit.finish(describeCompletion(reply, this.elapsedMs, this.firstTokenMs));
+    }
+
+    /**
+     * Nobody waits any more. A warm upstream is told so by the closed connection; a cold one works on to the end,
+     * since it would still hold the work for a moment in which its place were granted anew.
+     */
+    private async abandon(pending: Promise<Reply>, isLate: boolean): Promise<Reply> {
+        this.isAbandoned = true;
+        const late = codes.failure(codes.codes.upstreamTimeout, "deadline passed at the upstream");
+        const completion: limits.Completion = isLate ? { kind: "failed" } : { kind: "neutral" };
+        if (this.context.isCold()) {
+            void this.outwait(pending, completion);
+            return result.err(isLate ? late : codes.failure(codes.codes.cancelledRunning, "caller gone"));
+        }
+        this.exchange.abort();
+        const reply = await pending;
+        void this.settle(completion);
+        return isLate && reply.isErr ? result.err(late) : reply;
+    }
+
+    private async outwait(pending: Promise<Reply>, completion: limits.Completion): Promise<void> {
+        const { clock, stopped } = this.context;
+        const ended = new AbortController();
+        const limit = clocks.sleep(clock, ABANDONED_LIMIT_MS, AbortSignal.any([stopped, ended.signal]));
+        const reply = await Promise.race([pending, limit.then(() => undefined)]);
+        ended.abort();
+        this.exchange.abort();
+        if (reply?.isOk && reply.value.boot !== undefined) {
+            this.context.noteBoot(reply.value.boot);
+        }
+        this.permit.finish(completion);
+    }
+
+    private async settle(completion: limits.Completion): Promise<void> {
+        await clocks.sleep(this.context.clock, SETTLE_MS, this.context.stopped);
+        this.permit.finish(completion);
+    }
+}
+
+/** Resolves to undefined when `signal` aborts; `ended` releases the listener. */
+function waitForAbort(signal: AbortSignal, ended: AbortSignal): Promise<undefined> {
+    return new Promise(resolve => {
+        if (signal.aborted) {
+            resolve(undefined);
+            return;
+        }
+        signal.addEventListener("abort", () => resolve(undefined), { once: true, signal: ended });
+    });
+}
+
+function describeCompletion(reply: Reply, latencyMs: number, firstTokenMs: number | undefined): limits.Completion {
+    if (reply.isOk) {
+        return { kind: "success", latencyMs, ...(firstTokenMs === undefined ? {} : { firstTokenMs }) };
+    }
+    return pattern.match(reply.error.code.code)
+        .returnType<limits.Completion>()
+        .with(codes.codes.connectFailed.code, () => ({ kind: "refused-connection" }))
+        .with(codes.codes.cancelled.code, codes.codes.cancelledRunning.code, () => ({ kind: "neutral" }))
+        .otherwise(() => ({ kind: "failed" }));
+}
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -2,7 +2,6 @@
  * Serves one call on an agent: checks, at-most-once, admission, a last check right before the dispatch, the
  * upstream call, and the answer. Everything refused before the dispatch is "not run".
  */
-import * as result from "true-myth/result";
 import * as pattern from "ts-pattern";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
@@ -11,24 +10,22 @@
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as ports from "../common/Ports";
-import * as limits from "../process/AdmissionLimit";
 import * as attemptMemories from "../process/AttemptMemory";
 import * as queues from "../process/FairQueue";
 import * as ledgers from "../process/Ledger";
 import * as deadlines from "./Deadline";
+import * as dispatches from "./UpstreamDispatch";
 
 const REFUSED_RETRY_MS = 500;
 /** Longest wait for a version that the caller's entry already has. */
 const CATCH_UP_TIMEOUT_MS = 500;
 
 /** What the calls of an agent share. */
-export interface WorkContext {
-    readonly clock: clocks.Clock;
+export interface WorkContext extends dispatches.DispatchContext {
     readonly log: logs.Log;
     readonly service: string;
     readonly slot: string;
     readonly incarnation: number;
-    readonly engine: ports.ModelEngine;
     readonly queue: queues.FairQueue;
     readonly ledger: ledgers.Ledger;
     readonly attempts: attemptMemories.AttemptMemory;
@@ -42,7 +39,6 @@
     /** Resolves to whether this version or a later one came into force in time. */
     readonly catchUp: (version: number, timeoutMs: number) => Promise<boolean>;
     readonly decideHome: (key: string) => codes.Failure | undefined;
-    readonly noteBoot: (boot: string) => void;
     readonly load: () => messages.Load;
 }
 
@@ -221,29 +217,20 @@
     }
 
     private async dispatch(permit: queues.Permit): Promise<WorkEnd> {
-        const startedMs = this.context.clock.now();
         this.hasDispatched = true;
-        let firstTokenMs: number | undefined;
-        const reply = await this.callUpstream(part => {
-            firstTokenMs ??= this.context.clock.now() - startedMs;
-            this.sendPart(part);
-        });
-        const upstreamMs = this.context.clock.now() - startedMs;
-        permit.finish(describeCompletion(reply, upstreamMs, firstTokenMs));
+        const dispatched = new dispatches.UpstreamDispatch(this.context, permit);
+        const { reply, upstreamMs } = await dispatched.run(this.describeDispatch(), this.abort.signal);
         const { queuedMs } = permit;
         if (reply.isErr) {
             return { ...reply.error, upstreamMs, queuedMs, tokens: 0 };
         }
-        const { code, body, tokens, boot } = reply.value;
-        if (boot !== undefined) {
-            this.context.noteBoot(boot);
-        }
+        const { code, body, tokens } = reply.value;
         return { code, body, tokens, upstreamMs, queuedMs };
     }
 
-    private async callUpstream(onPart: (part: ports.UpstreamPart) => void): ports.Reply<ports.UpstreamAnswer> {
-        const { call, context } = this;
-        const upstreamCall: ports.UpstreamCall = {
+    private describeDispatch(): dispatches.DispatchedCall {
+        const { call } = this;
+        return {
             request: call.request,
             operation: call.operation,
             model: call.model,
@@ -252,19 +239,10 @@
             remainingMs: this.deadline.remainingMs,
             body: call.body,
             freshConnection: !this.operation.idempotent,
+            stream: call.stream && this.operation.streams ? { offset: call.offset, onPart: this.sendPart } : undefined,
+            // An answer after the deadline helps nobody; work that may not be repeated is let run to learn its result.
+            endsAtDeadline: this.operation.idempotent,
         };
-        // An answer after the deadline helps nobody; work that may not be repeated is let run to learn its result.
-        const timeout = this.operation.idempotent
-            ? context.clock.schedule(upstreamCall.remainingMs, () => this.abort.abort(codes.codes.upstreamTimeout))
-            : undefined;
-        const reply = call.stream && this.operation.streams
-            ? await context.engine.stream(upstreamCall, call.offset, onPart, this.abort.signal)
-            : await context.engine.call(upstreamCall, this.abort.signal);
-        timeout?.dispose();
-        const timedOut = this.abort.signal.reason === codes.codes.upstreamTimeout;
-        return reply.isErr && timedOut
-            ? result.err(codes.failure(codes.codes.upstreamTimeout, "deadline passed at the upstream"))
-            : reply;
     }
 }
 
@@ -272,18 +250,3 @@
     const code = codes.findCode(record.code) ?? codes.codes.malformedAnswer;
     return { code, body: record.body, detail: record.detail, upstreamMs: 0, queuedMs: 0, tokens: 0 };
 }
-
-function describeCompletion(
-    reply: result.Result<ports.UpstreamAnswer, codes.Failure>,
-    latencyMs: number,
-    firstTokenMs: number | undefined,
-): limits.Completion {
-    if (reply.isOk) {
-        return { kind: "success", latencyMs, ...(firstTokenMs === undefined ? {} : { firstTokenMs }) };
-    }
-    return pattern.match(reply.error.code.code)
-        .returnType<limits.Completion>()
-        .with(codes.codes.connectFailed.code, () => ({ kind: "refused-connection" }))
-        .with(codes.codes.cancelled.code, codes.codes.cancelledRunning.code, () => ({ kind: "neutral" }))
-        .otherwise(() => ({ kind: "failed" }));
-}
