Hold the cold concurrency while a cut connection may mean a restart

Cause: between an engine's restart and the next probe (500 ms) the agent went on under its warm limit; the only signs before were the calls cut, which lowered the limit to 0.7 of itself, and the boot identity in answers. Change: a pooled connection that the upstream ends, idle or in use, holds the limit at the cold concurrency until a probe begun after it tells the boot identity; the same boot restores the limit. A connection that the agent itself ends is no sign.

--- a/src/common/Ports.ts
+++ b/src/common/Ports.ts
@@ -5,6 +5,7 @@
  */
 import * as result from "true-myth/result";
 import * as codes from "./Codes";
+import * as emitters from "./Emitter";
 
 /** The outcome of asking an outside system. */
 export type Reply<T> = Promise<result.Result<T, codes.Failure>>;
@@ -73,6 +74,8 @@
 
 /** Any upstream: answers calls. */
 export interface PlainService {
+    /** Fires when the upstream ended a kept connection, as it does when it restarts; undefined when unknown. */
+    readonly onDisconnect?: emitters.Event<void>;
     /** Failures: connect-failed is the only one that proves the call didn't run. */
     call(call: UpstreamCall, signal: AbortSignal): Reply<UpstreamAnswer>;
     /** Asks for the process's identity without work. */
--- a/src/process/AdmissionLimit.test.ts
+++ b/src/process/AdmissionLimit.test.ts
@@ -51,6 +51,21 @@
         expect(limit.limit).toBe(expected);
     });
 
+    const suspected: [string, (limit: limits.AdmissionLimit) => void, number][] = [
+        ["nothing", () => undefined, 32],
+        ["successes", limit => complete(limit, success, 20), 32],
+        ["a failure", limit => complete(limit, { kind: "failed" }), 22],
+        ["a restart", limit => limit.becomeCold("boot identity changed"), 2],
+    ];
+    it.each(suspected)("holds the cold concurrency while a restart is suspected, with %s", (_name, act, expected) => {
+        const limit = createWarm();
+        limit.suspect(true);
+        act(limit);
+        expect([limit.limit, limit.isCold]).toEqual([2, true]);
+        limit.suspect(false);
+        expect(limit.limit).toBe(expected);
+    });
+
     it("takes each call back once", () => {
         const limit = new limits.AdmissionLimit(() => bounds);
         const ticket = limit.tryAcquire()!;
--- a/src/process/AdmissionLimit.ts
+++ b/src/process/AdmissionLimit.ts
@@ -46,6 +46,7 @@
     private reductions = 0;
     private successes = 0;
     private cold = true;
+    private suspected = false;
     /** The limit while warm or warming; unused while cold. */
     private raised = 0;
 
@@ -58,8 +59,7 @@
 
     /** Calls that may be active at once. */
     get limit(): number {
-        const { cold, warm } = this.readBounds();
-        return this.cold ? cold : Math.min(warm, Math.max(cold, this.raised));
+        return this.suspected ? this.readBounds().cold : this.learnedLimit;
     }
 
     /** Calls admitted and not given back. May exceed the limit after a fall. */
@@ -67,9 +67,15 @@
         return this.held.size;
     }
 
-    /** Whether no round of successes has completed since the last cold start. */
+    /** Whether the limit is held at the cold concurrency: since a cold start, or while a restart is suspected. */
     get isCold(): boolean {
-        return this.cold;
+        return this.cold || this.suspected;
+    }
+
+    /** Holds the limit at the cold concurrency while it is unknown whether the upstream restarted. */
+    suspect(isSuspected: boolean): void {
+        this.suspected = isSuspected;
+        this.changeEmitter.fire();
     }
 
     /** Admits one call; undefined at the limit. */
@@ -113,6 +119,12 @@
         this.coldEmitter.dispose();
     }
 
+    /** The limit without regard to a suspicion. */
+    private get learnedLimit(): number {
+        const { cold, warm } = this.readBounds();
+        return this.cold ? cold : Math.min(warm, Math.max(cold, this.raised));
+    }
+
     private learn(ticket: Ticket, completion: Completion): void {
         if (completion.kind === "failed") {
             this.reduce(ticket);
@@ -135,7 +147,7 @@
 
     private countSuccess(): void {
         this.successes += 1;
-        const limit = this.limit;
+        const limit = this.learnedLimit;
         const { warm, coldCalls } = this.readBounds();
         if (this.successes < Math.max(limit, this.cold ? coldCalls : 0)) {
             return;
@@ -153,7 +165,7 @@
             return;
         }
         this.reductions += 1;
-        this.raised = Math.floor(this.limit * FAILURE_FACTOR);
+        this.raised = Math.floor(this.learnedLimit * FAILURE_FACTOR);
     }
 
     private readBounds(): { cold: number; warm: number; coldCalls: number } {
--- /dev/null
+++ b/src/process/UpstreamWatch.test.ts
@@ -0,0 +1,71 @@
+import * as vitest from "vitest";
+import * as standIns from "../../standins/PlainServiceStandIn";
+import * as clocks from "../common/Clock";
+import * as plainUpstreams from "./adapters/PlainUpstream";
+import * as limits from "./AdmissionLimit";
+import * as watches from "./UpstreamWatch";
+
+const { afterEach, beforeEach, describe, expect, it } = vitest;
+
+const clock = clocks.systemClock;
+const call = { request: "r", operation: "run", priority: 0, remainingMs: 5_000, body: {}, freshConnection: false };
+
+async function waitFor(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await clocks.sleep(clock, 5);
+    }
+}
+
+describe("UpstreamWatch", () => {
+    let standIn: standIns.PlainServiceStandIn;
+    let limit: limits.AdmissionLimit;
+    let watch: watches.UpstreamWatch;
+    let upstream: ReturnType<typeof plainUpstreams.createPlainService>;
+    let reasons: string[];
+    let limitsSeen: number[];
+
+    beforeEach(async () => {
+        standIn = await standIns.PlainServiceStandIn.listen();
+        limit = new limits.AdmissionLimit(() => ({ coldConcurrency: 2, warmConcurrency: 4 }));
+        for (let index = 0; index < 10; index++) {
+            limit.release(limit.tryAcquire()!, { kind: "success", latencyMs: 1 });
+        }
+        reasons = [];
+        limitsSeen = [];
+        limit.onCold(reason => reasons.push(reason));
+        limit.onChange(() => limitsSeen.push(limit.limit));
+        upstream = plainUpstreams.createPlainService(standIn.address);
+        watch = new watches.UpstreamWatch(clock, upstream, limit);
+        watch.start();
+        await waitFor(() => watch.boot !== undefined);
+    });
+
+    afterEach(() => {
+        watch.dispose();
+        standIn.dispose();
+    });
+
+    it("holds the cold concurrency from the moment a connection ends, and until a probe says the same boot", async () => {
+        standIn.cutConnections();
+        await waitFor(() => limitsSeen.length >= 2);
+        expect([limitsSeen[0], limit.limit, reasons]).toEqual([2, 4, []]);
+    });
+
+    it("becomes cold when the probe after a cut connection says another boot", async () => {
+        standIn.restart();
+        await waitFor(() => limitsSeen.length >= 3);
+        expect([limitsSeen[0], limit.limit, reasons.length]).toEqual([2, 2, 1]);
+    });
+
+    it("suspects nothing when this side ends a connection", async () => {
+        standIn.faults = { hang: true };
+        const abort = new AbortController();
+        const pending = upstream.call(call, abort.signal);
+        await waitFor(() => standIn.calls >= 2);
+        abort.abort();
+        await pending;
+        standIn.faults = {};
+        await upstream.call(call, new AbortController().signal);
+        expect(limitsSeen).toEqual([]);
+    });
+});
--- a/src/process/UpstreamWatch.ts
+++ b/src/process/UpstreamWatch.ts
@@ -1,19 +1,26 @@
 /**
  * Watches an upstream for signs of a restart: a changed boot identity, or a refused connection. Each sign makes
- * the admission limit cold at once.
+ * the admission limit cold at once. A connection that the upstream ended raises a suspicion, during which the
+ * limit is held at the cold concurrency until a probe tells the boot identity.
  */
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
+import * as emitters from "../common/Emitter";
 import * as ports from "../common/Ports";
 import * as limits from "./AdmissionLimit";
 
 const PROBE_PERIOD_MS = 500;
 const PROBE_TIMEOUT_MS = 2_000;
+/** Time between the probes of a suspicion. */
+const SUSPECTED_PERIOD_MS = 20;
 
-/** Probes one upstream, one probe after another. */
+/** Probes one upstream. */
 export class UpstreamWatch implements clocks.Disposable {
+    private readonly store = new emitters.DisposableStore();
     private readonly stopped = new AbortController();
     private lastBoot: string | undefined;
+    private suspicions = 0;
+    private isChecking = false;
 
     constructor(
         private readonly clock: clocks.Clock,
@@ -28,6 +35,10 @@
 
     /** Starts the task; call once. */
     start(): void {
+        const listener = this.upstream.onDisconnect?.(() => this.suspect());
+        if (listener !== undefined) {
+            this.store.add(listener);
+        }
         void this.run();
     }
 
@@ -41,19 +52,51 @@
 
     dispose(): void {
         this.stopped.abort();
+        this.store.dispose();
+    }
+
+    private suspect(): void {
+        this.suspicions += 1;
+        this.limit.suspect(true);
+        if (!this.isChecking) {
+            void this.check();
+        }
+    }
+
+    /** Probes until an answer to a probe that began after the last suspicion. */
+    private async check(): Promise<void> {
+        this.isChecking = true;
+        for (;;) {
+            const asked = this.suspicions;
+            const isKnown = await this.probe();
+            if (this.stopped.signal.aborted || (isKnown && asked === this.suspicions)) {
+                break;
+            }
+            await clocks.sleep(this.clock, SUSPECTED_PERIOD_MS, this.stopped.signal);
+        }
+        this.isChecking = false;
+        this.limit.suspect(false);
     }
 
     private async run(): Promise<void> {
         while (!this.stopped.signal.aborted) {
-            const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)]);
-            const probed = await this.upstream.probe(timeout);
-            if (probed.isOk) {
-                this.noteBoot(probed.value.boot);
-            }
-            else if (probed.error.code.code === codes.codes.connectFailed.code && !this.stopped.signal.aborted) {
-                this.limit.becomeCold("the upstream accepts no connection");
-            }
+            await this.probe();
             await clocks.sleep(this.clock, PROBE_PERIOD_MS, this.stopped.signal);
         }
     }
+
+    /** Whether the probe told if the upstream restarted. */
+    private async probe(): Promise<boolean> {
+        const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)]);
+        const probed = await this.upstream.probe(timeout);
+        if (probed.isOk) {
+            this.noteBoot(probed.value.boot);
+            return true;
+        }
+        const isRefused = probed.error.code.code === codes.codes.connectFailed.code;
+        if (isRefused && !this.stopped.signal.aborted) {
+            this.limit.becomeCold("the upstream accepts no connection");
+        }
+        return isRefused;
+    }
 }
--- a/src/process/adapters/EngineUpstream.ts
+++ b/src/process/adapters/EngineUpstream.ts
@@ -37,6 +37,7 @@
 export function createModelEngine(address: string): ports.ModelEngine {
     const client = requests.createClient(address);
     return {
+        onDisconnect: client.onDisconnect,
         call: (call, signal) => plain.callUpstream(client, call, signal),
         probe: signal => plain.probeUpstream(client, signal),
         stream: (call, offset, onPart, signal) => stream(client, call, offset, onPart, signal),
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -3,9 +3,11 @@
  * failed before a connection stood, when no byte can have been sent, from what failed after.
  */
 import * as http from "node:http";
+import * as net from "node:net";
 import * as result from "true-myth/result";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
+import * as emitters from "../../common/Emitter";
 import * as ports from "../../common/Ports";
 
 /** Time for a new connection to stand. */
@@ -22,6 +24,10 @@
     readonly host: string;
     readonly port: number;
     readonly agent: http.Agent;
+    /** Fires when the outside system ended a pooled connection, in use or not. */
+    readonly onDisconnect: emitters.Event<void>;
+    /** Watches a pooled connection until it ends. */
+    readonly watch: (socket: net.Socket) => void;
 }
 
 /** What to ask. */
@@ -59,7 +65,31 @@
         maxFreeSockets: MAX_IDLE_SOCKETS,
         scheduling: "lifo",
     });
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)), agent };
+    const disconnects = new emitters.Emitter<void>();
+    const watched = new WeakSet<net.Socket>();
+    return {
+        host: address.slice(0, separator),
+        port: Number(address.slice(separator + 1)),
+        agent,
+        onDisconnect: disconnects.event,
+        watch(socket) {
+            if (!watched.has(socket)) {
+                watched.add(socket);
+                watchDisconnect(socket, () => disconnects.fire());
+            }
+        },
+    };
+}
+
+/** Calls back once when the other side ends an established connection; this side's own end doesn't count. */
+function watchDisconnect(socket: net.Socket, callback: () => void): void {
+    const report = (): void => {
+        socket.removeListener("end", report);
+        socket.removeListener("error", report);
+        callback();
+    };
+    socket.once("end", report);
+    socket.once("error", report);
 }
 
 /**
@@ -98,7 +128,7 @@
     private readonly abort = () => this.cancel();
 
     constructor(
-        client: Client,
+        private readonly client: Client,
         private readonly request: Request,
         private readonly signal: AbortSignal,
         private readonly resolve: Resolve,
@@ -130,18 +160,26 @@
         this.outgoing.end(this.content);
     }
 
-    private watchConnect(socket: NodeJS.Socket & { connecting?: boolean }): void {
-        if (socket.connecting !== true) {
+    private watchConnect(socket: net.Socket): void {
+        if (!socket.connecting) {
             this.isDispatched = true;
+            this.watchPooled(socket);
             return;
         }
         const timer = this.schedule(CONNECT_TIMEOUT_MS, () => this.fail(codes.codes.connectFailed, "connect timeout"));
         socket.once("connect", () => {
             this.isDispatched = true;
             timer.dispose();
+            this.watchPooled(socket);
         });
     }
 
+    private watchPooled(socket: net.Socket): void {
+        if (this.request.freshConnection !== true) {
+            this.client.watch(socket);
+        }
+    }
+
     private receive(response: http.IncomingMessage): void {
         this.hasAnswerStarted = true;
         if (!this.isEchoed(response)) {
--- a/src/process/adapters/PlainUpstream.ts
+++ b/src/process/adapters/PlainUpstream.ts
@@ -19,6 +19,7 @@
 export function createPlainService(address: string): ports.PlainService {
     const client = requests.createClient(address);
     return {
+        onDisconnect: client.onDisconnect,
         call: (call, signal) => callUpstream(client, call, signal),
         probe: signal => probeUpstream(client, signal),
     };
