Wait for the predecessor's calls before a new agent dispatches

Cause: a new agent forgot what its predecessor's calls still occupied at the upstream and admitted up to its limit; it could also admit before any probe, so that a restart before the first probe went unnoticed. Change: a new agent isn't ready until the engine reports no active call (10 s at most), or 500 ms where no load is reported. Test: UpstreamWatch, a predecessor's call under way; failed before for want of any wait.

--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -156,7 +156,7 @@
     }
 
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady;
+        return !this.isDraining && this.node.isReady && this.watch.isSettled;
     }
 
     /** Planned stop: says so to every peer, refuses new work, finishes all work under way, then ends. */
@@ -236,7 +236,7 @@
             ledger: this.ledger,
             attempts: this.attempts,
             configuration: () => this.configuration,
-            isReady: () => this.node.isReady,
+            isReady: () => this.node.isReady && this.watch.isSettled,
             isDraining: () => this.isDraining,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
--- a/src/process/UpstreamWatch.test.ts
+++ b/src/process/UpstreamWatch.test.ts
@@ -1,6 +1,8 @@
 import * as vitest from "vitest";
+import * as engineStandIns from "../../standins/EngineStandIn";
 import * as standIns from "../../standins/PlainServiceStandIn";
 import * as clocks from "../common/Clock";
+import * as engineUpstreams from "./adapters/EngineUpstream";
 import * as plainUpstreams from "./adapters/PlainUpstream";
 import * as limits from "./AdmissionLimit";
 import * as watches from "./UpstreamWatch";
@@ -57,6 +59,23 @@
         expect([limitsSeen[0], limit.limit, reasons.length]).toEqual([2, 2, 1]);
     });
 
+    it("isn't settled while the engine reports a predecessor's call", async () => {
+        const engine = await engineStandIns.EngineStandIn.listen({ msPerToken: 10 });
+        const port = engineUpstreams.createModelEngine(engine.address);
+        const order: string[] = [];
+        const body = { maxTokens: 30 };
+        const predecessor = port.call({ ...call, body }, new AbortController().signal).then(() => order.push("ended"));
+        await waitFor(() => engine.capacity.active === 1);
+        const successor = new watches.UpstreamWatch(clock, port, limit);
+        successor.start();
+        await waitFor(() => successor.isSettled);
+        order.push("settled");
+        await predecessor;
+        expect(order).toEqual(["ended", "settled"]);
+        successor.dispose();
+        engine.dispose();
+    });
+
     it("suspects nothing when this side ends a connection", async () => {
         standIn.faults = { hang: true };
         const abort = new AbortController();
--- a/src/process/UpstreamWatch.ts
+++ b/src/process/UpstreamWatch.ts
@@ -1,7 +1,8 @@
 /**
  * Watches an upstream for signs of a restart: a changed boot identity, or a refused connection. Each sign makes
  * the admission limit cold at once. A connection that the upstream ended raises a suspicion, during which the
- * limit is held at the cold concurrency until a probe tells the boot identity.
+ * limit is held at the cold concurrency until a probe tells the boot identity. A new agent waits until its
+ * predecessor's calls have left the upstream.
  */
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
@@ -14,6 +15,15 @@
 /** Time between the probes of a suspicion. */
 const SUSPECTED_PERIOD_MS = 20;
 
+/** Wait for a predecessor's calls at an upstream that reports no load. */
+const UNREPORTED_WAIT_MS = 500;
+/** Longest wait for the reported load to reach 0. */
+const PREDECESSOR_LIMIT_MS = 10_000;
+const REPORT_PERIOD_MS = 50;
+
+/** An upstream that may report its load. */
+export type WatchedUpstream = ports.PlainService & Partial<Pick<ports.ModelEngine, "report">>;
+
 /** Probes one upstream. */
 export class UpstreamWatch implements clocks.Disposable {
     private readonly store = new emitters.DisposableStore();
@@ -21,10 +31,11 @@
     private lastBoot: string | undefined;
     private suspicions = 0;
     private isChecking = false;
+    private hasSettled = false;
 
     constructor(
         private readonly clock: clocks.Clock,
-        private readonly upstream: ports.PlainService,
+        private readonly upstream: WatchedUpstream,
         private readonly limit: limits.AdmissionLimit,
     ) {}
 
@@ -33,6 +44,11 @@
         return this.lastBoot;
     }
 
+    /** Whether no call of an earlier agent is at the upstream any more; nothing may be dispatched before. */
+    get isSettled(): boolean {
+        return this.hasSettled;
+    }
+
     /** Starts the task; call once. */
     start(): void {
         const listener = this.upstream.onDisconnect?.(() => this.suspect());
@@ -79,12 +95,26 @@
     }
 
     private async run(): Promise<void> {
+        void this.awaitPredecessor();
         while (!this.stopped.signal.aborted) {
             await this.probe();
             await clocks.sleep(this.clock, PROBE_PERIOD_MS, this.stopped.signal);
         }
     }
 
+    private async awaitPredecessor(): Promise<void> {
+        const startedMs = this.clock.now();
+        while (!this.stopped.signal.aborted && this.clock.now() - startedMs < PREDECESSOR_LIMIT_MS) {
+            const reported = await this.upstream.report?.(this.stopped.signal);
+            const waitedMs = this.clock.now() - startedMs;
+            if (reported?.isOk ? reported.value.active === 0 : waitedMs >= UNREPORTED_WAIT_MS) {
+                break;
+            }
+            await clocks.sleep(this.clock, REPORT_PERIOD_MS, this.stopped.signal);
+        }
+        this.hasSettled = true;
+    }
+
     /** Whether the probe told if the upstream restarted. */
     private async probe(): Promise<boolean> {
         const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)]);
