--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -30,6 +30,8 @@
 /** Agents of the same service that an agent hears from; they tell which models they hold. */
 const SAME_SERVICE_PEERS = 8;
 const DRAIN_POLL_MS = 10;
+/** Successes after a cold start before the limit rises, for services that publish no number. */
+const DEFAULT_COLD_CALLS = 8;
 
 /** What a test or experiment may replace. */
 export interface AgentOptions {
@@ -41,7 +43,7 @@
     readonly engine: ports.ModelEngine;
     readonly weightStore?: ports.WeightStore | undefined;
     /** Concurrency bounds; undefined for the published ones. */
-    readonly bounds?: () => { coldConcurrency: number; warmConcurrency: number };
+    readonly bounds?: () => limits.ConcurrencyBounds;
 }
 
 /** A running agent. */
@@ -66,6 +68,7 @@
     private readonly server: agentServers.AgentServer;
     private readonly watch: upstreamWatches.UpstreamWatch;
     private admin: listeners.Listener | undefined;
+    private readonly stopped = new AbortController();
     private isDraining = false;
 
     private constructor(
@@ -153,7 +156,7 @@
     }
 
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady;
+        return !this.isDraining && this.node.isReady && this.watch.isSettled;
     }
 
     /** Planned stop: says so to every peer, refuses new work, finishes all work under way, then ends. */
@@ -176,6 +179,7 @@
     /** Ends at once, as a kill would. */
     dispose(): void {
         this.isDraining = true;
+        this.stopped.abort();
         this.store.dispose();
     }
 
@@ -232,7 +236,7 @@
             ledger: this.ledger,
             attempts: this.attempts,
             configuration: () => this.configuration,
-            isReady: () => this.node.isReady,
+            isReady: () => this.node.isReady && this.watch.isSettled,
             isDraining: () => this.isDraining,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
@@ -240,6 +244,8 @@
             holdsModel: model => this.placement.holds(model),
             decideHome: key => this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
+            isCold: () => this.limit.isCold,
+            stopped: this.stopped.signal,
             load: () => this.describeLoad(),
         };
     }
@@ -262,9 +268,13 @@
         this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
     }
 
-    private findBounds(): { coldConcurrency: number; warmConcurrency: number } {
+    private findBounds(): limits.ConcurrencyBounds {
         const published = this.configuration?.services[this.settings.service];
-        return this.options.bounds?.() ?? published ?? { coldConcurrency: 1, warmConcurrency: 1 };
+        const bounds = this.options.bounds?.();
+        if (bounds !== undefined || published === undefined) {
+            return bounds ?? { coldConcurrency: 1, warmConcurrency: 1 };
+        }
+        return { coldCalls: DEFAULT_COLD_CALLS, ...published };
     }
 
     private findWeight(team: string): number {
