--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -4,6 +4,7 @@
 import * as commander from "commander";
 import * as configuration from "./Configuration";
 import * as experiments from "./Experiment";
+import * as once from "./Once";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
 
@@ -11,6 +12,7 @@
     configuration.configuration,
     routings.routing,
     placement.placement,
+    once.once,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- /dev/null
+++ b/bench/Once.ts
@@ -0,0 +1,138 @@
+/**
+ * Experiment `once`: calls that may not be repeated, made through several entries while processes and upstreams
+ * are killed, paused and cut off, views disagree and the homes of keys change. The baseline publishes the same
+ * operation as idempotent: the same code then retries it on any instance and keeps no ledger.
+ */
+import * as clocks from "../src/common/Clock";
+import * as configurations from "../src/common/Configuration";
+import * as random from "../src/common/Random";
+import * as fleets from "../standins/ProcessFleet";
+import * as experiments from "./Experiment";
+import * as fleetFaults from "./FleetFaults";
+import * as onceCallers from "./OnceCallers";
+import * as histories from "./OnceHistory";
+
+const SERVICE = "bookings";
+const OPERATION = "book";
+const KEY_LIFETIME_MS = 10_000;
+const ENTRIES = 3;
+const SLOTS = 4;
+const SERVICE_MS = 8;
+const POLICY_MS = 30_000;
+const BASELINE_MS = 10_000;
+/** Time before the first fault. */
+const LEAD_MS = 1_000;
+/** Time for work that goes on after its caller has gone. */
+const SETTLE_MS = 2_500;
+/** Sets the random numbers of callers apart from those of the schedule. */
+const CALLER_SEED = 1_000_003;
+
+function createConfiguration(idempotent: boolean): configurations.Configuration {
+    const slots = Array.from({ length: SLOTS }, (_, index) => [
+        `booking-${index + 1}`,
+        { failureDomain: index % 2 === 0 ? "zone-a" : "zone-b" },
+    ]);
+    return configurations.configurationSchema.parse({
+        version: 1,
+        preset: "ordinary",
+        presets: { ordinary: { retryRatio: 0.2, hedgeRatio: 0, shedBelowPriority: 0 } },
+        failureDomains: { "zone-a": { region: "local" }, "zone-b": { region: "local" } },
+        teams: { bench: { weight: 1 } },
+        services: {
+            [SERVICE]: {
+                kind: "plain",
+                operations: { [OPERATION]: { idempotent } },
+                warmConcurrency: 32,
+                coldConcurrency: 8,
+                slots: Object.fromEntries(slots),
+            },
+        },
+        pipelines: {},
+        keyLifetimeMs: KEY_LIFETIME_MS,
+    });
+}
+
+/** Runs one fleet under faults and returns its history. */
+export async function collectHistory(
+    seed: number,
+    idempotent: boolean,
+    durationMs: number,
+): Promise<histories.History> {
+    const fleet = await fleets.ProcessFleet.start({
+        configuration: createConfiguration(idempotent),
+        entries: ENTRIES,
+        upstreamOptions: () => ({ serviceMs: SERVICE_MS }),
+        logFolder: process.env["CUMINCRANK_FLEET_LOGS"],
+    });
+    try {
+        const shared = { fleet, service: SERVICE, keyLifetimeMs: KEY_LIFETIME_MS };
+        const start = { kind: "start", members: fleet.agentNames, isLink: false, endMs: clocks.systemClock.now() };
+        const callers = new onceCallers.OnceCallers({
+            ...shared,
+            operation: OPERATION,
+            random: random.createRandom(seed + CALLER_SEED),
+        });
+        const faults = new fleetFaults.FleetFaults({
+            ...shared,
+            random: random.createRandom(seed),
+            changesSlots: true,
+        });
+        const crowd = callers.run(durationMs);
+        await clocks.sleep(clocks.systemClock, LEAD_MS);
+        await faults.run(durationMs - LEAD_MS);
+        await crowd;
+        await clocks.sleep(clocks.systemClock, SETTLE_MS);
+        const started = { ...start, startMs: 0, memoryMs: 0, ledgerMemoryMs: KEY_LIFETIME_MS };
+        return {
+            calls: callers.records,
+            executions: await fleet.readExecutions(),
+            faults: [started, ...faults.records],
+            instances: fleet.agentNames,
+        };
+    }
+    finally {
+        fleet.dispose();
+    }
+}
+
+function describe(history: histories.History): experiments.Figures {
+    return { ...histories.checkHistory(history), faults: history.faults.length - 1 };
+}
+
+/** Prints what a person needs to find the cause of a violation. */
+function explain(history: histories.History): void {
+    for (const name of histories.findRepeated(history.executions).slice(0, 5)) {
+        const calls = history.calls.filter(call => `key ${call.key}` === name);
+        console.error("repeated", name, JSON.stringify({ calls, runs: findRuns(history, name) }));
+    }
+    for (const call of histories.findUnexplained(history).slice(0, 5)) {
+        console.error("unexplained", JSON.stringify(call));
+    }
+}
+
+function findRuns(history: histories.History, name: string): histories.ExecutionRecord[] {
+    return history.executions.filter(({ key, request }) => name === `key ${key}` || name === `request ${request}`);
+}
+
+/** At-most-once with separate processes. */
+export const once: experiments.Experiment = {
+    name: "once",
+    async run(seed) {
+        const history = await collectHistory(seed, false, POLICY_MS);
+        explain(history);
+        const baseline = await collectHistory(seed, true, BASELINE_MS);
+        return {
+            baseline: describe(baseline),
+            policy: describe(history),
+            bounds: {
+                runsOverOne: { atMost: 0 },
+                notRunButRan: { atMost: 0 },
+                otherResult: { atMost: 0 },
+                completedWithoutRun: { atMost: 0 },
+                unknownsWithoutFault: { atMost: 0 },
+                refusalsHeld: { atMost: 0 },
+                calls: { atLeast: 2_000 },
+            },
+        };
+    },
+};
--- /dev/null
+++ b/standins/FleetProcess.ts
@@ -0,0 +1,93 @@
+/**
+ * One child process of a test or experiment, which can be killed, paused and started again. No child outlives
+ * its harness.
+ */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as readline from "node:readline";
+
+const running = new Set<childProcess.ChildProcess>();
+/** Has the kernel kill a child whose harness was killed, where the machine has the program. */
+const WITH_PARENT = ["/usr/bin/setpriv", "--pdeathsig", "KILL"] as const;
+
+function killAll(): void {
+    running.forEach(child => child.kill("SIGKILL"));
+}
+
+process.once("exit", killAll);
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
+    process.once(signal, () => {
+        killAll();
+        process.exit(1);
+    });
+}
+
+/** A Node.js program with its arguments. */
+export class FleetProcess {
+    private child: childProcess.ChildProcess | undefined;
+    private ended: Promise<number | undefined> = Promise.resolve(undefined);
+
+    /** `logFile` takes what the process prints, over all its starts. */
+    constructor(private readonly args: readonly string[], private readonly logFile?: string) {}
+
+    get isRunning(): boolean {
+        return this.child !== undefined;
+    }
+
+    /** Starts the process, unless it runs. */
+    start(): void {
+        if (this.child !== undefined) {
+            return;
+        }
+        const command = [...(fs.existsSync(WITH_PARENT[0]) ? WITH_PARENT : []), process.execPath, ...this.args];
+        const output = this.logFile === undefined ? "pipe" : fs.openSync(this.logFile, "a");
+        const child = childProcess.spawn(command[0]!, command.slice(1), { stdio: ["ignore", output, "inherit"] });
+        if (typeof output === "number") {
+            fs.closeSync(output);
+        }
+        this.child = child;
+        running.add(child);
+        this.ended = new Promise(resolve =>
+            child.once("exit", code => {
+                running.delete(child);
+                this.child = this.child === child ? undefined : this.child;
+                resolve(code ?? undefined);
+            })
+        );
+    }
+
+    /** The first line that the process prints. */
+    async readLine(): Promise<string> {
+        const output = this.child?.stdout;
+        if (!output) {
+            return "";
+        }
+        return new Promise(resolve => readline.createInterface(output).once("line", resolve));
+    }
+
+    /** Kills the process without any notice. */
+    kill(): void {
+        const child = this.child;
+        this.child = undefined;
+        child?.kill("SIGKILL");
+    }
+
+    pause(): void {
+        this.child?.kill("SIGSTOP");
+    }
+
+    wake(): void {
+        this.child?.kill("SIGCONT");
+    }
+
+    /** Asks for a planned stop; resolves to the exit code, or undefined when a signal ended it. */
+    terminate(): Promise<number | undefined> {
+        this.child?.kill("SIGTERM");
+        return this.ended;
+    }
+
+    /** Resolves when the process started last has ended. */
+    async waitForEnd(): Promise<void> {
+        await this.ended;
+    }
+}
