Refuse keys that may have run at an earlier home after a handover

Cause: after a change of a service's slots the new home served a moved key as soon as the earlier home had confirmed the version. The earlier home's record of the key stays behind, so a retry of a call that had completed ran again. Versions that were skipped within the key lifetime with the same slots before and after weren't held back at all, and the key lifetime alone released a hold while a home that was cut off could still serve.

Change: HomeClaim remembers when each hold ended. A moved key created up to then (with the allowed skew) is refused as key-too-old; one without a time waits out the key lifetime. Skipped versions hold keys back until the other agents tell that their slots didn't change in them (confirmed.slotsVersion). Time alone no longer ends a hold; the alarm after a lifetime stays.

Tests: the expectations 'served' right after a confirmation and after a lifetime without one described the fault; they are replaced by 'key-too-old' followed by 'served' a lifetime later, and by 'handover-pending'.

--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -135,7 +135,12 @@
 
 /** Asks a peer to catch up with a version and to answer; the answer's envelope tells the version it holds. */
 const confirmSchema = z.object({ kind: z.literal("confirm"), token: z.int().min(0), version: z.int().min(0) });
-const confirmedSchema = z.object({ kind: z.literal("confirmed"), token: z.int().min(0) });
+const confirmedSchema = z.object({
+    kind: z.literal("confirmed"),
+    token: z.int().min(0),
+    /** Version since which an agent's slots are the same in its view; undefined when it serves no keys yet. */
+    slotsVersion: z.int().min(1).optional(),
+});
 
 const messageSchema = z.discriminatedUnion("kind", [
     helloSchema,
@@ -164,5 +169,6 @@
 export type Part = z.infer<typeof partSchema>;
 export type Answer = z.infer<typeof answerSchema>;
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
+export type Confirmed = z.infer<typeof confirmedSchema>;
 export type Edit = z.infer<typeof editSchema>;
 export type Delta = z.infer<typeof deltaSchema>;
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -98,7 +98,7 @@
                 clock,
                 slot: settings.instance,
                 lifetimeMs,
-                confirm: (instance, version) => this.confirmation.confirm(instance, version),
+                confirm: (instance, version, since) => this.confirmation.confirm(instance, version, since),
                 onAlarm: failure => log.warn({ code: failure.code.code, detail: failure.detail }, "home claim"),
             }),
         );
@@ -212,6 +212,7 @@
                 service: settings.service,
             },
             load: () => this.describeLoad(),
+            slotsVersion: () => this.claim.slotsVersion,
             wantsAgents: () => [settings.service],
             subsetSize: SAME_SERVICE_PEERS,
             onConnected: connection => this.server.connect(connection),
--- a/src/process/HomeClaim.test.ts
+++ b/src/process/HomeClaim.test.ts
@@ -1,5 +1,6 @@
 import * as vitest from "vitest";
 import * as clocks from "../common/Clock";
+import * as timeOrderedKeys from "../common/TimeOrderedKey";
 import * as keyHomes from "../version/KeyHome";
 import * as claims from "./HomeClaim";
 
@@ -45,19 +46,21 @@
 
 describe("HomeClaim", () => {
     const starts: [string, string[], string[], Record<string, claims.Confirmation>, string][] = [
-        ["alone", ["a"], [], {}, "served"],
-        ["with all confirmed", ["a", "b"], ["b", "c"], { b: "yielded", c: "yielded" }, "served"],
+        ["alone", ["a"], [], {}, "key-too-old"],
+        ["with all confirmed", ["a", "b"], ["b", "c"], { b: "yielded", c: "yielded" }, "key-too-old"],
         ["with a slot unreachable", ["a", "b", "c"], [], { b: "yielded" }, "handover-pending"],
         ["with a listed agent unreachable", ["a", "b"], ["a", "old"], { b: "yielded" }, "handover-pending"],
-        ["with one gone", ["a", "b"], ["old"], { b: "yielded", old: "gone" }, "served"],
+        ["with one gone", ["a", "b"], ["old"], { b: "yielded", old: "gone" }, "key-too-old"],
     ];
     it.each(starts)("starts %s", async (_name, slots, listed, words, expected) => {
-        const { claim, decideOwn, words: known } = createClaim();
+        const { claim, clock, decideOwn, words: known } = createClaim();
         expect(claim.decide("key")?.code.name).toBe("not-ready");
         Object.assign(known, words);
         claim.update(1, slots, listed);
         await flush();
         expect(decideOwn(slots)).toEqual([expected]);
+        clock.advance(LIFETIME_MS);
+        expect(decideOwn(slots)).toEqual([expected === "key-too-old" ? "served" : expected]);
     });
 
     it("refuses keys of other homes", () => {
@@ -71,6 +74,7 @@
         words["b"] = "yielded";
         claim.update(1, ["a", "b"], []);
         await flush();
+        clock.advance(LIFETIME_MS);
         delete words["b"];
         claim.update(2, ["a"], ["b"]);
         await flush();
@@ -81,13 +85,57 @@
         words["b"] = "yielded";
         clock.advance(5_000);
         await flush();
-        expect([claim.decide(moved), asked.at(-1)]).toEqual([undefined, "b@2"]);
+        expect([claim.decide(moved)?.code.name, asked.at(-1)]).toEqual(["key-too-old", "b@2"]);
+        clock.advance(LIFETIME_MS - 1);
+        expect(claim.decide(moved)?.retryAfterMs).toBe(1);
+        clock.advance(1);
+        expect(claim.decide(moved)).toBeUndefined();
+    });
+
+    const ages: [string, number, string][] = [
+        ["before the handover", -1, "key-too-old"],
+        ["within the allowed skew after it", timeOrderedKeys.CLOCK_SKEW_MS, "key-too-old"],
+        ["later", timeOrderedKeys.CLOCK_SKEW_MS + 1, "served"],
+    ];
+    it.each(ages)("decides a moved key created %s", async (_name, ageMs, expected) => {
+        const { clock, claim, words } = createClaim();
+        words["b"] = "yielded";
+        claim.update(1, ["a", "b"], []);
+        await flush();
+        clock.advance(LIFETIME_MS);
+        claim.update(2, ["a"], ["b"]);
+        await flush();
+        const time = (clock.wall() + ageMs).toString(16).padStart(12, "0");
+        const moved = Array.from(
+            { length: 50 },
+            (_, index) => `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${String(index).padStart(12, "0")}`,
+        )
+            .find(key => keyHomes.findHome(key, ["a", "b"]) === "b")!;
+        expect(claim.decide(moved)?.code.name ?? "served").toBe(expected);
+    });
+
+    const skips: [string, claims.Confirmation, string][] = [
+        ["serves on when no slots changed in them", "unchanged", "served"],
+        ["refuses what may have run at another home in them", "yielded", "key-too-old"],
+        ["holds all keys back until that is known", "unreachable", "handover-pending"],
+    ];
+    it.each(skips)("after skipped versions %s", async (_name, word, expected) => {
+        const { clock, claim, words, decideOwn } = createClaim();
+        words["b"] = "yielded";
+        claim.update(1, ["a", "b"], []);
+        await flush();
+        clock.advance(LIFETIME_MS);
+        words["b"] = word;
+        claim.update(3, ["a", "b"], []);
+        await flush();
+        expect([decideOwn(["a", "b"]), claim.slotsVersion]).toEqual([[expected], 1]);
     });
 
     const releases: [string, (bench: ReturnType<typeof createClaim>) => void, string, number][] = [
-        ["the lifetime passes", ({ clock }) => clock.advance(LIFETIME_MS), "served", 1],
+        ["the lifetime passes", ({ clock }) => clock.advance(LIFETIME_MS), "handover-pending", 1],
+        ["several lifetimes pass", ({ clock }) => clock.advance(3 * LIFETIME_MS), "handover-pending", 1],
         ["less than the lifetime passes", ({ clock }) => clock.advance(LIFETIME_MS - 1), "handover-pending", 0],
-        ["the list drops the instance", ({ claim }) => claim.update(2, ["a"], []), "served", 0],
+        ["the list drops the instance", ({ claim }) => claim.update(2, ["a"], []), "key-too-old", 0],
         ["a lower version comes", ({ claim }) => claim.update(1, ["a"], []), "handover-pending", 1],
         [
             "the instance returns and is asked at once",
@@ -95,7 +143,7 @@
                 words["old"] = "yielded";
                 claim.retry();
             },
-            "served",
+            "key-too-old",
             0,
         ],
         [
@@ -141,18 +189,27 @@
         claim.update(3, ["a", "b", "c"], []);
         expect(decideOwn(["a", "b", "c"], ["a", "b"])).toEqual(["handover-pending"]);
         clock.advance(LIFETIME_MS);
+        expect(decideOwn(["a", "b", "c"])).toEqual(["handover-pending"]);
+        words["b"] = "yielded";
+        words["c"] = "yielded";
+        await flush();
+        claim.retry();
+        await flush();
+        clock.advance(LIFETIME_MS);
         expect(decideOwn(["a", "b", "c"])).toEqual(["served"]);
+        delete words["b"];
         claim.forget([]);
         expect(decideOwn(["a", "b", "c"])).toEqual(["handover-pending"]);
     });
 
     it("doesn't take a confirmation of an older version for one of a newer", async () => {
-        const { claim, words, decideOwn } = createClaim();
+        const { clock, claim, words, decideOwn } = createClaim();
         words["b"] = "yielded";
         claim.update(1, ["a", "b"], []);
         words["b"] = "unreachable";
         claim.update(2, ["a"], ["b"]);
         await flush();
+        clock.advance(LIFETIME_MS);
         expect(decideOwn(["a"], ["a", "b"])).toEqual(["served"]);
         expect(claim.decide(findMoved(["a"], ["a", "b"]))?.code.name).toBe("handover-pending");
     });
--- a/src/process/HomeClaim.ts
+++ b/src/process/HomeClaim.ts
@@ -1,17 +1,22 @@
 /**
  * Who may serve an idempotency key on this agent. After a change of a service's slots, keys that moved here are
- * refused until their earlier homes have confirmed the change, are gone, or the key lifetime has passed.
+ * refused until their earlier homes have confirmed the change or are gone; after that, those which may have run
+ * at an earlier home stay refused, since their records stay behind.
  */
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
+import * as timeOrderedKeys from "../common/TimeOrderedKey";
 import * as keyHomes from "../version/KeyHome";
 
 /** First time between two tries to reach an instance; doubles up to the longest. */
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 5_000;
 
-/** An instance's word on a version; unreachable is asked again. */
-export type Confirmation = "yielded" | "gone" | "unreachable";
+/**
+ * An instance's word on a version: it holds the version, and its slots were the same all along ("unchanged") or
+ * may have differed ("yielded"). Unreachable is asked again.
+ */
+export type Confirmation = "unchanged" | "yielded" | "gone" | "unreachable";
 
 /** What a home claim needs. */
 export interface HomeClaimOptions {
@@ -19,8 +24,8 @@
     /** This agent's slot. */
     readonly slot: string;
     readonly lifetimeMs: () => number;
-    /** Asks whether an instance holds at least `version`. */
-    readonly confirm: (instance: string, version: number) => Promise<Confirmation>;
+    /** Asks whether an instance holds at least `version`, and whether its slots changed after `since`. */
+    readonly confirm: (instance: string, version: number, since: number) => Promise<Confirmation>;
     /** Called when the lifetime passed without an instance's confirmation, and when a lower version is ignored. */
     readonly onAlarm: (failure: codes.Failure) => void;
 }
@@ -35,6 +40,19 @@
     readonly asked: Set<string>;
     /** Those of them that haven't confirmed. */
     readonly pending: Set<string>;
+    /** Version from which on the slots must have been the same everywhere for keys to have stayed. */
+    readonly since: number;
+    /** Whether keys may have run elsewhere. */
+    mayHaveMoved: boolean;
+    hasAlarmed: boolean;
+}
+
+/** A hold that ended: earlier homes may have run moved keys until then. */
+interface Handover {
+    readonly previous: readonly string[] | undefined;
+    readonly endedMs: number;
+    /** In milliseconds since 1970. */
+    readonly endedWallMs: number;
 }
 
 /** Tries to reach one instance. */
@@ -47,14 +65,20 @@
 /** Decides whether this agent may serve a key. */
 export class HomeClaim implements clocks.Disposable {
     private version = 0;
-    private versionMs = -Infinity;
     private slots: readonly string[] = [];
+    private slotsSince = 0;
     private holds: Hold[] = [];
+    private handovers: Handover[] = [];
     private readonly inquiries = new Map<string, Inquiry>();
     private disposed = false;
 
     constructor(private readonly options: HomeClaimOptions) {}
 
+    /** Version since which the slots are known to be the same; undefined before the first. */
+    get slotsVersion(): number | undefined {
+        return this.version === 0 ? undefined : this.slotsSince;
+    }
+
     /** Takes over the service's slots under `version`, and the service's agents on the instance list. */
     update(version: number, slots: readonly string[], listed: readonly string[]): void {
         if (version < this.version) {
@@ -65,12 +89,14 @@
         const others = new Set([...slots, ...listed]);
         others.delete(this.options.slot);
         this.updatePending(others, listed);
-        if (this.version === 0 || !sameNames(slots, this.slots)) {
-            this.hold(version, this.findKnown(version), others);
-        }
-        if (version > this.version) {
-            this.versionMs = this.options.clock.now();
+        const hasChanged = this.version === 0 || !sameNames(slots, this.slots);
+        // Versions that were skipped may have had other slots, and other homes under them.
+        const hasSkipped = version > this.version + 1;
+        if (hasChanged || hasSkipped) {
+            const previous = hasSkipped ? undefined : this.slots;
+            this.hold(version, previous, others, hasChanged ? version : this.version);
         }
+        this.slotsSince = hasChanged ? version : this.slotsSince;
         this.version = version;
         this.slots = [...slots];
         this.settle();
@@ -87,7 +113,7 @@
         }
         this.settle();
         const hold = this.holds.find(({ previous }) => !this.wasHome(key, previous));
-        return hold === undefined ? undefined : this.createPending(hold);
+        return hold === undefined ? this.checkHandovers(key) : this.createPending(hold);
     }
 
     /** Asks all pending instances at once, for example after a connection was made. */
@@ -105,7 +131,7 @@
         }
         const others = new Set([...this.slots, ...listed]);
         others.delete(this.options.slot);
-        this.hold(this.version, undefined, others);
+        this.hold(this.version, undefined, others, this.version);
         this.settle();
         this.inquire();
     }
@@ -122,24 +148,49 @@
         return previous !== undefined && keyHomes.findHome(key, previous) === this.options.slot;
     }
 
-    /** The slots before `version`; undefined when another home may have served in versions that were skipped. */
-    private findKnown(version: number): readonly string[] | undefined {
-        const skipped = version > this.version + 1
-            && this.options.clock.now() - this.versionMs >= this.options.lifetimeMs();
-        return this.version === 0 || skipped ? undefined : this.slots;
+    private hold(
+        version: number,
+        previous: readonly string[] | undefined,
+        others: Iterable<string>,
+        since: number,
+    ): void {
+        this.holds.push({
+            version,
+            sinceMs: this.options.clock.now(),
+            previous,
+            asked: new Set(others),
+            pending: new Set(others),
+            since,
+            mayHaveMoved: since === version,
+            hasAlarmed: false,
+        });
     }
 
-    private hold(version: number, previous: readonly string[] | undefined, others: Iterable<string>): void {
-        const sinceMs = this.options.clock.now();
-        this.holds.push({ version, sinceMs, previous, asked: new Set(others), pending: new Set(others) });
+    /** Why a key that moved here may have run at an earlier home; undefined when it can't have. */
+    private checkHandovers(key: string): codes.Failure | undefined {
+        const createdMs = timeOrderedKeys.readCreationTime(key);
+        const nowMs = this.options.clock.now();
+        const lifetimeMs = this.options.lifetimeMs();
+        const mayBeOlder = ({ endedMs, endedWallMs }: Handover): boolean =>
+            createdMs === undefined
+                ? nowMs < endedMs + lifetimeMs
+                : createdMs <= endedWallMs + timeOrderedKeys.CLOCK_SKEW_MS;
+        const handover = this.handovers.find(other => mayBeOlder(other) && !this.wasHome(key, other.previous));
+        if (handover === undefined) {
+            return undefined;
+        }
+        const retryAfterMs = createdMs === undefined ? handover.endedMs + lifetimeMs - nowMs : undefined;
+        return codes.failure(codes.codes.keyTooOld, "the key may have run at its earlier home", retryAfterMs);
     }
 
     /** Stops waiting for instances that are neither in the slots nor listed, and waits for newly listed ones. */
     private updatePending(others: ReadonlySet<string>, listed: readonly string[]): void {
-        for (const { asked, pending } of this.holds) {
+        for (const hold of this.holds) {
+            const { asked, pending } = hold;
             for (const instance of [...pending].filter(name => !others.has(name))) {
                 pending.delete(instance);
                 asked.delete(instance);
+                hold.mayHaveMoved = true;
             }
             for (const instance of listed.filter(name => others.has(name) && !asked.has(name))) {
                 pending.add(instance);
@@ -148,31 +199,36 @@
         }
     }
 
-    /** Drops holds that all instances have confirmed, or that lasted for the key lifetime. */
+    /**
+     * Ends the holds that all instances have confirmed. Time alone ends none: an earlier home that is cut off may
+     * serve its keys for as long as entries reach it.
+     */
     private settle(): void {
-        if (this.holds.length === 0) {
-            return;
-        }
-        const nowMs = this.options.clock.now();
+        const { clock } = this.options;
+        const nowMs = clock.now();
         const lifetimeMs = this.options.lifetimeMs();
-        this.holds = this.holds.filter(hold => {
-            const passed = nowMs - hold.sinceMs >= lifetimeMs;
-            if (passed && hold.pending.size > 0) {
+        for (const hold of this.holds) {
+            if (hold.pending.size === 0 && hold.mayHaveMoved) {
+                this.handovers.push({ previous: hold.previous, endedMs: nowMs, endedWallMs: clock.wall() });
+            }
+            else if (hold.pending.size > 0 && !hold.hasAlarmed && nowMs - hold.sinceMs >= lifetimeMs) {
+                hold.hasAlarmed = true;
                 const detail = `no confirmation of version ${hold.version} from ${[...hold.pending].join(", ")}`;
                 this.options.onAlarm(codes.failure(codes.codes.peerUnreachable, detail));
             }
-            return !passed && hold.pending.size > 0;
-        });
+        }
+        this.holds = this.holds.filter(({ pending }) => pending.size > 0);
+        const keptMs = lifetimeMs + timeOrderedKeys.CLOCK_SKEW_MS;
+        this.handovers = this.handovers.filter(({ endedMs }) => nowMs - endedMs <= keptMs);
     }
 
     private createPending(hold: Hold): codes.Failure {
-        const leftMs = hold.sinceMs + this.options.lifetimeMs() - this.options.clock.now();
         const [instance] = hold.pending;
         const delayMs = this.inquiries.get(instance ?? "")?.delayMs ?? MIN_RETRY_MS;
         return codes.failure(
             codes.codes.handoverPending,
             `waiting for ${[...hold.pending].join(", ")}`,
-            Math.max(1, Math.min(leftMs, delayMs)),
+            delayMs,
         );
     }
 
@@ -194,32 +250,33 @@
         inquiry.timer?.dispose();
         inquiry.asking = true;
         const version = this.version;
-        const confirmation = await this.confirm(instance, version);
+        const since = Math.min(...this.holds.map(hold => hold.since));
+        const confirmation = await this.confirm(instance, version, since);
         inquiry.asking = false;
         if (this.disposed) {
             return;
         }
         if (confirmation !== "unreachable") {
-            this.confirmUpTo(instance, version);
+            this.confirmUpTo(instance, version, since, confirmation === "unchanged");
             inquiry.delayMs = MIN_RETRY_MS;
         }
         this.settle();
         this.scheduleNext(instance, inquiry);
     }
 
-    private async confirm(instance: string, version: number): Promise<Confirmation> {
+    private async confirm(instance: string, version: number, since: number): Promise<Confirmation> {
         try {
-            return await this.options.confirm(instance, version);
+            return await this.options.confirm(instance, version, since);
         }
         catch {
             return "unreachable";
         }
     }
 
-    private confirmUpTo(instance: string, version: number): void {
+    private confirmUpTo(instance: string, version: number, since: number, isUnchanged: boolean): void {
         for (const hold of this.holds) {
-            if (hold.version <= version) {
-                hold.pending.delete(instance);
+            if (hold.version <= version && hold.pending.delete(instance)) {
+                hold.mayHaveMoved ||= !isUnchanged || since > hold.since;
             }
         }
     }
--- a/src/process/Ledger.ts
+++ b/src/process/Ledger.ts
@@ -6,8 +6,6 @@
 import * as codes from "../common/Codes";
 import * as timeOrderedKeys from "../common/TimeOrderedKey";
 
-/** Largest difference allowed for between the clocks of callers and agents. */
-const CLOCK_SKEW_MS = 5_000;
 /** Time between removals of entries past the key lifetime. */
 const PURGE_PERIOD_MS = 1_000;
 
@@ -77,7 +75,7 @@
     constructor(private readonly options: LedgerOptions) {
         this.startedMs = options.clock.now();
         this.forgottenUpToMs = this.startedMs;
-        this.forgottenCreatedMs = options.startedWallMs + CLOCK_SKEW_MS;
+        this.forgottenCreatedMs = options.startedWallMs + timeOrderedKeys.CLOCK_SKEW_MS;
         this.purgeTimer = clocks.every(options.clock, PURGE_PERIOD_MS, () => this.purge());
     }
 
@@ -140,7 +138,7 @@
 
     private checkTimed(createdMs: number): codes.Failure | undefined {
         const wallMs = this.options.startedWallMs + this.options.clock.now() - this.startedMs;
-        const aheadMs = createdMs - wallMs - CLOCK_SKEW_MS;
+        const aheadMs = createdMs - wallMs - timeOrderedKeys.CLOCK_SKEW_MS;
         if (aheadMs > 0) {
             return codes.failure(codes.codes.invalidRequest, "the key's creation time is in the future", aheadMs);
         }
@@ -195,7 +193,7 @@
     /** When an entry may be forgotten. A key may have been created up to the allowed skew after its begin. */
     private expiry(entry: Entry): number {
         const lifetimeMs = Math.max(entry.lifetimeMs, this.options.lifetimeMs());
-        return entry.beganMs + lifetimeMs + CLOCK_SKEW_MS;
+        return entry.beganMs + lifetimeMs + timeOrderedKeys.CLOCK_SKEW_MS;
     }
 }
 
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -48,6 +48,8 @@
     readonly instanceList: ports.InstanceList;
     readonly hello: messages.Hello;
     readonly load: () => messages.Load | undefined;
+    /** Version since which the slots of an agent's service are the same in its view; undefined for none. */
+    readonly slotsVersion?: () => number | undefined;
     /** Services whose agents the process connects to. */
     readonly wantsAgents: () => readonly string[];
     /** Most agents of one service that the process connects to. */
@@ -250,7 +252,7 @@
 
     private async confirm(connection: peerConnections.PeerConnection, token: number, version: number): Promise<void> {
         await this.catchUp(version, CONFIRM_TIMEOUT_MS);
-        connection.send({ kind: "confirmed", token });
+        connection.send({ kind: "confirmed", token, slotsVersion: this.options.slotsVersion?.() });
     }
 
     /** Asks every peer for its version; the first answer that was asked for after the pause ends the refresh. */
--- a/src/process/VersionConfirmation.ts
+++ b/src/process/VersionConfirmation.ts
@@ -3,6 +3,7 @@
  * are served here. Each question uses a connection of its own: it is rare, and mustn't wait for the mesh.
  */
 import * as clocks from "../common/Clock";
+import * as messages from "../common/Messages";
 import * as peerConnections from "../connection/PeerConnection";
 import * as homeClaims from "./HomeClaim";
 import * as memberships from "./Membership";
@@ -22,8 +23,11 @@
 
     constructor(private readonly options: ConfirmationOptions) {}
 
-    /** Asks one instance; "gone" only when the platform's list no longer names it. */
-    async confirm(instance: string, version: number): Promise<homeClaims.Confirmation> {
+    /**
+     * Asks one instance; "gone" only when the platform's list no longer names it. "unchanged" when its slots have
+     * been the same from version `since` on.
+     */
+    async confirm(instance: string, version: number, since: number): Promise<homeClaims.Confirmation> {
         const member = this.options.find(instance);
         if (member === undefined) {
             return "gone";
@@ -34,21 +38,28 @@
         }
         const connection = opened.value;
         const timer = this.options.clock.schedule(CONFIRM_TIMEOUT_MS, () => connection.dispose());
-        const isConfirmed = connection.remote.instance === instance && await this.ask(connection, version);
+        const confirmed = connection.remote.instance === instance ? await this.ask(connection, version) : undefined;
         timer.dispose();
         connection.dispose();
-        return isConfirmed ? "yielded" : "unreachable";
+        if (confirmed === undefined) {
+            return "unreachable";
+        }
+        return (confirmed.slotsVersion ?? Infinity) <= since ? "unchanged" : "yielded";
     }
 
-    private async ask(connection: peerConnections.PeerConnection, version: number): Promise<boolean> {
+    private async ask(
+        connection: peerConnections.PeerConnection,
+        version: number,
+    ): Promise<messages.Confirmed | undefined> {
         const token = this.nextToken++;
         connection.send({ kind: "confirm", token, version });
         for (let envelope = await connection.next(); envelope !== undefined; envelope = await connection.next()) {
             if (envelope.message.kind === "confirmed" && envelope.message.token === token) {
                 // A peer that is ahead may know of a change that this process has yet to see.
-                return envelope.version >= version && envelope.version <= this.options.context().version();
+                const isInStep = envelope.version >= version && envelope.version <= this.options.context().version();
+                return isInStep ? envelope.message : undefined;
             }
         }
-        return false;
+        return undefined;
     }
 }
