Ask for a key's home again right before the dispatch

Cause: a keyed call that waited in an agent's queue was dispatched after the agent had yielded the key to another home.

Change: the check before each dispatch asks for the home too.

Conclusion: an agent's word that it yielded now covers its queue.

--- /dev/null
+++ b/src/request/UpstreamWork.test.ts
@@ -0,0 +1,98 @@
+import * as result from "true-myth/result";
+import * as vitest from "vitest";
+import * as demos from "../commands/DemoConfiguration";
+import * as clocks from "../common/Clock";
+import * as codes from "../common/Codes";
+import * as logs from "../common/Log";
+import type * as ports from "../common/Ports";
+import * as limits from "../process/AdmissionLimit";
+import * as attemptMemories from "../process/AttemptMemory";
+import * as queues from "../process/FairQueue";
+import * as ledgers from "../process/Ledger";
+
+import * as works from "./UpstreamWork";
+
+const { describe, expect, it } = vitest;
+
+const LIFETIME_MS = 1_000;
+const SERVICE = "bookings";
+const OPERATION = "book";
+
+/** An agent that serves one call at a time, and whose upstream answers when told. */
+function createBench() {
+    const clock = new clocks.ManualClock();
+    const limit = new limits.AdmissionLimit(() => ({ coldConcurrency: 1, warmConcurrency: 1 }));
+    const queue = new queues.FairQueue({ clock, limit, weight: () => 1, shedBelowPriority: () => 0 });
+    const ledger = new ledgers.Ledger({
+        clock,
+        capacity: 10,
+        lifetimeMs: () => LIFETIME_MS,
+        startedWallMs: clock.wall(),
+    });
+    const attempts = new attemptMemories.AttemptMemory({ clock, capacity: 10 });
+    const dispatched: string[] = [];
+    const finish: (() => void)[] = [];
+    const answer = { code: codes.codes.ok, body: {}, tokens: 0 };
+    const engine = {
+        call: (call: ports.UpstreamCall) => {
+            dispatched.push(call.request);
+            return new Promise(resolve => finish.push(() => resolve(result.ok(answer))));
+        },
+    } as unknown as ports.ModelEngine;
+    const state = { home: undefined as codes.Failure | undefined };
+    const configuration = demos.demoConfiguration;
+    const context: works.WorkContext = {
+        clock,
+        log: logs.silentLog,
+        service: SERVICE,
+        slot: Object.keys(configuration.services[SERVICE]!.slots)[0]!,
+        incarnation: 1,
+        engine,
+        queue,
+        ledger,
+        attempts,
+        configuration: () => configuration,
+        isReady: () => true,
+        isDraining: () => false,
+        isRefreshing: () => false,
+        unreadMs: () => 0,
+        catchUp: () => Promise.resolve(true),
+        decideHome: () => state.home,
+        noteBoot: () => {},
+        load: () => ({ limit: 1, active: 0, queued: 0, cold: false, draining: false, expectedMs: 0, models: [] }),
+    };
+    clock.advance(LIFETIME_MS);
+    const run = (request: string, key?: string) => {
+        const call = { kind: "call", call: 1, incarnation: 1, request, stage: OPERATION, attempt: 0 } as const;
+        const content = { team: "bench", priority: 5, remainingMs: 5_000, service: SERVICE, operation: OPERATION };
+        return new works.UpstreamWork(context, { ...call, ...content, key, stream: false, offset: 0 }, 1, () => {})
+            .run();
+    };
+    return { state, dispatched, finish, run };
+}
+
+async function flush(): Promise<void> {
+    for (let turn = 0; turn < 30; turn++) {
+        await Promise.resolve();
+    }
+}
+
+describe("UpstreamWork", () => {
+    const cases: [string, string | undefined, string, string[]][] = [
+        ["refuses a waiting call whose key moved away", "key", "not-home", ["first"]],
+        ["dispatches a waiting call without a key", undefined, "ok", ["first", "second"]],
+    ];
+    it.each(cases)("%s", async (_name, key, expected, dispatched) => {
+        const bench = createBench();
+        const first = bench.run("first");
+        await flush();
+        const second = bench.run("second", key);
+        await flush();
+        bench.state.home = codes.failure(codes.codes.notHome, "elsewhere");
+        bench.finish.shift()!();
+        await first;
+        await flush();
+        bench.finish.shift()?.();
+        expect([codes.findCode((await second).code)?.name, bench.dispatched]).toEqual([expected, dispatched]);
+    });
+});
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -152,7 +152,13 @@
         if (this.deadline.isExpired) {
             return codes.failure(codes.codes.expired, `${Math.round(this.deadline.remainingMs)} ms left`);
         }
-        return this.abort.signal.aborted ? codes.failure(codes.codes.cancelled, "caller gone") : undefined;
+        return this.abort.signal.aborted ? codes.failure(codes.codes.cancelled, "caller gone") : this.checkHome();
+    }
+
+    /** The key's home may have changed while the call waited. */
+    private checkHome(): codes.Failure | undefined {
+        const { key } = this.call;
+        return key === undefined || this.operation.idempotent ? undefined : this.context.decideHome(key);
     }
 
     private async runChecked(): Promise<WorkEnd> {
@@ -168,10 +174,6 @@
     }
 
     private async runKeyed(key: string): Promise<WorkEnd> {
-        const notHome = this.context.decideHome(key);
-        if (notHome !== undefined) {
-            return refused(notHome);
-        }
         const { team, service, operation, body } = this.call;
         const decision = this.context.ledger.begin({ team, service, operation, key }, fingerprints.fingerprint(body));
         return pattern.match(decision)
