--- a/bench/FleetFaults.ts
+++ b/bench/FleetFaults.ts
@@ -5,8 +5,10 @@
 import * as fleets from "../standins/ProcessFleet";
 import * as histories from "./OnceHistory";
 
-const MIN_PAUSE_MS = 150;
-const MAX_PAUSE_MS = 600;
+const MIN_PAUSE_MS = 200;
+const MAX_PAUSE_MS = 800;
+/** Time between two changes of the slots, so that keys are served at their homes in between. */
+const SLOTS_REST_MS = 5_000;
 /** Time in which connections and views recover after a fault, with the longest backoff and silence. */
 const RECOVERY_MS = 6_000;
 /** Largest difference that a ledger allows between clocks. */
@@ -19,6 +21,8 @@
     readonly service: string;
     readonly random: () => number;
     readonly keyLifetimeMs: number;
+    /** Faults that an upstream's stand-in is given for a while. */
+    readonly upstreamFaults: readonly Record<string, unknown>[];
     /** Whether slots are taken out of the service and brought back. */
     readonly changesSlots: boolean;
 }
@@ -33,6 +37,8 @@
     readonly isLink?: boolean;
     readonly durationMs: number;
     readonly forgets?: boolean;
+    /** Time after its end in which its resources stay taken. */
+    readonly restMs?: number;
     /** Starts the fault; resolves to what ends it. */
     readonly begin: Begin;
 }
@@ -52,7 +58,7 @@
         while (this.clock.now() < endMs) {
             const plan = this.draw();
             if (plan !== undefined && !resourcesOf(plan).some(name => this.busy.has(name))) {
-                const task = this.bringAbout(plan);
+                const task = this.bringAbout(plan, endMs);
                 this.tasks.add(task);
                 void task.then(() => this.tasks.delete(task));
             }
@@ -61,13 +67,13 @@
         await Promise.all(this.tasks);
     }
 
-    private async bringAbout(plan: Plan): Promise<void> {
+    private async bringAbout(plan: Plan, lastMs: number): Promise<void> {
         resourcesOf(plan).forEach(name => this.busy.add(name));
         const startMs = this.clock.now();
         const end = await plan.begin();
-        await clocks.sleep(this.clock, plan.durationMs);
+        await clocks.sleep(this.clock, Math.min(plan.durationMs, lastMs - this.clock.now()));
         await end?.();
-        resourcesOf(plan).forEach(name => this.busy.delete(name));
+        this.clock.schedule(plan.restMs ?? 0, () => resourcesOf(plan).forEach(name => this.busy.delete(name)));
         this.records.push({
             kind: plan.kind,
             members: plan.members,
@@ -137,7 +143,7 @@
 
     private resetUpstream(slot: string): Plan {
         const { fleet } = this.options;
-        const faults = this.pick([{ resetAfterEffect: true }, { resetBeforeEffect: true }, { delayMs: 700 }]);
+        const faults = this.pick(this.options.upstreamFaults);
         return {
             kind: Object.keys(faults)[0]!,
             members: [slot],
@@ -231,7 +237,8 @@
             members: fleet.agentNames,
             resources: ["slots"],
             forgets: true,
-            durationMs: this.between(500, 4_000),
+            durationMs: this.between(500, 5_000),
+            restMs: SLOTS_REST_MS,
             begin: async () => {
                 await fleet.publish(draft => delete draft.services[service]!.slots[slot]);
                 return () =>
--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -6,6 +6,7 @@
 import * as experiments from "./Experiment";
 import * as once from "./Once";
 import * as placement from "./Placement";
+import * as results from "./Results";
 import * as routings from "./Routing";
 
 const all: readonly experiments.Experiment[] = [
@@ -13,6 +14,7 @@
     routings.routing,
     placement.placement,
     once.once,
+    results.results,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/bench/Once.ts
+++ b/bench/Once.ts
@@ -18,8 +18,8 @@
 const ENTRIES = 3;
 const SLOTS = 4;
 const SERVICE_MS = 8;
-const POLICY_MS = 30_000;
-const BASELINE_MS = 10_000;
+const POLICY_MS = 26_000;
+const BASELINE_MS = 6_000;
 /** Time before the first fault. */
 const LEAD_MS = 1_000;
 /** Time for work that goes on after its caller has gone. */
@@ -75,6 +75,7 @@
         const faults = new fleetFaults.FleetFaults({
             ...shared,
             random: random.createRandom(seed),
+            upstreamFaults: [{ resetAfterEffect: true }, { resetBeforeEffect: true }, { delayMs: 700 }],
             changesSlots: true,
         });
         const crowd = callers.run(durationMs);
@@ -105,6 +106,12 @@
         const calls = history.calls.filter(call => `key ${call.key}` === name);
         console.error("repeated", name, JSON.stringify({ calls, runs: findRuns(history, name) }));
     }
+    const counts = new Map<string, number>();
+    for (const { outcome, code } of history.calls) {
+        const name = `${outcome} ${code}`;
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    console.error("answers", JSON.stringify(Object.fromEntries(counts)));
     for (const call of histories.findUnexplained(history).slice(0, 5)) {
         console.error("unexplained", JSON.stringify(call));
     }
@@ -132,6 +139,7 @@
                 unknownsWithoutFault: { atMost: 0 },
                 refusalsHeld: { atMost: 0 },
                 calls: { atLeast: 2_000 },
+                repeats: { atLeast: 200 },
             },
         };
     },
--- a/bench/OnceCallers.ts
+++ b/bench/OnceCallers.ts
@@ -7,7 +7,7 @@
 import * as fleets from "../standins/ProcessFleet";
 import * as histories from "./OnceHistory";
 
-const CALLERS = 36;
+const CALLERS = 72;
 const DEADLINE_MS = 1_000;
 /** Time past the deadline after which a caller gives up on an entry that doesn't answer. */
 const CALLER_GRACE_MS = 500;
@@ -17,7 +17,7 @@
 const TIMED_SHARE = 0.5;
 const UNTIMED_SHARE = 0.2;
 const TWICE_SHARE = 0.1;
-const REPEATED_SHARE = 0.15;
+const REPEATED_SHARE = 0.3;
 const MAX_THINK_MS = 250;
 const MAX_RETRY_PAUSE_MS = 1_500;
 
--- a/bench/OnceHistory.test.ts
+++ b/bench/OnceHistory.test.ts
@@ -32,7 +32,7 @@
 function check(parts: Partial<histories.History>): Partial<histories.Verdict> {
     const verdict = histories.checkHistory({ calls: [], executions: [], faults: [], instances: ["a", "b"], ...parts });
     const violations = Object.entries(verdict).filter(([name, count]) =>
-        count > 0 && !["calls", "completed", "notRun", "executions", "unknowns"].includes(name)
+        count > 0 && !["calls", "completed", "notRun", "executions", "unknowns", "repeats"].includes(name)
     );
     return Object.fromEntries(violations);
 }
--- a/bench/OnceHistory.ts
+++ b/bench/OnceHistory.ts
@@ -71,6 +71,8 @@
     readonly completed: number;
     readonly notRun: number;
     readonly executions: number;
+    /** Calls whose key had run under another request: each could have run again. */
+    readonly repeats: number;
 }
 
 /** Refusals that an entry or agent decides at once; none of them waits for anything. */
@@ -110,6 +112,10 @@
         completed: completed.length,
         notRun: notRun.length,
         executions: executions.length,
+        repeats:
+            calls.filter(({ key, request }) =>
+                key !== undefined && runs.has(nameOf(key, "")) && !requests.has(request ?? "")
+            ).length,
     };
 }
 
--- /dev/null
+++ b/bench/ResultsHistory.ts
@@ -0,0 +1,114 @@
+/**
+ * Checks a history of pipeline requests: every answer whole, delivered once, to its own request, or refused; and
+ * the retries of each entry within their budget.
+ */
+import * as codes from "../src/common/Codes";
+import * as callers from "../standins/Caller";
+
+/** What one caller got for one request. */
+export interface ResultRecord {
+    /** Unique content of the body; every stage passes it on. */
+    readonly token: string;
+    readonly entry: string;
+    readonly outcome: codes.Outcome | undefined;
+    /** Generated text; undefined for a stream. */
+    readonly text: string | undefined;
+    /** Tokens of a stream as they came. */
+    readonly tokens: readonly callers.ReceivedToken[];
+    readonly isStream: boolean;
+    /** Stages that were attempted, with their extra attempts. */
+    readonly stages: readonly { readonly retries: number; readonly hedges: number }[];
+    /** Whether the entry was killed or paused while it served the request. */
+    readonly entryFailed: boolean;
+}
+
+/** What a whole answer looks like, and how many extra attempts are allowed. */
+export interface ResultsRules {
+    readonly stageCount: number;
+    readonly tokenCount: number;
+    readonly retryRatio: number;
+    /** Extra attempts that each entry may make without traffic, over the run and all its incarnations. */
+    readonly reserve: (entry: string) => number;
+}
+
+/** Counts of violations and of outcomes. */
+export interface ResultsVerdict {
+    readonly lost: number;
+    readonly doubled: number;
+    readonly crossed: number;
+    /** Retries above the budget, of the entry with the most. */
+    readonly retriesOverBudget: number;
+    readonly requests: number;
+    readonly completed: number;
+    readonly refused: number;
+    readonly unknown: number;
+    readonly cutByEntry: number;
+    readonly retries: number;
+    readonly hedges: number;
+}
+
+/** Checks a history. */
+export function checkResults(records: readonly ResultRecord[], rules: ResultsRules): ResultsVerdict {
+    const count = (fits: (record: ResultRecord) => boolean): number => records.filter(fits).length;
+    return {
+        lost: count(record => isLost(record, rules)),
+        doubled: count(isDoubled),
+        crossed: count(record => isCrossed(record, rules)),
+        retriesOverBudget: findExcess(records, rules),
+        requests: records.length,
+        completed: count(({ outcome }) => outcome === "completed"),
+        refused: count(({ outcome }) => outcome === "not-run"),
+        unknown: count(({ outcome }) => outcome === "unknown"),
+        cutByEntry: count(({ outcome, entryFailed }) => outcome === undefined && entryFailed),
+        retries: sum(records, "retries"),
+        hedges: sum(records, "hedges"),
+    };
+}
+
+/** Neither answered nor refused, or called complete without every token. */
+function isLost(record: ResultRecord, { tokenCount }: ResultsRules): boolean {
+    if (record.outcome === undefined) {
+        return !record.entryFailed;
+    }
+    const indexes = new Set(listTokens(record).map(token => token.slice(token.lastIndexOf(".") + 1)));
+    const isWhole = Array.from({ length: tokenCount }, (_, index) => indexes.has(String(index))).every(Boolean);
+    return record.outcome === "completed" && !isWhole;
+}
+
+/** A token twice, or out of its place. */
+function isDoubled(record: ResultRecord): boolean {
+    const tokens = listTokens(record);
+    const isInOrder = tokens.every((token, index) => token.endsWith(`.${index}`));
+    return !isInOrder || record.tokens.some(({ offset }, index) => offset !== index);
+}
+
+/** A token that another request's body led to, at any stage. */
+function isCrossed(record: ResultRecord, { stageCount }: ResultsRules): boolean {
+    const own = `${Array.from({ length: stageCount }, () => record.token).join("/")}/`;
+    const tokens = listTokens(record);
+    const seeds = new Set(tokens.map(token => token.slice(0, token.lastIndexOf("."))));
+    return seeds.size > 1 || tokens.some(token => !token.startsWith(own));
+}
+
+function listTokens(record: ResultRecord): string[] {
+    return record.isStream
+        ? record.tokens.map(({ token }) => token.trimEnd())
+        : (record.text ?? "").split(" ").filter(token => token.length > 0);
+}
+
+/** Requests without an answer count as first attempts of every stage, since their retries aren't known either. */
+function findExcess(records: readonly ResultRecord[], rules: ResultsRules): number {
+    const entries = new Set(records.map(({ entry }) => entry));
+    const excess = [...entries].map(entry => {
+        const own = records.filter(record => record.entry === entry);
+        const unanswered = own.filter(({ outcome }) => outcome === undefined).length;
+        const firstAttempts = own.reduce((total, { stages }) => total + stages.length, 0);
+        const allowed = rules.retryRatio * (firstAttempts + unanswered * rules.stageCount) + rules.reserve(entry);
+        return sum(own, "retries") - allowed;
+    });
+    return Math.max(0, ...excess);
+}
+
+function sum(records: readonly ResultRecord[], figure: "retries" | "hedges"): number {
+    return records.flatMap(({ stages }) => stages).reduce((total, stage) => total + stage[figure], 0);
+}
--- a/standins/Generation.ts
+++ b/standins/Generation.ts
@@ -1,6 +1,7 @@
 /**
  * What an engine generates: tokens that depend on nothing but the body and their index, so that any engine
- * can continue another's answer.
+ * can continue another's answer. Where a body has a `token`, each generated token begins with those of the body
+ * and of the earlier stages' inputs, so that a checker can tell whose result it is.
  */
 import * as crypto from "node:crypto";
 import * as http from "node:http";
@@ -14,6 +15,9 @@
     readonly maxTokens?: unknown;
     readonly prefix?: unknown;
     readonly prompt?: unknown;
+    readonly token?: unknown;
+    /** Result of the stage before, as plain services answer. */
+    readonly previous?: { readonly input?: unknown };
 }
 
 /** One generation, as read from a call. */
@@ -38,7 +42,7 @@
     return {
         operation,
         headers,
-        seed: crypto.createHash("sha256").update(JSON.stringify(incoming.body) ?? "").digest("hex").slice(0, 8),
+        seed: [...findOwners(prompt), hashBody(incoming.body)].join("/"),
         maxTokens: typeof prompt.maxTokens === "number" ? prompt.maxTokens : DEFAULT_MAX_TOKENS,
         prefix: String(prompt.prefix ?? prompt.prompt ?? "").slice(0, PREFIX_LENGTH),
         priority: Number(headers["x-priority"] ?? 0),
@@ -48,6 +52,17 @@
     };
 }
 
+/** The tokens that name a body's owner, from the last stage's input to the first one's. */
+function findOwners(prompt: Prompt): string[] {
+    const own = typeof prompt.token === "string" ? [prompt.token] : [];
+    const earlier = prompt.previous?.input;
+    return isObject(earlier) ? [...own, ...findOwners(earlier)] : own;
+}
+
+function hashBody(body: unknown): string {
+    return crypto.createHash("sha256").update(JSON.stringify(body) ?? "").digest("hex").slice(0, 8);
+}
+
 /** The token at `index`. */
 export function tokenAt(seed: string, index: number): string {
     return `${seed}.${index} `;
