--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -4,13 +4,17 @@
 import * as commander from "commander";
 import * as configuration from "./Configuration";
 import * as experiments from "./Experiment";
+import * as once from "./Once";
 import * as placement from "./Placement";
+import * as results from "./Results";
 import * as routings from "./Routing";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
     routings.routing,
     placement.placement,
+    once.once,
+    results.results,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
