--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -4,8 +4,10 @@
 import * as commander from "commander";
 import * as configuration from "./Configuration";
 import * as experiments from "./Experiment";
+import * as once from "./Once";
 import * as overheads from "./Overhead";
 import * as placement from "./Placement";
+import * as results from "./Results";
 import * as routings from "./Routing";
 import * as slopes from "./Slopes";
 
@@ -13,6 +15,8 @@
     configuration.configuration,
     routings.routing,
     placement.placement,
+    once.once,
+    results.results,
     overheads.overhead,
 ];
 
--- a/bench/SlopeTime.ts
+++ b/bench/SlopeTime.ts
@@ -13,6 +13,7 @@
 import * as choices from "../src/process/UpstreamChoice";
 import * as watcherChoices from "../src/process/WatcherChoice";
 import * as deltas from "../src/version/ConfigurationDelta";
+import * as digests from "../src/version/ContentDigest";
 import * as placements from "../src/version/Placement";
 import * as slopes from "./Slope";
 import * as samples from "./SlopeSamples";
@@ -57,12 +58,14 @@
 }
 
 function createDeltas(first: configurations.Configuration, count: number): messages.Delta[] {
+    const summaries = new digests.ContentDigest();
     const prepared: messages.Delta[] = [];
     let from = first;
     for (let index = 0; index < count; index++) {
         const to = samples.changeSlot(from);
         const edits = deltas.diff(from, to);
-        prepared.push({ kind: "delta", from: from.version, to: to.version, digest: deltas.digest(to), edits });
+        const { digest } = summaries.summarize(to);
+        prepared.push({ kind: "delta", from: from.version, to: to.version, digest, edits });
         from = to;
     }
     return prepared;
--- a/src/process/AdmissionLimit.ts
+++ b/src/process/AdmissionLimit.ts
@@ -16,6 +16,8 @@
 export interface ConcurrencyBounds {
     readonly coldConcurrency: number;
     readonly warmConcurrency: number;
+    /** Successes after a cold start before the limit rises; undefined for one round at the cold concurrency. */
+    readonly coldCalls?: number | undefined;
 }
 
 /** How an admitted call ended; neutral says nothing about the upstream. Durations are in milliseconds. */
@@ -44,6 +46,7 @@
     private reductions = 0;
     private successes = 0;
     private cold = true;
+    private suspected = false;
     /** The limit while warm or warming; unused while cold. */
     private raised = 0;
 
@@ -56,8 +59,7 @@
 
     /** Calls that may be active at once. */
     get limit(): number {
-        const { cold, warm } = this.readBounds();
-        return this.cold ? cold : Math.min(warm, Math.max(cold, this.raised));
+        return this.suspected ? this.readBounds().cold : this.learnedLimit;
     }
 
     /** Calls admitted and not given back. May exceed the limit after a fall. */
@@ -65,9 +67,15 @@
         return this.held.size;
     }
 
-    /** Whether no round of successes has completed since the last cold start. */
+    /** Whether the limit is held at the cold concurrency: since a cold start, or while a restart is suspected. */
     get isCold(): boolean {
-        return this.cold;
+        return this.cold || this.suspected;
+    }
+
+    /** Holds the limit at the cold concurrency while it is unknown whether the upstream restarted. */
+    suspect(isSuspected: boolean): void {
+        this.suspected = isSuspected;
+        this.changeEmitter.fire();
     }
 
     /** Admits one call; undefined at the limit. */
@@ -111,6 +119,12 @@
         this.coldEmitter.dispose();
     }
 
+    /** The limit without regard to a suspicion. */
+    private get learnedLimit(): number {
+        const { cold, warm } = this.readBounds();
+        return this.cold ? cold : Math.min(warm, Math.max(cold, this.raised));
+    }
+
     private learn(ticket: Ticket, completion: Completion): void {
         if (completion.kind === "failed") {
             this.reduce(ticket);
@@ -133,11 +147,11 @@
 
     private countSuccess(): void {
         this.successes += 1;
-        const limit = this.limit;
-        if (this.successes < limit) {
+        const limit = this.learnedLimit;
+        const { warm, coldCalls } = this.readBounds();
+        if (this.successes < Math.max(limit, this.cold ? coldCalls : 0)) {
             return;
         }
-        const { warm } = this.readBounds();
         const step = limit < warm / 2 ? limit * GROWTH_RATIO : warm * WARM_STEP_RATIO;
         this.successes = 0;
         this.raised = Math.min(warm, limit + Math.max(1, Math.floor(step)));
@@ -151,13 +165,14 @@
             return;
         }
         this.reductions += 1;
-        this.raised = Math.floor(this.limit * FAILURE_FACTOR);
+        this.raised = Math.floor(this.learnedLimit * FAILURE_FACTOR);
     }
 
-    private readBounds(): { cold: number; warm: number } {
+    private readBounds(): { cold: number; warm: number; coldCalls: number } {
         const bounds = this.bounds();
         const warm = atLeastOne(bounds.warmConcurrency);
-        return { cold: Math.min(warm, atLeastOne(bounds.coldConcurrency)), warm };
+        const cold = Math.min(warm, atLeastOne(bounds.coldConcurrency));
+        return { cold, warm, coldCalls: bounds.coldCalls ?? 0 };
     }
 }
 
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -16,6 +16,7 @@
     codes.codes.otherIncarnation.code,
     codes.codes.refreshing.code,
     codes.codes.notReady.code,
+    codes.codes.modelNotLoaded.code,
 ]);
 /** Choices made again for one stage without spending a retry. */
 const MAX_REROUTES = 3;
@@ -25,6 +26,7 @@
 const MAX_ATTEMPTS = 12;
 /** Time that an answer needs on its way back; less than this left ends the attempts. */
 const MIN_ATTEMPT_MS = 2;
+const NO_INSTANCE_RETRY_MS = 1_000;
 
 /** The run of one stage; used once. */
 export class StageCall {
@@ -81,7 +83,8 @@
             candidates,
         });
         if (choice === undefined) {
-            return { isErr: true, code: codes.codes.noInstance, detail: work.service, retryAfterMs: 1_000 };
+            const code = context.explainNone(work.service);
+            return { isErr: true, code, detail: work.service, retryAfterMs: NO_INSTANCE_RETRY_MS };
         }
         this.logDecision(choice.candidate.instance, choice.considered, choice.reason);
         return { isErr: false, candidate: choice.candidate };
@@ -93,7 +96,7 @@
         const candidate = candidates.find(other => other.instance === home);
         if (candidate === undefined) {
             const detail = home ?? this.work.service;
-            return { isErr: true, code: codes.codes.homeUnavailable, detail, retryAfterMs: 1_000 };
+            return { isErr: true, code: codes.codes.homeUnavailable, detail, retryAfterMs: NO_INSTANCE_RETRY_MS };
         }
         this.logDecision(candidate.instance, [candidate.instance], "home of the key");
         return { isErr: false, candidate };
