--- a/standins/ProcessFleet.ts
+++ b/standins/ProcessFleet.ts
@@ -3,7 +3,6 @@
  * stand-ins of upstreams and platform. Every process reaches each other one through a relay of its own, and
  * reads an instance list of its own, so that each path can be cut and each view can differ.
  */
-import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -12,7 +11,6 @@
 import * as configurations from "../src/common/Configuration";
 import * as ports from "../src/common/Ports";
 import * as executions from "./ExecutionLog";
-import * as childProcesses from "./FleetProcess";
 import * as freePorts from "./FreePorts";
 import * as instanceLists from "./InstanceListStandIn";
 import * as relays from "./TcpRelay";
