--- a/standins/ProcessFleet.ts
+++ b/standins/ProcessFleet.ts
@@ -11,6 +11,7 @@
 import * as configurations from "../src/common/Configuration";
 import * as ports from "../src/common/Ports";
 import * as executions from "./ExecutionLog";
+import * as childProcesses from "./FleetProcess";
 import * as freePorts from "./FreePorts";
 import * as instanceLists from "./InstanceListStandIn";
 import * as relays from "./TcpRelay";
