Read the instance list before the first read of the configuration

Cause: the reader spreads its first read by the size of the fleet, but it started before the list was read, so each process took itself for the only one and read at once: a fleet of n processes that starts together made n reads at the same moment, above the service's 2,000 a second from 2,000 processes on. Change: the reader starts when the list has answered or failed. Nothing else waits for it. With the list unavailable a process still reads at once.

--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -130,7 +130,6 @@
         const server = net.createServer(socket => void this.accept(socket));
         this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen));
         this.startedMs = this.options.clock.now();
-        this.reader.start();
         this.mesh.start();
         void this.pollList();
     }
@@ -289,21 +288,28 @@
         return [...wanted].map(([instance, address]) => ({ instance, address }));
     }
 
+    /** The reader of the configuration spreads its first read by the size of the fleet, which only the list tells. */
     private async pollList(): Promise<void> {
-        const { clock, instanceList, log } = this.options;
+        await this.readList();
+        this.reader.start();
         while (!this.stopped.signal.aborted) {
-            const askedMs = clock.now();
-            const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(LIST_TIMEOUT_MS)]);
-            const rows = await instanceList.read(timeout);
-            if (rows.isOk) {
-                this.hasListed = true;
-                this.membership.updateList(rows.value);
-                this.listEmitter.fire({ rows: rows.value, askedMs });
-            }
-            else if (!this.stopped.signal.aborted) {
-                log.debug({ code: rows.error.code.code, detail: rows.error.detail }, "instance list unavailable");
-            }
-            await clocks.sleep(clock, LIST_POLL_MS, this.stopped.signal);
+            await clocks.sleep(this.options.clock, LIST_POLL_MS, this.stopped.signal);
+            await this.readList();
+        }
+    }
+
+    private async readList(): Promise<void> {
+        const { clock, instanceList, log } = this.options;
+        const askedMs = clock.now();
+        const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(LIST_TIMEOUT_MS)]);
+        const rows = await instanceList.read(timeout);
+        if (rows.isOk) {
+            this.hasListed = true;
+            this.membership.updateList(rows.value);
+            this.listEmitter.fire({ rows: rows.value, askedMs });
+        }
+        else if (!this.stopped.signal.aborted) {
+            log.debug({ code: rows.error.code.code, detail: rows.error.detail }, "instance list unavailable");
         }
     }
 }
