--- a/src/request/UpstreamDispatch.ts
+++ b/src/request/UpstreamDispatch.ts
@@ -41,6 +41,8 @@
 }
 
 type Reply = DispatchEnd["reply"];
+/** A reply, or that the deadline passed or the caller went away before it. */
+type Early = Reply | "late" | "gone";
 
 /** A call at the upstream; used once. */
 export class UpstreamDispatch {
@@ -55,21 +57,33 @@
 
     /** Runs the call until it ends or `signal` aborts. Never rejects. */
     async run(call: DispatchedCall, signal: AbortSignal): Promise<DispatchEnd> {
-        const ended = new AbortController();
-        const deadline = new AbortController();
-        const timer = call.endsAtDeadline
-            ? this.context.clock.schedule(call.remainingMs, () => deadline.abort())
-            : undefined;
         const pending = this.start(call);
-        const given = AbortSignal.any([signal, deadline.signal]);
-        const early = await Promise.race([pending, waitForAbort(given, ended.signal)]);
-        timer?.dispose();
-        ended.abort();
-        const reply = early ?? await this.abandon(pending, deadline.signal.aborted);
-        if (early !== undefined) {
-            this.finish(early);
+        const early = await this.waitForReply(call, pending, signal);
+        if (early === "late" || early === "gone") {
+            return { reply: await this.abandon(pending, early === "late"), upstreamMs: this.elapsedMs };
         }
-        return { reply, upstreamMs: this.elapsedMs };
+        this.finish(early);
+        return { reply: early, upstreamMs: this.elapsedMs };
+    }
+
+    /** The reply, or why nobody waits for it any more. */
+    private waitForReply(call: DispatchedCall, pending: Promise<Reply>, signal: AbortSignal): Promise<Early> {
+        return new Promise(resolve => {
+            const giveUp = (): void => finish("gone");
+            const timer = call.endsAtDeadline
+                ? this.context.clock.schedule(call.remainingMs, () => finish("late"))
+                : undefined;
+            signal.addEventListener("abort", giveUp);
+            void pending.then(finish);
+            if (signal.aborted) {
+                giveUp();
+            }
+            function finish(early: Early): void {
+                timer?.dispose();
+                signal.removeEventListener("abort", giveUp);
+                resolve(early);
+            }
+        });
     }
 
     private get elapsedMs(): number {
@@ -137,17 +151,6 @@
     }
 }
 
-/** Resolves to undefined when `signal` aborts; `ended` releases the listener. */
-function waitForAbort(signal: AbortSignal, ended: AbortSignal): Promise<undefined> {
-    return new Promise(resolve => {
-        if (signal.aborted) {
-            resolve(undefined);
-            return;
-        }
-        signal.addEventListener("abort", () => resolve(undefined), { once: true, signal: ended });
-    });
-}
-
 function describeCompletion(reply: Reply, latencyMs: number, firstTokenMs: number | undefined): limits.Completion {
     if (reply.isOk) {
         return { kind: "success", latencyMs, ...(firstTokenMs === undefined ? {} : { firstTokenMs }) };
