--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,6 +3,7 @@
  */
 import * as commander from "commander";
 import * as configuration from "./Configuration";
+import * as trimming from "./DeltaTrimming";
 import * as experiments from "./Experiment";
 import * as once from "./Once";
 import * as overheads from "./Overhead";
@@ -18,6 +19,7 @@
     once.once,
     results.results,
     overheads.overhead,
+    trimming.deltaTrimming,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
