Serve idempotency keys only under a lease, which a new home waits out

Cause: an agent that was cut off together with an entry went on serving its keys after operators had taken its slot out and the platform's list had dropped it; the new home took 'gone from the list' as proof that it had ended.

Change: an agent serves keys only while its version was confirmed within 10 s, or, with the configuration service away, while its list is fresh and it is connected to all other agents of the service (code 220, view-stale). A new home that saw an earlier one go without a word counts its handover from the end of that lease.

Conclusion: 'gone' is safe while the lease is shorter than the wait. With the configuration service away and one agent dead, keys of the service are refused.

--- a/src/common/Codes.ts
+++ b/src/common/Codes.ts
@@ -72,6 +72,7 @@
     cancelled: row(217, "cancelled", "not-run", 499, "The caller went away before the work was dispatched."),
     shed: row(218, "shed", "not-run", 503, "Shed by priority under the preset in force."),
     tombstoned: row(219, "tombstoned", "not-run", 503, "The call never arrived, and is refused if it arrives late."),
+    viewStale: row(220, "view-stale", "not-run", 503, "The key's home is out of touch and may have been replaced."),
 
     connectionLost: row(300, "connection-lost", "unknown", 502, "The connection to the agent was lost after dispatch."),
     upstreamReset: row(
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -20,6 +20,7 @@
 import * as queues from "./FairQueue";
 import * as homeClaims from "./HomeClaim";
 import * as incarnations from "./Incarnation";
+import * as keyLeases from "./KeyLease";
 import * as ledgers from "./Ledger";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
@@ -238,7 +239,7 @@
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
-            decideHome: key => this.claim.decide(key),
+            decideHome: key => this.checkKeyLease() ?? this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
             load: () => this.describeLoad(),
         };
@@ -262,6 +263,18 @@
         this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
     }
 
+    private checkKeyLease(): codes.Failure | undefined {
+        const { membership, replica } = this.node;
+        const { service, instance } = this.settings;
+        const slots = Object.keys(this.configuration?.services[service]?.slots ?? {});
+        return keyLeases.checkKeyLease({
+            unconfirmedMs: replica.unconfirmedMs,
+            listAgeMs: membership.listAgeMs,
+            others: [...slots, ...membership.listed(service)].filter(other => other !== instance),
+            isConnected: other => membership.find(other)?.connected ?? false,
+        });
+    }
+
     private findBounds(): { coldConcurrency: number; warmConcurrency: number } {
         const published = this.configuration?.services[this.settings.service];
         return this.options.bounds?.() ?? published ?? { coldConcurrency: 1, warmConcurrency: 1 };
--- a/src/process/HomeClaim.ts
+++ b/src/process/HomeClaim.ts
@@ -7,6 +7,7 @@
 import * as codes from "../common/Codes";
 import * as timeOrderedKeys from "../common/TimeOrderedKey";
 import * as keyHomes from "../version/KeyHome";
+import * as keyLeases from "./KeyLease";
 
 /** First time between two tries to reach an instance; doubles up to the longest. */
 const MIN_RETRY_MS = 100;
@@ -45,6 +46,8 @@
     /** Whether keys may have run elsewhere. */
     mayHaveMoved: boolean;
     hasAlarmed: boolean;
+    /** Whether one of them left the list without a word; it may serve until its lease ends. */
+    hasGone: boolean;
 }
 
 /** A hold that ended: earlier homes may have run moved keys until then. */
@@ -163,6 +166,7 @@
             since,
             mayHaveMoved: since === version,
             hasAlarmed: false,
+            hasGone: false,
         });
     }
 
@@ -191,6 +195,7 @@
                 pending.delete(instance);
                 asked.delete(instance);
                 hold.mayHaveMoved = true;
+                hold.hasGone = true;
             }
             for (const instance of listed.filter(name => others.has(name) && !asked.has(name))) {
                 pending.add(instance);
@@ -209,7 +214,9 @@
         const lifetimeMs = this.options.lifetimeMs();
         for (const hold of this.holds) {
             if (hold.pending.size === 0 && hold.mayHaveMoved) {
-                this.handovers.push({ previous: hold.previous, endedMs: nowMs, endedWallMs: clock.wall() });
+                const leaseMs = hold.hasGone ? Math.max(0, hold.sinceMs + keyLeases.KEY_LEASE_MS - nowMs) : 0;
+                const ended = { endedMs: nowMs + leaseMs, endedWallMs: clock.wall() + leaseMs };
+                this.handovers.push({ previous: hold.previous, ...ended });
             }
             else if (hold.pending.size > 0 && !hold.hasAlarmed && nowMs - hold.sinceMs >= lifetimeMs) {
                 hold.hasAlarmed = true;
@@ -257,7 +264,7 @@
             return;
         }
         if (confirmation !== "unreachable") {
-            this.confirmUpTo(instance, version, since, confirmation === "unchanged");
+            this.confirmUpTo(instance, version, since, confirmation);
             inquiry.delayMs = MIN_RETRY_MS;
         }
         this.settle();
@@ -273,10 +280,11 @@
         }
     }
 
-    private confirmUpTo(instance: string, version: number, since: number, isUnchanged: boolean): void {
+    private confirmUpTo(instance: string, version: number, since: number, confirmation: Confirmation): void {
         for (const hold of this.holds) {
             if (hold.version <= version && hold.pending.delete(instance)) {
-                hold.mayHaveMoved ||= !isUnchanged || since > hold.since;
+                hold.mayHaveMoved ||= confirmation !== "unchanged" || since > hold.since;
+                hold.hasGone ||= confirmation === "gone";
             }
         }
     }
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -2,6 +2,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as vitest from "vitest";
+import * as histories from "../bench/OnceHistory";
 import * as demos from "../src/commands/DemoConfiguration";
 import * as clocks from "../src/common/Clock";
 import * as codes from "../src/common/Codes";
@@ -62,6 +63,16 @@
     }
 }
 
+/** A key of now whose home is `slot` while both slots are published. */
+function createKeyOf(slot: string): string {
+    for (;;) {
+        const key = demos.createTimeOrderedKey();
+        if (keyHomes.findHome(key, ["booking-1", "booking-2"]) === slot) {
+            return key;
+        }
+    }
+}
+
 async function countRuns(): Promise<number> {
     return (await fleet!.readExecutions()).filter(({ operation }) => operation === "book").length;
 }
@@ -137,6 +148,26 @@
         expect(await countRuns()).toBe(2);
     });
 
+    it("never run a key at two homes when the earlier one is cut off and off the list", async () => {
+        const running = await startFleet(1);
+        await callUntilServed(UNTIMED_KEY);
+        const cutOff = ["entry-1", "booking-1"];
+        for (const name of cutOff) {
+            running.setPlatform(name, "cut");
+            ["entry-2", "booking-2"].forEach(other => running.setPath(name, other, "cut"));
+        }
+        ["entry-2", "booking-2"].forEach(reader => running.setListed(reader, "booking-1", false));
+        await running.publish(draft => delete draft.services["bookings"]!.slots["booking-1"]);
+        let served = 0;
+        while (served < 3) {
+            const key = createKeyOf("booking-1");
+            await call("entry-1", { key });
+            served += (await call("entry-2", { key })).answer?.outcome === "completed" ? 1 : 0;
+            await clocks.sleep(clocks.systemClock, POLL_MS);
+        }
+        expect(histories.findRepeated(await running.readExecutions())).toEqual([]);
+    });
+
     const stops: [string, (slot: string) => string][] = [["entry", () => "entry-1"], ["agent", slot => slot]];
     it.each(stops)("finish the work under way when an %s is asked to stop", async (_name, choose) => {
         await startFleet(800);
