--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -20,6 +20,7 @@
 import * as queues from "./FairQueue";
 import * as homeClaims from "./HomeClaim";
 import * as incarnations from "./Incarnation";
+import * as keyLeases from "./KeyLease";
 import * as ledgers from "./Ledger";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
@@ -243,7 +244,7 @@
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
             holdsModel: model => this.placement.holds(model),
-            decideHome: key => this.claim.decide(key),
+            decideHome: key => this.checkKeyLease() ?? this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
             isCold: () => this.limit.isCold,
             stopped: this.stopped.signal,
@@ -269,6 +270,18 @@
         this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
     }
 
+    private checkKeyLease(): codes.Failure | undefined {
+        const { membership, replica } = this.node;
+        const { service, instance } = this.settings;
+        const slots = Object.keys(this.configuration?.services[service]?.slots ?? {});
+        return keyLeases.checkKeyLease({
+            unconfirmedMs: replica.unconfirmedMs,
+            listAgeMs: membership.listAgeMs,
+            others: [...slots, ...membership.listed(service)].filter(other => other !== instance),
+            isConnected: other => membership.find(other)?.connected ?? false,
+        });
+    }
+
     private findBounds(): limits.ConcurrencyBounds {
         const published = this.configuration?.services[this.settings.service];
         const bounds = this.options.bounds?.();
