Add the experiment domains; start cold on the return to service

Cause: an agent found a restart of its upstream by probes every 500 ms or by an answer's boot identity. An upstream restarted while out and brought back within that time was given the warm limit. The agent also took no notice that its slot had been out.

Change: an agent whose slot goes from out to in, by its own state or its failure domain's, starts cold. Agents can be given another function than findOutOfService, for the experiment's baseline.

A machine that stayed warm while out warms again, at the pace of its completions.

--- /dev/null
+++ b/bench/Domains.ts
@@ -0,0 +1,283 @@
+/**
+ * Experiment `domains`: a failure domain is taken out under load and brought back with restarted upstreams. One
+ * entry never hears of it, one is paused over the publication, and the configuration service is down and then
+ * stale while the domain is out. The baseline chooses in turns, retries without a budget, lets agents take what
+ * entries send, and gives returned upstreams the whole load.
+ */
+import * as result from "true-myth/result";
+import * as clocks from "../src/common/Clock";
+import * as codes from "../src/common/Codes";
+import * as configurations from "../src/common/Configuration";
+import * as randoms from "../src/common/Random";
+import * as settingsFiles from "../src/common/SettingsFile";
+import * as agentProcesses from "../src/process/AgentProcess";
+import * as entryProcesses from "../src/process/EntryProcess";
+import * as plain from "../src/process/PlainChoices";
+import * as engines from "../standins/EngineStandIn";
+import * as fleets from "../standins/LocalFleet";
+import * as experiments from "./Experiment";
+import * as loads from "./FleetLoad";
+import * as separateEntries from "./SeparateEntry";
+
+const CONFIGURATION = "examples/imprenta.yaml";
+const OUT_DOMAIN = "santiago-2";
+const STALE_ENTRY = "entry-2";
+const PAUSED_ENTRY = "entry-3";
+const REQUESTS_PER_SECOND = 60;
+const DEADLINE_MS = 4_000;
+const SERVICE_MS = 20;
+const OBEYED_WITHIN_MS = 3_000;
+/** Calls sent to the paused entry, which reads them when it wakes. */
+const TRAPPED_CALLS = 12;
+
+/** Time from the start of a fleet after which its upstreams are warm. */
+const FLEET_WARM_MS = 16_000;
+const WARM_UP_MS = 4_000;
+const BEFORE_OUT_MS = 500;
+const SERVICE_DOWN_AFTER_MS = 300;
+const PAUSE_AFTER_OUT_MS = 4_000;
+const REST_OUT_MS = 4_000;
+/** Shorter than the time between two probes of an upstream. */
+const RESTART_BEFORE_BACK_MS = 100;
+const RETURNED_MS = 4_000;
+
+const kinds: readonly loads.RequestKind[] = [
+    ["menu-draft", 48, false] as const,
+    ["allergen-note", 24, false] as const,
+    ["dish-description", 48, true] as const,
+    ["order-status", 16, false] as const,
+].map(([pipeline, maxTokens, streams]) => ({
+    path: `/v1/pipelines/${pipeline}`,
+    maxTokens,
+    deadlineMs: DEADLINE_MS,
+    streams,
+}));
+
+/** What differs between the baseline and the product. */
+interface Variant {
+    readonly entryOptions: Partial<entryProcesses.EntryOptions>;
+    readonly agentOptions: Partial<agentProcesses.AgentOptions>;
+    readonly retryRatio: number | undefined;
+}
+
+/** Upstreams start cold as in the product; once warm, agents take no notice of restarts. */
+function createBaseline(): Variant {
+    const warmFromMs = clocks.systemClock.now() + FLEET_WARM_MS;
+    const cold = () => clocks.systemClock.now() < warmFromMs ? 2 : 16;
+    return {
+        entryOptions: { choose: plain.createRoundRobin(), admitsByDeadline: false },
+        agentOptions: {
+            bounds: () => ({ coldConcurrency: cold(), warmConcurrency: 16 }),
+            findOutOfService: () => undefined,
+        },
+        retryRatio: 1,
+    };
+}
+
+const product: Variant = { entryOptions: {}, agentOptions: {}, retryRatio: undefined };
+
+function readConfiguration(variant: Variant): configurations.Configuration {
+    const content = settingsFiles.readYaml(CONFIGURATION).unwrapOr(undefined);
+    const configuration = configurations.configurationSchema.parse(content);
+    const preset = configuration.presets[configuration.preset]!;
+    preset.retryRatio = variant.retryRatio ?? preset.retryRatio;
+    return configuration;
+}
+
+/** One run of the schedule. Times are milliseconds since 1970. */
+class Run {
+    private outMs = 0;
+    private backMs = 0;
+    private excessBefore = 0;
+    private readonly trapped: Promise<loads.EndedRequest>[] = [];
+    private readonly load: loads.FleetLoad;
+
+    private constructor(
+        private readonly fleet: fleets.LocalFleet,
+        private readonly paused: separateEntries.SeparateEntry,
+        random: () => number,
+    ) {
+        this.load = new loads.FleetLoad({
+            random,
+            kinds,
+            teams: Object.keys(fleet.configuration.teams),
+            requestsPerSecond: REQUESTS_PER_SECOND,
+            pick: () => this.pick(random),
+        });
+    }
+
+    static async measure(seed: number, variant: Variant): Promise<experiments.Figures> {
+        const random = randoms.createRandom(seed);
+        const configuration = readConfiguration(variant);
+        const fleet = await fleets.LocalFleet.start({
+            configuration,
+            entries: 2,
+            random,
+            engine: service => ({
+                ...describeCapacity(configuration, service),
+                firstTokenMs: 40,
+                msPerToken: 12,
+                batchSize: 16,
+            }),
+            plain: service => ({ ...describeCapacity(configuration, service), serviceMs: SERVICE_MS }),
+            entryOptions: variant.entryOptions,
+            agentOptions: variant.agentOptions,
+        });
+        const paused = await separateEntries.SeparateEntry.start({
+            instance: PAUSED_ENTRY,
+            failureDomain: "santiago-3",
+            region: "santiago",
+            configurationService: fleet.configurationService.address,
+            instanceList: fleet.instanceList.address,
+        }, fleet.agents.size);
+        const run = new Run(fleet, paused, random);
+        await run.schedule();
+        const figures = await run.describe();
+        paused.dispose();
+        fleet.dispose();
+        return figures;
+    }
+
+    private async schedule(): Promise<void> {
+        const { fleet, paused, load } = this;
+        load.start();
+        await wait(WARM_UP_MS);
+        const stale = fleet.entries.get(STALE_ENTRY)!["node"].replica;
+        stale.observe = () => undefined;
+        stale.offer = () => result.err(codes.failure(codes.codes.sourceUnavailable, "cut off"));
+        paused.pause();
+        this.trap();
+        await wait(BEFORE_OUT_MS);
+        this.outMs = this.publishState("out");
+        await wait(SERVICE_DOWN_AFTER_MS);
+        fleet.configurationService.faults = { down: true };
+        await wait(PAUSE_AFTER_OUT_MS - SERVICE_DOWN_AFTER_MS);
+        fleet.configurationService.faults = { answerOld: true };
+        paused.resume();
+        await wait(REST_OUT_MS);
+        this.findOutUpstreams().forEach(upstream => upstream.restart());
+        fleet.configurationService.faults = {};
+        this.excessBefore = this.countExcess();
+        await wait(RESTART_BEFORE_BACK_MS);
+        this.backMs = this.publishState("in");
+        await wait(RETURNED_MS);
+        await load.stop();
+    }
+
+    private publishState(state: "in" | "out"): number {
+        this.fleet.publish(draft => draft.failureDomains[OUT_DOMAIN]!.state = state);
+        return clocks.systemClock.wall();
+    }
+
+    /** Sends calls that wait in the sockets of the paused entry. */
+    private trap(): void {
+        for (let index = 0; index < TRAPPED_CALLS; index++) {
+            const kind = kinds[index % kinds.length]!;
+            this.trapped.push(this.load.send(PAUSED_ENTRY, this.paused.callerAddress, kind, false));
+        }
+    }
+
+    /** The balancer leaves out an entry that doesn't answer its health check. */
+    private pick(random: () => number): { entry: string; address: string } {
+        const open = [...this.fleet.entries].map(([entry, { callerAddress }]) => ({ entry, address: callerAddress }));
+        if (!this.paused.isPaused) {
+            open.push({ entry: PAUSED_ENTRY, address: this.paused.callerAddress });
+        }
+        return open[Math.floor(random() * open.length)]!;
+    }
+
+    private findOutUpstreams(): fleets.Upstream[] {
+        const slots = Object.values(this.fleet.configuration.services).flatMap(service =>
+            Object.entries(service.slots)
+        );
+        return slots.filter(([, slot]) => slot.failureDomain === OUT_DOMAIN)
+            .map(([name]) => this.fleet.upstreams.get(name)!);
+    }
+
+    /** Starts of work in the domain between two times. */
+    private countStarts(fromMs: number, toMs: number): number {
+        return this.findOutUpstreams().reduce((sum, upstream) => {
+            // Plain services log an effect at its end, engines at its start.
+            const spentMs = upstream instanceof engines.EngineStandIn ? 0 : SERVICE_MS;
+            return sum + upstream.log.filter(({ atMs }) => atMs - spentMs > fromMs && atMs - spentMs < toMs).length;
+        }, 0);
+    }
+
+    private countExcess(): number {
+        return this.findOutUpstreams().reduce((sum, upstream) => sum + upstream.capacity.excess, 0);
+    }
+
+    private async describe(): Promise<experiments.Figures> {
+        const { ended } = this.load;
+        const steady = ended.filter(({ startedMs }) => startedMs > this.outMs - WARM_UP_MS / 2);
+        const underWay = ended.filter(({ startedMs, endedMs, entry }) =>
+            entry !== PAUSED_ENTRY && startedMs < this.outMs && endedMs > this.outMs
+        );
+        const trapped = await Promise.all(this.trapped);
+        const returnedMs = this.backMs + RETURNED_MS;
+        return {
+            requests: steady.length,
+            attainment: steady.filter(loads.isInTime).length / steady.length,
+            newWorkLate: this.countStarts(this.outMs + OBEYED_WITHIN_MS, this.backMs),
+            newWorkEarly: this.countStarts(this.outMs, this.outMs + OBEYED_WITHIN_MS),
+            refusedByAgents: await this.countRefused(),
+            underWay: underWay.length,
+            underWayCut: underWay.filter(request => !loads.isWhole(request)).length,
+            unknown: ended.filter(request => isUnknown(request) && !this.isCaughtInPause(request)).length,
+            unknownInPause: ended.filter(request => isUnknown(request) && this.isCaughtInPause(request)).length,
+            trappedUnanswered: trapped.filter(({ reply }) => reply.answer === undefined).length,
+            returnedWork: this.countStarts(this.backMs, returnedMs),
+            returnedExcess: this.countExcess() - this.excessBefore,
+        };
+    }
+
+    /** Whether the request was under way on the entry that was paused. */
+    private isCaughtInPause({ entry, startedMs }: loads.EndedRequest): boolean {
+        return entry === PAUSED_ENTRY && startedMs < this.outMs;
+    }
+
+    /** Calls that agents refused because their domain was out. */
+    private async countRefused(): Promise<number> {
+        let count = 0;
+        for (const agent of this.fleet.agents.values()) {
+            const { values } = await agent["ends"].get();
+            count += values.find(({ labels }) => labels.code === "204")?.value ?? 0;
+        }
+        return count;
+    }
+}
+
+function isUnknown({ reply }: loads.EndedRequest): boolean {
+    return reply.answer === undefined || reply.answer.outcome === "unknown";
+}
+
+function describeCapacity(
+    configuration: configurations.Configuration,
+    service: string,
+): { coldConcurrency: number; warmConcurrency: number; warmAfter: number } {
+    const { coldConcurrency, warmConcurrency } = configuration.services[service]!;
+    return { coldConcurrency, warmConcurrency, warmAfter: coldConcurrency };
+}
+
+function wait(delayMs: number): Promise<void> {
+    return clocks.sleep(clocks.systemClock, delayMs);
+}
+
+export const domains: experiments.Experiment = {
+    name: "domains",
+    async run(seed) {
+        return {
+            baseline: await Run.measure(seed, createBaseline()),
+            policy: await Run.measure(seed, product),
+            bounds: {
+                attainment: { atLeast: 0.95 },
+                newWorkLate: { atMost: 0 },
+                underWayCut: { atMost: 0 },
+                unknown: { atMost: 0 },
+                trappedUnanswered: { atMost: 0 },
+                returnedExcess: { atMost: 0 },
+                returnedWork: { atLeast: 1 },
+            },
+        };
+    },
+};
--- /dev/null
+++ b/bench/FleetLoad.ts
@@ -0,0 +1,101 @@
+/**
+ * Open-loop load on the entries of a fleet: seeded arrivals and kinds of requests, and a record of each answer.
+ */
+import * as clocks from "../src/common/Clock";
+import * as callers from "../standins/Caller";
+
+const MS_PER_SECOND = 1_000;
+
+/** One kind of request. */
+export interface RequestKind {
+    readonly path: string;
+    readonly maxTokens: number;
+    readonly deadlineMs: number;
+    readonly streams: boolean;
+}
+
+/** A request that has ended. Times are milliseconds since 1970. */
+export interface EndedRequest {
+    readonly kind: RequestKind;
+    readonly entry: string;
+    readonly startedMs: number;
+    readonly endedMs: number;
+    readonly body: unknown;
+    readonly reply: callers.CallerReply;
+}
+
+/** What a load needs. */
+export interface LoadOptions {
+    readonly random: () => number;
+    readonly kinds: readonly RequestKind[];
+    readonly teams: readonly string[];
+    readonly requestsPerSecond: number;
+    /** Name and address of the entry that the platform's balancer picks. */
+    readonly pick: () => { readonly entry: string; readonly address: string };
+}
+
+/** Sends requests until stopped. */
+export class FleetLoad {
+    readonly ended: EndedRequest[] = [];
+    private readonly underWay = new Set<Promise<void>>();
+    private readonly stopped = new AbortController();
+    private sent = 0;
+
+    constructor(private readonly options: LoadOptions) {}
+
+    /** Starts the arrivals. */
+    start(): void {
+        void this.arrive();
+    }
+
+    /** Ends the arrivals and resolves when every request has ended. */
+    async stop(): Promise<void> {
+        this.stopped.abort();
+        await Promise.all(this.underWay);
+    }
+
+    /** Sends one request to a given entry; what it ends with is recorded here only when `records` is set. */
+    async send(entry: string, address: string, kind: RequestKind, records = true): Promise<EndedRequest> {
+        const { random, teams } = this.options;
+        const body = { prompt: `request ${this.sent++}`, maxTokens: kind.maxTokens };
+        const startedMs = clocks.systemClock.wall();
+        const { path, streams, deadlineMs } = kind;
+        const team = teams[Math.floor(random() * teams.length)]!;
+        const reply = await callers.callEntry({ address, path, team, streams, deadlineMs, body });
+        const ended = { kind, entry, startedMs, endedMs: clocks.systemClock.wall(), body, reply };
+        if (records) {
+            this.ended.push(ended);
+        }
+        return ended;
+    }
+
+    private async arrive(): Promise<void> {
+        const { random, requestsPerSecond, kinds, pick } = this.options;
+        while (!this.stopped.signal.aborted) {
+            const gapMs = -Math.log(1 - random()) * MS_PER_SECOND / requestsPerSecond;
+            const kind = kinds[Math.floor(random() * kinds.length)]!;
+            await clocks.sleep(clocks.systemClock, gapMs, this.stopped.signal);
+            const { entry, address } = pick();
+            const request = this.send(entry, address, kind).then(() => void this.underWay.delete(request));
+            this.underWay.add(request);
+        }
+    }
+}
+
+/** Whether a request was answered whole within its deadline, as its caller saw it. */
+export function isInTime(request: EndedRequest): boolean {
+    return isWhole(request) && request.reply.elapsedMs <= request.kind.deadlineMs;
+}
+
+/** Whether a request was answered whole. */
+export function isWhole(request: EndedRequest): boolean {
+    const { reply, kind } = request;
+    return reply.answer?.outcome === "completed" && (!kind.streams || isWholeStream(reply.tokens, kind.maxTokens));
+}
+
+/** Whether tokens of one generation came once each, in order, and all of them. */
+export function isWholeStream(tokens: readonly callers.ReceivedToken[], maxTokens: number): boolean {
+    const seed = tokens[0]?.token.split(".")[0];
+    return tokens.length === maxTokens
+        && tokens.every(({ offset, token }, index) => offset === index && token === `${seed}.${index} `);
+}
--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,6 +3,7 @@
  */
 import * as commander from "commander";
 import * as configuration from "./Configuration";
+import * as domains from "./Domains";
 import * as experiments from "./Experiment";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
@@ -11,6 +12,7 @@
     configuration.configuration,
     routings.routing,
     placement.placement,
+    domains.domains,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -42,6 +42,8 @@
     readonly weightStore?: ports.WeightStore | undefined;
     /** Concurrency bounds; undefined for the published ones. */
     readonly bounds?: () => { coldConcurrency: number; warmConcurrency: number };
+    /** Why the agent refuses new work; undefined for what is published as out. */
+    readonly findOutOfService?: typeof configurations.findOutOfService;
 }
 
 /** A running agent. */
@@ -67,6 +69,7 @@
     private readonly watch: upstreamWatches.UpstreamWatch;
     private admin: listeners.Listener | undefined;
     private isDraining = false;
+    private wasOut = false;
 
     private constructor(
         private readonly settings: settingsFile.AgentSettings,
@@ -116,6 +119,7 @@
             this.ends.inc({ code: String(answer.code) });
         });
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
+        this.store.add(this.node.replica.onVersion(() => this.noteService()));
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
         this.store.add(this.node.onList(() => this.applyVersion()));
@@ -232,6 +236,7 @@
             ledger: this.ledger,
             attempts: this.attempts,
             configuration: () => this.configuration,
+            findOutOfService: this.options.findOutOfService ?? configurations.findOutOfService,
             isReady: () => this.node.isReady,
             isDraining: () => this.isDraining,
             isRefreshing: () => this.node.isRefreshing,
@@ -250,6 +255,18 @@
         this.server.handle(connection, envelope);
     }
 
+    /** An upstream that returns to service may have been restarted since the last probe, so it starts cold. */
+    private noteService(): void {
+        const { service, instance } = this.settings;
+        const configuration = this.configuration;
+        const isOut = configuration !== undefined
+            && configurations.findOutOfService(configuration, service, instance) !== undefined;
+        if (this.wasOut && !isOut) {
+            this.limit.becomeCold("returned to service");
+        }
+        this.wasOut = isOut;
+    }
+
     private applyVersion(): void {
         const current = this.node.replica.current;
         // Without the list every other agent would look gone.
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -33,6 +33,7 @@
     readonly ledger: ledgers.Ledger;
     readonly attempts: attemptMemories.AttemptMemory;
     readonly configuration: () => configurations.Configuration | undefined;
+    readonly findOutOfService: typeof configurations.findOutOfService;
     readonly isReady: () => boolean;
     readonly isDraining: () => boolean;
     /** Whether the process woke from a pause and may not dispatch; asked right before each dispatch. */
@@ -144,7 +145,7 @@
         const configuration = context.configuration();
         const out = configuration === undefined
             ? "upstream"
-            : configurations.findOutOfService(configuration, context.service, context.slot);
+            : context.findOutOfService(configuration, context.service, context.slot);
         if (out !== undefined) {
             const code = out === "upstream" ? codes.codes.upstreamOut : codes.codes.domainOut;
             return codes.failure(code, context.slot, REFUSED_RETRY_MS);
