--- a/standins/ProcessFleet.ts
+++ b/standins/ProcessFleet.ts
@@ -3,6 +3,7 @@
  * stand-ins of upstreams and platform. Every process reaches each other one through a relay of its own, and
  * reads an instance list of its own, so that each path can be cut and each view can differ.
  */
+import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -318,3 +319,9 @@
         Object.entries(slots).map(([slot, { failureDomain }]) => ({ slot, service, failureDomain }))
     );
 }
+
+/** Runs a program to its end; for files that must be refused. */
+export function runToEnd(args: readonly string[]): { code: number | undefined; output: string } {
+    const ended = childProcess.spawnSync(process.execPath, args, { encoding: "utf8" });
+    return { code: ended.status ?? undefined, output: ended.stdout + ended.stderr };
+}
