Keep a connection to a leaving instance until its calls have ended

Cause: an instance that the list calls leaving isn't wanted as a peer any more, and the mesh closed its connection at once, with the calls that waited on it. Change: the connection is closed when no call waits on it.

--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -83,6 +83,7 @@
                 load: () => undefined,
                 wantsAgents: () => Object.keys(this.configuration?.services ?? {}),
                 onConnected: connection => this.pool.add(connection),
+                isBusy: connection => this.pool.isBusy(connection),
                 onMessage: (connection, envelope) => this.pool.handle(connection, envelope.message),
             }),
         );
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -55,6 +55,8 @@
     /** Most agents of one service that the process connects to. */
     readonly subsetSize?: number;
     readonly onConnected?: (connection: peerConnections.PeerConnection) => void;
+    /** Whether work waits on a connection; see PeerMesh. */
+    readonly isBusy?: (connection: peerConnections.PeerConnection) => boolean;
     readonly onMessage: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
 }
 
@@ -108,6 +110,7 @@
                 onConnected: connection => this.connect(connection),
                 onLost: instance => this.lose(instance),
                 onEnvelope: (connection, envelope) => this.receive(connection, envelope),
+                ...(options.isBusy === undefined ? {} : { isBusy: options.isBusy }),
                 log,
             }),
         );
--- a/src/process/PeerMesh.ts
+++ b/src/process/PeerMesh.ts
@@ -17,6 +17,9 @@
 /** Time between two comparisons of the wanted peers with the running tasks. */
 const RECONCILE_INTERVAL_MS = 1_000;
 
+/** Time between two looks at a busy connection that isn't wanted any more. */
+const IDLE_POLL_MS = 100;
+
 /** A process to connect to. */
 export interface WantedPeer {
     readonly instance: string;
@@ -36,6 +39,8 @@
     readonly onLost?: (instance: string) => void;
     /** Called for every frame, after the replica has seen it. */
     readonly onEnvelope?: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
+    /** Whether work waits on a connection; one that isn't wanted any more is closed only when none does. */
+    readonly isBusy?: (connection: peerConnections.PeerConnection) => boolean;
     readonly log: logs.Log;
     /** Uniform in [0, 1); spreads reconnects. */
     readonly random?: () => number;
@@ -134,7 +139,7 @@
         connection: peerConnections.PeerConnection,
         signal: AbortSignal,
     ): Promise<void> {
-        const end = () => connection.dispose();
+        const end = () => void this.closeWhenIdle(connection);
         signal.addEventListener("abort", end, { once: true });
         if (signal.aborted) {
             end();
@@ -143,6 +148,14 @@
         signal.removeEventListener("abort", end);
     }
 
+    /** An instance that leaves isn't wanted any more, but what it is working on still ends on its connection. */
+    private async closeWhenIdle(connection: peerConnections.PeerConnection): Promise<void> {
+        while (!this.disposed && !connection.isClosed && this.options.isBusy?.(connection)) {
+            await clocks.sleep(this.options.context.clock, IDLE_POLL_MS);
+        }
+        connection.dispose();
+    }
+
     /** Reads one connection to its end. */
     private async serve(connection: peerConnections.PeerConnection): Promise<void> {
         if (this.disposed) {
