--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,7 +3,11 @@
  */
 import * as commander from "commander";
 import * as configuration from "./Configuration";
+<<<<<<< HEAD
 import * as trimming from "./DeltaTrimming";
+=======
+import * as domains from "./Domains";
+>>>>>>> main
 import * as experiments from "./Experiment";
 import * as once from "./Once";
 import * as overheads from "./Overhead";
@@ -19,7 +23,11 @@
     once.once,
     results.results,
     overheads.overhead,
+<<<<<<< HEAD
     trimming.deltaTrimming,
+=======
+    domains.domains,
+>>>>>>> main
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -20,6 +20,7 @@
 import * as queues from "./FairQueue";
 import * as homeClaims from "./HomeClaim";
 import * as incarnations from "./Incarnation";
+import * as keyLeases from "./KeyLease";
 import * as ledgers from "./Ledger";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
@@ -44,6 +45,8 @@
     readonly weightStore?: ports.WeightStore | undefined;
     /** Concurrency bounds; undefined for the published ones. */
     readonly bounds?: () => limits.ConcurrencyBounds;
+    /** Why the agent refuses new work; undefined for what is published as out. */
+    readonly findOutOfService?: typeof configurations.findOutOfService;
 }
 
 /** A running agent. */
@@ -70,6 +73,7 @@
     private admin: listeners.Listener | undefined;
     private readonly stopped = new AbortController();
     private isDraining = false;
+    private wasOut = false;
 
     private constructor(
         private readonly settings: settingsFile.AgentSettings,
@@ -119,6 +123,7 @@
             this.ends.inc({ code: String(answer.code) });
         });
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
+        this.store.add(this.node.replica.onVersion(() => this.noteService()));
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
         this.store.add(this.node.onList(() => this.applyVersion()));
@@ -237,13 +242,14 @@
             ledger: this.ledger,
             attempts: this.attempts,
             configuration: () => this.configuration,
+            findOutOfService: this.options.findOutOfService ?? configurations.findOutOfService,
             isReady: () => this.node.isReady && this.watch.isSettled,
             isDraining: () => this.isDraining,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
             holdsModel: model => this.placement.holds(model),
-            decideHome: key => this.claim.decide(key),
+            decideHome: key => this.checkKeyLease() ?? this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
             isCold: () => this.limit.isCold,
             stopped: this.stopped.signal,
@@ -258,6 +264,18 @@
         this.server.handle(connection, envelope);
     }
 
+    /** An upstream that returns to service may have been restarted since the last probe, so it starts cold. */
+    private noteService(): void {
+        const { service, instance } = this.settings;
+        const configuration = this.configuration;
+        const isOut = configuration !== undefined
+            && configurations.findOutOfService(configuration, service, instance) !== undefined;
+        if (this.wasOut && !isOut) {
+            this.limit.becomeCold("returned to service");
+        }
+        this.wasOut = isOut;
+    }
+
     private applyVersion(): void {
         const current = this.node.replica.current;
         // Without the list every other agent would look gone.
@@ -269,6 +287,18 @@
         this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
     }
 
+    private checkKeyLease(): codes.Failure | undefined {
+        const { membership, replica } = this.node;
+        const { service, instance } = this.settings;
+        const slots = Object.keys(this.configuration?.services[service]?.slots ?? {});
+        return keyLeases.checkKeyLease({
+            unconfirmedMs: replica.unconfirmedMs,
+            listAgeMs: membership.listAgeMs,
+            others: [...slots, ...membership.listed(service)].filter(other => other !== instance),
+            isConnected: other => membership.find(other)?.connected ?? false,
+        });
+    }
+
     private findBounds(): limits.ConcurrencyBounds {
         const published = this.configuration?.services[this.settings.service];
         const bounds = this.options.bounds?.();
--- /dev/null
+++ b/src/request/CallerAnswer.test.ts
@@ -0,0 +1,64 @@
+import * as http from "node:http";
+import * as timers from "node:timers/promises";
+import * as vitest from "vitest";
+import * as answers from "./CallerAnswer";
+
+const { expect, it } = vitest;
+
+const end: answers.AnswerBody = { outcome: "completed", code: 1_000, name: "ok" };
+const token = (offset: number): string => `id: ${offset}\nevent: token\ndata: "t${offset}"\n\n`;
+const last = `event: end\ndata: ${JSON.stringify(end)}\n\n`;
+
+/** A response that notes what it is given to write. */
+class NotedResponse {
+    headersSent = false;
+    isDestroyed = false;
+    readonly written: string[] = [];
+
+    constructor(readonly writableLength: number) {}
+
+    writeHead(): void {
+        this.headersSent = true;
+    }
+
+    write(text: string): void {
+        this.written.push(text);
+    }
+
+    end(text: string): void {
+        this.written.push(text);
+    }
+
+    destroy(): void {
+        this.isDestroyed = true;
+    }
+}
+
+/** Tokens of each turn of the event loop, whether the end comes in the last turn, and what is written. */
+const tables: [string, number[][], boolean, string[]][] = [
+    ["one turn's tokens at once", [[0, 1, 2]], false, [token(0) + token(1) + token(2)]],
+    ["each turn's tokens", [[0, 1], [2]], false, [token(0) + token(1), token(2)]],
+    ["the end with the tokens of its turn", [[0], [1, 2]], true, [token(0), token(1) + token(2) + last]],
+    ["the end alone", [[]], true, [last]],
+];
+it.each(tables)("writes %s", async (_, turns, ends, expected) => {
+    const response = new NotedResponse(0);
+    const stream = new answers.EventStream(response as unknown as http.ServerResponse);
+    for (const [index, offsets] of turns.entries()) {
+        offsets.forEach(offset => stream.writeToken(offset, `t${offset}`));
+        if (ends && index === turns.length - 1) {
+            stream.writeEnd(end);
+        }
+        await timers.setImmediate();
+    }
+    await timers.setImmediate();
+    expect(response.written).toEqual(expected);
+    expect(stream.hasBegun).toBe(true);
+});
+
+it("ends the connection of a caller that doesn't read", async () => {
+    const response = new NotedResponse(5 * 1024 * 1024);
+    new answers.EventStream(response as unknown as http.ServerResponse).writeToken(0, "t0");
+    await timers.setImmediate();
+    expect(response.isDestroyed).toBe(true);
+});
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -30,6 +30,7 @@
     readonly ledger: ledgers.Ledger;
     readonly attempts: attemptMemories.AttemptMemory;
     readonly configuration: () => configurations.Configuration | undefined;
+    readonly findOutOfService: typeof configurations.findOutOfService;
     readonly isReady: () => boolean;
     readonly isDraining: () => boolean;
     /** Whether the process woke from a pause and may not dispatch; asked right before each dispatch. */
@@ -142,7 +143,7 @@
         const configuration = context.configuration();
         const out = configuration === undefined
             ? "upstream"
-            : configurations.findOutOfService(configuration, context.service, context.slot);
+            : context.findOutOfService(configuration, context.service, context.slot);
         if (out !== undefined) {
             const code = out === "upstream" ? codes.codes.upstreamOut : codes.codes.domainOut;
             return codes.failure(code, context.slot, REFUSED_RETRY_MS);
