Cut no answer that a caller has still to take at a planned stop

Cause: an entry counted a request as ended once its answer was handed to the HTTP library. The close of an HTTP server then destroyed connections whose ended answer still waited to be read. A planned stop also ended after 60 s, which is shorter than the longest deadline.

Change: a request ends when its answer has been taken, or when nothing of it was taken for 30 s; the listener stops accepting without the HTTP server's own close; the stop limit's default is 600 s, the longest deadline.

A planned stop may take as long as the slowest caller, up to the stop limit.

--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -22,7 +22,7 @@
     instanceList: addressSchema,
     logLevel: z.enum(["trace", "debug", "info", "warn", "error", "silent"]).default("info"),
     /** Longest time a planned stop waits for work under way. */
-    stopLimitMs: z.int().min(0).default(60_000),
+    stopLimitMs: z.int().min(0).default(600_000),
 };
 
 export const entrySettingsSchema = z.strictObject({
--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -16,6 +16,8 @@
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16_384;
+/** Time without any byte taken after which a caller's answer is given up. */
+const UNREAD_ANSWER_TIMEOUT_MS = 30_000;
 const DEFAULT_OPERATION_DEADLINE_MS = 4_000;
 
 /** What the server needs from its process. */
@@ -73,10 +75,9 @@
         this.listener = await listeners.listen(this.server, address);
     }
 
-    /** Stops accepting connections and resolves when all requests under way have ended. */
+    /** Stops accepting connections and resolves when all requests under way have ended and their answers are taken. */
     async drain(): Promise<void> {
         this.listener?.stopAccepting();
-        this.server.closeIdleConnections();
         while (this.activeCount > 0) {
             await new Promise<void>(resolve => this.idleWaiters.push(resolve));
         }
@@ -93,6 +94,7 @@
             await this.serveRequest(message, response);
         }
         finally {
+            await waitUntilSent(response);
             this.activeCount--;
             if (this.activeCount === 0) {
                 this.idleWaiters.splice(0).forEach(resolve => resolve());
@@ -177,6 +179,18 @@
     }
 }
 
+/** Waits until a caller has taken the whole answer, or stops taking it. */
+function waitUntilSent(response: http.ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        if (response.closed || response.destroyed) {
+            resolve();
+            return;
+        }
+        response.once("close", resolve);
+        response.setTimeout(UNREAD_ANSWER_TIMEOUT_MS, () => response.destroy());
+    });
+}
+
 interface FoundStages {
     readonly pipeline: string;
     readonly stages: readonly configurations.Stage[];
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -32,7 +32,8 @@
     const bound = server.address() as net.AddressInfo;
     return {
         address: `${bound.address}:${bound.port}`,
-        stopAccepting: () => void server.close(),
+        // The close of an HTTP server would also cut connections whose ended answer still waits to be taken.
+        stopAccepting: () => void net.Server.prototype.close.call(server),
         dispose() {
             server.close();
             sockets.forEach(socket => socket.destroy());
