--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -7,12 +7,14 @@
 import * as experiments from "./Experiment";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
+import * as streams from "./Streams";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
     routings.routing,
     placement.placement,
     domains.domains,
+    streams.streams,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- /dev/null
+++ b/bench/Streams.ts
@@ -0,0 +1,217 @@
+/**
+ * Experiment `streams`: streams that outlast their deadline, while engines die in mid-stream or leave out the
+ * last line, an agent is killed, an agent and an entry are stopped as planned, callers read late and callers go
+ * away. The baseline doesn't resume and stops at once.
+ */
+import * as clocks from "../src/common/Clock";
+import * as configurations from "../src/common/Configuration";
+import * as randoms from "../src/common/Random";
+import * as callers from "../standins/Caller";
+import * as engines from "../standins/EngineStandIn";
+import * as fleets from "../standins/LocalFleet";
+import * as checks from "../standins/StreamCaller";
+import * as experiments from "./Experiment";
+
+const TEAM = "bench";
+const STREAM_PATH = "/v1/services/engines/generate";
+const BULK_PATH = "/v1/services/bulk/generate";
+const DEADLINE_MS = 1_500;
+const MS_PER_TOKEN = 25;
+const MIN_TOKENS = 40;
+const MORE_TOKENS = 120;
+const ARRIVAL_MS = 60;
+const GONE_CALLERS = 10;
+const GONE_AFTER_MS = 500;
+/** Below the entry's bound on what it holds for a caller. */
+const BULK_TOKENS = 70_000;
+const LATE_MS = 1_500;
+const STEP_MS = 1_000;
+const SETTLE_MS = 500;
+
+const domainNames = ["zone-a", "zone-b"];
+
+function createService(slots: readonly string[]): unknown {
+    return {
+        kind: "engine",
+        operations: { generate: { idempotent: true, streams: true } },
+        warmConcurrency: 64,
+        coldConcurrency: 64,
+        slots: Object.fromEntries(slots.map((slot, index) => [slot, { failureDomain: domainNames[index % 2] }])),
+    };
+}
+
+function createConfiguration(): configurations.Configuration {
+    return configurations.configurationSchema.parse({
+        version: 1,
+        preset: "ordinary",
+        presets: { ordinary: { retryRatio: 0.1, hedgeRatio: 0, shedBelowPriority: 0 } },
+        failureDomains: Object.fromEntries(domainNames.map(name => [name, { region: "local" }])),
+        teams: { [TEAM]: { weight: 1 } },
+        services: { engines: createService(["e1", "e2", "e3", "e4"]), bulk: createService(["b1"]) },
+        pipelines: {},
+    });
+}
+
+interface Figures extends experiments.Figures {
+    streams: number;
+    whole: number;
+    inexact: number;
+    withoutEnd: number;
+    cutByStop: number;
+    lateCallersCut: number;
+    gone: number;
+    goneStillRunning: number;
+}
+
+/** One run of the schedule. */
+class Run {
+    private readonly figures: Figures = {
+        streams: 0,
+        whole: 0,
+        inexact: 0,
+        withoutEnd: 0,
+        cutByStop: 0,
+        lateCallersCut: 0,
+        gone: 0,
+        goneStillRunning: 0,
+    };
+    private readonly underWay = new Set<Promise<void>>();
+    private readonly stopped = new AbortController();
+
+    constructor(
+        private readonly fleet: fleets.LocalFleet,
+        private readonly random: () => number,
+        private readonly stopsAsPlanned: boolean,
+    ) {}
+
+    async measure(): Promise<experiments.Figures> {
+        await this.leaveEarly();
+        void this.arrive();
+        await wait(STEP_MS);
+        await this.withFault("e1", { dieAfterTokens: 12 });
+        await this.withFault("e2", { dropStreamEnd: true });
+        this.fleet.killAgent("e3");
+        await wait(STEP_MS);
+        await this.fleet.startAgent("e3");
+        await this.stopAgent("e4");
+        await this.fleet.startAgent("e4");
+        await wait(STEP_MS);
+        await this.stopEntry("entry-2");
+        await wait(STEP_MS);
+        this.stopped.abort();
+        await Promise.all(this.underWay);
+        const { figures } = this;
+        return { ...figures, wholeShare: figures.whole / figures.streams };
+    }
+
+    private async arrive(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            const entries = [...this.fleet.entries.values()].filter(entry => entry.isReady);
+            const entry = entries[Math.floor(this.random() * entries.length)]!;
+            const maxTokens = MIN_TOKENS + Math.floor(this.random() * MORE_TOKENS);
+            const stream = this.stream(entry.callerAddress, maxTokens).then(() => void this.underWay.delete(stream));
+            this.underWay.add(stream);
+            await clocks.sleep(clocks.systemClock, ARRIVAL_MS, this.stopped.signal);
+        }
+    }
+
+    /** Callers go away in mid-stream; each must end the work of one call upstream. */
+    private async leaveEarly(): Promise<void> {
+        const address = this.fleet.entries.get("entry-1")!.callerAddress;
+        const body = { prompt: "gone", maxTokens: MIN_TOKENS + MORE_TOKENS };
+        const replies = await Promise.all(Array.from({ length: GONE_CALLERS }, () => {
+            const gone = new AbortController();
+            clocks.systemClock.schedule(GONE_AFTER_MS, () => gone.abort());
+            return callers.callEntry({
+                address,
+                path: STREAM_PATH,
+                team: TEAM,
+                streams: true,
+                body,
+                signal: gone.signal,
+            });
+        }));
+        await wait(SETTLE_MS);
+        this.figures.gone = replies.filter(reply => reply.answer === undefined).length;
+        this.figures.goneStillRunning = this.figures.gone - this.countCancelled();
+    }
+
+    private async stream(address: string, maxTokens: number): Promise<void> {
+        const body = { prompt: String(this.random()), maxTokens };
+        const call = { address, path: STREAM_PATH, team: TEAM, deadlineMs: DEADLINE_MS, streams: true, body };
+        const reply = await callers.callEntry(call);
+        const { isExact, isWhole, hasEnded } = checks.judge(body, reply);
+        this.figures.streams++;
+        this.figures.whole += Number(isWhole);
+        this.figures.inexact += Number(!isExact);
+        this.figures.withoutEnd += Number(!hasEnded);
+    }
+
+    private async withFault(slot: string, faults: engines.EngineFaults): Promise<void> {
+        const engine = this.findEngine(slot);
+        engine.faults = faults;
+        await wait(STEP_MS);
+        engine.faults = {};
+    }
+
+    private async stopAgent(slot: string): Promise<void> {
+        const agent = this.fleet.agents.get(slot)!;
+        this.figures.cutByStop += this.stopsAsPlanned ? await agent.stop() : 0;
+        this.fleet.killAgent(slot);
+    }
+
+    /** Stops an entry that holds an answer which its caller hasn't taken yet. */
+    private async stopEntry(name: string): Promise<void> {
+        const entry = this.fleet.entries.get(name)!;
+        const body = { prompt: "late", maxTokens: BULK_TOKENS };
+        const late = checks.readLate(entry.callerAddress, BULK_PATH, TEAM, body, LATE_MS);
+        await wait(SETTLE_MS);
+        this.figures.cutByStop += this.stopsAsPlanned ? await entry.stop() : 0;
+        this.fleet.killEntry(name);
+        this.figures.lateCallersCut += Number(!(await late).includes("event: end"));
+    }
+
+    private countCancelled(): number {
+        return ["e1", "e2", "e3", "e4"].reduce((sum, slot) => sum + this.findEngine(slot).cancelled, 0);
+    }
+
+    private findEngine(slot: string): engines.EngineStandIn {
+        return this.fleet.upstreams.get(slot) as engines.EngineStandIn;
+    }
+}
+
+async function measure(seed: number, isBaseline: boolean): Promise<experiments.Figures> {
+    const random = randoms.createRandom(seed);
+    const fleet = await fleets.LocalFleet.start({
+        configuration: createConfiguration(),
+        entries: 2,
+        random,
+        engine: service => service === "bulk" ? { tokensPerPart: 2_000 } : { msPerToken: MS_PER_TOKEN },
+        ...(isBaseline ? { entryOptions: { maxResumes: 0 } } : {}),
+    });
+    const figures = await new Run(fleet, random, !isBaseline).measure();
+    fleet.dispose();
+    return figures;
+}
+
+function wait(delayMs: number): Promise<void> {
+    return clocks.sleep(clocks.systemClock, delayMs);
+}
+
+export const streams: experiments.Experiment = {
+    name: "streams",
+    async run(seed) {
+        return {
+            baseline: await measure(seed, true),
+            policy: await measure(seed, false),
+            bounds: {
+                inexact: { atMost: 0 },
+                withoutEnd: { atMost: 0 },
+                cutByStop: { atMost: 0 },
+                lateCallersCut: { atMost: 0 },
+                goneStillRunning: { atMost: 0 },
+                wholeShare: { atLeast: 1 },
+            },
+        };
+    },
+};
--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -118,25 +118,30 @@
             return;
         }
         const end = await this.run(request.value, prepared.value, response);
-        const { deadline, pipeline } = prepared.value;
+        const { pipeline } = prepared.value;
         const elapsedMs = this.context.clock.now() - startedMs;
-        this.context.metrics.recordRequest(pipeline, request.value.team, end.code, elapsedMs, !deadline.isExpired);
+        this.context.metrics.recordRequest(pipeline, request.value.team, end.code, elapsedMs, end.isInTime);
     }
 
     private async run(
         request: callerRequests.CallerRequest,
         prepared: PreparedRequest,
         response: http.ServerResponse,
-    ): Promise<pipelineRuns.PipelineEnd> {
+    ): Promise<pipelineRuns.PipelineEnd & { readonly isInTime: boolean }> {
         const gone = new AbortController();
         response.on("close", () => gone.abort());
         const stream = new answers.EventStream(response);
+        let isFirstInTime: boolean | undefined;
+        const takeToken = (offset: number, token: string): void => {
+            isFirstInTime ??= !prepared.deadline.isExpired;
+            stream.writeToken(offset, token);
+        };
         const end = await pipelineRuns.runPipeline(this.context.pipeline, prepared.configuration, prepared.stages, {
             ...request,
             pipeline: prepared.pipeline,
             deadline: prepared.deadline,
             signal: gone.signal,
-            onToken: request.streams ? (offset, token) => stream.writeToken(offset, token) : undefined,
+            onToken: request.streams ? takeToken : undefined,
         });
         const body = answers.describeEnd(request.request, end);
         if (stream.hasBegun || (request.streams && end.code.outcome === "completed")) {
@@ -145,7 +150,7 @@
         else {
             answers.writeAnswer(response, end.code.status, body);
         }
-        return end;
+        return { ...end, isInTime: isFirstInTime ?? !prepared.deadline.isExpired };
     }
 
     private prepare(request: callerRequests.CallerRequest): result.Result<PreparedRequest, codes.Failure> {
--- a/src/process/EntryProcess.test.ts
+++ b/src/process/EntryProcess.test.ts
@@ -25,6 +25,28 @@
     return fleet;
 }
 
+const deadlines: [string, number, string][] = [
+    ["a stream whose first token is in time ends whole after the deadline", 300, "completed"],
+    ["a stream whose first token is late ends with an error", 20, "unknown"],
+];
+it.each(deadlines)("%s", async (_name, deadlineMs, outcome) => {
+    const running = await startFleet({ msPerToken: 15, tokensPerPart: 4 });
+    const body = { prompt: "note", maxTokens: 60 };
+    const reply = await running.call(ENTRY, { path: PATH, team: TEAM, deadlineMs, streams: true, body });
+    const verdict = streamCallers.judge(body, reply);
+    expect(reply.answer?.outcome).toBe(outcome);
+    expect(verdict).toEqual({ isExact: true, isWhole: outcome === "completed", hasEnded: true });
+});
+
+it("refuses no stream because earlier ones took longer than its deadline", async () => {
+    const running = await startFleet({ msPerToken: 10, tokensPerPart: 4 });
+    const call = { path: PATH, team: TEAM, deadlineMs: 300, streams: true, body: { maxTokens: 60 } };
+    for (let round = 0; round < 6; round++) {
+        const replies = await Promise.all(Array.from({ length: 8 }, () => running.call(ENTRY, call)));
+        expect(replies.map(reply => reply.answer?.name)).toEqual(Array.from({ length: 8 }, () => "ok"));
+    }
+});
+
 it("lets a caller take its whole answer before a planned stop ends", async () => {
     const running = await startFleet({ msPerToken: 0, tokensPerPart: 2_000 });
     const entry = running.entries.get(ENTRY)!;
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -37,6 +37,8 @@
     readonly choose?: (request: choices.ChoiceRequest) => choices.Choice | undefined;
     /** Whether requests that can't finish in time are refused before they cost anything. */
     readonly admitsByDeadline?: boolean;
+    /** Most resumptions of one stream. */
+    readonly maxResumes?: number;
 }
 
 /** A running entry. */
@@ -235,6 +237,7 @@
             home: (service, key) => this.findHome(service, key),
             recover: (instance, incarnation, query, deadline) => this.recover(instance, incarnation, query, deadline),
             recordCost: (pipeline, cost) => this.metrics.recordStage(pipeline, cost),
+            maxResumes: this.options.maxResumes,
             now: () => clock.now(),
             schedule: (delayMs, callback) => clock.schedule(delayMs, callback),
         };
--- a/src/process/FairQueue.ts
+++ b/src/process/FairQueue.ts
@@ -36,6 +36,8 @@
     readonly signal: AbortSignal;
     /** What service times are learned by, such as operation and model. */
     readonly operation?: string | undefined;
+    /** Whether the deadline is for the first token only. */
+    readonly isStream?: boolean | undefined;
 }
 
 /** Leave to dispatch one call now. */
@@ -198,13 +200,18 @@
         }
     }
 
+    /** Least time that a call needs once it has started; durations of whole streams say nothing of first tokens. */
+    private findNeeded(ticket: CallTicket): number {
+        return ticket.isStream === true ? 0 : this.times.expectAtLeast(ticket.operation ?? "");
+    }
+
     /** Whether the call could end in time if it started now. */
     private checkDeadline(ticket: CallTicket): codes.Failure | undefined {
         const remainingMs = ticket.deadlineMs - this.clock.now();
         if (remainingMs <= 0) {
             return codes.failure(codes.codes.expired, `${Math.round(-remainingMs)} ms past the deadline`);
         }
-        const neededMs = this.times.expectAtLeast(ticket.operation ?? "");
+        const neededMs = this.findNeeded(ticket);
         return remainingMs < neededMs
             ? codes.failure(
                 codes.codes.deadlineUnreachable,
@@ -219,7 +226,7 @@
         const position = this.teams.findPosition(queue, ticket.priority);
         const waitMs = this.expectWait(this.teams.countAhead(queue, position));
         const remainingMs = ticket.deadlineMs - this.clock.now();
-        if (waitMs + this.times.expectAtLeast(ticket.operation ?? "") > remainingMs) {
+        if (waitMs + this.findNeeded(ticket) > remainingMs) {
             return this.createOverload(waitMs, `${Math.round(waitMs)} ms of queue, ${Math.round(remainingMs)} ms left`);
         }
         if (ticket.priority < this.options.shedBelowPriority() && this.isOverloadedBy(queue)) {
@@ -297,7 +304,7 @@
         const waitMs = this.expectWait(this.teams.countAhead(queue, position));
         const remainingMs = call.ticket.deadlineMs - this.clock.now();
         const neededMs = Math.max(0, waitMs * WAITING_TOLERANCE - this.findProgress())
-            + this.times.expectAtLeast(call.operation);
+            + this.findNeeded(call.ticket);
         const totalMs = call.ticket.deadlineMs - call.enteredMs;
         const tooLong = this.times.meanMs === undefined && remainingMs < totalMs * UNKNOWN_WAIT_RATIO;
         return tooLong || neededMs > remainingMs
--- a/src/process/adapters/EngineUpstream.ts
+++ b/src/process/adapters/EngineUpstream.ts
@@ -7,6 +7,7 @@
 import * as z from "zod";
 import * as codes from "../../common/Codes";
 import * as ports from "../../common/Ports";
+import * as deadlines from "../../request/Deadline";
 import * as requests from "./HttpRequest";
 import * as plain from "./PlainUpstream";
 import * as streams from "./TokenStream";
@@ -71,6 +72,7 @@
     const request: requests.Request = {
         ...described,
         headers: { ...described.headers, "x-offset": String(offset) },
+        progressMs: deadlines.STREAM_PROGRESS_MS,
         onChunk: chunk => tokens.push(chunk),
     };
     const reply = await requests.send(client, request, signal);
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -53,14 +53,21 @@
     for (const [index, stage] of stages.entries()) {
         const work = prepareStage(context, configuration, stages, index, request, previous);
         const startedMs = context.now();
-        const end = await new stageCalls.StageCall(context, work).run();
+        let firstTokenMs: number | undefined;
+        const { onToken } = work;
+        const takeToken = (offset: number, token: string): void => {
+            firstTokenMs ??= context.now();
+            onToken?.(offset, token);
+        };
+        const timed = onToken === undefined ? work : { ...work, onToken: takeToken };
+        const end = await new stageCalls.StageCall(context, timed).run();
         const cost = describeCost(stage, end);
         costs.push(cost);
         context.recordCost(request.pipeline, cost);
         if (end.code.code !== codes.codes.ok.code) {
             return describeFailure(stage, end, mayHaveRun, costs);
         }
-        context.history.record(request.pipeline, stage.name, context.now() - startedMs);
+        context.history.record(request.pipeline, stage.name, (firstTokenMs ?? context.now()) - startedMs);
         mayHaveRun = mayHaveRun || end.mayHaveRun;
         previous = end.body;
     }
--- a/src/request/Stage.ts
+++ b/src/request/Stage.ts
@@ -70,6 +70,8 @@
         query: agentClients.QueryContent,
         deadline: deadlines.Deadline,
     ) => Promise<messages.Answer | undefined>;
+    /** Most resumptions of one stream; undefined for the default. */
+    readonly maxResumes?: number | undefined;
     readonly now: () => number;
     readonly schedule: (delayMs: number, callback: () => void) => { dispose(): void };
 }
--- a/src/request/StageAttempt.ts
+++ b/src/request/StageAttempt.ts
@@ -5,6 +5,7 @@
 import * as messages from "../common/Messages";
 import * as agentClients from "../connection/AgentClient";
 import * as choices from "../process/UpstreamChoice";
+import * as deadlines from "./Deadline";
 import * as stages from "./Stage";
 import * as streams from "./StreamAssembly";
 
@@ -55,7 +56,7 @@
             ...this.identify(),
             team: work.team,
             priority: work.priority,
-            remainingMs: Math.min(work.deadline.remainingMs, work.shareMs),
+            remainingMs: this.findRemaining(),
             service: work.service,
             operation: work.operation,
             model: work.model,
@@ -64,11 +65,16 @@
             offset: assembly?.next ?? 0,
             body: work.body,
         };
-        const pending = client.call(content, assembly === undefined ? undefined : part => assembly.accept(part));
+        const takePart = (part: messages.Part): void => {
+            assembly?.accept(part);
+            timer.dispose();
+            timer = this.context.schedule(deadlines.STREAM_PROGRESS_MS + ANSWER_GRACE_MS, cancel);
+        };
+        const pending = client.call(content, assembly === undefined ? undefined : takePart);
         const cancel = (): void => pending.cancel();
         signal.addEventListener("abort", cancel, { once: true });
         // The agent answers in time by itself; the timer covers one that was paused or cut off.
-        const timer = this.context.schedule(content.remainingMs + ANSWER_GRACE_MS, cancel);
+        let timer = this.context.schedule(content.remainingMs + ANSWER_GRACE_MS, cancel);
         const answer = await pending.answer;
         timer.dispose();
         signal.removeEventListener("abort", cancel);
@@ -90,6 +96,14 @@
         return context.recover(candidate.instance, client.incarnation, query, work.deadline);
     }
 
+    /** A stream that has begun has the time between two parts, whatever is left until the deadline. */
+    private findRemaining(): number {
+        const { work, assembly } = this;
+        const remainingMs = Math.min(work.deadline.remainingMs, work.shareMs);
+        const hasBegun = assembly !== undefined && assembly.next > 0;
+        return hasBegun ? Math.max(remainingMs, deadlines.STREAM_PROGRESS_MS) : remainingMs;
+    }
+
     private identify(): { request: string; stage: string; attempt: number } {
         return { request: this.work.request, stage: this.work.stage, attempt: this.attempt };
     }
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -171,7 +171,8 @@
         if (code.outcome === "completed" || work.signal.aborted || this.attempts >= MAX_ATTEMPTS) {
             return false;
         }
-        if (work.deadline.remainingMs < MIN_ATTEMPT_MS || (work.key !== undefined && !work.idempotent)) {
+        const isLate = !this.hasBegun && work.deadline.remainingMs < MIN_ATTEMPT_MS;
+        if (isLate || (work.key !== undefined && !work.idempotent)) {
             return false;
         }
         if (!work.idempotent && code.outcome !== "not-run") {
@@ -183,12 +184,17 @@
             return true;
         }
         this.avoidDomains.add(attempt.failureDomain);
-        return this.mayResume() || this.mayRetry();
+        return this.hasBegun ? this.mayResume() : this.mayRetry();
+    }
+
+    /** Whether the caller has got a part of the stream. */
+    private get hasBegun(): boolean {
+        return this.assembly !== undefined && this.assembly.next > 0;
     }
 
     /** A stream that has begun goes on elsewhere: giving up on it would lose what was delivered. */
     private mayResume(): boolean {
-        if (this.assembly === undefined || this.assembly.next === 0 || this.resumes >= MAX_RESUMES) {
+        if (this.resumes >= (this.context.maxResumes ?? MAX_RESUMES)) {
             return false;
         }
         this.resumes++;
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -207,7 +207,8 @@
 
     private async admitAndDispatch(): Promise<WorkEnd> {
         const { team, priority, operation } = this.call;
-        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal: this.abort.signal, operation };
+        const { signal } = this.abort;
+        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal, operation, isStream: this.isStream };
         const admitted = await this.context.queue.enter(ticket);
         if (admitted.isErr) {
             return refused(admitted.error);
@@ -242,6 +243,10 @@
         return { code, body, tokens, upstreamMs, queuedMs };
     }
 
+    private get isStream(): boolean {
+        return this.call.stream && this.operation.streams;
+    }
+
     private async callUpstream(onPart: (part: ports.UpstreamPart) => void): ports.Reply<ports.UpstreamAnswer> {
         const { call, context } = this;
         const upstreamCall: ports.UpstreamCall = {
@@ -255,11 +260,17 @@
             freshConnection: !this.operation.idempotent,
         };
         // An answer after the deadline helps nobody; work that may not be repeated is let run to learn its result.
-        const timeout = this.operation.idempotent
-            ? context.clock.schedule(upstreamCall.remainingMs, () => this.abort.abort(codes.codes.upstreamTimeout))
-            : undefined;
-        const reply = call.stream && this.operation.streams
-            ? await context.engine.stream(upstreamCall, call.offset, onPart, this.abort.signal)
+        const expire = (): void => this.abort.abort(codes.codes.upstreamTimeout);
+        const schedule = (delayMs: number): clocks.Disposable | undefined =>
+            this.operation.idempotent ? context.clock.schedule(delayMs, expire) : undefined;
+        let timeout = schedule(upstreamCall.remainingMs);
+        const takePart = (part: ports.UpstreamPart): void => {
+            timeout?.dispose();
+            timeout = schedule(deadlines.STREAM_PROGRESS_MS);
+            onPart(part);
+        };
+        const reply = this.isStream
+            ? await context.engine.stream(upstreamCall, call.offset, takePart, this.abort.signal)
             : await context.engine.call(upstreamCall, this.abort.signal);
         timeout?.dispose();
         const timedOut = this.abort.signal.reason === codes.codes.upstreamTimeout;
