--- a/src/request/UpstreamDispatch.ts
+++ b/src/request/UpstreamDispatch.ts
@@ -9,6 +9,7 @@
 import * as ports from "../common/Ports";
 import * as limits from "../process/AdmissionLimit";
 import * as queues from "../process/FairQueue";
+import * as deadlines from "./Deadline";
 
 /** Time that an upstream needs at most to notice that a connection was closed. */
 const SETTLE_MS = 50;
@@ -50,6 +51,8 @@
     private readonly startedMs: number;
     private firstTokenMs: number | undefined;
     private isAbandoned = false;
+    private expire: (() => void) | undefined;
+    private expiry: clocks.Disposable | undefined;
 
     constructor(private readonly context: DispatchContext, private readonly permit: queues.Permit) {
         this.startedMs = context.clock.now();
@@ -69,23 +72,31 @@
     /** The reply, or why nobody waits for it any more. */
     private waitForReply(call: DispatchedCall, pending: Promise<Reply>, signal: AbortSignal): Promise<Early> {
         return new Promise(resolve => {
+            const finish = (early: Early): void => {
+                this.expiry?.dispose();
+                this.expire = undefined;
+                signal.removeEventListener("abort", giveUp);
+                resolve(early);
+            };
             const giveUp = (): void => finish("gone");
-            const timer = call.endsAtDeadline
-                ? this.context.clock.schedule(call.remainingMs, () => finish("late"))
-                : undefined;
+            this.expire = call.endsAtDeadline ? () => finish("late") : undefined;
+            this.scheduleExpiry(call.remainingMs);
             signal.addEventListener("abort", giveUp);
             void pending.then(finish);
             if (signal.aborted) {
                 giveUp();
             }
-            function finish(early: Early): void {
-                timer?.dispose();
-                signal.removeEventListener("abort", giveUp);
-                resolve(early);
-            }
         });
     }
 
+    /** A call ends at its deadline; a stream that has begun ends when its next part takes too long. */
+    private scheduleExpiry(delayMs: number): void {
+        this.expiry?.dispose();
+        this.expiry = this.expire === undefined || this.isAbandoned
+            ? undefined
+            : this.context.clock.schedule(delayMs, this.expire);
+    }
+
     private get elapsedMs(): number {
         return this.context.clock.now() - this.startedMs;
     }
@@ -100,6 +111,7 @@
         const { offset, onPart } = call.stream;
         return engine.stream({ ...call, timeoutMs }, offset, part => {
             this.firstTokenMs ??= clock.now() - this.startedMs;
+            this.scheduleExpiry(deadlines.STREAM_PROGRESS_MS);
             if (!this.isAbandoned) {
                 onPart(part);
             }
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -211,7 +211,8 @@
 
     private async admitAndDispatch(): Promise<WorkEnd> {
         const { team, priority, operation } = this.call;
-        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal: this.abort.signal, operation };
+        const { signal } = this.abort;
+        const ticket = { team, priority, deadlineMs: this.deadline.atMs, signal, operation, isStream: this.isStream };
         const admitted = await this.context.queue.enter(ticket);
         if (admitted.isErr) {
             return refused(admitted.error);
@@ -237,6 +238,10 @@
         return { code, body, tokens, upstreamMs, queuedMs };
     }
 
+    private get isStream(): boolean {
+        return this.call.stream && this.operation.streams;
+    }
+
     private describeDispatch(): dispatches.DispatchedCall {
         const { call } = this;
         return {
@@ -248,7 +253,7 @@
             remainingMs: this.deadline.remainingMs,
             body: call.body,
             freshConnection: !this.operation.idempotent,
-            stream: call.stream && this.operation.streams ? { offset: call.offset, onPart: this.sendPart } : undefined,
+            stream: this.isStream ? { offset: call.offset, onPart: this.sendPart } : undefined,
             // An answer after the deadline helps nobody; work that may not be repeated is let run to learn its result.
             endsAtDeadline: this.operation.idempotent,
         };
