End a stage with the last instance's refusal in place of no-instance

Cause: when every instance had refused and none was left to try, the stage ended with no-instance ("no instance can be reached"), which hid that they were overloaded and what their agents advised on when to come back. Change: the last attempt's code, detail and advice end the stage. Conclusion: callers and the log name the true cause.

--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -48,14 +48,17 @@
     async run(): Promise<stages.StageEnd> {
         this.context.retryBudget.earn();
         this.context.hedgeBudget.earn();
+        let last: attempts.AttemptEnd | undefined;
         for (;;) {
             const choice = this.choose();
             if (choice.isErr) {
-                return this.end(choice.code, undefined, choice.detail, choice.retryAfterMs);
+                // What the last instance said tells more than that no further one is left.
+                const end = last ?? choice;
+                return this.end(end.code, last, end.detail, end.retryAfterMs);
             }
-            const attempt = await this.attemptWithHedge(choice.candidate);
-            if (!this.mayTryAgain(attempt)) {
-                return this.end(attempt.code, attempt, attempt.detail, attempt.retryAfterMs);
+            last = await this.attemptWithHedge(choice.candidate);
+            if (!this.mayTryAgain(last)) {
+                return this.end(last.code, last, last.detail, last.retryAfterMs);
             }
         }
     }
