Refuse at the entry by the agents' load and what is on its way to each stage

Cause: the entry admitted by medians of whole stages over 30 to 60 s, queueing included: it saw a queue only after its victims had ended, so later stages refused what earlier ones had done; shares of the deadline held queueing as well and cut the first stages short after an overload; its refusals said nothing on when to come back. Change: FlowEstimate predicts the wait at each stage from the agents' load words, the entry's requests on their way, and what other teams leave of the concurrency; shares come from upstream times; refusals carry retryAfterMs; a service time above the usual range is followed three times as fast (not measured by itself).

--- a/src/process/AgentPool.ts
+++ b/src/process/AgentPool.ts
@@ -5,6 +5,7 @@
 import * as messages from "../common/Messages";
 import * as agentClients from "../connection/AgentClient";
 import * as peerConnections from "../connection/PeerConnection";
+import * as flowEstimates from "./FlowEstimate";
 
 /** How often a lost agent is looked for while an attempt's fate is open. */
 const RECOVER_POLL_MS = 25;
@@ -42,6 +43,14 @@
         return [...this.clients.values()];
     }
 
+    /** What is known of the load of connected instances. */
+    loads(instances: readonly { readonly instance: string }[]): readonly flowEstimates.InstanceLoad[] {
+        return instances.map(({ instance }) => {
+            const client = this.clients.get(instance);
+            return { load: client?.load, pending: client?.pending ?? 0, waiting: client?.waitingCount ?? 0 };
+        });
+    }
+
     /**
      * Asks an incarnation what became of an attempt whose connection was lost. Waits for a new connection until
      * the deadline; undefined when the incarnation is gone or didn't answer.
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -44,6 +44,8 @@
     readonly weightStore?: ports.WeightStore | undefined;
     /** Concurrency bounds; undefined for the published ones. */
     readonly bounds?: () => limits.ConcurrencyBounds;
+    /** Whether calls wait in order of arrival, whatever their team and deadline. */
+    readonly queuesInOrder?: boolean;
 }
 
 /** A running agent. */
@@ -83,6 +85,7 @@
                 clock,
                 limit: this.limit,
                 weight: team => this.findWeight(team),
+                inOrder: options.queuesInOrder ?? false,
                 shedBelowPriority: () => nodes.findPreset(this.configuration)?.shedBelowPriority ?? 0,
             }),
         );
@@ -277,8 +280,7 @@
     }
 
     private findWeight(team: string): number {
-        const weight = this.configuration?.teams[team]?.weight ?? 1;
-        return weight * (nodes.findPreset(this.configuration)?.teamWeights[team] ?? 1);
+        return nodes.findWeight(this.configuration, team);
     }
 
     private describeLoad(): messages.Load {
--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -28,7 +28,7 @@
     readonly configuration: () => configurations.Configuration | undefined;
     /** Decides before any cost whether the stages can finish in time and by priority. */
     readonly admit: (
-        pipeline: string,
+        team: string,
         stages: readonly configurations.Stage[],
         deadline: deadlines.Deadline,
         priority: number,
@@ -162,7 +162,7 @@
         const { pipeline, stages, deadlineMs, maxDeadlineMs } = found.value;
         const totalMs = Math.min(request.deadlineMs ?? deadlineMs, maxDeadlineMs);
         const deadline = new deadlines.Deadline(this.context.clock, totalMs);
-        const refused = this.context.admit(pipeline, stages, deadline, request.priority);
+        const refused = this.context.admit(request.team, stages, deadline, request.priority);
         return refused === undefined ? result.ok({ configuration, pipeline, stages, deadline }) : result.err(refused);
     }
 
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -16,6 +16,7 @@
 import * as agentPools from "./AgentPool";
 import * as callerServers from "./CallerServer";
 import * as entryMetrics from "./EntryMetrics";
+import * as flowEstimates from "./FlowEstimate";
 import * as incarnations from "./Incarnation";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
@@ -46,6 +47,7 @@
     private readonly node: nodes.Node;
     private readonly pool: agentPools.AgentPool;
     private readonly history: stageHistories.StageHistory;
+    private readonly flow: flowEstimates.FlowEstimate;
     private readonly choice: choices.UpstreamChoice;
     private readonly retryBudget: retryBudgets.RetryBudget;
     private readonly hedgeBudget: retryBudgets.RetryBudget;
@@ -60,6 +62,11 @@
         const { clock, log, random } = options;
         this.pool = this.store.add(new agentPools.AgentPool(clock));
         this.history = new stageHistories.StageHistory({ clock });
+        this.flow = new flowEstimates.FlowEstimate({
+            clock,
+            loads: service => this.pool.loads(this.findCandidates(service)),
+            weight: team => nodes.findWeight(this.configuration, team),
+        });
         this.choice = new choices.UpstreamChoice({ ...settings, clock, random });
         const ratio = (name: "retryRatio" | "hedgeRatio") => () => nodes.findPreset(this.configuration)?.[name] ?? 0;
         this.retryBudget = new retryBudgets.RetryBudget({ clock, ratio: ratio("retryRatio") });
@@ -93,7 +100,7 @@
                 pipeline: this.createPipelineContext(),
                 refusal: () => this.findRefusal(),
                 configuration: () => this.configuration,
-                admit: (pipeline, stages, deadline, priority) => this.admit(pipeline, stages, deadline, priority),
+                admit: (team, stages, deadline, priority) => this.admit(team, stages, deadline, priority),
                 maxBodyBytes: settings.maxBodyBytes,
                 requestTimeoutMs: settings.requestTimeoutMs,
             }),
@@ -194,7 +201,7 @@
     }
 
     private admit(
-        pipeline: string,
+        team: string,
         stages: readonly configurations.Stage[],
         deadline: deadlines.Deadline,
         priority: number,
@@ -207,9 +214,8 @@
         if (this.options.admitsByDeadline === false) {
             return undefined;
         }
-        const names = stages.map(stage => stage.name);
-        const { random } = this.options;
-        const admitted = stageHistories.canFinish(this.history, pipeline, names, deadline.remainingMs, random);
+        const needMs = this.flow.expectMs(team, stages);
+        const admitted = stageHistories.admitWithin(needMs, deadline.remainingMs, this.options.random);
         return admitted.isErr ? admitted.error : undefined;
     }
 
@@ -225,6 +231,7 @@
         return {
             log,
             history: this.history,
+            flow: this.flow,
             retryBudget: this.retryBudget,
             hedgeBudget: this.hedgeBudget,
             choose: this.options.choose ?? (request => this.choice.choose(request)),
--- a/src/process/FairQueue.ts
+++ b/src/process/FairQueue.ts
@@ -54,6 +54,8 @@
     readonly limit: limits.AdmissionLimit;
     readonly weight: (team: string) => number;
     readonly shedBelowPriority: () => number;
+    /** Whether calls wait in order of arrival until their deadlines, without shares or estimates; for comparison. */
+    readonly inOrder?: boolean;
 }
 
 interface WaitingCall {
@@ -126,9 +128,10 @@
         if (failure !== undefined) {
             return result.err(failure);
         }
-        const queue = this.teams.open(ticket.team);
+        const { inOrder = false } = this.options;
+        const queue = this.teams.open(inOrder ? "" : ticket.team);
         const mustWait = this.teams.size > 0 || this.limit.active >= this.limit.limit;
-        const refused = mustWait ? this.checkWait(queue, ticket) : undefined;
+        const refused = mustWait && !inOrder ? this.checkWait(queue, ticket) : undefined;
         return refused === undefined ? this.wait(queue, ticket) : result.err(refused);
     }
 
@@ -204,7 +207,7 @@
         if (remainingMs <= 0) {
             return codes.failure(codes.codes.expired, `${Math.round(-remainingMs)} ms past the deadline`);
         }
-        const neededMs = this.times.expectAtLeast(ticket.operation ?? "");
+        const neededMs = this.options.inOrder ? 0 : this.times.expectAtLeast(ticket.operation ?? "");
         return remainingMs < neededMs
             ? codes.failure(
                 codes.codes.deadlineUnreachable,
@@ -294,6 +297,9 @@
     }
 
     private checkRemainingWait(queue: Queue, position: number, call: WaitingCall): codes.Failure | undefined {
+        if (this.options.inOrder) {
+            return undefined;
+        }
         const waitMs = this.expectWait(this.teams.countAhead(queue, position));
         const remainingMs = call.ticket.deadlineMs - this.clock.now();
         const neededMs = Math.max(0, waitMs * WAITING_TOLERANCE - this.findProgress())
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -326,3 +326,9 @@
 ): configurations.Preset | undefined {
     return configuration?.presets[configuration.preset];
 }
+
+/** The weight of a team under the preset in force. */
+export function findWeight(configuration: configurations.Configuration | undefined, team: string): number {
+    const weight = configuration?.teams[team]?.weight ?? 1;
+    return weight * (findPreset(configuration)?.teamWeights[team] ?? 1);
+}
--- a/src/process/ServiceTimes.ts
+++ b/src/process/ServiceTimes.ts
@@ -6,6 +6,10 @@
 
 /** Weight of one observation in the moving means. */
 const SMOOTHING = 0.1;
+/** Weight of an observation above the usual range, so that an upstream that turns slow is noticed soon. */
+const SLOW_SMOOTHING = 0.3;
+/** Deviations above the mean that are still in the usual range. */
+const USUAL_DEVIATIONS = 3;
 /** Shortest time that an estimate stays valid without a new observation. */
 const MIN_VALIDITY_MS = 5_000;
 /** An estimate stays valid for at least this many times its own value. */
@@ -37,6 +41,12 @@
         return this.isValid(estimate) ? estimate.meanMs : this.meanMs;
     }
 
+    /** Mean and mean deviation of one operation; undefined when nothing valid was learned of it. */
+    find(operation: string): { readonly meanMs: number; readonly deviationMs: number } | undefined {
+        const estimate = this.estimates.get(operation);
+        return this.isValid(estimate) ? estimate : undefined;
+    }
+
     /** Time below which the operation hardly ever ends; 0 when nothing valid was learned. */
     expectAtLeast(operation: string): number {
         const estimate = this.estimates.get(operation);
@@ -67,8 +77,10 @@
         return { meanMs: serviceMs, deviationMs: 0, learnedMs };
     }
     const differenceMs = serviceMs - estimate.meanMs;
-    estimate.meanMs += SMOOTHING * differenceMs;
-    estimate.deviationMs += SMOOTHING * (Math.abs(differenceMs) - estimate.deviationMs);
+    const isSlow = differenceMs > estimate.deviationMs * USUAL_DEVIATIONS;
+    const weight = isSlow ? SLOW_SMOOTHING : SMOOTHING;
+    estimate.meanMs += weight * differenceMs;
+    estimate.deviationMs += weight * (Math.abs(differenceMs) - estimate.deviationMs);
     estimate.learnedMs = learnedMs;
     return estimate;
 }
--- a/src/process/StageHistory.test.ts
+++ b/src/process/StageHistory.test.ts
@@ -53,6 +53,18 @@
     expect(histories.canFinish(history, "p", STAGES, 10, () => 0.9).isOk).toBe(true);
 });
 
+it.each([[1_500, 1_000, 500], [1_001, 1_000, 50]])("with %d ms needed and %d ms left, says when to come back", (
+    needMs,
+    remainingMs,
+    retryAfterMs,
+) => {
+    const admitted = histories.admitWithin(needMs, remainingMs, () => 0.9);
+    expect(admitted.isErr && [admitted.error.code.name, admitted.error.retryAfterMs]).toEqual([
+        "deadline-unreachable",
+        retryAfterMs,
+    ]);
+});
+
 it("gives a hedge age only with enough samples", () => {
     const [history] = createHistory(100, 300);
     history.record("p", "rare", 10);
--- a/src/process/StageHistory.ts
+++ b/src/process/StageHistory.ts
@@ -18,6 +18,8 @@
 const ADMISSION_QUANTILE = 0.5;
 /** Share of unpromising requests that are let through, so that the history is measured anew. */
 const PROBE_SHARE = 0.02;
+/** Shortest advice on when to come back, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 50;
 
 interface CachedQuantile {
     readonly value: number;
@@ -153,7 +155,15 @@
     remainingMs: number,
     random: () => number,
 ): result.Result<Admission, codes.Failure> {
-    const needMs = history.remainingNeed(pipeline, stages, ADMISSION_QUANTILE);
+    return admitWithin(history.remainingNeed(pipeline, stages, ADMISSION_QUANTILE), remainingMs, random);
+}
+
+/** Decides whether a request that is expected to take `needMs` is admitted; see `canFinish`. */
+export function admitWithin(
+    needMs: number,
+    remainingMs: number,
+    random: () => number,
+): result.Result<Admission, codes.Failure> {
     if (remainingMs > 0 && needMs <= remainingMs) {
         return result.ok("fits");
     }
@@ -161,5 +171,6 @@
         return result.ok("probe");
     }
     const detail = `needs ${Math.round(needMs)} ms, has ${Math.round(remainingMs)} ms`;
-    return result.err(codes.failure(codes.codes.deadlineUnreachable, detail));
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, needMs - remainingMs);
+    return result.err(codes.failure(codes.codes.deadlineUnreachable, detail, retryAfterMs));
 }
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -4,6 +4,7 @@
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
 import * as entryMetrics from "../process/EntryMetrics";
+import * as flowEstimates from "../process/FlowEstimate";
 import * as stageHistories from "../process/StageHistory";
 import * as deadlines from "./Deadline";
 import * as stageShapes from "./Stage";
@@ -37,6 +38,7 @@
 /** What the requests of a process share. */
 export interface PipelineContext extends stageShapes.StageContext {
     readonly history: stageHistories.StageHistory;
+    readonly flow: flowEstimates.FlowEstimate;
     readonly recordCost: (pipeline: string, cost: entryMetrics.StageCost) => void;
 }
 
@@ -46,6 +48,19 @@
     configuration: configurations.Configuration,
     stages: readonly configurations.Stage[],
     request: PipelineRequest,
+): Promise<PipelineEnd> {
+    const ticket = context.flow.enter(request.team, stages);
+    const end = await runStages(context, configuration, stages, request, ticket);
+    ticket.end();
+    return end;
+}
+
+async function runStages(
+    context: PipelineContext,
+    configuration: configurations.Configuration,
+    stages: readonly configurations.Stage[],
+    request: PipelineRequest,
+    ticket: flowEstimates.FlowTicket,
 ): Promise<PipelineEnd> {
     const costs: entryMetrics.StageCost[] = [];
     let previous: unknown;
@@ -53,6 +68,7 @@
     for (const [index, stage] of stages.entries()) {
         const work = prepareStage(context, configuration, stages, index, request, previous);
         const startedMs = context.now();
+        ticket.start(index);
         const end = await new stageCalls.StageCall(context, work).run();
         const cost = describeCost(stage, end);
         costs.push(cost);
@@ -60,7 +76,9 @@
         if (end.code.code !== codes.codes.ok.code) {
             return describeFailure(stage, end, mayHaveRun, costs);
         }
+        ticket.pass(index);
         context.history.record(request.pipeline, stage.name, context.now() - startedMs);
+        context.flow.observe(stage, end.upstreamMs);
         mayHaveRun = mayHaveRun || end.mayHaveRun;
         previous = end.body;
     }
@@ -84,7 +102,6 @@
 ): stageShapes.StageWork {
     const stage = stages[index]!;
     const operation = configurations.findOperation(configuration, stage.service, stage.operation);
-    const names = stages.slice(index).map(other => other.name);
     const isLast = index === stages.length - 1;
     return {
         request: request.request,
@@ -100,7 +117,7 @@
         prefix: request.prefix,
         body: index === 0 ? request.input : extendInput(request.input, previous),
         deadline: request.deadline,
-        shareMs: context.history.share(request.pipeline, names, request.deadline.remainingMs),
+        shareMs: context.flow.share(stages.slice(index), request.deadline.remainingMs),
         hedgeAfterMs: context.history.hedgeAfterMs(request.pipeline, stage.name),
         signal: request.signal,
         onToken: isLast && operation?.streams ? request.onToken : undefined,
