--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -47,6 +47,8 @@
     readonly bounds?: () => limits.ConcurrencyBounds;
     /** Why the agent refuses new work; undefined for what is published as out. */
     readonly findOutOfService?: typeof configurations.findOutOfService;
+    /** Whether calls wait in order of arrival, whatever their team and deadline. */
+    readonly queuesInOrder?: boolean;
 }
 
 /** A running agent. */
@@ -87,6 +89,7 @@
                 clock,
                 limit: this.limit,
                 weight: team => this.findWeight(team),
+                inOrder: options.queuesInOrder ?? false,
                 shedBelowPriority: () => nodes.findPreset(this.configuration)?.shedBelowPriority ?? 0,
             }),
         );
@@ -309,8 +312,7 @@
     }
 
     private findWeight(team: string): number {
-        const weight = this.configuration?.teams[team]?.weight ?? 1;
-        return weight * (nodes.findPreset(this.configuration)?.teamWeights[team] ?? 1);
+        return nodes.findWeight(this.configuration, team);
     }
 
     private describeLoad(): messages.Load {
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -4,6 +4,7 @@
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
 import * as entryMetrics from "../process/EntryMetrics";
+import * as flowEstimates from "../process/FlowEstimate";
 import * as stageHistories from "../process/StageHistory";
 import * as deadlines from "./Deadline";
 import * as stageShapes from "./Stage";
@@ -37,6 +38,7 @@
 /** What the requests of a process share. */
 export interface PipelineContext extends stageShapes.StageContext {
     readonly history: stageHistories.StageHistory;
+    readonly flow: flowEstimates.FlowEstimate;
     readonly recordCost: (pipeline: string, cost: entryMetrics.StageCost) => void;
 }
 
@@ -46,28 +48,36 @@
     configuration: configurations.Configuration,
     stages: readonly configurations.Stage[],
     request: PipelineRequest,
+): Promise<PipelineEnd> {
+    const ticket = context.flow.enter(request.team, stages);
+    const end = await runStages(context, configuration, stages, request, ticket);
+    ticket.end();
+    return end;
+}
+
+async function runStages(
+    context: PipelineContext,
+    configuration: configurations.Configuration,
+    stages: readonly configurations.Stage[],
+    request: PipelineRequest,
+    ticket: flowEstimates.FlowTicket,
 ): Promise<PipelineEnd> {
     const costs: entryMetrics.StageCost[] = [];
     let previous: unknown;
     let mayHaveRun = false;
     for (const [index, stage] of stages.entries()) {
         const work = prepareStage(context, configuration, stages, index, request, previous);
-        const startedMs = context.now();
-        let firstTokenMs: number | undefined;
-        const { onToken } = work;
-        const takeToken = (offset: number, token: string): void => {
-            firstTokenMs ??= context.now();
-            onToken?.(offset, token);
-        };
-        const timed = onToken === undefined ? work : { ...work, onToken: takeToken };
-        const end = await new stageCalls.StageCall(context, timed).run();
+        ticket.start(index);
+        const { end, durationMs } = await runStage(context, work);
         const cost = describeCost(stage, end);
         costs.push(cost);
         context.recordCost(request.pipeline, cost);
         if (end.code.code !== codes.codes.ok.code) {
             return describeFailure(stage, end, mayHaveRun, costs);
         }
-        context.history.record(request.pipeline, stage.name, (firstTokenMs ?? context.now()) - startedMs);
+        ticket.pass(index);
+        context.history.record(request.pipeline, stage.name, durationMs);
+        context.flow.observe(stage, end.upstreamMs);
         mayHaveRun = mayHaveRun || end.mayHaveRun;
         previous = end.body;
     }
@@ -81,6 +91,23 @@
     };
 }
 
+/** Runs a stage and times it: to its end, or to its first token when it streams. */
+async function runStage(
+    context: PipelineContext,
+    work: stageShapes.StageWork,
+): Promise<{ end: stageShapes.StageEnd; durationMs: number }> {
+    const startedMs = context.now();
+    let firstTokenMs: number | undefined;
+    const { onToken } = work;
+    const takeToken = (offset: number, token: string): void => {
+        firstTokenMs ??= context.now();
+        onToken?.(offset, token);
+    };
+    const timed = onToken === undefined ? work : { ...work, onToken: takeToken };
+    const end = await new stageCalls.StageCall(context, timed).run();
+    return { end, durationMs: (firstTokenMs ?? context.now()) - startedMs };
+}
+
 function prepareStage(
     context: PipelineContext,
     configuration: configurations.Configuration,
@@ -91,7 +118,6 @@
 ): stageShapes.StageWork {
     const stage = stages[index]!;
     const operation = configurations.findOperation(configuration, stage.service, stage.operation);
-    const names = stages.slice(index).map(other => other.name);
     const isLast = index === stages.length - 1;
     return {
         request: request.request,
@@ -107,7 +133,7 @@
         prefix: request.prefix,
         body: index === 0 ? request.input : extendInput(request.input, previous),
         deadline: request.deadline,
-        shareMs: context.history.share(request.pipeline, names, request.deadline.remainingMs),
+        shareMs: context.flow.share(stages.slice(index), request.deadline.remainingMs),
         hedgeAfterMs: context.history.hedgeAfterMs(request.pipeline, stage.name),
         signal: request.signal,
         onToken: isLast && operation?.streams ? request.onToken : undefined,
