--- a/bench/FleetFaults.ts
+++ b/bench/FleetFaults.ts
@@ -2,6 +2,8 @@
  * Brings about faults in a fleet of processes by a seeded schedule, and records what each one touched.
  */
 import * as clocks from "../src/common/Clock";
+import * as timeOrderedKeys from "../src/common/TimeOrderedKey";
+import * as keyLeases from "../src/process/KeyLease";
 import * as fleets from "../standins/ProcessFleet";
 import * as histories from "./OnceHistory";
 
@@ -11,8 +13,6 @@
 const SLOTS_REST_MS = 5_000;
 /** Time in which connections and views recover after a fault, with the longest backoff and silence. */
 const RECOVERY_MS = 6_000;
-/** Largest difference that a ledger allows between clocks. */
-const CLOCK_SKEW_MS = 5_000;
 
 /** What the schedule needs. */
 export interface FleetFaultsOptions {
@@ -67,6 +67,11 @@
         await Promise.all(this.tasks);
     }
 
+    /** Time in which keys are refused after their home was lost or changed. */
+    private get ledgerMemoryMs(): number {
+        return RECOVERY_MS + this.options.keyLifetimeMs + timeOrderedKeys.CLOCK_SKEW_MS + keyLeases.KEY_LEASE_MS;
+    }
+
     private async bringAbout(plan: Plan, lastMs: number): Promise<void> {
         resourcesOf(plan).forEach(name => this.busy.add(name));
         const startMs = this.clock.now();
@@ -81,7 +86,7 @@
             startMs,
             endMs: this.clock.now(),
             memoryMs: RECOVERY_MS,
-            ledgerMemoryMs: plan.forgets ? RECOVERY_MS + this.options.keyLifetimeMs + CLOCK_SKEW_MS : undefined,
+            ledgerMemoryMs: plan.forgets ? this.ledgerMemoryMs : undefined,
         });
     }
 
@@ -100,6 +105,7 @@
             () => this.cutPlatform(this.pick([...this.options.fleet.agentNames, ...this.options.fleet.entryNames])),
             () => this.hide(this.pick([...this.options.fleet.agentNames, ...this.options.fleet.entryNames])),
             () => this.options.changesSlots ? this.changeSlots(this.pick(this.options.fleet.agentNames)) : undefined,
+            () => this.options.changesSlots ? this.replace(this.pick(this.options.fleet.agentNames)) : undefined,
         ];
         return this.pick(makers)();
     }
@@ -247,6 +253,32 @@
         };
     }
 
+    /** Takes the slot of an agent out while it is cut off with an entry and the others' lists leave it out. */
+    private replace(agent: string): Plan | undefined {
+        const { fleet } = this.options;
+        const isolation = this.isolate(agent);
+        const change = this.changeSlots(agent);
+        const readers = [...fleet.entryNames, ...fleet.agentNames].filter(name => !isolation.members.includes(name));
+        const setListed = (isListed: boolean): void =>
+            readers.forEach(reader => fleet.setListed(reader, agent, isListed));
+        return change && {
+            ...change,
+            kind: "replace",
+            resources: ["slots", ...isolation.members],
+            durationMs: this.between(6_000, 14_000),
+            begin: async () => {
+                const heal = await isolation.begin();
+                setListed(false);
+                const restore = await change.begin();
+                return async () => {
+                    setListed(true);
+                    await heal?.();
+                    await restore?.();
+                };
+            },
+        };
+    }
+
     private between(low: number, high: number): number {
         return low + this.options.random() * (high - low);
     }
