--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,11 +3,16 @@
  */
 import * as commander from "commander";
 import * as configuration from "./Configuration";
+import * as trimming from "./DeltaTrimming";
+import * as domains from "./Domains";
 import * as experiments from "./Experiment";
 import * as once from "./Once";
+import * as overheads from "./Overhead";
 import * as placement from "./Placement";
 import * as results from "./Results";
 import * as routings from "./Routing";
+import * as slopes from "./Slopes";
+import * as streams from "./Streams";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
@@ -15,6 +20,10 @@
     placement.placement,
     once.once,
     results.results,
+    overheads.overhead,
+    trimming.deltaTrimming,
+    domains.domains,
+    streams.streams,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
@@ -25,9 +34,13 @@
 }
 
 const program = new commander.Command("bench")
-    .argument("<name>", "experiment, or all")
+    .argument("<name>", "experiment, or all; slopes writes the table of docs/CAPACITY.md")
     .option("--seed <number>", "seed of the random choices", "1")
     .action(async (name: string, options: { seed: string }) => {
+        if (name === "slopes") {
+            process.exitCode = await slopes.writeSlopes() ? 0 : 1;
+            return;
+        }
         const chosen = all.filter(experiment => name === "all" || experiment.name === name);
         if (chosen.length === 0) {
             program.error(
--- /dev/null
+++ b/bench/Overhead.ts
@@ -0,0 +1,113 @@
+/**
+ * Experiment `overhead`: an entry and an agent as processes of their own before an upstream that echoes, and
+ * beside them two bare node:http proxies in a row. Compares requests and tokens a second in turns, and
+ * measures processor time by role and the growth of the live memory.
+ */
+import * as chainPairs from "./Chains";
+import type * as experiments from "./Experiment";
+import type * as loads from "./HttpLoad";
+
+const CALLERS = 32;
+const WARM_UP_REQUESTS = 5_000;
+const ROUNDS = 5;
+const REQUESTS_PER_ROUND = 10_000;
+const STREAM_ROUNDS = 5;
+const STREAMS_PER_ROUND = 64;
+const TOKENS_PER_STREAM = 1_000;
+/**
+ * Most growth of the live memory over all requests. What an entry and an agent remember here (histograms of one
+ * stage, one instance's record, metric series of one team) has its size after the warm-up.
+ */
+const MAX_MEMORY_GROWTH_BYTES = 2 * 1024 * 1024;
+const MIN_SHARE_OF_BARE = 0.5;
+const MS_PER_SECOND = 1_000;
+
+type Send = (isBare: boolean) => Promise<loads.LoadOutcome>;
+
+interface Comparison {
+    readonly product: number;
+    readonly bare: number;
+    readonly failed: number;
+    readonly units: number;
+}
+
+/** Sends a load through both chains in turns; rates are medians, in units a second. */
+async function compare(rounds: number, send: Send): Promise<Comparison> {
+    const product: number[] = [];
+    const bare: number[] = [];
+    let failed = 0;
+    let units = 0;
+    for (let round = 0; round < rounds; round++) {
+        const ours = await send(false);
+        const theirs = await send(true);
+        failed += ours.failed + theirs.failed;
+        units += ours.units;
+        product.push(ours.units / ours.elapsedMs * MS_PER_SECOND);
+        bare.push(theirs.units / theirs.elapsedMs * MS_PER_SECOND);
+    }
+    return { product: median(product), bare: median(bare), failed, units };
+}
+
+function median(values: readonly number[]): number {
+    return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
+}
+
+async function measure(chains: chainPairs.Chains): Promise<experiments.Report> {
+    await chains.sendCalls(false, WARM_UP_REQUESTS);
+    await chains.sendCalls(true, WARM_UP_REQUESTS);
+    await chains.sendStreams(false, CALLERS);
+    await chains.sendStreams(true, CALLERS);
+    const heap = { entry: await chains.readLive("entry"), agent: await chains.readLive("agent") };
+    const startCpu = await chains.readCpu();
+    const calls = await compare(ROUNDS, isBare => chains.sendCalls(isBare, REQUESTS_PER_ROUND));
+    const callCpu = await chains.readCpu();
+    const streams = await compare(STREAM_ROUNDS, isBare => chains.sendStreams(isBare, STREAMS_PER_ROUND));
+    const streamCpu = await chains.readCpu();
+    const perCall = (role: chainPairs.Role | "bare"): number => (callCpu[role] - startCpu[role]) / calls.units;
+    const perToken = (role: chainPairs.Role | "bare"): number => (streamCpu[role] - callCpu[role]) / streams.units;
+    return {
+        baseline: {
+            requestsPerSecond: calls.bare,
+            tokensPerSecond: streams.bare,
+            cpuMicrosPerRequest: perCall("bare"),
+            cpuMicrosPerToken: perToken("bare"),
+        },
+        policy: {
+            requestsPerSecond: calls.product,
+            tokensPerSecond: streams.product,
+            requestShareOfBare: calls.product / calls.bare,
+            tokenShareOfBare: streams.product / streams.bare,
+            requests: calls.units,
+            missingTokens: STREAM_ROUNDS * STREAMS_PER_ROUND * TOKENS_PER_STREAM - streams.units,
+            failed: calls.failed + streams.failed,
+            entryCpuMicrosPerRequest: perCall("entry"),
+            agentCpuMicrosPerRequest: perCall("agent"),
+            entryCpuMicrosPerToken: perToken("entry"),
+            agentCpuMicrosPerToken: perToken("agent"),
+            entryMemoryGrowthBytes: await chains.readLive("entry") - heap.entry,
+            agentMemoryGrowthBytes: await chains.readLive("agent") - heap.agent,
+            entryResidentBytes: await chains.readMetric("entry", "process_resident_memory_bytes"),
+            agentResidentBytes: await chains.readMetric("agent", "process_resident_memory_bytes"),
+        },
+        bounds: {
+            requestShareOfBare: { atLeast: MIN_SHARE_OF_BARE },
+            tokenShareOfBare: { atLeast: MIN_SHARE_OF_BARE },
+            requests: { atLeast: ROUNDS * REQUESTS_PER_ROUND },
+            missingTokens: { atMost: 0 },
+            failed: { atMost: 0 },
+            entryMemoryGrowthBytes: { atMost: MAX_MEMORY_GROWTH_BYTES },
+            agentMemoryGrowthBytes: { atMost: MAX_MEMORY_GROWTH_BYTES },
+        },
+    };
+}
+
+/** The experiment. */
+export const overhead: experiments.Experiment = {
+    name: "overhead",
+    async run() {
+        const chains = await chainPairs.Chains.start();
+        const report = await measure(chains);
+        chains.dispose();
+        return report;
+    },
+};
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -31,6 +31,8 @@
 /** Agents of the same service that an agent hears from; they tell which models they hold. */
 const SAME_SERVICE_PEERS = 8;
 const DRAIN_POLL_MS = 10;
+/** Successes after a cold start before the limit rises, for services that publish no number. */
+const DEFAULT_COLD_CALLS = 8;
 
 /** What a test or experiment may replace. */
 export interface AgentOptions {
@@ -42,7 +44,9 @@
     readonly engine: ports.ModelEngine;
     readonly weightStore?: ports.WeightStore | undefined;
     /** Concurrency bounds; undefined for the published ones. */
-    readonly bounds?: () => { coldConcurrency: number; warmConcurrency: number };
+    readonly bounds?: () => limits.ConcurrencyBounds;
+    /** Why the agent refuses new work; undefined for what is published as out. */
+    readonly findOutOfService?: typeof configurations.findOutOfService;
 }
 
 /** A running agent. */
@@ -67,7 +71,9 @@
     private readonly server: agentServers.AgentServer;
     private readonly watch: upstreamWatches.UpstreamWatch;
     private admin: listeners.Listener | undefined;
+    private readonly stopped = new AbortController();
     private isDraining = false;
+    private wasOut = false;
 
     private constructor(
         private readonly settings: settingsFile.AgentSettings,
@@ -117,6 +123,7 @@
             this.ends.inc({ code: String(answer.code) });
         });
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
+        this.store.add(this.node.replica.onVersion(() => this.noteService()));
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
         this.store.add(this.node.onList(() => this.applyVersion()));
@@ -154,7 +161,7 @@
     }
 
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady;
+        return !this.isDraining && this.node.isReady && this.watch.isSettled;
     }
 
     /** Planned stop: says so to every peer, refuses new work, finishes all work under way, then ends. */
@@ -177,6 +184,7 @@
     /** Ends at once, as a kill would. */
     dispose(): void {
         this.isDraining = true;
+        this.stopped.abort();
         this.store.dispose();
     }
 
@@ -234,13 +242,17 @@
             ledger: this.ledger,
             attempts: this.attempts,
             configuration: () => this.configuration,
-            isReady: () => this.node.isReady,
+            findOutOfService: this.options.findOutOfService ?? configurations.findOutOfService,
+            isReady: () => this.node.isReady && this.watch.isSettled,
             isDraining: () => this.isDraining,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
+            holdsModel: model => this.placement.holds(model),
             decideHome: key => this.checkKeyLease() ?? this.claim.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
+            isCold: () => this.limit.isCold,
+            stopped: this.stopped.signal,
             load: () => this.describeLoad(),
         };
     }
@@ -252,6 +264,18 @@
         this.server.handle(connection, envelope);
     }
 
+    /** An upstream that returns to service may have been restarted since the last probe, so it starts cold. */
+    private noteService(): void {
+        const { service, instance } = this.settings;
+        const configuration = this.configuration;
+        const isOut = configuration !== undefined
+            && configurations.findOutOfService(configuration, service, instance) !== undefined;
+        if (this.wasOut && !isOut) {
+            this.limit.becomeCold("returned to service");
+        }
+        this.wasOut = isOut;
+    }
+
     private applyVersion(): void {
         const current = this.node.replica.current;
         // Without the list every other agent would look gone.
@@ -275,9 +299,13 @@
         });
     }
 
-    private findBounds(): { coldConcurrency: number; warmConcurrency: number } {
+    private findBounds(): limits.ConcurrencyBounds {
         const published = this.configuration?.services[this.settings.service];
-        return this.options.bounds?.() ?? published ?? { coldConcurrency: 1, warmConcurrency: 1 };
+        const bounds = this.options.bounds?.();
+        if (bounds !== undefined || published === undefined) {
+            return bounds ?? { coldConcurrency: 1, warmConcurrency: 1 };
+        }
+        return { coldCalls: DEFAULT_COLD_CALLS, ...published };
     }
 
     private findWeight(team: string): number {
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -16,6 +16,7 @@
     codes.codes.otherIncarnation.code,
     codes.codes.refreshing.code,
     codes.codes.notReady.code,
+    codes.codes.modelNotLoaded.code,
 ]);
 /** Choices made again for one stage without spending a retry. */
 const MAX_REROUTES = 3;
@@ -25,6 +26,7 @@
 const MAX_ATTEMPTS = 12;
 /** Time that an answer needs on its way back; less than this left ends the attempts. */
 const MIN_ATTEMPT_MS = 2;
+const NO_INSTANCE_RETRY_MS = 1_000;
 
 /** The run of one stage; used once. */
 export class StageCall {
@@ -81,7 +83,8 @@
             candidates,
         });
         if (choice === undefined) {
-            return { isErr: true, code: codes.codes.noInstance, detail: work.service, retryAfterMs: 1_000 };
+            const code = context.explainNone(work.service);
+            return { isErr: true, code, detail: work.service, retryAfterMs: NO_INSTANCE_RETRY_MS };
         }
         this.logDecision(choice.candidate.instance, choice.considered, choice.reason);
         return { isErr: false, candidate: choice.candidate };
@@ -93,7 +96,7 @@
         const candidate = candidates.find(other => other.instance === home);
         if (candidate === undefined) {
             const detail = home ?? this.work.service;
-            return { isErr: true, code: codes.codes.homeUnavailable, detail, retryAfterMs: 1_000 };
+            return { isErr: true, code: codes.codes.homeUnavailable, detail, retryAfterMs: NO_INSTANCE_RETRY_MS };
         }
         this.logDecision(candidate.instance, [candidate.instance], "home of the key");
         return { isErr: false, candidate };
@@ -108,8 +111,8 @@
     /** Sends one attempt, and a second one elsewhere when the first is slow and the budget allows. */
     private async attemptWithHedge(candidate: choices.Candidate): Promise<attempts.AttemptEnd> {
         const hedgeAfterMs = this.work.hedgeAfterMs;
-        const mayHedge = hedgeAfterMs !== undefined && this.work.idempotent && this.assembly === undefined;
-        if (!mayHedge) {
+        const mayHedge = this.work.idempotent && this.assembly === undefined && !this.context.hedgeBudget.isOff;
+        if (!mayHedge || hedgeAfterMs === undefined) {
             return this.attempt(candidate, this.work.signal);
         }
         const cancelFirst = new AbortController();
@@ -171,7 +174,8 @@
         if (code.outcome === "completed" || work.signal.aborted || this.attempts >= MAX_ATTEMPTS) {
             return false;
         }
-        if (work.deadline.remainingMs < MIN_ATTEMPT_MS || (work.key !== undefined && !work.idempotent)) {
+        const isLate = !this.hasBegun && work.deadline.remainingMs < MIN_ATTEMPT_MS;
+        if (isLate || (work.key !== undefined && !work.idempotent)) {
             return false;
         }
         if (!work.idempotent && code.outcome !== "not-run") {
@@ -183,12 +187,17 @@
             return true;
         }
         this.avoidDomains.add(attempt.failureDomain);
-        return this.mayResume() || this.mayRetry();
+        return this.hasBegun ? this.mayResume() : this.mayRetry();
+    }
+
+    /** Whether the caller has got a part of the stream. */
+    private get hasBegun(): boolean {
+        return this.assembly !== undefined && this.assembly.next > 0;
     }
 
     /** A stream that has begun goes on elsewhere: giving up on it would lose what was delivered. */
     private mayResume(): boolean {
-        if (this.assembly === undefined || this.assembly.next === 0 || this.resumes >= MAX_RESUMES) {
+        if (this.resumes >= (this.context.maxResumes ?? MAX_RESUMES)) {
             return false;
         }
         this.resumes++;
--- a/src/request/UpstreamWork.test.ts
+++ b/src/request/UpstreamWork.test.ts
@@ -3,6 +3,7 @@
 import * as demos from "../commands/DemoConfiguration";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
+import * as configurations from "../common/Configuration";
 import * as logs from "../common/Log";
 import type * as ports from "../common/Ports";
 import * as limits from "../process/AdmissionLimit";
@@ -52,12 +53,16 @@
         ledger,
         attempts,
         configuration: () => configuration,
+        findOutOfService: configurations.findOutOfService,
         isReady: () => true,
         isDraining: () => false,
         isRefreshing: () => false,
         unreadMs: () => 0,
         catchUp: () => Promise.resolve(true),
+        holdsModel: () => true,
         decideHome: () => state.home,
+        isCold: () => false,
+        stopped: new AbortController().signal,
         noteBoot: () => {},
         load: () => ({ limit: 1, active: 0, queued: 0, cold: false, draining: false, expectedMs: 0, models: [] }),
     };
