Find a call under way by the upstream's own count in the tests with processes

Cause: the agent's word that a call is active comes before the upstream has it; a kill in between left a call that never ran, and the test waited for its run until its time limit (seen twice on a busy machine).

--- a/standins/ProcessFleet.ts
+++ b/standins/ProcessFleet.ts
@@ -168,6 +168,12 @@
         return found;
     }
 
+    /** Calls that an upstream holds now, by its own count. */
+    async readHeld(slot: string): Promise<number> {
+        const { active } = await this.readLog(slot) as { active: number };
+        return active;
+    }
+
     /** What a process believes; undefined when it doesn't answer. */
     async readStatus(name: string): Promise<Record<string, unknown> | undefined> {
         try {
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -87,8 +87,7 @@
 async function findActive(): Promise<string> {
     for (;;) {
         for (const slot of ["booking-1", "booking-2"]) {
-            const { load } = await fleet!.readStatus(slot) as { load: { active: number } };
-            if (load.active > 0) {
+            if (await fleet!.readHeld(slot) > 0) {
                 return slot;
             }
         }
