--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,14 +3,20 @@
  */
 import * as commander from "commander";
 import * as configuration from "./Configuration";
+import * as deadlines from "./Deadlines";
 import * as experiments from "./Experiment";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
+import * as teams from "./Teams";
+import * as warmups from "./Warmup";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
     routings.routing,
     placement.placement,
+    warmups.warmup,
+    deadlines.deadlines,
+    teams.teams,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- /dev/null
+++ b/bench/Teams.ts
@@ -0,0 +1,140 @@
+/**
+ * Experiment `teams`: four teams within their shares, with and without a fifth, large team that sends five times
+ * its share; then the large team alone. The baseline chooses in turn, queues in order of arrival, and retries
+ * blindly.
+ */
+import * as clocks from "../src/common/Clock";
+import * as plain from "../src/process/PlainChoices";
+import * as fleets from "../standins/LocalFleet";
+import * as experiments from "./Experiment";
+import * as loads from "./FleetLoad";
+
+const DEADLINE_MS = 1_200;
+const CONCURRENCY = 4;
+const ENCODERS = 2;
+const ENCODE_MS = 30;
+const ENGINES = 4;
+const FIRST_TOKEN_MS = 60;
+const MS_PER_TOKEN = 5;
+const TOKENS = 20;
+const ENGINE_MS = FIRST_TOKEN_MS + MS_PER_TOKEN * TOKENS;
+/** Requests a second that the engines bear. */
+const CAPACITY = ENGINES * CONCURRENCY * 1_000 / ENGINE_MS;
+const LARGE_TEAM = "large";
+const LARGE_WEIGHT = 2;
+const SMALL_TEAMS = ["small-1", "small-2", "small-3", "small-4"] as const;
+const TOTAL_WEIGHT = LARGE_WEIGHT + SMALL_TEAMS.length;
+/** Part of its share that each small team uses. */
+const SMALL_USE = 0.7;
+const LARGE_OVERLOAD = 5;
+const WARMING_MS = 2_500;
+const PHASE_MS = 5_000;
+const PAUSE_MS = 300;
+
+function createDocument(retryRatio: number): ReturnType<typeof loads.createDocument> {
+    const bounds = { coldConcurrency: CONCURRENCY, warmConcurrency: CONCURRENCY };
+    const teams = Object.fromEntries(SMALL_TEAMS.map(team => [team, { weight: 1 }]));
+    return loads.createDocument(
+        [
+            { name: "encoder", kind: "plain", upstreams: ENCODERS, ...bounds },
+            { name: "engine", kind: "engine", upstreams: ENGINES, ...bounds },
+        ],
+        { deadlineMs: DEADLINE_MS, retryRatio, teams: { ...teams, [LARGE_TEAM]: { weight: LARGE_WEIGHT } } },
+    );
+}
+
+async function startFleet(seed: number, isPolicy: boolean): Promise<fleets.LocalFleet> {
+    const borne = { warmConcurrency: CONCURRENCY };
+    return fleets.LocalFleet.start({
+        configuration: createDocument(isPolicy ? 0.1 : 1),
+        entries: 2,
+        random: loads.createRandom(seed),
+        engine: () => ({ ...borne, firstTokenMs: FIRST_TOKEN_MS, msPerToken: MS_PER_TOKEN }),
+        plain: () => ({ ...borne, serviceMs: ENCODE_MS }),
+        ...(isPolicy ? {} : {
+            entryOptions: { choose: plain.createRoundRobin(), admitsByDeadline: false },
+            agentOptions: { queuesInOrder: true },
+        }),
+    });
+}
+
+/** One run over the three situations. */
+class Run {
+    private readonly load: loads.FleetLoad;
+
+    constructor(private readonly fleet: fleets.LocalFleet, seed: number) {
+        this.load = new loads.FleetLoad(fleet, loads.createRandom(seed + 1));
+    }
+
+    async measure(): Promise<experiments.Figures> {
+        await this.send("warming", WARMING_MS, true, 0.5);
+        await this.send("calm", PHASE_MS, true, 0);
+        await this.send("burst", PHASE_MS, true, LARGE_OVERLOAD);
+        await this.send("alone", PHASE_MS, false, LARGE_OVERLOAD);
+        this.load.dispose();
+        const calm = SMALL_TEAMS.map(team => this.findAttainment("calm", team));
+        const burst = SMALL_TEAMS.map(team => this.findAttainment("burst", team));
+        return {
+            calmAttainment: Math.min(...calm),
+            burstAttainment: Math.min(...burst),
+            worstLossPoints: Math.max(...burst.map((attained, index) => 100 * (calm[index]! - attained))),
+            timerLatenessMs: this.load.timerLatenessMs,
+            burstLargeGoodputShare: this.findGoodput("burst"),
+            aloneGoodputShare: this.findGoodput("alone"),
+        };
+    }
+
+    /** Sends the load of the small teams, if they are in, and a multiple of the large team's share. */
+    private async send(name: string, durationMs: number, hasSmall: boolean, largeFactor: number): Promise<void> {
+        const share = CAPACITY / TOTAL_WEIGHT;
+        const phase = { name, durationMs, body: { maxTokens: TOKENS } };
+        const small = hasSmall ? SMALL_TEAMS.map(team => ({ ...phase, team, rate: share * SMALL_USE })) : [];
+        const rate = share * LARGE_WEIGHT * largeFactor;
+        const large = largeFactor > 0 ? [{ ...phase, team: LARGE_TEAM, rate }] : [];
+        await Promise.all([...small, ...large].map(each => this.load.send(each)));
+        await this.load.settle();
+        await clocks.sleep(clocks.systemClock, PAUSE_MS);
+    }
+
+    private select(phase: string, team: string): loads.Sample[] {
+        return this.load.samples.filter(sample => sample.phase === phase && sample.team === team);
+    }
+
+    private findAttainment(phase: string, team: string): number {
+        const samples = this.select(phase, team);
+        return samples.filter(loads.isInTime).length / samples.length;
+    }
+
+    /** What the large team got in time, as a share of what the engines bear by their own time for one call. */
+    private findGoodput(phase: string): number {
+        const inTime = loads.countWithin(this.select(phase, LARGE_TEAM), PHASE_MS);
+        return inTime * this.measureEngineMs() / (PHASE_MS * ENGINES * CONCURRENCY);
+    }
+
+    private measureEngineMs(): number {
+        const engines = [...this.fleet.upstreams].filter(([slot]) => slot.startsWith("engine"));
+        const calls = engines.flatMap(([, { capacity }]) => [...capacity.busyMs.values()]);
+        return calls.reduce((sum, busyMs) => sum + busyMs, 0) / calls.length;
+    }
+}
+
+async function measure(seed: number, isPolicy: boolean): Promise<experiments.Figures> {
+    const fleet = await startFleet(seed, isPolicy);
+    const figures = await new Run(fleet, seed).measure();
+    fleet.dispose();
+    return figures;
+}
+
+/** Attainment is the share of a team's requests that were answered in time. */
+export const teams: experiments.Experiment = {
+    name: "teams",
+    async run(seed) {
+        const policy = await measure(seed, true);
+        const baseline = await measure(seed, false);
+        return {
+            baseline,
+            policy,
+            bounds: { worstLossPoints: { atMost: 2 }, aloneGoodputShare: { atLeast: 0.9 } },
+        };
+    },
+};
--- /dev/null
+++ b/bench/Warmup.ts
@@ -0,0 +1,173 @@
+/**
+ * Experiment `warmup`: a burst on engines that have just started, engines that turn cold again while their
+ * report lags, and agents restarted in front of engines. Counts, by the engines themselves, work above what
+ * a cold engine bears. The baseline admits the warm concurrency at once, chooses in turn and retries blindly.
+ */
+import * as clocks from "../src/common/Clock";
+import * as plain from "../src/process/PlainChoices";
+import * as fleets from "../standins/LocalFleet";
+import * as experiments from "./Experiment";
+import * as loads from "./FleetLoad";
+
+const ENGINES = 6;
+const COLD_CONCURRENCY = 2;
+const WARM_CONCURRENCY = 8;
+/** Completions after which an engine is warm. */
+const WARM_AFTER = 12;
+const FIRST_TOKEN_MS = 30;
+const MS_PER_TOKEN = 6;
+const TOKENS = 20;
+const REPORT_LAG_MS = 2_000;
+const DEADLINE_MS = 1_500;
+const ENCODERS = 4;
+/** Encoders don't notice that a connection was closed: they hold a call to its end. */
+const ENCODE_MS = 80;
+const SERVICE_MS = FIRST_TOKEN_MS + MS_PER_TOKEN * TOKENS;
+const WARM_RATE = ENGINES * WARM_CONCURRENCY * 1_000 / SERVICE_MS;
+const LOAD = 0.6;
+const BURST = 150;
+const PHASE_MS = 2_000;
+const RECOVERY_MS = 1_500;
+const LEAVE_SHARE = 0.15;
+const RESTARTS = 4;
+
+const published = {
+    coldConcurrency: COLD_CONCURRENCY,
+    warmConcurrency: WARM_CONCURRENCY,
+    coldCalls: WARM_AFTER,
+};
+const borne = { coldConcurrency: COLD_CONCURRENCY, warmConcurrency: WARM_CONCURRENCY, warmAfter: WARM_AFTER };
+
+const document = (retryRatio: number): ReturnType<typeof loads.createDocument> =>
+    loads.createDocument(
+        [
+            { name: "encoder", kind: "plain", upstreams: ENCODERS, ...published },
+            { name: "engine", kind: "engine", upstreams: ENGINES, ...published },
+        ],
+        { deadlineMs: DEADLINE_MS, retryRatio, teams: { bench: { weight: 1 } } },
+    );
+
+async function startFleet(seed: number, isPolicy: boolean): Promise<fleets.LocalFleet> {
+    const bounds = { coldConcurrency: WARM_CONCURRENCY, warmConcurrency: WARM_CONCURRENCY };
+    return fleets.LocalFleet.start({
+        configuration: document(isPolicy ? 0.1 : 1),
+        entries: 2,
+        random: loads.createRandom(seed),
+        engine: () => ({
+            ...borne,
+            firstTokenMs: FIRST_TOKEN_MS,
+            msPerToken: MS_PER_TOKEN,
+            reportLagMs: REPORT_LAG_MS,
+        }),
+        plain: () => ({ ...borne, serviceMs: ENCODE_MS }),
+        ...(isPolicy ? {} : {
+            entryOptions: { choose: plain.createRoundRobin(), admitsByDeadline: false },
+            agentOptions: { bounds: () => bounds },
+        }),
+    });
+}
+
+/** One run; every fault comes while load is on. */
+class Run {
+    private readonly load: loads.FleetLoad;
+    private readonly random: () => number;
+
+    constructor(private readonly fleet: fleets.LocalFleet, seed: number) {
+        this.random = loads.createRandom(seed + 1);
+        this.load = new loads.FleetLoad(fleet, loads.createRandom(seed + 2));
+    }
+
+    async measure(): Promise<experiments.Figures> {
+        const figures: experiments.Figures = {};
+        const phases: [string, () => Promise<void>][] = [
+            ["burst", () => Promise.resolve()],
+            ["engineRestart", () => this.restartEngines()],
+            ["agentRestart", () => this.restartAgents(false)],
+            ["bothRestart", () => this.restartAgents(true)],
+        ];
+        for (const [name, disturb] of phases) {
+            const before = this.countExcess();
+            const leaveShare = LEAVE_SHARE;
+            await Promise.all([this.send(name, PHASE_MS, { burst: BURST, leaveShare }), disturb()]);
+            await this.send("recovering", RECOVERY_MS, { leaveShare });
+            figures[`${name}ColdExcess`] = this.countExcess().cold - before.cold;
+            await this.send(`${name}Recovered`, RECOVERY_MS, {});
+        }
+        await this.load.settle();
+        this.load.dispose();
+        return { ...figures, ...this.describe() };
+    }
+
+    private send(name: string, durationMs: number, changes: Partial<loads.Phase>): Promise<void> {
+        const rate = WARM_RATE * LOAD;
+        return this.load.send({ name, durationMs, rate, team: "bench", body: { maxTokens: TOKENS }, ...changes });
+    }
+
+    private describe(): experiments.Figures {
+        const { samples } = this.load;
+        const stayed = samples.filter(({ hasLeft }) => !hasLeft);
+        const recovered = stayed.filter(({ phase }) => phase.endsWith("Recovered"));
+        const excess = this.countExcess();
+        return {
+            timerLatenessMs: this.load.timerLatenessMs,
+            requests: samples.length,
+            coldExcess: excess.cold,
+            warmExcess: excess.warm,
+            recoveredGoodput: recovered.filter(loads.isInTime).length / recovered.length,
+            goodput: stayed.filter(loads.isInTime).length / stayed.length,
+        };
+    }
+
+    private countExcess(): { cold: number; warm: number } {
+        const violations = [...this.fleet.upstreams.values()].flatMap(upstream => upstream.capacity.violations);
+        const cold = violations.filter(({ bears }) => bears === COLD_CONCURRENCY).length;
+        return { cold, warm: violations.length - cold };
+    }
+
+    private drawSlots(): string[] {
+        const slots = [...this.fleet.upstreams.keys()];
+        return Array.from({ length: RESTARTS }, () => {
+            return slots.splice(Math.floor(this.random() * slots.length), 1)[0]!;
+        });
+    }
+
+    private async restartEngines(): Promise<void> {
+        for (const slot of this.drawSlots()) {
+            await clocks.sleep(clocks.systemClock, 300 + 300 * this.random());
+            this.fleet.upstreams.get(slot)!.restart();
+        }
+    }
+
+    private async restartAgents(withEngine: boolean): Promise<void> {
+        for (const slot of this.drawSlots()) {
+            await clocks.sleep(clocks.systemClock, 200 + 200 * this.random());
+            this.fleet.killAgent(slot);
+            if (withEngine) {
+                this.fleet.upstreams.get(slot)!.restart();
+            }
+            await this.fleet.startAgent(slot);
+        }
+    }
+}
+
+async function measure(seed: number, isPolicy: boolean): Promise<experiments.Figures> {
+    const fleet = await startFleet(seed, isPolicy);
+    const figures = await new Run(fleet, seed).measure();
+    fleet.dispose();
+    return figures;
+}
+
+/** Shares are of the requests whose callers stayed. */
+export const warmup: experiments.Experiment = {
+    name: "warmup",
+    async run(seed) {
+        const baseline = await measure(seed, false);
+        const policy = await measure(seed, true);
+        policy["recoveredGoodputGain"] = policy["recoveredGoodput"]! - baseline["recoveredGoodput"]!;
+        return {
+            baseline,
+            policy,
+            bounds: { coldExcess: { atMost: 0 }, recoveredGoodputGain: { atLeast: 0 } },
+        };
+    },
+};
--- a/src/process/FlowEstimate.test.ts
+++ b/src/process/FlowEstimate.test.ts
@@ -59,11 +59,20 @@
             }
         }
         for (let index = 0; index < 200; index++) {
-            estimate.expectMs("observer", stages);
+            estimate.expectMs(team, stages);
         }
         expect(Math.round(estimate.expectMs(team, stages))).toBe(expectedMs);
     });
 
+    it("doesn't take a sudden burst at this entry for one at all entries", () => {
+        const estimate = createEstimate({ engines: { active: 4, own: 1 } });
+        for (let index = 0; index < 200; index++) {
+            estimate.expectMs("a", stages);
+        }
+        Array.from({ length: 8 }, () => estimate.enter("a", stages));
+        expect(Math.round(estimate.expectMs("a", stages))).toBe(527);
+    });
+
     it("forgets requests as they pass and end", () => {
         const estimate = createEstimate({});
         const tickets = Array.from({ length: 40 }, () => estimate.enter("a", stages));
--- a/src/process/FlowEstimate.ts
+++ b/src/process/FlowEstimate.ts
@@ -8,6 +8,8 @@
 
 /** Weight of one reading in the ratio between all calls at a service and this entry's own. */
 const RATIO_SMOOTHING = 0.02;
+/** Weight of one reading in the mean count of a team's requests. */
+const COUNT_SMOOTHING = 0.15;
 /** Largest ratio between all calls at a service and this entry's own. */
 const MAX_RATIO = 64;
 /** Factor on expected waits: calls spread unevenly over the instances of a service. */
@@ -52,6 +54,8 @@
     ahead = 0;
     /** Requests that have yet to be answered by the service, by team. */
     readonly unpassed = new Map<string, number>();
+    /** Mean count of requests that have yet to be answered, by team; the published teams bound it. */
+    private readonly meanUnpassed = new Map<string, number>();
     private allCalls = 1;
     private ownCalls = 1;
 
@@ -67,6 +71,17 @@
         }
     }
 
+    /** Requests of a team at all entries: this entry's now, and the mean count for each of the others. */
+    estimateAll(team: string): number {
+        return (this.unpassed.get(team) ?? 0) + (this.ratio - 1) * (this.meanUnpassed.get(team) ?? 0);
+    }
+
+    /** Takes in the count of a team's requests on the arrival of a new one. */
+    observeTeam(team: string): void {
+        const mean = this.meanUnpassed.get(team) ?? 0;
+        this.meanUnpassed.set(team, mean + COUNT_SMOOTHING * ((this.unpassed.get(team) ?? 0) - mean));
+    }
+
     add(team: string, change: number): void {
         const count = (this.unpassed.get(team) ?? 0) + change;
         if (count > 0) {
@@ -163,12 +178,12 @@
     private expectWait(team: string, service: string, pool: Pool): number {
         const flow = this.open(service);
         flow.observe(pool.calls, pool.own);
+        flow.observeTeam(team);
         if (pool.calls + flow.ahead * flow.ratio < pool.limit) {
             return 0;
         }
-        const own = (flow.unpassed.get(team) ?? 0) * flow.ratio;
         const available = this.findAvailable(flow, team, pool.limit);
-        return Math.max(0, own + 1 - available) / available * pool.serviceMs * WAIT_FACTOR;
+        return Math.max(0, flow.estimateAll(team) + 1 - available) / available * pool.serviceMs * WAIT_FACTOR;
     }
 
     /** Concurrency open to a team: its share, and what the other teams leave of theirs. */
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -142,7 +142,8 @@
             standIns.answer(response, 404, { error: "model not loaded" });
             return;
         }
-        const running = this.capacity.enter(generation.priority);
+        const request = standIns.readEncoded(generation.headers, "x-request");
+        const running = this.capacity.enter(generation.priority, request);
         this.publishReport();
         executions.append(this.log, generation.headers, generation.operation);
         const { boot } = this;
--- a/standins/PlainServiceStandIn.ts
+++ b/standins/PlainServiceStandIn.ts
@@ -90,7 +90,8 @@
     ): Promise<void> {
         const { boot } = this;
         const behaviour = this.decide(operation, incoming);
-        const running = this.capacity.enter(Number(incoming.headers["x-priority"] ?? 0));
+        const request = standIns.readEncoded(incoming.headers, "x-request");
+        const running = this.capacity.enter(Number(incoming.headers["x-priority"] ?? 0), request);
         if (this.options.serviceMs !== undefined) {
             await clocks.sleep(clocks.systemClock, this.options.serviceMs);
         }
--- a/standins/UpstreamCapacity.ts
+++ b/standins/UpstreamCapacity.ts
@@ -3,6 +3,8 @@
  * it falls over: the call in excess and all those running with it fail.
  */
 
+import * as clocks from "../src/common/Clock";
+
 /** Concurrency in calls; `warmAfter` in completed calls. Missing values set no bound. */
 export interface CapacityOptions {
     readonly coldConcurrency?: number | undefined;
@@ -13,6 +15,8 @@
 /** One running call. */
 export interface RunningCall {
     readonly priority: number;
+    readonly request: string;
+    readonly startedMs: number;
     /** Whether the upstream fell over while the call ran. */
     hasFallen: boolean;
 }
@@ -30,6 +34,8 @@
     /** Most calls at once. */
     maxActive = 0;
     readonly violations: Violation[] = [];
+    /** Time spent on each request, in milliseconds. */
+    readonly busyMs = new Map<string, number>();
     private completed = 0;
     private running = new Set<RunningCall>();
 
@@ -49,9 +55,9 @@
         return this.isCold ? this.options.coldConcurrency ?? warm : warm;
     }
 
-    enter(priority: number): RunningCall {
+    enter(priority: number, request = ""): RunningCall {
         const { active, bears } = this;
-        const call = { priority, hasFallen: active >= bears };
+        const call = { priority, request, startedMs: clocks.systemClock.now(), hasFallen: active >= bears };
         this.running.add(call);
         this.maxActive = Math.max(this.maxActive, this.active);
         if (call.hasFallen) {
@@ -63,6 +69,8 @@
     }
 
     leave(call: RunningCall, isCompleted: boolean): void {
+        const spentMs = clocks.systemClock.now() - call.startedMs;
+        this.busyMs.set(call.request, (this.busyMs.get(call.request) ?? 0) + spentMs);
         if (this.running.delete(call) && isCompleted && !call.hasFallen) {
             this.completed++;
         }
