--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -3,6 +3,7 @@
  */
 import * as commander from "commander";
 import * as configuration from "./Configuration";
+import * as deadlines from "./Deadlines";
 import * as trimming from "./DeltaTrimming";
 import * as domains from "./Domains";
 import * as experiments from "./Experiment";
@@ -13,6 +14,8 @@
 import * as routings from "./Routing";
 import * as slopes from "./Slopes";
 import * as streams from "./Streams";
+import * as teams from "./Teams";
+import * as warmups from "./Warmup";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
@@ -24,6 +27,9 @@
     trimming.deltaTrimming,
     domains.domains,
     streams.streams,
+    warmups.warmup,
+    deadlines.deadlines,
+    teams.teams,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
