--- /dev/null
+++ b/bench/Leaving.ts
@@ -0,0 +1,169 @@
+/**
+ * Experiment `leaving`: upstream instances leave under load of calls and streams, each made known by another
+ * source first: the engine's own word, the agent's planned stop, the platform's list. The list lags, and one entry
+ * never reads it. The baseline hears of a leave through the list alone and ends agents at once.
+ */
+import * as clocks from "../src/common/Clock";
+import * as configurations from "../src/common/Configuration";
+import * as randoms from "../src/common/Random";
+import * as callers from "../standins/Caller";
+import * as engines from "../standins/EngineStandIn";
+import * as fleets from "../standins/LocalFleet";
+import * as streamCallers from "../standins/StreamCaller";
+import * as experiments from "./Experiment";
+
+const TEAM = "bench";
+const PATH = "/v1/services/engines/generate";
+const LIST_LAG_MS = 3_000;
+const OBEYED_WITHIN_MS = 3_000;
+/** How long new work is watched for after it must have ended. */
+const WATCHED_MS = 1_000;
+const ARRIVAL_MS = 20;
+const MS_PER_TOKEN = 15;
+const MIN_TOKENS = 10;
+const MORE_TOKENS = 60;
+const WARM_UP_MS = 1_000;
+const SLOTS = ["e1", "e2", "e3", "e4", "e5", "e6"];
+
+function createConfiguration(): configurations.Configuration {
+    const slots = Object.fromEntries(SLOTS.map((slot, index) => [slot, { failureDomain: `zone-${index % 2}` }]));
+    return configurations.configurationSchema.parse({
+        version: 1,
+        preset: "ordinary",
+        presets: { ordinary: { retryRatio: 0.1, hedgeRatio: 0, shedBelowPriority: 0 } },
+        failureDomains: { "zone-0": { region: "local" }, "zone-1": { region: "local" } },
+        teams: { [TEAM]: { weight: 1 } },
+        services: {
+            engines: {
+                kind: "engine",
+                operations: { generate: { idempotent: true, streams: true } },
+                warmConcurrency: 32,
+                coldConcurrency: 32,
+                slots,
+            },
+        },
+        pipelines: {},
+    });
+}
+
+/** One run of the schedule. */
+class Run {
+    private readonly underWay = new Set<Promise<void>>();
+    private readonly stopped = new AbortController();
+    private requests = 0;
+    private cut = 0;
+    private cutStreams = 0;
+    private newWorkLate = 0;
+    private cutByStop = 0;
+
+    constructor(
+        private readonly fleet: fleets.LocalFleet,
+        private readonly random: () => number,
+        private readonly isBaseline: boolean,
+    ) {}
+
+    async measure(): Promise<experiments.Figures> {
+        if (this.isBaseline) {
+            this.fleet.agents.forEach(agent => {
+                agent["node"]["noteOwnRow"] = () => undefined;
+                agent["watch"]["noteLeaving"] = () => undefined;
+            });
+        }
+        this.fleet.entries.get("entry-1")!["node"].membership.updateList = () => undefined;
+        void this.arrive();
+        await wait(WARM_UP_MS);
+        await Promise.all([this.leaveByWord("e1"), this.leaveByStop("e2"), this.leaveByList("e3")]);
+        this.stopped.abort();
+        await Promise.all(this.underWay);
+        const { requests, cut, cutStreams, newWorkLate, cutByStop } = this;
+        return { requests, cut, cutStreams, newWorkLate, cutByStop };
+    }
+
+    private async arrive(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            const maxTokens = MIN_TOKENS + Math.floor(this.random() * MORE_TOKENS);
+            const entry = this.random() < 0.5 ? "entry-1" : "entry-2";
+            const request = this.send(entry, maxTokens, this.random() < 0.5).then(() =>
+                void this.underWay.delete(request)
+            );
+            this.underWay.add(request);
+            await clocks.sleep(clocks.systemClock, ARRIVAL_MS, this.stopped.signal);
+        }
+    }
+
+    private async send(entry: string, maxTokens: number, streams: boolean): Promise<void> {
+        const body = { prompt: String(this.random()), maxTokens };
+        const reply: callers.CallerReply = await this.fleet.call(entry, { path: PATH, team: TEAM, streams, body });
+        const isWhole = streams ? streamCallers.judge(body, reply).isWhole : reply.answer?.outcome === "completed";
+        this.requests++;
+        this.cut += Number(!isWhole && !streams);
+        this.cutStreams += Number(!isWhole && streams);
+    }
+
+    /** The engine says that it leaves, and is gone once the time to obey has passed. */
+    private async leaveByWord(slot: string): Promise<void> {
+        const engine = this.findEngine(slot);
+        engine.faults = { leaving: true };
+        await this.countLate(slot);
+        engine.stop();
+    }
+
+    private async leaveByStop(slot: string): Promise<void> {
+        const agent = this.fleet.agents.get(slot)!;
+        const counted = this.countLate(slot);
+        this.cutByStop += this.isBaseline ? 0 : await agent.stop();
+        this.fleet.killAgent(slot);
+        await counted;
+    }
+
+    private async leaveByList(slot: string): Promise<void> {
+        this.fleet.setLeaving(slot);
+        await wait(LIST_LAG_MS);
+        await this.countLate(slot);
+    }
+
+    /** Counts the work that starts later than the time to obey after now. */
+    private async countLate(slot: string): Promise<void> {
+        const fromMs = clocks.systemClock.wall() + OBEYED_WITHIN_MS;
+        await wait(OBEYED_WITHIN_MS + WATCHED_MS);
+        this.newWorkLate += this.findEngine(slot).log.filter(({ atMs }) => atMs > fromMs).length;
+    }
+
+    private findEngine(slot: string): engines.EngineStandIn {
+        return this.fleet.upstreams.get(slot) as engines.EngineStandIn;
+    }
+}
+
+async function measure(seed: number, isBaseline: boolean): Promise<experiments.Figures> {
+    const random = randoms.createRandom(seed);
+    const fleet = await fleets.LocalFleet.start({
+        configuration: createConfiguration(),
+        entries: 2,
+        random,
+        engine: () => ({ msPerToken: MS_PER_TOKEN }),
+        listLagMs: LIST_LAG_MS,
+    });
+    const figures = await new Run(fleet, random, isBaseline).measure();
+    fleet.dispose();
+    return figures;
+}
+
+function wait(delayMs: number): Promise<void> {
+    return clocks.sleep(clocks.systemClock, delayMs);
+}
+
+export const leaving: experiments.Experiment = {
+    name: "leaving",
+    async run(seed) {
+        return {
+            baseline: await measure(seed, true),
+            policy: await measure(seed, false),
+            bounds: {
+                newWorkLate: { atMost: 0 },
+                cut: { atMost: 0 },
+                cutStreams: { atMost: 0 },
+                cutByStop: { atMost: 0 },
+            },
+        };
+    },
+};
--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -5,6 +5,7 @@
 import * as configuration from "./Configuration";
 import * as domains from "./Domains";
 import * as experiments from "./Experiment";
+import * as leaving from "./Leaving";
 import * as placement from "./Placement";
 import * as routings from "./Routing";
 import * as streams from "./Streams";
@@ -15,6 +16,7 @@
     placement.placement,
     domains.domains,
     streams.streams,
+    leaving.leaving,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/src/common/Ports.ts
+++ b/src/common/Ports.ts
@@ -73,7 +73,7 @@
 export interface PlainService {
     /** Failures: connect-failed is the only one that proves the call didn't run. */
     call(call: UpstreamCall, signal: AbortSignal): Reply<UpstreamAnswer>;
-    /** Asks for the process's identity without work. */
+    /** Asks for the process's identity without work. Fails with `draining` when the upstream says that it leaves. */
     probe(signal: AbortSignal): Reply<{ readonly boot: string }>;
 }
 
--- a/src/process/AgentProcess.test.ts
+++ b/src/process/AgentProcess.test.ts
@@ -32,6 +32,28 @@
     return (running.agents.get(SLOT)!.status() as { load: messages.Load }).load;
 }
 
+const leaves: [string, (running: fleets.LocalFleet) => void][] = [
+    ["is listed as leaving", running => running.setLeaving(SLOT)],
+    ["is told so by its upstream", running => running.upstreams.get(SLOT)!.faults = { leaving: true }],
+    ["finds its upstream gone", running => running.upstreams.get(SLOT)!.stop()],
+];
+it.each(leaves)("drains by itself when it %s", async (_name, leave) => {
+    const running = await startFleet();
+    leave(running);
+    await running.waitFor(() => readLoad(running).draining);
+    const entry = running.entries.get("entry-1")!;
+    const knows = (): boolean => {
+        const { agents } = entry.status() as { agents: { instance: string; load: messages.Load }[] };
+        return agents.some(({ instance, load }) => instance === SLOT && load.draining);
+    };
+    await running.waitFor(knows);
+    const replies = await Promise.all(
+        Array.from({ length: CALLS_AT_ONCE }, () => running.call("entry-1", { path: PATH, team: TEAM, body: {} })),
+    );
+    expect(replies.map(reply => reply.answer?.outcome)).toEqual(replies.map(() => "completed"));
+    expect(running.upstreams.get(SLOT)!.log).toEqual([]);
+});
+
 type Change = (draft: configurations.Configuration, state: "in" | "out") => void;
 
 const changes: [string, Change][] = [
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -70,6 +70,7 @@
     private admin: listeners.Listener | undefined;
     private isDraining = false;
     private wasOut = false;
+    private wasLeaving = false;
 
     private constructor(
         private readonly settings: settingsFile.AgentSettings,
@@ -111,7 +112,7 @@
                 service: settings.service,
                 slot: settings.instance,
                 node: this.node,
-                isDraining: () => this.isDraining,
+                isDraining: () => this.isLeaving,
             }),
         );
         this.watch = this.store.add(new upstreamWatches.UpstreamWatch(clock, options.engine, this.limit));
@@ -123,6 +124,8 @@
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
         this.store.add(this.node.onList(() => this.applyVersion()));
+        this.store.add(this.node.onList(() => this.noteLeaving()));
+        this.store.add(this.watch.onLeaving(() => this.noteLeaving()));
         prom.collectDefaultMetrics({ register: this.registry });
         this.registerGauges();
     }
@@ -133,7 +136,7 @@
         await agent.node.start();
         agent.admin = agent.store.add(
             await adminServers.listenAdmin(settings.adminListen, {
-                isReady: () => !agent.isDraining && agent.node.isReady,
+                isReady: () => agent.isReady,
                 status: () => agent.status(),
                 registry: agent.registry,
             }),
@@ -157,7 +160,7 @@
     }
 
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady;
+        return !this.isLeaving && this.node.isReady;
     }
 
     /** Planned stop: says so to every peer, refuses new work, finishes all work under way, then ends. */
@@ -190,13 +193,27 @@
             service: this.settings.service,
             ...this.node.status(),
             ready: this.isReady,
-            draining: this.isDraining,
+            draining: this.isLeaving,
             load: this.describeLoad(),
             ledger: this.ledger.size,
             boot: this.watch.boot,
         };
     }
 
+    /** Whether new work is refused: by a planned stop, the platform's list or the upstream, whichever says so first. */
+    private get isLeaving(): boolean {
+        return this.isDraining || this.node.isListedLeaving || this.watch.isLeaving;
+    }
+
+    /** Tells every peer when the agent begins or ceases to refuse new work. */
+    private noteLeaving(): void {
+        if (this.isLeaving !== this.wasLeaving) {
+            this.wasLeaving = this.isLeaving;
+            this.options.log.info({ leaving: this.isLeaving }, "refusal of new work changed");
+            this.node.announce();
+        }
+    }
+
     private get configuration(): configurations.Configuration | undefined {
         return this.node.replica.current?.configuration;
     }
@@ -238,7 +255,7 @@
             configuration: () => this.configuration,
             findOutOfService: this.options.findOutOfService ?? configurations.findOutOfService,
             isReady: () => this.node.isReady,
-            isDraining: () => this.isDraining,
+            isDraining: () => this.isLeaving,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
@@ -294,7 +311,7 @@
             active: this.limit.active,
             queued: this.queue.queued,
             cold: this.limit.isCold,
-            draining: this.isDraining,
+            draining: this.isLeaving,
             expectedMs: this.queue.expectedMs,
             models: [...this.placement.held],
         };
--- a/src/process/Membership.test.ts
+++ b/src/process/Membership.test.ts
@@ -44,6 +44,11 @@
         view.noteLost("a");
         view.noteConnected(hello("a", 5));
     }, ["b"]],
+    ["takes back a member that says it takes work again", view => {
+        view.noteConnected(hello("a", 5));
+        view.noteDraining("a");
+        view.noteServing("a");
+    }, ["a", "b"]],
     ["takes back a higher incarnation", view => {
         view.noteConnected(hello("a", 5));
         view.noteDraining("a");
--- a/src/process/Membership.ts
+++ b/src/process/Membership.ts
@@ -125,7 +125,7 @@
         this.changed();
     }
 
-    /** Notes that the instance said it drains; binding until a higher incarnation connects. */
+    /** Notes that the instance said it drains; binding until it says otherwise or a higher incarnation connects. */
     noteDraining(instance: string): void {
         const record = this.records.get(instance);
         const incarnation = record?.incarnation ?? 0;
@@ -135,6 +135,15 @@
         }
     }
 
+    /** Notes that the instance takes work, after it said that it drains; the latest word counts. */
+    noteServing(instance: string): void {
+        const record = this.records.get(instance);
+        if (record?.drainedIncarnation !== undefined) {
+            record.drainedIncarnation = undefined;
+            this.changed();
+        }
+    }
+
     /** Notes that the connection ended, or that a new one was refused. */
     noteLost(instance: string): void {
         const record = this.records.get(instance);
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -75,6 +75,7 @@
     private readonly listEmitter = this.store.add(new emitters.Emitter<ListRead>());
     private listener: listeners.Listener | undefined;
     private hasListed = false;
+    private listedLeaving = false;
     private startedMs = 0;
     private refreshToken = 0;
     /** Peers that have sent a frame. */
@@ -133,6 +134,11 @@
         void this.pollList();
     }
 
+    /** Whether the platform's latest list says that this process leaves. */
+    get isListedLeaving(): boolean {
+        return this.listedLeaving;
+    }
+
     get peerAddress(): string {
         return this.listener?.address ?? "";
     }
@@ -236,8 +242,8 @@
     private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
         const { message } = envelope;
         this.heardFrom.add(connection.remote.instance);
-        if (message.kind === "heartbeat" && message.load?.draining) {
-            this.membership.noteDraining(connection.remote.instance);
+        if (message.kind === "heartbeat" && message.load !== undefined) {
+            this.noteDrain(connection.remote.instance, message.load.draining);
         }
         else if (message.kind === "confirm") {
             void this.confirm(connection, message.token, message.version);
@@ -248,6 +254,15 @@
         this.options.onMessage(connection, envelope);
     }
 
+    private noteDrain(instance: string, isDraining: boolean): void {
+        if (isDraining) {
+            this.membership.noteDraining(instance);
+        }
+        else {
+            this.membership.noteServing(instance);
+        }
+    }
+
     private async confirm(connection: peerConnections.PeerConnection, token: number, version: number): Promise<void> {
         await this.catchUp(version, CONFIRM_TIMEOUT_MS);
         connection.send({ kind: "confirmed", token });
@@ -287,6 +302,11 @@
         return [...wanted].map(([instance, address]) => ({ instance, address }));
     }
 
+    private noteOwnRow(rows: readonly ports.ListedInstance[]): void {
+        const own = rows.find(row => row.instance === this.options.settings.instance);
+        this.listedLeaving = own?.state === "leaving";
+    }
+
     private async pollList(): Promise<void> {
         const { clock, instanceList, log } = this.options;
         while (!this.stopped.signal.aborted) {
@@ -295,6 +315,7 @@
             const rows = await instanceList.read(timeout);
             if (rows.isOk) {
                 this.hasListed = true;
+                this.noteOwnRow(rows.value);
                 this.membership.updateList(rows.value);
                 this.listEmitter.fire({ rows: rows.value, askedMs });
             }
--- a/src/process/UpstreamWatch.ts
+++ b/src/process/UpstreamWatch.ts
@@ -1,9 +1,10 @@
 /**
  * Watches an upstream for signs of a restart: a changed boot identity, or a refused connection. Each sign makes
- * the admission limit cold at once.
+ * the admission limit cold at once. Also tells whether the upstream leaves, by its own word or its absence.
  */
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
+import * as emitters from "../common/Emitter";
 import * as ports from "../common/Ports";
 import * as limits from "./AdmissionLimit";
 
@@ -13,7 +14,12 @@
 /** Probes one upstream, one probe after another. */
 export class UpstreamWatch implements clocks.Disposable {
     private readonly stopped = new AbortController();
+    private readonly leavingEmitter = new emitters.Emitter<void>();
     private lastBoot: string | undefined;
+    private leaves = false;
+
+    /** Fires when `isLeaving` changed. */
+    readonly onLeaving = this.leavingEmitter.event;
 
     constructor(
         private readonly clock: clocks.Clock,
@@ -26,6 +32,11 @@
         return this.lastBoot;
     }
 
+    /** Whether the upstream said that it leaves, or accepts no connection. */
+    get isLeaving(): boolean {
+        return this.leaves;
+    }
+
     /** Starts the task; call once. */
     start(): void {
         void this.run();
@@ -41,6 +52,14 @@
 
     dispose(): void {
         this.stopped.abort();
+        this.leavingEmitter.dispose();
+    }
+
+    private noteLeaving(leaves: boolean): void {
+        if (leaves !== this.leaves && !this.stopped.signal.aborted) {
+            this.leaves = leaves;
+            this.leavingEmitter.fire();
+        }
     }
 
     private async run(): Promise<void> {
@@ -53,6 +72,8 @@
             else if (probed.error.code.code === codes.codes.connectFailed.code && !this.stopped.signal.aborted) {
                 this.limit.becomeCold("the upstream accepts no connection");
             }
+            const code = probed.isErr ? probed.error.code.code : undefined;
+            this.noteLeaving(code === codes.codes.draining.code || code === codes.codes.connectFailed.code);
             await clocks.sleep(this.clock, PROBE_PERIOD_MS, this.stopped.signal);
         }
     }
--- a/src/process/adapters/PlainUpstream.ts
+++ b/src/process/adapters/PlainUpstream.ts
@@ -8,6 +8,8 @@
 import * as ports from "../../common/Ports";
 import * as requests from "./HttpRequest";
 
+/** Answered by the health check of an upstream that takes no new work. */
+const UNAVAILABLE_STATUS = 503;
 const PROBE_TIMEOUT_MS = 1_000;
 /** Names the request; an answer that repeats it must name the same. */
 const REQUEST_HEADER = "x-request";
@@ -44,6 +46,9 @@
     if (reply.isErr) {
         return result.err(reply.error);
     }
+    if (reply.value.status === UNAVAILABLE_STATUS) {
+        return result.err(codes.failure(codes.codes.draining, request.path));
+    }
     if (!requests.isSuccess(reply.value.status)) {
         return result.err(codes.failure(codes.codes.upstreamFailed, `status ${reply.value.status}`));
     }
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -16,6 +16,7 @@
     codes.codes.otherIncarnation.code,
     codes.codes.refreshing.code,
     codes.codes.notReady.code,
+    codes.codes.connectFailed.code,
 ]);
 /** Choices made again for one stage without spending a retry. */
 const MAX_REROUTES = 3;
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -67,6 +67,7 @@
     private readonly abort = new AbortController();
     private readonly deadline: deadlines.Deadline;
     private hasDispatched = false;
+    private isAccepted = false;
     private operation: configurations.Operation = { idempotent: false, streams: false };
 
     constructor(
@@ -89,6 +90,7 @@
     /** Serves the call. Never rejects. */
     async run(): Promise<messages.Answer> {
         const failure = await this.check();
+        this.isAccepted = failure === undefined;
         const end = failure === undefined ? await this.runChecked() : refused(failure);
         const { request, stage, attempt, team } = this.call;
         this.context.log.debug(
@@ -119,9 +121,6 @@
         if (call.incarnation !== context.incarnation) {
             return codes.failure(codes.codes.otherIncarnation, `now ${context.incarnation}`, 0);
         }
-        if (context.isDraining()) {
-            return codes.failure(codes.codes.draining, context.slot, REFUSED_RETRY_MS);
-        }
         if (!context.isReady()) {
             return codes.failure(codes.codes.notReady, context.slot, REFUSED_RETRY_MS);
         }
@@ -142,6 +141,10 @@
         if (context.isRefreshing()) {
             return codes.failure(codes.codes.refreshing, context.slot, REFUSED_RETRY_MS);
         }
+        // Accepted work that may run on no other instance is finished here.
+        if (context.isDraining() && !(this.isAccepted && !this.operation.idempotent)) {
+            return codes.failure(codes.codes.draining, context.slot, REFUSED_RETRY_MS);
+        }
         const configuration = context.configuration();
         const out = configuration === undefined
             ? "upstream"
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -121,7 +121,7 @@
             this.exchangeCache(decodeURIComponent(entry), incoming, response);
         }
         else if (incoming.path === "/healthz") {
-            standIns.answer(response, 200, {});
+            standIns.answer(response, this.faults.leaving === true ? 503 : 200, {});
         }
         else if (incoming.path === "/report") {
             standIns.answer(response, 200, this.reports.get(this.options.reportLagMs ?? 0));
--- a/standins/HttpStandIn.ts
+++ b/standins/HttpStandIn.ts
@@ -24,6 +24,8 @@
     rawBase64?: string | undefined;
     /** Whether answers name another request than their own. */
     otherRequest?: boolean | undefined;
+    /** Whether the health check says that no new work is taken; work is done all the same. */
+    leaving?: boolean | undefined;
     /** HTTP status of every answer. */
     status?: number | undefined;
 }
--- a/standins/PlainServiceStandIn.ts
+++ b/standins/PlainServiceStandIn.ts
@@ -73,7 +73,7 @@
     protected override async handle(incoming: standIns.Incoming, response: http.ServerResponse): Promise<void> {
         const operation = /^\/call\/([^/]+)$/.exec(incoming.path)?.[1];
         if (incoming.path === "/healthz") {
-            standIns.answer(response, 200, {}, { "x-boot": this.boot });
+            standIns.answer(response, this.faults.leaving === true ? 503 : 200, {}, { "x-boot": this.boot });
         }
         else if (operation === undefined) {
             standIns.answer(response, 404, {}, { "x-boot": this.boot });
