Keep a connection that is no longer wanted while calls are under way on it

Cause: an entry no longer wants an agent that drains, and an agent's choice of gossip peers changes with the view. Within a second the mesh closed such a connection with the calls on it. A booking under way at a planned stop of its agent ended as connection-lost; streams were cut and resumed elsewhere, or ended with an error when there was no other instance.

Change: the mesh asks its process whether calls are under way and closes the connection only after them.

--- a/src/connection/AgentServer.ts
+++ b/src/connection/AgentServer.ts
@@ -24,6 +24,11 @@
         return count;
     }
 
+    /** Whether calls are under way on a connection. */
+    isBusy(connection: peerConnections.PeerConnection): boolean {
+        return (this.works.get(connection)?.size ?? 0) > 0;
+    }
+
     /** Takes in a new connection. When it ends, what may be stopped of its work is stopped. */
     connect(connection: peerConnections.PeerConnection): void {
         const works: Works = new Map();
--- a/src/process/AgentPool.ts
+++ b/src/process/AgentPool.ts
@@ -32,6 +32,11 @@
         this.byConnection.get(connection)?.handle(message);
     }
 
+    /** Whether calls wait for an answer on a connection. */
+    isBusy(connection: peerConnections.PeerConnection): boolean {
+        return (this.byConnection.get(connection)?.waitingCount ?? 0) > 0;
+    }
+
     /** The client of an instance; undefined while it isn't connected. */
     find(instance: string): agentClients.AgentClient | undefined {
         return this.clients.get(instance);
--- a/src/process/AgentProcess.test.ts
+++ b/src/process/AgentProcess.test.ts
@@ -14,16 +14,20 @@
 const PATH = "/v1/services/bookings/lookup";
 /** Enough for both instances of the service to get some. */
 const CALLS_AT_ONCE = 6;
+/** Calls that one instance takes without a queue. */
+const COLD_CONCURRENCY = 4;
+const BOOKING_PATH = "/v1/services/bookings/book";
 const TEAM = "bench";
 
 let fleet: fleets.LocalFleet | undefined;
 afterEach(() => fleet?.dispose());
 
-async function startFleet(): Promise<fleets.LocalFleet> {
+async function startFleet(plain: { serviceMs?: number } = {}): Promise<fleets.LocalFleet> {
     fleet = await fleets.LocalFleet.start({
         configuration: document.demoConfiguration,
         entries: 1,
         random: randoms.createRandom(1),
+        plain: () => plain,
     });
     return fleet;
 }
@@ -54,6 +58,18 @@
     expect(running.upstreams.get(SLOT)!.log).toEqual([]);
 });
 
+it("finishes a call that may not be repeated at a planned stop, and its caller gets the answer", async () => {
+    const running = await startFleet({ serviceMs: 2_500 });
+    const calls = Array.from(
+        { length: COLD_CONCURRENCY },
+        () => running.call("entry-1", { path: BOOKING_PATH, team: TEAM, body: {} }),
+    );
+    await running.waitFor(() => readLoad(running).active > 0);
+    expect(await running.agents.get(SLOT)!.stop()).toBe(0);
+    const replies = await Promise.all(calls);
+    expect(replies.map(reply => reply.answer?.name)).toEqual(replies.map(() => "ok"));
+});
+
 type Change = (draft: configurations.Configuration, state: "in" | "out") => void;
 
 const changes: [string, Change][] = [
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -235,6 +235,7 @@
             load: () => this.describeLoad(),
             wantsAgents: () => [settings.service],
             subsetSize: SAME_SERVICE_PEERS,
+            isBusy: connection => this.server.isBusy(connection),
             onConnected: connection => this.server.connect(connection),
             onMessage: (connection, envelope) => this.receive(connection, envelope),
         });
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -84,6 +84,7 @@
                 },
                 load: () => undefined,
                 wantsAgents: () => Object.keys(this.configuration?.services ?? {}),
+                isBusy: connection => this.pool.isBusy(connection),
                 onConnected: connection => this.pool.add(connection),
                 onMessage: (connection, envelope) => this.pool.handle(connection, envelope.message),
             }),
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -52,6 +52,8 @@
     readonly wantsAgents: () => readonly string[];
     /** Most agents of one service that the process connects to. */
     readonly subsetSize?: number;
+    /** Whether calls are under way on a connection. */
+    readonly isBusy: (connection: peerConnections.PeerConnection) => boolean;
     readonly onConnected?: (connection: peerConnections.PeerConnection) => void;
     readonly onMessage: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
 }
@@ -69,13 +71,14 @@
     readonly membership: memberships.Membership;
     readonly pause: pauses.PauseMonitor;
     readonly mesh: meshes.PeerMesh;
+    /** Whether the platform's latest list says that this process leaves. */
+    isListedLeaving = false;
     private readonly reader: readers.ConfigurationReader;
     private readonly store = new emitters.DisposableStore();
     private readonly stopped = new AbortController();
     private readonly listEmitter = this.store.add(new emitters.Emitter<ListRead>());
     private listener: listeners.Listener | undefined;
     private hasListed = false;
-    private listedLeaving = false;
     private startedMs = 0;
     private refreshToken = 0;
     /** Peers that have sent a frame. */
@@ -106,6 +109,7 @@
                 wanted: () => this.findWantedPeers(),
                 onConnected: connection => this.connect(connection),
                 onLost: instance => this.lose(instance),
+                isBusy: connection => options.isBusy(connection),
                 onEnvelope: (connection, envelope) => this.receive(connection, envelope),
                 log,
             }),
@@ -134,11 +138,6 @@
         void this.pollList();
     }
 
-    /** Whether the platform's latest list says that this process leaves. */
-    get isListedLeaving(): boolean {
-        return this.listedLeaving;
-    }
-
     get peerAddress(): string {
         return this.listener?.address ?? "";
     }
@@ -304,7 +303,7 @@
 
     private noteOwnRow(rows: readonly ports.ListedInstance[]): void {
         const own = rows.find(row => row.instance === this.options.settings.instance);
-        this.listedLeaving = own?.state === "leaving";
+        this.isListedLeaving = own?.state === "leaving";
     }
 
     private async pollList(): Promise<void> {
--- a/src/process/PeerMesh.ts
+++ b/src/process/PeerMesh.ts
@@ -36,6 +36,8 @@
     readonly onLost?: (instance: string) => void;
     /** Called for every frame, after the replica has seen it. */
     readonly onEnvelope?: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
+    /** Whether work is under way on a connection; one that is no longer wanted is closed only after it. */
+    readonly isBusy?: (connection: peerConnections.PeerConnection) => boolean;
     readonly log: logs.Log;
     /** Uniform in [0, 1); spreads reconnects. */
     readonly random?: () => number;
@@ -44,6 +46,8 @@
 /** Holds the peer connections of one process. */
 export class PeerMesh implements clocks.Disposable {
     private readonly open = new Set<peerConnections.PeerConnection>();
+    /** Open connections by their task. */
+    private readonly byTask = new Map<AbortSignal, peerConnections.PeerConnection>();
     private readonly tasks = new Map<string, AbortController>();
     private readonly disposables = new emitters.DisposableStore();
     private readonly random: () => number;
@@ -93,7 +97,7 @@
     private reconcile(): void {
         const wanted = new Map(this.options.wanted().map(peer => [describePeer(peer), peer]));
         for (const [key, task] of this.tasks) {
-            if (!wanted.has(key)) {
+            if (!wanted.has(key) && !this.isBusy(task.signal)) {
                 task.abort();
                 this.tasks.delete(key);
             }
@@ -107,6 +111,11 @@
         }
     }
 
+    private isBusy(task: AbortSignal): boolean {
+        const connection = this.byTask.get(task);
+        return connection !== undefined && this.options.isBusy?.(connection) === true;
+    }
+
     /** The task of one wanted peer. */
     private async keepConnected(peer: WantedPeer, signal: AbortSignal): Promise<void> {
         const { context, log } = this.options;
@@ -139,7 +148,9 @@
         if (signal.aborted) {
             end();
         }
+        this.byTask.set(signal, connection);
         await this.serve(connection);
+        this.byTask.delete(signal);
         signal.removeEventListener("abort", end);
     }
 
--- a/src/process/adapters/PlainUpstream.test.ts
+++ b/src/process/adapters/PlainUpstream.test.ts
@@ -126,6 +126,7 @@
     const probes: [string, standIns.PlainServiceFaults, codes.ResultCode | undefined][] = [
         ["no fault", {}, undefined],
         ["a failure", { status: 500 }, codes.codes.upstreamFailed],
+        ["the word that it leaves", { leaving: true }, codes.codes.draining],
         ["an answer without identity", { status: 200 }, codes.codes.malformedAnswer],
         ["a hang", { hang: true }, codes.codes.upstreamTimeout],
     ];
