--- a/bench/Domains.ts
+++ b/bench/Domains.ts
@@ -240,8 +240,8 @@
     private async countRefused(): Promise<number> {
         let count = 0;
         for (const agent of this.fleet.agents.values()) {
-            const { values } = await agent["ends"].get();
-            count += values.find(({ labels }) => labels.code === "204")?.value ?? 0;
+            const ends = await agent["metrics"].registry.getSingleMetric("cumincrank_agent_calls_total")?.get();
+            count += ends?.values.find(({ labels }) => labels.code === "204")?.value ?? 0;
         }
         return count;
     }
--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -7,6 +7,7 @@
 import * as trimming from "./DeltaTrimming";
 import * as domains from "./Domains";
 import * as experiments from "./Experiment";
+import * as leaving from "./Leaving";
 import * as once from "./Once";
 import * as overheads from "./Overhead";
 import * as placement from "./Placement";
@@ -30,6 +31,7 @@
     warmups.warmup,
     deadlines.deadlines,
     teams.teams,
+    leaving.leaving,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/src/common/Configuration.ts
+++ b/src/common/Configuration.ts
@@ -117,3 +117,16 @@
     const operations = Object.hasOwn(services, service) ? services[service]!.operations : {};
     return Object.hasOwn(operations, operation) ? operations[operation] : undefined;
 }
+
+/** The preset in force. */
+export function findPreset(
+    configuration: Configuration | undefined,
+): Preset | undefined {
+    return configuration?.presets[configuration.preset];
+}
+
+/** The weight of a team under the preset in force. */
+export function findWeight(configuration: Configuration | undefined, team: string): number {
+    const weight = configuration?.teams[team]?.weight ?? 1;
+    return weight * (findPreset(configuration)?.teamWeights[team] ?? 1);
+}
--- /dev/null
+++ b/src/process/AgentMetrics.ts
@@ -0,0 +1,49 @@
+/**
+ * The metrics of an agent, in its own registry.
+ */
+import * as prom from "prom-client";
+
+/** Numbers that are read at each scrape. */
+export interface AgentGauges {
+    readonly limit: () => number;
+    readonly active: () => number;
+    readonly queued: () => number;
+    readonly ledgerEntries: () => number;
+    readonly version: () => number;
+}
+
+/** Counts calls by their end and shows the agent's state. */
+export class AgentMetrics {
+    readonly registry = new prom.Registry();
+    private readonly ends = new prom.Counter({
+        name: "cumincrank_agent_calls_total",
+        help: "Calls by code",
+        labelNames: ["code"],
+        registers: [this.registry],
+    });
+
+    constructor(gauges: AgentGauges) {
+        prom.collectDefaultMetrics({ register: this.registry });
+        this.addGauge("cumincrank_agent_limit", "Concurrency admitted", gauges.limit);
+        this.addGauge("cumincrank_agent_active", "Calls at the upstream", gauges.active);
+        this.addGauge("cumincrank_agent_queued", "Calls waiting", gauges.queued);
+        this.addGauge("cumincrank_agent_ledger_entries", "Entries of the ledger", gauges.ledgerEntries);
+        this.addGauge("cumincrank_configuration_version", "Version in force", gauges.version);
+    }
+
+    /** Records the end of a call by its result code. */
+    recordEnd(code: number): void {
+        this.ends.inc({ code: String(code) });
+    }
+
+    private addGauge(name: string, help: string, read: () => number): void {
+        new prom.Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- a/src/process/AgentPlacement.ts
+++ b/src/process/AgentPlacement.ts
@@ -8,6 +8,7 @@
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as ports from "../common/Ports";
+import * as listReaders from "./ListReader";
 import * as nodes from "./Node";
 import * as leases from "./OrderLease";
 import * as placementTasks from "./PlacementTask";
@@ -38,7 +39,7 @@
         const { clock, node } = options;
         this.lease = new leases.OrderLease(clock);
         this.store.add(clocks.every(clock, LEASE_TICK_MS, () => this.lease.tick()));
-        this.store.add(node.onList(list => this.confirmLease(list)));
+        this.store.add(node.list.onList(list => this.confirmLease(list)));
         this.store.add(node.replica.onVersion(() => this.startForEngine()));
     }
 
@@ -124,7 +125,7 @@
             .map(([slot]) => slot);
     }
 
-    private confirmLease(list: nodes.ListRead): void {
+    private confirmLease(list: listReaders.ListRead): void {
         const { node, slot } = this.options;
         if (list.rows.some(row => row.instance === slot && row.address === node.peerAddress)) {
             this.lease.confirmListed(list.askedMs);
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -1,7 +1,6 @@
 /**
  * An agent instance: stands beside one upstream and is the only way to it for this system.
  */
-import * as prom from "prom-client";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
@@ -15,6 +14,7 @@
 import * as upstreamWorks from "../request/UpstreamWork";
 import * as adminServers from "./AdminServer";
 import * as limits from "./AdmissionLimit";
+import * as agentMetrics from "./AgentMetrics";
 import * as agentPlacements from "./AgentPlacement";
 import * as attemptMemories from "./AttemptMemory";
 import * as queues from "./FairQueue";
@@ -63,19 +63,14 @@
     private readonly placement: agentPlacements.AgentPlacement;
     private readonly confirmation: confirmations.VersionConfirmation;
     private readonly incarnation: number;
-    private readonly registry = new prom.Registry();
-    private readonly ends = new prom.Counter({
-        name: "cumincrank_agent_calls_total",
-        help: "Calls by code",
-        labelNames: ["code"],
-        registers: [this.registry],
-    });
+    private readonly metrics: agentMetrics.AgentMetrics;
     private readonly server: agentServers.AgentServer;
     private readonly watch: upstreamWatches.UpstreamWatch;
     private admin: listeners.Listener | undefined;
     private readonly stopped = new AbortController();
     private isDraining = false;
     private wasOut = false;
+    private wasLeaving = false;
 
     private constructor(
         private readonly settings: settingsFile.AgentSettings,
@@ -90,7 +85,7 @@
                 limit: this.limit,
                 weight: team => this.findWeight(team),
                 inOrder: options.queuesInOrder ?? false,
-                shedBelowPriority: () => nodes.findPreset(this.configuration)?.shedBelowPriority ?? 0,
+                shedBelowPriority: () => configurations.findPreset(this.configuration)?.shedBelowPriority ?? 0,
             }),
         );
         const lifetimeMs = (): number => this.configuration?.keyLifetimeMs ?? Infinity;
@@ -118,20 +113,21 @@
                 service: settings.service,
                 slot: settings.instance,
                 node: this.node,
-                isDraining: () => this.isDraining,
+                isDraining: () => this.isLeaving,
             }),
         );
         this.watch = this.store.add(new upstreamWatches.UpstreamWatch(clock, options.engine, this.limit));
         this.server = new agentServers.AgentServer(this.createWorkContext(), answer => {
-            this.ends.inc({ code: String(answer.code) });
+            this.metrics.recordEnd(answer.code);
         });
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
         this.store.add(this.node.replica.onVersion(() => this.noteService()));
         this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
         this.store.add(this.node.membership.onChange(() => this.applyVersion()));
-        this.store.add(this.node.onList(() => this.applyVersion()));
-        prom.collectDefaultMetrics({ register: this.registry });
-        this.registerGauges();
+        this.store.add(this.node.list.onList(() => this.applyVersion()));
+        this.store.add(this.node.list.onList(() => this.noteLeaving()));
+        this.store.add(this.watch.onLeaving(() => this.noteLeaving()));
+        this.metrics = this.createMetrics();
     }
 
     /** Starts an agent; rejects when an address can't be used. */
@@ -140,9 +136,9 @@
         await agent.node.start();
         agent.admin = agent.store.add(
             await adminServers.listenAdmin(settings.adminListen, {
-                isReady: () => !agent.isDraining && agent.node.isReady,
+                isReady: () => agent.isReady,
                 status: () => agent.status(),
-                registry: agent.registry,
+                registry: agent.metrics.registry,
             }),
         );
         agent.placement.start();
@@ -164,7 +160,7 @@
     }
 
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady && this.watch.isSettled;
+        return !this.isLeaving && this.node.isReady && this.watch.isSettled;
     }
 
     /** Planned stop: says so to every peer, refuses new work, finishes all work under way, then ends. */
@@ -198,13 +194,27 @@
             service: this.settings.service,
             ...this.node.status(),
             ready: this.isReady,
-            draining: this.isDraining,
+            draining: this.isLeaving,
             load: this.describeLoad(),
             ledger: this.ledger.size,
             boot: this.watch.boot,
         };
     }
 
+    /** Whether new work is refused: by a planned stop, the platform's list or the upstream, whichever says so first. */
+    private get isLeaving(): boolean {
+        return this.isDraining || this.node.list.isListedLeaving || this.watch.isLeaving;
+    }
+
+    /** Tells every peer when the agent begins or ceases to refuse new work. */
+    private noteLeaving(): void {
+        if (this.isLeaving !== this.wasLeaving) {
+            this.wasLeaving = this.isLeaving;
+            this.options.log.info({ leaving: this.isLeaving }, "refusal of new work changed");
+            this.node.announce();
+        }
+    }
+
     private get configuration(): configurations.Configuration | undefined {
         return this.node.replica.current?.configuration;
     }
@@ -227,6 +237,7 @@
             slotsVersion: () => this.claim.slotsVersion,
             wantsAgents: () => [settings.service],
             subsetSize: SAME_SERVICE_PEERS,
+            isBusy: connection => this.server.isBusy(connection),
             onConnected: connection => this.server.connect(connection),
             onMessage: (connection, envelope) => this.receive(connection, envelope),
         });
@@ -247,7 +258,7 @@
             configuration: () => this.configuration,
             findOutOfService: this.options.findOutOfService ?? configurations.findOutOfService,
             isReady: () => this.node.isReady && this.watch.isSettled,
-            isDraining: () => this.isDraining,
+            isDraining: () => this.isLeaving,
             isRefreshing: () => this.node.isRefreshing,
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
@@ -312,7 +323,7 @@
     }
 
     private findWeight(team: string): number {
-        return nodes.findWeight(this.configuration, team);
+        return configurations.findWeight(this.configuration, team);
     }
 
     private describeLoad(): messages.Load {
@@ -321,27 +332,19 @@
             active: this.limit.active,
             queued: this.queue.queued,
             cold: this.limit.isCold,
-            draining: this.isDraining,
+            draining: this.isLeaving,
             expectedMs: this.queue.expectedMs,
             models: [...this.placement.held],
         };
     }
 
-    private registerGauges(): void {
-        const gauge = (name: string, help: string, read: () => number): void => {
-            new prom.Gauge({
-                name,
-                help,
-                registers: [this.registry],
-                collect() {
-                    this.set(read());
-                },
-            });
-        };
-        gauge("cumincrank_agent_limit", "Concurrency admitted", () => this.limit.limit);
-        gauge("cumincrank_agent_active", "Calls at the upstream", () => this.limit.active);
-        gauge("cumincrank_agent_queued", "Calls waiting", () => this.queue.queued);
-        gauge("cumincrank_agent_ledger_entries", "Entries of the at-most-once ledger", () => this.ledger.size);
-        gauge("cumincrank_configuration_version", "Version in force", () => this.node.replica.version);
+    private createMetrics(): agentMetrics.AgentMetrics {
+        return new agentMetrics.AgentMetrics({
+            limit: () => this.limit.limit,
+            active: () => this.limit.active,
+            queued: () => this.queue.queued,
+            ledgerEntries: () => this.ledger.size,
+            version: () => this.version,
+        });
     }
 }
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -67,10 +67,11 @@
         this.flow = new flowEstimates.FlowEstimate({
             clock,
             loads: service => this.pool.loads(this.findCandidates(service)),
-            weight: team => nodes.findWeight(this.configuration, team),
+            weight: team => configurations.findWeight(this.configuration, team),
         });
         this.choice = new choices.UpstreamChoice({ ...settings, clock, random });
-        const ratio = (name: "retryRatio" | "hedgeRatio") => () => nodes.findPreset(this.configuration)?.[name] ?? 0;
+        const ratio = (name: "retryRatio" | "hedgeRatio") => () =>
+            configurations.findPreset(this.configuration)?.[name] ?? 0;
         this.retryBudget = new retryBudgets.RetryBudget({ clock, ratio: ratio("retryRatio") });
         this.hedgeBudget = new retryBudgets.RetryBudget({ clock, ratio: ratio("hedgeRatio"), reserve: 0 });
         this.node = this.store.add(
@@ -209,7 +210,7 @@
         deadline: deadlines.Deadline,
         priority: number,
     ): codes.Failure | undefined {
-        const shedBelow = nodes.findPreset(this.configuration)?.shedBelowPriority ?? 0;
+        const shedBelow = configurations.findPreset(this.configuration)?.shedBelowPriority ?? 0;
         const isSaturated = stages.some(stage => this.isSaturated(stage.service));
         if (priority < shedBelow && isSaturated) {
             return codes.failure(codes.codes.shed, `priority ${priority} is below ${shedBelow}`, SHED_RETRY_MS);
--- /dev/null
+++ b/src/process/ListReader.ts
@@ -0,0 +1,82 @@
+/**
+ * Reads the platform's list of instances, again and again. The list lags, and its service may be away.
+ */
+import * as clocks from "../common/Clock";
+import * as emitters from "../common/Emitter";
+import * as logs from "../common/Log";
+import * as ports from "../common/Ports";
+
+const LIST_POLL_MS = 1_000;
+const LIST_TIMEOUT_MS = 3_000;
+
+/** The platform's list, and when it was asked for. */
+export interface ListRead {
+    readonly rows: readonly ports.ListedInstance[];
+    /** On the scale of the clock's `now`. */
+    readonly askedMs: number;
+}
+
+/** What a reader needs from its owner. */
+export interface ListReaderOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly instanceList: ports.InstanceList;
+    /** Name of this instance. */
+    readonly self: string;
+}
+
+/** Holds what the latest list said of this instance. */
+export class ListReader implements clocks.Disposable {
+    private readonly stopped = new AbortController();
+    private readonly listEmitter = new emitters.Emitter<ListRead>();
+    private hasRead = false;
+    private leaves = false;
+
+    /** Fires for each list read. */
+    readonly onList = this.listEmitter.event;
+
+    constructor(private readonly options: ListReaderOptions) {}
+
+    /** Whether any list was read. */
+    get hasListed(): boolean {
+        return this.hasRead;
+    }
+
+    /** Whether the latest list says that this instance leaves. */
+    get isListedLeaving(): boolean {
+        return this.leaves;
+    }
+
+    /** Reads once, then again every second until disposed; resolves after the first read. */
+    async start(): Promise<void> {
+        await this.read();
+        void this.poll();
+    }
+
+    dispose(): void {
+        this.stopped.abort();
+        this.listEmitter.dispose();
+    }
+
+    private async poll(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            await clocks.sleep(this.options.clock, LIST_POLL_MS, this.stopped.signal);
+            await this.read();
+        }
+    }
+
+    private async read(): Promise<void> {
+        const { clock, instanceList, log, self } = this.options;
+        const askedMs = clock.now();
+        const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(LIST_TIMEOUT_MS)]);
+        const rows = await instanceList.read(timeout);
+        if (rows.isOk) {
+            this.hasRead = true;
+            this.leaves = rows.value.find(row => row.instance === self)?.state === "leaving";
+            this.listEmitter.fire({ rows: rows.value, askedMs });
+        }
+        else if (!this.stopped.signal.aborted) {
+            log.debug({ code: rows.error.code.code, detail: rows.error.detail }, "instance list unavailable");
+        }
+    }
+}
--- a/src/process/Node.test.ts
+++ b/src/process/Node.test.ts
@@ -42,6 +42,7 @@
         hello: { kind: "hello", protocol: 1, role: "entry", ...identity, incarnation: 1 },
         load: () => undefined,
         wantsAgents: () => [],
+        isBusy: () => false,
         onMessage: () => undefined,
     });
     await node.start();
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -4,7 +4,6 @@
  */
 import * as net from "node:net";
 import * as clocks from "../common/Clock";
-import * as configurations from "../common/Configuration";
 import * as emitters from "../common/Emitter";
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
@@ -13,14 +12,13 @@
 import * as readers from "./ConfigurationReader";
 import * as replicas from "./ConfigurationReplica";
 import * as listeners from "./Listener";
+import * as listReaders from "./ListReader";
 import * as memberships from "./Membership";
 import * as pauses from "./PauseMonitor";
 import * as meshes from "./PeerMesh";
 
 /** Peers that each process holds for configuration, beside the connections that carry work. */
 const GOSSIP_PEERS = 4;
-const LIST_POLL_MS = 1_000;
-const LIST_TIMEOUT_MS = 3_000;
 /** A late event loop of this length is treated as a pause of the process. */
 const PAUSE_BOUND_MS = 1_000;
 /** Frames read this soon after a pause may have waited for all of it. */
@@ -54,40 +52,29 @@
     readonly wantsAgents: () => readonly string[];
     /** Most agents of one service that the process connects to. */
     readonly subsetSize?: number;
+    /** Whether calls are under way on a connection. */
+    readonly isBusy: (connection: peerConnections.PeerConnection) => boolean;
     readonly onConnected?: (connection: peerConnections.PeerConnection) => void;
-    /** Whether work waits on a connection; see PeerMesh. */
-    readonly isBusy?: (connection: peerConnections.PeerConnection) => boolean;
     readonly onMessage: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
 }
 
-/** The platform's list, and when it was asked for. */
-export interface ListRead {
-    readonly rows: readonly ports.ListedInstance[];
-    /** On the scale of the clock's `now`. */
-    readonly askedMs: number;
-}
-
 /** One process of the system among the others. */
 export class Node implements clocks.Disposable {
     readonly replica: replicas.ConfigurationReplica;
     readonly membership: memberships.Membership;
     readonly pause: pauses.PauseMonitor;
     readonly mesh: meshes.PeerMesh;
+    readonly list: listReaders.ListReader;
     private readonly reader: readers.ConfigurationReader;
     private readonly store = new emitters.DisposableStore();
     private readonly stopped = new AbortController();
-    private readonly listEmitter = this.store.add(new emitters.Emitter<ListRead>());
     private listener: listeners.Listener | undefined;
-    private hasListed = false;
     private startedMs = 0;
     private refreshToken = 0;
     /** Peers that have sent a frame. */
     private readonly heardFrom = new Set<string>();
     private refreshUntilMs = 0;
 
-    /** Fires for each list read from the platform. */
-    readonly onList = this.listEmitter.event;
-
     constructor(private readonly options: NodeOptions) {
         const { clock, log, random, settings } = options;
         this.replica = this.store.add(new replicas.ConfigurationReplica({ clock, log }));
@@ -109,11 +96,14 @@
                 wanted: () => this.findWantedPeers(),
                 onConnected: connection => this.connect(connection),
                 onLost: instance => this.lose(instance),
+                isBusy: connection => options.isBusy(connection),
                 onEnvelope: (connection, envelope) => this.receive(connection, envelope),
-                ...(options.isBusy === undefined ? {} : { isBusy: options.isBusy }),
                 log,
             }),
         );
+        const { instanceList } = options;
+        this.list = this.store.add(new listReaders.ListReader({ clock, log, instanceList, self: settings.instance }));
+        this.store.add(this.list.onList(({ rows }) => this.membership.updateList(rows)));
         this.reader = this.store.add(
             new readers.ConfigurationReader({
                 clock,
@@ -134,7 +124,7 @@
         this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen));
         this.startedMs = this.options.clock.now();
         this.mesh.start();
-        void this.pollList();
+        void this.startReaders();
     }
 
     get peerAddress(): string {
@@ -146,7 +136,7 @@
      * stale configuration service alone can't make it act on an old one.
      */
     get isReady(): boolean {
-        return this.replica.current !== undefined && this.hasListed && this.hasConsulted;
+        return this.replica.current !== undefined && this.list.hasListed && this.hasConsulted;
     }
 
     private get hasConsulted(): boolean {
@@ -240,8 +230,8 @@
     private receive(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
         const { message } = envelope;
         this.heardFrom.add(connection.remote.instance);
-        if (message.kind === "heartbeat" && message.load?.draining) {
-            this.membership.noteDraining(connection.remote.instance);
+        if (message.kind === "heartbeat" && message.load !== undefined) {
+            this.noteDrain(connection.remote.instance, message.load.draining);
         }
         else if (message.kind === "confirm") {
             void this.confirm(connection, message.token, message.version);
@@ -252,6 +242,15 @@
         this.options.onMessage(connection, envelope);
     }
 
+    private noteDrain(instance: string, isDraining: boolean): void {
+        if (isDraining) {
+            this.membership.noteDraining(instance);
+        }
+        else {
+            this.membership.noteServing(instance);
+        }
+    }
+
     private async confirm(connection: peerConnections.PeerConnection, token: number, version: number): Promise<void> {
         await this.catchUp(version, CONFIRM_TIMEOUT_MS);
         connection.send({ kind: "confirmed", token, slotsVersion: this.options.slotsVersion?.() });
@@ -272,6 +271,12 @@
         }
     }
 
+    /** The reader of the configuration spreads its first read by the size of the fleet, which only the list tells. */
+    private async startReaders(): Promise<void> {
+        await this.list.start();
+        this.reader.start();
+    }
+
     private lose(instance: string): void {
         if (!this.mesh.connections.some(connection => connection.remote.instance === instance)) {
             this.membership.noteLost(instance);
@@ -290,31 +295,6 @@
         }
         return [...wanted].map(([instance, address]) => ({ instance, address }));
     }
-
-    /** The reader of the configuration spreads its first read by the size of the fleet, which only the list tells. */
-    private async pollList(): Promise<void> {
-        await this.readList();
-        this.reader.start();
-        while (!this.stopped.signal.aborted) {
-            await clocks.sleep(this.options.clock, LIST_POLL_MS, this.stopped.signal);
-            await this.readList();
-        }
-    }
-
-    private async readList(): Promise<void> {
-        const { clock, instanceList, log } = this.options;
-        const askedMs = clock.now();
-        const timeout = AbortSignal.any([this.stopped.signal, AbortSignal.timeout(LIST_TIMEOUT_MS)]);
-        const rows = await instanceList.read(timeout);
-        if (rows.isOk) {
-            this.hasListed = true;
-            this.membership.updateList(rows.value);
-            this.listEmitter.fire({ rows: rows.value, askedMs });
-        }
-        else if (!this.stopped.signal.aborted) {
-            log.debug({ code: rows.error.code.code, detail: rows.error.detail }, "instance list unavailable");
-        }
-    }
 }
 
 function describeOut(current: replicas.VersionInForce | undefined): Record<string, readonly string[]> {
@@ -330,16 +310,3 @@
         upstreams: upstreams.filter(([, slot]) => slot.state === "out").map(([name]) => name),
     };
 }
-
-/** The preset in force. */
-export function findPreset(
-    configuration: configurations.Configuration | undefined,
-): configurations.Preset | undefined {
-    return configuration?.presets[configuration.preset];
-}
-
-/** The weight of a team under the preset in force. */
-export function findWeight(configuration: configurations.Configuration | undefined, team: string): number {
-    const weight = configuration?.teams[team]?.weight ?? 1;
-    return weight * (findPreset(configuration)?.teamWeights[team] ?? 1);
-}
--- a/src/process/PeerMesh.ts
+++ b/src/process/PeerMesh.ts
@@ -39,7 +39,7 @@
     readonly onLost?: (instance: string) => void;
     /** Called for every frame, after the replica has seen it. */
     readonly onEnvelope?: (connection: peerConnections.PeerConnection, envelope: messages.Envelope) => void;
-    /** Whether work waits on a connection; one that isn't wanted any more is closed only when none does. */
+    /** Whether work is under way on a connection; one that is no longer wanted is closed only after it. */
     readonly isBusy?: (connection: peerConnections.PeerConnection) => boolean;
     readonly log: logs.Log;
     /** Uniform in [0, 1); spreads reconnects. */
@@ -49,6 +49,8 @@
 /** Holds the peer connections of one process. */
 export class PeerMesh implements clocks.Disposable {
     private readonly open = new Set<peerConnections.PeerConnection>();
+    /** Open connections by their task. */
+    private readonly byTask = new Map<AbortSignal, peerConnections.PeerConnection>();
     private readonly tasks = new Map<string, AbortController>();
     private readonly disposables = new emitters.DisposableStore();
     private readonly random: () => number;
@@ -98,7 +100,7 @@
     private reconcile(): void {
         const wanted = new Map(this.options.wanted().map(peer => [describePeer(peer), peer]));
         for (const [key, task] of this.tasks) {
-            if (!wanted.has(key)) {
+            if (!wanted.has(key) && !this.isBusy(task.signal)) {
                 task.abort();
                 this.tasks.delete(key);
             }
@@ -112,6 +114,11 @@
         }
     }
 
+    private isBusy(task: AbortSignal): boolean {
+        const connection = this.byTask.get(task);
+        return connection !== undefined && this.options.isBusy?.(connection) === true;
+    }
+
     /** The task of one wanted peer. */
     private async keepConnected(peer: WantedPeer, signal: AbortSignal): Promise<void> {
         const { context, log } = this.options;
@@ -144,7 +151,9 @@
         if (signal.aborted) {
             end();
         }
+        this.byTask.set(signal, connection);
         await this.serve(connection);
+        this.byTask.delete(signal);
         signal.removeEventListener("abort", end);
     }
 
--- a/src/process/UpstreamWatch.ts
+++ b/src/process/UpstreamWatch.ts
@@ -2,7 +2,8 @@
  * Watches an upstream for signs of a restart: a changed boot identity, or a refused connection. Each sign makes
  * the admission limit cold at once. A connection that the upstream ended raises a suspicion, during which the
  * limit is held at the cold concurrency until a probe tells the boot identity. A new agent waits until its
- * predecessor's calls have left the upstream.
+ * predecessor's calls have left the upstream. Also tells whether the upstream leaves, by its own word or its
+ * absence.
  */
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
@@ -28,10 +29,15 @@
 export class UpstreamWatch implements clocks.Disposable {
     private readonly store = new emitters.DisposableStore();
     private readonly stopped = new AbortController();
+    private readonly leavingEmitter = new emitters.Emitter<void>();
     private lastBoot: string | undefined;
     private suspicions = 0;
     private isChecking = false;
     private hasSettled = false;
+    private leaves = false;
+
+    /** Fires when `isLeaving` changed. */
+    readonly onLeaving = this.leavingEmitter.event;
 
     constructor(
         private readonly clock: clocks.Clock,
@@ -49,6 +55,11 @@
         return this.hasSettled;
     }
 
+    /** Whether the upstream said that it leaves, or accepts no connection. */
+    get isLeaving(): boolean {
+        return this.leaves;
+    }
+
     /** Starts the task; call once. */
     start(): void {
         const listener = this.upstream.onDisconnect?.(() => this.suspect());
@@ -69,6 +80,7 @@
     dispose(): void {
         this.stopped.abort();
         this.store.dispose();
+        this.leavingEmitter.dispose();
     }
 
     private suspect(): void {
@@ -94,6 +106,13 @@
         this.limit.suspect(false);
     }
 
+    private noteLeaving(leaves: boolean): void {
+        if (leaves !== this.leaves && !this.stopped.signal.aborted) {
+            this.leaves = leaves;
+            this.leavingEmitter.fire();
+        }
+    }
+
     private async run(): Promise<void> {
         void this.awaitPredecessor();
         while (!this.stopped.signal.aborted) {
@@ -121,9 +140,11 @@
         const probed = await this.upstream.probe(timeout);
         if (probed.isOk) {
             this.noteBoot(probed.value.boot);
+            this.noteLeaving(false);
             return true;
         }
         const isRefused = probed.error.code.code === codes.codes.connectFailed.code;
+        this.noteLeaving(isRefused || probed.error.code.code === codes.codes.draining.code);
         if (isRefused && !this.stopped.signal.aborted) {
             this.limit.becomeCold("the upstream accepts no connection");
         }
