Kill the agent in the test only once its upstream has received the call

Cause: the test took the agent's own count of active calls for 'in mid-call'.

Change: the test waits until the upstream's stand-in has the call. Its checks are unchanged.

--- a/standins/ProcessFleet.ts
+++ b/standins/ProcessFleet.ts
@@ -213,7 +213,8 @@
         return member;
     }
 
-    private async readLog(standin: string): Promise<Record<string, unknown>> {
+    /** What a stand-in tells of itself: an upstream by its slot. */
+    async readLog(standin: string): Promise<Record<string, unknown>> {
         const response = await fetch(`http://${this.controlAddress}/log?standin=${standin}`);
         return await response.json() as Record<string, unknown>;
     }
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -83,12 +83,12 @@
     }
 }
 
-/** Resolves when a booking is at an upstream, and tells at which. */
+/** Resolves when an upstream has received a booking, and tells which. */
 async function findActive(): Promise<string> {
     for (;;) {
         for (const slot of ["booking-1", "booking-2"]) {
-            const { load } = await fleet!.readStatus(slot) as { load: { active: number } };
-            if (load.active > 0) {
+            const { active } = await fleet!.readLog(slot) as { active: number };
+            if (active > 0) {
                 return slot;
             }
         }
