Wait for the lease of an earlier home that left the list before the change

Cause: the instances that a hold waits for were those published or listed now; an earlier home that was neither any more was forgotten, with its lease.

Change: a hold counts a slot of the version before that is no longer known as gone without a word.

--- a/src/process/HomeClaim.test.ts
+++ b/src/process/HomeClaim.test.ts
@@ -96,6 +96,19 @@
         expect(claim.decide(moved)).toBeUndefined();
     });
 
+    it("waits for the lease of an earlier home that is off the list already", async () => {
+        const { clock, claim, words } = createClaim();
+        words["b"] = "yielded";
+        claim.update(1, ["a", "b"], []);
+        await flush();
+        clock.advance(LIFETIME_MS);
+        claim.update(2, ["a"], []);
+        clock.advance(LIFETIME_MS + keyLeases.KEY_LEASE_MS - 1);
+        expect(claim.decide(findMoved(["a"], ["a", "b"]))?.code.name).toBe("key-too-old");
+        clock.advance(1);
+        expect(claim.decide(findMoved(["a"], ["a", "b"]))).toBeUndefined();
+    });
+
     const ages: [string, number, string][] = [
         ["before the handover", -1, "key-too-old"],
         ["within the allowed skew after it", timeOrderedKeys.CLOCK_SKEW_MS, "key-too-old"],
--- a/src/process/HomeClaim.ts
+++ b/src/process/HomeClaim.ts
@@ -157,16 +157,17 @@
         others: Iterable<string>,
         since: number,
     ): void {
+        const asked = new Set(others);
         this.holds.push({
             version,
             sinceMs: this.options.clock.now(),
             previous,
-            asked: new Set(others),
-            pending: new Set(others),
+            asked,
+            pending: new Set(asked),
             since,
             mayHaveMoved: since === version,
             hasAlarmed: false,
-            hasGone: false,
+            hasGone: this.slots.some(slot => slot !== this.options.slot && !asked.has(slot)),
         });
     }
 
