Count a streamed stage in the entry's estimates by its first token

Cause: the estimate of when a request passes its stages counted the whole of a stream, while the deadline waits for its first token; after a round of long streams new ones were refused. Change: a streamed stage is learned apart, by the time until its first token; agents' words on whole streams don't stand in for it.

--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -29,17 +29,17 @@
     readonly refusal: () => codes.Failure | undefined;
     readonly configuration: () => configurations.Configuration | undefined;
     /** Decides before any cost whether the stages can finish in time and by priority. */
-    readonly admit: (
-        team: string,
-        stages: readonly configurations.Stage[],
-        deadline: deadlines.Deadline,
-        priority: number,
-    ) => codes.Failure | undefined;
+    readonly admit: (request: PreparedRequest) => codes.Failure | undefined;
     readonly maxBodyBytes: number;
     readonly requestTimeoutMs: number;
 }
 
-interface PreparedRequest {
+/** A request whose names are published. */
+export interface PreparedRequest {
+    readonly team: string;
+    readonly priority: number;
+    /** Whether the caller wants the last stage's tokens as they come. */
+    readonly streams: boolean;
     readonly configuration: configurations.Configuration;
     readonly pipeline: string;
     readonly stages: readonly configurations.Stage[];
@@ -173,8 +173,10 @@
         const { pipeline, stages, deadlineMs, maxDeadlineMs } = found.value;
         const totalMs = Math.min(request.deadlineMs ?? deadlineMs, maxDeadlineMs);
         const deadline = new deadlines.Deadline(this.context.clock, totalMs);
-        const refused = this.context.admit(request.team, stages, deadline, request.priority);
-        return refused === undefined ? result.ok({ configuration, pipeline, stages, deadline }) : result.err(refused);
+        const { team, priority, streams } = request;
+        const prepared = { team, priority, streams, configuration, pipeline, stages, deadline };
+        const refused = this.context.admit(prepared);
+        return refused === undefined ? result.ok(prepared) : result.err(refused);
     }
 
     private recordRefusal(request: callerRequests.CallerRequest, code: codes.ResultCode, startedMs: number): void {
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -104,7 +104,7 @@
                 pipeline: this.createPipelineContext(),
                 refusal: () => this.findRefusal(),
                 configuration: () => this.configuration,
-                admit: (team, stages, deadline, priority) => this.admit(team, stages, deadline, priority),
+                admit: request => this.admit(request),
                 maxBodyBytes: settings.maxBodyBytes,
                 requestTimeoutMs: settings.requestTimeoutMs,
             }),
@@ -204,13 +204,9 @@
         return this.node.isReady ? undefined : codes.failure(codes.codes.notReady, "no view yet", NOT_READY_RETRY_MS);
     }
 
-    private admit(
-        team: string,
-        stages: readonly configurations.Stage[],
-        deadline: deadlines.Deadline,
-        priority: number,
-    ): codes.Failure | undefined {
-        const shedBelow = configurations.findPreset(this.configuration)?.shedBelowPriority ?? 0;
+    private admit(request: callerServers.PreparedRequest): codes.Failure | undefined {
+        const { team, priority, streams, configuration, stages, deadline } = request;
+        const shedBelow = configurations.findPreset(configuration)?.shedBelowPriority ?? 0;
         const isSaturated = stages.some(stage => this.isSaturated(stage.service));
         if (priority < shedBelow && isSaturated) {
             return codes.failure(codes.codes.shed, `priority ${priority} is below ${shedBelow}`, SHED_RETRY_MS);
@@ -218,7 +214,8 @@
         if (this.options.admitsByDeadline === false) {
             return undefined;
         }
-        const needMs = this.flow.expectMs(team, stages);
+        const flowStages = flowEstimates.describeStages(configuration, stages, streams);
+        const needMs = this.flow.expectMs(team, flowStages);
         const admitted = stageHistories.admitWithin(needMs, deadline.remainingMs, this.options.random);
         return admitted.isErr ? admitted.error : undefined;
     }
--- a/src/process/FlowEstimate.ts
+++ b/src/process/FlowEstimate.ts
@@ -3,6 +3,7 @@
  * requests under way that have yet to reach a stage. All durations in milliseconds.
  */
 import * as clocks from "../common/Clock";
+import * as configurations from "../common/Configuration";
 import * as messages from "../common/Messages";
 import * as serviceTimes from "./ServiceTimes";
 
@@ -29,6 +30,8 @@
     readonly service: string;
     readonly operation: string;
     readonly model?: string | undefined;
+    /** Whether its answer is streamed, so that its first token is what the deadline waits for. */
+    readonly isStreamed?: boolean | undefined;
 }
 
 export interface FlowEstimateOptions {
@@ -104,6 +107,19 @@
     readonly serviceMs: number;
 }
 
+/** The stages of a request; the last is streamed when the caller wants that and its operation streams. */
+export function describeStages(
+    configuration: configurations.Configuration,
+    stages: readonly configurations.Stage[],
+    wantsStream: boolean,
+): FlowStage[] {
+    return stages.map((stage, index) => {
+        const operation = configurations.findOperation(configuration, stage.service, stage.operation);
+        const isStreamed = wantsStream && index === stages.length - 1 && operation?.streams === true;
+        return { service: stage.service, operation: stage.operation, model: stage.model, isStreamed };
+    });
+}
+
 /** Estimates for all pipelines of an entry. */
 export class FlowEstimate {
     private readonly times: serviceTimes.ServiceTimes;
@@ -113,9 +129,9 @@
         this.times = new serviceTimes.ServiceTimes(options.clock);
     }
 
-    /** Notes the upstream time of a stage that succeeded. */
-    observe(stage: FlowStage, upstreamMs: number): void {
-        this.times.observe(describeStage(stage), upstreamMs);
+    /** Notes the upstream time of a stage that succeeded; of a streamed one, the time until its first token. */
+    observe(stage: FlowStage, passingMs: number): void {
+        this.times.observe(describeStage(stage), passingMs);
     }
 
     /** Counts a request that begins. */
@@ -152,7 +168,9 @@
         let elapsedMs = 0;
         for (const stage of stages) {
             const pool = this.readPool(stage.service);
-            const serviceMs = this.times.find(describeStage(stage))?.meanMs ?? pool?.serviceMs ?? 0;
+            // What agents tell of a streaming service is the time of whole streams.
+            const unlearnedMs = stage.isStreamed ? 0 : pool?.serviceMs ?? 0;
+            const serviceMs = this.times.find(describeStage(stage))?.meanMs ?? unlearnedMs;
             const waitMs = pool === undefined ? 0 : this.expectWait(team, stage.service, pool);
             elapsedMs = Math.max(elapsedMs, waitMs) + Math.max(serviceMs, 0);
         }
@@ -237,5 +255,5 @@
 }
 
 function describeStage(stage: FlowStage): string {
-    return `${stage.service}/${stage.operation}/${stage.model ?? ""}`;
+    return `${stage.service}/${stage.operation}/${stage.model ?? ""}${stage.isStreamed ? "/stream" : ""}`;
 }
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -49,25 +49,32 @@
     stages: readonly configurations.Stage[],
     request: PipelineRequest,
 ): Promise<PipelineEnd> {
-    const ticket = context.flow.enter(request.team, stages);
-    const end = await runStages(context, configuration, stages, request, ticket);
+    const flowStages = flowEstimates.describeStages(configuration, stages, request.onToken !== undefined);
+    const ticket = context.flow.enter(request.team, flowStages);
+    const end = await runStages(context, configuration, stages, request, { stages: flowStages, ticket });
     ticket.end();
     return end;
 }
 
+/** A request's place in the estimates of the entry. */
+interface RequestFlow {
+    readonly stages: readonly flowEstimates.FlowStage[];
+    readonly ticket: flowEstimates.FlowTicket;
+}
+
 async function runStages(
     context: PipelineContext,
     configuration: configurations.Configuration,
     stages: readonly configurations.Stage[],
     request: PipelineRequest,
-    ticket: flowEstimates.FlowTicket,
+    flow: RequestFlow,
 ): Promise<PipelineEnd> {
     const costs: entryMetrics.StageCost[] = [];
     let previous: unknown;
     let mayHaveRun = false;
     for (const [index, stage] of stages.entries()) {
         const work = prepareStage(context, configuration, stages, index, request, previous);
-        ticket.start(index);
+        flow.ticket.start(index);
         const { end, durationMs } = await runStage(context, work);
         const cost = describeCost(stage, end);
         costs.push(cost);
@@ -75,9 +82,10 @@
         if (end.code.code !== codes.codes.ok.code) {
             return describeFailure(stage, end, mayHaveRun, costs);
         }
-        ticket.pass(index);
+        flow.ticket.pass(index);
         context.history.record(request.pipeline, stage.name, durationMs);
-        context.flow.observe(stage, end.upstreamMs);
+        const flowStage = flow.stages[index]!;
+        context.flow.observe(flowStage, flowStage.isStreamed ? durationMs : end.upstreamMs);
         mayHaveRun = mayHaveRun || end.mayHaveRun;
         previous = end.body;
     }
