--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -4,6 +4,7 @@
 import * as commander from "commander";
 import * as configuration from "./Configuration";
 import * as trimming from "./DeltaTrimming";
+import * as domains from "./Domains";
 import * as experiments from "./Experiment";
 import * as once from "./Once";
 import * as overheads from "./Overhead";
@@ -20,6 +21,7 @@
     results.results,
     overheads.overhead,
     trimming.deltaTrimming,
+    domains.domains,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
