--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -12,6 +12,7 @@
 import * as results from "./Results";
 import * as routings from "./Routing";
 import * as slopes from "./Slopes";
+import * as streams from "./Streams";
 
 const all: readonly experiments.Experiment[] = [
     configuration.configuration,
@@ -22,6 +23,7 @@
     overheads.overhead,
     trimming.deltaTrimming,
     domains.domains,
+    streams.streams,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -16,6 +16,8 @@
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16_384;
+/** Time without any byte taken after which a caller's answer is given up. */
+const UNREAD_ANSWER_TIMEOUT_MS = 30_000;
 const DEFAULT_OPERATION_DEADLINE_MS = 4_000;
 
 /** What the server needs from its process. */
@@ -73,10 +75,9 @@
         this.listener = await listeners.listen(this.server, address);
     }
 
-    /** Stops accepting connections and resolves when all requests under way have ended. */
+    /** Stops accepting connections and resolves when all requests under way have ended and their answers are taken. */
     async drain(): Promise<void> {
         this.listener?.stopAccepting();
-        this.server.closeIdleConnections();
         while (this.activeCount > 0) {
             await new Promise<void>(resolve => this.idleWaiters.push(resolve));
         }
@@ -93,6 +94,7 @@
             await this.serveRequest(message, response);
         }
         finally {
+            await waitUntilSent(response);
             this.activeCount--;
             if (this.activeCount === 0) {
                 this.idleWaiters.splice(0).forEach(resolve => resolve());
@@ -116,16 +118,16 @@
             return;
         }
         const end = await this.run(request.value, prepared.value, response);
-        const { deadline, pipeline } = prepared.value;
+        const { pipeline } = prepared.value;
         const elapsedMs = this.context.clock.now() - startedMs;
-        this.context.metrics.recordRequest(pipeline, request.value.team, end.code, elapsedMs, !deadline.isExpired);
+        this.context.metrics.recordRequest(pipeline, request.value.team, end.code, elapsedMs, end.isInTime);
     }
 
     private async run(
         request: callerRequests.CallerRequest,
         prepared: PreparedRequest,
         response: http.ServerResponse,
-    ): Promise<pipelineRuns.PipelineEnd> {
+    ): Promise<pipelineRuns.PipelineEnd & { readonly isInTime: boolean }> {
         const gone = new AbortController();
         response.on("close", () => {
             if (!response.writableFinished) {
@@ -133,12 +135,17 @@
             }
         });
         const stream = new answers.EventStream(response);
+        let isFirstInTime: boolean | undefined;
+        const takeToken = (offset: number, token: string): void => {
+            isFirstInTime ??= !prepared.deadline.isExpired;
+            stream.writeToken(offset, token);
+        };
         const end = await pipelineRuns.runPipeline(this.context.pipeline, prepared.configuration, prepared.stages, {
             ...request,
             pipeline: prepared.pipeline,
             deadline: prepared.deadline,
             signal: gone.signal,
-            onToken: request.streams ? (offset, token) => stream.writeToken(offset, token) : undefined,
+            onToken: request.streams ? takeToken : undefined,
         });
         const body = answers.describeEnd(request.request, end);
         if (stream.hasBegun || (request.streams && end.code.outcome === "completed")) {
@@ -147,7 +154,7 @@
         else {
             answers.writeAnswer(response, end.code.status, body);
         }
-        return end;
+        return { ...end, isInTime: isFirstInTime ?? !prepared.deadline.isExpired };
     }
 
     private prepare(request: callerRequests.CallerRequest): result.Result<PreparedRequest, codes.Failure> {
@@ -181,6 +188,18 @@
     }
 }
 
+/** Waits until a caller has taken the whole answer, or stops taking it. */
+function waitUntilSent(response: http.ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        if (response.closed || response.destroyed) {
+            resolve();
+            return;
+        }
+        response.once("close", resolve);
+        response.setTimeout(UNREAD_ANSWER_TIMEOUT_MS, () => response.destroy());
+    });
+}
+
 interface FoundStages {
     readonly pipeline: string;
     readonly stages: readonly configurations.Stage[];
