Count an earlier home's lease from each start of an agent

Cause: an agent that starts knows no earlier slots; a home that was taken out and off the list just before may serve its keys for the rest of its lease, and the new home didn't wait for it. Change: the first hold of an incarnation counts as one from which an instance went without a word. No experiment showed the fault.

--- a/src/process/HomeClaim.ts
+++ b/src/process/HomeClaim.ts
@@ -167,7 +167,8 @@
             since,
             mayHaveMoved: since === version,
             hasAlarmed: false,
-            hasGone: this.slots.some(slot => slot !== this.options.slot && !asked.has(slot)),
+            // At the start nothing is known of earlier slots, so one may just have gone.
+            hasGone: this.version === 0 || this.slots.some(slot => slot !== this.options.slot && !asked.has(slot)),
         });
     }
 
