Split the keys of an agent out of its process; an entry without agents isn't ready

An entry that woke from a pause has lost its connections and answered no-instance while it told the balancer that it was ready. The warning about abort listeners under many abandoned calls ends.

--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -9,7 +9,7 @@
 export const PROTOCOL_VERSION = 1;
 /** Largest frame accepted, in bytes, without its length prefix. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
-/** A heartbeat is sent when nothing else was for this long, in milliseconds. */
+/** Time between heartbeats, in milliseconds; other traffic doesn't replace them, since they carry load and age. */
 export const HEARTBEAT_MS = 1_000;
 /** A peer that sent nothing for this long is taken for lost, in milliseconds. */
 export const PEER_SILENCE_MS = 3_500;
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -1,6 +1,7 @@
 /**
  * An agent instance: stands beside one upstream and is the only way to it for this system.
  */
+import * as events from "node:events";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
@@ -14,18 +15,16 @@
 import * as upstreamWorks from "../request/UpstreamWork";
 import * as adminServers from "./AdminServer";
 import * as limits from "./AdmissionLimit";
+import * as agentKeys from "./AgentKeys";
 import * as agentMetrics from "./AgentMetrics";
 import * as agentPlacements from "./AgentPlacement";
 import * as attemptMemories from "./AttemptMemory";
 import * as queues from "./FairQueue";
-import * as homeClaims from "./HomeClaim";
 import * as incarnations from "./Incarnation";
-import * as keyLeases from "./KeyLease";
 import * as ledgers from "./Ledger";
 import * as listeners from "./Listener";
 import * as nodes from "./Node";
 import * as upstreamWatches from "./UpstreamWatch";
-import * as confirmations from "./VersionConfirmation";
 
 const ATTEMPT_CAPACITY = 100_000;
 /** Agents of the same service that an agent hears from; they tell which models they hold. */
@@ -60,9 +59,8 @@
     private readonly queue: queues.FairQueue;
     private readonly ledger: ledgers.Ledger;
     private readonly attempts: attemptMemories.AttemptMemory;
-    private readonly claim: homeClaims.HomeClaim;
+    private readonly keys: agentKeys.AgentKeys;
     private readonly placement: agentPlacements.AgentPlacement;
-    private readonly confirmation: confirmations.VersionConfirmation;
     private readonly incarnation: number;
     private readonly metrics: agentMetrics.AgentMetrics;
     private readonly server: agentServers.AgentServer;
@@ -79,6 +77,8 @@
     ) {
         const { clock, log, random } = options;
         this.incarnation = incarnations.createIncarnation(clock, random);
+        // Every call that is under way listens to it.
+        events.EventEmitter.setMaxListeners(0, this.stopped.signal);
         this.limit = this.store.add(new limits.AdmissionLimit(() => this.findBounds()));
         this.queue = this.store.add(
             new queues.FairQueue({
@@ -94,25 +94,13 @@
         this.ledger = this.store.add(new ledgers.Ledger({ clock, capacity, lifetimeMs, startedWallMs: clock.wall() }));
         this.attempts = this.store.add(new attemptMemories.AttemptMemory({ clock, capacity: ATTEMPT_CAPACITY }));
         this.node = this.store.add(this.createNode());
-        this.confirmation = new confirmations.VersionConfirmation({
-            clock,
-            find: instance => this.node.membership.find(instance),
-            context: () => this.node.createPeerContext(),
-        });
-        this.claim = this.store.add(
-            new homeClaims.HomeClaim({
-                clock,
-                slot: settings.instance,
-                lifetimeMs,
-                confirm: (instance, version, since) => this.confirmation.confirm(instance, version, since),
-                onAlarm: failure => log.warn({ code: failure.code.code, detail: failure.detail }, "home claim"),
-            }),
-        );
+        const { service, instance: slot } = settings;
+        this.keys = this.store.add(new agentKeys.AgentKeys({ clock, log, node: this.node, service, slot, lifetimeMs }));
         this.placement = this.store.add(
             new agentPlacements.AgentPlacement({
                 ...options,
-                service: settings.service,
-                slot: settings.instance,
+                service,
+                slot,
                 node: this.node,
                 isDraining: () => this.isLeaving,
             }),
@@ -123,9 +111,6 @@
         });
         this.store.add(this.limit.onCold(reason => log.warn({ reason }, "upstream is cold")));
         this.store.add(this.node.replica.onVersion(() => this.noteService()));
-        this.store.add(this.node.replica.onVersion(() => this.applyVersion()));
-        this.store.add(this.node.membership.onChange(() => this.applyVersion()));
-        this.store.add(this.node.list.onList(() => this.applyVersion()));
         this.store.add(this.node.list.onList(() => this.noteLeaving()));
         this.store.add(this.watch.onLeaving(() => this.noteLeaving()));
         this.metrics = this.createMetrics();
@@ -235,7 +220,7 @@
                 service: settings.service,
             },
             load: () => this.describeLoad(),
-            slotsVersion: () => this.claim.slotsVersion,
+            slotsVersion: () => this.keys.slotsVersion,
             wantsAgents: () => [settings.service],
             subsetSize: SAME_SERVICE_PEERS,
             isBusy: connection => this.server.isBusy(connection),
@@ -264,7 +249,7 @@
             unreadMs: () => this.node.unreadMs,
             catchUp: (version, timeoutMs) => this.node.catchUp(version, timeoutMs),
             holdsModel: model => this.placement.holds(model),
-            decideHome: key => this.checkKeyLease() ?? this.claim.decide(key),
+            decideHome: key => this.keys.decide(key),
             noteBoot: boot => this.watch.noteBoot(boot),
             isCold: () => this.limit.isCold,
             stopped: this.stopped.signal,
@@ -291,29 +276,6 @@
         this.wasOut = isOut;
     }
 
-    private applyVersion(): void {
-        const current = this.node.replica.current;
-        // Without the list every other agent would look gone.
-        if (current === undefined || !this.node.isReady) {
-            return;
-        }
-        const service = current.configuration.services[this.settings.service];
-        const listed = this.node.membership.listed(this.settings.service);
-        this.claim.update(current.configuration.version, Object.keys(service?.slots ?? {}), listed);
-    }
-
-    private checkKeyLease(): codes.Failure | undefined {
-        const { membership, replica } = this.node;
-        const { service, instance } = this.settings;
-        const slots = Object.keys(this.configuration?.services[service]?.slots ?? {});
-        return keyLeases.checkKeyLease({
-            unconfirmedMs: replica.unconfirmedMs,
-            listAgeMs: membership.listAgeMs,
-            others: [...slots, ...membership.listed(service)].filter(other => other !== instance),
-            isConnected: other => membership.find(other)?.connected ?? false,
-        });
-    }
-
     private findBounds(): limits.ConcurrencyBounds {
         const published = this.configuration?.services[this.settings.service];
         const { coldConcurrency, warmConcurrency, coldCalls = DEFAULT_COLD_CALLS } = published ?? UNPUBLISHED_BOUNDS;
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -139,8 +139,9 @@
         return this.admin?.address ?? "";
     }
 
+    /** Whether the balancer may send requests; not while no agent is connected, as right after a pause. */
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady;
+        return !this.isDraining && this.node.isReady && this.pool.all.length > 0;
     }
 
     /** The configuration version in force; 0 for none. */
