--- /dev/null
+++ b/bench/ArrivalQueue.ts
@@ -0,0 +1,71 @@
+/**
+ * A plain queue in front of an upstream, as a baseline: order of arrival, whatever the team, until the deadline.
+ */
+import * as result from "true-myth/result";
+import * as clocks from "../src/common/Clock";
+import * as codes from "../src/common/Codes";
+import * as queues from "../src/process/FairQueue";
+
+interface WaitingCall {
+    readonly enteredMs: number;
+    readonly answer: (admission: queues.Admission) => void;
+}
+
+/** Grants places in order of arrival. */
+export class ArrivalQueue implements queues.CallQueue {
+    readonly expectedMs = 0;
+    private readonly waiting: WaitingCall[] = [];
+    private readonly listener: clocks.Disposable;
+
+    constructor(private readonly options: queues.FairQueueOptions) {
+        this.listener = options.limit.onChange(() => this.dispatch());
+    }
+
+    get queued(): number {
+        return this.waiting.length;
+    }
+
+    enter(ticket: queues.CallTicket): Promise<queues.Admission> {
+        const { clock } = this.options;
+        return new Promise(resolve => {
+            const refuse = (code: codes.ResultCode): void => {
+                const position = this.waiting.indexOf(call);
+                if (position >= 0) {
+                    this.waiting.splice(position, 1);
+                    call.answer(result.err(codes.failure(code, "in queue")));
+                }
+            };
+            const cancel = (): void => refuse(codes.codes.cancelled);
+            const timer = clock.schedule(ticket.deadlineMs - clock.now(), () => refuse(codes.codes.expired));
+            const answer = (admission: queues.Admission): void => {
+                timer.dispose();
+                ticket.signal.removeEventListener("abort", cancel);
+                resolve(admission);
+            };
+            const call: WaitingCall = { enteredMs: clock.now(), answer };
+            ticket.signal.addEventListener("abort", cancel, { once: true });
+            this.waiting.push(call);
+            this.dispatch();
+        });
+    }
+
+    dispose(): void {
+        this.listener.dispose();
+        for (const call of this.waiting.splice(0)) {
+            call.answer(result.err(codes.failure(codes.codes.draining, "the queue is closed")));
+        }
+    }
+
+    private dispatch(): void {
+        const { clock, limit } = this.options;
+        for (let call = this.waiting[0]; call !== undefined; call = this.waiting[0]) {
+            const place = limit.tryAcquire();
+            if (place === undefined) {
+                return;
+            }
+            this.waiting.shift();
+            const queuedMs = clock.now() - call.enteredMs;
+            call.answer(result.ok({ queuedMs, finish: completion => limit.release(place, completion) }));
+        }
+    }
+}
--- a/bench/Chains.ts
+++ b/bench/Chains.ts
@@ -2,10 +2,10 @@
  * An entry and an agent as processes of their own before one upstream, and beside them two bare node:http
  * proxies in a row before the same upstream.
  */
-import type * as childProcess from "node:child_process";
+import * as childProcess from "node:child_process";
 import * as yaml from "yaml";
 import * as clocks from "../src/common/Clock";
-import type * as configurations from "../src/common/Configuration";
+import * as configurations from "../src/common/Configuration";
 import * as configurationServices from "../standins/ConfigurationServiceStandIn";
 import * as instanceLists from "../standins/InstanceListStandIn";
 import * as loads from "./HttpLoad";
--- a/bench/Configuration.ts
+++ b/bench/Configuration.ts
@@ -4,15 +4,15 @@
  * polls the service once a second for the full content and takes what it answers.
  */
 import * as clocks from "../src/common/Clock";
-import type * as configurations from "../src/common/Configuration";
+import * as configurations from "../src/common/Configuration";
 import * as randoms from "../src/common/Random";
 import * as readers from "../src/process/ConfigurationReader";
-import type * as replicas from "../src/process/ConfigurationReplica";
+import * as replicas from "../src/process/ConfigurationReplica";
 import * as digests from "../src/version/ContentDigest";
 import * as samples from "../src/version/SampleConfiguration";
 import * as sources from "../standins/ScriptedConfigurationSource";
 import * as fleets from "./ConfigurationFleet";
-import type * as experiments from "./Experiment";
+import * as experiments from "./Experiment";
 import * as trackers from "./VersionTracker";
 
 const REPLICAS = 208;
--- a/bench/DeltaTrimming.ts
+++ b/bench/DeltaTrimming.ts
@@ -5,7 +5,7 @@
 import * as randoms from "../src/common/Random";
 import * as deltaLogs from "../src/process/DeltaLog";
 import * as deltas from "../src/version/ConfigurationDelta";
-import type * as experiments from "./Experiment";
+import * as experiments from "./Experiment";
 import * as samples from "./SlopeSamples";
 
 const CHANGES = 73_000;
--- a/bench/Overhead.ts
+++ b/bench/Overhead.ts
@@ -4,8 +4,8 @@
  * measures processor time by role and the growth of the live memory.
  */
 import * as chainPairs from "./Chains";
-import type * as experiments from "./Experiment";
-import type * as loads from "./HttpLoad";
+import * as experiments from "./Experiment";
+import * as loads from "./HttpLoad";
 
 const CALLERS = 32;
 const WARM_UP_REQUESTS = 5_000;
--- a/bench/Slope.ts
+++ b/bench/Slope.ts
@@ -3,7 +3,7 @@
  */
 import * as v8 from "node:v8";
 import * as vm from "node:vm";
-import type * as fits from "./LinearFit";
+import * as fits from "./LinearFit";
 
 /** Shortest run that processor time is read from, and shortest one before it, which compiles the code. */
 const MIN_RUN_MICROS = 150_000;
--- a/bench/SlopeBytes.ts
+++ b/bench/SlopeBytes.ts
@@ -1,7 +1,7 @@
 /**
  * Bytes of the frames between the system's processes, and of the documents that it reads.
  */
-import type * as messages from "../src/common/Messages";
+import * as messages from "../src/common/Messages";
 import * as frames from "../src/connection/FrameCodec";
 import * as deltas from "../src/version/ConfigurationDelta";
 import * as slopes from "./Slope";
--- a/bench/SlopeFlight.ts
+++ b/bench/SlopeFlight.ts
@@ -4,7 +4,7 @@
 import * as clocks from "../src/common/Clock";
 import * as chains from "./Chains";
 import * as loads from "./HttpLoad";
-import type * as slopes from "./Slope";
+import * as slopes from "./Slope";
 
 const IN_FLIGHT = [100, 300, 600];
 /** Time in which the sockets of ended requests are closed on all sides. */
--- a/bench/SlopeMemory.ts
+++ b/bench/SlopeMemory.ts
@@ -4,7 +4,7 @@
 import * as net from "node:net";
 import * as clocks from "../src/common/Clock";
 import * as logs from "../src/common/Log";
-import type * as messages from "../src/common/Messages";
+import * as messages from "../src/common/Messages";
 import * as peerConnections from "../src/connection/PeerConnection";
 import * as attemptMemories from "../src/process/AttemptMemory";
 import * as replicas from "../src/process/ConfigurationReplica";
--- a/bench/SlopeSamples.ts
+++ b/bench/SlopeSamples.ts
@@ -1,9 +1,9 @@
 /**
  * Messages and documents of any size, for the measurement of slopes.
  */
-import type * as configurations from "../src/common/Configuration";
-import type * as messages from "../src/common/Messages";
-import type * as ports from "../src/common/Ports";
+import * as configurations from "../src/common/Configuration";
+import * as messages from "../src/common/Messages";
+import * as ports from "../src/common/Ports";
 
 const FAILURE_DOMAINS = 25;
 const REGIONS = 11;
--- a/bench/SlopeTime.ts
+++ b/bench/SlopeTime.ts
@@ -2,9 +2,9 @@
  * Processor time of the work that a process does for control and for each request.
  */
 import * as clocks from "../src/common/Clock";
-import type * as configurations from "../src/common/Configuration";
+import * as configurations from "../src/common/Configuration";
 import * as logs from "../src/common/Log";
-import type * as messages from "../src/common/Messages";
+import * as messages from "../src/common/Messages";
 import * as randoms from "../src/common/Random";
 import * as frames from "../src/connection/FrameCodec";
 import * as instanceLists from "../src/process/adapters/InstanceListService";
--- a/bench/Slopes.ts
+++ b/bench/Slopes.ts
@@ -4,7 +4,7 @@
  */
 import * as fs from "node:fs";
 import * as fits from "./LinearFit";
-import type * as slopes from "./Slope";
+import * as slopes from "./Slope";
 import * as bytes from "./SlopeBytes";
 import * as flights from "./SlopeFlight";
 import * as memory from "./SlopeMemory";
--- a/bench/Teams.ts
+++ b/bench/Teams.ts
@@ -6,6 +6,7 @@
 import * as clocks from "../src/common/Clock";
 import * as plain from "../src/process/PlainChoices";
 import * as fleets from "../standins/LocalFleet";
+import * as arrivalQueues from "./ArrivalQueue";
 import * as experiments from "./Experiment";
 import * as loads from "./PhaseLoad";
 
@@ -53,7 +54,7 @@
         plain: () => ({ ...borne, serviceMs: ENCODE_MS }),
         ...(isPolicy ? {} : {
             entryOptions: { choose: plain.createRoundRobin(), admitsByDeadline: false },
-            agentOptions: { queuesInOrder: true },
+            agentOptions: { createQueue: queueOptions => new arrivalQueues.ArrivalQueue(queueOptions) },
         }),
     });
 }
--- a/bench/VersionTracker.ts
+++ b/bench/VersionTracker.ts
@@ -2,8 +2,8 @@
  * When each publication came into force at each replica, counted from when the replica could be reached.
  */
 import * as hdr from "hdr-histogram-js";
-import type * as clocks from "../src/common/Clock";
-import type * as fleets from "./ConfigurationFleet";
+import * as clocks from "../src/common/Clock";
+import * as fleets from "./ConfigurationFleet";
 
 interface Publication {
     readonly version: number;
--- a/src/connection/PartBatch.test.ts
+++ b/src/connection/PartBatch.test.ts
@@ -1,5 +1,5 @@
 import * as vitest from "vitest";
-import type * as ports from "../common/Ports";
+import * as ports from "../common/Ports";
 import * as batches from "./PartBatch";
 
 const { expect, it } = vitest;
--- a/src/connection/PartBatch.ts
+++ b/src/connection/PartBatch.ts
@@ -2,7 +2,7 @@
  * Gathers the tokens of one stream that arrive in one turn of the event loop into one part, so that a fast
  * stream costs a frame for each turn and not for each token.
  */
-import type * as ports from "../common/Ports";
+import * as ports from "../common/Ports";
 
 /** Most tokens of one part. */
 export const MAX_BATCH_TOKENS = 1_000;
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -192,7 +192,7 @@
     }
 
     private beat(): void {
-        // A process that was paused itself must not blame its peers: it reads what waits first.
+        // After a pause of this process the silence is its own: it reads what waits first.
         const paused = this.context.clock.now() - this.lastSentMs > messages.PEER_SILENCE_MS;
         if (this.silentMs > messages.PEER_SILENCE_MS && !paused) {
             this.close(codes.failure(codes.codes.peerSilent, `${Math.round(this.silentMs)} ms`));
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -47,8 +47,8 @@
     readonly bounds?: () => limits.ConcurrencyBounds;
     /** Why the agent refuses new work; undefined for what is published as out. */
     readonly findOutOfService?: typeof configurations.findOutOfService;
-    /** Whether calls wait in order of arrival, whatever their team and deadline. */
-    readonly queuesInOrder?: boolean;
+    /** Makes the queue in front of the upstream; undefined for the fair one. */
+    readonly createQueue?: (options: queues.FairQueueOptions) => queues.CallQueue;
 }
 
 /** A running agent. */
@@ -56,7 +56,7 @@
     private readonly store = new emitters.DisposableStore();
     private readonly node: nodes.Node;
     private readonly limit: limits.AdmissionLimit;
-    private readonly queue: queues.FairQueue;
+    private readonly queue: queues.CallQueue;
     private readonly ledger: ledgers.Ledger;
     private readonly attempts: attemptMemories.AttemptMemory;
     private readonly keys: agentKeys.AgentKeys;
@@ -80,12 +80,12 @@
         // Every call that is under way listens to it.
         events.EventEmitter.setMaxListeners(0, this.stopped.signal);
         this.limit = this.store.add(new limits.AdmissionLimit(() => this.findBounds()));
+        const createQueue = options.createQueue ?? (queueOptions => new queues.FairQueue(queueOptions));
         this.queue = this.store.add(
-            new queues.FairQueue({
+            createQueue({
                 clock,
                 limit: this.limit,
-                weight: team => this.findWeight(team),
-                inOrder: options.queuesInOrder ?? false,
+                weight: team => configurations.findWeight(this.configuration, team),
                 shedBelowPriority: () => configurations.findPreset(this.configuration)?.shedBelowPriority ?? 0,
             }),
         );
@@ -282,10 +282,6 @@
         return this.options.bounds?.() ?? { coldConcurrency, warmConcurrency, coldCalls };
     }
 
-    private findWeight(team: string): number {
-        return configurations.findWeight(this.configuration, team);
-    }
-
     private describeLoad(): messages.Load {
         return {
             limit: this.limit.limit,
--- a/src/process/ConfigurationReader.ts
+++ b/src/process/ConfigurationReader.ts
@@ -5,9 +5,9 @@
  */
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
-import type * as logs from "../common/Log";
-import type * as ports from "../common/Ports";
-import type * as replicas from "./ConfigurationReplica";
+import * as logs from "../common/Log";
+import * as ports from "../common/Ports";
+import * as replicas from "./ConfigurationReplica";
 import * as watcherChoices from "./WatcherChoice";
 
 /** Calls on the service by the whole fleet, in calls per second; a waiting watch counts as one. */
--- a/src/process/ConfigurationReplica.ts
+++ b/src/process/ConfigurationReplica.ts
@@ -4,11 +4,11 @@
  */
 import * as result from "true-myth/result";
 import * as tsPattern from "ts-pattern";
-import type * as clocks from "../common/Clock";
+import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
-import type * as configurations from "../common/Configuration";
+import * as configurations from "../common/Configuration";
 import * as emitters from "../common/Emitter";
-import type * as logs from "../common/Log";
+import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as checks from "../version/ConfigurationCheck";
 import * as deltas from "../version/ConfigurationDelta";
--- a/src/process/FairQueue.ts
+++ b/src/process/FairQueue.ts
@@ -56,8 +56,6 @@
     readonly limit: limits.AdmissionLimit;
     readonly weight: (team: string) => number;
     readonly shedBelowPriority: () => number;
-    /** Whether calls wait in order of arrival until their deadlines, without shares or estimates; for comparison. */
-    readonly inOrder?: boolean;
 }
 
 interface WaitingCall {
@@ -70,8 +68,18 @@
 
 type Queue = teamQueues.TeamQueue<WaitingCall>;
 
+/** What an agent needs of the queue in front of its upstream. */
+export interface CallQueue extends clocks.Disposable {
+    /** Calls waiting. */
+    readonly queued: number;
+    /** Expected time from arrival to answer for a new call, in milliseconds; 0 while nothing was learned. */
+    readonly expectedMs: number;
+    /** Waits for admission. Never throws; a refused or cancelled call was not run. */
+    enter(ticket: CallTicket): Promise<Admission>;
+}
+
 /** Admits calls in fair order, or refuses them at once. */
-export class FairQueue implements clocks.Disposable {
+export class FairQueue implements CallQueue {
     private readonly clock: clocks.Clock;
     private readonly limit: limits.AdmissionLimit;
     private readonly times: serviceTimes.ServiceTimes;
@@ -130,10 +138,9 @@
         if (failure !== undefined) {
             return result.err(failure);
         }
-        const { inOrder = false } = this.options;
-        const queue = this.teams.open(inOrder ? "" : ticket.team);
+        const queue = this.teams.open(ticket.team);
         const mustWait = this.teams.size > 0 || this.limit.active >= this.limit.limit;
-        const refused = mustWait && !inOrder ? this.checkWait(queue, ticket) : undefined;
+        const refused = mustWait ? this.checkWait(queue, ticket) : undefined;
         return refused === undefined ? this.wait(queue, ticket) : result.err(refused);
     }
 
@@ -214,7 +221,7 @@
         if (remainingMs <= 0) {
             return codes.failure(codes.codes.expired, `${Math.round(-remainingMs)} ms past the deadline`);
         }
-        const neededMs = this.options.inOrder ? 0 : this.findNeeded(ticket);
+        const neededMs = this.findNeeded(ticket);
         return remainingMs < neededMs
             ? codes.failure(
                 codes.codes.deadlineUnreachable,
@@ -304,9 +311,6 @@
     }
 
     private checkRemainingWait(queue: Queue, position: number, call: WaitingCall): codes.Failure | undefined {
-        if (this.options.inOrder) {
-            return undefined;
-        }
         const waitMs = this.expectWait(this.teams.countAhead(queue, position));
         const remainingMs = call.ticket.deadlineMs - this.clock.now();
         const neededMs = Math.max(0, waitMs * WAITING_TOLERANCE - this.findProgress())
--- a/src/process/FlowEstimate.ts
+++ b/src/process/FlowEstimate.ts
@@ -13,7 +13,10 @@
 const COUNT_SMOOTHING = 0.15;
 /** Largest ratio between all calls at a service and this entry's own. */
 const MAX_RATIO = 64;
-/** Factor on expected waits: calls spread unevenly over the instances of a service. */
+/**
+ * Factor on expected waits of teams that use more than their share: calls spread unevenly over the instances of a
+ * service, and such a team has no claim to a place that frees up elsewhere.
+ */
 const WAIT_FACTOR = 2;
 
 /** What is known of one instance. */
@@ -79,6 +82,11 @@
         return (this.unpassed.get(team) ?? 0) + (this.ratio - 1) * (this.meanUnpassed.get(team) ?? 0);
     }
 
+    /** Mean count of a team's requests at all entries. */
+    estimateMean(team: string): number {
+        return this.ratio * (this.meanUnpassed.get(team) ?? 0);
+    }
+
     /** Takes in the count of a team's requests on the arrival of a new one. */
     observeTeam(team: string): void {
         const mean = this.meanUnpassed.get(team) ?? 0;
@@ -200,23 +208,34 @@
         if (pool.calls + flow.ahead * flow.ratio < pool.limit) {
             return 0;
         }
-        const available = this.findAvailable(flow, team, pool.limit);
-        return Math.max(0, flow.estimateAll(team) + 1 - available) / available * pool.serviceMs * WAIT_FACTOR;
+        const share = this.findShare(flow, team, pool.limit);
+        const available = Math.max(share, this.findLent(flow, team, pool.limit));
+        const waitMs = Math.max(0, flow.estimateAll(team) + 1 - available) / available * pool.serviceMs;
+        return flow.estimateMean(team) > share ? waitMs * WAIT_FACTOR : waitMs;
     }
 
-    /** Concurrency open to a team: its share, and what the other teams leave of theirs. */
-    private findAvailable(flow: ServiceFlow, team: string, limit: number): number {
-        const weight = this.options.weight(team);
-        let totalWeight = weight;
-        for (const other of flow.unpassed.keys()) {
-            totalWeight += other === team ? 0 : this.options.weight(other);
-        }
+    /** A team's part of the concurrency by its weight among the teams with requests under way. */
+    private findShare(flow: ServiceFlow, team: string, limit: number): number {
+        return limit * this.options.weight(team) / this.sumWeights(flow, team);
+    }
+
+    /** Concurrency that the other teams leave, each using its share at most. */
+    private findLent(flow: ServiceFlow, team: string, limit: number): number {
+        const totalWeight = this.sumWeights(flow, team);
         let used = 0;
         for (const [other, count] of flow.unpassed) {
             const share = limit * this.options.weight(other) / totalWeight;
             used += other === team ? 0 : Math.min(count * flow.ratio, share);
         }
-        return Math.max(limit * weight / totalWeight, limit - used);
+        return limit - used;
+    }
+
+    private sumWeights(flow: ServiceFlow, team: string): number {
+        let sum = this.options.weight(team);
+        for (const other of flow.unpassed.keys()) {
+            sum += other === team ? 0 : this.options.weight(other);
+        }
+        return sum;
     }
 
     /** Undefined while an instance hasn't told its load. */
--- a/src/process/Node.test.ts
+++ b/src/process/Node.test.ts
@@ -4,7 +4,7 @@
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as logs from "../common/Log";
-import type * as ports from "../common/Ports";
+import * as ports from "../common/Ports";
 import * as nodes from "./Node";
 
 const { expect, it } = vitest;
--- a/src/process/PeerMesh.test.ts
+++ b/src/process/PeerMesh.test.ts
@@ -2,7 +2,7 @@
 import * as vitest from "vitest";
 import * as clocks from "../common/Clock";
 import * as logs from "../common/Log";
-import type * as messages from "../common/Messages";
+import * as messages from "../common/Messages";
 import * as peerConnections from "../connection/PeerConnection";
 import * as samples from "../version/SampleConfiguration";
 import * as replicas from "./ConfigurationReplica";
--- a/src/process/PeerMesh.ts
+++ b/src/process/PeerMesh.ts
@@ -5,10 +5,10 @@
  */
 import * as clocks from "../common/Clock";
 import * as emitters from "../common/Emitter";
-import type * as logs from "../common/Log";
-import type * as messages from "../common/Messages";
+import * as logs from "../common/Log";
+import * as messages from "../common/Messages";
 import * as peerConnections from "../connection/PeerConnection";
-import type * as replicas from "./ConfigurationReplica";
+import * as replicas from "./ConfigurationReplica";
 
 const FIRST_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 2_000;
--- a/src/request/UpstreamWork.test.ts
+++ b/src/request/UpstreamWork.test.ts
@@ -5,7 +5,7 @@
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
 import * as logs from "../common/Log";
-import type * as ports from "../common/Ports";
+import * as ports from "../common/Ports";
 import * as limits from "../process/AdmissionLimit";
 import * as attemptMemories from "../process/AttemptMemory";
 import * as queues from "../process/FairQueue";
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -26,7 +26,7 @@
     readonly service: string;
     readonly slot: string;
     readonly incarnation: number;
-    readonly queue: queues.FairQueue;
+    readonly queue: queues.CallQueue;
     readonly ledger: ledgers.Ledger;
     readonly attempts: attemptMemories.AttemptMemory;
     readonly configuration: () => configurations.Configuration | undefined;
--- a/src/version/ConfigurationChange.test.ts
+++ b/src/version/ConfigurationChange.test.ts
@@ -1,6 +1,6 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import type * as messages from "../common/Messages";
+import * as messages from "../common/Messages";
 import * as checks from "./ConfigurationCheck";
 import * as deltas from "./ConfigurationDelta";
 import * as digests from "./ContentDigest";
--- a/src/version/ConfigurationCheck.ts
+++ b/src/version/ConfigurationCheck.ts
@@ -3,7 +3,7 @@
  * on the content alone, so that every process accepts or rejects alike.
  */
 import * as result from "true-myth/result";
-import type * as z from "zod";
+import * as z from "zod";
 import * as configurations from "../common/Configuration";
 import * as changes from "./ConfigurationChange";
 
--- a/src/version/ConfigurationDelta.test.ts
+++ b/src/version/ConfigurationDelta.test.ts
@@ -1,7 +1,7 @@
 import * as cbor from "cbor-x";
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import type * as configurations from "../common/Configuration";
+import * as configurations from "../common/Configuration";
 import * as deltas from "./ConfigurationDelta";
 import * as digests from "./ContentDigest";
 import * as samples from "./SampleConfiguration";
--- a/src/version/ConfigurationDelta.ts
+++ b/src/version/ConfigurationDelta.ts
@@ -2,8 +2,8 @@
  * Differences between two configurations as edits of keyed entries, and their canonical text.
  */
 import * as crypto from "node:crypto";
-import type * as configurations from "../common/Configuration";
-import type * as messages from "../common/Messages";
+import * as configurations from "../common/Configuration";
+import * as messages from "../common/Messages";
 
 /** Length of a digest, in hexadecimal digits. */
 const DIGEST_LENGTH = 32;
--- a/src/version/SampleConfiguration.ts
+++ b/src/version/SampleConfiguration.ts
@@ -1,7 +1,7 @@
 /**
  * A small valid configuration, for tests and experiments.
  */
-import type * as configurations from "../common/Configuration";
+import * as configurations from "../common/Configuration";
 
 /** Size of a sample. */
 export interface SampleSize {
--- a/standins/Bare.ts
+++ b/standins/Bare.ts
@@ -6,7 +6,7 @@
  */
 import * as commander from "commander";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 
 const KEEP_ALIVE_MS = 60_000;
 const TOKENS = 1_000;
--- a/standins/ScriptedConfigurationSource.ts
+++ b/standins/ScriptedConfigurationSource.ts
@@ -5,7 +5,7 @@
 import * as result from "true-myth/result";
 import * as clocks from "../src/common/Clock";
 import * as codes from "../src/common/Codes";
-import type * as ports from "../src/common/Ports";
+import * as ports from "../src/common/Ports";
 
 /** Time from a call to its answer. */
 const ANSWER_MS = 2;
--- a/tests/LeavingInstance.test.ts
+++ b/tests/LeavingInstance.test.ts
@@ -1,6 +1,6 @@
 import * as vitest from "vitest";
 import * as demo from "../src/commands/DemoConfiguration";
-import type * as engines from "../standins/EngineStandIn";
+import * as engines from "../standins/EngineStandIn";
 import * as fleets from "../standins/LocalFleet";
 
 const { afterEach, expect, it } = vitest;
--- a/tests/ModelRouting.test.ts
+++ b/tests/ModelRouting.test.ts
@@ -1,7 +1,7 @@
 import * as vitest from "vitest";
 import * as demo from "../src/commands/DemoConfiguration";
 import * as plainChoices from "../src/process/PlainChoices";
-import type * as engines from "../standins/EngineStandIn";
+import * as engines from "../standins/EngineStandIn";
 import * as fleets from "../standins/LocalFleet";
 
 const { afterAll, beforeAll, expect, it } = vitest;
--- a/typings/cumincrank.d.ts
+++ b/typings/cumincrank.d.ts
@@ -5,7 +5,7 @@
  * Durations and points in time are in milliseconds. Failures are values with a numbered code; the codes are
  * listed in docs/RESULT-CODES.md. What has a `dispose` owns timers or sockets and must be disposed by its owner.
  */
-import type * as result from "true-myth/result";
+import * as result from "true-myth/result";
 
 /** Undoes something started earlier. Calling it twice does nothing more. */
 export interface Disposable {
