Cancel a stream that has begun on a cold upstream too

Change: a stream that has begun is closed at once, and its place is kept for twice the longest gap between its parts, within which the upstream notices. Conclusion: kept; a call that hasn't begun to stream still keeps its place to its end on a cold upstream.

--- a/src/request/UpstreamDispatch.ts
+++ b/src/request/UpstreamDispatch.ts
@@ -13,6 +13,8 @@
 
 /** Time that an upstream needs at most to notice that a connection was closed. */
 const SETTLE_MS = 50;
+/** Gaps between the parts of a stream within which its upstream notices a closed connection. */
+const GAPS_TO_NOTICE = 2;
 /** Longest time that a cold upstream may go on with an abandoned call. */
 const ABANDONED_LIMIT_MS = 30_000;
 
@@ -50,6 +52,8 @@
     private readonly exchange = new AbortController();
     private readonly startedMs: number;
     private firstTokenMs: number | undefined;
+    private lastPartMs: number | undefined;
+    private longestGapMs = 0;
     private isAbandoned = false;
     private expire: (() => void) | undefined;
     private expiry: clocks.Disposable | undefined;
@@ -122,6 +126,7 @@
         const { offset, onPart } = call.stream;
         return engine.stream(upstreamCall, offset, part => {
             this.firstTokenMs ??= clock.now() - this.startedMs;
+            this.noteGap();
             this.scheduleExpiry(deadlines.STREAM_PROGRESS_MS);
             if (!this.isAbandoned) {
                 onPart(part);
@@ -129,6 +134,12 @@
         }, signal);
     }
 
+    private noteGap(): void {
+        const nowMs = this.context.clock.now();
+        this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastPartMs ?? nowMs));
+        this.lastPartMs = nowMs;
+    }
+
     /** Takes in the restart first, so that the place isn't granted anew under the limit of before. */
     private finish(reply: Reply): void {
         if (reply.isOk && reply.value.boot !== undefined) {
@@ -138,14 +149,15 @@
     }
 
     /**
-     * Nobody waits any more. A warm upstream is told so by the closed connection; a cold one works on to the end,
-     * since it would still hold the work for a moment in which its place were granted anew.
+     * Nobody waits any more. A warm upstream, and one that streams already, is told so by the closed connection,
+     * and notices it at its next part. A cold one works on to the end otherwise, since it would still hold the work
+     * for an unknown time in which its place were granted anew.
      */
     private async abandon(pending: Promise<Reply>, isLate: boolean): Promise<Reply> {
         this.isAbandoned = true;
         const late = codes.failure(codes.codes.upstreamTimeout, "deadline passed at the upstream");
         const completion: limits.Completion = isLate ? { kind: "failed" } : { kind: "neutral" };
-        if (this.context.isCold()) {
+        if (this.context.isCold() && this.lastPartMs === undefined) {
             void this.outwait(pending, completion);
             return result.err(isLate ? late : codes.failure(codes.codes.cancelledRunning, "caller gone"));
         }
@@ -169,7 +181,8 @@
     }
 
     private async settle(completion: limits.Completion): Promise<void> {
-        await clocks.sleep(this.context.clock, SETTLE_MS, this.context.stopped);
+        const settleMs = Math.max(SETTLE_MS, GAPS_TO_NOTICE * this.longestGapMs);
+        await clocks.sleep(this.context.clock, settleMs, this.context.stopped);
         this.permit.finish(completion);
     }
 }
