--- a/src/commands/Exits.ts
+++ b/src/commands/Exits.ts
@@ -2,6 +2,7 @@
  * The exit codes of the commands.
  */
 
+/** Done, and nothing was cut. */
 export const EXIT_OK = 0;
 /** The process couldn't run here: an address in use, an unsupported environment, an unreachable process. */
 export const EXIT_UNUSABLE = 1;
--- a/src/common/Configuration.ts
+++ b/src/common/Configuration.ts
@@ -87,11 +87,17 @@
     keyLifetimeMs: z.int().min(1_000).max(86_400_000).default(600_000),
 });
 
+/** A published document with its defaults filled in. */
 export type Configuration = z.infer<typeof configurationSchema>;
+/** Shares, budgets and weights that operators switch as one. */
 export type Preset = z.infer<typeof presetSchema>;
+/** A service: its operations, the concurrency its upstreams bear, and its slots. */
 export type UpstreamService = z.infer<typeof upstreamServiceSchema>;
+/** One operation of a service. */
 export type Operation = z.infer<typeof operationSchema>;
+/** Stages under one deadline, in milliseconds. */
 export type Pipeline = z.infer<typeof pipelineSchema>;
+/** One step of a pipeline. */
 export type Stage = z.infer<typeof stageSchema>;
 
 /** Why the upstream instance takes no work under this configuration; undefined when it does. */
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -160,15 +160,27 @@
 /** Every frame: the sender's configuration version in force (0 for none), and a message. */
 export const envelopeSchema = z.object({ version: z.int().min(0), message: messageSchema });
 
+/** One frame, checked. */
 export type Envelope = z.infer<typeof envelopeSchema>;
+/** The content of a frame, told apart by `kind`. */
 export type Message = z.infer<typeof messageSchema>;
+/** An agent's word on its upstream. */
 export type Load = z.infer<typeof loadSchema>;
+/** The first message of each side. */
 export type Hello = z.infer<typeof helloSchema>;
+/** One attempt of a stage, for one incarnation of an agent. */
 export type Call = z.infer<typeof callSchema>;
+/** A question about an attempt of an earlier connection. */
 export type Query = z.infer<typeof querySchema>;
+/** Tokens of a stream. */
 export type Part = z.infer<typeof partSchema>;
+/** The end of a call or query. */
 export type Answer = z.infer<typeof answerSchema>;
+/** What is said each second. */
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
+/** The answer to a question about versions. */
 export type Confirmed = z.infer<typeof confirmedSchema>;
+/** The change of one entry of a configuration. */
 export type Edit = z.infer<typeof editSchema>;
+/** The edits between two versions. */
 export type Delta = z.infer<typeof deltaSchema>;
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -25,6 +25,7 @@
     stopLimitMs: z.int().min(0).default(600_000),
 };
 
+/** Settings of an entry. */
 export const entrySettingsSchema = z.strictObject({
     role: z.literal("entry"),
     ...commonShape,
@@ -35,6 +36,7 @@
     requestTimeoutMs: z.int().min(1).default(10_000),
 });
 
+/** Settings of an agent. */
 export const agentSettingsSchema = z.strictObject({
     role: z.literal("agent"),
     ...commonShape,
@@ -46,8 +48,12 @@
     ledgerCapacity: z.int().min(1).default(100_000),
 });
 
+/** Settings of either, told apart by `role`. */
 export const settingsSchema = z.discriminatedUnion("role", [entrySettingsSchema, agentSettingsSchema]);
 
+/** Checked settings of an entry. */
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+/** Checked settings of an agent. */
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
+/** Checked settings of either role. */
 export type Settings = z.infer<typeof settingsSchema>;
--- a/src/connection/AgentClient.ts
+++ b/src/connection/AgentClient.ts
@@ -41,14 +41,17 @@
         connection.onClose(() => this.loseAll());
     }
 
+    /** Name of the agent's instance. */
     get instance(): string {
         return this.connection.remote.instance;
     }
 
+    /** The incarnation that this connection reaches. */
     get incarnation(): number {
         return this.connection.remote.incarnation;
     }
 
+    /** Whether the connection has ended. */
     get isClosed(): boolean {
         return this.connection.isClosed;
     }
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -114,6 +114,7 @@
         return this.remoteHello!;
     }
 
+    /** Whether the connection has ended. */
     get isClosed(): boolean {
         return this.closeReason !== undefined;
     }
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -132,10 +132,12 @@
         return agent;
     }
 
+    /** IP number and port of the peer listener, once started. */
     get peerAddress(): string {
         return this.node.peerAddress;
     }
 
+    /** IP number and port of the admin server, once started. */
     get adminAddress(): string {
         return this.admin?.address ?? "";
     }
@@ -145,6 +147,7 @@
         return this.node.replica.version;
     }
 
+    /** Whether the agent takes calls. */
     get isReady(): boolean {
         return !this.isLeaving && this.node.isReady && this.watch.isSettled;
     }
--- a/src/process/CallerServer.ts
+++ b/src/process/CallerServer.ts
@@ -67,10 +67,12 @@
         return this.activeCount;
     }
 
+    /** IP number and port in use; empty before `listen`. */
     get address(): string {
         return this.listener?.address ?? "";
     }
 
+    /** Starts to accept; rejects when the address can't be used. */
     async listen(address: string): Promise<void> {
         this.listener = await listeners.listen(this.server, address);
     }
--- a/src/process/DomainSpread.ts
+++ b/src/process/DomainSpread.ts
@@ -14,6 +14,7 @@
     readonly rank: number;
 }
 
+/** From whose view a subset is spread. */
 export interface SpreadOptions {
     /** The selecting process's instance name. */
     readonly self: string;
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -127,14 +127,17 @@
         return entry;
     }
 
+    /** IP number and port of the callers' listener, once started. */
     get callerAddress(): string {
         return this.callers.address;
     }
 
+    /** IP number and port of the peer listener, once started. */
     get peerAddress(): string {
         return this.node.peerAddress;
     }
 
+    /** IP number and port of the admin server, once started. */
     get adminAddress(): string {
         return this.admin?.address ?? "";
     }
--- a/src/process/FlowEstimate.ts
+++ b/src/process/FlowEstimate.ts
@@ -37,6 +37,7 @@
     readonly isStreamed?: boolean | undefined;
 }
 
+/** What the estimates need from their entry. */
 export interface FlowEstimateOptions {
     readonly clock: clocks.Clock;
     /** Usable instances of a service. */
@@ -70,6 +71,7 @@
         return Math.min(MAX_RATIO, Math.max(1, this.allCalls / this.ownCalls));
     }
 
+    /** Takes in the calls at the service, all and this entry's. */
     observe(allCalls: number, ownCalls: number): void {
         if (ownCalls > 0) {
             this.allCalls += RATIO_SMOOTHING * (allCalls - this.allCalls);
@@ -93,6 +95,7 @@
         this.meanUnpassed.set(team, mean + COUNT_SMOOTHING * ((this.unpassed.get(team) ?? 0) - mean));
     }
 
+    /** Changes the count of a team's requests. */
     add(team: string, change: number): void {
         const count = (this.unpassed.get(team) ?? 0) + change;
         if (count > 0) {
--- a/src/process/InstanceRecords.ts
+++ b/src/process/InstanceRecords.ts
@@ -46,6 +46,7 @@
 
     constructor(private readonly clock: clocks.Clock) {}
 
+    /** Notes an answer: time at the upstream, and time waited, in milliseconds. */
     recordSuccess(instance: string, upstreamMs: number, totalMs: number): void {
         const record = this.obtain(instance);
         record.learnedMs = this.clock.now();
@@ -62,6 +63,7 @@
         }
     }
 
+    /** Notes a failed call. */
     recordFailure(instance: string): void {
         const record = this.obtain(instance);
         record.learnedMs = this.clock.now();
@@ -85,11 +87,13 @@
         return !this.isTrialDueFor(record);
     }
 
+    /** Whether an ejected instance may get one call to show that it is well. */
     isTrialDue(instance: string): boolean {
         const record = this.records.get(instance);
         return record?.ejectedUntilMs !== undefined && this.isTrialDueFor(record);
     }
 
+    /** Notes that the one call was sent. */
     startTrial(instance: string): void {
         this.obtain(instance).trialStartedMs = this.clock.now();
     }
--- a/src/process/Membership.ts
+++ b/src/process/Membership.ts
@@ -30,6 +30,7 @@
     readonly lostAtMs?: number | undefined;
 }
 
+/** What the view needs from its process. */
 export interface MembershipOptions {
     readonly clock: clocks.Clock;
     /** This process's instance name. */
@@ -59,6 +60,7 @@
     /** `rank` is the member's rendezvous score for this process. */
     constructor(readonly instance: string, readonly rank: number) {}
 
+    /** Leaving by any source. */
     get state(): "live" | "leaving" {
         return this.listedLeaving || this.drainedIncarnation !== undefined ? "leaving" : "live";
     }
@@ -202,6 +204,7 @@
         return names;
     }
 
+    /** What is known of an instance; undefined for an unknown one. */
     find(instance: string): Member | undefined {
         return this.records.get(instance);
     }
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -127,6 +127,7 @@
         void this.startReaders();
     }
 
+    /** IP number and port of the peer listener, once started. */
     get peerAddress(): string {
         return this.listener?.address ?? "";
     }
--- a/src/process/RetryBudget.ts
+++ b/src/process/RetryBudget.ts
@@ -9,6 +9,7 @@
 /** First attempts whose earnings may be kept. */
 const KEPT_FIRST_ATTEMPTS = 1_000;
 
+/** What a budget needs from its owner. */
 export interface RetryBudgetOptions {
     readonly clock: clocks.Clock;
     /** Share of first attempts that may be repeated, 0 to 1; read at each use. */
--- a/src/process/StageHistory.ts
+++ b/src/process/StageHistory.ts
@@ -38,6 +38,7 @@
         this.startedMs = nowMs;
     }
 
+    /** Notes one duration, in milliseconds. */
     record(durationMs: number, nowMs: number): void {
         this.rotate(nowMs);
         const value = Math.round(Math.min(Math.max(durationMs, 1), MAX_DURATION_MS));
@@ -45,6 +46,7 @@
         this.recent.recordValue(value);
     }
 
+    /** The duration within which a share `q` ended; undefined with fewer samples. */
     quantile(q: number, minSamples: number, nowMs: number): number | undefined {
         this.rotate(nowMs);
         if (this.recent.totalCount < minSamples) {
--- a/src/process/UpstreamChoice.ts
+++ b/src/process/UpstreamChoice.ts
@@ -63,6 +63,7 @@
     readonly considered: readonly string[];
 }
 
+/** What the policy needs from its entry. */
 export interface UpstreamChoiceOptions {
     readonly clock: clocks.Clock;
     /** Draws from 0 up to 1. */
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -152,6 +152,7 @@
         });
     }
 
+    /** Sends the request; the promise of `send` resolves at the end. */
     start(): void {
         const timeoutMs = this.request.timeoutMs;
         this.signal.addEventListener("abort", this.abort, { once: true });
--- a/src/request/CallerAnswer.ts
+++ b/src/request/CallerAnswer.ts
@@ -68,6 +68,7 @@
 
     constructor(private readonly response: http.ServerResponse) {}
 
+    /** Whether the headers have gone out. */
     get hasBegun(): boolean {
         return this.response.headersSent;
     }
--- a/src/request/Deadline.ts
+++ b/src/request/Deadline.ts
@@ -25,6 +25,7 @@
         return Math.max(0, this.atMs - this.clock.now());
     }
 
+    /** Whether the point in time has passed. */
     get isExpired(): boolean {
         return this.clock.now() >= this.atMs;
     }
