--- a/src/process/HomeClaim.ts
+++ b/src/process/HomeClaim.ts
@@ -167,8 +167,7 @@
             since,
             mayHaveMoved: since === version,
             hasAlarmed: false,
-            // At the start nothing is known of earlier slots, so one may just have gone.
-            hasGone: this.version === 0 || this.slots.some(slot => slot !== this.options.slot && !asked.has(slot)),
+            hasGone: this.slots.some(slot => slot !== this.options.slot && !asked.has(slot)),
         });
     }
 
