--- a/src/common/Ports.ts
+++ b/src/common/Ports.ts
@@ -25,7 +25,7 @@
     /** The service of an agent's upstream. */
     readonly service?: string | undefined;
     readonly failureDomain: string;
-    /** IP number and port of the process's peer listener. */
+    /** IP number and port of the process's peer listener; empty for a member known by an accepted connection only. */
     readonly address: string;
     readonly state: "live" | "leaving";
 }
--- a/src/process/AgentMetrics.ts
+++ b/src/process/AgentMetrics.ts
@@ -2,6 +2,7 @@
  * The metrics of an agent, in its own registry.
  */
 import * as prom from "prom-client";
+import * as gauge from "./Gauge";
 
 /** Numbers that are read at each scrape. */
 export interface AgentGauges {
@@ -24,26 +25,15 @@
 
     constructor(gauges: AgentGauges) {
         prom.collectDefaultMetrics({ register: this.registry });
-        this.addGauge("cumincrank_agent_limit", "Concurrency admitted", gauges.limit);
-        this.addGauge("cumincrank_agent_active", "Calls at the upstream", gauges.active);
-        this.addGauge("cumincrank_agent_queued", "Calls waiting", gauges.queued);
-        this.addGauge("cumincrank_agent_ledger_entries", "Entries of the ledger", gauges.ledgerEntries);
-        this.addGauge("cumincrank_configuration_version", "Version in force", gauges.version);
+        gauge.addGauge(this.registry, "cumincrank_agent_limit", "Concurrency admitted", gauges.limit);
+        gauge.addGauge(this.registry, "cumincrank_agent_active", "Calls at the upstream", gauges.active);
+        gauge.addGauge(this.registry, "cumincrank_agent_queued", "Calls waiting", gauges.queued);
+        gauge.addGauge(this.registry, "cumincrank_agent_ledger_entries", "Entries of the ledger", gauges.ledgerEntries);
+        gauge.addGauge(this.registry, "cumincrank_configuration_version", "Version in force", gauges.version);
     }
 
     /** Records the end of a call by its result code. */
     recordEnd(code: number): void {
         this.ends.inc({ code: String(code) });
     }
-
-    private addGauge(name: string, help: string, read: () => number): void {
-        new prom.Gauge({
-            name,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
-    }
 }
--- a/src/process/EntryMetrics.ts
+++ b/src/process/EntryMetrics.ts
@@ -3,6 +3,7 @@
  */
 import * as prom from "prom-client";
 import * as codes from "../common/Codes";
+import * as gauges from "./Gauge";
 
 /** What a stage cost: times in milliseconds. */
 export interface StageCost {
@@ -53,14 +54,7 @@
 
     /** Shows a number that is read at each scrape. */
     gauge(name: string, help: string, read: () => number): void {
-        new prom.Gauge({
-            name,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
+        gauges.addGauge(this.registry, name, help, read);
     }
 
     /** Records the end of a request. */
--- /dev/null
+++ b/src/process/Gauge.ts
@@ -0,0 +1,16 @@
+/**
+ * Gauges that are read at each scrape.
+ */
+import * as prom from "prom-client";
+
+/** Shows a number under `name`, read when the metrics are scraped. */
+export function addGauge(registry: prom.Registry, name: string, help: string, read: () => number): void {
+    new prom.Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+            this.set(read());
+        },
+    });
+}
--- a/src/process/Membership.ts
+++ b/src/process/Membership.ts
@@ -14,14 +14,7 @@
 const LOST_RETRY_MS = 10_000;
 
 /** What is known of another instance; reads are always current. */
-export interface Member {
-    readonly instance: string;
-    readonly role: "entry" | "agent";
-    readonly service?: string | undefined;
-    readonly failureDomain: string;
-    /** IP number and port of the peer listener; empty when only an accepted connection is known. */
-    readonly address: string;
-    readonly state: "live" | "leaving";
+export interface Member extends ports.ListedInstance {
     /** From the latest hello; undefined before the first. */
     readonly incarnation?: number | undefined;
     /** Work may be sent to connected members only; the others are nominated and wait for a connection. */
