Read addresses in one place; look for saturation only where a request may be shed

From a read of the whole change: four copies of the splitting of an address now call src/common/Address.ts; an abort signal of Node that nothing listened to any more is gone; an entry collected the candidates of every stage for each request to learn whether they are saturated, also when the priority ruled shedding out.

--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -5,6 +5,7 @@
  */
 import * as net from "node:net";
 import * as result from "true-myth/result";
+import * as addresses from "../common/Address";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as emitters from "../common/Emitter";
@@ -66,9 +67,8 @@
         address: string,
         context: PeerContext,
     ): Promise<result.Result<PeerConnection, codes.Failure>> {
-        const separator = address.lastIndexOf(":");
-        const options = { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-        const socket = net.connect(options);
+        const { host, port } = addresses.parseAddress(address);
+        const socket = net.connect(port, host);
         const failed = await waitForConnect(socket, context.clock);
         if (failed !== undefined) {
             socket.destroy();
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -211,8 +211,7 @@
     private admit(request: callerServers.PreparedRequest): codes.Failure | undefined {
         const { team, priority, streams, configuration, stages, deadline } = request;
         const shedBelow = configurations.findPreset(configuration)?.shedBelowPriority ?? 0;
-        const isSaturated = stages.some(stage => this.isSaturated(stage.service));
-        if (priority < shedBelow && isSaturated) {
+        if (priority < shedBelow && stages.some(stage => this.isSaturated(stage.service))) {
             return codes.failure(codes.codes.shed, `priority ${priority} is below ${shedBelow}`, SHED_RETRY_MS);
         }
         if (this.options.admitsByDeadline === false) {
--- a/src/process/Listener.ts
+++ b/src/process/Listener.ts
@@ -2,6 +2,7 @@
  * Listening sockets: starts a server on an IP number and port, and ends it with all its connections.
  */
 import * as net from "node:net";
+import * as addresses from "../common/Address";
 import * as clocks from "../common/Clock";
 
 /** A server that listens. */
@@ -12,12 +13,6 @@
     stopAccepting(): void;
 }
 
-/** Splits an address into an IP number and a port. */
-export function parseAddress(address: string): { host: string; port: number } {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
-
 /** Starts `server` on `address`; rejects when the address can't be used. */
 export async function listen(server: net.Server, address: string): Promise<Listener> {
     const sockets = new Set<net.Socket>();
@@ -27,7 +22,7 @@
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
-        server.listen(parseAddress(address), resolve);
+        server.listen(addresses.parseAddress(address), resolve);
     });
     const bound = server.address() as net.AddressInfo;
     return {
--- a/src/process/Node.ts
+++ b/src/process/Node.ts
@@ -67,7 +67,6 @@
     readonly list: listReaders.ListReader;
     private readonly reader: readers.ConfigurationReader;
     private readonly store = new emitters.DisposableStore();
-    private readonly stopped = new AbortController();
     private listener: listeners.Listener | undefined;
     private startedMs = 0;
     private refreshToken = 0;
@@ -195,7 +194,6 @@
     }
 
     dispose(): void {
-        this.stopped.abort();
         this.store.dispose();
     }
 
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import * as result from "true-myth/result";
+import * as addresses from "../../common/Address";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as emitters from "../../common/Emitter";
@@ -60,7 +61,7 @@
 
 /** Makes a client for `address`, an IP number and a port. */
 export function createClient(address: string): Client {
-    const separator = address.lastIndexOf(":");
+    const { host, port } = addresses.parseAddress(address);
     const agent = new http.Agent({
         keepAlive: true,
         timeout: IDLE_SOCKET_TIMEOUT_MS,
@@ -70,8 +71,8 @@
     const disconnects = new emitters.Emitter<void>();
     const watched = new WeakSet<net.Socket>();
     return {
-        host: address.slice(0, separator),
-        port: Number(address.slice(separator + 1)),
+        host,
+        port,
         agent,
         onDisconnect: disconnects.event,
         watch(socket) {
--- a/standins/Caller.ts
+++ b/standins/Caller.ts
@@ -2,6 +2,7 @@
  * Calls an entry over HTTP as a caller would, and tells what came back.
  */
 import * as http from "node:http";
+import * as addresses from "../src/common/Address";
 import * as clocks from "../src/common/Clock";
 import * as answers from "../src/request/CallerAnswer";
 
@@ -42,7 +43,7 @@
 export function callEntry(call: CallerCall): Promise<CallerReply> {
     const clock = clocks.systemClock;
     const startedMs = clock.now();
-    const separator = call.address.lastIndexOf(":");
+    const { host, port } = addresses.parseAddress(call.address);
     const content = Buffer.from(JSON.stringify(call.body));
     return new Promise(resolve => {
         const events = new EventReader(() => clock.now() - startedMs);
@@ -52,8 +53,8 @@
             resolve({ status, answer: events.last ?? parseAnswer(text), retryAfter, tokens, elapsedMs, firstTokenMs });
         };
         const request = http.request({
-            host: call.address.slice(0, separator),
-            port: Number(call.address.slice(separator + 1)),
+            host,
+            port,
             method: "POST",
             path: call.path,
             agent: call.agent,
