Tell orders that were on their way before a successor started from those of an old incarnation

The trace: agent 16 checked and wrote the order at 1,433,200 ms and wasn't paused; its successor started at 1,433,227 ms; the order reached the engine within the network's 20 ms, seen in the step at 1,433,250 ms. When it was written nobody else ordered this engine.

Ruled out: an order written after a pause (the process wasn't held back: checked and written in one turn), a missing or late claim (the successor had not yet read its first report), a lease that overlaps (the engine checks fencing).

Change: the experiment knows when an order goes to the network.

--- a/bench/Placement.ts
+++ b/bench/Placement.ts
@@ -61,6 +61,7 @@
     private readonly figures: experiments.Figures = {
         oldOrdersChecking: 0,
         oldOrdersBeforeClaim: 0,
+        ordersBeforeSuccessor: 0,
         oldOrdersOutsideWindow: 0,
         oldOrdersInsideWindow: 0,
         orders: 0,
@@ -306,7 +307,9 @@
     /** Orders of an old incarnation: on checking engines by whether the successor had ordered, else by the window. */
     private countOldOrder(effect: worlds.Effect, successor: Agent, isClaimed: boolean): void {
         if (effect.engine.checks) {
-            this.figures[isClaimed ? "oldOrdersChecking" : "oldOrdersBeforeClaim"]!++;
+            // Nobody can recall an order that was on its way before its agent had a successor.
+            const unclaimed = effect.writtenMs < successor.startedMs ? "ordersBeforeSuccessor" : "oldOrdersBeforeClaim";
+            this.figures[isClaimed ? "oldOrdersChecking" : unclaimed]!++;
             return;
         }
         const waitMs = leases.LEASE_MS + leases.LEASE_MARGIN_MS;
--- a/bench/PlacementWorld.ts
+++ b/bench/PlacementWorld.ts
@@ -91,6 +91,8 @@
     readonly order: ports.EngineOrder;
     /** When the agent checked and sent it. */
     readonly sentMs: number;
+    /** When it went to the network: later than `sentMs` by the agent's pause between the two. */
+    readonly writtenMs: number;
 }
 
 /** The store's reads, and those above its rate. */
@@ -147,7 +149,11 @@
                 role: "generation",
             })
             : result.err(codes.failure(codes.codes.sourceUnavailable, "engine is down"));
-    const apply = (order: ports.EngineOrder, sentMs: number): result.Result<ports.EngineReport, codes.Failure> => {
+    const apply = (
+        order: ports.EngineOrder,
+        sentMs: number,
+        writtenMs: number,
+    ): result.Result<ports.EngineReport, codes.Failure> => {
         if (state.alive && state.checks && order.fence < state.fence) {
             return result.err(codes.failure(codes.codes.orderRefused, `highest is ${state.fence}`));
         }
@@ -159,7 +165,7 @@
             else if (order.action === "unload") {
                 state.models.delete(order.subject);
             }
-            onEffect({ engine: state, agent, order, sentMs });
+            onEffect({ engine: state, agent, order, sentMs, writtenMs });
         }
         return readReport();
     };
@@ -177,7 +183,8 @@
                 process.pause();
                 await new Promise<void>(resolve => process.whenRunning(resolve));
             }
-            return network.exchange(process, () => apply(order, sentMs));
+            const writtenMs = process.now();
+            return network.exchange(process, () => apply(order, sentMs, writtenMs));
         },
     };
 }
