--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -14,6 +14,7 @@
 import * as results from "./Results";
 import * as routings from "./Routing";
 import * as slopes from "./Slopes";
+import * as stageExperiments from "./Stages";
 import * as streams from "./Streams";
 import * as teams from "./Teams";
 import * as warmups from "./Warmup";
@@ -32,6 +33,7 @@
     deadlines.deadlines,
     teams.teams,
     leaving.leaving,
+    stageExperiments.stages,
 ];
 
 async function runOne(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- /dev/null
+++ b/bench/StageTraffic.ts
@@ -0,0 +1,206 @@
+/**
+ * Kinds of calls with stages, and their arrivals: the usual rates, and bursts of one kind or of all.
+ */
+import * as randoms from "../src/common/Random";
+import * as routing from "../src/common/Routing";
+import * as stageOrders from "../src/common/StageOrder";
+
+const MB = 1_000_000;
+const KB = 1_000;
+
+/** Calls that arrive at the same moment. */
+const CLUMP = 2;
+
+/** One stage of a kind of call. */
+interface TrafficStage {
+    readonly service: string;
+    readonly after: readonly number[];
+    readonly resultBytes: number;
+    /** Share of the calls that have it. */
+    readonly share?: number;
+    readonly pieces: { readonly mean: number; readonly spread?: number; readonly most?: number };
+    /** Time of a piece over the published one. */
+    readonly workFactor?: number;
+}
+
+/** One kind of call. */
+export interface TrafficKind {
+    readonly name: string;
+    readonly perSecond: number;
+    readonly worth: number;
+    readonly lateWorth: number;
+    readonly priority: number;
+    /** Time until the results must be there, without what the call itself takes. */
+    readonly goalMs: number;
+    readonly limitMs: number;
+    readonly stages: readonly TrafficStage[];
+}
+
+/** Services with their makers, and the calls that use them. */
+export interface TrafficShape {
+    readonly services: ReadonlyMap<string, { readonly makers: number; readonly capacity: routing.StageCapacity }>;
+    readonly kinds: readonly TrafficKind[];
+}
+
+/** More calls of one kind, or of all kinds, for a time. */
+export interface Burst {
+    readonly fromMs: number;
+    readonly toMs: number;
+    readonly factor: number;
+    readonly kind?: string;
+}
+
+/** One call. */
+export interface TrafficCall {
+    readonly atMs: number;
+    readonly kind: TrafficKind;
+    readonly order: stageOrders.StageOrder;
+    /** Time of a piece over the published one, by stage. */
+    readonly workFactors: readonly number[];
+}
+
+function service(
+    makers: number,
+    batch: number,
+    pieceMs: number,
+    roomBytes: number,
+): { readonly makers: number; readonly capacity: routing.StageCapacity } {
+    const capacity = { slots: 1, batch, callMs: 150, pieceMs, roomBytes, resultLifetimeMs: 4_000 };
+    return { makers, capacity };
+}
+
+const accounts = { service: "accounts", after: [], resultBytes: 8 * KB, pieces: { mean: 1 }, workFactor: 0.3 };
+
+/**
+ * Three services in a chain. The middle one has lost a maker of four, and each maker holds the results of less than
+ * three of its own calls.
+ */
+export const CHAIN: TrafficShape = {
+    services: new Map([
+        ["accounts", service(4, 6, 21.3, 27 * MB)],
+        ["archive", service(3, 10, 13.2, 1.75 * MB)],
+        ["ledger", service(4, 21, 6.17, 0.3675 * MB)],
+    ]),
+    kinds: [
+        {
+            name: "report",
+            perSecond: 5.94,
+            worth: 3.2,
+            lateWorth: 0.48,
+            priority: 1,
+            goalMs: 900,
+            limitMs: 5_500,
+            stages: [
+                {
+                    service: "accounts",
+                    after: [],
+                    resultBytes: 3 * MB,
+                    share: 0.7,
+                    pieces: { mean: 2.5, spread: 0.6, most: 10 },
+                },
+            ],
+        },
+        {
+            name: "query",
+            perSecond: 6.38,
+            worth: 2,
+            lateWorth: 0.3,
+            priority: 1,
+            goalMs: 1_530,
+            limitMs: 4_800,
+            stages: [
+                accounts,
+                { service: "archive", after: [0], resultBytes: 60 * KB, pieces: { mean: 8 } },
+                {
+                    service: "ledger",
+                    after: [1],
+                    resultBytes: 6 * KB,
+                    pieces: { mean: 16, spread: 0.4, most: 40 },
+                },
+            ],
+        },
+        {
+            name: "notes",
+            perSecond: 3.28,
+            worth: 0.8,
+            lateWorth: 0.12,
+            priority: 1,
+            goalMs: 1_480,
+            limitMs: 14_000,
+            stages: [
+                {
+                    service: "accounts",
+                    after: [],
+                    resultBytes: 3 * MB,
+                    share: 0.4,
+                    pieces: { mean: 1.5, spread: 0.6, most: 6 },
+                },
+                accounts,
+                { service: "archive", after: [1], resultBytes: 60 * KB, pieces: { mean: 8 } },
+                {
+                    service: "ledger",
+                    after: [2],
+                    resultBytes: 6 * KB,
+                    pieces: { mean: 16, spread: 0.4, most: 40 },
+                },
+            ],
+        },
+    ],
+};
+
+/** Poisson arrivals of clumps of all kinds from 0 to `endMs`, in order of time. */
+export function arrivals(
+    shape: TrafficShape,
+    random: randoms.Random,
+    endMs: number,
+    bursts: readonly Burst[],
+): readonly TrafficCall[] {
+    const calls: TrafficCall[] = [];
+    for (const kind of shape.kinds) {
+        const rateAt = (atMs: number): number => kind.perSecond * factorAt(bursts, kind, atMs) / 1_000 / CLUMP;
+        for (let atMs = nextGap(random, rateAt(0)); atMs < endMs; atMs += nextGap(random, rateAt(atMs))) {
+            for (let index = 0; index < CLUMP; index++) {
+                calls.push(createCall(kind, atMs, `${kind.name}-${calls.length}`, random));
+            }
+        }
+    }
+    return calls.sort((a, b) => a.atMs - b.atMs);
+}
+
+function factorAt(bursts: readonly Burst[], kind: TrafficKind, atMs: number): number {
+    const active = bursts.filter(burst =>
+        atMs >= burst.fromMs && atMs < burst.toMs && (burst.kind ?? kind.name) === kind.name
+    );
+    return active.reduce((factor, burst) => factor * burst.factor, 1);
+}
+
+function nextGap(random: randoms.Random, perMs: number): number {
+    return -Math.log(1 - random()) / perMs;
+}
+
+function createCall(kind: TrafficKind, atMs: number, attempt: string, random: randoms.Random): TrafficCall {
+    const stages = kind.stages.map(stage => ({
+        service: stage.service,
+        after: [...stage.after],
+        pieces: drawPieces(stage, random),
+        resultBytes: stage.resultBytes,
+    }));
+    const { goalMs, limitMs, priority } = kind;
+    return {
+        atMs,
+        kind,
+        order: { attempt, pieceKey: attempt, stages, priority, goalMs, limitMs, made: [] },
+        workFactors: kind.stages.map(stage => stage.workFactor ?? 1),
+    };
+}
+
+/** A number of pieces around the mean, spread like the logarithm of a normal number. */
+function drawPieces(stage: TrafficStage, random: randoms.Random): number {
+    const { mean, spread = 0, most = mean } = stage.pieces;
+    if (random() >= (stage.share ?? 1)) {
+        return 0;
+    }
+    const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+    const drawn = mean * Math.exp(spread * normal - spread * spread / 2);
+    return Math.max(1, Math.min(most, Math.round(drawn)));
+}
