Add a fault soak: real entries as processes, faults from outside, promises checked on what callers and engines see

Entries run as processes of their own beside a store, engines and relays of the soak's process. A random plan kills, pauses, stops and reloads them by signals, delays, holds (both ways or one) and resets their links, breaks engines and the store, and publishes configurations, in series and overlapping. Callers keep their connections. Eleven promises and the recovery are checked afterwards; each check has cases that it must find. An entry's address for its peers can differ from where it listens (peerAddress), so that a relay can stand between.

--- /dev/null
+++ b/soak/Main.ts
@@ -0,0 +1,39 @@
+/**
+ * Runs soaks: `npm run soak -- --seed N [--count K] [--seconds S]`. Prints one JSON line a seed.
+ */
+import * as commander from "commander";
+import * as path from "node:path";
+import * as soaks from "./Soak";
+
+const MS_PER_SECOND = 1_000;
+/** Violations that are printed in full. */
+const SHOWN = 3;
+
+const program = new commander.Command("soak")
+    .option("--seed <number>", "first seed", "1")
+    .option("--count <number>", "number of seeds", "1")
+    .option("--seconds <number>", "time with faults", "20")
+    .option("--entries <number>", "entries", "4")
+    .option("--callers <number>", "callers", "16")
+    .action(async (options: Record<"seed" | "count" | "seconds" | "entries" | "callers", string>) => {
+        let isClean = true;
+        for (let index = 0; index < Number(options.count); index++) {
+            const report = await soaks.runSoak({
+                seed: Number(options.seed) + index,
+                faultMs: Number(options.seconds) * MS_PER_SECOND,
+                entries: Number(options.entries),
+                callers: Number(options.callers),
+                program: path.resolve("dist/cumincrank.cjs"),
+            });
+            const { violations, history, ...figures } = report;
+            console.log(JSON.stringify({ ...figures, violations: violations.length }));
+            violations.slice(0, SHOWN).forEach(violation => console.log(JSON.stringify(violation)));
+            if (violations.length > 0) {
+                console.log(JSON.stringify({ faults: history.faults }));
+            }
+            isClean = isClean && violations.length === 0;
+        }
+        process.exitCode = isClean ? 0 : 1;
+    });
+
+await program.parseAsync();
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -59,8 +59,10 @@
     /** Where the balancer asks whether the process is ready, and the path that it asks for. */
     readyListen: addressSchema,
     readyPath: z.string().startsWith("/").default("/readyz"),
-    /** Where other entries connect. */
+    /** Where this process listens for other entries. */
     peerListen: addressSchema,
+    /** Where other entries connect, when that isn't `peerListen` itself. */
+    peerAddress: addressSchema.optional(),
     /** Health, readiness, metrics and status by HTTP. */
     adminListen: addressSchema,
     /** The published store. */
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -55,6 +55,8 @@
     readonly random: () => number;
     readonly instance: string;
     readonly failureDomain: string;
+    /** Where this process listens, and where other entries connect. */
+    readonly listen: string;
     readonly address: string;
     /** Addresses of some entries, perhaps stale. */
     readonly seeds: () => readonly string[];
@@ -92,7 +94,7 @@
     /** Starts to accept and to connect; rejects when the address can't be used. */
     async start(): Promise<void> {
         const server = net.createServer(socket => void this.accept(socket));
-        this.listener = await listeners.listen(server, this.options.address);
+        this.listener = await listeners.listen(server, this.options.listen);
         this.timers.push(clocks.every(this.options.clock, PRESENCE_MS, () => this.sayPresence()));
         this.timers.push(clocks.every(this.options.clock, RECONCILE_MS, () => this.reconcile()));
         this.reconcile();
@@ -161,6 +163,7 @@
         }
         const addresses = new Set([...this.options.seeds(), ...this.all.map(peer => peer.address)]);
         addresses.delete(this.options.address);
+        addresses.delete(this.options.listen);
         for (const address of addresses) {
             if (!this.tasks.has(address)) {
                 this.tasks.add(address);
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -82,7 +82,8 @@
                 ...shared,
                 instance: settings.instance,
                 failureDomain: settings.failureDomain,
-                address: settings.peerListen,
+                listen: settings.peerListen,
+                address: settings.peerAddress ?? settings.peerListen,
                 seeds: () => this.settings.seeds,
                 incarnation: clock.wall(),
                 cores: settings.cores,
@@ -166,7 +167,7 @@
 
     /** Where other entries connect. */
     get peerAddress(): string {
-        return this.settings.peerListen;
+        return this.settings.peerAddress ?? this.settings.peerListen;
     }
 
     /** Health, metrics and status by HTTP. */
@@ -277,7 +278,7 @@
     private describe(): unknown {
         return {
             instance: this.settings.instance,
-            address: this.settings.peerListen,
+            address: this.peerAddress,
             ready: this.isReady,
             draining: this.isDraining,
             version: this.view.table?.configuration.version,
--- a/standins/FleetProcess.ts
+++ b/standins/FleetProcess.ts
@@ -76,6 +76,11 @@
         this.child?.kill("SIGCONT");
     }
 
+    /** Says that the settings have changed. */
+    reload(): void {
+        this.child?.kill("SIGHUP");
+    }
+
     /** Asks for a planned stop; resolves to the exit code, or undefined when a signal ended it. */
     terminate(): Promise<number | undefined> {
         this.child?.kill("SIGTERM");
--- a/standins/TcpRelay.ts
+++ b/standins/TcpRelay.ts
@@ -5,8 +5,11 @@
 import * as net from "node:net";
 import * as clocks from "../src/common/Clock";
 
-/** `hold` keeps bytes and new connections until the next `pass`; `cut` resets connections and refuses new ones. */
-export type RelayMode = "pass" | "hold" | "cut";
+/**
+ * `hold` keeps bytes until the next `pass`, `hold-requests` and `hold-answers` those of one direction; `cut` ends
+ * connections and refuses new ones, `reset` does so without an orderly end.
+ */
+export type RelayMode = "pass" | "hold" | "hold-requests" | "hold-answers" | "cut" | "reset";
 
 /** One relayed connection. */
 interface Link {
@@ -19,6 +22,8 @@
     private readonly links = new Set<Link>();
     private readonly server: net.Server;
     private relayMode: RelayMode = "pass";
+    /** What each part of a message waits before it goes on, in milliseconds. */
+    delayMs = 0;
     private port = 0;
 
     private constructor(private readonly targetPort: number) {
@@ -62,31 +67,51 @@
     }
 
     private forward(link: Link, from: net.Socket, to: net.Socket): void {
-        from.on("data", chunk => to.write(chunk));
-        from.on("end", () => to.end());
+        const waiting: (() => void)[] = [];
+        const later = (act: () => void): void => {
+            if (this.delayMs === 0 && waiting.length === 0) {
+                act();
+                return;
+            }
+            // Whichever timer fires first lets the oldest part go, so that a shorter delay doesn't change the order.
+            waiting.push(act);
+            setTimeout(() => waiting.shift()!(), this.delayMs);
+        };
+        from.on("data", chunk => later(() => to.write(chunk)));
+        from.on("end", () => later(() => to.end()));
         from.on("error", () => this.end(link));
         from.on("close", () => this.end(link));
     }
 
     private apply(link: Link): void {
-        const { near, far } = link;
-        if (this.relayMode === "cut") {
+        if (this.relayMode === "cut" || this.relayMode === "reset") {
             this.end(link);
+            return;
         }
-        else if (this.relayMode === "hold") {
-            near.pause();
-            far.pause();
-        }
-        else {
-            near.resume();
-            far.resume();
-        }
+        flow(link.near, this.relayMode !== "hold" && this.relayMode !== "hold-requests");
+        flow(link.far, this.relayMode !== "hold" && this.relayMode !== "hold-answers");
     }
 
     private end(link: Link): void {
-        if (this.links.delete(link)) {
-            link.near.destroySoon();
-            link.far.destroySoon();
+        if (!this.links.delete(link)) {
+            return;
+        }
+        for (const socket of [link.near, link.far]) {
+            if (this.relayMode === "reset") {
+                socket.resetAndDestroy();
+            }
+            else {
+                socket.destroySoon();
+            }
         }
     }
 }
+
+function flow(socket: net.Socket, isOpen: boolean): void {
+    if (isOpen) {
+        socket.resume();
+    }
+    else {
+        socket.pause();
+    }
+}
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
+import * as clocks from "../../src/common/Clock";
 import * as listeners from "../../src/process/Listener";
 
 /** A call that an engine ran, as it arrived. */
@@ -12,6 +13,8 @@
     readonly path: string;
     readonly headers: http.IncomingHttpHeaders;
     readonly body: string;
+    /** When it arrived, on this process's clock. */
+    readonly atMs: number;
 }
 
 /** Faults; each holds until it is cleared. */
@@ -41,6 +44,8 @@
     readonly events?: number;
     /** Time between events. */
     readonly gapMs?: number;
+    /** Time that a call takes before its answer. */
+    readonly workMs?: number;
 }
 
 /** An HTTP server on 127.0.0.1. */
@@ -62,12 +67,12 @@
         return this.listener!.address;
     }
 
-    /** The engine's entry in the store. */
-    entry(state: "ready" | "draining" = "ready"): unknown {
+    /** The engine's entry in the store, by default with its own address. */
+    entry(state: "ready" | "draining" = "ready", address = this.address): unknown {
         const { service, failureDomain } = this.options;
         return {
             Service: service,
-            Address: this.address,
+            Address: address,
             Zone: failureDomain,
             Version: "v1",
             Slots: 8,
@@ -103,7 +108,8 @@
             this.answerStage(request.url, body, response);
             return;
         }
-        this.runs.push({ method: request.method!, path: request.url!, headers: request.headers, body });
+        const { method, url, headers } = request;
+        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now() });
         response.on("close", () => this.cancelled += response.writableFinished ? 0 : 1);
         if (this.faults.reset === true) {
             request.socket.resetAndDestroy();
@@ -119,6 +125,7 @@
         const attempt = this.faults.otherAttempt === true ? "another" : String(request.headers["attempt-id"]);
         const headers = { "Attempt-Id": attempt, "Route-Stamp": `stamp-${this.options.id}`, "Engine-Load": "1,0,8" };
         const { events } = this.options;
+        await new Promise(resolve => setTimeout(resolve, this.options.workMs ?? 0));
         if (this.faults.unframed === true) {
             response.shouldKeepAlive = false;
             response.useChunkedEncodingByDefault = false;
@@ -126,11 +133,11 @@
             response.writeHead(200, headers);
         }
         if (events === undefined && this.faults.unframed === true) {
-            response.end(`answer of ${this.options.id}`);
+            response.end(`answer of ${this.options.id} to ${attempt}`);
             return;
         }
         if (events === undefined) {
-            response.writeHead(this.faults.status ?? 200, headers).end(`answer of ${this.options.id}`);
+            response.writeHead(this.faults.status ?? 200, headers).end(`answer of ${this.options.id} to ${attempt}`);
             return;
         }
         if (this.faults.unframed !== true) {
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -149,7 +149,8 @@
     { id: "ledger-1", service: "ledger", failureDomain: "zone-b" },
 ];
 
-function configuration(version: number): Record<string, unknown> {
+/** A configuration of all services; `extra` names a route of its own. */
+export function configuration(version: number, extra?: string): Record<string, unknown> {
     const route = { Host: "desk.example", TimeoutMs: 4_000, GoalMs: 1_500, Priority: 1, Public: false };
     const pieces = { Slots: 1, Queue: 2, Batch: 4, CallMs: 20, ItemMs: 2, RoomMb: 10, HandleS: 4, LinkMbps: 1_000 };
     const service = { HealthPath: "/health", MaxConns: 100, Protocol: "h1", Tls: false, ColdS: 0, ColdPerS: 0 };
@@ -172,6 +173,14 @@
                 Attempts: 2,
                 Public: true,
             },
+            ...(extra === undefined ? [] : [{
+                ...route,
+                Name: extra,
+                Prefix: `/${extra}/`,
+                Kind: "idempotent",
+                Service: "desk",
+                Attempts: 2,
+            }]),
             { ...stream, Name: "notes", Prefix: "/notes/", Attempts: 2, Resumable: true },
             { ...stream, Name: "once", Prefix: "/once/", Attempts: 1, Resumable: false },
             { ...stream, Name: "staged", Prefix: "/staged/", Attempts: 1, Resumable: false, Stages: stages },
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,7 @@
             "platform/**/*.test.ts",
             "standins/**/*.test.ts",
             "bench/**/*.test.ts",
+            "soak/**/*.test.ts",
             "tests/**/*.test.ts",
         ],
         testTimeout: 60_000,
