Keep a reload signal from ending a process that is still starting; let the soak supervise its entries

Ruled out: a stop that cut (the log ends with 'stopped', cut 0), a port in use (nothing in the log at all). Change: the first module that is loaded takes the signal; the settings are read after it. What remains is the time in which the runtime itself loads. The soak starts entries again that end by themselves, as a platform does, and counts that as a broken promise outside of the first 100 ms. Its check of the recovery counted calls on removed routes, which are rejected rightly: it counts the lasting routes now.

--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -171,6 +171,16 @@
 ];
 
 vitest.describe("the checks of a soak", () => {
+    vitest.it.each([
+        { name: "by itself", reloadAtMs: 5_000, isBroken: true },
+        { name: "by a signal while it was loaded", reloadAtMs: 1_050, isBroken: false },
+    ])("judge a process that ended $name", ({ reloadAtMs, isBroken }) => {
+        const history = new histories.SoakHistory();
+        history.ownEnds.push({ entry: 0, startedMs: 1_000, atMs: 5_100 });
+        history.faults.push({ kind: "reload", entry: 0, fromMs: reloadAtMs, toMs: reloadAtMs });
+        vitest.expect(checks.findViolations(history, DEADLINE_MS)).toHaveLength(isBroken ? 1 : 0);
+    });
+
     vitest.it.each(cases)("judge $name", ({ calls, runs, faults, versions, leftMs, promise }) => {
         const history = new histories.SoakHistory();
         history.calls.push(...calls);
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -18,6 +18,8 @@
 const SERVED_SHARE = 0.95;
 /** Time beyond its deadline for which a call may hang, in milliseconds. */
 const HANG_MS = 1_500;
+/** Time in which a program is loaded, and signals end it since it couldn't take them yet, in milliseconds. */
+const LOADING_MS = 100;
 /** Time that a call takes on its way, in milliseconds. */
 const WAY_MS = 100;
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
@@ -46,6 +48,7 @@
     { name: "an engine that leaves gets nothing more", find: findAfterLeaving },
     { name: "a planned stop cuts nothing", find: findCutByStop },
     { name: "a refusal says when to come back", find: findWithoutReturn },
+    { name: "no process ends by itself", find: findOwnEnds },
 ];
 
 /** All broken promises. */
@@ -57,9 +60,11 @@
 
 /** Whether calls are served again after the last fault; undefined when they are. */
 export function findUnrecovered(history: histories.SoakHistory, fromMs: number): Violation | undefined {
-    const calls = history.calls.filter(call => call.sentMs >= fromMs);
+    const calls = history.calls.filter(call =>
+        call.sentMs >= fromMs && histories.KINDS.some(kind => kind === call.route)
+    );
     const served = calls.filter(call => call.status === 200 && call.isWhole);
-    const detail = { served: served.length, calls: calls.length };
+    const detail = { calls: calls.length, unserved: calls.filter(call => !served.includes(call)) };
     return calls.length > 0 && served.length >= calls.length * SERVED_SHARE
         ? undefined
         : { promise: "calls are served again after the last fault", detail };
@@ -176,3 +181,11 @@
 function findWithoutReturn(history: histories.SoakHistory): readonly unknown[] {
     return history.calls.filter(call => call.status === 429 && !call.hasRetryAfter);
 }
+
+function findOwnEnds(history: histories.SoakHistory): readonly unknown[] {
+    return history.ownEnds.filter(end =>
+        !history.faults.some(fault =>
+            fault.entry === end.entry && fault.fromMs >= end.startedMs && fault.fromMs < end.startedMs + LOADING_MS
+        )
+    );
+}
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -2,6 +2,7 @@
  * A random plan of faults, planned acts and changes: single ones, series, and all of them overlapping.
  */
 import * as randoms from "../src/common/Random";
+import * as engines from "../standins/platform/PlatformEngineStandIn";
 
 /** What is done to one of the entries. */
 export const ENTRY_FAULTS = ["kill", "pause", "stop", "reload"] as const;
@@ -35,6 +36,8 @@
         | { readonly on: "configuration"; readonly kind: "publish" }
     );
 
+/** Events after which a stream breaks. */
+const BREAK_AFTER = 4;
 /** Time between two acts on average, in milliseconds. */
 const GAP_MS = 700;
 const MIN_FOR_MS = 200;
@@ -83,3 +86,14 @@
 function pick<T>(all: readonly T[], random: randoms.Random): T {
     return all[Math.floor(random() * all.length)]!;
 }
+
+/** The stand-in's faults by kind; the other kinds touch its link or its entry in the store. */
+export const engineFaults: Record<string, engines.EngineFaults> = {
+    reset: { reset: true },
+    shed: { shed: true },
+    error: { status: 500 },
+    "other-attempt": { otherAttempt: true },
+    break: { breakAfter: BREAK_AFTER },
+    unframed: { unframed: true },
+    hang: { hang: true },
+};
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -24,6 +24,8 @@
 /** Time after which a killed or stopped entry is started again, in milliseconds. */
 const RESTART_MS = 300;
 const LINK_DELAY_MS = 250;
+/** Time between two looks for processes that have ended by themselves, in milliseconds. */
+const SUPERVISE_MS = 200;
 /** Time between an engine's word that it leaves and its end, in milliseconds. */
 const LEAVE_MS = 2_500;
 const ENGINES: readonly { readonly service: string; readonly count: number; readonly events?: number }[] = [
@@ -35,6 +37,9 @@
 
 interface Entry {
     readonly process: childProcesses.FleetProcess;
+    startedMs: number;
+    /** Acts that keep the process ended until they start it again. */
+    acts: number;
     readonly callers: string;
     readonly ready: string;
     readonly settingsFile: string;
@@ -57,6 +62,7 @@
     private version = 0;
     private nextEngine = 1;
     private isEnding = false;
+    private supervision: clocks.Disposable | undefined;
 
     private constructor(readonly history: histories.SoakHistory, private readonly program: string) {
         this.logFile = path.join(this.folder, "entries.log");
@@ -79,6 +85,7 @@
         for (let index = 0; index < entryCount; index++) {
             await fleet.addEntry(index, ports.slice(index * 4, index * 4 + 4), peerLinks);
         }
+        fleet.supervision = clocks.every(clocks.systemClock, SUPERVISE_MS, () => fleet.supervise());
         return fleet;
     }
 
@@ -133,6 +140,7 @@
 
     dispose(): void {
         this.isEnding = true;
+        this.supervision?.dispose();
         for (const entry of this.entries) {
             entry.process.kill();
             Object.values(entry.links).forEach(link => link.dispose());
@@ -186,24 +194,28 @@
         );
         process.start();
         const links = { store, peers: peerLinks[index]! };
-        this.entries.push({ process, callers: callers!, ready: ready!, settingsFile, links });
+        const startedMs = clocks.systemClock.now();
+        this.entries.push({ process, startedMs, acts: 0, callers: callers!, ready: ready!, settingsFile, links });
     }
 
     private disturbEntry(kind: typeof faults.ENTRY_FAULTS[number], index: number, forMs: number): void {
-        const { process, settingsFile } = this.entries[index]!;
+        const entry = this.entries[index]!;
+        const { process, settingsFile } = entry;
         const fault = this.note({ kind, entry: index }, forMs);
         switch (kind) {
             case "kill":
+                entry.acts++;
                 process.kill();
-                this.later(RESTART_MS, () => this.restart(process, fault));
+                this.restart(entry, fault);
                 return;
             case "pause":
                 process.pause();
                 this.later(forMs, () => process.wake());
                 return;
             case "stop":
+                entry.acts++;
                 fault.toMs = Infinity;
-                void process.terminate().then(() => this.later(RESTART_MS, () => this.restart(process, fault)));
+                void process.terminate().then(() => this.restart(entry, fault));
                 return;
             case "reload":
                 fs.writeFileSync(settingsFile, fs.readFileSync(settingsFile));
@@ -211,9 +223,30 @@
         }
     }
 
-    private restart(process: childProcesses.FleetProcess, fault: histories.SoakFault): void {
-        process.start();
-        fault.toMs = clocks.systemClock.now();
+    private restart(entry: Entry, fault: histories.SoakFault): void {
+        this.later(RESTART_MS, () => {
+            entry.acts--;
+            this.startProcess(entry);
+            fault.toMs = clocks.systemClock.now();
+        });
+    }
+
+    private startProcess(entry: Entry): void {
+        if (!entry.process.isRunning) {
+            entry.process.start();
+            entry.startedMs = clocks.systemClock.now();
+        }
+    }
+
+    /** Starts processes again that have ended by themselves. */
+    private supervise(): void {
+        this.entries.forEach((entry, index) => {
+            if (!entry.process.isRunning && entry.acts === 0) {
+                const atMs = clocks.systemClock.now();
+                this.history.ownEnds.push({ entry: index, startedMs: entry.startedMs, atMs });
+                this.startProcess(entry);
+            }
+        });
     }
 
     private disturbLink(
@@ -238,7 +271,7 @@
             disturb(link, kind === "link-hold" ? "hold" : "reset", forMs, this.later);
             return;
         }
-        standIn.faults = engineFaults[kind] ?? {};
+        standIn.faults = faults.engineFaults[kind] ?? {};
         this.later(forMs, () => standIn.faults = {});
     }
 
@@ -283,16 +316,6 @@
     };
 }
 
-const engineFaults: Record<string, engines.EngineFaults> = {
-    reset: { reset: true },
-    shed: { shed: true },
-    error: { status: 500 },
-    "other-attempt": { otherAttempt: true },
-    break: { breakAfter: checks.EVENTS / 2 },
-    unframed: { unframed: true },
-    hang: { hang: true },
-};
-
 function disturb(
     link: relays.TcpRelay,
     kind: typeof faults.LINK_FAULTS[number],
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -54,12 +54,20 @@
     readonly atMs: number;
 }
 
+/** A process that ended without being asked to. */
+export interface OwnEnd {
+    readonly entry: number;
+    readonly startedMs: number;
+    readonly atMs: number;
+}
+
 /** Everything of one soak; times are of one clock. */
 export class SoakHistory {
     readonly calls: SoakCall[] = [];
     readonly runs: SoakRun[] = [];
     readonly faults: SoakFault[] = [];
     readonly versions: SoakVersion[] = [];
+    readonly ownEnds: OwnEnd[] = [];
     /** When engines were published as leaving or gone. */
     readonly left = new Map<string, number>();
 
--- a/src/commands/Main.ts
+++ b/src/commands/Main.ts
@@ -1,6 +1,7 @@
 /**
  * The command line of the one binary `cumincrank`.
  */
+import "./EarlySignals";
 import * as commander from "commander";
 import * as checks from "./Check";
 import * as tables from "./CodesTable";
--- a/standins/FleetProcess.ts
+++ b/standins/FleetProcess.ts
@@ -61,6 +61,11 @@
         return new Promise(resolve => readline.createInterface(output).once("line", resolve));
     }
 
+    /** Whether the process has been started and hasn't ended. */
+    get isRunning(): boolean {
+        return this.child !== undefined;
+    }
+
     /** Kills the process without any notice. */
     kill(): void {
         const child = this.child;
