Let a stopping host go on handing over though orders still arrive

An order that arrives in the moments in which others haven't heard of the stop ended the hand-over for good; with 24 entries there is always one. Two hosts fill the makers' memory without knowing of each other: 961 pieces without room, 658 with inputs gone. Ruled out: entries that take the old host for the right one (all 355 orders after 20.1 s went to d-2), lost connections between entries (one, at 26.4 s), the order of the restarts (only this host was stopped in that span). Change: orders that arrive during a hand-over wait for its end and move with the others (HostHandOver, with its cases).

--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -8,6 +8,7 @@
 import * as stageOrders from "../../common/StageOrder";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../request/routed/UpstreamExchange";
+import * as handOvers from "./HostHandOver";
 import * as pools from "./InstancePool";
 import * as views from "./PublishedView";
 import * as releases from "./ResultRelease";
@@ -55,7 +56,7 @@
     private readonly waiters = new Map<number, StageWaiter>();
     private readonly timer: clocks.Disposable;
     private readonly subscription: clocks.Disposable;
-    private isHandingOver = false;
+    private readonly handingOver = new handOvers.HostHandOver();
     /** Calls made on instances. */
     calls = 0;
 
@@ -84,7 +85,7 @@
     /** Makes the stages of a call; what can't be made in time is refused at once. */
     run(order: stageOrders.StageOrder, signal: AbortSignal, onProgress: ProgressListener): Promise<StageEnd> {
         const { clock, log } = this.options;
-        this.isHandingOver = false; // Whoever still asks knows no other host.
+        this.handingOver.noteOrder();
         const admission = this.scheduler.submit(order, clock.now());
         const { job } = admission;
         const waiting = Object.fromEntries(
@@ -133,7 +134,7 @@
      * orders as not made here. Their results so far go along with them.
      */
     handOver(): void {
-        this.isHandingOver = true;
+        this.handingOver.begin();
         this.pump();
     }
 
@@ -155,7 +156,7 @@
 
     /** Starts all calls that can be made now, and reports what has ended. */
     private pump(): void {
-        while (!this.isHandingOver) {
+        while (!this.handingOver.isUnderWay) {
             const batch = this.scheduler.nextBatch(this.options.clock.now());
             if (batch === undefined) {
                 break;
@@ -165,7 +166,7 @@
         this.scheduler.takeProgress().forEach((made, id) => this.waiters.get(id)?.onProgress(made));
         this.scheduler.takeOutcomes().forEach(outcome => this.report(outcome));
         this.releaseUnneeded();
-        if (this.isHandingOver && this.scheduler.callsUnderWay === 0) {
+        if (this.handingOver.tryEnd(this.scheduler.callsUnderWay)) {
             this.endHandOver();
         }
     }
