Let whoever makes the stages go on making them

Ruled out: the hand-over itself (its calls ended within 0.3 s), the slow store at 4.8 s to 10.6 s (views were current), lost connections. Change: presence says how long its sender has made the stages. The present host stays, the longest of two wins, and one that finds a longer one hands over. Age and rank decide only where there is no host. A debugging line is removed.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -25,6 +25,8 @@
     uptimeMs: z.number().min(0),
     /** Processor time that the sender has, in cores. */
     cores: z.number().min(0),
+    /** How long the sender has made the stages of all entries; undefined when it doesn't. */
+    hostingMs: z.number().min(0).optional(),
 });
 
 /** Asks for what was published after a revision. */
--- a/src/process/routing/Decisions.test.ts
+++ b/src/process/routing/Decisions.test.ts
@@ -94,7 +94,7 @@
 });
 
 vitest.describe("the host of stages", () => {
-    const start = { instance: "a", startedMs: 0, cores: 1 };
+    const start = { instance: "a", startedMs: 0, hostingSinceMs: undefined, cores: 1 };
     const cases: readonly {
         readonly name: string;
         readonly others: hostChoices.HostCandidate[];
@@ -102,12 +102,24 @@
     }[] = [
         {
             name: "stays when a young entry comes",
-            others: [{ instance: "b", startedMs: 60_000, cores: 1 }],
+            others: [{ instance: "b", startedMs: 60_000, hostingSinceMs: undefined, cores: 1 }],
+            moves: false,
+        },
+        {
+            name: "goes to an older entry",
+            others: [{ instance: "b", startedMs: -60_000, hostingSinceMs: undefined, cores: 1 }],
+            moves: true,
+        },
+        {
+            name: "goes to a stronger entry",
+            others: [{ instance: "b", startedMs: 60_000, hostingSinceMs: undefined, cores: 3 }],
+            moves: true,
+        },
+        {
+            name: "isn't a weak entry",
+            others: [{ instance: "b", startedMs: -60_000, hostingSinceMs: undefined, cores: 0.2 }],
             moves: false,
         },
-        { name: "goes to an older entry", others: [{ instance: "b", startedMs: -60_000, cores: 1 }], moves: true },
-        { name: "goes to a stronger entry", others: [{ instance: "b", startedMs: 60_000, cores: 3 }], moves: true },
-        { name: "isn't a weak entry", others: [{ instance: "b", startedMs: -60_000, cores: 0.2 }], moves: false },
     ];
     vitest.it.each(cases)("$name", ({ others, moves }) => {
         vitest.expect(hostChoices.chooseHost([start, ...others])).toBe(moves ? others[0]!.instance : "a");
@@ -115,11 +127,60 @@
 
     vitest.it("is the same for all that started together, in whatever order they are known", () => {
         const names = ["a", "b", "c", "d"];
-        const candidates = names.map((instance, index) => ({ instance, startedMs: index * 100, cores: 1 }));
+        const candidates = names.map((instance, index) => ({
+            instance,
+            startedMs: index * 100,
+            hostingSinceMs: undefined,
+            cores: 1,
+        }));
         const host = hostChoices.chooseHost(candidates);
         vitest.expect(hostChoices.chooseHost([...candidates].reverse())).toBe(host);
     });
 
+    const hosting: readonly {
+        readonly name: string;
+        readonly candidates: readonly hostChoices.HostCandidate[];
+        readonly host: string;
+    }[] = [
+        {
+            name: "stays when an older entry is there",
+            candidates: [
+                { instance: "a", startedMs: 4_800, hostingSinceMs: 7_000, cores: 1 },
+                { instance: "b", startedMs: 0, hostingSinceMs: undefined, cores: 1 },
+            ],
+            host: "a",
+        },
+        {
+            name: "stays when one of nearly the same age comes back",
+            candidates: [
+                { instance: "a", startedMs: 4_800, hostingSinceMs: 7_000, cores: 1 },
+                { instance: "b", startedMs: 7_700, hostingSinceMs: undefined, cores: 1 },
+                { instance: "c", startedMs: 7_600, hostingSinceMs: undefined, cores: 1 },
+            ],
+            host: "a",
+        },
+        {
+            name: "is the one that was it longer",
+            candidates: [
+                { instance: "a", startedMs: 0, hostingSinceMs: 7_000, cores: 1 },
+                { instance: "b", startedMs: 0, hostingSinceMs: 6_000, cores: 1 },
+            ],
+            host: "b",
+        },
+        {
+            name: "doesn't stay with a weak entry",
+            candidates: [
+                { instance: "a", startedMs: 0, hostingSinceMs: 7_000, cores: 0.2 },
+                { instance: "b", startedMs: 9_000, hostingSinceMs: undefined, cores: 1 },
+            ],
+            host: "b",
+        },
+    ];
+    vitest.it.each(hosting)("$name", ({ candidates, host }) => {
+        vitest.expect(hostChoices.chooseHost(candidates)).toBe(host);
+        vitest.expect(hostChoices.chooseHost([...candidates].reverse())).toBe(host);
+    });
+
     vitest.it("is nobody without candidates", () => {
         vitest.expect(hostChoices.chooseHost([])).toBeUndefined();
     });
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -34,6 +34,8 @@
     isDraining: boolean;
     /** Start of its process, on this process's clock; undefined before its first word. */
     startedMs: number | undefined;
+    /** Since when it has made the stages of all entries, on this process's clock; undefined when it doesn't. */
+    hostingSinceMs: number | undefined;
     /** Processor time that it has, in cores. */
     cores: number;
     /** The revision of the published store that it knows. */
@@ -66,6 +68,8 @@
     /** Revision of the published store known completely. */
     readonly revision: () => number;
     readonly isDraining: () => boolean;
+    /** How long this process has made the stages of all entries; undefined when it doesn't. */
+    readonly hostingMs: () => number | undefined;
 }
 
 /** Holds the connections to the other entries. */
@@ -134,6 +138,7 @@
             isDraining: this.options.isDraining(),
             uptimeMs,
             cores: this.options.cores,
+            hostingMs: this.options.hostingMs(),
         };
         const sendsList = this.presences++ % PRESENCES_PER_LIST === 0;
         for (const peer of this.known.values()) {
@@ -248,7 +253,9 @@
         else if (message.kind === "presence") {
             peer.isDraining = message.isDraining;
             peer.cores = message.cores;
-            peer.startedMs = this.options.clock.now() - message.uptimeMs;
+            const nowMs = this.options.clock.now();
+            peer.startedMs = nowMs - message.uptimeMs;
+            peer.hostingSinceMs = message.hostingMs === undefined ? undefined : nowMs - message.hostingMs;
         }
         else {
             this.frameEmitter.fire(frame);
@@ -274,6 +281,7 @@
             heardMs: this.options.clock.now(),
             isDraining: false,
             startedMs: undefined,
+            hostingSinceMs: undefined,
             cores: 0,
             revision: 0,
             connection: undefined,
--- a/src/process/routing/HostChoice.ts
+++ b/src/process/routing/HostChoice.ts
@@ -1,7 +1,7 @@
 /**
- * Which entry makes the stages for all. Load it answers: entries that are killed and come back within seconds while
- * stages are short. A returning entry doesn't take the work back, since two hosts at once fill the makers' memory
- * without knowing of each other. The host does more than others, so that machines with little processor time are
+ * Which entry makes the stages for all. Load it answers: entries that are killed or restarted and come back within
+ * seconds while stages are short. Whoever makes them goes on, since two hosts at once fill the makers' memory without
+ * knowing of each other; without one the oldest entry begins. The host does more than others, so that machines with little processor time are
  * passed over.
  */
 import * as rendezvous from "../../common/RendezvousHash";
@@ -18,22 +18,31 @@
     readonly instance: string;
     /** Start of its process, on this process's clock. */
     readonly startedMs: number;
+    /** Since when it has been the host, on this process's clock; undefined when it isn't. */
+    readonly hostingSinceMs: number | undefined;
     /** Processor time that it has, in cores. */
     readonly cores: number;
 }
 
-/** The host among all entries: one of the oldest of the strong ones, by rank; undefined when there are none. */
+/** The host among all entries: of the strong ones the present host, or else one of the oldest; undefined for none. */
 export function chooseHost(all: readonly HostCandidate[]): string | undefined {
     const most = Math.max(...all.map(candidate => candidate.cores));
-    const candidates = all.filter(candidate => candidate.cores >= most * STRONG_SHARE);
-    const oldestMs = Math.min(...candidates.map(candidate => candidate.startedMs));
+    const strong = all.filter(candidate => candidate.cores >= most * STRONG_SHARE);
+    const sinceMs = Math.min(...strong.map(candidate => candidate.hostingSinceMs ?? Infinity));
+    if (sinceMs < Infinity) {
+        return pickByRank(strong.filter(candidate => candidate.hostingSinceMs === sinceMs));
+    }
+    const oldestMs = Math.min(...strong.map(candidate => candidate.startedMs));
+    return pickByRank(strong.filter(({ startedMs }) => startedMs === oldestMs || startedMs - oldestMs <= SAME_AGE_MS));
+}
+
+function pickByRank(candidates: readonly HostCandidate[]): string | undefined {
     let best: string | undefined;
     let bestScore = -Infinity;
-    for (const candidate of candidates) {
-        const score = rendezvous.score(HOST_KEY, candidate.instance);
-        const isOld = candidate.startedMs === oldestMs || candidate.startedMs - oldestMs <= SAME_AGE_MS;
-        if (isOld && score > bestScore) {
-            best = candidate.instance;
+    for (const { instance } of candidates) {
+        const score = rendezvous.score(HOST_KEY, instance);
+        if (score > bestScore) {
+            best = instance;
             bestScore = score;
         }
     }
--- a/src/process/routing/ResultRelease.ts
+++ b/src/process/routing/ResultRelease.ts
@@ -85,12 +85,6 @@
                 elapsedMs: Math.round(this.options.clock.now() - startedMs),
             }, "results weren't given back; they lapse by themselves");
         }
-        this.options.log.info({
-            decision: "rel",
-            n: handles.length,
-            ms: Math.round(this.options.clock.now() - startedMs),
-            lag: maker,
-        }, "rel");
         if (answer.kind === "answer") {
             await exchanges.readBody(answer, MAX_ANSWER_BYTES);
         }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -89,6 +89,7 @@
                 cores: settings.cores,
                 revision: () => this.view.revision,
                 isDraining: () => this.isDraining,
+                hostingMs: () => this.stages.hostingMs,
             }),
         );
         this.pool = this.owned.add(
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -44,8 +44,10 @@
     private readonly served = new Map<peerConnections.PeerConnection, Map<number, AbortController>>();
     private readonly subscriptions = new emitters.DisposableStore();
     private nextOrder = 1;
+    private hostingSinceMs: number | undefined;
 
     constructor(private readonly options: StageClientOptions) {
+        this.subscriptions.add(clocks.every(options.clock, WATCH_MS, () => this.watchOwnPart()));
         this.subscriptions.add(options.peers.onFrame(frame => this.take(frame)));
         this.subscriptions.add(options.peers.onLost(connection => this.lose(connection)));
     }
@@ -55,6 +57,11 @@
         return this.pickHost()?.instance ?? this.options.instance;
     }
 
+    /** How long this entry has made the stages of all entries; undefined when it doesn't. */
+    get hostingMs(): number | undefined {
+        return this.hostingSinceMs === undefined ? undefined : this.options.clock.now() - this.hostingSinceMs;
+    }
+
     dispose(): void {
         this.subscriptions.dispose();
     }
@@ -101,11 +108,27 @@
 
     /** Gives the orders that this entry makes to the next host, if there is one. */
     handOver(): void {
+        this.hostingSinceMs = undefined;
         if (this.pickHost() !== undefined) {
             this.options.host.handOver();
         }
     }
 
+    /** Says that this entry is the host once it makes stages, and hands over when another entry has been it longer. */
+    private watchOwnPart(): void {
+        const { clock, log, host, peers: group, isDraining } = this.options;
+        const other = this.pickHost();
+        if (other === undefined && host.size > 0 && !isDraining() && this.hostingSinceMs === undefined) {
+            this.hostingSinceMs = clock.now();
+            log.info({ decision: "host", host: this.options.instance }, "makes the stages of all entries");
+            group.sayPresence();
+        }
+        if (other !== undefined && this.hostingSinceMs !== undefined) {
+            log.info({ decision: "host", host: other.instance }, "another entry makes the stages");
+            this.handOver();
+        }
+    }
+
     /** The present entry that makes stages; undefined when that is this one. */
     private pickHost(): peers.PeerEntry | undefined {
         const { instance, isDraining, peers: group } = this.options;
@@ -113,10 +136,12 @@
         const candidates = others.map(peer => ({
             instance: peer.instance,
             startedMs: peer.startedMs ?? Infinity,
+            hostingSinceMs: peer.hostingSinceMs,
             cores: peer.cores,
         }));
         if (!isDraining()) {
-            candidates.push({ instance, startedMs: group.startedMs, cores: group.cores });
+            const { hostingSinceMs } = this;
+            candidates.push({ instance, startedMs: group.startedMs, hostingSinceMs, cores: group.cores });
         }
         const host = choices.chooseHost(candidates);
         return others.find(peer => peer.instance === host);
