Keep the inputs of calls that may wait behind an overdue one

An overdue call holds no slot any more, so that the next one may wait at its instance, which hasn't read its inputs after 60 ms. Ruled out: results that lapse (they are made again before they are sent), makers that left (the one was removed at 15 s). Change: inputs count as read only at instances without an overdue call. The test with a call behind an overdue one.

--- a/src/process/routing/StageEstimate.ts
+++ b/src/process/routing/StageEstimate.ts
@@ -4,6 +4,7 @@
  */
 import * as routing from "../../common/Routing";
 import * as stageOrders from "../../common/StageOrder";
+import * as jobs from "./StageJob";
 
 /** What one service can carry now. */
 export interface ServiceCapacity {
@@ -61,6 +62,21 @@
     return Math.max(0, ...endsMs);
 }
 
+/** Time that an order needs even if each of its waiting pieces were taken at once, in milliseconds. */
+export function leastMs(
+    job: jobs.StageJob,
+    capacityOf: (service: string) => routing.StageCapacity | undefined,
+): number {
+    const endsMs: number[] = [];
+    job.order.stages.forEach((stage, index) => {
+        const startMs = Math.max(0, ...stage.after.map(before => endsMs[before] ?? 0));
+        const capacity = capacityOf(stage.service);
+        const waiting = Math.min(job.waitingAt(index), capacity?.batch ?? 0);
+        endsMs.push(startMs + (capacity === undefined || waiting === 0 ? 0 : callTimeMs(capacity, waiting)));
+    });
+    return Math.max(0, ...endsMs);
+}
+
 /** How a new call is taken in. */
 export type Admission = { readonly kind: "in-time" } | { readonly kind: "late" } | {
     readonly kind: "refused";
--- a/src/process/routing/StageInstances.ts
+++ b/src/process/routing/StageInstances.ts
@@ -78,6 +78,11 @@
         return this.stateOf(id).batches.size < capacity.slots;
     }
 
+    /** Whether an instance may still work on a call that is overdue, so that the next one waits there. */
+    mayBeBusy(id: string): boolean {
+        return this.stateOf(id).overdueInRow > 0;
+    }
+
     /** Measured time of an instance's calls over the expected one. */
     slowness(id: string): number {
         return this.stateOf(id).slowness;
--- a/src/process/routing/StageScheduler.test.ts
+++ b/src/process/routing/StageScheduler.test.ts
@@ -201,6 +201,16 @@
             vitest.expect(scheduler.takeUnneeded()).toEqual(inputs);
         });
 
+        vitest.it("keep inputs of a call that may wait behind an overdue one", () => {
+            const { scheduler, last, inputs } = begin();
+            scheduler.expire(1_000);
+            const again = scheduler.nextBatch(1_000)!;
+            vitest.expect(again.instance).toBe(last.instance);
+            scheduler.noteInputsRead(again);
+            scheduler.nextBatch(1_060);
+            vitest.expect(scheduler.takeUnneeded()).not.toContain(inputs[0]);
+        });
+
         vitest.it("have them made again when a piece fails that had read them", () => {
             const { scheduler, last } = begin();
             scheduler.noteInputsRead(last);
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -152,8 +152,11 @@
         this.results.noteFull(batch.instance.id, roomBytes * USED_ROOM_SHARE - knownBytes, nowMs);
     }
 
-    /** Notes that a call has read its inputs. */
+    /** Notes that a call has read its inputs, unless it may wait behind one that is overdue. */
     noteInputsRead(batch: batching.StageBatch): void {
+        if (this.instances.mayBeBusy(batch.instance.id)) {
+            return;
+        }
         batch.pieces.forEach(piece => piece.job.noteInputsRead(piece.stage, piece.piece));
     }
 
@@ -213,17 +216,8 @@
         return count;
     }
 
-    /** Time that an order needs even if each of its waiting pieces were taken at once. */
     private leastMs(job: jobs.StageJob): number {
-        const endsMs: number[] = [];
-        job.order.stages.forEach((stage, index) => {
-            const startMs = Math.max(0, ...stage.after.map(before => endsMs[before] ?? 0));
-            const capacity = this.services.capacity(stage.service);
-            const waiting = Math.min(job.waitingAt(index), capacity?.batch ?? 0);
-            const callMs = capacity === undefined || waiting === 0 ? 0 : estimates.callTimeMs(capacity, waiting);
-            endsMs.push(startMs + callMs);
-        });
-        return Math.max(0, ...endsMs);
+        return estimates.leastMs(job, service => this.services.capacity(service));
     }
 
     /** Counts the room of results that another host has had made. */
