Cut src/process into folders by part, with imports one way

serving; configuration; membership (configuration, serving); admission; choice (admission); keys and placement (membership); routing (serving).

--- a/bench/ArrivalQueue.ts
+++ b/bench/ArrivalQueue.ts
@@ -4,7 +4,7 @@
 import * as result from "true-myth/result";
 import * as clocks from "../src/common/Clock";
 import * as codes from "../src/common/Codes";
-import * as queues from "../src/process/FairQueue";
+import * as queues from "../src/process/admission/FairQueue";
 
 interface WaitingCall {
     readonly enteredMs: number;
--- a/bench/Configuration.ts
+++ b/bench/Configuration.ts
@@ -6,8 +6,8 @@
 import * as clocks from "../src/common/Clock";
 import * as configurations from "../src/common/Configuration";
 import * as randoms from "../src/common/Random";
-import * as readers from "../src/process/ConfigurationReader";
-import * as replicas from "../src/process/ConfigurationReplica";
+import * as readers from "../src/process/configuration/ConfigurationReader";
+import * as replicas from "../src/process/configuration/ConfigurationReplica";
 import * as digests from "../src/version/ContentDigest";
 import * as samples from "../src/version/SampleConfiguration";
 import * as sources from "../standins/ScriptedConfigurationSource";
--- a/bench/ConfigurationFleet.ts
+++ b/bench/ConfigurationFleet.ts
@@ -10,9 +10,9 @@
 import * as ports from "../src/common/Ports";
 import * as randoms from "../src/common/Random";
 import * as peerConnections from "../src/connection/PeerConnection";
-import * as readers from "../src/process/ConfigurationReader";
-import * as replicas from "../src/process/ConfigurationReplica";
-import * as meshes from "../src/process/PeerMesh";
+import * as readers from "../src/process/configuration/ConfigurationReader";
+import * as replicas from "../src/process/configuration/ConfigurationReplica";
+import * as meshes from "../src/process/membership/PeerMesh";
 
 /** Peers that each replica connects to; as many connect to it. */
 const DIALLED_PEERS = 2;
--- a/bench/DeltaTrimming.ts
+++ b/bench/DeltaTrimming.ts
@@ -3,7 +3,7 @@
  * bytes, by the lowest version that a known peer still needs, and no log at all. Counts bytes, not time.
  */
 import * as randoms from "../src/common/Random";
-import * as deltaLogs from "../src/process/DeltaLog";
+import * as deltaLogs from "../src/process/configuration/DeltaLog";
 import * as deltas from "../src/version/ConfigurationDelta";
 import * as experiments from "./Experiment";
 import * as samples from "./SlopeSamples";
--- a/bench/FleetFaults.ts
+++ b/bench/FleetFaults.ts
@@ -3,7 +3,7 @@
  */
 import * as clocks from "../src/common/Clock";
 import * as timeOrderedKeys from "../src/common/TimeOrderedKey";
-import * as keyLeases from "../src/process/KeyLease";
+import * as keyLeases from "../src/process/keys/KeyLease";
 import * as fleets from "../standins/ProcessFleet";
 import * as histories from "./OnceHistory";
 
--- a/bench/Placement.ts
+++ b/bench/Placement.ts
@@ -5,8 +5,8 @@
 import * as clocks from "../src/common/Clock";
 import * as configurations from "../src/common/Configuration";
 import * as logs from "../src/common/Log";
-import * as leases from "../src/process/OrderLease";
-import * as tasks from "../src/process/PlacementTask";
+import * as leases from "../src/process/placement/OrderLease";
+import * as tasks from "../src/process/placement/PlacementTask";
 import * as placements from "../src/version/Placement";
 import * as experiments from "./Experiment";
 import * as measures from "./PlacementMeasures";
--- a/bench/PlacementPolicies.ts
+++ b/bench/PlacementPolicies.ts
@@ -2,8 +2,8 @@
  * The configuration and the baseline of the experiment `placement`.
  */
 import * as configurations from "../src/common/Configuration";
-import * as leases from "../src/process/OrderLease";
-import * as tasks from "../src/process/PlacementTask";
+import * as leases from "../src/process/placement/OrderLease";
+import * as tasks from "../src/process/placement/PlacementTask";
 import * as placements from "../src/version/Placement";
 
 export const MODELS = ["draft", "chat", "notes", "embed", "rank", "copy"];
--- a/bench/Routing.ts
+++ b/bench/Routing.ts
@@ -5,8 +5,8 @@
 import * as distributions from "pure-rand/distribution/uniformFloat32";
 import * as generators from "pure-rand/generator/xoroshiro128plus";
 import * as clocks from "../src/common/Clock";
-import * as plain from "../src/process/PlainChoices";
-import * as choices from "../src/process/UpstreamChoice";
+import * as plain from "../src/process/choice/PlainChoices";
+import * as choices from "../src/process/choice/UpstreamChoice";
 import * as experiments from "./Experiment";
 import * as engines from "./QueueingEngine";
 
--- a/src/Library.ts
+++ b/src/Library.ts
@@ -5,10 +5,10 @@
 export { ManualClock, systemClock } from "./common/Clock";
 export { codes, findCode } from "./common/Codes";
 export { PeerConnection } from "./connection/PeerConnection";
-export { AdmissionLimit } from "./process/AdmissionLimit";
-export { ConfigurationReplica } from "./process/ConfigurationReplica";
-export { FairQueue } from "./process/FairQueue";
-export { Ledger } from "./process/Ledger";
-export { Membership } from "./process/Membership";
-export { RetryBudget } from "./process/RetryBudget";
-export { UpstreamChoice } from "./process/UpstreamChoice";
+export { AdmissionLimit } from "./process/admission/AdmissionLimit";
+export { FairQueue } from "./process/admission/FairQueue";
+export { RetryBudget } from "./process/admission/RetryBudget";
+export { UpstreamChoice } from "./process/choice/UpstreamChoice";
+export { ConfigurationReplica } from "./process/configuration/ConfigurationReplica";
+export { Ledger } from "./process/keys/Ledger";
+export { Membership } from "./process/membership/Membership";
--- a/src/process/AdmissionLimit.ts
+++ b/src/process/admission/AdmissionLimit.ts
@@ -2,7 +2,7 @@
  * The exact concurrency limit of one upstream. It starts cold, rises only with successful completions at
  * healthy latency, and falls on failures and on any sign of a restart.
  */
-import * as emitters from "../common/Emitter";
+import * as emitters from "../../common/Emitter";
 import * as ranges from "./LatencyRange";
 
 /** Factor by which a failure lowers the limit. */
--- a/src/process/FairQueue.test.ts
+++ b/src/process/admission/FairQueue.test.ts
@@ -1,7 +1,7 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
 import * as limits from "./AdmissionLimit";
 import * as queues from "./FairQueue";
 
--- a/src/process/FairQueue.ts
+++ b/src/process/admission/FairQueue.ts
@@ -3,8 +3,8 @@
  * holds only work that can still meet its deadline by the learned service times.
  */
 import * as result from "true-myth/result";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
 import * as limits from "./AdmissionLimit";
 import * as serviceTimes from "./ServiceTimes";
 import * as teamQueues from "./TeamQueues";
--- a/src/process/FlowEstimate.test.ts
+++ b/src/process/admission/FlowEstimate.test.ts
@@ -1,5 +1,5 @@
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 import * as flowEstimates from "./FlowEstimate";
 
 const { describe, expect, it } = vitest;
--- a/src/process/FlowEstimate.ts
+++ b/src/process/admission/FlowEstimate.ts
@@ -2,9 +2,9 @@
  * Predicts when a new request would leave each of its stages, from the agents' load words and from this entry's
  * requests under way that have yet to reach a stage. All durations in milliseconds.
  */
-import * as clocks from "../common/Clock";
-import * as configurations from "../common/Configuration";
-import * as messages from "../common/Messages";
+import * as clocks from "../../common/Clock";
+import * as configurations from "../../common/Configuration";
+import * as messages from "../../common/Messages";
 import * as serviceTimes from "./ServiceTimes";
 
 /** Weight of one reading in the ratio between all calls at a service and this entry's own. */
--- a/src/process/RetryBudget.test.ts
+++ b/src/process/admission/RetryBudget.test.ts
@@ -1,6 +1,6 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 import * as budgets from "./RetryBudget";
 
 const { expect, it } = vitest;
--- a/src/process/RetryBudget.ts
+++ b/src/process/admission/RetryBudget.ts
@@ -1,7 +1,7 @@
 /**
  * Bounds how many extra attempts a process makes, as a token bucket that first attempts fill.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 const DEFAULT_RESERVE = 10;
 /** Time in which an empty bucket regains its whole reserve without any traffic. */
--- a/src/process/ServiceTimes.ts
+++ b/src/process/admission/ServiceTimes.ts
@@ -2,7 +2,7 @@
  * Learned service times by operation, in milliseconds. An estimate that wasn't confirmed for a while no longer
  * counts, so that one slow episode can't make everything look unreachable for good.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 /** Weight of one observation in the moving means. */
 const SMOOTHING = 0.1;
--- a/src/process/UpstreamWatch.test.ts
+++ b/src/process/admission/UpstreamWatch.test.ts
@@ -1,9 +1,9 @@
 import * as vitest from "vitest";
-import * as engineStandIns from "../../standins/EngineStandIn";
-import * as standIns from "../../standins/PlainServiceStandIn";
-import * as clocks from "../common/Clock";
-import * as engineUpstreams from "./adapters/EngineUpstream";
-import * as plainUpstreams from "./adapters/PlainUpstream";
+import * as engineStandIns from "../../../standins/EngineStandIn";
+import * as standIns from "../../../standins/PlainServiceStandIn";
+import * as clocks from "../../common/Clock";
+import * as engineUpstreams from "../adapters/EngineUpstream";
+import * as plainUpstreams from "../adapters/PlainUpstream";
 import * as limits from "./AdmissionLimit";
 import * as watches from "./UpstreamWatch";
 
--- a/src/process/UpstreamWatch.ts
+++ b/src/process/admission/UpstreamWatch.ts
@@ -5,10 +5,10 @@
  * predecessor's calls have left the upstream. Also tells whether the upstream leaves, by its own word or its
  * absence.
  */
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as emitters from "../common/Emitter";
-import * as ports from "../common/Ports";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as emitters from "../../common/Emitter";
+import * as ports from "../../common/Ports";
 import * as limits from "./AdmissionLimit";
 
 const PROBE_PERIOD_MS = 500;
--- a/src/process/AgentPool.ts
+++ b/src/process/choice/AgentPool.ts
@@ -1,11 +1,11 @@
 /**
  * The connections of an entry to agents, one client for each connected agent instance.
  */
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
-import * as agentClients from "../connection/AgentClient";
-import * as peerConnections from "../connection/PeerConnection";
-import * as flowEstimates from "./FlowEstimate";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
+import * as agentClients from "../../connection/AgentClient";
+import * as peerConnections from "../../connection/PeerConnection";
+import * as flowEstimates from "../admission/FlowEstimate";
 
 /** How often a lost agent is looked for while an attempt's fate is open. */
 const RECOVER_POLL_MS = 25;
--- a/src/process/InstanceRecords.ts
+++ b/src/process/choice/InstanceRecords.ts
@@ -1,7 +1,7 @@
 /**
  * What an entry learned of each upstream instance from its own calls, and the ejection of those that fail.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 /** Weight of a new sample in the moving averages. */
 const SAMPLE_WEIGHT = 0.1;
--- a/src/process/PrefixHolders.ts
+++ b/src/process/choice/PrefixHolders.ts
@@ -2,7 +2,7 @@
  * Which instances probably hold a prompt prefix in their cache: from late and gappy cache events, and from
  * the calls that this entry sent. Bounded by count and age.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 const MAX_PREFIXES = 20_000;
 const MAX_HOLDERS = 4;
--- a/src/process/StageHistory.ts
+++ b/src/process/choice/StageHistory.ts
@@ -3,8 +3,8 @@
  */
 import * as hdr from "hdr-histogram-js";
 import * as result from "true-myth/result";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
 
 /** Samples are forgotten after one to two windows. */
 const WINDOW_MS = 30_000;
--- a/src/process/UpstreamChoice.test.ts
+++ b/src/process/choice/UpstreamChoice.test.ts
@@ -1,7 +1,7 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
 import * as choices from "./UpstreamChoice";
 
 const { expect, it } = vitest;
--- a/src/process/UpstreamChoice.ts
+++ b/src/process/choice/UpstreamChoice.ts
@@ -2,8 +2,8 @@
  * Chooses an upstream instance for one stage: near instances first, two random ones compared by expected
  * completion, and a holder of the prompt's prefix compared with them at a discount.
  */
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
 import * as records from "./InstanceRecords";
 import * as prefixes from "./PrefixHolders";
 
--- a/src/process/ConfigurationReader.test.ts
+++ b/src/process/configuration/ConfigurationReader.test.ts
@@ -1,9 +1,9 @@
 import * as vitest from "vitest";
-import * as sources from "../../standins/ScriptedConfigurationSource";
-import * as clocks from "../common/Clock";
-import * as logs from "../common/Log";
-import * as randoms from "../common/Random";
-import * as samples from "../version/SampleConfiguration";
+import * as sources from "../../../standins/ScriptedConfigurationSource";
+import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
+import * as randoms from "../../common/Random";
+import * as samples from "../../version/SampleConfiguration";
 import * as readers from "./ConfigurationReader";
 import * as replicas from "./ConfigurationReplica";
 
--- a/src/process/ConfigurationReader.ts
+++ b/src/process/configuration/ConfigurationReader.ts
@@ -3,10 +3,10 @@
  * others learn from peers and read only while their knowledge stays unconfirmed, at a rate that is divided
  * by the size of the fleet, so that all processes together stay within one read budget.
  */
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as logs from "../common/Log";
-import * as ports from "../common/Ports";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as logs from "../../common/Log";
+import * as ports from "../../common/Ports";
 import * as replicas from "./ConfigurationReplica";
 import * as watcherChoices from "./WatcherChoice";
 
--- a/src/process/ConfigurationReplica.test.ts
+++ b/src/process/configuration/ConfigurationReplica.test.ts
@@ -1,12 +1,12 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as configurations from "../common/Configuration";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as digests from "../version/ContentDigest";
-import * as samples from "../version/SampleConfiguration";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as configurations from "../../common/Configuration";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as digests from "../../version/ContentDigest";
+import * as samples from "../../version/SampleConfiguration";
 import * as replicas from "./ConfigurationReplica";
 import * as rejectedVersions from "./RejectedVersions";
 
--- a/src/process/ConfigurationReplica.ts
+++ b/src/process/configuration/ConfigurationReplica.ts
@@ -4,15 +4,15 @@
  */
 import * as result from "true-myth/result";
 import * as tsPattern from "ts-pattern";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as configurations from "../common/Configuration";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as checks from "../version/ConfigurationCheck";
-import * as deltas from "../version/ConfigurationDelta";
-import * as contentDigests from "../version/ContentDigest";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as configurations from "../../common/Configuration";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as checks from "../../version/ConfigurationCheck";
+import * as deltas from "../../version/ConfigurationDelta";
+import * as contentDigests from "../../version/ContentDigest";
 import * as deltaLogs from "./DeltaLog";
 import * as rejectedVersions from "./RejectedVersions";
 
--- a/src/process/DeltaLog.ts
+++ b/src/process/configuration/DeltaLog.ts
@@ -2,7 +2,7 @@
  * The edits that led to the version in force, kept within bounds so that a peer a little behind gets
  * them in place of the full content.
  */
-import * as messages from "../common/Messages";
+import * as messages from "../../common/Messages";
 
 /** Most changes kept. */
 export const MAX_DELTAS = 256;
--- a/src/process/RejectedVersions.ts
+++ b/src/process/configuration/RejectedVersions.ts
@@ -1,7 +1,7 @@
 /**
  * Memory of the configuration versions that failed their checks, so that they aren't fetched again at once.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 /** Time during which a version that failed its checks isn't fetched again. */
 export const REJECTED_RETRY_MS = 60_000;
--- a/src/process/AgentKeys.ts
+++ b/src/process/keys/AgentKeys.ts
@@ -2,13 +2,13 @@
  * Which idempotency keys an agent may serve: those of which it is the home under the version in force, after the
  * handover from earlier homes, while its own lease on them holds.
  */
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as nodes from "../membership/Node";
 import * as homeClaims from "./HomeClaim";
 import * as keyLeases from "./KeyLease";
-import * as nodes from "./Node";
 import * as confirmations from "./VersionConfirmation";
 
 /** What the keys need from their agent. */
--- a/src/process/AttemptMemory.test.ts
+++ b/src/process/keys/AttemptMemory.test.ts
@@ -1,6 +1,6 @@
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
 import * as memories from "./AttemptMemory";
 
 const { describe, expect, it } = vitest;
--- a/src/process/AttemptMemory.ts
+++ b/src/process/keys/AttemptMemory.ts
@@ -2,8 +2,8 @@
  * Memory of non-idempotent attempts, so that an entry that lost its connection can ask what became of one.
  * "Not run" is answered only together with a tombstone that stops the attempt when it arrives late.
  */
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
 
 /** Time for which attempts and tombstones are remembered; exceeds the longest deadline. */
 export const ATTEMPT_RETENTION_MS = 900_000;
--- a/src/process/HomeClaim.test.ts
+++ b/src/process/keys/HomeClaim.test.ts
@@ -1,7 +1,7 @@
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as timeOrderedKeys from "../common/TimeOrderedKey";
-import * as keyHomes from "../version/KeyHome";
+import * as clocks from "../../common/Clock";
+import * as timeOrderedKeys from "../../common/TimeOrderedKey";
+import * as keyHomes from "../../version/KeyHome";
 import * as claims from "./HomeClaim";
 import * as keyLeases from "./KeyLease";
 
--- a/src/process/HomeClaim.ts
+++ b/src/process/keys/HomeClaim.ts
@@ -3,10 +3,10 @@
  * refused until their earlier homes have confirmed the change or are gone; after that, those which may have run
  * at an earlier home stay refused, since their records stay behind.
  */
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as timeOrderedKeys from "../common/TimeOrderedKey";
-import * as keyHomes from "../version/KeyHome";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as timeOrderedKeys from "../../common/TimeOrderedKey";
+import * as keyHomes from "../../version/KeyHome";
 import * as keyLeases from "./KeyLease";
 
 /** First time between two tries to reach an instance; doubles up to the longest. */
--- a/src/process/KeyLease.ts
+++ b/src/process/keys/KeyLease.ts
@@ -2,7 +2,7 @@
  * The lease under which an agent serves idempotency keys: how long it may go on without proof that no other home
  * has taken them over. A new home waits out the lease of an earlier one that it can't ask.
  */
-import * as codes from "../common/Codes";
+import * as codes from "../../common/Codes";
 
 /** Time after its last proof in which an agent serves keys. */
 export const KEY_LEASE_MS = 10_000;
--- a/src/process/Ledger.ts
+++ b/src/process/keys/Ledger.ts
@@ -2,9 +2,9 @@
  * The at-most-once ledger of keyed non-idempotent calls, kept in memory for one incarnation. It never forgets
  * a call within the key lifetime: a full ledger refuses, and so does one that may have lost its memory.
  */
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as timeOrderedKeys from "../common/TimeOrderedKey";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as timeOrderedKeys from "../../common/TimeOrderedKey";
 
 /** Time between removals of entries past the key lifetime. */
 const PURGE_PERIOD_MS = 1_000;
--- a/src/process/VersionConfirmation.ts
+++ b/src/process/keys/VersionConfirmation.ts
@@ -2,11 +2,11 @@
  * Asks other agents of the service to confirm a configuration version, before keys that may have been theirs
  * are served here. Each question uses a connection of its own: it is rare, and mustn't wait for the mesh.
  */
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
-import * as peerConnections from "../connection/PeerConnection";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
+import * as peerConnections from "../../connection/PeerConnection";
+import * as memberships from "../membership/Membership";
 import * as homeClaims from "./HomeClaim";
-import * as memberships from "./Membership";
 
 const CONFIRM_TIMEOUT_MS = 3_000;
 
--- a/src/process/DomainSpread.ts
+++ b/src/process/membership/DomainSpread.ts
@@ -2,7 +2,7 @@
  * Selects bounded subsets of instances, deterministic for each process and spread over failure domains.
  * A member that joins or leaves moves few others, since each domain's order is by rendezvous hash.
  */
-import * as rendezvous from "../common/RendezvousHash";
+import * as rendezvous from "../../common/RendezvousHash";
 
 /** Share of a subset taken from near failure domains first, when there are far ones too. */
 const NEAR_SHARE = 0.75;
--- a/src/process/Incarnation.ts
+++ b/src/process/membership/Incarnation.ts
@@ -1,7 +1,7 @@
 /**
  * Incarnation numbers: they rise across the restarts of an instance without a disk.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 /** Random values within one millisecond, so that two starts in it differ most likely. */
 const RANDOM_VALUES = 1_024;
--- a/src/process/ListReader.ts
+++ b/src/process/membership/ListReader.ts
@@ -1,10 +1,10 @@
 /**
  * Reads the platform's list of instances, again and again. The list lags, and its service may be away.
  */
-import * as clocks from "../common/Clock";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
-import * as ports from "../common/Ports";
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as ports from "../../common/Ports";
 
 const LIST_POLL_MS = 1_000;
 const LIST_TIMEOUT_MS = 3_000;
--- a/src/process/Membership.test.ts
+++ b/src/process/membership/Membership.test.ts
@@ -1,8 +1,8 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as messages from "../common/Messages";
-import * as ports from "../common/Ports";
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
+import * as ports from "../../common/Ports";
 import * as memberships from "./Membership";
 
 const { expect, it } = vitest;
--- a/src/process/Membership.ts
+++ b/src/process/membership/Membership.ts
@@ -2,11 +2,11 @@
  * One process's view of the other instances. The platform's list lags, so it only nominates; connections
  * decide who is there, and an instance's own word that it drains holds for its incarnation.
  */
-import * as clocks from "../common/Clock";
-import * as emitters from "../common/Emitter";
-import * as messages from "../common/Messages";
-import * as ports from "../common/Ports";
-import * as rendezvous from "../common/RendezvousHash";
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as messages from "../../common/Messages";
+import * as ports from "../../common/Ports";
+import * as rendezvous from "../../common/RendezvousHash";
 import * as selections from "./DomainSpread";
 
 const DEFAULT_SUBSET_SIZE = 32;
--- a/src/process/Node.test.ts
+++ b/src/process/membership/Node.test.ts
@@ -1,10 +1,10 @@
 import * as timers from "node:timers/promises";
 import * as result from "true-myth/result";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as logs from "../common/Log";
-import * as ports from "../common/Ports";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as logs from "../../common/Log";
+import * as ports from "../../common/Ports";
 import * as nodes from "./Node";
 
 const { expect, it } = vitest;
--- a/src/process/Node.ts
+++ b/src/process/membership/Node.ts
@@ -3,15 +3,15 @@
  * reader, the view of the instances, and the detection of pauses.
  */
 import * as net from "node:net";
-import * as clocks from "../common/Clock";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as ports from "../common/Ports";
-import * as peerConnections from "../connection/PeerConnection";
-import * as readers from "./ConfigurationReader";
-import * as replicas from "./ConfigurationReplica";
-import * as listeners from "./Listener";
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as ports from "../../common/Ports";
+import * as peerConnections from "../../connection/PeerConnection";
+import * as readers from "../configuration/ConfigurationReader";
+import * as replicas from "../configuration/ConfigurationReplica";
+import * as listeners from "../serving/Listener";
 import * as listReaders from "./ListReader";
 import * as memberships from "./Membership";
 import * as pauses from "./PauseMonitor";
--- a/src/process/PauseMonitor.test.ts
+++ b/src/process/membership/PauseMonitor.test.ts
@@ -1,5 +1,5 @@
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 import * as incarnations from "./Incarnation";
 import * as pauses from "./PauseMonitor";
 
--- a/src/process/PauseMonitor.ts
+++ b/src/process/membership/PauseMonitor.ts
@@ -1,8 +1,8 @@
 /**
  * Finds pauses of the process: stretches in which neither its timer nor a check ran for longer than a bound.
  */
-import * as clocks from "../common/Clock";
-import * as emitters from "../common/Emitter";
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
 
 const TICK_PERIOD_MS = 50;
 
--- a/src/process/PeerMesh.test.ts
+++ b/src/process/membership/PeerMesh.test.ts
@@ -1,11 +1,11 @@
 import * as net from "node:net";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as peerConnections from "../connection/PeerConnection";
-import * as samples from "../version/SampleConfiguration";
-import * as replicas from "./ConfigurationReplica";
+import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as peerConnections from "../../connection/PeerConnection";
+import * as samples from "../../version/SampleConfiguration";
+import * as replicas from "../configuration/ConfigurationReplica";
 import * as meshes from "./PeerMesh";
 
 const { afterEach, describe, expect, it } = vitest;
--- a/src/process/PeerMesh.ts
+++ b/src/process/membership/PeerMesh.ts
@@ -3,12 +3,12 @@
  * reconnects with backoff; one task for each accepted connection reads it. Every frame goes to the
  * configuration replica, and a new version is told to all peers at once.
  */
-import * as clocks from "../common/Clock";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as peerConnections from "../connection/PeerConnection";
-import * as replicas from "./ConfigurationReplica";
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as peerConnections from "../../connection/PeerConnection";
+import * as replicas from "../configuration/ConfigurationReplica";
 
 const FIRST_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 2_000;
--- a/src/process/AgentPlacement.ts
+++ b/src/process/placement/AgentPlacement.ts
@@ -2,14 +2,14 @@
  * Placement as one agent sees it: feeds the placement task with the agent's view of the other agents of its
  * service, and keeps the lease under which orders go to engines that ignore fencing numbers.
  */
-import * as clocks from "../common/Clock";
-import * as configurations from "../common/Configuration";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
-import * as messages from "../common/Messages";
-import * as ports from "../common/Ports";
-import * as listReaders from "./ListReader";
-import * as nodes from "./Node";
+import * as clocks from "../../common/Clock";
+import * as configurations from "../../common/Configuration";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as ports from "../../common/Ports";
+import * as listReaders from "../membership/ListReader";
+import * as nodes from "../membership/Node";
 import * as leases from "./OrderLease";
 import * as placementTasks from "./PlacementTask";
 
--- a/src/process/OrderLease.ts
+++ b/src/process/placement/OrderLease.ts
@@ -9,7 +9,7 @@
  * lease and two readers of the list seeing a change at different moments; a difference above it opens the
  * window by the excess.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 
 /** Longest time that a loop tick or a confirmation by the list is good for, in milliseconds. */
 export const LEASE_MS = 5_000;
--- a/src/process/PlacementTask.test.ts
+++ b/src/process/placement/PlacementTask.test.ts
@@ -1,10 +1,10 @@
 import * as result from "true-myth/result";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as configurations from "../common/Configuration";
-import * as logs from "../common/Log";
-import * as ports from "../common/Ports";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as configurations from "../../common/Configuration";
+import * as logs from "../../common/Log";
+import * as ports from "../../common/Ports";
 import * as leases from "./OrderLease";
 import * as tasks from "./PlacementTask";
 
--- a/src/process/PlacementTask.ts
+++ b/src/process/placement/PlacementTask.ts
@@ -3,13 +3,13 @@
  * Loads come before unloads, weight store reads take turns, and every order carries the fencing number and
  * is read back. An engine that ignores fencing numbers gets orders only under the agent's lease.
  */
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as configurations from "../common/Configuration";
-import * as emitters from "../common/Emitter";
-import * as logs from "../common/Log";
-import * as ports from "../common/Ports";
-import * as placements from "../version/Placement";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as configurations from "../../common/Configuration";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as ports from "../../common/Ports";
+import * as placements from "../../version/Placement";
 import * as fencing from "./FencingNumber";
 import * as leases from "./OrderLease";
 import * as turns from "./RateTurn";
--- a/src/process/RateTurn.test.ts
+++ b/src/process/placement/RateTurn.test.ts
@@ -1,6 +1,6 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
+import * as clocks from "../../common/Clock";
 import * as turns from "./RateTurn";
 
 const { describe, expect, it } = vitest;
--- a/src/process/RateTurn.ts
+++ b/src/process/placement/RateTurn.ts
@@ -2,9 +2,9 @@
  * Turns in time for reads of the weight store. Wall time is cut into turns, each owned by one slot in hash
  * order, so that the fleet as a whole reads at most once a turn without talking.
  */
-import * as clocks from "../common/Clock";
-import * as configurations from "../common/Configuration";
-import * as placements from "../version/Placement";
+import * as clocks from "../../common/Clock";
+import * as configurations from "../../common/Configuration";
+import * as placements from "../../version/Placement";
 
 /** Length of one turn in milliseconds. */
 export const READ_TURN_MS = 100;
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -8,7 +8,7 @@
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as peerConnections from "../../connection/PeerConnection";
-import * as listeners from "../Listener";
+import * as listeners from "../serving/Listener";
 
 /** Time between two words of presence. */
 const PRESENCE_MS = 300;
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -7,7 +7,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as settingsShapes from "../../common/Settings";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as adminServers from "../AdminServer";
+import * as adminServers from "../serving/AdminServer";
 import * as entryPeers from "./EntryPeers";
 import * as pools from "./InstancePool";
 import * as exchanges from "./PublishedExchange";
--- a/src/process/routing/RouteMetrics.ts
+++ b/src/process/routing/RouteMetrics.ts
@@ -2,7 +2,7 @@
  * Counters and histograms of an entry for routed calls, in their own registry.
  */
 import * as prom from "prom-client";
-import * as gauges from "../Gauge";
+import * as gauges from "../serving/Gauge";
 
 const MS_PER_SECOND = 1_000;
 
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -11,7 +11,7 @@
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
 import * as tables from "../../version/RouteTable";
-import * as listeners from "../Listener";
+import * as listeners from "../serving/Listener";
 import * as bodies from "./CallerBody";
 import * as responses from "./CallerResponse";
 import * as metrics from "./RouteMetrics";
--- a/src/process/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -3,13 +3,13 @@
  */
 import * as http from "node:http";
 import * as result from "true-myth/result";
-import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as configurations from "../common/Configuration";
-import * as answers from "../request/CallerAnswer";
-import * as callerRequests from "../request/CallerRequest";
-import * as deadlines from "../request/Deadline";
-import * as pipelineRuns from "../request/PipelineRun";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as configurations from "../../common/Configuration";
+import * as answers from "../../request/CallerAnswer";
+import * as callerRequests from "../../request/CallerRequest";
+import * as deadlines from "../../request/Deadline";
+import * as pipelineRuns from "../../request/PipelineRun";
 import * as entryMetrics from "./EntryMetrics";
 import * as listeners from "./Listener";
 
--- a/src/process/EntryMetrics.ts
+++ b/src/process/serving/EntryMetrics.ts
@@ -2,7 +2,7 @@
  * The metrics of an entry, in its own registry.
  */
 import * as prom from "prom-client";
-import * as codes from "../common/Codes";
+import * as codes from "../../common/Codes";
 import * as gauges from "./Gauge";
 
 /** What a stage cost: times in milliseconds. */
--- a/src/process/Listener.ts
+++ b/src/process/serving/Listener.ts
@@ -2,8 +2,8 @@
  * Listening sockets: starts a server on an IP number and port, and ends it with all its connections.
  */
 import * as net from "node:net";
-import * as addresses from "../common/Address";
-import * as clocks from "../common/Clock";
+import * as addresses from "../../common/Address";
+import * as clocks from "../../common/Clock";
 
 /** A server that listens. */
 export interface Listener extends clocks.Disposable {
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -3,9 +3,9 @@
  */
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
-import * as entryMetrics from "../process/EntryMetrics";
-import * as flowEstimates from "../process/FlowEstimate";
-import * as stageHistories from "../process/StageHistory";
+import * as flowEstimates from "../process/admission/FlowEstimate";
+import * as stageHistories from "../process/choice/StageHistory";
+import * as entryMetrics from "../process/serving/EntryMetrics";
 import * as deadlines from "./Deadline";
 import * as stageShapes from "./Stage";
 import * as stageCalls from "./StageCall";
--- a/src/request/Stage.ts
+++ b/src/request/Stage.ts
@@ -5,8 +5,8 @@
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as agentClients from "../connection/AgentClient";
-import * as retryBudgets from "../process/RetryBudget";
-import * as choices from "../process/UpstreamChoice";
+import * as retryBudgets from "../process/admission/RetryBudget";
+import * as choices from "../process/choice/UpstreamChoice";
 import * as deadlines from "./Deadline";
 
 /** One stage to run. */
--- a/src/request/StageAttempt.ts
+++ b/src/request/StageAttempt.ts
@@ -4,7 +4,7 @@
 import * as codes from "../common/Codes";
 import * as messages from "../common/Messages";
 import * as agentClients from "../connection/AgentClient";
-import * as choices from "../process/UpstreamChoice";
+import * as choices from "../process/choice/UpstreamChoice";
 import * as deadlines from "./Deadline";
 import * as stages from "./Stage";
 import * as streams from "./StreamAssembly";
--- a/src/request/StageCall.ts
+++ b/src/request/StageCall.ts
@@ -3,7 +3,7 @@
  * as far as the operation's idempotency, the budgets and the deadline allow.
  */
 import * as codes from "../common/Codes";
-import * as choices from "../process/UpstreamChoice";
+import * as choices from "../process/choice/UpstreamChoice";
 import * as stages from "./Stage";
 import * as attempts from "./StageAttempt";
 import * as streams from "./StreamAssembly";
--- a/src/request/UpstreamDispatch.test.ts
+++ b/src/request/UpstreamDispatch.test.ts
@@ -3,7 +3,7 @@
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as ports from "../common/Ports";
-import * as limits from "../process/AdmissionLimit";
+import * as limits from "../process/admission/AdmissionLimit";
 import * as dispatches from "./UpstreamDispatch";
 
 const { describe, expect, it } = vitest;
--- a/src/request/UpstreamDispatch.ts
+++ b/src/request/UpstreamDispatch.ts
@@ -7,8 +7,8 @@
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as ports from "../common/Ports";
-import * as limits from "../process/AdmissionLimit";
-import * as queues from "../process/FairQueue";
+import * as limits from "../process/admission/AdmissionLimit";
+import * as queues from "../process/admission/FairQueue";
 import * as deadlines from "./Deadline";
 
 /** Time that an upstream needs at most to notice that a connection was closed. */
--- a/src/request/UpstreamWork.test.ts
+++ b/src/request/UpstreamWork.test.ts
@@ -6,10 +6,10 @@
 import * as configurations from "../common/Configuration";
 import * as logs from "../common/Log";
 import * as ports from "../common/Ports";
-import * as limits from "../process/AdmissionLimit";
-import * as attemptMemories from "../process/AttemptMemory";
-import * as queues from "../process/FairQueue";
-import * as ledgers from "../process/Ledger";
+import * as limits from "../process/admission/AdmissionLimit";
+import * as queues from "../process/admission/FairQueue";
+import * as attemptMemories from "../process/keys/AttemptMemory";
+import * as ledgers from "../process/keys/Ledger";
 
 import * as works from "./UpstreamWork";
 
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -10,9 +10,9 @@
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as ports from "../common/Ports";
-import * as attemptMemories from "../process/AttemptMemory";
-import * as queues from "../process/FairQueue";
-import * as ledgers from "../process/Ledger";
+import * as queues from "../process/admission/FairQueue";
+import * as attemptMemories from "../process/keys/AttemptMemory";
+import * as ledgers from "../process/keys/Ledger";
 import * as deadlines from "./Deadline";
 import * as dispatches from "./UpstreamDispatch";
 
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -5,7 +5,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import * as clocks from "../../src/common/Clock";
-import * as listeners from "../../src/process/Listener";
+import * as listeners from "../../src/process/serving/Listener";
 
 /** A call that an engine ran, as it arrived. */
 export interface EngineRun {
