Take no call while stopping that can't end before the stop

Change: a call's time is estimated from its stages and its most tokens (ExpectedTime, with its cases); one that doesn't fit before the end of the stop is refused as not run, with a time to come back.

--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -58,6 +58,8 @@
     private readonly budgetsByService = new Map<string, budgets.RepeatBudget>();
     private isDraining = false;
     private isClosing = false;
+    /** When a stop ends at the latest. */
+    private endsAtMs: number | undefined;
     private admin: clocks.Disposable & { readonly address: string } | undefined;
 
     private constructor(
@@ -133,6 +135,7 @@
                 metrics: this.metrics,
                 table: () => this.view.table,
                 isClosing: () => this.isClosing,
+                endsAtMs: () => this.endsAtMs,
                 run: {
                     ...shared,
                     wire: options.callWire,
@@ -199,6 +202,7 @@
         const startedMs = clock.now();
         const endMs = startedMs + this.settings.stopLimitSeconds * MS_PER_SECOND - STOP_MARGIN_MS;
         this.isDraining = true;
+        this.endsAtMs = endMs;
         this.peers.sayPresence();
         this.stages.handOver();
         this.server.beginDrain();
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -7,6 +7,7 @@
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
+import * as expectedTimes from "../../request/routed/ExpectedTime";
 import * as plainRuns from "../../request/routed/PlainRun";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
@@ -42,6 +43,8 @@
     readonly table: () => tables.RouteTable | undefined;
     /** Whether the process no longer takes requests, though it still answers. */
     readonly isClosing: () => boolean;
+    /** When the process ends at the latest; undefined while it isn't stopping. */
+    readonly endsAtMs: () => number | undefined;
     readonly metrics: metrics.RouteMetrics;
 }
 
@@ -199,6 +202,10 @@
         if (table.needsKeys && !route.isOpen && team === undefined) {
             return result.err(codes.failure(codes.codes.unknownKey, route.name));
         }
+        const endsAtMs = this.context.endsAtMs() ?? Infinity;
+        if (arrivedMs + expectedTimes.expectedMs(route, facts.value) > endsAtMs) {
+            return result.err(codes.failure(codes.codes.draining, "can't end before the stop", NOT_READY_RETRY_MS));
+        }
         const body = await bodies.readCallerBody(
             message,
             { bytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs },
--- /dev/null
+++ b/src/request/routed/ExpectedTime.test.ts
@@ -0,0 +1,52 @@
+import * as vitest from "vitest";
+import * as routing from "../../common/Routing";
+import * as routingPorts from "../../common/RoutingPorts";
+import * as expectedTimes from "./ExpectedTime";
+
+const route: routing.Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind: "stream",
+    timeoutMs: 15_000,
+    goalMs: 1_000,
+    priority: 0,
+    targets: [],
+    attempts: 1,
+    isResumable: true,
+    isOpen: false,
+    stages: [{ service: "archive", after: [], resultBytes: 1 }],
+};
+const facts: routingPorts.RoutedCallFacts = {
+    attempt: "a",
+    remainingMs: undefined,
+    apiKey: undefined,
+    promptParts: [],
+    promptTokens: 600,
+    outputTokens: 280,
+    lastEventId: undefined,
+    pieces: [3],
+    pieceKey: "k",
+};
+/** What a stopping entry without a successor has left when it takes its last calls, in milliseconds. */
+const LEFT_MS = 3_500;
+
+const cases: readonly {
+    readonly name: string;
+    readonly route?: Partial<routing.Route>;
+    readonly facts?: Partial<routingPorts.RoutedCallFacts>;
+    readonly fits: boolean;
+}[] = [
+    { name: "a long stream with stages", fits: false },
+    { name: "a long stream", facts: { pieces: [0] }, fits: false },
+    { name: "a short stream with stages", facts: { outputTokens: 24 }, fits: true },
+    { name: "a stream that its route ends soon", route: { timeoutMs: 2_000 }, fits: true },
+    { name: "a plain call", route: { kind: "idempotent", timeoutMs: 5_000 }, facts: { outputTokens: 0 }, fits: true },
+];
+
+vitest.describe("the time that a call may take", () => {
+    vitest.it.each(cases)("lets a stopping entry judge $name", item => {
+        const ms = expectedTimes.expectedMs({ ...route, ...item.route }, { ...facts, ...item.facts });
+        vitest.expect(ms <= LEFT_MS).toBe(item.fits);
+    });
+});
