--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -12,13 +12,11 @@
 import * as estimates from "./StageEstimate";
 import * as stageInstances from "./StageInstances";
 import * as jobs from "./StageJob";
+import * as urgency from "./StageUrgency";
 
 /** Rounds of one piece after which its order is given up. */
 const MAX_ROUNDS = 6;
 
-/** An order is late once it is expected to miss its goal by more than this, in milliseconds: goals have a reserve. */
-const LATE_TOLERANCE_MS = 100;
-
 /** A result must be held this much longer for a call to read it, in milliseconds. */
 const READ_MARGIN_MS = 100;
 
@@ -33,6 +31,15 @@
     readonly reason: "done" | "late" | "failed";
 }
 
+/** What one service could do now: its instances that aren't slow, those of them that are free, and ready pieces. */
+interface ServiceWork {
+    readonly service: string;
+    readonly capacity: routing.StageCapacity;
+    readonly quick: readonly batching.StageInstance[];
+    readonly free: readonly batching.StageInstance[];
+    readonly ready: readonly jobs.PieceOfJob[];
+}
+
 /** Holds all orders that one process makes. */
 export class StageScheduler {
     private readonly open = new Map<number, jobs.StageJob>();
@@ -100,21 +107,30 @@
             if (capacity === undefined || free.length === 0) {
                 continue;
             }
-            jobsInOrder ??= this.sortJobs(nowMs);
+            jobsInOrder ??= urgency.sortByUrgency([...this.open.values()], job => this.leastMs(job), nowMs);
             const ready = jobsInOrder.flatMap(job => job.readyPieces(service));
-            const awaited = batching.awaitedDomains(ready, quick, capacity, nowMs);
-            for (const instance of ready.length === 0 ? [] : free) {
-                const suiting = batching.suiting(ready, awaited, instance);
-                const room = capacity.roomBytes * USED_ROOM_SHARE - this.results.bytesAt(instance.id, nowMs);
-                const pieces = batching.fill(suiting, capacity, room, free.length > 1);
-                const withoutLimit = batching.fill(suiting, capacity, Infinity, free.length > 1);
-                if (pieces.length < withoutLimit.length && this.makeRoom(service, instance.id)) {
-                    continue; // There is more room as soon as the maker has taken the results back.
-                }
-                if (pieces.length > 0) {
-                    const decidedBy = { ready: ready.length, roomBytes: room };
-                    return this.begin({ service, instance, pieces, ...decidedBy }, capacity, nowMs);
-                }
+            const batch = this.beginOnFirst({ service, capacity, quick, free, ready }, nowMs);
+            if (batch !== undefined) {
+                return batch;
+            }
+        }
+        return undefined;
+    }
+
+    /** Begins a call on the first free instance that suits some of the ready pieces and has room for them. */
+    private beginOnFirst(work: ServiceWork, nowMs: number): batching.StageBatch | undefined {
+        const { service, capacity, quick, free, ready } = work;
+        const awaited = batching.awaitedDomains(ready, quick, capacity, nowMs);
+        for (const instance of ready.length === 0 ? [] : free) {
+            const suiting = batching.suiting(ready, awaited, instance);
+            const roomBytes = capacity.roomBytes * USED_ROOM_SHARE - this.results.bytesAt(instance.id, nowMs);
+            const pieces = batching.fill(suiting, capacity, roomBytes, free.length > 1);
+            const withoutLimit = batching.fill(suiting, capacity, Infinity, free.length > 1);
+            if (pieces.length < withoutLimit.length && this.makeRoom(service, instance.id)) {
+                continue; // There is more room as soon as the maker has taken the results back.
+            }
+            if (pieces.length > 0) {
+                return this.begin({ service, instance, pieces, ready: ready.length, roomBytes }, capacity, nowMs);
             }
         }
         return undefined;
@@ -146,6 +162,7 @@
         }
     }
 
+    /** Notes that a maker had no room left for what was planned there. */
     private noteFull(batch: batching.StageBatch, nowMs: number): void {
         const roomBytes = this.services.capacity(batch.service)?.roomBytes ?? 0;
         const knownBytes = this.results.knownBytesAt(batch.instance.id, nowMs);
@@ -321,17 +338,6 @@
         }
     }
 
-    /** In-time orders first, the most urgent first, then the one whose goal is nearest. */
-    private sortJobs(nowMs: number): jobs.StageJob[] {
-        const sorted = [...this.open.values()];
-        for (const job of sorted) {
-            job.isLate = job.isLate || nowMs + this.leastMs(job) > job.goalAtMs + LATE_TOLERANCE_MS;
-        }
-        return sorted.sort((a, b) =>
-            Number(a.isLate) - Number(b.isLate) || a.order.priority - b.order.priority || a.goalAtMs - b.goalAtMs
-        );
-    }
-
     private wantedServices(): Set<string> {
         const wanted = new Set<string>();
         for (const job of this.open.values()) {
--- /dev/null
+++ b/src/process/routing/StageUrgency.ts
@@ -0,0 +1,22 @@
+/**
+ * Which orders go first. Load it answers: more orders than the instances carry, some of which can no longer be in time;
+ * what they took would make others late as well.
+ */
+import * as jobs from "./StageJob";
+
+/** An order is late once it is expected to miss its goal by more than this, in milliseconds: goals have a reserve. */
+const LATE_TOLERANCE_MS = 100;
+
+/** In-time orders first, the most urgent first, then the one whose goal is nearest. Marks orders that have become late. */
+export function sortByUrgency(
+    open: readonly jobs.StageJob[],
+    leastMs: (job: jobs.StageJob) => number,
+    nowMs: number,
+): readonly jobs.StageJob[] {
+    for (const job of open) {
+        job.isLate = job.isLate || nowMs + leastMs(job) > job.goalAtMs + LATE_TOLERANCE_MS;
+    }
+    return [...open].sort((a, b) =>
+        Number(a.isLate) - Number(b.isLate) || a.order.priority - b.order.priority || a.goalAtMs - b.goalAtMs
+    );
+}
