Reload settings that changed while a process was starting

Found by reading, beside the signal that ended a starting process: a change of the file between its reading and the start of the watch was never seen, since the watch took the newest time of change for the one that was read. Change: the watch compares the file with what the process started with.

--- a/src/commands/ServeRoutes.ts
+++ b/src/commands/ServeRoutes.ts
@@ -32,7 +32,13 @@
                 running.reload(changed);
             }
         };
-        reload = new settingsReloads.SettingsReload({ path, clock: clocks.systemClock, log, apply });
+        reload = new settingsReloads.SettingsReload({
+            path,
+            clock: clocks.systemClock,
+            log,
+            started: settings,
+            apply,
+        });
         log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
         return await signals.waitForStop(running, log);
     }
--- a/src/commands/SettingsReload.ts
+++ b/src/commands/SettingsReload.ts
@@ -16,6 +16,8 @@
     readonly path: string;
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
+    /** What the process started with; the file may have changed since it was read. */
+    readonly started: settingsShapes.Settings;
     /** Takes settings that passed their checks. */
     readonly apply: (settings: settingsShapes.Settings) => void;
 }
@@ -30,6 +32,7 @@
         this.changedMs = this.readChangeTime();
         this.timer = clocks.every(options.clock, LOOK_MS, () => this.look());
         process.on("SIGHUP", this.onSignal);
+        this.catchUp();
     }
 
     dispose(): void {
@@ -37,6 +40,14 @@
         process.off("SIGHUP", this.onSignal);
     }
 
+    /** Reloads what has changed while the process was starting. */
+    private catchUp(): void {
+        const current = settingsFiles.readSettings(this.options.path);
+        if (current.isErr || JSON.stringify(current.value) !== JSON.stringify(this.options.started)) {
+            this.reload("changed while starting");
+        }
+    }
+
     private look(): void {
         if (this.readChangeTime() !== this.changedMs) {
             this.reload("changed");
