--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -41,7 +41,6 @@
     /** Acts that keep the process ended until they start it again. */
     acts: number;
     readonly callers: string;
-    readonly ready: string;
     readonly settingsFile: string;
     readonly links: Record<typeof faults.LINKS[number], relays.TcpRelay>;
 }
@@ -195,7 +194,7 @@
         process.start();
         const links = { store, peers: peerLinks[index]! };
         const startedMs = clocks.systemClock.now();
-        this.entries.push({ process, startedMs, acts: 0, callers: callers!, ready: ready!, settingsFile, links });
+        this.entries.push({ process, startedMs, acts: 0, callers: callers!, settingsFile, links });
     }
 
     private disturbEntry(kind: typeof faults.ENTRY_FAULTS[number], index: number, forMs: number): void {
