Call one piece where the stages' parts had two

No change of behaviour. The winner of a rendezvous hash was found by three loops (homes of keys, the host, an instance for a prompt): RendezvousHash.pickWinner, with the tie by name that only the homes had. Watching a caller leave stood in both callers' servers: CallerWatch. Which stages are followed was worked out in two places: StageOrder.followedStages. Inputs that may be given back, and those made again, each have one method; the tests of the stages share their samples. RouteEntry's draining follows from the end of its stop; the known room is counted, not subtracted again; a second fill is made only where a call isn't full; the experiment takes the host's own time for reading inputs. Unread: a count of failed releases (a log line and its reason stand for it) and a field of the soak's runs.

--- a/bench/Stages.ts
+++ b/bench/Stages.ts
@@ -6,6 +6,7 @@
 import * as randoms from "../src/common/Random";
 import * as stageOrders from "../src/common/StageOrder";
 import * as batching from "../src/process/routing/StageBatching";
+import * as stageHosts from "../src/process/routing/StageHost";
 import * as schedulers from "../src/process/routing/StageScheduler";
 import * as experiments from "./Experiment";
 import * as traffic from "./StageTraffic";
@@ -16,8 +17,6 @@
 const AFTERWARDS_MS = 15_000;
 const BYTES_PER_MB = 1_000_000;
 const STEP_MS = 50;
-/** Time after which a call's maker has read its inputs, as the host takes it. */
-const INPUTS_READ_MS = 60;
 /** Time for which the call itself holds its results. */
 const USE_MS = 110;
 const RELEASE_MS = 6;
@@ -147,7 +146,7 @@
     }
 
     private begin(scheduler: schedulers.StageScheduler, batch: batching.StageBatch): void {
-        const reading = this.clock.schedule(INPUTS_READ_MS, () => scheduler.noteInputsRead(batch));
+        const reading = this.clock.schedule(stageHosts.INPUTS_READ_MS, () => scheduler.noteInputsRead(batch));
         const pieces = batch.pieces.map(piece => ({
             inputs: piece.job.inputsOf(piece.stage) ?? [],
             bytes: batching.sizeOf(piece),
--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -30,7 +30,6 @@
         atMs: 100_010,
         team: "gilders",
         hasKey: false,
-        lastEventId: 0,
         ...change,
     };
 }
@@ -51,7 +50,11 @@
 const cases: readonly Case[] = [
     { name: "a call that ran once", calls: [call()], runs: [run()] },
     { name: "a stream", calls: [stream], runs: [streamRun] },
-    { name: "a stream that went on elsewhere", calls: [stream], runs: [streamRun, { ...streamRun, lastEventId: 3 }] },
+    {
+        name: "a stream that went on elsewhere",
+        calls: [stream],
+        runs: [streamRun, { ...streamRun, engine: "model-2" }],
+    },
     {
         name: "two runs of a call that may run once",
         calls: [call()],
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -132,7 +132,6 @@
                 atMs: run.atMs,
                 team: run.headers["tenant"] as string | undefined,
                 hasKey: run.headers["authorization"] !== undefined,
-                lastEventId: Number(run.headers["last-event-id"] ?? 0),
             })));
         }
     }
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -35,7 +35,6 @@
     readonly atMs: number;
     readonly team: string | undefined;
     readonly hasKey: boolean;
-    readonly lastEventId: number;
 }
 
 /** One fault, planned act or change. */
--- a/src/common/RendezvousHash.ts
+++ b/src/common/RendezvousHash.ts
@@ -20,6 +20,20 @@
     return -weight / Math.log(uniform);
 }
 
+/** The name that wins `key` among `names`, in whatever order; undefined without names. */
+export function pickWinner(key: string, names: readonly string[]): string | undefined {
+    let best: string | undefined;
+    let bestScore = -Infinity;
+    for (const name of names) {
+        const own = score(key, name);
+        if (best === undefined || own > bestScore || (own === bestScore && name < best)) {
+            best = name;
+            bestScore = own;
+        }
+    }
+    return best;
+}
+
 function hashText(start: number, text: string): number {
     let hash = start;
     for (let index = 0; index < text.length; index++) {
--- a/src/common/StageOrder.ts
+++ b/src/common/StageOrder.ts
@@ -50,3 +50,8 @@
 
 /** One order. */
 export type StageOrder = z.infer<typeof stageOrderSchema>;
+
+/** Indexes of the stages whose results other stages take; the call itself takes those of all others. */
+export function followedStages(order: StageOrder): ReadonlySet<number> {
+    return new Set(order.stages.flatMap(stage => stage.pieces > 0 ? stage.after : []));
+}
--- a/src/process/routing/HostChoice.ts
+++ b/src/process/routing/HostChoice.ts
@@ -37,14 +37,5 @@
 }
 
 function pickByRank(candidates: readonly HostCandidate[]): string | undefined {
-    let best: string | undefined;
-    let bestScore = -Infinity;
-    for (const { instance } of candidates) {
-        const score = rendezvous.score(HOST_KEY, instance);
-        if (score > bestScore) {
-            best = instance;
-            bestScore = score;
-        }
-    }
-    return best;
+    return rendezvous.pickWinner(HOST_KEY, candidates.map(candidate => candidate.instance));
 }
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -200,19 +200,7 @@
     parts: readonly routingPorts.PromptPart[],
 ): string | undefined {
     const shared = parts.at(-2);
-    if (shared === undefined) {
-        return undefined;
-    }
-    let best: string | undefined;
-    let bestScore = -Infinity;
-    for (const instance of instances) {
-        const score = rendezvous.score(shared.id, instance.id);
-        if (score > bestScore) {
-            best = instance.id;
-            bestScore = score;
-        }
-    }
-    return best;
+    return shared && rendezvous.pickWinner(shared.id, instances.map(instance => instance.id));
 }
 
 function farBytes(inputBytes: ReadonlyMap<string, number>, domain: string): number {
--- a/src/process/routing/ResultRelease.ts
+++ b/src/process/routing/ResultRelease.ts
@@ -28,8 +28,6 @@
     private readonly freedEmitter = new emitters.Emitter<readonly string[]>();
     /** Fires with handles that their maker has taken back. */
     readonly onFreed = this.freedEmitter.event;
-    /** Calls that brought no success. */
-    failures = 0;
 
     constructor(private readonly options: ResultReleaseOptions) {}
 
@@ -76,7 +74,6 @@
             this.freedEmitter.fire(handles);
         }
         else {
-            this.failures++;
             this.options.log.warn({
                 decision: "release-failed",
                 maker,
--- a/src/process/routing/RoomUse.ts
+++ b/src/process/routing/RoomUse.ts
@@ -25,10 +25,16 @@
     /** What earlier hosts had made and nobody gives back, by instance. */
     private readonly unknown = new Map<string, { readonly bytes: number; readonly lapsesAtMs: number }>();
 
-    /** Bytes taken at an instance; results that have lapsed no longer count. */
+    /** Bytes taken at an instance, by results known here and by others. */
     bytesAt(instance: string, nowMs: number): number {
         const unknown = this.unknown.get(instance);
-        let bytes = unknown !== undefined && unknown.lapsesAtMs > nowMs ? unknown.bytes : 0;
+        const unknownBytes = unknown !== undefined && unknown.lapsesAtMs > nowMs ? unknown.bytes : 0;
+        return unknownBytes + this.knownBytesAt(instance, nowMs);
+    }
+
+    /** Bytes of the results known here; those that have lapsed no longer count. */
+    knownBytesAt(instance: string, nowMs: number): number {
+        let bytes = 0;
         for (const reservation of this.reserved.values()) {
             const counts = reservation.instance === instance && reservation.lapsesAtMs > nowMs;
             bytes += counts ? reservation.bytes : 0;
@@ -49,13 +55,6 @@
         this.unknown.set(instance, { bytes: Math.max(0, unknownBytes), lapsesAtMs: nowMs + UNKNOWN_MS });
     }
 
-    /** Bytes of the results known at an instance. */
-    knownBytesAt(instance: string, nowMs: number): number {
-        const unknown = this.unknown.get(instance);
-        return this.bytesAt(instance, nowMs)
-            - (unknown !== undefined && unknown.lapsesAtMs > nowMs ? unknown.bytes : 0);
-    }
-
     /** Adds to what a call in progress will make; its results lapse at `lapsesAtMs` also if no answer names them. */
     reserve(call: number, instance: string, bytes: number, lapsesAtMs: number): void {
         const reservation = this.reserved.get(call) ?? { instance, lapsesAtMs, bytes: 0 };
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -56,9 +56,8 @@
     private readonly server: servers.RouteServer;
     private readonly metrics = new metrics.RouteMetrics();
     private readonly budgetsByService = new Map<string, budgets.RepeatBudget>();
-    private isDraining = false;
     private isClosing = false;
-    /** When a stop ends at the latest. */
+    /** When a stop ends at the latest; undefined while the process isn't stopping. */
     private endsAtMs: number | undefined;
     private admin: clocks.Disposable & { readonly address: string } | undefined;
 
@@ -201,7 +200,6 @@
         const { clock } = this.options;
         const startedMs = clock.now();
         const endMs = startedMs + this.settings.stopLimitSeconds * MS_PER_SECOND - STOP_MARGIN_MS;
-        this.isDraining = true;
         this.endsAtMs = endMs;
         this.peers.sayPresence();
         this.stages.handOver();
@@ -227,6 +225,10 @@
         this.admin?.dispose();
     }
 
+    private get isDraining(): boolean {
+        return this.endsAtMs !== undefined;
+    }
+
     private async listen(): Promise<void> {
         const { settings } = this;
         const source: adminServers.AdminSource = {
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -12,6 +12,7 @@
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
 import * as tables from "../../version/RouteTable";
+import * as callerWatches from "../serving/CallerWatch";
 import * as listeners from "../serving/Listener";
 import * as bodies from "./CallerBody";
 import * as responses from "./CallerResponse";
@@ -128,7 +129,7 @@
             this.calls.delete(response);
         });
         const arrivedMs = this.context.clock.now();
-        const leave = watchCaller(response);
+        const leave = callerWatches.watchCaller(response);
         const accepted = await this.accept(message, response, arrivedMs, leave.signal);
         if (accepted.isErr) {
             this.refuse(message, response, accepted.error, undefined, arrivedMs);
@@ -281,17 +282,6 @@
     }
 }
 
-/** Aborts when the caller's connection closes before the answer has gone out. */
-function watchCaller(response: http.ServerResponse): AbortController {
-    const gone = new AbortController();
-    response.on("close", () => {
-        if (!response.writableFinished) {
-            gone.abort();
-        }
-    });
-    return gone;
-}
-
 /** Draws a service by the route's weights. */
 function pickTarget(route: routing.Route, random: () => number): string {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -19,7 +19,7 @@
 /** Time between two looks at what is overdue. */
 const TICK_MS = 50;
 /** Time after which a call on an instance that runs nothing else has read its inputs. */
-const INPUTS_READ_MS = 60;
+export const INPUTS_READ_MS = 60;
 /** Longest time that a call may take at all. */
 const CALL_TIMEOUT_MS = 10_000;
 /** When to come back after an order that was taken in and couldn't be made. */
--- a/src/process/routing/StageInstances.ts
+++ b/src/process/routing/StageInstances.ts
@@ -59,7 +59,10 @@
         });
     }
 
-    /** Those with a free slot, the fastest first, and last those that left a call overdue. An overdue call holds none, since its answer may be lost. */
+    /**
+     * Those with a free slot, the fastest first, and last those that left a call overdue. An overdue call holds no
+     * slot, since its answer may be lost.
+     */
     free(
         quick: readonly batching.StageInstance[],
         capacity: routing.StageCapacity,
--- a/src/process/routing/StageJob.ts
+++ b/src/process/routing/StageJob.ts
@@ -59,7 +59,7 @@
 
     /** Handles that the call itself takes: results of stages that no other stage follows. */
     get results(): string[] {
-        const followed = new Set(this.order.stages.flatMap(stage => stage.pieces > 0 ? stage.after : []));
+        const followed = stageOrders.followedStages(this.order);
         return this.progress.flatMap((progress, stage) => followed.has(stage) ? [] : handlesOf(progress));
     }
 
@@ -133,23 +133,17 @@
         }
         this.progress[stage]!.waiting.add(piece);
         this.progress[stage]!.reading.delete(piece);
-        this.order.stages[stage]!.after.filter(before => this.progress[before]!.isReleased).forEach(before =>
-            this.remake(before)
-        );
+        this.remakeReleased(stage);
     }
 
     /** Stages before `stage` whose results were all read, also by calls in progress, and that weren't given back. */
     readInputs(stage: number): number[] {
-        return this.order.stages[stage]!.after.filter(before =>
-            !this.progress[before]!.isReleased && this.isRead(before, index => this.hasRead(index))
-        );
+        return this.releasableInputs(stage, follower => this.hasRead(follower));
     }
 
     /** Stages before `stage` that nothing needs any more, and that weren't given back. */
     spentInputs(stage: number): number[] {
-        return this.order.stages[stage]!.after.filter(before =>
-            !this.progress[before]!.isReleased && this.isRead(before, index => this.isStageMade(index))
-        );
+        return this.releasableInputs(stage, follower => this.isStageMade(follower));
     }
 
     /** Marks the results of a stage as given back; returns their handles. */
@@ -194,11 +188,23 @@
                 progress.done--;
             }
         });
+        this.remakeReleased(stage);
+    }
+
+    /** Has inputs of a stage made again that were given back. */
+    private remakeReleased(stage: number): void {
         this.order.stages[stage]!.after.filter(before => this.progress[before]!.isReleased).forEach(before =>
             this.remake(before)
         );
     }
 
+    /** Stages before `stage` that weren't given back, and whose followers are all as far as `isFar` says. */
+    private releasableInputs(stage: number, isFar: (follower: number) => boolean): number[] {
+        return this.order.stages[stage]!.after.filter(before =>
+            !this.progress[before]!.isReleased && this.isRead(before, isFar)
+        );
+    }
+
     /** Whether all stages that take a stage's results are as far as `isFar` says. */
     private isRead(stage: number, isFar: (follower: number) => boolean): boolean {
         return this.order.stages.every((follower, index) =>
--- a/src/process/routing/StageLoad.test.ts
+++ b/src/process/routing/StageLoad.test.ts
@@ -3,47 +3,12 @@
  */
 import * as vitest from "vitest";
 import * as randoms from "../../common/Random";
-import * as routing from "../../common/Routing";
 import * as stageOrders from "../../common/StageOrder";
 import * as batching from "./StageBatching";
 import * as estimates from "./StageEstimate";
-import * as stageInstances from "./StageInstances";
+import * as samples from "./StageSamples";
 import * as schedulers from "./StageScheduler";
 
-const LEDGER: routing.StageCapacity = {
-    slots: 1,
-    batch: 21,
-    callMs: 150,
-    pieceMs: 6.2,
-    roomBytes: 367_500,
-    resultLifetimeMs: 4_000,
-};
-
-const INSTANCES: readonly batching.StageInstance[] = ["a", "b", "c", "d"].map(name => ({
-    id: `ledger-${name}`,
-    address: `10.0.0.1:80${name}`,
-    failureDomain: name,
-}));
-
-const services: stageInstances.StageServices = { capacity: () => LEDGER, instances: () => INSTANCES };
-
-function order(attempt: string, change: Partial<stageOrders.StageOrder> = {}): stageOrders.StageOrder {
-    return {
-        attempt,
-        pieceKey: "key",
-        stages: [{ service: "ledger", after: [], pieces: 16, resultBytes: 6_000 }],
-        priority: 0,
-        goalMs: 1_500,
-        limitMs: 4_500,
-        made: [],
-        ...change,
-    };
-}
-
-function made(batch: batching.StageBatch): { handle: string }[] {
-    return batch.pieces.map(piece => ({ handle: `${piece.job.id}/${piece.stage}/${piece.piece}` }));
-}
-
 interface Arrival {
     readonly atMs: number;
     readonly order: stageOrders.StageOrder;
@@ -58,7 +23,7 @@
 
 /** Plays arrivals against instances that take exactly the published time. */
 function replay(arrivals: readonly Arrival[], endMs: number): ReplayResult {
-    const scheduler = new schedulers.StageScheduler(services);
+    const scheduler = new schedulers.StageScheduler(samples.services);
     const running: { batch: batching.StageBatch; endMs: number }[] = [];
     const counts = { inTime: 0, late: 0, refused: 0, longestRefusalMs: 0 };
     let next = 0;
@@ -68,7 +33,7 @@
         }
         for (const done of running.filter(call => call.endMs <= nowMs)) {
             running.splice(running.indexOf(done), 1);
-            scheduler.endBatch(done.batch, made(done.batch), nowMs);
+            scheduler.endBatch(done.batch, samples.made(done.batch), nowMs);
         }
         scheduler.expire(nowMs);
         for (let batch = scheduler.nextBatch(nowMs); batch !== undefined; batch = scheduler.nextBatch(nowMs)) {
@@ -86,8 +51,8 @@
 
 /** The same arrivals where each order has a call of its own and instances take them first come, first served. */
 function replayAlone(arrivals: readonly Arrival[]): number {
-    const freeAtMs = INSTANCES.map(() => 0);
-    const callMs = estimates.callTimeMs(LEDGER, 16);
+    const freeAtMs = samples.INSTANCES.map(() => 0);
+    const callMs = estimates.callTimeMs(samples.LEDGER, 16);
     let inTime = 0;
     for (const arrival of arrivals) {
         const index = freeAtMs.indexOf(Math.min(...freeAtMs));
@@ -102,7 +67,7 @@
     const random = randoms.createRandom(seed);
     const arrivals: Arrival[] = [];
     for (let atMs = 0; atMs < endMs; atMs -= Math.log(1 - random()) * 1_000 / perSecond(atMs)) {
-        arrivals.push({ atMs, order: order(`attempt-${arrivals.length}`) });
+        arrivals.push({ atMs, order: samples.order(`attempt-${arrivals.length}`) });
     }
     return arrivals;
 }
--- /dev/null
+++ b/src/process/routing/StageSamples.ts
@@ -0,0 +1,46 @@
+/**
+ * A service of stages, its instances and orders, for tests of the stages' decisions.
+ */
+import * as routing from "../../common/Routing";
+import * as stageOrders from "../../common/StageOrder";
+import * as batching from "./StageBatching";
+import * as stageInstances from "./StageInstances";
+
+/** What one instance of the sample service carries. */
+export const LEDGER: routing.StageCapacity = {
+    slots: 1,
+    batch: 21,
+    callMs: 150,
+    pieceMs: 6.2,
+    roomBytes: 367_500,
+    resultLifetimeMs: 4_000,
+};
+
+/** The instances, each in a failure domain of its own. */
+export const INSTANCES: readonly batching.StageInstance[] = ["a", "b", "c", "d"].map(name => ({
+    id: `ledger-${name}`,
+    address: `10.0.0.1:80${name}`,
+    failureDomain: name,
+}));
+
+/** The sample service under any name. */
+export const services: stageInstances.StageServices = { capacity: () => LEDGER, instances: () => INSTANCES };
+
+/** An order of one stage of 16 pieces, unless changed. */
+export function order(attempt: string, change: Partial<stageOrders.StageOrder> = {}): stageOrders.StageOrder {
+    return {
+        attempt,
+        pieceKey: "key",
+        stages: [{ service: "ledger", after: [], pieces: 16, resultBytes: 6_000 }],
+        priority: 0,
+        goalMs: 1_500,
+        limitMs: 4_500,
+        made: [],
+        ...change,
+    };
+}
+
+/** Results of all pieces of a call. */
+export function made(batch: batching.StageBatch): { handle: string }[] {
+    return batch.pieces.map(piece => ({ handle: `${piece.job.id}/${piece.stage}/${piece.piece}` }));
+}
--- a/src/process/routing/StageScheduler.test.ts
+++ b/src/process/routing/StageScheduler.test.ts
@@ -1,55 +1,20 @@
 import * as vitest from "vitest";
-import * as routing from "../../common/Routing";
 import * as stageOrders from "../../common/StageOrder";
 import * as batching from "./StageBatching";
 import * as estimates from "./StageEstimate";
-import * as stageInstances from "./StageInstances";
+import * as samples from "./StageSamples";
 import * as schedulers from "./StageScheduler";
 
-const LEDGER: routing.StageCapacity = {
-    slots: 1,
-    batch: 21,
-    callMs: 150,
-    pieceMs: 6.2,
-    roomBytes: 367_500,
-    resultLifetimeMs: 4_000,
-};
-
-const INSTANCES: readonly batching.StageInstance[] = ["a", "b", "c", "d"].map(name => ({
-    id: `ledger-${name}`,
-    address: `10.0.0.1:80${name}`,
-    failureDomain: name,
-}));
-
-const services: stageInstances.StageServices = { capacity: () => LEDGER, instances: () => INSTANCES };
-
-function order(attempt: string, change: Partial<stageOrders.StageOrder> = {}): stageOrders.StageOrder {
-    return {
-        attempt,
-        pieceKey: "key",
-        stages: [{ service: "ledger", after: [], pieces: 16, resultBytes: 6_000 }],
-        priority: 0,
-        goalMs: 1_500,
-        limitMs: 4_500,
-        made: [],
-        ...change,
-    };
-}
-
-function made(batch: batching.StageBatch): { handle: string }[] {
-    return batch.pieces.map(piece => ({ handle: `${piece.job.id}/${piece.stage}/${piece.piece}` }));
-}
-
 vitest.describe("calls", () => {
     vitest.it("are shared by pieces of different orders", () => {
-        const scheduler = new schedulers.StageScheduler(services);
+        const scheduler = new schedulers.StageScheduler(samples.services);
         for (let index = 0; index < 6; index++) {
-            scheduler.submit(order(`attempt-${index}`), 0);
+            scheduler.submit(samples.order(`attempt-${index}`), 0);
         }
-        const batches = INSTANCES.map(() => scheduler.nextBatch(0)!);
+        const batches = samples.INSTANCES.map(() => scheduler.nextBatch(0)!);
         vitest.expect(scheduler.nextBatch(0)).toBeUndefined();
-        vitest.expect(batches.every(batch => batch.pieces.length <= LEDGER.batch)).toBe(true);
-        vitest.expect(batches.at(-1)!.pieces.length).toBe(LEDGER.batch);
+        vitest.expect(batches.every(batch => batch.pieces.length <= samples.LEDGER.batch)).toBe(true);
+        vitest.expect(batches.at(-1)!.pieces.length).toBe(samples.LEDGER.batch);
         vitest.expect(new Set(batches.at(-1)!.pieces.map(piece => piece.job.id)).size).toBe(2);
     });
 
@@ -63,44 +28,53 @@
         { name: "an order that can be in time", first: { goalMs: 10, priority: 0 }, second: { priority: 2 } },
     ];
     vitest.it.each(orders)("take $name first", ({ first, second }) => {
-        const scheduler = new schedulers.StageScheduler({ ...services, instances: () => [INSTANCES[0]!] });
-        scheduler.submit(order("first", first), 0);
-        scheduler.submit(order("second", second), 0);
+        const scheduler = new schedulers.StageScheduler({
+            ...samples.services,
+            instances: () => [samples.INSTANCES[0]!],
+        });
+        scheduler.submit(samples.order("first", first), 0);
+        scheduler.submit(samples.order("second", second), 0);
         vitest.expect(scheduler.nextBatch(0)!.pieces[0]!.job.order.attempt).toBe("second");
     });
 
     vitest.it("leave out pieces whose results have no room at the maker", () => {
-        const small = { ...LEDGER, roomBytes: 70_000 };
-        const scheduler = new schedulers.StageScheduler({ capacity: () => small, instances: () => [INSTANCES[0]!] });
-        scheduler.submit(order("attempt"), 0);
+        const small = { ...samples.LEDGER, roomBytes: 70_000 };
+        const scheduler = new schedulers.StageScheduler({
+            capacity: () => small,
+            instances: () => [samples.INSTANCES[0]!],
+        });
+        scheduler.submit(samples.order("attempt"), 0);
         vitest.expect(scheduler.nextBatch(0)!.pieces).toHaveLength(10);
     });
 
     vitest.it("make large results in the failure domain where they are read, while there is time", () => {
         const stages = [{ service: "ledger", after: [], pieces: 2, resultBytes: 300_000 }];
-        const room = { ...LEDGER, roomBytes: 10_000_000 };
-        const wide = new schedulers.StageScheduler({ ...services, capacity: () => room });
-        wide.submit(order("attempt", { stages, failureDomain: "c" }), 0);
+        const room = { ...samples.LEDGER, roomBytes: 10_000_000 };
+        const wide = new schedulers.StageScheduler({ ...samples.services, capacity: () => room });
+        wide.submit(samples.order("attempt", { stages, failureDomain: "c" }), 0);
         vitest.expect(wide.nextBatch(0)!.instance.failureDomain).toBe("c");
     });
 
     vitest.it("are made again elsewhere when one is overdue, and the first result counts", () => {
-        const scheduler = new schedulers.StageScheduler(services);
-        scheduler.submit(order("attempt"), 0);
+        const scheduler = new schedulers.StageScheduler(samples.services);
+        scheduler.submit(samples.order("attempt"), 0);
         const first = scheduler.nextBatch(0)!;
         scheduler.expire(first.expectedMs * 2 + 200);
         const second = scheduler.nextBatch(first.expectedMs * 2 + 200)!;
         vitest.expect(second.instance.id).not.toBe(first.instance.id);
-        scheduler.endBatch(second, made(second), 900);
+        scheduler.endBatch(second, samples.made(second), 900);
         vitest.expect(scheduler.takeOutcomes()).toMatchObject([{ reason: "done" }]);
         scheduler.endBatch(first, [...first.pieces.keys()].map(index => ({ handle: `late-${index}` })), 950);
         vitest.expect(scheduler.takeUnneeded()).toHaveLength(16);
     });
 
     vitest.it("aren't waited for once their order can't be done before its limit", () => {
-        const scheduler = new schedulers.StageScheduler({ ...services, instances: () => [INSTANCES[0]!] });
-        scheduler.submit(order("first", { limitMs: 9_000 }), 0);
-        scheduler.submit(order("second", { priority: 1, limitMs: 4_000 }), 0);
+        const scheduler = new schedulers.StageScheduler({
+            ...samples.services,
+            instances: () => [samples.INSTANCES[0]!],
+        });
+        scheduler.submit(samples.order("first", { limitMs: 9_000 }), 0);
+        scheduler.submit(samples.order("second", { priority: 1, limitMs: 4_000 }), 0);
         scheduler.nextBatch(0);
         scheduler.expire(3_000);
         vitest.expect(scheduler.takeOutcomes()).toEqual([]);
@@ -112,9 +86,12 @@
     });
 
     vitest.it("that are overdue keep neither their instance nor the room of results that have lapsed", () => {
-        const small = { ...LEDGER, roomBytes: 110_000 };
-        const scheduler = new schedulers.StageScheduler({ capacity: () => small, instances: () => [INSTANCES[0]!] });
-        scheduler.submit(order("attempt", { limitMs: 20_000, goalMs: 15_000 }), 0);
+        const small = { ...samples.LEDGER, roomBytes: 110_000 };
+        const scheduler = new schedulers.StageScheduler({
+            capacity: () => small,
+            instances: () => [samples.INSTANCES[0]!],
+        });
+        scheduler.submit(samples.order("attempt", { limitMs: 20_000, goalMs: 15_000 }), 0);
         const lost = scheduler.nextBatch(0)!;
         vitest.expect(lost.pieces).toHaveLength(16);
         scheduler.expire(1_000);
@@ -124,30 +101,36 @@
     });
 
     vitest.it("fill what room others' results leave, once a call has met them", () => {
-        const scheduler = new schedulers.StageScheduler({ ...services, instances: () => [INSTANCES[0]!] });
-        scheduler.submit(order("first"), 0);
-        scheduler.submit(order("second"), 0);
+        const scheduler = new schedulers.StageScheduler({
+            ...samples.services,
+            instances: () => [samples.INSTANCES[0]!],
+        });
+        scheduler.submit(samples.order("first"), 0);
+        scheduler.submit(samples.order("second"), 0);
         const first = scheduler.nextBatch(0)!;
-        const ends = made(first).map((end, index) => index < 6 ? end : { failure: "no-room" as const });
+        const ends = samples.made(first).map((end, index) => index < 6 ? end : { failure: "no-room" as const });
         scheduler.endBatch(first, ends, 200);
         vitest.expect(scheduler.nextBatch(400)).toBeUndefined();
-        scheduler.noteFreed(made(first).map(end => end.handle));
+        scheduler.noteFreed(samples.made(first).map(end => end.handle));
         vitest.expect(scheduler.nextBatch(400)!.pieces).toHaveLength(6);
     });
 
     vitest.it("leave an order for last that will miss its goal though it hasn't passed", () => {
-        const scheduler = new schedulers.StageScheduler({ ...services, instances: () => [INSTANCES[0]!] });
-        scheduler.submit(order("first", { goalMs: 500 }), 0);
-        scheduler.submit(order("second", { goalMs: 1_500 }), 0);
+        const scheduler = new schedulers.StageScheduler({
+            ...samples.services,
+            instances: () => [samples.INSTANCES[0]!],
+        });
+        scheduler.submit(samples.order("first", { goalMs: 500 }), 0);
+        scheduler.submit(samples.order("second", { goalMs: 1_500 }), 0);
         vitest.expect(scheduler.nextBatch(400)!.pieces[0]!.job.order.attempt).toBe("second");
     });
 
     vitest.it("that bring no answer are made again", () => {
-        const scheduler = new schedulers.StageScheduler(services);
-        scheduler.submit(order("attempt"), 0);
+        const scheduler = new schedulers.StageScheduler(samples.services);
+        scheduler.submit(samples.order("attempt"), 0);
         scheduler.endBatch(scheduler.nextBatch(0)!, undefined, 20);
         const again = scheduler.nextBatch(20)!;
-        scheduler.endBatch(again, made(again), 300);
+        scheduler.endBatch(again, samples.made(again), 300);
         vitest.expect(scheduler.takeOutcomes()).toMatchObject([{ reason: "done" }]);
     });
 });
@@ -159,18 +142,18 @@
     ];
 
     vitest.it("get all results of the stages before, which are then given back", () => {
-        const scheduler = new schedulers.StageScheduler(services);
-        scheduler.submit(order("attempt", { stages }), 0);
+        const scheduler = new schedulers.StageScheduler(samples.services);
+        scheduler.submit(samples.order("attempt", { stages }), 0);
         const first = scheduler.nextBatch(0)!;
         vitest.expect(first.service).toBe("archive");
         vitest.expect(scheduler.nextBatch(0)).toBeUndefined();
-        scheduler.endBatch(first, made(first), 200);
+        scheduler.endBatch(first, samples.made(first), 200);
         const second = scheduler.nextBatch(200)!;
         const { job } = second.pieces[0]!;
-        vitest.expect(job.inputsOf(1)).toEqual(made(first).map(end => end.handle));
-        scheduler.endBatch(second, made(second), 400);
-        vitest.expect(scheduler.takeUnneeded()).toEqual(made(first).map(end => end.handle));
-        vitest.expect(scheduler.takeOutcomes()[0]!.handles).toEqual(made(second).map(end => end.handle));
+        vitest.expect(job.inputsOf(1)).toEqual(samples.made(first).map(end => end.handle));
+        scheduler.endBatch(second, samples.made(second), 400);
+        vitest.expect(scheduler.takeUnneeded()).toEqual(samples.made(first).map(end => end.handle));
+        vitest.expect(scheduler.takeOutcomes()[0]!.handles).toEqual(samples.made(second).map(end => end.handle));
     });
 
     vitest.describe("when the maker of their inputs is short of room", () => {
@@ -178,18 +161,18 @@
             { service: "archive", after: [], pieces: 3, resultBytes: 30_000 },
             { service: "ledger", after: [0], pieces: 1, resultBytes: 10 },
         ];
-        const small = { ...LEDGER, roomBytes: 100_000 };
+        const small = { ...samples.LEDGER, roomBytes: 100_000 };
 
         /** One order whose last call is under way, and one whose first call has no room. */
         function begin(): { scheduler: schedulers.StageScheduler; last: batching.StageBatch; inputs: string[] } {
-            const instances = (service: string) => [INSTANCES[service === "archive" ? 0 : 1]!];
+            const instances = (service: string) => [samples.INSTANCES[service === "archive" ? 0 : 1]!];
             const scheduler = new schedulers.StageScheduler({ capacity: () => small, instances });
-            scheduler.submit(order("first", { stages: wide }), 0);
+            scheduler.submit(samples.order("first", { stages: wide }), 0);
             const first = scheduler.nextBatch(0)!;
-            scheduler.endBatch(first, made(first), 200);
+            scheduler.endBatch(first, samples.made(first), 200);
             const last = scheduler.nextBatch(200)!;
-            scheduler.submit(order("second", { stages: wide }), 200);
-            return { scheduler, last, inputs: made(first).map(end => end.handle) };
+            scheduler.submit(samples.order("second", { stages: wide }), 200);
+            return { scheduler, last, inputs: samples.made(first).map(end => end.handle) };
         }
 
         vitest.it("give back inputs that were read", () => {
@@ -225,12 +208,12 @@
 
     vitest.it("make inputs again that have lapsed", () => {
         let lost = "";
-        const instances = (service: string) => service === lost ? [] : INSTANCES;
-        const scheduler = new schedulers.StageScheduler({ ...services, instances });
-        scheduler.submit(order("attempt", { stages, goalMs: 9_000, limitMs: 9_000 }), 0);
+        const instances = (service: string) => service === lost ? [] : samples.INSTANCES;
+        const scheduler = new schedulers.StageScheduler({ ...samples.services, instances });
+        scheduler.submit(samples.order("attempt", { stages, goalMs: 9_000, limitMs: 9_000 }), 0);
         lost = "ledger";
         const first = scheduler.nextBatch(0)!;
-        scheduler.endBatch(first, made(first), 200);
+        scheduler.endBatch(first, samples.made(first), 200);
         scheduler.expire(4_000);
         vitest.expect(scheduler.nextBatch(4_000)).toBeUndefined();
         scheduler.expire(4_150);
@@ -238,10 +221,10 @@
     });
 
     vitest.it("make lost inputs again", () => {
-        const scheduler = new schedulers.StageScheduler(services);
-        scheduler.submit(order("attempt", { stages }), 0);
+        const scheduler = new schedulers.StageScheduler(samples.services);
+        scheduler.submit(samples.order("attempt", { stages }), 0);
         const first = scheduler.nextBatch(0)!;
-        scheduler.endBatch(first, made(first), 200);
+        scheduler.endBatch(first, samples.made(first), 200);
         const second = scheduler.nextBatch(200)!;
         scheduler.endBatch(second, second.pieces.map(() => ({ failure: "input-gone" as const })), 300);
         vitest.expect(scheduler.nextBatch(500)!.service).toBe("archive");
@@ -250,7 +233,7 @@
 
 vitest.describe("an order that another host began", () => {
     vitest.it("goes on with the results that were made", () => {
-        const scheduler = new schedulers.StageScheduler(services);
+        const scheduler = new schedulers.StageScheduler(samples.services);
         const stages = [
             { service: "archive", after: [], pieces: 2, resultBytes: 10 },
             { service: "ledger", after: [0], pieces: 1, resultBytes: 10 },
@@ -262,7 +245,7 @@
             instance: "ledger-a",
             failureDomain: "a",
         }));
-        scheduler.submit(order("attempt", { stages, made }), 0);
+        scheduler.submit(samples.order("attempt", { stages, made }), 0);
         const batch = scheduler.nextBatch(0)!;
         vitest.expect(batch.service).toBe("ledger");
         vitest.expect(batch.pieces[0]!.job.inputsOf(1)).toEqual(["made-0", "made-1"]);
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -125,8 +125,9 @@
             const suiting = batching.suiting(ready, awaited, instance);
             const roomBytes = capacity.roomBytes * USED_ROOM_SHARE - this.results.bytesAt(instance.id, nowMs);
             const pieces = batching.fill(suiting, capacity, roomBytes, free.length > 1);
-            const withoutLimit = batching.fill(suiting, capacity, Infinity, free.length > 1);
-            if (pieces.length < withoutLimit.length && this.makeRoom(service, instance.id)) {
+            const isFull = pieces.length === Math.min(suiting.length, capacity.batch);
+            const wanted = isFull ? pieces : batching.fill(suiting, capacity, Infinity, free.length > 1);
+            if (pieces.length < wanted.length && this.makeRoom(service, instance.id)) {
                 continue; // There is more room as soon as the maker has taken the results back.
             }
             if (pieces.length > 0) {
--- a/src/process/serving/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -10,6 +10,7 @@
 import * as callerRequests from "../../request/CallerRequest";
 import * as deadlines from "../../request/Deadline";
 import * as pipelineRuns from "../../request/PipelineRun";
+import * as callerWatches from "./CallerWatch";
 import * as entryMetrics from "./EntryMetrics";
 import * as listeners from "./Listener";
 
@@ -129,12 +130,7 @@
         prepared: PreparedRequest,
         response: http.ServerResponse,
     ): Promise<{ readonly code: codes.ResultCode; readonly isInTime: boolean }> {
-        const gone = new AbortController();
-        response.on("close", () => {
-            if (!response.writableFinished) {
-                gone.abort();
-            }
-        });
+        const gone = callerWatches.watchCaller(response);
         const stream = new answers.EventStream(response);
         let isFirstInTime: boolean | undefined;
         const takeToken = (offset: number, token: string): void => {
--- /dev/null
+++ b/src/process/serving/CallerWatch.ts
@@ -0,0 +1,15 @@
+/**
+ * Tells when a caller has left before its answer.
+ */
+import * as http from "node:http";
+
+/** Aborts when the caller's connection closes before the answer has gone out. */
+export function watchCaller(response: http.ServerResponse): AbortController {
+    const gone = new AbortController();
+    response.on("close", () => {
+        if (!response.writableFinished) {
+            gone.abort();
+        }
+    });
+    return gone;
+}
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -63,12 +63,13 @@
             return undefined;
         }
         this.release();
-        const end = await this.context.runStages(this.describeOrder(route), this.call.signal);
+        const order = this.describeOrder(route);
+        const end = await this.context.runStages(order, this.call.signal);
         if (end.kind === "failed") {
             return end.failure;
         }
         this.call.progress.stagesMs = this.context.clock.now() - this.call.arrivedMs;
-        const sizes = resultSizes(route, facts.pieces);
+        const sizes = resultSizes(order);
         this.made = end.handles.map((handle, index) => ({ handle, bytes: sizes[index] ?? 0 }));
         return undefined;
     }
@@ -102,9 +103,9 @@
 }
 
 /** Sizes of the results that a call reads, in the order of its stages that no other stage follows. */
-function resultSizes(route: routing.Route, pieces: readonly number[]): number[] {
-    const followed = new Set(route.stages.flatMap((stage, index) => (pieces[index] ?? 0) > 0 ? stage.after : []));
-    return route.stages.flatMap((stage, index) =>
-        followed.has(index) ? [] : new Array<number>(pieces[index] ?? 0).fill(stage.resultBytes)
+function resultSizes(order: stageOrders.StageOrder): number[] {
+    const followed = stageOrders.followedStages(order);
+    return order.stages.flatMap((stage, index) =>
+        followed.has(index) ? [] : new Array<number>(stage.pieces).fill(stage.resultBytes)
     );
 }
--- a/src/version/KeyHome.ts
+++ b/src/version/KeyHome.ts
@@ -6,14 +6,5 @@
 
 /** The home of `key` among `slots`, in whatever order; undefined without slots. */
 export function findHome(key: string, slots: readonly string[]): string | undefined {
-    let home: string | undefined;
-    let homeScore = -Infinity;
-    for (const slot of slots) {
-        const slotScore = rendezvous.score(key, slot, 1);
-        if (home === undefined || slotScore > homeScore || (slotScore === homeScore && slot < home)) {
-            home = slot;
-            homeScore = slotScore;
-        }
-    }
-    return home;
+    return rendezvous.pickWinner(key, slots);
 }
