Wait on a silent engine as long as its work makes plausible

Cause: a stream without a first event was moved after 0.8 of the time to its goal, whatever the size of the prompt; the load of an engine and the time reserved for the first event counted cached tokens as well. Change: SilenceLimit decides from the tokens to read, other signs of the engine, and what another one would need; waiting prompts and the reserve count only tokens that aren't cached; a call that may not be sent again stays.

--- a/src/process/routing/InstanceChoice.ts
+++ b/src/process/routing/InstanceChoice.ts
@@ -2,6 +2,7 @@
  * Chooses the instance for a call. Designed for bursts of one kind of call on engines whose load reports lag. A
  * prompt goes where its parts are cached, unless the prompts waiting there cost more than reading the parts again.
  */
+import * as promptReading from "./PromptReading";
 
 /** An instance with the properties that the choice depends on. */
 export interface Candidate {
@@ -10,7 +11,7 @@
     readonly isSameDomain: boolean;
     /** Calls in progress there: this process's own count or a recently reported load, whichever is larger. */
     readonly load: number;
-    /** Tokens of prompts sent there for which no first event has arrived yet. */
+    /** Tokens to read there of prompts for which no first event has arrived yet. */
     readonly waitingTokens: number;
     /** Tokens of the call's prompt that are probably not cached there. */
     readonly missingTokens: number;
@@ -22,8 +23,6 @@
     readonly slowness: number;
 }
 
-/** Prompt tokens that an engine reads in a millisecond. */
-const PROMPT_TOKENS_PER_MS = 36;
 /** Cost of each call, including the new one: divided by the slots, and added in full for each call beyond the slots. */
 const LOAD_COST_MS = 60;
 /** Cost of sending a call to another failure domain. */
@@ -35,7 +34,7 @@
 
 /** Cost of sending a call to `candidate`: the expected delay from prompts, load, inputs and failure domain. */
 export function expectedCostMs(candidate: Candidate): number {
-    const promptMs = (candidate.waitingTokens + candidate.missingTokens) / PROMPT_TOKENS_PER_MS;
+    const promptMs = promptReading.readingMs(candidate.waitingTokens + candidate.missingTokens);
     const loadMs = LOAD_COST_MS * (candidate.load + 1) / Math.max(1, candidate.slots);
     const overflowMs = Math.max(0, candidate.load - candidate.slots + 1) * LOAD_COST_MS;
     const inputMs = candidate.crossDomainInputBytes / BYTES_PER_MB * CROSS_DOMAIN_INPUT_MS_PER_MB;
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -9,6 +9,7 @@
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
 import * as traffic from "./InstanceTraffic";
+import * as promptReading from "./PromptReading";
 import * as views from "./PublishedView";
 
 /**
@@ -59,6 +60,8 @@
     readonly instance: views.KnownInstance;
     readonly traffic: traffic.InstanceTraffic;
     readonly isCold: boolean;
+    /** Tokens of the call's prompt that are probably not cached there. */
+    readonly missingTokens: number;
     /** Number of instances that could accept the call. */
     readonly candidateCount: number;
 }
@@ -109,28 +112,31 @@
 
     /** Chooses an instance without counting the call yet; undefined when none can accept it now. */
     choose(requirements: CallRequirements): ChosenInstance | undefined {
-        const eligible = this.usableInstances(requirements.service)
-            .filter(instance =>
-                !requirements.triedIncarnations.has(incarnationKey(instance)) && this.isWithinColdRate(instance)
-            );
-        const affinityId = pickAffinityId(eligible, requirements.promptParts);
-        const fastestCallMs = Math.min(
-            UNMEASURED_CALL_MS,
-            ...eligible.map(other => this.trafficOf(other).recentCallMs ?? UNMEASURED_CALL_MS),
-        );
-        const candidates = eligible.map(instance =>
-            this.toCandidate(instance, requirements, instance.id === affinityId, Math.max(MIN_CALL_MS, fastestCallMs))
-        );
+        const candidates = this.findCandidates(requirements);
         const chosen = choices.chooseInstance(candidates, this.options.random);
-        const instance = eligible.find(other => other.id === chosen?.id);
+        const instance = chosen && this.options.view.find(chosen.id);
         return instance && {
             instance,
             traffic: this.trafficOf(instance),
             isCold: this.isCold(instance),
+            missingTokens: chosen.missingTokens,
             candidateCount: candidates.length,
         };
     }
 
+    /** Expected time to the first event on the best instance that can accept the call; undefined when there is none. */
+    expectedFirstEventMs(requirements: CallRequirements): number | undefined {
+        const best = choices.chooseInstance(this.findCandidates(requirements), this.options.random);
+        return best && promptReading.firstEventMs(best.waitingTokens + best.missingTokens);
+    }
+
+    /** Tokens of a prompt that are probably not cached where it would be sent if all instances were idle. */
+    missingTokens(service: string, promptTokens: number, parts: readonly routingPorts.PromptPart[]): number {
+        const affinityId = pickAffinityId(this.usableInstances(service), parts);
+        const sharedTokens = parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+        return affinityId === undefined ? promptTokens : Math.max(0, promptTokens - sharedTokens);
+    }
+
     /** The failure domain of the preferred instance for a prompt's shared parts; undefined when there is none. */
     affinityDomain(service: string, parts: readonly routingPorts.PromptPart[]): string | undefined {
         const candidates = this.usableInstances(service);
@@ -169,6 +175,22 @@
         return this.trafficOf(instance).arrivals.count(this.options.clock.now()) < ownShare;
     }
 
+    /** The instances that can accept a call now. */
+    private findCandidates(requirements: CallRequirements): choices.Candidate[] {
+        const eligible = this.usableInstances(requirements.service)
+            .filter(instance =>
+                !requirements.triedIncarnations.has(incarnationKey(instance)) && this.isWithinColdRate(instance)
+            );
+        const affinityId = pickAffinityId(eligible, requirements.promptParts);
+        const fastestCallMs = Math.min(
+            UNMEASURED_CALL_MS,
+            ...eligible.map(other => this.trafficOf(other).recentCallMs ?? UNMEASURED_CALL_MS),
+        );
+        return eligible.map(instance =>
+            this.toCandidate(instance, requirements, instance.id === affinityId, Math.max(MIN_CALL_MS, fastestCallMs))
+        );
+    }
+
     private toCandidate(
         instance: views.KnownInstance,
         requirements: CallRequirements,
--- a/src/process/routing/InstanceTraffic.ts
+++ b/src/process/routing/InstanceTraffic.ts
@@ -3,6 +3,7 @@
  */
 import * as clocks from "../../common/Clock";
 import * as coldShares from "./ColdShare";
+import * as promptReading from "./PromptReading";
 
 /** First pause of an instance after failures; doubles with each further pause until a call succeeds. */
 const MIN_PAUSE_MS = 500;
@@ -24,16 +25,21 @@
 
 /** A call in progress at an instance. */
 export interface Ticket {
-    /** Records the first event, which shows that the prompt has been read. */
-    recordFirstEvent(): void;
+    /** Expected time from sending the call to its first event, from the prompts that the instance has to read. */
+    readonly expectedFirstEventMs: number;
+    /** Records an event of the stream; the first one shows that the prompt has been read. */
+    recordEvent(): void;
     end(outcome: CallOutcome): void;
 }
 
 /** Counts and estimates for one incarnation. */
 export class InstanceTraffic {
     inFlight = 0;
-    /** Tokens of prompts for which no first event has arrived yet. */
+    /** Tokens that the instance has to read of prompts for which no first event has arrived yet. */
     waitingTokens = 0;
+    /** Number of streams that have begun and not ended. */
+    private openStreams = 0;
+    private lastEventAtMs = -Infinity;
     readonly arrivals = new coldShares.ArrivalWindow();
     private failureShare = 0;
     private pausesSinceSuccess = 0;
@@ -63,6 +69,11 @@
         return Math.max(this.inFlight, isFresh ? this.reportedLoad : 0);
     }
 
+    /** Time since the last event of any stream there; undefined without a stream that has begun and not ended. */
+    get quietMs(): number | undefined {
+        return this.openStreams > 0 ? this.clock.now() - this.lastEventAtMs : undefined;
+    }
+
     /** Moving average of the time of successful calls without a prompt; undefined when none ended recently. */
     get recentCallMs(): number | undefined {
         return this.clock.now() - this.meanUpdatedMs < CALL_TIME_LIFETIME_MS ? this.meanCallMs : undefined;
@@ -79,28 +90,36 @@
         return this.cachedParts.has(id);
     }
 
-    /** Counts a call from its dispatch to its end. */
-    begin(promptTokens: number, parts: readonly string[]): Ticket {
+    /** Counts a call from its dispatch to its end. `missingTokens` are those of its prompt that aren't cached here. */
+    begin(missingTokens: number, parts: readonly string[]): Ticket {
         this.inFlight++;
-        this.waitingTokens += promptTokens;
+        this.waitingTokens += missingTokens;
         this.arrivals.add(this.clock.now());
         this.addCachedParts(parts);
         const startedAtMs = this.clock.now();
-        let unreadTokens = promptTokens;
+        let unreadTokens = missingTokens;
+        let isStreaming = false;
         let hasEnded = false;
-        const recordFirstEvent = (): void => {
+        const recordRead = (): void => {
             this.waitingTokens -= unreadTokens;
             unreadTokens = 0;
         };
         return {
-            recordFirstEvent,
+            expectedFirstEventMs: promptReading.firstEventMs(this.waitingTokens),
+            recordEvent: () => {
+                recordRead();
+                this.openStreams += isStreaming || hasEnded ? 0 : 1;
+                isStreaming = true;
+                this.lastEventAtMs = this.clock.now();
+            },
             end: outcome => {
                 if (!hasEnded) {
                     hasEnded = true;
-                    recordFirstEvent();
+                    recordRead();
+                    this.openStreams -= isStreaming ? 1 : 0;
                     this.inFlight--;
                     this.recordOutcome(outcome);
-                    if (outcome === "ok" && promptTokens === 0) {
+                    if (outcome === "ok" && missingTokens === 0) {
                         this.recordCallTime(this.clock.now() - startedAtMs);
                     }
                 }
--- a/src/process/routing/ServiceRetryBudget.ts
+++ b/src/process/routing/ServiceRetryBudget.ts
@@ -35,12 +35,17 @@
         this.dropExpired();
     }
 
-    /** Counts a retry if the budget allows it; false when the budget is spent. */
-    trySpend(): boolean {
+    /** Whether the budget allows a retry. */
+    get canSpend(): boolean {
         this.dropExpired();
         const { ratio, slack } = this.bound();
         const maxRetries = BOUND_SAFETY_FACTOR * (ratio * this.firstCallTimesMs.length + slack / this.entryCount());
-        if (this.retryTimesMs.length + 1 > maxRetries) {
+        return this.retryTimesMs.length + 1 <= maxRetries;
+    }
+
+    /** Counts a retry if the budget allows it; false when the budget is spent. */
+    trySpend(): boolean {
+        if (!this.canSpend) {
             return false;
         }
         this.retryTimesMs.push(this.clock.now());
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -43,7 +43,7 @@
         const sendOutcome = await senders.sendCall(context, call, history, {
             lastEventId: call.metadata.lastEventId,
             inputs: [],
-            answerTimeoutMs: Infinity,
+            answerWaitMs: () => Infinity,
         });
         const runOutcome = await handleSendOutcome(context, call, sendOutcome);
         if (runOutcome === "not-run") {
@@ -98,11 +98,11 @@
     const body = await exchanges.readBody(answered.answer, MAX_ANSWER_BYTES);
     deadlineTimer.dispose();
     if (call.signal.aborted) {
-        answered.ticket.end("cancelled");
+        answered.sent.ticket.end("cancelled");
         return { kind: "disconnected" };
     }
     const { status, rawHeaders } = answered.answer;
-    answered.ticket.end(body !== undefined && status < 500 ? "ok" : "failed");
+    answered.sent.ticket.end(body !== undefined && status < 500 ? "ok" : "failed");
     if (body === undefined) {
         const isLate = context.clock.now() >= call.hardDeadlineAtMs;
         const code = isLate ? codes.codes.upstreamTimeout : codes.codes.upstreamReset;
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -4,17 +4,13 @@
 import * as codes from "../../common/Codes";
 import * as routing from "../../common/Routing";
 import * as stageOrders from "../../common/StageOrder";
+import * as promptReading from "../../process/routing/PromptReading";
 import * as stageHosts from "../../process/routing/StageHost";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
 import * as streamRuns from "./StreamRun";
 import * as senders from "./UpstreamSender";
 
-/** Time from a call's arrival at an instance to its first event, excluding the prefill of the prompt. */
-const FIRST_EVENT_OVERHEAD_MS = 90;
-/** Prefill rate of an engine that is processing other prompts as well. */
-const PROMPT_TOKENS_PER_MS = 30;
-
 /** Dependencies for running a call. */
 export interface RunContext extends senders.SenderContext {
     readonly runStages: (order: stageOrders.StageOrder, signal: AbortSignal) => Promise<stageHosts.StageRunResult>;
@@ -83,7 +79,9 @@
     private createOrder(route: routing.Route): stageOrders.StageOrder {
         const { metadata } = this.call;
         const nowMs = this.context.clock.now();
-        const reserveMs = FIRST_EVENT_OVERHEAD_MS + metadata.promptTokens / PROMPT_TOKENS_PER_MS;
+        const { pool } = this.context;
+        const missingTokens = pool.missingTokens(this.call.service, metadata.promptTokens, metadata.promptParts);
+        const reserveMs = promptReading.firstEventMs(missingTokens);
         return {
             attempt: metadata.attempt,
             pieceKey: metadata.pieceKey,
@@ -97,7 +95,7 @@
             goalMs: this.call.softDeadlineAtMs - nowMs - reserveMs,
             limitMs: this.call.hardDeadlineAtMs - nowMs - reserveMs,
             made: [],
-            failureDomain: this.context.pool.affinityDomain(this.call.service, metadata.promptParts),
+            failureDomain: pool.affinityDomain(this.call.service, metadata.promptParts),
         };
     }
 }
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -5,17 +5,12 @@
 import * as http from "node:http";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
+import * as silenceLimits from "../../process/routing/SilenceLimit";
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
 import * as senders from "./UpstreamSender";
 
-/** A stream without new bytes for this long is resumed on another instance. */
-const STALL_TIMEOUT_MS = 1_500;
-/** Share of the time to the soft deadline after which a stream without any event moves to another instance. */
-const FIRST_EVENT_TIMEOUT_SHARE = 0.8;
-const MIN_FIRST_EVENT_TIMEOUT_MS = 800;
-
 /** Destination of the events of a stream. */
 export interface EventSink {
     /** Whether the headers have been written. */
@@ -63,7 +58,7 @@
             const sendOutcome = await senders.sendCall(this.context, this.call, this.history, {
                 lastEventId: this.lastEventId,
                 inputs: this.options.inputs(),
-                answerTimeoutMs: this.firstEventTimeoutMs(),
+                answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
             });
             if (sendOutcome.kind === "not-run") {
                 if (sendOutcome.isInputLost && !await this.options.recomputeInputs()) {
@@ -109,7 +104,7 @@
             return { outcome: this.abortUnlessRetryable(outcome), isFinal };
         }
         const forwarded = await this.forward(answered);
-        answered.ticket.end(
+        answered.sent.ticket.end(
             forwarded === "complete"
                 ? "ok"
                 : forwarded === "disconnected" || forwarded === "deadline"
@@ -137,8 +132,12 @@
     /** Forwards the events of one answer until it ends. */
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
         const splitter = new splitters.EventSplitter();
+        const { sent } = answered;
+        let lastBytesAtMs = sent.sentAtMs;
         for (;;) {
-            const chunk = await readChunk(answered.answer.body, this.context.clock, this.chunkTimeoutMs());
+            const waitMs = (): number => this.waitMs(sent, lastBytesAtMs);
+            const chunk = await readChunk(answered.answer.body, this.context.clock, waitMs);
+            lastBytesAtMs = this.context.clock.now();
             if (this.call.signal.aborted) {
                 answered.answer.cancel();
                 return "disconnected";
@@ -179,27 +178,29 @@
             }
             this.lastEventId = event.id ?? this.lastEventId;
             this.call.progress.firstEventMs ??= this.context.clock.now() - this.call.arrivedMs;
-            answered.ticket.recordFirstEvent();
+            answered.sent.ticket.recordEvent();
             await sink.write(event.bytes);
             this.options.onEventForwarded();
         }
     }
 
-    /** Time to wait for the next bytes. */
-    private chunkTimeoutMs(): number {
-        const remainingMs = this.call.hardDeadlineAtMs - this.context.clock.now();
+    /** Time to wait for the next bytes of a send before asking again; 0 to give up. */
+    private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
+        const nowMs = this.context.clock.now();
+        const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
         if (!calls.isRetryable(this.call.route)) {
             return remainingMs;
         }
-        return Math.min(remainingMs, this.options.sink.hasBegun ? STALL_TIMEOUT_MS : this.firstEventTimeoutMs());
-    }
-
-    private firstEventTimeoutMs(): number {
-        if (!calls.isRetryable(this.call.route)) {
-            return Infinity;
-        }
-        const remainingMs = this.call.softDeadlineAtMs - this.context.clock.now();
-        return Math.max(MIN_FIRST_EVENT_TIMEOUT_MS, remainingMs * FIRST_EVENT_TIMEOUT_SHARE);
+        const silentCall = {
+            waitedMs: nowMs - lastBytesAtMs,
+            expectedMs: sent.ticket.expectedFirstEventMs,
+            quietMs: sent.traffic.quietMs,
+            remainingMs,
+            elsewhereMs: sent.elsewhereMs,
+        };
+        return this.options.sink.hasBegun
+            ? silenceLimits.nextEventWaitMs(silentCall)
+            : silenceLimits.firstEventWaitMs(silentCall);
     }
 
     private canRetry(): boolean {
@@ -225,11 +226,11 @@
     }
 }
 
-/** Reads the next bytes of a body; `end` once it has ended, complete or not. */
+/** Reads the next bytes of a body; `end` once it has ended, complete or not. Asks how long to wait, until it is 0. */
 function readChunk(
     body: http.IncomingMessage,
     clock: clocks.Clock,
-    timeoutMs: number,
+    waitMs: () => number,
 ): Promise<Buffer | "end" | "timeout"> {
     const ready = body.read() as Buffer | undefined;
     if (ready) {
@@ -239,7 +240,15 @@
         return Promise.resolve("end");
     }
     return new Promise(resolve => {
-        const timer = clock.schedule(timeoutMs, () => finish("timeout"));
+        let timer: clocks.Disposable;
+        const waitFurther = (): void => {
+            const furtherMs = waitMs();
+            if (furtherMs <= 0) {
+                finish("timeout");
+                return;
+            }
+            timer = clock.schedule(furtherMs, waitFurther);
+        };
         const readAvailable = (): void => {
             const chunk = body.read() as Buffer | undefined;
             if (chunk) {
@@ -250,8 +259,9 @@
         body.on("readable", readAvailable);
         body.on("end", finishBody);
         body.on("close", finishBody);
+        waitFurther();
         function finish(next: Buffer | "end" | "timeout"): void {
-            timer.dispose();
+            timer?.dispose();
             body.off("readable", readAvailable);
             body.off("end", finishBody);
             body.off("close", finishBody);
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -56,7 +56,7 @@
         readonly kind: "answer";
         readonly answer: exchanges.OpenAnswer;
         readonly metadata: routingPorts.UpstreamAnswerMetadata;
-        readonly ticket: traffic.Ticket;
+        readonly sent: SentCall;
         readonly instance: string;
     }
     | { readonly kind: "not-run"; readonly isInputLost: boolean }
@@ -72,11 +72,21 @@
     readonly bytes: number;
 }
 
+/** A call that was sent and has not ended. */
+export interface SentCall {
+    readonly sentAtMs: number;
+    readonly ticket: traffic.Ticket;
+    readonly traffic: traffic.InstanceTraffic;
+    /** Expected time to the first event on the best other instance; undefined when the call can't be moved. */
+    readonly elsewhereMs: () => number | undefined;
+}
+
 /** Options that differ between the sends of a call. */
 export interface SendOptions {
     readonly lastEventId: number | undefined;
     readonly inputs: readonly CallInput[];
-    readonly answerTimeoutMs: number;
+    /** How long to wait for the headers of the answer before asking again; 0 to give up. */
+    readonly answerWaitMs: (sent: SentCall) => number;
 }
 
 /** Chooses an instance and sends the call to it. */
@@ -95,9 +105,16 @@
     }
     const { instance } = chosen;
     const partIds = call.metadata.promptParts.map(part => part.id);
-    const ticket = chosen.traffic.begin(call.metadata.promptTokens, partIds);
-    const remainingMs = call.hardDeadlineAtMs - context.clock.now();
-    logSend(context, call, history, chosen, remainingMs);
+    const ticket = chosen.traffic.begin(chosen.missingTokens, partIds);
+    const sentAtMs = context.clock.now();
+    const remainingMs = call.hardDeadlineAtMs - sentAtMs;
+    const sent: SentCall = {
+        sentAtMs,
+        ticket,
+        traffic: chosen.traffic,
+        elsewhereMs: () => findElsewhereMs(context, call, history, options.inputs),
+    };
+    logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs);
     call.progress.mayHaveRun = true;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
         address: instance.address,
@@ -114,11 +131,12 @@
         }),
         body: call.body,
         isNewConnection: !calls.isRetryable(call.route) || history.sends > 1,
-        answerTimeoutMs: Math.min(options.answerTimeoutMs, remainingMs),
+        answerTimeoutMs: Math.min(options.answerWaitMs(sent), remainingMs),
+        extendTimeoutMs: () => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now()),
     }, call.signal);
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
-        : classifyAnswer(context, call, exchange, ticket, chosen);
+        : classifyAnswer(context, call, exchange, sent, chosen);
     if (outcome.kind === "answer" || outcome.kind === "unknown") {
         history.possibleRuns++;
     }
@@ -134,13 +152,7 @@
     history: CallHistory,
     inputs: readonly CallInput[],
 ): pools.ChosenInstance | undefined {
-    const chosen = context.pool.choose({
-        service: call.service,
-        promptTokens: call.metadata.promptTokens,
-        promptParts: call.metadata.promptParts,
-        inputBytesByDomain: inputBytesByDomain(context, inputs),
-        triedIncarnations: history.triedIncarnations,
-    });
+    const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
         return undefined;
     }
@@ -157,6 +169,34 @@
     return chosen;
 }
 
+/** Expected time to the first event of the call's next send; undefined when it may not or can't be sent again. */
+function findElsewhereMs(
+    context: SenderContext,
+    call: calls.RoutedCall,
+    history: CallHistory,
+    inputs: readonly CallInput[],
+): number | undefined {
+    const isAllowed = calls.isRetryable(call.route)
+        && history.sends < Math.min(MAX_SENDS, call.route.attempts)
+        && context.budgetOf(call.service).canSpend;
+    return isAllowed ? context.pool.expectedFirstEventMs(requirementsOf(context, call, history, inputs)) : undefined;
+}
+
+function requirementsOf(
+    context: SenderContext,
+    call: calls.RoutedCall,
+    history: CallHistory,
+    inputs: readonly CallInput[],
+): pools.CallRequirements {
+    return {
+        service: call.service,
+        promptTokens: call.metadata.promptTokens,
+        promptParts: call.metadata.promptParts,
+        inputBytesByDomain: inputBytesByDomain(context, inputs),
+        triedIncarnations: history.triedIncarnations,
+    };
+}
+
 /** Total bytes of the inputs by the failure domain that holds them. */
 function inputBytesByDomain(context: SenderContext, inputs: readonly CallInput[]): ReadonlyMap<string, number> {
     const bytes = new Map<string, number>();
@@ -190,9 +230,10 @@
     context: SenderContext,
     call: calls.RoutedCall,
     answer: exchanges.OpenAnswer,
-    ticket: traffic.Ticket,
+    sent: SentCall,
     chosen: pools.ChosenInstance,
 ): SendOutcome {
+    const { ticket } = sent;
     const metadata = context.wire.readAnswer(answer.status, answer.headers);
     const isOtherAttempt = metadata.attempt !== undefined && metadata.attempt !== call.metadata.attempt;
     if (isOtherAttempt || !isValidAnswer(answer, metadata)) {
@@ -208,7 +249,7 @@
         ticket.end(metadata.effect === "other-instance" ? "unreachable" : "refused");
         return { kind: "not-run", isInputLost: metadata.isInputLost };
     }
-    return { kind: "answer", answer, metadata, ticket, instance: chosen.instance.id };
+    return { kind: "answer", answer, metadata, sent, instance: chosen.instance.id };
 }
 
 /** Whether the content is unencoded and, if the status is a success, signed by the instance. */
@@ -222,6 +263,7 @@
     call: calls.RoutedCall,
     history: CallHistory,
     chosen: pools.ChosenInstance,
+    expectedMs: number,
     remainingMs: number,
 ): void {
     context.log.info({
@@ -233,6 +275,8 @@
         address: chosen.instance.address,
         candidates: chosen.candidateCount,
         load: chosen.traffic.load,
+        missingTokens: chosen.missingTokens,
+        expectedMs: Math.round(expectedMs),
         cold: chosen.isCold,
         remainingMs: Math.round(remainingMs),
         revision: context.revision(),
