Bound the presence messages of an entry and the cost of a scheduling pass

Cause: every entry told every other one four times a second that it is present, sent the list of all entries to all, and repeated both to all at each new connection; a scheduling pass looked at all results of all stage workers and sorted all orders even when nothing could start; traffic was looked up by a composed name.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -6,6 +6,8 @@
 import * as stageOrders from "./StageOrder";
 
 const MAX_ENTRIES = 10_000;
+/** Shortest interval of presence messages. */
+export const MIN_PRESENCE_INTERVAL_MS = 300;
 const name = z.string().min(1).max(200);
 
 const entrySchema = z.object({ instance: name, address: z.string().min(1).max(64), failureDomain: name });
@@ -27,8 +29,13 @@
     cores: z.number().min(0),
     /** Time since the sender became the stage host of all entries; undefined if it isn't. */
     hostingMs: z.number().min(0).optional(),
+    /** Interval at which the sender sends presence messages. */
+    intervalMs: z.number().min(1).default(MIN_PRESENCE_INTERVAL_MS),
 });
 
+/** Presence message between entries. */
+export type Presence = z.infer<typeof presenceSchema>;
+
 /** Requests the changes of the published store after `revision`. */
 export const publishedFetchSchema = z.object({ kind: z.literal("published-fetch"), revision: z.int().min(0) });
 
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -29,7 +29,9 @@
     /** The next heartbeat to send. */
     heartbeat(): messages.Heartbeat;
     /** Silence after which the connection is closed; undefined for `PEER_SILENCE_MS`. */
-    readonly silenceMs?: number | undefined;
+    readonly silenceMs?: () => number;
+    /** Time without another message after which a heartbeat is sent; undefined to send one each `HEARTBEAT_MS`. */
+    readonly heartbeatIntervalMs?: () => number;
 }
 
 /** An established connection, on which the peer's hello has arrived. */
@@ -196,14 +198,15 @@
 
     private onHeartbeatTimer(): void {
         // If this process itself was paused, the peer may not have been silent: read the buffered data first.
-        const silenceMs = this.context.silenceMs ?? messages.PEER_SILENCE_MS;
+        const silenceMs = this.context.silenceMs?.() ?? messages.PEER_SILENCE_MS;
         const wasPaused = this.context.clock.now() - this.lastSentMs > silenceMs;
         if (this.silentMs > silenceMs && !wasPaused) {
             this.close(codes.failure(codes.codes.peerSilent, `${Math.round(this.silentMs)} ms`));
             this.socket.destroy();
             return;
         }
-        if (this.remoteHello !== undefined) {
+        const idleMs = this.context.clock.now() - this.lastSentMs;
+        if (this.remoteHello !== undefined && idleMs >= (this.context.heartbeatIntervalMs?.() ?? 0)) {
             this.send(this.context.heartbeat());
         }
     }
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -5,46 +5,26 @@
 import * as net from "node:net";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
+import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as listeners from "../serving/Listener";
+import * as peerEntries from "./PeerEntry";
+import * as paces from "./PresencePace";
 
-const PRESENCE_INTERVAL_MS = 300;
-/** An entry that was silent for this long gets no work; its connection may still recover. */
-const PRESENCE_TIMEOUT_MS = 1_000;
-/** Silence after which a connection is replaced, since a broken connection isn't always reset. */
-const CONNECTION_SILENCE_MS = 1_500;
+/** Share of the peers that get the list of entries with each presence message, picked at random. */
+const ENTRY_LIST_SHARE = 1 / 8;
 const MIN_RECONNECT_MS = 300;
 const MAX_RECONNECT_MS = 2_000;
 /** Interval at which unreachable entries are removed and tasks for new addresses are started. */
 const RECONCILE_INTERVAL_MS = 500;
 /** An unconnected entry is removed after this long without a message. */
 const FORGET_AFTER_MS = 60_000;
-/** Number of presence messages between two lists of entries. */
-const PRESENCES_PER_ENTRY_LIST = 5;
-
-/** Another entry. */
-export interface PeerEntry {
-    readonly instance: string;
-    readonly address: string;
-    readonly failureDomain: string;
-    lastHeardMs: number;
-    isDraining: boolean;
-    /** Start of its process, on this process's clock; undefined before its first presence message. */
-    startedMs: number | undefined;
-    /** Since when it has been the stage host, on this process's clock; undefined when it isn't. */
-    hostingSinceMs: number | undefined;
-    /** CPU cores available to it. */
-    cores: number;
-    /** The latest revision of the published store that it reported. */
-    revision: number;
-    connection: peerConnections.PeerConnection | undefined;
-}
 
 /** A frame received from another entry. */
 export interface PeerFrame {
-    readonly peer: PeerEntry;
+    readonly peer: peerEntries.PeerEntry;
     readonly connection: peerConnections.PeerConnection;
     readonly message: messages.Message;
 }
@@ -74,12 +54,11 @@
 
 /** Maintains the connections to the other entries. */
 export class EntryPeers implements clocks.Disposable {
-    private readonly peersByInstance = new Map<string, PeerEntry>();
+    private readonly peersByInstance = new Map<string, peerEntries.PeerEntry>();
     private readonly addressesWithTask = new Set<string>();
     private readonly stop = new AbortController();
     private readonly timers: clocks.Disposable[] = [];
     private listener: listeners.Listener | undefined;
-    private presenceCount = 0;
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
 
@@ -99,16 +78,16 @@
     async start(): Promise<void> {
         const server = net.createServer(socket => void this.accept(socket));
         this.listener = await listeners.listen(server, this.options.listen);
-        this.timers.push(clocks.every(this.options.clock, PRESENCE_INTERVAL_MS, () => this.broadcastPresence()));
+        void this.keepPresent();
         this.timers.push(clocks.every(this.options.clock, RECONCILE_INTERVAL_MS, () => this.reconcile()));
         this.reconcile();
     }
 
-    /** Connected entries that sent a frame within the presence time-out. */
-    get livePeers(): PeerEntry[] {
-        const sinceMs = this.options.clock.now() - PRESENCE_TIMEOUT_MS;
+    /** Connected entries that sent a frame within the time-out for their presence messages. */
+    get livePeers(): peerEntries.PeerEntry[] {
+        const nowMs = this.options.clock.now();
         return [...this.peersByInstance.values()].filter(peer =>
-            peer.connection !== undefined && peer.lastHeardMs >= sinceMs
+            peer.connection !== undefined && nowMs - peer.lastHeardMs <= paces.timeoutMs(peer.presenceIntervalMs)
         );
     }
 
@@ -123,32 +102,19 @@
     }
 
     /** All other known entries, live or not. */
-    get knownPeers(): readonly PeerEntry[] {
+    get knownPeers(): readonly peerEntries.PeerEntry[] {
         return [...this.peersByInstance.values()];
     }
 
     /** Sends a message to an entry; false when there is no connection. */
-    send(peer: PeerEntry, message: messages.Message): boolean {
+    send(peer: peerEntries.PeerEntry, message: messages.Message): boolean {
         return peer.connection?.send(message) ?? false;
     }
 
-    /** Tells all connected peers at once that this entry is present or leaving; periodically lists the entries too. */
+    /** Tells all connected peers at once that this entry is present or leaving. */
     broadcastPresence(): void {
-        const uptimeMs = this.options.clock.now() - this.startedMs;
-        const message = {
-            kind: "presence" as const,
-            isDraining: this.options.isDraining(),
-            uptimeMs,
-            cores: this.options.cores,
-            hostingMs: this.options.hostingMs(),
-        };
-        const isListDue = this.presenceCount++ % PRESENCES_PER_ENTRY_LIST === 0;
-        for (const peer of this.peersByInstance.values()) {
-            peer.connection?.send(message);
-            if (isListDue) {
-                peer.connection?.send(this.buildEntryList());
-            }
-        }
+        const message = this.buildPresence();
+        this.peersByInstance.forEach(peer => peer.connection?.send(message));
     }
 
     dispose(): void {
@@ -160,6 +126,34 @@
         this.disconnectEmitter.dispose();
     }
 
+    /** Sends presence messages until disposed, and lists of entries to a few peers. */
+    private async keepPresent(): Promise<void> {
+        while (!this.stop.signal.aborted) {
+            this.broadcastPresence();
+            this.sendEntryLists();
+            await clocks.sleep(this.options.clock, this.presenceIntervalMs, this.stop.signal);
+        }
+    }
+
+    private sendEntryLists(): void {
+        const connected = this.knownPeers.filter(peer => peer.connection !== undefined);
+        const list = this.buildEntryList();
+        for (let count = Math.ceil(connected.length * ENTRY_LIST_SHARE); count > 0; count--) {
+            connected[Math.floor(this.options.random() * connected.length)]!.connection?.send(list);
+        }
+    }
+
+    private get presenceIntervalMs(): number {
+        return this.options.hostingMs() === undefined
+            ? this.ordinaryIntervalMs
+            : entryMessages.MIN_PRESENCE_INTERVAL_MS;
+    }
+
+    /** Interval of the presence messages of entries that aren't stage hosts. */
+    private get ordinaryIntervalMs(): number {
+        return paces.ordinaryIntervalMs(this.peersByInstance.size);
+    }
+
     private reconcile(): void {
         const nowMs = this.options.clock.now();
         for (const peer of this.peersByInstance.values()) {
@@ -232,7 +226,7 @@
                 "peer connected",
             );
         }
-        this.broadcastPresence();
+        connection.send(this.buildPresence());
         connection.send(this.buildEntryList());
         for (;;) {
             const envelope = await connection.next();
@@ -256,11 +250,7 @@
             message.entries.forEach(entry => this.addDiscovered(entry));
         }
         else if (message.kind === "presence") {
-            peer.isDraining = message.isDraining;
-            peer.cores = message.cores;
-            const nowMs = this.options.clock.now();
-            peer.startedMs = nowMs - message.uptimeMs;
-            peer.hostingSinceMs = message.hostingMs === undefined ? undefined : nowMs - message.hostingMs;
+            peerEntries.applyPresence(peer, message, this.options.clock.now());
         }
         else {
             this.frameEmitter.fire(frame);
@@ -275,27 +265,27 @@
     }
 
     /** Finds or creates a peer. An entry with a new address gets a new peer. */
-    private obtainPeer(instance: string, address: string, failureDomain: string): PeerEntry {
+    private obtainPeer(instance: string, address: string, failureDomain: string): peerEntries.PeerEntry {
         const found = this.peersByInstance.get(instance);
         if (found !== undefined && found.address === address) {
             return found;
         }
-        const peer: PeerEntry = {
-            instance,
-            address,
-            failureDomain,
-            lastHeardMs: this.options.clock.now(),
-            isDraining: false,
-            startedMs: undefined,
-            hostingSinceMs: undefined,
-            cores: 0,
-            revision: 0,
-            connection: undefined,
-        };
+        const peer = peerEntries.createPeerEntry(instance, address, failureDomain, this.options.clock.now());
         this.peersByInstance.set(instance, peer);
         return peer;
     }
 
+    private buildPresence(): messages.Message {
+        return {
+            kind: "presence",
+            isDraining: this.options.isDraining(),
+            uptimeMs: this.options.clock.now() - this.startedMs,
+            cores: this.options.cores,
+            hostingMs: this.options.hostingMs(),
+            intervalMs: this.presenceIntervalMs,
+        };
+    }
+
     private buildEntryList(): messages.Message {
         const { instance, address, failureDomain } = this.options;
         const others = this.knownPeers.filter(peer => peer.connection !== undefined);
@@ -327,7 +317,8 @@
             }),
             version: () => this.options.revision(),
             heartbeat: () => ({ kind: "heartbeat" }),
-            silenceMs: CONNECTION_SILENCE_MS,
+            silenceMs: () => paces.connectionSilenceMs(this.ordinaryIntervalMs),
+            heartbeatIntervalMs: () => this.ordinaryIntervalMs,
         };
     }
 }
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -74,6 +74,8 @@
 /** Chooses instances and keeps the traffic counts of each. */
 export class InstancePool implements clocks.Disposable {
     private readonly trafficByIncarnation = new Map<string, traffic.InstanceTraffic>();
+    /** The same by the view's records, since a lookup by name costs more than most decisions that need it. */
+    private readonly trafficByRecord = new WeakMap<routing.RoutedInstance, traffic.InstanceTraffic>();
     private readonly outOfServiceDomains = new Set<string>();
     /** When each failure domain last returned to service. */
     private readonly backInServiceMs = new Map<string, number>();
@@ -89,7 +91,15 @@
 
     /** The traffic counts of an incarnation, created at the first use. */
     trafficOf(instance: routing.RoutedInstance): traffic.InstanceTraffic {
-        const key = incarnationKey(instance);
+        let counts = this.trafficByRecord.get(instance);
+        if (counts === undefined) {
+            counts = this.obtainTraffic(incarnationKey(instance));
+            this.trafficByRecord.set(instance, counts);
+        }
+        return counts;
+    }
+
+    private obtainTraffic(key: string): traffic.InstanceTraffic {
         let counts = this.trafficByIncarnation.get(key);
         if (counts === undefined) {
             counts = new traffic.InstanceTraffic(this.options.clock);
@@ -178,9 +188,7 @@
     /** The instances that can accept a call now. */
     private findCandidates(requirements: CallRequirements): choices.Candidate[] {
         const eligible = this.usableInstances(requirements.service)
-            .filter(instance =>
-                !requirements.triedIncarnations.has(incarnationKey(instance)) && this.isWithinColdRate(instance)
-            );
+            .filter(instance => !this.wasTried(instance, requirements) && this.isWithinColdRate(instance));
         const affinityId = pickAffinityId(eligible, requirements.promptParts);
         const fastestCallMs = Math.min(
             UNMEASURED_CALL_MS,
@@ -191,6 +199,11 @@
         );
     }
 
+    private wasTried(instance: views.KnownInstance, requirements: CallRequirements): boolean {
+        const { triedIncarnations } = requirements;
+        return triedIncarnations.size > 0 && triedIncarnations.has(incarnationKey(instance));
+    }
+
     private toCandidate(
         instance: views.KnownInstance,
         requirements: CallRequirements,
--- /dev/null
+++ b/src/process/routing/PeerEntry.ts
@@ -0,0 +1,51 @@
+/**
+ * What an entry knows about another one.
+ */
+import * as entryMessages from "../../common/EntryMessages";
+import * as peerConnections from "../../connection/PeerConnection";
+
+/** Another entry. */
+export interface PeerEntry {
+    readonly instance: string;
+    readonly address: string;
+    readonly failureDomain: string;
+    lastHeardMs: number;
+    /** Interval of its presence messages, as it states. */
+    presenceIntervalMs: number;
+    isDraining: boolean;
+    /** Start of its process, on this process's clock; undefined before its first presence message. */
+    startedMs: number | undefined;
+    /** Since when it has been the stage host, on this process's clock; undefined when it isn't. */
+    hostingSinceMs: number | undefined;
+    /** CPU cores available to it. */
+    cores: number;
+    /** The latest revision of the published store that it reported. */
+    revision: number;
+    connection: peerConnections.PeerConnection | undefined;
+}
+
+/** Creates a peer that is known from a list of entries or from its hello. */
+export function createPeerEntry(instance: string, address: string, failureDomain: string, nowMs: number): PeerEntry {
+    return {
+        instance,
+        address,
+        failureDomain,
+        lastHeardMs: nowMs,
+        presenceIntervalMs: entryMessages.MIN_PRESENCE_INTERVAL_MS,
+        isDraining: false,
+        startedMs: undefined,
+        hostingSinceMs: undefined,
+        cores: 0,
+        revision: 0,
+        connection: undefined,
+    };
+}
+
+/** Updates a peer by its presence message. */
+export function applyPresence(peer: PeerEntry, presence: entryMessages.Presence, nowMs: number): void {
+    peer.isDraining = presence.isDraining;
+    peer.cores = presence.cores;
+    peer.presenceIntervalMs = presence.intervalMs;
+    peer.startedMs = nowMs - presence.uptimeMs;
+    peer.hostingSinceMs = presence.hostingMs === undefined ? undefined : nowMs - presence.hostingMs;
+}
--- a/src/process/routing/PublishedExchange.ts
+++ b/src/process/routing/PublishedExchange.ts
@@ -6,6 +6,7 @@
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as peers from "./EntryPeers";
+import * as peerEntries from "./PeerEntry";
 import * as views from "./PublishedView";
 
 /** Time between two comparisons with the peers, usually enough for this process's own watch to catch up. */
@@ -40,7 +41,7 @@
 
     private compareRevisions(): void {
         const { view } = this.options;
-        let mostCurrent: peers.PeerEntry | undefined;
+        let mostCurrent: peerEntries.PeerEntry | undefined;
         for (const peer of this.options.peers.livePeers) {
             if (peer.revision > view.revision && peer.revision > (mostCurrent?.revision ?? 0)) {
                 mostCurrent = peer;
--- a/src/process/routing/ResultMemory.ts
+++ b/src/process/routing/ResultMemory.ts
@@ -21,6 +21,8 @@
 /** Bytes in use, by instance. */
 export class ResultMemory {
     private readonly held = new Map<string, HeldResult>();
+    /** Handles of `held` by the instance that holds them. */
+    private readonly handlesByInstance = new Map<string, Set<string>>();
     /** By id of the call. */
     private readonly reserved = new Map<number, Reservation>();
     /** Results that were computed for earlier hosts and that nobody releases, by instance. */
@@ -40,11 +42,12 @@
             const isCounted = reservation.instance === instance && reservation.expiresAtMs > nowMs;
             bytes += isCounted ? reservation.bytes : 0;
         }
-        for (const [handle, result] of this.held) {
+        for (const handle of this.handlesByInstance.get(instance) ?? []) {
+            const result = this.held.get(handle)!;
             if (result.expiresAtMs <= nowMs) {
-                this.held.delete(handle);
+                this.remove(handle);
             }
-            else if (result.instance === instance) {
+            else {
                 bytes += result.bytes;
             }
         }
@@ -73,7 +76,10 @@
 
     /** Tracks a result until it is removed or expires. */
     add(handle: string, instance: string, bytes: number, expiresAtMs: number): void {
+        this.remove(handle);
         this.held.set(handle, { instance, bytes, expiresAtMs });
+        const handles = this.handlesByInstance.get(instance) ?? new Set();
+        this.handlesByInstance.set(instance, handles.add(handle));
     }
 
     /** Whether a result is tracked and expires after `untilMs`. */
@@ -88,6 +94,15 @@
 
     /** Removes a released result. */
     remove(handle: string): void {
+        const result = this.held.get(handle);
+        if (result === undefined) {
+            return;
+        }
         this.held.delete(handle);
+        const handles = this.handlesByInstance.get(result.instance)!;
+        handles.delete(handle);
+        if (handles.size === 0) {
+            this.handlesByInstance.delete(result.instance);
+        }
     }
 }
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -14,6 +14,7 @@
 import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "./EntryPeers";
 import * as hostChoices from "./HostChoice";
+import * as peerEntries from "./PeerEntry";
 import * as stageHosts from "./StageHost";
 
 /** Maximum number of attempts to run one order on a host. */
@@ -134,7 +135,7 @@
     }
 
     /** The elected stage host if it is another entry, else undefined. */
-    private findRemoteHost(): entryPeers.PeerEntry | undefined {
+    private findRemoteHost(): peerEntries.PeerEntry | undefined {
         const { instance, isDraining, peers } = this.options;
         const others = peers.livePeers.filter(peer => !peer.isDraining);
         const candidates = others.map(peer => ({
@@ -153,7 +154,7 @@
 
     /** Sends the order `content` to a host; `lost` when the host is lost before it reports the result. */
     private runRemotely(
-        host: entryPeers.PeerEntry,
+        host: peerEntries.PeerEntry,
         content: stageOrders.StageOrder,
         signal: AbortSignal,
         onProgress: stageHosts.ProgressListener,
--- a/src/process/routing/StageJob.ts
+++ b/src/process/routing/StageJob.ts
@@ -82,11 +82,21 @@
         return this.progress[stage]!.waiting.size;
     }
 
+    /** Adds the services of stages that have waiting pieces with complete inputs. */
+    addReadyServices(services: Set<string>): void {
+        this.progress.forEach((progress, stage) => {
+            if (progress.waiting.size > 0 && this.isStageReady(stage)) {
+                services.add(this.order.stages[stage]!.service);
+            }
+        });
+    }
+
     /** Waiting pieces of a service whose inputs are complete. */
     readyPieces(service: string): JobPiece[] {
         const ready: JobPiece[] = [];
         this.progress.forEach((progress, stage) => {
-            if (this.order.stages[stage]!.service === service && this.isStageReady(stage)) {
+            const hasWaiting = progress.waiting.size > 0;
+            if (hasWaiting && this.order.stages[stage]!.service === service && this.isStageReady(stage)) {
                 progress.waiting.forEach(piece => ready.push({ job: this, stage, piece }));
             }
         });
@@ -224,6 +234,15 @@
     }
 }
 
+/** The services that have work to start for these jobs. */
+export function servicesWithReadyPieces(openJobs: Iterable<StageJob>): Set<string> {
+    const services = new Set<string>();
+    for (const job of openJobs) {
+        job.addReadyServices(services);
+    }
+    return services;
+}
+
 function handlesOf(progress: StageProgress): string[] {
     return progress.handles.filter(handle => handle !== undefined);
 }
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -100,7 +100,7 @@
     /** Selects the next call and marks it as started; undefined when no ready piece can run on a free instance. */
     nextBatch(nowMs: number): batching.StageBatch | undefined {
         let sortedJobs: readonly jobs.StageJob[] | undefined;
-        for (const service of this.neededServices()) {
+        for (const service of jobs.servicesWithReadyPieces(this.jobs.values())) {
             const capacity = this.services.capacity(service);
             const candidates = this.instances.selectCandidates(this.services.instances(service), nowMs);
             const free = capacity === undefined ? [] : this.instances.selectFree(candidates, capacity, nowMs);
@@ -338,12 +338,4 @@
             this.releasable.push(...job.heldHandles);
         }
     }
-
-    private neededServices(): Set<string> {
-        const needed = new Set<string>();
-        for (const job of this.jobs.values()) {
-            job.order.stages.forEach(stage => needed.add(stage.service));
-        }
-        return needed;
-    }
 }
