Divide the stage workers among several stage hosts

Cause: one entry scheduled the stages of all entries. Change: StageGroups derives the number of groups from the entries, the cores of the strongest and the instances; each group has its own elected host (HostChoice, HostRoles) and instances that are near each other; an order goes to the group where its results are read, unless that host states a much longer backlog. Results are released through the host that made them.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -27,8 +27,12 @@
     uptimeMs: z.number().min(0),
     /** CPU cores available to the sender. */
     cores: z.number().min(0),
-    /** Time since the sender became the stage host of all entries; undefined if it isn't. */
+    /** Time since the sender became a stage host; undefined if it isn't. */
     hostingMs: z.number().min(0).optional(),
+    /** The group of stage workers that it hosts; undefined for the first one. */
+    hostingGroup: z.int().min(0).optional(),
+    /** Time in which its stage workers can do the work that waits there. */
+    backlogMs: z.number().min(0).optional(),
     /** Interval at which the sender sends presence messages. */
     intervalMs: z.number().min(1).default(MIN_PRESENCE_INTERVAL_MS),
 });
@@ -54,7 +58,7 @@
     isWhole: z.boolean(),
 });
 
-/** Asks the receiver, the stage host, to run the stages of a call. */
+/** Asks the receiver, a stage host, to run the stages of a call. */
 export const stagesRunSchema = z.object({
     kind: z.literal("stages-run"),
     /** Identifies the order on this connection. */
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -48,8 +48,8 @@
     /** Revision up to which this process knows the published store completely. */
     readonly revision: () => number;
     readonly isDraining: () => boolean;
-    /** How long this process has been the stage host; undefined when it isn't. */
-    readonly hostingMs: () => number | undefined;
+    /** What this process hosts; undefined when it isn't a stage host. */
+    readonly hosting: () => peerEntries.Hosting | undefined;
 }
 
 /** Maintains the connections to the other entries. */
@@ -144,7 +144,7 @@
     }
 
     private get presenceIntervalMs(): number {
-        return this.options.hostingMs() === undefined
+        return this.options.hosting() === undefined
             ? this.ordinaryIntervalMs
             : entryMessages.MIN_PRESENCE_INTERVAL_MS;
     }
@@ -281,7 +281,7 @@
             isDraining: this.options.isDraining(),
             uptimeMs: this.options.clock.now() - this.startedMs,
             cores: this.options.cores,
-            hostingMs: this.options.hostingMs(),
+            ...this.options.hosting(),
             intervalMs: this.presenceIntervalMs,
         };
     }
--- a/src/process/routing/HostChoice.ts
+++ b/src/process/routing/HostChoice.ts
@@ -1,5 +1,6 @@
 /**
- * Elects the stage host: the entry that schedules stage work for all entries. Designed for entries that are killed
+ * Elects the stage hosts: the entries that schedule stage work for all entries, one for each group of stage workers.
+ * Designed for entries that are killed
  * or restarted and return within seconds while stage capacity is scarce. The current host keeps its role, since two
  * hosts at once would fill the result memory of the stage workers without knowing of each other; without a host the
  * oldest entry takes the role. The host needs more CPU time than other entries, so those with few cores are excluded.
@@ -20,24 +21,52 @@
     readonly startedMs: number;
     /** Time since which it has been the host, on the local clock; undefined when it isn't the host. */
     readonly hostingSinceMs: number | undefined;
+    /** The group of stage workers that it hosts; undefined for the first one. */
+    readonly hostingGroup?: number | undefined;
     /** CPU cores available to it. */
     readonly cores: number;
 }
 
-/** Elects the longest-serving host with enough cores, or else one of the oldest entries; undefined without entries. */
+/** Elects the host when there is one group: see `chooseHosts`. */
 export function chooseHost(candidates: readonly HostCandidate[]): string | undefined {
+    return chooseHosts(candidates, 1)[0];
+}
+
+/**
+ * Elects the host of each group: the longest-serving one with enough cores, or else one of the oldest entries without
+ * another group; undefined without entries.
+ */
+export function chooseHosts(candidates: readonly HostCandidate[], groups: number): (string | undefined)[] {
     const maxCores = Math.max(...candidates.map(candidate => candidate.cores));
     const eligible = candidates.filter(candidate => candidate.cores >= maxCores * MIN_CORES_SHARE);
-    const earliestSinceMs = Math.min(...eligible.map(candidate => candidate.hostingSinceMs ?? Infinity));
-    if (earliestSinceMs < Infinity) {
-        return pickByHash(eligible.filter(candidate => candidate.hostingSinceMs === earliestSinceMs));
-    }
-    const oldestMs = Math.min(...eligible.map(candidate => candidate.startedMs));
+    const hosts = Array.from({ length: groups }, (_, group) => findPresentHost(eligible, group));
+    const taken = new Set(hosts);
+    return hosts.map((presentHost, group) => {
+        const free = eligible.filter(candidate => !taken.has(candidate.instance));
+        const host = presentHost ?? pickOldest(free.length > 0 ? free : eligible, group);
+        taken.add(host);
+        return host;
+    });
+}
+
+function findPresentHost(eligible: readonly HostCandidate[], group: number): string | undefined {
+    const hosts = eligible.filter(candidate => (candidate.hostingGroup ?? 0) === group);
+    const earliestSinceMs = Math.min(...hosts.map(candidate => candidate.hostingSinceMs ?? Infinity));
+    return pickByHash(
+        hosts.filter(({ hostingSinceMs }) => hostingSinceMs !== undefined && hostingSinceMs === earliestSinceMs),
+        group,
+    );
+}
+
+function pickOldest(candidates: readonly HostCandidate[], group: number): string | undefined {
+    const oldestMs = Math.min(...candidates.map(candidate => candidate.startedMs));
     return pickByHash(
-        eligible.filter(({ startedMs }) => startedMs === oldestMs || startedMs - oldestMs <= SAME_AGE_TOLERANCE_MS),
+        candidates.filter(({ startedMs }) => startedMs === oldestMs || startedMs - oldestMs <= SAME_AGE_TOLERANCE_MS),
+        group,
     );
 }
 
-function pickByHash(candidates: readonly HostCandidate[]): string | undefined {
-    return rendezvous.pickWinner(ELECTION_HASH_KEY, candidates.map(candidate => candidate.instance));
+function pickByHash(candidates: readonly HostCandidate[], group: number): string | undefined {
+    const key = group === 0 ? ELECTION_HASH_KEY : `${ELECTION_HASH_KEY}-${group}`;
+    return rendezvous.pickWinner(key, candidates.map(candidate => candidate.instance));
 }
--- a/src/process/routing/PeerEntry.ts
+++ b/src/process/routing/PeerEntry.ts
@@ -15,8 +15,12 @@
     isDraining: boolean;
     /** Start of its process, on this process's clock; undefined before its first presence message. */
     startedMs: number | undefined;
-    /** Since when it has been the stage host, on this process's clock; undefined when it isn't. */
+    /** Since when it has been a stage host, on this process's clock; undefined when it isn't. */
     hostingSinceMs: number | undefined;
+    /** The group of stage workers that it hosts; undefined for the first one. */
+    hostingGroup: number | undefined;
+    /** Time in which its stage workers can do the work that waits there, as it last stated. */
+    backlogMs: number;
     /** CPU cores available to it. */
     cores: number;
     /** The latest revision of the published store that it reported. */
@@ -24,6 +28,9 @@
     connection: peerConnections.PeerConnection | undefined;
 }
 
+/** What a stage host tells about its role. */
+export type Hosting = Pick<entryMessages.Presence, "hostingMs" | "hostingGroup" | "backlogMs">;
+
 /** Creates a peer that is known from a list of entries or from its hello. */
 export function createPeerEntry(instance: string, address: string, failureDomain: string, nowMs: number): PeerEntry {
     return {
@@ -35,6 +42,8 @@
         isDraining: false,
         startedMs: undefined,
         hostingSinceMs: undefined,
+        hostingGroup: undefined,
+        backlogMs: 0,
         cores: 0,
         revision: 0,
         connection: undefined,
@@ -47,5 +56,7 @@
     peer.cores = presence.cores;
     peer.presenceIntervalMs = presence.intervalMs;
     peer.startedMs = nowMs - presence.uptimeMs;
+    peer.hostingGroup = presence.hostingGroup;
+    peer.backlogMs = presence.backlogMs ?? 0;
     peer.hostingSinceMs = presence.hostingMs === undefined ? undefined : nowMs - presence.hostingMs;
 }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -9,6 +9,7 @@
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as adminServers from "../serving/AdminServer";
 import * as entryPeers from "./EntryPeers";
+import * as hostRoles from "./HostRoles";
 import * as pools from "./InstancePool";
 import * as exchanges from "./PublishedExchange";
 import * as readers from "./PublishedReader";
@@ -51,6 +52,7 @@
     private readonly peers: entryPeers.EntryPeers;
     private readonly pool: pools.InstancePool;
     private readonly host: stageHosts.StageHost;
+    private readonly roles: hostRoles.HostRoles;
     private readonly stages: stageClients.StageClient;
     private readonly exchange: exchanges.PublishedExchange;
     private readonly server: servers.RouteServer;
@@ -90,7 +92,7 @@
                 cores: settings.cores,
                 revision: () => this.view.revision,
                 isDraining: () => this.isDraining,
-                hostingMs: () => this.stages.hostingMs,
+                hosting: () => this.roles.hosting,
             }),
         );
         this.pool = this.disposables.add(
@@ -114,17 +116,24 @@
                 pool: this.pool,
                 view: this.view,
                 releaser,
+                ownInstances: (service, usable) => this.roles.ownInstances(service, usable),
             }),
         );
-        this.stages = this.disposables.add(
-            new stageClients.StageClient({
+        this.roles = this.disposables.add(
+            new hostRoles.HostRoles({
                 ...shared,
                 instance: settings.instance,
                 isDraining: () => this.isDraining,
                 peers: this.peers,
-                host: this.host,
+                view: this.view,
+                openOrders: () => this.host.size,
+                backlogMs: () => this.host.backlogMs,
+                handOver: () => this.host.handOver(),
             }),
         );
+        this.stages = this.disposables.add(
+            new stageClients.StageClient({ ...shared, peers: this.peers, roles: this.roles, host: this.host }),
+        );
         this.exchange = this.disposables.add(
             new exchanges.PublishedExchange({ ...shared, view: this.view, peers: this.peers }),
         );
@@ -202,7 +211,7 @@
         const stopDeadlineMs = startedMs + this.settings.stopLimitSeconds * MS_PER_SECOND - STOP_MARGIN_MS;
         this.stopDeadlineMs = stopDeadlineMs;
         this.peers.broadcastPresence();
-        this.stages.handOver();
+        this.roles.resign();
         this.server.beginDrain();
         await clocks.sleep(clock, Math.min(DRAIN_ACCEPT_MS, stopDeadlineMs - startedMs));
         while (!this.hasSuccessor() && clock.now() < stopDeadlineMs - COMPLETION_RESERVE_MS) {
@@ -301,7 +310,7 @@
             revision: this.view.revision,
             unconfirmedMs: this.reader.unconfirmedMs,
             out: this.view.outOfServiceDomains,
-            stageHost: this.stages.hostName,
+            stageHosts: this.roles.hostNames,
             stageOrders: this.host.size,
             active: this.server.active,
             entries: this.peers.knownPeers.map(peer => ({
--- a/src/process/routing/StageAdmission.ts
+++ b/src/process/routing/StageAdmission.ts
@@ -40,6 +40,14 @@
         };
     }
 
+    /** Time in which the instances can do the waiting pieces of the open jobs: that of the busiest service. */
+    backlogMs(openJobs: readonly jobs.StageJob[]): number {
+        const services = new Set(openJobs.flatMap(job => job.order.stages.map(stage => stage.service)));
+        const loads = [...services].flatMap(service => this.loadOf(service, openJobs) ?? []);
+        const usable = loads.filter(load => load.instanceCount > 0);
+        return Math.max(0, ...usable.map(load => load.piecesAhead / estimates.piecesPerMs(load)));
+    }
+
     /** Updates the bias with the actual time of a completed order. */
     recordCompletion(job: jobs.StageJob, nowMs: number): void {
         if (job.inTimeEstimate !== undefined) {
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -1,8 +1,7 @@
 /**
- * Runs the stages of calls through the stage host: one entry that schedules them for all entries, so that pieces of
- * different orders share calls on the instances. The host is elected among the entries present; when it is lost, the
- * next one takes over, and pieces without a known result are computed again. Correctness doesn't depend on there being
- * only one host.
+ * Runs the stages of calls through the stage hosts: entries that schedule them for all entries, so that pieces of
+ * different orders share calls on the instances. When a host is lost, the next one takes over, and pieces without a
+ * known result are computed again.
  */
 import * as pattern from "ts-pattern";
 import * as clocks from "../../common/Clock";
@@ -13,7 +12,7 @@
 import * as stageOrders from "../../common/StageOrder";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "./EntryPeers";
-import * as hostChoices from "./HostChoice";
+import * as hostRoles from "./HostRoles";
 import * as peerEntries from "./PeerEntry";
 import * as stageHosts from "./StageHost";
 
@@ -21,16 +20,16 @@
 const MAX_HOST_ATTEMPTS = 5;
 /** Retry delay after the host was lost or handed the order over at each attempt. */
 const RETRY_AFTER_MS = 500;
-/** Interval of the checks whether this entry is the host, and whether the host of a sent order is still present. */
+/** Interval of the checks whether the host of a sent order is still present. */
 const HOST_CHECK_INTERVAL_MS = 200;
 
 /** Dependencies of the client. */
 export interface StageClientOptions {
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
-    readonly instance: string;
-    readonly isDraining: () => boolean;
     readonly peers: entryPeers.EntryPeers;
+    readonly roles: hostRoles.HostRoles;
+    /** Runs the orders of this entry's own groups. */
     readonly host: stageHosts.StageHost;
 }
 
@@ -40,35 +39,25 @@
     readonly onProgress: stageHosts.ProgressListener;
 }
 
-/** Sends orders to the stage host, and serves orders of other entries while this entry is the host. */
+/** Sends orders to the stage hosts, and serves orders of other entries while this entry is a host. */
 export class StageClient implements clocks.Disposable {
     private readonly sentOrders = new Map<number, RemoteOrder>();
     private readonly servedOrders = new Map<peerConnections.PeerConnection, Map<number, AbortController>>();
     private readonly subscriptions = new emitters.DisposableStore();
+    /** The host that made a result, until the result is released. */
+    private readonly hostByHandle = new Map<string, hostRoles.GroupHost>();
     private nextOrderId = 1;
-    private hostingSinceMs: number | undefined;
 
     constructor(private readonly options: StageClientOptions) {
-        this.subscriptions.add(clocks.every(options.clock, HOST_CHECK_INTERVAL_MS, () => this.updateHostRole()));
         this.subscriptions.add(options.peers.onFrame(frame => this.handleMessage(frame)));
         this.subscriptions.add(options.peers.onDisconnect(connection => this.handleLostConnection(connection)));
     }
 
-    /** Instance name of the current stage host. */
-    get hostName(): string {
-        return this.findRemoteHost()?.instance ?? this.options.instance;
-    }
-
-    /** How long this entry has been the stage host; undefined when it isn't. */
-    get hostingMs(): number | undefined {
-        return this.hostingSinceMs === undefined ? undefined : this.options.clock.now() - this.hostingSinceMs;
-    }
-
     dispose(): void {
         this.subscriptions.dispose();
     }
 
-    /** Runs the stages of a call on the current host; retries when the host is lost or hands the order over. */
+    /** Runs the stages of a call on a host; retries when the host is lost or hands the order over. */
     async run(order: stageOrders.StageOrder, signal: AbortSignal): Promise<stageHosts.StageRunResult> {
         const startedMs = this.options.clock.now();
         const made: stageOrders.ComputedPiece[] = [];
@@ -79,15 +68,16 @@
             if (updatedOrder.limitMs <= 0) {
                 return { kind: "failed", failure: codes.failure(codes.codes.deadlineUnreachable, "no time left") };
             }
-            const host = this.findRemoteHost();
-            const result = host === undefined
+            const host = this.options.roles.findHost(order);
+            const result = host === "self"
                 ? await this.options.host.run(updatedOrder, signal, pieces => made.push(...pieces))
                 : await this.runRemotely(host, updatedOrder, signal, pieces => made.push(...pieces));
             if (result !== "lost" && !isHandedOver(result)) {
+                this.recordMaker(result, host);
                 return result;
             }
             this.options.log.warn(
-                { decision: "host-lost", attempt: order.attempt, host: host?.instance },
+                { decision: "host-lost", attempt: order.attempt, host: host === "self" ? host : host.instance },
                 "stage host was lost or handed the order over; retrying",
             );
         }
@@ -97,59 +87,25 @@
         };
     }
 
-    /** Releases results through the host, which tracks the memory they use. */
+    /** Releases results through the host that made them, which tracks the memory they use. */
     release(handles: readonly string[]): void {
-        if (handles.length === 0) {
-            return;
-        }
-        const host = this.findRemoteHost();
-        if (host === undefined || !this.options.peers.send(host, { kind: "stages-release", handles: [...handles] })) {
-            this.options.host.releaseResults(handles);
-        }
-    }
-
-    /** Hands the orders that this entry runs as the host over to the next host, if there is one. */
-    handOver(): void {
-        this.hostingSinceMs = undefined;
-        if (this.findRemoteHost() !== undefined) {
-            this.options.host.handOver();
-        }
-    }
-
-    /**
-     * Announces this entry as the host once it runs stages; hands over when another is elected, such as one that has
-     * been the host for longer.
-     */
-    private updateHostRole(): void {
-        const { clock, log, host, peers, isDraining } = this.options;
-        const other = this.findRemoteHost();
-        if (other === undefined && host.size > 0 && !isDraining() && this.hostingSinceMs === undefined) {
-            this.hostingSinceMs = clock.now();
-            log.info({ decision: "host", host: this.options.instance }, "this entry is now the stage host");
-            peers.broadcastPresence();
+        const handlesByHost = new Map<hostRoles.GroupHost, string[]>();
+        for (const handle of handles) {
+            const host = this.hostByHandle.get(handle) ?? "self";
+            this.hostByHandle.delete(handle);
+            handlesByHost.set(host, [...handlesByHost.get(host) ?? [], handle]);
         }
-        if (other !== undefined && this.hostingSinceMs !== undefined) {
-            log.info({ decision: "host", host: other.instance }, "another entry is the stage host; handing over");
-            this.handOver();
+        for (const [host, made] of handlesByHost) {
+            if (host === "self" || !this.options.peers.send(host, { kind: "stages-release", handles: made })) {
+                this.options.host.releaseResults(made);
+            }
         }
     }
 
-    /** The elected stage host if it is another entry, else undefined. */
-    private findRemoteHost(): peerEntries.PeerEntry | undefined {
-        const { instance, isDraining, peers } = this.options;
-        const others = peers.livePeers.filter(peer => !peer.isDraining);
-        const candidates = others.map(peer => ({
-            instance: peer.instance,
-            startedMs: peer.startedMs ?? Infinity,
-            hostingSinceMs: peer.hostingSinceMs,
-            cores: peer.cores,
-        }));
-        if (!isDraining()) {
-            const { hostingSinceMs } = this;
-            candidates.push({ instance, startedMs: peers.startedMs, hostingSinceMs, cores: peers.cores });
+    private recordMaker(result: stageHosts.StageRunResult, host: hostRoles.GroupHost): void {
+        if (result.kind === "completed") {
+            result.handles.forEach(handle => this.hostByHandle.set(handle, host));
         }
-        const host = hostChoices.chooseHost(candidates);
-        return others.find(peer => peer.instance === host);
     }
 
     /** Sends the order `content` to a host; `lost` when the host is lost before it reports the result. */
--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -48,6 +48,11 @@
     readonly pool: pools.InstancePool;
     readonly view: views.PublishedView;
     readonly releaser: releasers.ResultReleaser;
+    /** Those of the usable instances of a service that this host schedules. */
+    readonly ownInstances: (
+        service: string,
+        usable: readonly views.KnownInstance[],
+    ) => readonly batching.StageInstance[];
 }
 
 /** Runs stages on the instances of their services. */
@@ -63,7 +68,7 @@
     constructor(private readonly options: StageHostOptions) {
         this.scheduler = new schedulers.StageScheduler({
             capacity: service => options.view.table?.findService(service)?.stage,
-            instances: service => options.pool.usableInstances(service),
+            instances: service => options.ownInstances(service, options.pool.usableInstances(service)),
         });
         this.subscription = options.releaser.onReleased(handles => {
             this.scheduler.recordReleased(handles);
@@ -77,6 +82,11 @@
         return this.scheduler.size;
     }
 
+    /** Time in which the instances can do the work that waits here. */
+    get backlogMs(): number {
+        return this.scheduler.backlogMs;
+    }
+
     dispose(): void {
         this.timer.dispose();
         this.subscription.dispose();
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -92,6 +92,11 @@
         this.jobs.delete(id);
     }
 
+    /** Time in which the instances can do all waiting pieces. */
+    get backlogMs(): number {
+        return this.admission.backlogMs([...this.jobs.values()]);
+    }
+
     /** Number of calls that have neither ended nor become overdue. */
     get callsInFlight(): number {
         return this.instances.callsInFlight;
