Count the time that a late process left a request unread, and notice the loss of successors of stage hosts

An entry that is elected as the next stage host could be lost together with the host, unnoticed for seconds since ordinary entries announce their presence seldom. Change: a request read just after a late turn counts as arrived before it, and isn't sent before what else has arrived on its connection was read; two successors of each host keep the short interval.

--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -50,6 +50,8 @@
     readonly isDraining: () => boolean;
     /** What this process hosts; undefined when it isn't a stage host. */
     readonly hosting: () => peerEntries.Hosting | undefined;
+    /** Whether the others must notice a loss of this process soon. */
+    readonly isPresenceUrgent: () => boolean;
 }
 
 /** Maintains the connections to the other entries. */
--- a/src/process/routing/HostChoice.ts
+++ b/src/process/routing/HostChoice.ts
@@ -49,6 +49,21 @@
     });
 }
 
+/** The entries that are elected when `hosts` are lost, and when these are lost too, for `rounds` rounds. */
+export function chooseSuccessors(
+    candidates: readonly HostCandidate[],
+    hosts: readonly (string | undefined)[],
+    rounds: number,
+): ReadonlySet<string> {
+    const successors = new Set<string>();
+    let remaining = candidates.filter(candidate => !hosts.includes(candidate.instance));
+    for (let round = 0; round < rounds; round++) {
+        chooseHosts(remaining, hosts.length).forEach(name => name === undefined || successors.add(name));
+        remaining = remaining.filter(candidate => !successors.has(candidate.instance));
+    }
+    return successors;
+}
+
 function findPresentHost(eligible: readonly HostCandidate[], group: number): string | undefined {
     const hosts = eligible.filter(candidate => (candidate.hostingGroup ?? 0) === group);
     const earliestSinceMs = Math.min(...hosts.map(candidate => candidate.hostingSinceMs ?? Infinity));
--- a/src/process/routing/HostRoles.ts
+++ b/src/process/routing/HostRoles.ts
@@ -15,6 +15,8 @@
 
 /** Interval of the checks which groups this entry hosts. */
 const CHECK_INTERVAL_MS = 200;
+/** Number of successors of each host whose loss is noticed as soon as the host's. */
+const SUCCESSORS_PER_GROUP = 2;
 
 /** Dependencies of the roles. */
 export interface HostRolesOptions {
@@ -43,6 +45,7 @@
     private hostingSinceMs = 0;
     /** Groups for which this entry is elected. */
     private ownGroups: ReadonlySet<number> = new Set();
+    private isSuccessor = false;
     private groups = 1;
     private readonly positionsByList = new WeakMap<readonly views.KnownInstance[], ReadonlyMap<string, number>>();
 
@@ -63,6 +66,11 @@
         };
     }
 
+    /** Whether the others must notice the loss of this entry soon: it is a host, or one of the next to be elected. */
+    get isPresenceUrgent(): boolean {
+        return this.hostedGroup !== undefined || this.isSuccessor;
+    }
+
     /** Name of the host of each group. */
     get hostNames(): readonly string[] {
         return this.findHosts().map(host => host === "self" ? this.options.instance : host.instance);
@@ -147,6 +155,8 @@
             instanceCounts: this.stageServices().map(service => this.options.view.instances(service).length),
         });
         const names = hostChoices.chooseHosts(candidates, this.groups);
+        const successors = hostChoices.chooseSuccessors(candidates, names, SUCCESSORS_PER_GROUP);
+        this.isSuccessor = successors.has(instance);
         this.ownGroups = new Set(names.flatMap((name, group) => name === instance ? [group] : []));
         return names.map(name => others.find(peer => peer.instance === name) ?? "self");
     }
--- a/src/process/routing/PresencePace.ts
+++ b/src/process/routing/PresencePace.ts
@@ -1,7 +1,8 @@
 /**
  * Intervals of the presence messages between entries, and the time-outs that follow from them. Designed for hundreds of
  * entries that are all connected to each other: the number of messages that an entry sends and receives in a second
- * doesn't grow with the number of entries. Stage hosts, whose loss has to be noticed soon, keep to the shortest interval.
+ * doesn't grow with the number of entries. Stage hosts and their successors, whose loss has to be noticed soon, keep to
+ * the shortest interval.
  */
 
 import * as entryMessages from "../../common/EntryMessages";
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -93,6 +93,7 @@
                 revision: () => this.view.revision,
                 isDraining: () => this.isDraining,
                 hosting: () => this.roles.hosting,
+                isPresenceUrgent: () => this.roles.isPresenceUrgent,
             }),
         );
         this.pool = this.disposables.add(
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -12,6 +12,7 @@
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
 import * as tables from "../../version/RouteTable";
+import * as pauseMonitors from "../membership/PauseMonitor";
 import * as callerWatches from "../serving/CallerWatch";
 import * as listeners from "../serving/Listener";
 import * as bodies from "./CallerBody";
@@ -28,6 +29,12 @@
 const ANSWER_MARGIN_MS = 25;
 /** Retry delay sent by a process that isn't ready or is stopping. */
 const NOT_READY_RETRY_MS = 500;
+/** A turn of the event loop that was late by more than this may have left requests unread for as long. */
+const PAUSE_THRESHOLD_MS = 200;
+/** Requests that are read within this time of a late turn may have arrived during it. */
+const PAUSE_WINDOW_MS = 100;
+/** Time in which the end of a connection is read that arrived with its last request. */
+const PENDING_READ_MS = 10;
 const DEFAULT_LIMITS: routing.CallerLimits = {
     headerBytes: 16_384,
     bodyBytes: 4 * 1024 * 1024,
@@ -53,6 +60,7 @@
 export class RouteServer implements clocks.Disposable {
     private readonly server: http.Server;
     private listener: listeners.Listener | undefined;
+    private readonly pauses: pauseMonitors.PauseMonitor;
     private isDraining = false;
     private readonly openResponses = new Set<http.ServerResponse>();
     /** Calls in progress by their response. */
@@ -71,6 +79,7 @@
             requestTimeout: 0,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
+        this.pauses = new pauseMonitors.PauseMonitor({ clock: context.clock, thresholdMs: PAUSE_THRESHOLD_MS });
         this.applyCallerLimits(DEFAULT_LIMITS);
     }
 
@@ -121,6 +130,7 @@
     }
 
     dispose(): void {
+        this.pauses.dispose();
         this.listener?.dispose();
     }
 
@@ -132,14 +142,23 @@
             this.openResponses.delete(response);
             this.callsByResponse.delete(response);
         });
-        const arrivedMs = this.context.clock.now();
+        // The request may have waited unread for the whole pause, and its caller may have left since.
+        const pauseMs = this.pauses.recentPauseMs(PAUSE_WINDOW_MS);
+        const arrivedMs = this.context.clock.now() - pauseMs;
         const abortController = callerWatches.watchCaller(response);
         const accepted = await this.readRequest(message, response, arrivedMs, abortController.signal);
+        if (pauseMs > 0) {
+            await clocks.sleep(this.context.clock, PENDING_READ_MS);
+        }
         if (accepted.isErr) {
             this.answerFailure(message, response, accepted.error, undefined, arrivedMs);
             return;
         }
         const call = accepted.value;
+        if (abortController.signal.aborted) {
+            this.recordAnswer(call, "gone", {});
+            return;
+        }
         this.callsByResponse.set(response, { call, message, abortController });
         const sink = new responses.CallerResponse(response);
         const end = await routedRuns.runRouted(this.context.run, call, sink);
