Keep stage orders over the loss of a connection

Change: ServedOrders keeps an order for a second until its sender claims it; a sender waits 200 ms for the connection, which is opened again at once; cancelling an order for another host keeps its results; the list of entries is sent once for each incarnation.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -84,7 +84,12 @@
 });
 
 /** Cancels an order. */
-export const stagesCancelSchema = z.object({ kind: z.literal("stages-cancel"), order: z.int().min(0) });
+export const stagesCancelSchema = z.object({
+    kind: z.literal("stages-cancel"),
+    order: z.int().min(0),
+    /** Whether another host continues the order from the results computed so far. */
+    keepsResults: z.boolean().default(false),
+});
 
 /** Releases results that their call no longer needs. */
 export const stagesReleaseSchema = z.object({
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -16,6 +16,11 @@
 /** Share of the peers that get the list of entries with each presence message, picked at random. */
 const ENTRY_LIST_SHARE = 1 / 8;
 const MIN_RECONNECT_MS = 300;
+/** Mean delay of the first attempt after a connection has ended: many are reset while their peer is alive. */
+const FIRST_RECONNECT_MS = 20;
+/** An entry whose connection ended counts as present for this long. */
+const RECONNECT_GRACE_MS = 200;
+const RECONNECT_POLL_INTERVAL_MS = 10;
 const MAX_RECONNECT_MS = 2_000;
 /** Interval at which unreachable entries are removed and tasks for new addresses are started. */
 const RECONCILE_INTERVAL_MS = 500;
@@ -87,12 +92,26 @@
 
     /** Connected entries that sent a frame within the time-out for their presence messages. */
     get livePeers(): peerEntries.PeerEntry[] {
+        return this.presentPeers.filter(peer => peer.connection !== undefined);
+    }
+
+    /** The same, and those whose connection ended so recently that it may be back at once. */
+    get presentPeers(): peerEntries.PeerEntry[] {
         const nowMs = this.options.clock.now();
         return [...this.peersByInstance.values()].filter(peer =>
-            peer.connection !== undefined && nowMs - peer.lastHeardMs <= paces.timeoutMs(peer.presenceIntervalMs)
+            (peer.connection !== undefined || nowMs - peer.lostAtMs < RECONNECT_GRACE_MS)
+            && nowMs - peer.lastHeardMs <= paces.timeoutMs(peer.presenceIntervalMs)
         );
     }
 
+    /** Waits until a peer whose connection has just ended is connected again, or for the grace time. */
+    async waitForReconnect(peer: peerEntries.PeerEntry): Promise<void> {
+        const { clock } = this.options;
+        while (peer.connection === undefined && clock.now() - peer.lostAtMs < RECONNECT_GRACE_MS) {
+            await clocks.sleep(clock, RECONNECT_POLL_INTERVAL_MS, this.stop.signal);
+        }
+    }
+
     /** CPU cores available to this process. */
     get cores(): number {
         return this.options.cores;
@@ -146,9 +165,7 @@
     }
 
     private get presenceIntervalMs(): number {
-        return this.options.hosting() === undefined
-            ? this.ordinaryIntervalMs
-            : entryMessages.MIN_PRESENCE_INTERVAL_MS;
+        return this.options.isPresenceUrgent() ? entryMessages.MIN_PRESENCE_INTERVAL_MS : this.ordinaryIntervalMs;
     }
 
     /** Interval of the presence messages of entries that aren't stage hosts. */
@@ -186,12 +203,13 @@
             if (!this.isConnected(address)) {
                 const opened = await peerConnections.PeerConnection.open(address, this.connectionContext());
                 if (opened.isOk) {
-                    delayMs = MIN_RECONNECT_MS;
+                    const openedAtMs = clock.now();
                     await this.readFrames(opened.value);
+                    delayMs = clock.now() - openedAtMs > MIN_RECONNECT_MS ? FIRST_RECONNECT_MS : MIN_RECONNECT_MS;
                 }
             }
             await clocks.sleep(clock, delayMs * (0.5 + this.options.random()), this.stop.signal);
-            delayMs = Math.min(MAX_RECONNECT_MS, delayMs * 2);
+            delayMs = Math.min(MAX_RECONNECT_MS, Math.max(MIN_RECONNECT_MS, delayMs * 2));
         }
         this.addressesWithTask.delete(address);
     }
@@ -229,7 +247,10 @@
             );
         }
         connection.send(this.buildPresence());
-        connection.send(this.buildEntryList());
+        if (peer.incarnation !== remote.incarnation) {
+            peer.incarnation = remote.incarnation;
+            connection.send(this.buildEntryList());
+        }
         for (;;) {
             const envelope = await connection.next();
             if (envelope === undefined) {
@@ -241,6 +262,7 @@
         }
         if (peer.connection === connection) {
             peer.connection = undefined;
+            peer.lostAtMs = this.options.clock.now();
             this.options.log.warn({ dependency: "entry", peer: peer.instance }, "peer connection lost");
         }
         this.disconnectEmitter.fire(connection);
--- a/src/process/routing/HostRoles.ts
+++ b/src/process/routing/HostRoles.ts
@@ -132,7 +132,7 @@
     /** Elects the host of each group. */
     private findHosts(): GroupHost[] {
         const { instance, isDraining, peers } = this.options;
-        const others = peers.livePeers.filter(peer => !peer.isDraining);
+        const others = peers.presentPeers.filter(peer => !peer.isDraining);
         const candidates: hostChoices.HostCandidate[] = others.map(peer => ({
             instance: peer.instance,
             startedMs: peer.startedMs ?? Infinity,
--- a/src/process/routing/PeerEntry.ts
+++ b/src/process/routing/PeerEntry.ts
@@ -9,6 +9,8 @@
     readonly instance: string;
     readonly address: string;
     readonly failureDomain: string;
+    /** Incarnation of its process at the last connection; it gets the list of entries once. */
+    incarnation: number | undefined;
     lastHeardMs: number;
     /** Interval of its presence messages, as it states. */
     presenceIntervalMs: number;
@@ -26,6 +28,8 @@
     /** The latest revision of the published store that it reported. */
     revision: number;
     connection: peerConnections.PeerConnection | undefined;
+    /** When its last connection ended; -Infinity if none has. */
+    lostAtMs: number;
 }
 
 /** What a stage host tells about its role. */
@@ -37,6 +41,7 @@
         instance,
         address,
         failureDomain,
+        incarnation: undefined,
         lastHeardMs: nowMs,
         presenceIntervalMs: entryMessages.MIN_PRESENCE_INTERVAL_MS,
         isDraining: false,
@@ -47,6 +52,7 @@
         cores: 0,
         revision: 0,
         connection: undefined,
+        lostAtMs: -Infinity,
     };
 }
 
--- /dev/null
+++ b/src/process/routing/ServedOrders.test.ts
@@ -0,0 +1,111 @@
+import * as vitest from "vitest";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as messages from "../../common/Messages";
+import * as servedOrders from "./ServedOrders";
+import * as fixtures from "./StageFixtures";
+import * as stageHosts from "./StageHost";
+
+const COMPLETED: stageHosts.StageRunResult = { kind: "completed", handles: ["h1"] };
+
+/** A host that completes its orders when told to, and a connection that records what is sent on it. */
+function createScenario() {
+    const clock = new clocks.ManualClock();
+    const runs: { complete: () => void; signal: AbortSignal }[] = [];
+    const released: string[] = [];
+    const orders = new servedOrders.ServedOrders(clock, {
+        run: (_order, signal) =>
+            new Promise(resolve => {
+                runs.push({ complete: () => resolve(COMPLETED), signal });
+                signal.addEventListener("abort", () =>
+                    resolve({ kind: "failed", failure: codes.failure(codes.codes.cancelled, "aborted") }));
+            }),
+        releaseResults: handles => void released.push(...handles),
+    });
+    const connect = () => {
+        const sent: messages.Message[] = [];
+        return { sent, send: (message: messages.Message) => sent.push(message) > 0 };
+    };
+    return { clock, runs, released, orders, connect };
+}
+
+vitest.describe("an order whose connection was reset", () => {
+    const steps: readonly {
+        readonly name: string;
+        readonly completesBeforeReturn: boolean;
+        readonly returnsAfterMs: number;
+        readonly runCount: number;
+        readonly isAnswered: boolean;
+        readonly released: readonly string[];
+    }[] = [
+        {
+            name: "continues when its sender returns",
+            completesBeforeReturn: false,
+            returnsAfterMs: 100,
+            runCount: 1,
+            isAnswered: true,
+            released: [],
+        },
+        {
+            name: "is answered when it ended meanwhile",
+            completesBeforeReturn: true,
+            returnsAfterMs: 100,
+            runCount: 1,
+            isAnswered: true,
+            released: [],
+        },
+        {
+            name: "runs anew when its sender returns late",
+            completesBeforeReturn: false,
+            returnsAfterMs: 2_000,
+            runCount: 2,
+            isAnswered: false,
+            released: [],
+        },
+        {
+            name: "releases its results when nobody claims them",
+            completesBeforeReturn: true,
+            returnsAfterMs: 2_000,
+            runCount: 2,
+            isAnswered: false,
+            released: ["h1"],
+        },
+    ];
+    vitest.it.each(steps)(
+        "$name",
+        async ({ completesBeforeReturn, returnsAfterMs, runCount, isAnswered, released }) => {
+            const scenario = createScenario();
+            const first = scenario.connect();
+            const second = scenario.connect();
+            scenario.orders.serve(first, 1, fixtures.createOrder("attempt"));
+            scenario.orders.handleLostConnection(first);
+            if (completesBeforeReturn) {
+                scenario.runs[0]!.complete();
+                await Promise.resolve();
+                await Promise.resolve();
+            }
+            scenario.clock.advance(returnsAfterMs);
+            scenario.orders.serve(second, 7, fixtures.createOrder("attempt"));
+            scenario.runs[0]!.complete();
+            await new Promise(resolve => setImmediate(resolve));
+            vitest.expect(scenario.runs).toHaveLength(runCount);
+            vitest.expect(second.sent).toEqual(isAnswered ? [{ kind: "stages-end", order: 7, handles: ["h1"] }] : []);
+            vitest.expect(scenario.released).toEqual(released);
+        },
+    );
+});
+
+vitest.describe("a cancelled order", () => {
+    vitest.it.each([
+        { keepsResults: false, reason: "AbortError" },
+        { keepsResults: true, reason: stageHosts.RESULTS_KEPT },
+    ])("keeps its results: $keepsResults", ({ keepsResults, reason }) => {
+        const { orders, runs, connect } = createScenario();
+        const connection = connect();
+        orders.serve(connection, 1, fixtures.createOrder("attempt"));
+        orders.cancel(connection, 1, keepsResults);
+        const { signal } = runs[0]!;
+        vitest.expect(signal.aborted).toBe(true);
+        vitest.expect(signal.reason instanceof Error ? signal.reason.name : signal.reason).toBe(reason);
+    });
+});
--- /dev/null
+++ b/src/process/routing/ServedOrders.ts
@@ -0,0 +1,129 @@
+/**
+ * The stage orders that this entry runs as a host for other entries. An order outlives the loss of its connection for a
+ * while: when connections of many entries are reset at once, their orders continue as soon as the entries are back,
+ * rather than being computed again on another host beside this one.
+ */
+import * as clocks from "../../common/Clock";
+import * as messages from "../../common/Messages";
+import * as stageOrders from "../../common/StageOrder";
+import * as stageHosts from "./StageHost";
+
+/** Time after the loss of its connection in which an order can be claimed again by its sender. */
+const CLAIM_TIMEOUT_MS = 1_000;
+
+/** What this module needs of a connection to another entry. */
+export interface OrderConnection {
+    send(message: messages.Message): boolean;
+}
+
+/** What this module needs of the stage host. */
+export type OrderHost = Pick<stageHosts.StageHost, "run" | "releaseResults">;
+
+interface Sender {
+    readonly connection: OrderConnection;
+    /** Number of the order on its connection. */
+    readonly order: number;
+}
+
+interface ServedOrder {
+    readonly attempt: string;
+    readonly controller: AbortController;
+    /** Undefined while the connection to the sender is lost. */
+    sender: Sender | undefined;
+    /** Set once the order has ended. */
+    result: stageHosts.StageRunResult | undefined;
+}
+
+/** Runs the orders of other entries and reports their results. */
+export class ServedOrders {
+    private readonly ordersByConnection = new Map<OrderConnection, Map<number, ServedOrder>>();
+    /** Orders whose connection is lost, by the call's attempt. */
+    private readonly unclaimed = new Map<string, ServedOrder>();
+
+    constructor(private readonly clock: clocks.Clock, private readonly host: OrderHost) {}
+
+    /** Runs an order, or continues one whose connection was lost. */
+    serve(connection: OrderConnection, order: number, content: stageOrders.StageOrder): void {
+        const sender = { connection, order };
+        const claimed = this.unclaimed.get(content.attempt);
+        if (claimed === undefined) {
+            void this.start(sender, content);
+            return;
+        }
+        this.unclaimed.delete(content.attempt);
+        this.assign(claimed, sender);
+        if (claimed.result !== undefined) {
+            this.report(claimed, claimed.result);
+        }
+    }
+
+    /** Ends an order that its sender no longer needs; the results are kept if the sender continues it elsewhere. */
+    cancel(connection: OrderConnection, order: number, keepsResults: boolean): void {
+        const served = this.ordersByConnection.get(connection)?.get(order);
+        served?.controller.abort(keepsResults ? stageHosts.RESULTS_KEPT : undefined);
+    }
+
+    /** Keeps the orders of a lost connection until they are claimed or time out. */
+    handleLostConnection(connection: OrderConnection): void {
+        const lost = this.ordersByConnection.get(connection);
+        this.ordersByConnection.delete(connection);
+        lost?.forEach(served => {
+            served.sender = undefined;
+            this.unclaimed.set(served.attempt, served);
+            this.clock.schedule(CLAIM_TIMEOUT_MS, () => this.dropUnclaimed(served));
+        });
+    }
+
+    private async start(sender: Sender, content: stageOrders.StageOrder): Promise<void> {
+        const controller = new AbortController();
+        const served: ServedOrder = { attempt: content.attempt, controller, sender: undefined, result: undefined };
+        this.assign(served, sender);
+        const result = await this.host.run(content, controller.signal, computed => {
+            const { connection, order } = served.sender ?? {};
+            connection?.send({ kind: "stages-made", order: order!, pieces: [...computed] });
+        });
+        this.report(served, result);
+    }
+
+    private assign(served: ServedOrder, sender: Sender): void {
+        served.sender = sender;
+        const orders = this.ordersByConnection.get(sender.connection) ?? new Map<number, ServedOrder>();
+        this.ordersByConnection.set(sender.connection, orders.set(sender.order, served));
+    }
+
+    /** Sends the result of an order, or keeps it for the sender's return. */
+    private report(served: ServedOrder, result: stageHosts.StageRunResult): void {
+        served.result = result;
+        if (served.sender === undefined) {
+            return;
+        }
+        const { connection, order } = served.sender;
+        this.ordersByConnection.get(connection)?.delete(order);
+        connection.send({ kind: "stages-end", order, ...encodeResult(result) });
+    }
+
+    private dropUnclaimed(served: ServedOrder): void {
+        if (this.unclaimed.get(served.attempt) !== served) {
+            return;
+        }
+        this.unclaimed.delete(served.attempt);
+        if (served.result === undefined) {
+            served.controller.abort();
+        }
+        else if (served.result.kind === "completed") {
+            this.host.releaseResults(served.result.handles);
+        }
+    }
+}
+
+function encodeResult(
+    result: stageHosts.StageRunResult,
+): Pick<StagesEnd, "handles" | "code" | "detail" | "retryAfterMs"> {
+    return result.kind === "completed" ? { handles: [...result.handles] } : {
+        code: result.failure.code.code,
+        detail: result.failure.detail,
+        retryAfterMs: result.failure.retryAfterMs,
+    };
+}
+
+type StagesEnd = Extract<messages.Message, { kind: "stages-end" }>;
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -14,6 +14,7 @@
 import * as entryPeers from "./EntryPeers";
 import * as hostRoles from "./HostRoles";
 import * as peerEntries from "./PeerEntry";
+import * as servedOrders from "./ServedOrders";
 import * as stageHosts from "./StageHost";
 
 /** Maximum number of attempts to run one order on a host. */
@@ -42,13 +43,14 @@
 /** Sends orders to the stage hosts, and serves orders of other entries while this entry is a host. */
 export class StageClient implements clocks.Disposable {
     private readonly sentOrders = new Map<number, RemoteOrder>();
-    private readonly servedOrders = new Map<peerConnections.PeerConnection, Map<number, AbortController>>();
+    private readonly servedOrders: servedOrders.ServedOrders;
     private readonly subscriptions = new emitters.DisposableStore();
     /** The host that made a result, until the result is released. */
     private readonly hostByHandle = new Map<string, hostRoles.GroupHost>();
     private nextOrderId = 1;
 
     constructor(private readonly options: StageClientOptions) {
+        this.servedOrders = new servedOrders.ServedOrders(options.clock, options.host);
         this.subscriptions.add(options.peers.onFrame(frame => this.handleMessage(frame)));
         this.subscriptions.add(options.peers.onDisconnect(connection => this.handleLostConnection(connection)));
     }
@@ -80,6 +82,9 @@
                 { decision: "host-lost", attempt: order.attempt, host: host === "self" ? host : host.instance },
                 "stage host was lost or handed the order over; retrying",
             );
+            if (host !== "self") {
+                await this.options.peers.waitForReconnect(host);
+            }
         }
         return {
             kind: "failed",
@@ -123,12 +128,12 @@
                 return;
             }
             const cancel = (): void => {
-                connection.send({ kind: "stages-cancel", order });
+                connection.send({ kind: "stages-cancel", order, keepsResults: false });
                 settle({ kind: "failed", failure: codes.failure(codes.codes.cancelled, "the caller left") });
             };
             const hostCheck = clocks.every(this.options.clock, HOST_CHECK_INTERVAL_MS, () => {
                 if (!this.options.peers.livePeers.includes(host)) {
-                    connection.send({ kind: "stages-cancel", order });
+                    connection.send({ kind: "stages-cancel", order, keepsResults: true });
                     settle("lost");
                 }
             });
@@ -146,45 +151,24 @@
     private handleMessage(frame: entryPeers.PeerFrame): void {
         const { message, connection } = frame;
         pattern.match(message)
-            .with({ kind: "stages-run" }, run => void this.serve(connection, run.order, run.content))
-            .with({ kind: "stages-cancel" }, cancel => this.servedOrders.get(connection)?.get(cancel.order)?.abort())
+            .with({ kind: "stages-run" }, run => this.servedOrders.serve(connection, run.order, run.content))
+            .with(
+                { kind: "stages-cancel" },
+                cancel => this.servedOrders.cancel(connection, cancel.order, cancel.keepsResults),
+            )
             .with({ kind: "stages-release" }, release => this.options.host.releaseResults(release.handles))
             .with({ kind: "stages-made" }, made => this.sentOrders.get(made.order)?.onProgress(made.pieces))
             .with({ kind: "stages-end" }, end => this.sentOrders.get(end.order)?.settle(decodeResult(end)))
             .otherwise(() => undefined);
     }
 
-    private async serve(
-        connection: peerConnections.PeerConnection,
-        order: number,
-        content: stageOrders.StageOrder,
-    ): Promise<void> {
-        const controller = new AbortController();
-        const orders = this.servedOrders.get(connection) ?? new Map<number, AbortController>();
-        this.servedOrders.set(connection, orders.set(order, controller));
-        const result = await this.options.host.run(content, controller.signal, computed => {
-            connection.send({ kind: "stages-made", order, pieces: [...computed] });
-        });
-        orders.delete(order);
-        connection.send({
-            kind: "stages-end",
-            order,
-            ...(result.kind === "completed" ? { handles: [...result.handles] } : {
-                code: result.failure.code.code,
-                detail: result.failure.detail,
-                retryAfterMs: result.failure.retryAfterMs,
-            }),
-        });
-    }
-
     private handleLostConnection(connection: peerConnections.PeerConnection): void {
         for (const order of this.sentOrders.values()) {
             if (order.connection === connection) {
                 order.settle("lost");
             }
         }
-        this.servedOrders.get(connection)?.forEach(controller => controller.abort());
-        this.servedOrders.delete(connection);
+        this.servedOrders.handleLostConnection(connection);
     }
 }
 
--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -26,6 +26,9 @@
 const RETRY_AFTER_MS = 300;
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
+/** Reason with which an order's signal aborts when another host continues the order from its results. */
+export const RESULTS_KEPT = "results kept";
+
 /** Result of an order: the handles of its results, or a failure. */
 export type StageRunResult =
     | { readonly kind: "completed"; readonly handles: readonly string[] }
@@ -120,7 +123,12 @@
         return new Promise(resolve => {
             const cancel = (): void => {
                 this.pendingOrders.delete(job.id);
-                this.scheduler.cancel(job.id);
+                if (signal.reason === RESULTS_KEPT) {
+                    this.scheduler.detach(job.id);
+                }
+                else {
+                    this.scheduler.cancel(job.id);
+                }
                 this.releaseUnneeded();
                 resolve({ kind: "failed", failure: codes.failure(codes.codes.cancelled, "the caller left") });
             };
