Write log lines together, open one connection for two entries, and count the first view in one line

Cause: each turn of the event loop with a log line cost a write; two entries that found each other at the same time kept two connections; each entry logged each instance of its first view, as many lines as entries times instances. Watches of more than 33 entries pause up to 2 s between changes.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -18,6 +18,9 @@
     entries: z.array(entrySchema).max(MAX_ENTRIES),
 });
 
+/** A list of entries. */
+export type Entries = z.infer<typeof entriesSchema>;
+
 /** Presence message between entries, sent several times a second; not the heartbeat of their connection. */
 export const presenceSchema = z.object({
     kind: z.literal("presence"),
--- a/src/common/Log.ts
+++ b/src/common/Log.ts
@@ -7,6 +7,10 @@
 /** Bytes of log lines buffered for a slow reader; further lines are dropped. */
 const MAX_BACKLOG_BYTES = 1024 * 1024;
 
+/** Lines are collected up to this size, or for the interval, since each write costs as much as many lines. */
+const MIN_WRITE_BYTES = 8 * 1024;
+const FLUSH_INTERVAL_MS = 250;
+
 /** A logger, optionally bound to the name of an instance. */
 export type Log = pino.Logger;
 
@@ -27,7 +31,13 @@
 
 /** Creates a log on standard output with a bounded buffer. */
 export function createBoundedLog(instance: string, level: string): BoundedLog {
-    const destination = pino.destination({ dest: 1, sync: false, maxLength: MAX_BACKLOG_BYTES });
+    const destination = pino.destination({
+        dest: 1,
+        sync: false,
+        minLength: MIN_WRITE_BYTES,
+        maxLength: MAX_BACKLOG_BYTES,
+        periodicFlush: FLUSH_INTERVAL_MS,
+    });
     let dropped = 0;
     destination.on("drop", () => dropped++);
     return {
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -18,6 +18,8 @@
 const MIN_RECONNECT_MS = 300;
 /** Mean delay of the first attempt after a connection has ended: many are reset while their peer is alive. */
 const FIRST_RECONNECT_MS = 20;
+/** Time that an entry leaves to the other one to open their connection, so that there are seldom two. */
+const PEER_OPENS_MS = 120;
 /** An entry whose connection ended counts as present for this long. */
 const RECONNECT_GRACE_MS = 200;
 const RECONNECT_POLL_INTERVAL_MS = 10;
@@ -200,6 +202,9 @@
         const { clock } = this.options;
         let delayMs = MIN_RECONNECT_MS;
         while (!this.stop.signal.aborted && this.isWanted(address)) {
+            if (!this.isConnected(address) && this.isOpenedByPeer(address)) {
+                await clocks.sleep(clock, PEER_OPENS_MS, this.stop.signal);
+            }
             if (!this.isConnected(address)) {
                 const opened = await peerConnections.PeerConnection.open(address, this.connectionContext());
                 if (opened.isOk) {
@@ -222,6 +227,12 @@
         return this.knownPeers.some(peer => peer.address === address && peer.connection !== undefined);
     }
 
+    /** Whether the entry at the address opens the connection: of two entries, the one with the lower name does so. */
+    private isOpenedByPeer(address: string): boolean {
+        const peer = this.knownPeers.find(other => other.address === address);
+        return peer !== undefined && peer.instance < this.options.instance;
+    }
+
     private async accept(socket: net.Socket): Promise<void> {
         const accepted = await peerConnections.PeerConnection.accept(socket, this.connectionContext());
         if (accepted.isOk) {
@@ -311,19 +322,7 @@
     }
 
     private buildEntryList(): messages.Message {
-        const { instance, address, failureDomain } = this.options;
-        const others = this.knownPeers.filter(peer => peer.connection !== undefined);
-        return {
-            kind: "entries",
-            entries: [
-                { instance, address, failureDomain },
-                ...others.map(peer => ({
-                    instance: peer.instance,
-                    address: peer.address,
-                    failureDomain: peer.failureDomain,
-                })),
-            ],
-        };
+        return peerEntries.buildEntryList(this.options, this.knownPeers);
     }
 
     private connectionContext(): peerConnections.PeerContext {
--- a/src/process/routing/PeerEntry.ts
+++ b/src/process/routing/PeerEntry.ts
@@ -32,6 +32,9 @@
     lostAtMs: number;
 }
 
+/** An entry in a list of entries. */
+export type ListedEntry = entryMessages.Entries["entries"][number];
+
 /** What a stage host tells about its role. */
 export type Hosting = Pick<entryMessages.Presence, "hostingMs" | "hostingGroup" | "backlogMs">;
 
@@ -66,3 +69,13 @@
     peer.backlogMs = presence.backlogMs ?? 0;
     peer.hostingSinceMs = presence.hostingMs === undefined ? undefined : nowMs - presence.hostingMs;
 }
+
+/** Builds the list of this entry and its connected peers. */
+export function buildEntryList(self: ListedEntry, peers: readonly PeerEntry[]): entryMessages.Entries {
+    const connected = peers.filter(peer => peer.connection !== undefined);
+    return { kind: "entries", entries: [self, ...connected].map(toListed) };
+}
+
+function toListed({ instance, address, failureDomain }: ListedEntry): ListedEntry {
+    return { instance, address, failureDomain };
+}
--- a/src/process/routing/PublishedReader.ts
+++ b/src/process/routing/PublishedReader.ts
@@ -16,7 +16,7 @@
 const WATCH_WAIT_PER_ENTRY_MS = 500;
 /** Delay before the next watch, per live entry: batches changes, and few entries fetch each batch from the store. */
 const WATCH_DELAY_PER_ENTRY_MS = 30;
-const MAX_WATCH_DELAY_MS = 1_000;
+const MAX_WATCH_DELAY_MS = 2_000;
 /** Mean delay between a failure and the next call. */
 const RETRY_DELAY_MS = 250;
 /** Deletions of instances are delayed until this long after an outage of the store, since they may register again. */
--- a/src/process/routing/PublishedView.ts
+++ b/src/process/routing/PublishedView.ts
@@ -113,6 +113,7 @@
      */
     apply(update: PublishedUpdate, source: string, deletionGraceMs = 0): void {
         let hasChanged = false;
+        const isFirst = this.currentRevision === 0;
         for (const item of update.items) {
             hasChanged = this.applyItem(item, source, deletionGraceMs) || hasChanged;
         }
@@ -123,6 +124,11 @@
             }
         }
         this.currentRevision = Math.max(this.currentRevision, update.revision);
+        if (isFirst) {
+            const { revision } = update;
+            const instances = this.instancesById.size;
+            this.options.log.info({ decision: "listed", revision, source, instances }, "first view of the store");
+        }
         if (hasChanged) {
             this.changeEmitter.fire();
         }
@@ -186,7 +192,9 @@
                 return true;
             case "instance":
                 this.addInstance(record.instance);
-                log.info({ decision: "instance", ...keyFields, ...record.instance }, "instance changed");
+                if (this.currentRevision > 0) { // The instances of the first view are counted in one line.
+                    log.info({ decision: "instance", ...keyFields, ...record.instance }, "instance changed");
+                }
                 return true;
             case "out-of-service":
                 this.outOfService.add(record.failureDomain);
