--- a/src/process/routing/Decisions.test.ts
+++ b/src/process/routing/Decisions.test.ts
@@ -189,6 +189,55 @@
     });
 });
 
+vitest.describe("chooseHosts", () => {
+    function candidate(
+        instance: string,
+        overrides: Partial<hostChoices.HostCandidate> = {},
+    ): hostChoices.HostCandidate {
+        return { instance, startedMs: 0, hostingSinceMs: undefined, cores: 1, ...overrides };
+    }
+    const names = ["a", "b", "c", "d", "e", "f"];
+
+    vitest.it.each([
+        { name: "elects another entry for each group", candidates: names.map(name => candidate(name)), groups: 3 },
+        {
+            name: "doesn't elect a present host for a second group",
+            candidates: [candidate("a", { hostingSinceMs: 5, hostingGroup: 1 }), candidate("b")],
+            groups: 2,
+        },
+    ])("$name", ({ candidates, groups }) => {
+        const hosts = hostChoices.chooseHosts(candidates, groups);
+        vitest.expect(new Set(hosts).size).toBe(groups);
+        vitest.expect(hostChoices.chooseHosts([...candidates].reverse(), groups)).toEqual(hosts);
+    });
+
+    vitest.it("keeps the hosts of the other groups when one is lost", () => {
+        const hosting = [
+            candidate("b", { hostingSinceMs: 5, hostingGroup: 0 }),
+            candidate("d", { hostingSinceMs: 5, hostingGroup: 2 }),
+        ];
+        const hosts = hostChoices.chooseHosts([candidate("a"), ...hosting, candidate("c")], 3);
+        vitest.expect([hosts[0], hosts[2]]).toEqual(["b", "d"]);
+    });
+
+    vitest.it("lets one entry host all groups when it is alone", () => {
+        vitest.expect(hostChoices.chooseHosts([candidate("a")], 2)).toEqual(["a", "a"]);
+    });
+
+    vitest.it("elects the successors after the loss of all hosts, and of the first successors", () => {
+        const candidates = names.map(name => candidate(name));
+        const hosts = hostChoices.chooseHosts(candidates, 2);
+        const successors = hostChoices.chooseSuccessors(candidates, hosts, 2);
+        let remaining = candidates;
+        for (let round = 0; round < 2; round++) {
+            const lost = hostChoices.chooseHosts(remaining, 2);
+            remaining = remaining.filter(({ instance }) => !lost.includes(instance));
+            const next = hostChoices.chooseHosts(remaining, 2);
+            vitest.expect(next.every(host => successors.has(host!))).toBe(true);
+        }
+    });
+});
+
 vitest.describe("the bias of estimates", () => {
     vitest.it("follows the observed times and decays without observations", () => {
         const bias = new biases.EstimateBias();
--- a/src/process/routing/StageGroups.ts
+++ b/src/process/routing/StageGroups.ts
@@ -5,7 +5,7 @@
  */
 
 /** Entries whose orders a host with one core schedules, with most of that core left for its own callers. */
-const ENTRIES_PER_HOST_CORE = 50;
+const ENTRIES_PER_HOST_CORE = 40;
 /** Fewest instances of each stage service in a group. */
 const MIN_INSTANCES_PER_GROUP = 3;
 /** Difference between the backlogs of two hosts from which orders move to the shorter one. */
