--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -198,7 +198,8 @@
             remainingMs,
             elsewhereMs: sent.elsewhereMs,
         };
-        return this.options.sink.hasBegun
+        const hasReadPrompt = lastBytesAtMs > sent.sentAtMs; // An instance that resumes a stream reads it again.
+        return hasReadPrompt
             ? silenceLimits.nextEventWaitMs(silentCall)
             : silenceLimits.firstEventWaitMs(silentCall);
     }
