Don't send a stage order again after its caller has left

Cause: an order whose host was lost waits for the connection since the last change but one; a caller that left in the meantime wasn't noticed, since its signal had already fired. Unclaimed orders are kept for 500 ms instead of 1 s, so that those of callers who left with their entry end as soon as others do.

--- a/src/process/routing/ServedOrders.ts
+++ b/src/process/routing/ServedOrders.ts
@@ -9,7 +9,7 @@
 import * as stageHosts from "./StageHost";
 
 /** Time after the loss of its connection in which an order can be claimed again by its sender. */
-const CLAIM_TIMEOUT_MS = 1_000;
+const CLAIM_TIMEOUT_MS = 500;
 
 /** What this module needs of a connection to another entry. */
 export interface OrderConnection {
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -64,6 +64,9 @@
         const startedMs = this.options.clock.now();
         const made: stageOrders.ComputedPiece[] = [];
         for (let attempt = 0; attempt < MAX_HOST_ATTEMPTS; attempt++) {
+            if (signal.aborted) {
+                return { kind: "failed", failure: codes.failure(codes.codes.cancelled, "the caller left") };
+            }
             const elapsedMs = this.options.clock.now() - startedMs;
             const goalMs = order.goalMs - elapsedMs;
             const updatedOrder = { ...order, goalMs, limitMs: order.limitMs - elapsedMs, made };
