--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -10,7 +10,10 @@
 export const PROTOCOL_VERSION = 1;
 /** Largest frame accepted, in bytes, excluding its length prefix. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
-/** Heartbeat interval; other messages don't replace heartbeats, which carry the load and the configuration's age. */
+/**
+ * Heartbeat interval. An agent's heartbeats carry its load, so that other messages don't replace them; between entries
+ * for routed calls, presence messages do.
+ */
 export const HEARTBEAT_MS = 1_000;
 /** Silence after which a peer is considered lost. */
 export const PEER_SILENCE_MS = 3_500;
