Pass on deletions that are still delayed

Cause: an entry that gets a deletion from a peer applies it a second later, but states the deletion's revision at once and left it out of what it passed on. Ruled out: late watches (the entries' own were at revisions 115 and 118). Change: changes include delayed deletions, and the complete content leaves these keys out. Both new cases of PublishedView.test.ts failed first.

--- a/src/process/routing/PublishedView.test.ts
+++ b/src/process/routing/PublishedView.test.ts
@@ -158,4 +158,24 @@
         other.apply(update, "peer");
         vitest.expect(instanceIds(other)).toEqual(["b"]);
     });
+
+    vitest.it.each([
+        { name: "changes", since: 2 },
+        { name: "the complete content", since: 0 },
+    ])("passes on a deletion that is still delayed here, in $name", ({ since }) => {
+        const view = newView();
+        view.apply(
+            { items: [storedItem("instance/a", 1), storedItem("instance/b", 2)], revision: 2, isWhole: true },
+            "x",
+        );
+        view.apply({ items: [deletion("instance/a", 6)], revision: 6, isWhole: false }, "peer", 1_000);
+        vitest.expect(instanceIds(view)).toEqual(["a", "b"]);
+        const clock = new clocks.ManualClock();
+        const other = newView(clock);
+        const known = [storedItem("instance/a", 1), storedItem("instance/b", 2)];
+        other.apply({ items: known, revision: 2, isWhole: true }, "x");
+        other.apply(view.updateSince(since), "peer", 1_000);
+        clock.advance(1_000);
+        vitest.expect(instanceIds(other)).toEqual(["b"]);
+    });
 });
--- a/src/process/routing/PublishedView.ts
+++ b/src/process/routing/PublishedView.ts
@@ -39,8 +39,8 @@
 interface StoredEntry {
     readonly item: routing.PublishedItem;
     readonly record: routing.PublishedRecord;
-    /** When a delayed deletion takes effect; undefined when there is none. */
-    removalAtMs: number | undefined;
+    /** Revision of a deletion that takes effect later; undefined when there is none. */
+    removalRevision: number | undefined;
 }
 
 /** The merged view of all sources. */
@@ -138,9 +138,13 @@
     updateSince(revision: number): PublishedUpdate {
         const isWhole = revision < this.deletionsKnownSince;
         const items: routing.PublishedItem[] = [];
-        for (const entry of this.entriesByKey.values()) {
-            if (isWhole || entry.item.revision > revision) {
-                items.push(entry.item);
+        for (const { item, removalRevision } of this.entriesByKey.values()) {
+            // The receiver may never hear of a deletion up to its new revision again, so that a delayed one is included.
+            if (removalRevision !== undefined && !isWhole && removalRevision > revision) {
+                items.push({ key: item.key, revision: removalRevision, content: undefined });
+            }
+            if (removalRevision === undefined && (isWhole || item.revision > revision)) {
+                items.push(item);
             }
         }
         for (const [key, deletedRevision] of this.tombstones) {
@@ -167,7 +171,7 @@
         }
         const record = this.options.decode(item);
         this.tombstones.delete(item.key);
-        this.entriesByKey.set(item.key, { item, record, removalAtMs: undefined });
+        this.entriesByKey.set(item.key, { item, record, removalRevision: undefined });
         return this.applyRecord(item, record, previous?.record, source);
     }
 
@@ -254,10 +258,10 @@
     }
 
     private scheduleRemoval(key: string, entry: StoredEntry, revision: number, source: string, graceMs: number): void {
-        if (entry.removalAtMs !== undefined) {
+        if (entry.removalRevision !== undefined) {
             return;
         }
-        entry.removalAtMs = this.options.clock.now() + graceMs;
+        entry.removalRevision = revision;
         const removal = this.options.clock.schedule(graceMs, () => {
             this.pendingRemovals.delete(removal);
             if (this.entriesByKey.get(key) === entry && this.removeKeyNow(key, entry, revision, source)) {
