--- a/bench/Slope.ts
+++ b/bench/Slope.ts
@@ -20,9 +20,17 @@
     readonly points: readonly fits.Point[];
 }
 
-/** Calls `measure` for each size. */
-export function measureAt(sizes: readonly number[], measure: (size: number) => number): fits.Point[] {
-    return sizes.map(size => ({ size, value: measure(size) }));
+/** Returns a function that measures a quantity in `unit` at several sizes. */
+export function createSlopesIn(unit: Slope["unit"]) {
+    return (
+        symbol: string,
+        quantity: string,
+        per: string,
+        sizes: readonly number[],
+        measure: (size: number) => number,
+    ): Slope => {
+        return { symbol, quantity, unit, per, points: sizes.map(size => ({ size, value: measure(size) })) };
+    };
 }
 
 /** Mean CPU time of one run of `work`, including garbage collection. */
--- a/bench/SlopeBytes.ts
+++ b/bench/SlopeBytes.ts
@@ -23,15 +23,7 @@
 }
 
 export function measureAll(): slopes.Slope[] {
-    const createSlope = (
-        symbol: string,
-        quantity: string,
-        per: string,
-        sizes: number[],
-        measure: (size: number) => number,
-    ) => {
-        return { symbol, quantity, unit: "B" as const, per, points: slopes.measureAt(sizes, measure) };
-    };
+    const createSlope = slopes.createSlopesIn("B");
     return [
         createSlope(
             "b_beat",
--- a/bench/SlopeMemory.ts
+++ b/bench/SlopeMemory.ts
@@ -145,6 +145,7 @@
 }
 
 export async function measureAll(): Promise<slopes.Slope[]> {
+    const createSlopeOfBytes = slopes.createSlopesIn("B");
     const createSlope = (
         symbol: string,
         quantity: string,
@@ -153,8 +154,7 @@
         fill: (size: number) => unknown,
     ) => {
         fill(sizes[0]!);
-        const points = slopes.measureAt(sizes, size => slopes.measureBytes(() => fill(size)));
-        return { symbol, quantity, unit: "B" as const, per, points };
+        return createSlopeOfBytes(symbol, quantity, per, sizes, size => slopes.measureBytes(() => fill(size)));
     };
     const connections: { size: number; value: number }[] = [];
     await measureConnections(CONNECTION_COUNTS[0]!);
--- a/bench/SlopeTime.ts
+++ b/bench/SlopeTime.ts
@@ -163,15 +163,7 @@
 }
 
 export function measureAll(): slopes.Slope[] {
-    const createSlope = (
-        symbol: string,
-        quantity: string,
-        per: string,
-        sizes: number[],
-        measure: (size: number) => number,
-    ) => {
-        return { symbol, quantity, unit: "us" as const, per, points: slopes.measureAt(sizes, measure) };
-    };
+    const createSlope = slopes.createSlopesIn("us");
     const measureRoundTrip = (message: messages.Message): number => slopes.measureCpuMicros(createRoundTrip(message));
     return [
         createSlope("t_choice", "routing decision", "candidate", CANDIDATE_COUNTS, measureUpstreamChoice),
--- a/src/process/routing/Decisions.test.ts
+++ b/src/process/routing/Decisions.test.ts
@@ -96,6 +96,11 @@
     });
 });
 
+/** The host when there is one group. */
+function chooseHost(candidates: readonly hostChoices.HostCandidate[]): string | undefined {
+    return hostChoices.chooseHosts(candidates, 1)[0];
+}
+
 vitest.describe("chooseHost", () => {
     const first = { instance: "a", startedMs: 0, hostingSinceMs: undefined, cores: 1 };
     const cases: readonly {
@@ -125,7 +130,7 @@
         },
     ];
     vitest.it.each(cases)("$name", ({ others, isReplaced }) => {
-        vitest.expect(hostChoices.chooseHost([first, ...others])).toBe(isReplaced ? others[0]!.instance : "a");
+        vitest.expect(chooseHost([first, ...others])).toBe(isReplaced ? others[0]!.instance : "a");
     });
 
     vitest.it("doesn't depend on the order of candidates that started at about the same time", () => {
@@ -136,8 +141,8 @@
             hostingSinceMs: undefined,
             cores: 1,
         }));
-        const host = hostChoices.chooseHost(candidates);
-        vitest.expect(hostChoices.chooseHost([...candidates].reverse())).toBe(host);
+        const host = chooseHost(candidates);
+        vitest.expect(chooseHost([...candidates].reverse())).toBe(host);
     });
 
     const hostingCases: readonly {
@@ -180,12 +185,12 @@
         },
     ];
     vitest.it.each(hostingCases)("$name", ({ candidates, host }) => {
-        vitest.expect(hostChoices.chooseHost(candidates)).toBe(host);
-        vitest.expect(hostChoices.chooseHost([...candidates].reverse())).toBe(host);
+        vitest.expect(chooseHost(candidates)).toBe(host);
+        vitest.expect(chooseHost([...candidates].reverse())).toBe(host);
     });
 
     vitest.it("returns undefined without candidates", () => {
-        vitest.expect(hostChoices.chooseHost([])).toBeUndefined();
+        vitest.expect(chooseHost([])).toBeUndefined();
     });
 });
 
--- a/src/process/routing/HostChoice.ts
+++ b/src/process/routing/HostChoice.ts
@@ -1,9 +1,9 @@
 /**
  * Elects the stage hosts: the entries that schedule stage work for all entries, one for each group of stage workers.
- * Designed for entries that are killed
- * or restarted and return within seconds while stage capacity is scarce. The current host keeps its role, since two
- * hosts at once would fill the result memory of the stage workers without knowing of each other; without a host the
- * oldest entry takes the role. The host needs more CPU time than other entries, so those with few cores are excluded.
+ * Designed for entries that are killed or restarted and return within seconds while stage capacity is scarce. The
+ * current host keeps its role, since two hosts at once would fill the result memory of the stage workers without
+ * knowing of each other; without a host the oldest entry takes the role. The host needs more CPU time than other
+ * entries, so those with few cores are excluded.
  */
 import * as rendezvous from "../../common/RendezvousHash";
 
@@ -27,11 +27,6 @@
     readonly cores: number;
 }
 
-/** Elects the host when there is one group: see `chooseHosts`. */
-export function chooseHost(candidates: readonly HostCandidate[]): string | undefined {
-    return chooseHosts(candidates, 1)[0];
-}
-
 /**
  * Elects the host of each group: the longest-serving one with enough cores, or else one of the oldest entries without
  * another group; undefined without entries.
@@ -67,10 +62,7 @@
 function findPresentHost(eligible: readonly HostCandidate[], group: number): string | undefined {
     const hosts = eligible.filter(candidate => (candidate.hostingGroup ?? 0) === group);
     const earliestSinceMs = Math.min(...hosts.map(candidate => candidate.hostingSinceMs ?? Infinity));
-    return pickByHash(
-        hosts.filter(({ hostingSinceMs }) => hostingSinceMs !== undefined && hostingSinceMs === earliestSinceMs),
-        group,
-    );
+    return pickByHash(hosts.filter(({ hostingSinceMs }) => hostingSinceMs === earliestSinceMs), group);
 }
 
 function pickOldest(candidates: readonly HostCandidate[], group: number): string | undefined {
--- a/src/process/routing/HostRoles.ts
+++ b/src/process/routing/HostRoles.ts
@@ -3,7 +3,6 @@
  * Every entry elects the hosts for itself from the entries present; correctness doesn't depend on their agreement.
  */
 import * as clocks from "../../common/Clock";
-import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as stageOrders from "../../common/StageOrder";
 import * as entryPeers from "./EntryPeers";
@@ -38,9 +37,17 @@
 /** The host of a group: another entry, or this one. */
 export type GroupHost = peerEntries.PeerEntry | "self";
 
+interface Election {
+    /** Name of the host of each group; undefined without candidates. */
+    readonly names: readonly (string | undefined)[];
+    readonly candidates: readonly hostChoices.HostCandidate[];
+    /** The candidates other than this entry. */
+    readonly others: readonly peerEntries.PeerEntry[];
+}
+
 /** Elects the stage hosts and keeps this entry's own role. */
 export class HostRoles implements clocks.Disposable {
-    private readonly disposables = new emitters.DisposableStore();
+    private readonly timer: clocks.Disposable;
     private hostedGroup: number | undefined;
     private hostingSinceMs = 0;
     /** Groups for which this entry is elected. */
@@ -50,11 +57,11 @@
     private readonly positionsByList = new WeakMap<readonly views.KnownInstance[], ReadonlyMap<string, number>>();
 
     constructor(private readonly options: HostRolesOptions) {
-        this.disposables.add(clocks.every(options.clock, CHECK_INTERVAL_MS, () => this.updateOwnRole()));
+        this.timer = clocks.every(options.clock, CHECK_INTERVAL_MS, () => this.updateOwnRole());
     }
 
     dispose(): void {
-        this.disposables.dispose();
+        this.timer.dispose();
     }
 
     /** What this entry tells others about its role; undefined when it isn't a host. */
@@ -73,12 +80,15 @@
 
     /** Name of the host of each group. */
     get hostNames(): readonly string[] {
-        return this.findHosts().map(host => host === "self" ? this.options.instance : host.instance);
+        return this.electHosts().names.map(name => name ?? this.options.instance);
     }
 
     /** The host that should run an order: that of the group where the results will be read, unless it is far behind. */
     findHost(order: stageOrders.StageOrder): GroupHost {
         const hosts = this.findHosts();
+        if (hosts.length === 1) {
+            return hosts[0]!;
+        }
         const backlogsMs = hosts.map(host => host === "self" ? this.options.backlogMs() : host.backlogMs);
         const group = stageGroups.chooseGroup(this.preferredGroup(order), backlogsMs, this.options.random);
         return hosts[group] ?? "self";
@@ -107,11 +117,11 @@
      */
     private updateOwnRole(): void {
         const { clock, log, instance, peers, isDraining, openOrders } = this.options;
-        const hosts = this.findHosts();
+        const { names, candidates } = this.electHosts();
+        this.isSuccessor = hostChoices.chooseSuccessors(candidates, names, SUCCESSORS_PER_GROUP).has(instance);
         const [firstGroup] = this.ownGroups;
         if (this.hostedGroup !== undefined && !this.ownGroups.has(this.hostedGroup)) {
-            const next = hosts[this.hostedGroup] ?? hosts[0];
-            const host = next === undefined || next === "self" ? instance : next.instance;
+            const host = names[this.hostedGroup] ?? names[0] ?? instance;
             log.info(
                 { decision: "host", host, group: this.hostedGroup },
                 "another entry is the stage host; handing over",
@@ -129,8 +139,13 @@
         }
     }
 
-    /** Elects the host of each group. */
     private findHosts(): GroupHost[] {
+        const { names, others } = this.electHosts();
+        return names.map(name => others.find(peer => peer.instance === name) ?? "self");
+    }
+
+    /** Elects the host of each group among the other entries and this one. */
+    private electHosts(): Election {
         const { instance, isDraining, peers } = this.options;
         const others = peers.presentPeers.filter(peer => !peer.isDraining);
         const candidates: hostChoices.HostCandidate[] = others.map(peer => ({
@@ -155,10 +170,8 @@
             instanceCounts: this.stageServices().map(service => this.options.view.instances(service).length),
         });
         const names = hostChoices.chooseHosts(candidates, this.groups);
-        const successors = hostChoices.chooseSuccessors(candidates, names, SUCCESSORS_PER_GROUP);
-        this.isSuccessor = successors.has(instance);
         this.ownGroups = new Set(names.flatMap((name, group) => name === instance ? [group] : []));
-        return names.map(name => others.find(peer => peer.instance === name) ?? "self");
+        return { names, candidates, others };
     }
 
     /** The group whose stage workers are in the failure domain where the results of the order will be read. */
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -66,6 +66,14 @@
     readonly candidateCount: number;
 }
 
+/** Where a prompt will probably be sent. */
+export interface ExpectedPlacement {
+    /** Undefined when no instance is preferred. */
+    readonly failureDomain: string | undefined;
+    /** Tokens of the prompt that are probably not cached there. */
+    readonly missingTokens: number;
+}
+
 /** Identifies one incarnation of an instance. */
 export function incarnationKey(instance: routing.RoutedInstance): string {
     return `${instance.id}@${instance.startedMs}`;
@@ -140,18 +148,22 @@
         return best && promptReading.firstEventMs(best.waitingTokens + best.missingTokens);
     }
 
-    /** Tokens of a prompt that are probably not cached where it would be sent if all instances were idle. */
-    missingTokens(service: string, promptTokens: number, parts: readonly routingPorts.PromptPart[]): number {
-        const affinityId = pickAffinityId(this.usableInstances(service), parts);
+    /** Where a prompt is sent when all instances are idle: to the one preferred for its shared parts, if there is one. */
+    expectedPlacement(
+        service: string,
+        promptTokens: number,
+        parts: readonly routingPorts.PromptPart[],
+    ): ExpectedPlacement {
+        const instances = this.usableInstances(service);
+        const affinityId = pickAffinityId(instances, parts);
+        if (affinityId === undefined) {
+            return { failureDomain: undefined, missingTokens: promptTokens };
+        }
         const sharedTokens = parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-        return affinityId === undefined ? promptTokens : Math.max(0, promptTokens - sharedTokens);
-    }
-
-    /** The failure domain of the preferred instance for a prompt's shared parts; undefined when there is none. */
-    affinityDomain(service: string, parts: readonly routingPorts.PromptPart[]): string | undefined {
-        const candidates = this.usableInstances(service);
-        const affinityId = pickAffinityId(candidates, parts);
-        return candidates.find(instance => instance.id === affinityId)?.failureDomain;
+        return {
+            failureDomain: instances.find(instance => instance.id === affinityId)?.failureDomain,
+            missingTokens: Math.max(0, promptTokens - sharedTokens),
+        };
     }
 
     /** Whether the instance may have started so recently that it sustains only its cold rate. */
--- a/src/process/routing/SilenceLimit.ts
+++ b/src/process/routing/SilenceLimit.ts
@@ -58,8 +58,11 @@
 
 function waitWithin(plausibleMs: number, call: SilentCall): number {
     const plausibleLeftMs = plausibleMs - call.waitedMs;
-    const waitMs = plausibleLeftMs > 0 || !canBeServedElsewhere(call) ? RECHECK_INTERVAL_MS : 0;
-    return Math.max(0, Math.min(waitMs, call.remainingMs, plausibleLeftMs > 0 ? plausibleLeftMs : Infinity));
+    if (plausibleLeftMs <= 0 && canBeServedElsewhere(call)) {
+        return 0;
+    }
+    const untilDecisionMs = plausibleLeftMs > 0 ? Math.min(plausibleLeftMs, RECHECK_INTERVAL_MS) : RECHECK_INTERVAL_MS;
+    return Math.max(0, Math.min(untilDecisionMs, call.remainingMs));
 }
 
 function canBeServedElsewhere(call: SilentCall): boolean {
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -65,7 +65,7 @@
         const made: stageOrders.ComputedPiece[] = [];
         for (let attempt = 0; attempt < MAX_HOST_ATTEMPTS; attempt++) {
             if (signal.aborted) {
-                return { kind: "failed", failure: codes.failure(codes.codes.cancelled, "the caller left") };
+                return stageHosts.CALLER_LEFT;
             }
             const elapsedMs = this.options.clock.now() - startedMs;
             const goalMs = order.goalMs - elapsedMs;
@@ -132,7 +132,7 @@
             }
             const cancel = (): void => {
                 connection.send({ kind: "stages-cancel", order, keepsResults: false });
-                settle({ kind: "failed", failure: codes.failure(codes.codes.cancelled, "the caller left") });
+                settle(stageHosts.CALLER_LEFT);
             };
             const hostCheck = clocks.every(this.options.clock, HOST_CHECK_INTERVAL_MS, () => {
                 if (!this.options.peers.livePeers.includes(host)) {
--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -34,6 +34,12 @@
     | { readonly kind: "completed"; readonly handles: readonly string[] }
     | { readonly kind: "failed"; readonly failure: codes.Failure };
 
+/** Result of an order whose caller left before it ended. */
+export const CALLER_LEFT: StageRunResult = {
+    kind: "failed",
+    failure: codes.failure(codes.codes.cancelled, "the caller left"),
+};
+
 /** Receives results as they are computed. */
 export type ProgressListener = (computed: readonly stageOrders.ComputedPiece[]) => void;
 
@@ -130,7 +136,7 @@
                     this.scheduler.cancel(job.id);
                 }
                 this.releaseUnneeded();
-                resolve({ kind: "failed", failure: codes.failure(codes.codes.cancelled, "the caller left") });
+                resolve(CALLER_LEFT);
             };
             const settle = (result: StageRunResult): void => {
                 signal.removeEventListener("abort", cancel);
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -79,8 +79,11 @@
     private createOrder(route: routing.Route): stageOrders.StageOrder {
         const { metadata } = this.call;
         const nowMs = this.context.clock.now();
-        const { pool } = this.context;
-        const missingTokens = pool.missingTokens(this.call.service, metadata.promptTokens, metadata.promptParts);
+        const { failureDomain, missingTokens } = this.context.pool.expectedPlacement(
+            this.call.service,
+            metadata.promptTokens,
+            metadata.promptParts,
+        );
         const reserveMs = promptReading.firstEventMs(missingTokens);
         return {
             attempt: metadata.attempt,
@@ -95,7 +98,7 @@
             goalMs: this.call.softDeadlineAtMs - nowMs - reserveMs,
             limitMs: this.call.hardDeadlineAtMs - nowMs - reserveMs,
             made: [],
-            failureDomain: pool.affinityDomain(this.call.service, metadata.promptParts),
+            failureDomain,
         };
     }
 }
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -114,6 +114,7 @@
         traffic: chosen.traffic,
         elsewhereMs: () => findElsewhereMs(context, call, history, options.inputs),
     };
+    const waitMs = (): number => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now());
     logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs);
     call.progress.mayHaveRun = true;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
@@ -131,8 +132,8 @@
         }),
         body: call.body,
         isNewConnection: !calls.isRetryable(call.route) || history.sends > 1,
-        answerTimeoutMs: Math.min(options.answerWaitMs(sent), remainingMs),
-        extendTimeoutMs: () => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now()),
+        answerTimeoutMs: waitMs(),
+        extendTimeoutMs: waitMs,
     }, call.signal);
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
