Drop expired results of stage workers that are gone

Cause: since results are kept by stage worker, expired ones were dropped only when their worker was asked about, so that those of a worker that had left stayed as long as the process.

--- a/src/process/routing/ResultMemory.ts
+++ b/src/process/routing/ResultMemory.ts
@@ -92,6 +92,16 @@
         return this.held.get(handle)?.instance;
     }
 
+    /** Removes expired results, also of workers that are gone. Stops at the first other one: the oldest come first. */
+    dropExpired(nowMs: number): void {
+        for (const [handle, result] of this.held) {
+            if (result.expiresAtMs > nowMs) {
+                return;
+            }
+            this.remove(handle);
+        }
+    }
+
     /** Removes a released result. */
     remove(handle: string): void {
         const result = this.held.get(handle);
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -186,6 +186,7 @@
 
     /** Queues pieces of overdue calls and expired inputs again; ends orders that can't meet their hard deadline. */
     expire(nowMs: number): void {
+        this.memory.dropExpired(nowMs);
         for (const batch of this.instances.takeOverdue(nowMs)) {
             batch.pieces.forEach(piece => piece.job.requeue(piece.stage, piece.piece));
         }
