--- a/src/process/routing/ServedOrders.ts
+++ b/src/process/routing/ServedOrders.ts
@@ -6,6 +6,7 @@
 import * as clocks from "../../common/Clock";
 import * as messages from "../../common/Messages";
 import * as stageOrders from "../../common/StageOrder";
+import * as stageEndMessages from "./StageEndMessage";
 import * as stageHosts from "./StageHost";
 
 /** Time after the loss of its connection in which an order can be claimed again by its sender. */
@@ -99,7 +100,7 @@
         }
         const { connection, order } = served.sender;
         this.ordersByConnection.get(connection)?.delete(order);
-        connection.send({ kind: "stages-end", order, ...encodeResult(result) });
+        connection.send(stageEndMessages.encodeResult(order, result));
     }
 
     private dropUnclaimed(served: ServedOrder): void {
@@ -115,15 +116,3 @@
         }
     }
 }
-
-function encodeResult(
-    result: stageHosts.StageRunResult,
-): Pick<StagesEnd, "handles" | "code" | "detail" | "retryAfterMs"> {
-    return result.kind === "completed" ? { handles: [...result.handles] } : {
-        code: result.failure.code.code,
-        detail: result.failure.detail,
-        retryAfterMs: result.failure.retryAfterMs,
-    };
-}
-
-type StagesEnd = Extract<messages.Message, { kind: "stages-end" }>;
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -8,13 +8,13 @@
 import * as codes from "../../common/Codes";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
-import * as messages from "../../common/Messages";
 import * as stageOrders from "../../common/StageOrder";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "./EntryPeers";
 import * as hostRoles from "./HostRoles";
 import * as peerEntries from "./PeerEntry";
 import * as servedOrders from "./ServedOrders";
+import * as stageEndMessages from "./StageEndMessage";
 import * as stageHosts from "./StageHost";
 
 /** Maximum number of attempts to run one order on a host. */
@@ -161,7 +161,10 @@
             )
             .with({ kind: "stages-release" }, release => this.options.host.releaseResults(release.handles))
             .with({ kind: "stages-made" }, made => this.sentOrders.get(made.order)?.onProgress(made.pieces))
-            .with({ kind: "stages-end" }, end => this.sentOrders.get(end.order)?.settle(decodeResult(end)))
+            .with(
+                { kind: "stages-end" },
+                end => this.sentOrders.get(end.order)?.settle(stageEndMessages.decodeResult(end)),
+            )
             .otherwise(() => undefined);
     }
 
@@ -179,11 +182,3 @@
 function isHandedOver(result: stageHosts.StageRunResult): boolean {
     return result.kind === "failed" && result.failure.code === codes.codes.draining;
 }
-
-function decodeResult(message: Extract<messages.Message, { kind: "stages-end" }>): stageHosts.StageRunResult {
-    if (message.handles !== undefined) {
-        return { kind: "completed", handles: message.handles };
-    }
-    const code = codes.findCode(message.code ?? -1) ?? codes.codes.overloaded;
-    return { kind: "failed", failure: codes.failure(code, message.detail ?? "", message.retryAfterMs) };
-}
