Log why a stream ended before its last event

The log showed that an answer was broken off, and the sends around it, but not whether the instance had ended the stream or was only silent, nor for how long and whether the stream had inputs to be resumed with. One line now states all of it, written only for streams that are interrupted.

--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -41,6 +41,8 @@
 /** Forwards one stream to its caller; used once. */
 export class StreamRun {
     private lastEventId: number | undefined;
+    /** When the current instance last sent anything, or when the call was sent to it. */
+    private lastBytesAtMs = 0;
     private readonly history = senders.createHistory();
 
     constructor(
@@ -104,6 +106,9 @@
             return { outcome: this.abortUnlessRetryable(outcome), isFinal };
         }
         const forwarded = await this.forward(answered);
+        if (forwarded === "broken" || forwarded === "stalled") {
+            this.logInterruption(answered, forwarded);
+        }
         answered.sent.ticket.end(
             forwarded === "complete"
                 ? "ok"
@@ -133,11 +138,13 @@
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
         const splitter = new splitters.EventSplitter();
         const { sent } = answered;
-        let lastBytesAtMs = sent.sentAtMs;
+        this.lastBytesAtMs = sent.sentAtMs;
         for (;;) {
-            const waitMs = (): number => this.waitMs(sent, lastBytesAtMs);
+            const waitMs = (): number => this.waitMs(sent, this.lastBytesAtMs);
             const chunk = await readChunk(answered.answer.body, this.context.clock, waitMs);
-            lastBytesAtMs = this.context.clock.now();
+            if (chunk instanceof Buffer) {
+                this.lastBytesAtMs = this.context.clock.now();
+            }
             if (this.call.signal.aborted) {
                 answered.answer.cancel();
                 return "disconnected";
@@ -204,6 +211,22 @@
             : silenceLimits.firstEventWaitMs(silentCall);
     }
 
+    private logInterruption(answered: AnsweredSend, reason: string): void {
+        const { quietMs } = answered.sent.traffic;
+        this.context.log.info({
+            decision: "stream-interrupted",
+            attempt: this.call.metadata.attempt,
+            instance: answered.instance,
+            reason,
+            begun: this.options.sink.hasBegun,
+            lastEventId: this.lastEventId,
+            silentMs: Math.round(this.context.clock.now() - this.lastBytesAtMs),
+            quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
+            inputs: this.options.inputs().length,
+            resumable: this.canRetry(),
+        }, "stream ended before its last event");
+    }
+
     private canRetry(): boolean {
         return calls.isRetryable(this.call.route)
             && this.history.possibleRuns < this.call.route.attempts
