--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -108,6 +108,10 @@
             this.handleStage(request.url, body, response);
             return;
         }
+        if (hasPieces(request.headers) && request.headers["inputs"] === undefined) {
+            response.writeHead(400, { "Not-Executed": "1" }).end();
+            return;
+        }
         const { method, url, headers } = request;
         this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now() });
         response.on("close", () => this.cancelledRuns += response.writableFinished ? 0 : 1);
@@ -172,6 +176,11 @@
     }
 }
 
+/** Whether a call has stages, so that it needs their results. */
+function hasPieces(headers: http.IncomingHttpHeaders): boolean {
+    return String(headers["pieces"] ?? "").split(",").some(count => Number(count) > 0);
+}
+
 async function readBody(request: http.IncomingMessage): Promise<string> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -183,6 +183,7 @@
             { ...stream, Name: "notes", Prefix: "/notes/", Attempts: 2, Resumable: true },
             { ...stream, Name: "once", Prefix: "/once/", Attempts: 1, Resumable: false },
             { ...stream, Name: "staged", Prefix: "/staged/", Attempts: 1, Resumable: false, Stages: stages },
+            { ...stream, Name: "drafts", Prefix: "/drafts/", Attempts: 2, Resumable: true, Stages: stages },
         ],
         Services: [
             { ...service, Name: "desk" },
--- /dev/null
+++ b/tests/InterruptedStreams.test.ts
@@ -0,0 +1,41 @@
+import * as vitest from "vitest";
+import * as fleets from "../standins/platform/RoutedFleet";
+
+const STREAM_BODY = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
+const { PROMPT_HEADERS: PROMPT, STAGED_HEADERS: STAGED } = fleets;
+
+let fleet: fleets.RoutedFleet;
+
+vitest.beforeEach(async () => {
+    fleet = new fleets.RoutedFleet();
+    await fleet.start();
+    await fleet.addEntry();
+    await fleet.waitUntil(async () => await fleet.readyStatus() === 200);
+    await fleet.waitUntil(async () => (await fleet.call("/look/ready")).status === 200);
+});
+
+vitest.afterEach(() => fleet.dispose());
+
+/** Calls until the first model engine runs a call, and returns the answer to that call. */
+async function callFirstModel(path: string, headers: Record<string, string>): Promise<fleets.Answer> {
+    const [first] = fleet.enginesOf("model");
+    for (;;) {
+        const answer = await fleet.call(path, { headers });
+        if (first!.runs.length > 0) {
+            return answer;
+        }
+    }
+}
+
+vitest.describe("a resumed stream", () => {
+    // Guards against resumed streams that every instance rejected, since their inputs had been released.
+    vitest.it.each([
+        { name: "without stages", path: "/notes/1", headers: PROMPT },
+        { name: "with stages, whose results are computed again", path: "/drafts/1", headers: STAGED },
+    ])("$name is complete", async ({ path, headers }) => {
+        fleet.enginesOf("model")[0]!.faults = { breakAfterEvent: 3 };
+        const answer = await callFirstModel(path, headers);
+        vitest.expect(answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+        vitest.expect(fleet.enginesOf("model")[1]!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
+    });
+});
