Compute the inputs of a stream again before it is resumed

Callers saw streams with stages that ended in the middle, without an answer, beside changes of the configuration and at any other time, whenever an instance crashed or was silent for 1.5 s.

Cause: the results of stages are released at the first event, and a resumed call was sent without inputs. Every instance rejected it with 400, which isn't read as lost inputs, until the sends were used up. A resumable stream with stages could never be resumed.

Fix: inputs are either held or have to be computed; before every send the missing ones are computed, but only if the call could be sent at all. A class of fault: a resource released early, and a later path that assumes it is still held.

--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -34,9 +34,9 @@
             return call.signal.aborted ? { kind: "disconnected" } : { kind: "local-failure", failure: stageFailure };
         }
         return await new streamRuns.StreamRun(context, call, {
-            inputs: () => inputs.results,
-            recomputeInputs: async () => await inputs.compute() === undefined,
-            onEventForwarded: () => inputs.release(),
+            inputs: () => inputs.held,
+            computeInputs: async () => await inputs.compute() === undefined,
+            releaseInputs: () => inputs.release(),
             sink,
         }).run();
     }
@@ -47,24 +47,32 @@
 
 /** Holds the stage results that a call reads, from their computation until their release. */
 class StageInputs {
-    results: readonly senders.CallInput[] = [];
+    private results: readonly senders.CallInput[] | undefined;
 
     constructor(private readonly context: RunContext, private readonly call: calls.RoutedCall) {}
 
+    /** The inputs that are held, none for a call without stages; undefined if they have to be computed. */
+    get held(): readonly senders.CallInput[] | undefined {
+        return this.hasPieces ? this.results : [];
+    }
+
+    private get hasPieces(): boolean {
+        const { metadata, route } = this.call;
+        return metadata.pieces.slice(0, route.stages.length).some(count => count > 0);
+    }
+
     /** Runs the stages, if the call has any; resolves to the failure, or undefined on success. */
     async compute(): Promise<codes.Failure | undefined> {
-        const { metadata, route } = this.call;
-        const hasPieces = metadata.pieces.slice(0, route.stages.length).some(count => count > 0);
-        if (!hasPieces) {
+        if (!this.hasPieces) {
             return undefined;
         }
         this.release();
-        const order = this.createOrder(route);
+        const order = this.createOrder(this.call.route);
         const stagesOutcome = await this.context.runStages(order, this.call.signal);
         if (stagesOutcome.kind === "failed") {
             return stagesOutcome.failure;
         }
-        this.call.progress.stagesMs = this.context.clock.now() - this.call.arrivedMs;
+        this.call.progress.stagesMs ??= this.context.clock.now() - this.call.arrivedMs;
         const sizesBytes = inputSizesBytes(order);
         this.results = stagesOutcome.handles.map((handle, index) => ({ handle, bytes: sizesBytes[index] ?? 0 }));
         return undefined;
@@ -72,8 +80,8 @@
 
     /** Releases the results; safe to call repeatedly. */
     release(): void {
-        this.context.releaseResults(this.results.map(input => input.handle));
-        this.results = [];
+        this.context.releaseResults((this.results ?? []).map(input => input.handle));
+        this.results = undefined;
     }
 
     private createOrder(route: routing.Route): stageOrders.StageOrder {
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -27,11 +27,12 @@
 
 /** What a stream needs in addition to the sender's context. */
 export interface StreamOptions {
-    readonly inputs: () => readonly senders.CallInput[];
-    /** Computes the inputs again after one was lost; resolves to false on failure. */
-    readonly recomputeInputs: () => Promise<boolean>;
-    /** Called after each forwarded event: the instance has read its inputs by then. */
-    readonly onEventForwarded: () => void;
+    /** The inputs that are held; undefined if they have to be computed before the next send. */
+    readonly inputs: () => readonly senders.CallInput[] | undefined;
+    /** Computes the inputs again; resolves to false on failure. */
+    readonly computeInputs: () => Promise<boolean>;
+    /** Releases the inputs: one of them is lost, or the instance has read them. */
+    readonly releaseInputs: () => void;
     readonly sink: EventSink;
 }
 
@@ -57,14 +58,10 @@
     async run(): Promise<plainRuns.RunOutcome> {
         let latestFailure: plainRuns.RunOutcome | undefined;
         for (;;) {
-            const sendOutcome = await senders.sendCall(this.context, this.call, this.history, {
-                lastEventId: this.lastEventId,
-                inputs: this.options.inputs(),
-                answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
-            });
+            const sendOutcome = await this.send();
             if (sendOutcome.kind === "not-run") {
-                if (sendOutcome.isInputLost && !await this.options.recomputeInputs()) {
-                    return this.abortIfBegun(latestFailure ?? plainRuns.createRejection(this.history));
+                if (sendOutcome.isInputLost) {
+                    this.options.releaseInputs();
                 }
                 continue;
             }
@@ -76,6 +73,22 @@
         }
     }
 
+    /** Sends the call with its inputs, which are computed first unless they are held. */
+    private async send(): Promise<senders.SendOutcome> {
+        if (this.options.inputs() === undefined) {
+            const hasInputs = senders.canSend(this.context, this.call, this.history)
+                && await this.options.computeInputs();
+            if (!hasInputs) {
+                return { kind: this.call.signal.aborted ? "cancelled" : "none" };
+            }
+        }
+        return senders.sendCall(this.context, this.call, this.history, {
+            lastEventId: this.lastEventId,
+            inputs: this.options.inputs() ?? [],
+            answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
+        });
+    }
+
     private async handleSendOutcome(
         sendOutcome: Exclude<senders.SendOutcome, { kind: "not-run" }>,
         latestFailure: plainRuns.RunOutcome | undefined,
@@ -187,7 +200,7 @@
             this.call.progress.firstEventMs ??= this.context.clock.now() - this.call.arrivedMs;
             answered.sent.ticket.recordEvent();
             await sink.write(event.bytes);
-            this.options.onEventForwarded();
+            this.options.releaseInputs();
         }
     }
 
@@ -222,7 +235,7 @@
             lastEventId: this.lastEventId,
             silentMs: Math.round(this.context.clock.now() - this.lastBytesAtMs),
             quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
-            inputs: this.options.inputs().length,
+            inputs: this.options.inputs()?.length,
             resumable: this.canRetry(),
         }, "stream ended before its last event");
     }
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -89,6 +89,16 @@
     readonly answerWaitMs: (sent: SentCall) => number;
 }
 
+/** Whether the call can be sent now: time and budget are left, and an instance can accept it. */
+export function canSend(context: SenderContext, call: calls.RoutedCall, history: CallHistory): boolean {
+    const hasTime = call.hardDeadlineAtMs - context.clock.now() >= MIN_REMAINING_MS;
+    const isAllowed = history.sends === 0 || context.budgetOf(call.service).canSpend;
+    return hasTime
+        && isAllowed
+        && history.sends < MAX_SENDS
+        && context.pool.expectedFirstEventMs(requirementsOf(context, call, history, [])) !== undefined;
+}
+
 /** Chooses an instance and sends the call to it. */
 export async function sendCall(
     context: SenderContext,
