--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -29,6 +29,8 @@
     status?: number | undefined;
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
+    /** Streams pause after the event with this ID. */
+    pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
     /** Never answers. */
@@ -154,7 +156,8 @@
                 return;
             }
             response.write(`id: ${id}\ndata: part ${id}\n\n`);
-            await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
+            const pauseMs = this.faults.pause?.afterEvent === id ? this.faults.pause.ms : 0;
+            await new Promise(resolve => setTimeout(resolve, pauseMs + (this.options.eventIntervalMs ?? 1)));
         }
         response.end();
     }
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -39,3 +39,28 @@
         vitest.expect(fleet.enginesOf("model")[1]!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
     });
 });
+
+vitest.describe("a stream of an instance that is silent for a while", () => {
+    // Guards against streams that were given up for silence and then found no other instance.
+    vitest.it.each([
+        { name: "while the other instance rejects all calls", path: "/notes/1", headers: PROMPT, shedding: "model" },
+        { name: "while its stages can't be computed again", path: "/drafts/1", headers: STAGED, shedding: "archive" },
+    ])("is complete $name", async ({ path, headers, shedding }) => {
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { pause: { afterEvent: 3, ms: 3_000 } };
+        const answer = callFirstModel(path, headers);
+        await fleet.waitUntil(() => first!.runs.length > 0);
+        second!.faults = { shed: shedding === "model" };
+        fleet.enginesOf("archive").forEach(engine => engine.faults = { shed: shedding === "archive" });
+        vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+    });
+
+    vitest.it("is resumed on another instance that accepts it, and ended at the silent one", async () => {
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { pause: { afterEvent: 3, ms: 30_000 } };
+        const answer = await callFirstModel("/notes/1", PROMPT);
+        vitest.expect(answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+        vitest.expect(second!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
+        await fleet.waitUntil(() => first!.cancelledRuns === 1);
+    });
+});
