Leave a silent stream only when another instance has accepted it

Callers saw streams broken off though the engine that served them was sound and only silent for a second or two.

Cause: a stream that had begun was cancelled after 1.5 s of silence and sent again afterwards. When its stages couldn't be computed again, or the other instances rejected the call or no retry was left, nothing could be delivered any more, though the first engine would have gone on.

Fix: a move is a unit of its own (StreamMove) that first gets the inputs, then sends, and leaves the silent instance when the other one has accepted the call, or after 200 ms without an answer, since rejections arrive within milliseconds and two instances must not work on a call for longer. If no instance takes it, or the stream continues meanwhile, it stays. Events that arrive twice are dropped by their ID as before. A send that is cancelled counts as a possible run. The limit for an instance that is silent to all of its streams is 2 s instead of 1.5 s: callers wait for 3.7 s or more between events, and a sound engine may be silent for about a second.

--- a/src/process/routing/SilenceLimit.ts
+++ b/src/process/routing/SilenceLimit.ts
@@ -24,8 +24,8 @@
 /** For an instance that works on other calls: the answer may be lost, but more probably it is late. */
 const ACTIVE_TOLERANCE: Tolerance = { factor: 5, minMs: 2_000 };
 
-/** Pause of a stream that has begun before it is resumed on another instance. */
-const QUIET_PAUSE_MS = 1_500;
+/** Pause of a stream that has begun before it is moved; a sound instance may be silent for about a second. */
+const QUIET_PAUSE_MS = 2_000;
 /** The same while the instance works on other calls: it may have put this one back to make room. */
 const ACTIVE_PAUSE_MS = 2_500;
 
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -44,6 +44,7 @@
             lastEventId: call.metadata.lastEventId,
             inputs: [],
             answerWaitMs: () => Infinity,
+            signal: call.signal,
         });
         const runOutcome = await handleSendOutcome(context, call, sendOutcome);
         if (runOutcome === "not-run") {
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -29,13 +29,13 @@
     }
     const inputs = new StageInputs(context, call);
     try {
-        const stageFailure = await inputs.compute();
+        const stageFailure = await inputs.compute(call.signal);
         if (stageFailure !== undefined) {
             return call.signal.aborted ? { kind: "disconnected" } : { kind: "local-failure", failure: stageFailure };
         }
         return await new streamRuns.StreamRun(context, call, {
             inputs: () => inputs.held,
-            computeInputs: async () => await inputs.compute() === undefined,
+            computeInputs: async signal => await inputs.compute(signal) === undefined,
             releaseInputs: () => inputs.release(),
             sink,
         }).run();
@@ -62,13 +62,13 @@
     }
 
     /** Runs the stages, if the call has any; resolves to the failure, or undefined on success. */
-    async compute(): Promise<codes.Failure | undefined> {
+    async compute(signal: AbortSignal): Promise<codes.Failure | undefined> {
         if (!this.hasPieces) {
             return undefined;
         }
         this.release();
         const order = this.createOrder(this.call.route);
-        const stagesOutcome = await this.context.runStages(order, this.call.signal);
+        const stagesOutcome = await this.context.runStages(order, signal);
         if (stagesOutcome.kind === "failed") {
             return stagesOutcome.failure;
         }
--- /dev/null
+++ b/src/request/routed/StreamMove.ts
@@ -0,0 +1,93 @@
+/**
+ * Moves a stream from a silent instance to another one. The exchange with the silent instance stays open until the
+ * other one has accepted the call: a stream that no other instance takes, or that continues meanwhile, stays.
+ */
+import * as stream from "node:stream";
+import * as clocks from "../../common/Clock";
+import * as senders from "./UpstreamSender";
+
+/**
+ * Time after the send at which the silent instance is left, even if the other one hasn't answered: rejections arrive
+ * sooner, and two instances must not work on a call for longer.
+ */
+const MAX_OVERLAP_MS = 200;
+
+/** What a move needs. */
+export interface MoveOptions {
+    readonly clock: clocks.Clock;
+    /** Body of the silent instance's answer. */
+    readonly body: stream.Readable;
+    /** Cancels the exchange with the silent instance. */
+    readonly leave: () => void;
+    /** Provides what the next send needs; resolves to false on failure. */
+    readonly prepare: (signal: AbortSignal) => Promise<boolean>;
+    /** Sends the call to another instance. */
+    readonly send: (signal: AbortSignal) => Promise<senders.SendOutcome>;
+    /** Aborts when the caller disconnects. */
+    readonly signal: AbortSignal;
+}
+
+/** Resolves to the outcome of the send once the silent instance has been left; undefined if the stream stays there. */
+export async function moveStream(options: MoveOptions): Promise<senders.SendOutcome | undefined> {
+    const controller = new AbortController();
+    const signal = AbortSignal.any([options.signal, controller.signal]);
+    const continuation = new Continuation(options.body);
+    let overlapTimer: clocks.Disposable | undefined;
+    try {
+        const isPrepared = await Promise.race([options.prepare(signal), continuation.promise]);
+        if (isPrepared !== true) {
+            controller.abort();
+            return undefined;
+        }
+        const sending = options.send(signal);
+        const overlapEnd = new Promise<"overlap-end">(resolve => {
+            overlapTimer = options.clock.schedule(MAX_OVERLAP_MS, () => resolve("overlap-end"));
+        });
+        const first = await Promise.race([continuation.promise, sending, overlapEnd]);
+        if (first === "overlap-end" || (first !== "continued" && isAccepted(first))) {
+            options.leave();
+            return await sending;
+        }
+        controller.abort();
+        discard(await sending);
+        return undefined;
+    }
+    finally {
+        continuation.dispose();
+        overlapTimer?.dispose();
+    }
+}
+
+function isAccepted(outcome: senders.SendOutcome): boolean {
+    return outcome.kind === "answer" && outcome.answer.status === 200;
+}
+
+function discard(outcome: senders.SendOutcome): void {
+    if (outcome.kind === "answer") {
+        outcome.answer.cancel();
+        outcome.sent.ticket.end("cancelled");
+    }
+}
+
+/** Detects that a body continues or ends as complete. */
+class Continuation implements clocks.Disposable {
+    readonly promise: Promise<"continued">;
+    private resolve!: (value: "continued") => void;
+    private readonly checkReadable = (): void => {
+        if (this.body.readableLength > 0) {
+            this.resolve("continued");
+        }
+    };
+    private readonly recordEnd = (): void => this.resolve("continued");
+
+    constructor(private readonly body: stream.Readable) {
+        this.promise = new Promise(resolve => this.resolve = resolve);
+        body.on("readable", this.checkReadable);
+        body.on("end", this.recordEnd);
+    }
+
+    dispose(): void {
+        this.body.off("readable", this.checkReadable);
+        this.body.off("end", this.recordEnd);
+    }
+}
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -2,15 +2,18 @@
  * Runs a call whose answer is a stream of events. Complete events are forwarded as they arrive, in order; a stream
  * that breaks is resumed on another instance where the route allows it.
  */
-import * as http from "node:http";
-import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as silenceLimits from "../../process/routing/SilenceLimit";
+import * as chunks from "./ChunkReader";
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
+import * as moves from "./StreamMove";
 import * as senders from "./UpstreamSender";
 
+/** Pause after a stream couldn't be moved before that is tried again. */
+const MOVE_PAUSE_MS = 500;
+
 /** Destination of the events of a stream. */
 export interface EventSink {
     /** Whether the headers have been written. */
@@ -30,13 +33,29 @@
     /** The inputs that are held; undefined if they have to be computed before the next send. */
     readonly inputs: () => readonly senders.CallInput[] | undefined;
     /** Computes the inputs again; resolves to false on failure. */
-    readonly computeInputs: () => Promise<boolean>;
+    readonly computeInputs: (signal: AbortSignal) => Promise<boolean>;
     /** Releases the inputs: one of them is lost, or the instance has read them. */
     readonly releaseInputs: () => void;
     readonly sink: EventSink;
 }
 
-type ForwardOutcome = "complete" | "broken" | "stalled" | "disconnected" | "deadline";
+/** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
+type ForwardOutcome =
+    | { readonly kind: "complete" | "broken" | "disconnected" | "deadline" }
+    | { readonly kind: "moved"; readonly next: senders.SendOutcome };
+/** Result of one send; `next` is the outcome of a further one that has already been made. */
+interface Step {
+    readonly outcome: plainRuns.RunOutcome;
+    readonly isFinal: boolean;
+    readonly next?: senders.SendOutcome;
+}
+const ticketOutcomes = {
+    complete: "ok",
+    broken: "failed",
+    moved: "failed",
+    disconnected: "cancelled",
+    deadline: "cancelled",
+} as const;
 type AnsweredSend = Extract<senders.SendOutcome, { kind: "answer" }>;
 
 /** Forwards one stream to its caller; used once. */
@@ -44,6 +63,8 @@
     private lastEventId: number | undefined;
     /** When the current instance last sent anything, or when the call was sent to it. */
     private lastBytesAtMs = 0;
+    /** No move is tried before this time. */
+    private staysUntilMs = -Infinity;
     private readonly history = senders.createHistory();
 
     constructor(
@@ -57,42 +78,43 @@
     /** Sends the call and resumes it after interruptions, until the stream has ended or may not be resumed. */
     async run(): Promise<plainRuns.RunOutcome> {
         let latestFailure: plainRuns.RunOutcome | undefined;
+        let sendOutcome = await this.send(this.call.signal);
         for (;;) {
-            const sendOutcome = await this.send();
             if (sendOutcome.kind === "not-run") {
                 if (sendOutcome.isInputLost) {
                     this.options.releaseInputs();
                 }
+                sendOutcome = await this.send(this.call.signal);
                 continue;
             }
             const step = await this.handleSendOutcome(sendOutcome, latestFailure);
-            if (step.isFinal || !this.canRetry()) {
+            if (step.isFinal || (step.next === undefined && !this.canRetry())) {
                 return step.outcome;
             }
             latestFailure = step.outcome;
+            sendOutcome = step.next ?? await this.send(this.call.signal);
         }
     }
 
     /** Sends the call with its inputs, which are computed first unless they are held. */
-    private async send(): Promise<senders.SendOutcome> {
-        if (this.options.inputs() === undefined) {
-            const hasInputs = senders.canSend(this.context, this.call, this.history)
-                && await this.options.computeInputs();
-            if (!hasInputs) {
-                return { kind: this.call.signal.aborted ? "cancelled" : "none" };
-            }
+    private async send(signal: AbortSignal): Promise<senders.SendOutcome> {
+        const hasInputs = this.options.inputs() !== undefined
+            || (senders.canSend(this.context, this.call, this.history) && await this.options.computeInputs(signal));
+        if (!hasInputs) {
+            return { kind: signal.aborted ? "cancelled" : "none" };
         }
         return senders.sendCall(this.context, this.call, this.history, {
             lastEventId: this.lastEventId,
             inputs: this.options.inputs() ?? [],
             answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
+            signal,
         });
     }
 
     private async handleSendOutcome(
         sendOutcome: Exclude<senders.SendOutcome, { kind: "not-run" }>,
         latestFailure: plainRuns.RunOutcome | undefined,
-    ): Promise<{ readonly outcome: plainRuns.RunOutcome; readonly isFinal: boolean }> {
+    ): Promise<Step> {
         switch (sendOutcome.kind) {
             case "none":
                 return {
@@ -110,26 +132,18 @@
         }
     }
 
-    private async handleAnswer(
-        answered: AnsweredSend,
-    ): Promise<{ readonly outcome: plainRuns.RunOutcome; readonly isFinal: boolean }> {
+    private async handleAnswer(answered: AnsweredSend): Promise<Step> {
         if (answered.answer.status !== 200) {
             const outcome = await plainRuns.readCompleteAnswer(this.context, this.call, answered);
             const isFinal = outcome.kind === "disconnected" || (outcome.kind === "buffered" && outcome.status < 500);
             return { outcome: this.abortUnlessRetryable(outcome), isFinal };
         }
         const forwarded = await this.forward(answered);
-        if (forwarded === "broken" || forwarded === "stalled") {
-            this.logInterruption(answered, forwarded);
+        if (forwarded.kind === "broken") {
+            this.logInterruption(answered, "broken");
         }
-        answered.sent.ticket.end(
-            forwarded === "complete"
-                ? "ok"
-                : forwarded === "disconnected" || forwarded === "deadline"
-                ? "cancelled"
-                : "failed",
-        );
-        switch (forwarded) {
+        answered.sent.ticket.end(ticketOutcomes[forwarded.kind]);
+        switch (forwarded.kind) {
             case "complete":
                 this.options.sink.end();
                 return { outcome: { kind: "streamed", isComplete: true }, isFinal: true };
@@ -139,11 +153,14 @@
                 const failure = codes.failure(codes.codes.upstreamTimeout, "no whole stream in time");
                 return { outcome: this.abortIfBegun({ kind: "local-failure", failure }), isFinal: true };
             }
-            case "broken":
-            case "stalled": {
-                const failure = codes.failure(codes.codes.streamBroken, forwarded);
+            case "broken": {
+                const failure = codes.failure(codes.codes.streamBroken, "broken");
                 return { outcome: this.abortUnlessRetryable({ kind: "local-failure", failure }), isFinal: false };
             }
+            case "moved": {
+                const failure = codes.failure(codes.codes.streamBroken, "silent");
+                return { outcome: { kind: "local-failure", failure }, isFinal: false, next: forwarded.next };
+            }
         }
     }
 
@@ -154,30 +171,57 @@
         this.lastBytesAtMs = sent.sentAtMs;
         for (;;) {
             const waitMs = (): number => this.waitMs(sent, this.lastBytesAtMs);
-            const chunk = await readChunk(answered.answer.body, this.context.clock, waitMs);
+            const chunk = await chunks.readChunk(answered.answer.body, this.context.clock, waitMs);
             if (chunk instanceof Buffer) {
                 this.lastBytesAtMs = this.context.clock.now();
             }
             if (this.call.signal.aborted) {
                 answered.answer.cancel();
-                return "disconnected";
+                return { kind: "disconnected" };
             }
             if (chunk === "timeout") {
-                answered.answer.cancel();
-                return this.context.clock.now() >= this.call.hardDeadlineAtMs ? "deadline" : "stalled";
+                if (this.context.clock.now() >= this.call.hardDeadlineAtMs) {
+                    answered.answer.cancel();
+                    return { kind: "deadline" };
+                }
+                const next = await this.move(answered);
+                if (next !== undefined) {
+                    return { kind: "moved", next };
+                }
+                continue;
             }
             if (chunk === "end") {
-                return this.isStreamComplete(answered) && !splitter.hasPartialEvent ? "complete" : "broken";
+                const isComplete = this.isStreamComplete(answered) && !splitter.hasPartialEvent;
+                return { kind: isComplete ? "complete" : "broken" };
             }
             const events = splitter.push(chunk);
             if (events === undefined) {
                 answered.answer.cancel();
-                return "broken";
+                return { kind: "broken" };
             }
             await this.forwardEvents(events, answered);
         }
     }
 
+    /** Moves the stream to another instance; undefined if it stays at the silent one. */
+    private async move(answered: AnsweredSend): Promise<senders.SendOutcome | undefined> {
+        this.logInterruption(answered, "silent");
+        const next = await moves.moveStream({
+            clock: this.context.clock,
+            body: answered.answer.body,
+            leave: answered.answer.cancel,
+            prepare: async signal => this.options.inputs() !== undefined || this.options.computeInputs(signal),
+            send: signal => this.send(signal),
+            signal: this.call.signal,
+        });
+        this.staysUntilMs = this.context.clock.now() + MOVE_PAUSE_MS;
+        this.context.log.info(
+            { decision: "stream-move", attempt: this.call.metadata.attempt, end: next?.kind ?? "stayed" },
+            "move of a silent stream ended",
+        );
+        return next;
+    }
+
     /**
      * Whether the answer is known to be complete. A close-delimited one is accepted only if the caller's answer is
      * close-delimited too: a framed answer would present a possibly truncated stream as complete.
@@ -211,6 +255,10 @@
         if (!calls.isRetryable(this.call.route)) {
             return remainingMs;
         }
+        const staysMs = this.staysUntilMs - nowMs;
+        if (staysMs > 0) {
+            return Math.min(staysMs, remainingMs);
+        }
         const silentCall = {
             waitedMs: nowMs - lastBytesAtMs,
             expectedMs: sent.ticket.expectedFirstEventMs,
@@ -237,7 +285,7 @@
             quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
             inputs: this.options.inputs()?.length,
             resumable: this.canRetry(),
-        }, "stream ended before its last event");
+        }, "stream interrupted");
     }
 
     private canRetry(): boolean {
@@ -262,47 +310,3 @@
         return { kind: "streamed", isComplete: false };
     }
 }
-
-/** Reads the next bytes of a body; `end` once it has ended, complete or not. Asks how long to wait, until it is 0. */
-function readChunk(
-    body: http.IncomingMessage,
-    clock: clocks.Clock,
-    waitMs: () => number,
-): Promise<Buffer | "end" | "timeout"> {
-    const ready = body.read() as Buffer | undefined;
-    if (ready) {
-        return Promise.resolve(ready);
-    }
-    if (body.readableEnded || body.destroyed) {
-        return Promise.resolve("end");
-    }
-    return new Promise(resolve => {
-        let timer: clocks.Disposable;
-        const waitFurther = (): void => {
-            const furtherMs = waitMs();
-            if (furtherMs <= 0) {
-                finish("timeout");
-                return;
-            }
-            timer = clock.schedule(furtherMs, waitFurther);
-        };
-        const readAvailable = (): void => {
-            const chunk = body.read() as Buffer | undefined;
-            if (chunk) {
-                finish(chunk);
-            }
-        };
-        const finishBody = (): void => finish("end");
-        body.on("readable", readAvailable);
-        body.on("end", finishBody);
-        body.on("close", finishBody);
-        waitFurther();
-        function finish(next: Buffer | "end" | "timeout"): void {
-            timer?.dispose();
-            body.off("readable", readAvailable);
-            body.off("end", finishBody);
-            body.off("close", finishBody);
-            resolve(next);
-        }
-    });
-}
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -39,7 +39,7 @@
 export interface CallHistory {
     readonly triedIncarnations: Set<string>;
     sends: number;
-    /** Sends with the outcome `answer` or `unknown`: the call may have run. */
+    /** Sends with the outcome `answer`, `unknown` or `cancelled`: the call may have run. */
     possibleRuns: number;
     /** Whether the retry budget denied a retry. */
     isBudgetSpent: boolean;
@@ -87,6 +87,8 @@
     readonly inputs: readonly CallInput[];
     /** How long to wait for the headers of the answer before asking again; 0 to give up. */
     readonly answerWaitMs: (sent: SentCall) => number;
+    /** Aborts the send, and the answer that it gets. */
+    readonly signal: AbortSignal;
 }
 
 /** Whether the call can be sent now: time and budget are left, and an instance can accept it. */
@@ -144,14 +146,14 @@
         isNewConnection: !calls.isRetryable(call.route) || history.sends > 1,
         answerTimeoutMs: waitMs(),
         extendTimeoutMs: waitMs,
-    }, call.signal);
+    }, options.signal);
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
         : classifyAnswer(context, call, exchange, sent, chosen);
-    if (outcome.kind === "answer" || outcome.kind === "unknown") {
+    if (outcome.kind !== "not-run") {
         history.possibleRuns++;
     }
-    call.progress.mayHaveRun = history.possibleRuns > 0 || outcome.kind === "cancelled";
+    call.progress.mayHaveRun = history.possibleRuns > 0;
     logUnlessSuccessful(context, call, chosen, exchange, outcome);
     return outcome;
 }
