Treat a status below 200 as a malformed answer

Cause: an answer with the status 099 or 101 was taken for an instance's own failure and forwarded; Node.js parses 099 but throws when it is to be written, so that the request got no answer and the process ended for the unhandled rejection, with all other requests in progress. 101 was forwarded and told the caller to change the protocol.

Fix: the exchange ends as malformed, like other bytes that are no answer: 502, or a retry where the route allows it.

--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -96,6 +96,12 @@
     { name: "connection reset", script: socket => socket.resetAndDestroy(), reason: "reset" },
     { name: "connection closed", script: socket => socket.end(), reason: "reset" },
     { name: "malformed answer", script: socket => socket.end("\x00\x01garbage"), reason: "malformed" },
+    {
+        name: "a status that doesn't exist",
+        script: socket => socket.end("HTTP/1.1 099 Odd\r\n\r\n"),
+        reason: "malformed",
+    },
+    { name: "an interim answer only", script: socket => socket.end("HTTP/1.1 101 Odd\r\n\r\n"), reason: "malformed" },
 ];
 
 vitest.describe("a failed exchange", () => {
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -11,6 +11,8 @@
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Lower statuses aren't those of an answer. */
+const MIN_FINAL_STATUS = 200;
 
 /** The request to send. */
 export interface ExchangeRequest {
@@ -139,6 +141,11 @@
         if (this.isSettled) {
             return;
         }
+        const status = response.statusCode ?? 0;
+        if (status < MIN_FINAL_STATUS) {
+            this.fail("malformed"); // Node.js parses such a status, but refuses to write it.
+            return;
+        }
         this.settle();
         const isFramed = response.headers["content-length"] !== undefined
             || response.headers["transfer-encoding"] !== undefined;
@@ -151,7 +158,7 @@
         response.once("close", () => this.signal?.removeEventListener("abort", this.cancel));
         this.resolve({
             kind: "answer",
-            status: response.statusCode ?? 0,
+            status,
             headers: response.headers,
             rawHeaders: response.rawHeaders,
             body: response,
