--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -29,6 +29,8 @@
     status?: number | undefined;
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
+    /** Streams pause after the event with this ID. */
+    pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
     /** Never answers. */
@@ -108,6 +110,10 @@
             this.handleStage(request.url, body, response);
             return;
         }
+        if (hasPieces(request.headers) && request.headers["inputs"] === undefined) {
+            response.writeHead(400, { "Not-Executed": "1" }).end();
+            return;
+        }
         const { method, url, headers } = request;
         this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now() });
         response.on("close", () => this.cancelledRuns += response.writableFinished ? 0 : 1);
@@ -150,7 +156,8 @@
                 return;
             }
             response.write(`id: ${id}\ndata: part ${id}\n\n`);
-            await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
+            const pauseMs = this.faults.pause?.afterEvent === id ? this.faults.pause.ms : 0;
+            await new Promise(resolve => setTimeout(resolve, pauseMs + (this.options.eventIntervalMs ?? 1)));
         }
         response.end();
     }
@@ -172,6 +179,11 @@
     }
 }
 
+/** Whether a call has stages, so that it needs their results. */
+function hasPieces(headers: http.IncomingHttpHeaders): boolean {
+    return String(headers["pieces"] ?? "").split(",").some(count => Number(count) > 0);
+}
+
 async function readBody(request: http.IncomingMessage): Promise<string> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
