Log which software version a stream is sent to, and what a call resumes

The logs couldn't tell whether the entry resumed a broken answer elsewhere, the caller came back, or an instance restarted as another version: no line held a version, and the header that names the resumed attempt wasn't read.

--- a/src/common/Routing.ts
+++ b/src/common/Routing.ts
@@ -107,6 +107,8 @@
     /** Start of the instance, in milliseconds since 1970; another value means another incarnation. */
     readonly startedMs: number;
     readonly service: string;
+    /** Version of its software, not of its model's weights; versions have no order. */
+    readonly softwareVersion: string;
     readonly address: string;
     readonly failureDomain: string;
     readonly state: "ready" | "draining";
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -53,6 +53,8 @@
     readonly outputTokens: number;
     /** The last event of a stream that the caller received; undefined to start at the first. */
     readonly lastEventId: number | undefined;
+    /** The caller's attempt that brought the first event of the stream to resume; undefined if not stated. */
+    readonly resumedAttempt: string | undefined;
     /** Number of pieces (work items) of each stage, by stage index; a stage with 0 is skipped. */
     readonly pieces: readonly number[];
     /** Identifies the caller's input to stages without predecessors. */
--- a/src/process/routing/PublishedView.test.ts
+++ b/src/process/routing/PublishedView.test.ts
@@ -16,6 +16,7 @@
                     id: name!,
                     startedMs: 1,
                     service: text,
+                    softwareVersion: "v1",
                     address: `10.0.0.1:${name!.length}`,
                     failureDomain: "a",
                     state: "ready",
--- a/src/request/routed/ExpectedTime.test.ts
+++ b/src/request/routed/ExpectedTime.test.ts
@@ -25,6 +25,7 @@
     promptTokens: 600,
     outputTokens: 280,
     lastEventId: undefined,
+    resumedAttempt: undefined,
     pieces: [3],
     pieceKey: "k",
 };
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -115,7 +115,7 @@
         elsewhereMs: () => findElsewhereMs(context, call, history, options.inputs),
     };
     const waitMs = (): number => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now());
-    logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs);
+    logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
     call.progress.mayHaveRun = true;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
         address: instance.address,
@@ -266,6 +266,7 @@
     chosen: pools.ChosenInstance,
     expectedMs: number,
     remainingMs: number,
+    lastEventId: number | undefined,
 ): void {
     context.log.info({
         decision: "send",
@@ -274,6 +275,8 @@
         service: call.service,
         instance: chosen.instance.id,
         address: chosen.instance.address,
+        softwareVersion: chosen.instance.softwareVersion,
+        ...(lastEventId === undefined ? {} : { lastEventId, resumes: call.metadata.resumedAttempt }),
         candidates: chosen.candidateCount,
         load: chosen.traffic.load,
         missingTokens: chosen.missingTokens,
