Failing test: streams with events of several software versions

Five cases, inside one answer and over a caller's attempts (at the same entry, at another one, at another one after the first was lost), with three versions side by side.

--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -40,6 +40,10 @@
     readonly id: string;
     readonly service: string;
     readonly failureDomain: string;
+    /** Version of its software, which its events carry; undefined for `v1` and events without a version. */
+    readonly softwareVersion?: string;
+    /** Start, in milliseconds since 1970. */
+    readonly startedMs?: number;
     /** Number of events of each stream; undefined for an engine that doesn't stream. */
     readonly events?: number;
     /** Time between events. */
@@ -69,17 +73,17 @@
 
     /** The engine's record for the store, by default with its own address. */
     createStoreRecord(state: "ready" | "draining" = "ready", address = this.address): unknown {
-        const { service, failureDomain } = this.options;
+        const { service, failureDomain, softwareVersion, startedMs } = this.options;
         return {
             Service: service,
             Address: address,
             Zone: failureDomain,
-            Version: "v1",
+            Version: softwareVersion ?? "v1",
             Slots: 8,
             State: state,
             ColdLeftMs: 0,
             Seq: 1,
-            born: 1_700_000_000_000,
+            born: startedMs ?? 1_700_000_000_000,
         };
     }
 
@@ -124,7 +128,8 @@
     private async run(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const attemptId = this.faults.otherAttempt === true ? "another" : String(request.headers["attempt-id"]);
         const headers = { "Attempt-Id": attemptId, "Route-Stamp": `stamp-${this.options.id}`, "Engine-Load": "1,0,8" };
-        const { events: eventCount } = this.options;
+        const { events: eventCount, softwareVersion } = this.options;
+        const writer = softwareVersion === undefined ? "" : ` of ${softwareVersion}`;
         await new Promise(resolve => setTimeout(resolve, this.options.serviceMs ?? 0));
         if (this.faults.unframed === true) {
             response.shouldKeepAlive = false;
@@ -149,7 +154,7 @@
                 setTimeout(() => request.socket.destroy(), 5);
                 return;
             }
-            response.write(`id: ${id}\ndata: part ${id}\n\n`);
+            response.write(`id: ${id}\ndata: part ${id}${writer}\n\n`);
             await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
         response.end();
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -43,13 +43,18 @@
         await this.store.listen();
         this.publish();
         for (const options of engineOptions) {
-            const engine = new engines.PlatformEngineStandIn(options);
-            await engine.listen();
-            this.engines.push(engine);
-            this.store.put(`servers/${options.id}`, engine.createStoreRecord());
+            await this.addEngine(options);
         }
     }
 
+    /** Starts an engine and puts its record into the store. */
+    async addEngine(options: engines.EngineOptions): Promise<void> {
+        const engine = new engines.PlatformEngineStandIn(options);
+        await engine.listen();
+        this.engines.push(engine);
+        this.store.put(`servers/${options.id}`, engine.createStoreRecord());
+    }
+
     /** Publishes a configuration with `change` merged into its top level. */
     publish(version = 1, change: Record<string, unknown> = {}): void {
         this.store.put("op/config", { ...createConfiguration(version), ...change });
--- /dev/null
+++ b/tests/StreamVersions.test.ts
@@ -0,0 +1,122 @@
+import * as vitest from "vitest";
+import * as engines from "../standins/platform/PlatformEngineStandIn";
+import * as fleets from "../standins/platform/RoutedFleet";
+
+const EVENT_COUNT = 6;
+/** The event after which all engines break their streams until they are mended. */
+const BREAK_AFTER_EVENT = 3;
+const STREAM_COUNT = 8;
+
+let fleet: fleets.RoutedFleet;
+
+/** A stream as its caller has it after all its attempts. */
+interface CallerStream {
+    /** The attempt that brought the first event. */
+    readonly attempt: string;
+    readonly answers: readonly fleets.Answer[];
+}
+
+async function startFleet(versions: readonly string[], entryCount: number): Promise<void> {
+    fleet = new fleets.RoutedFleet();
+    await fleet.start(versions.map((softwareVersion, index) => modelEngine(`model-${index + 1}`, softwareVersion)));
+    for (let count = 0; count < entryCount; count++) {
+        await startEntry();
+    }
+    fleet.engines.forEach(engine => engine.runs.splice(0));
+}
+
+async function startEntry(): Promise<void> {
+    const entry = fleet.entries.length;
+    await fleet.addEntry();
+    await fleet.waitUntil(async () => await fleet.readyStatus(entry) === 200);
+    await fleet.waitUntil(async () =>
+        (await fleet.call("/once/1", { entry, headers: fleets.PROMPT_HEADERS })).status === 200
+    );
+}
+
+function modelEngine(id: string, softwareVersion: string): engines.EngineOptions {
+    return { id, service: "model", failureDomain: "zone-a", events: EVENT_COUNT, softwareVersion };
+}
+
+/** Begins streams that all break in their middle, at the first entry; mends the engines then. */
+async function beginStreams(): Promise<CallerStream[]> {
+    fleet.engines.forEach(engine => engine.faults = { breakAfterEvent: BREAK_AFTER_EVENT });
+    const streams = await Promise.all(Array.from({ length: STREAM_COUNT }, async (_, index) => {
+        const attempt = `first-${index}`;
+        const headers = { ...fleets.PROMPT_HEADERS, "Attempt-Id": attempt };
+        return { attempt, answers: [await fleet.call(`/notes/${index}`, { headers })] };
+    }));
+    fleet.engines.forEach(engine => engine.faults = {});
+    return streams;
+}
+
+/** Takes a stream's next attempt at an entry. */
+async function resumeStream(stream: CallerStream, entry: number, headers = {}): Promise<CallerStream> {
+    const lastEventId = Math.max(0, ...eventsOf(stream).map(event => event.id));
+    const answer = await fleet.call("/notes/1", {
+        entry,
+        headers: {
+            ...fleets.PROMPT_HEADERS,
+            "Last-Event-Id": String(lastEventId),
+            Resumes: stream.attempt,
+            ...headers,
+        },
+    });
+    return { attempt: stream.attempt, answers: [...stream.answers, answer] };
+}
+
+function eventsOf(stream: CallerStream): { readonly id: number; readonly version: string }[] {
+    return stream.answers
+        .filter(answer => answer.status === 200)
+        .flatMap(answer => [...answer.body.matchAll(/id: (\d+)\ndata: part \d+ of (\S+)\n\n/g)])
+        .map(([, id, version]) => ({ id: Number(id), version: version! }));
+}
+
+/** Streams with events of several versions. */
+function mixedStreams(streams: readonly CallerStream[]): CallerStream[] {
+    return streams.filter(stream => new Set(eventsOf(stream).map(event => event.version)).size > 1);
+}
+
+function isWhole(stream: CallerStream): boolean {
+    return eventsOf(stream).map(event => event.id).join() === "1,2,3,4,5,6";
+}
+
+vitest.afterEach(() => fleet.dispose());
+
+vitest.describe("a stream goes on only at the software version that began it", () => {
+    const answerCases: readonly {
+        readonly name: string;
+        readonly versions: readonly string[];
+        readonly isResumed: boolean;
+    }[] = [
+        { name: "another instance of it serves", versions: ["v1", "v2", "v3", "v1"], isResumed: true },
+        { name: "no other instance of it serves", versions: ["v1", "v2", "v3"], isResumed: false },
+    ];
+    vitest.it.fails.each(answerCases)("inside one answer, when $name", async ({ versions, isResumed }) => {
+        await startFleet(versions, 1);
+        fleet.engines[0]!.faults = { breakAfterEvent: BREAK_AFTER_EVENT };
+        const headers = fleets.PROMPT_HEADERS;
+        const streams = await Promise.all(Array.from({ length: 4 * STREAM_COUNT }, async (_, index) => {
+            return { attempt: "", answers: [await fleet.call(`/notes/${index}`, { headers })] };
+        }));
+        vitest.expect(fleet.engines[0]!.runs.length).toBeGreaterThan(0);
+        vitest.expect(mixedStreams(streams)).toEqual([]);
+        vitest.expect(streams.every(isWhole)).toBe(isResumed);
+    });
+
+    const entryCases: readonly { readonly name: string; readonly entry: number; readonly isFirstLost: boolean }[] = [
+        { name: "at the entry that began it", entry: 0, isFirstLost: false },
+        { name: "at another entry", entry: 1, isFirstLost: false },
+        { name: "at another entry after the one that began it was lost", entry: 2, isFirstLost: true },
+    ];
+    vitest.it.fails.each(entryCases)("over a caller's attempts, $name", async ({ entry, isFirstLost }) => {
+        await startFleet(["v1", "v2", "v3", "v1", "v2", "v3"], 3);
+        const streams = await beginStreams();
+        if (isFirstLost) {
+            fleet.entries[0]!.dispose();
+        }
+        const resumed = await Promise.all(streams.map(stream => resumeStream(stream, entry)));
+        vitest.expect(mixedStreams(resumed)).toEqual([]);
+        vitest.expect(resumed.filter(isWhole)).toHaveLength(STREAM_COUNT);
+    });
+});
