Bind a caller's resumed stream to the software version that began it

Cause: an attempt with Last-Event-Id was a new call. No entry remembered which version began a stream, none told another, and the name of the first attempt wasn't read. Class: state that began at one upstream is continued at another one that can't know it, here across the processes that share the work.

An entry now remembers the origin of a stream at its first event and tells it to three other entries, unless its service has had a single version for as long as the caller may come back; one that doesn't know a stream asks. The origin binds the call to service and version before its stages run. An unknown origin is never guessed: the call is rejected as not run (222), as it is when no instance of the version is in service (223). Instances are told apart by the record in force, so that one that restarted under its id as another version isn't resumed on. Messages go only to peers whose hello states that they read them, since others would disconnect.

--- a/src/common/Codes.ts
+++ b/src/common/Codes.ts
@@ -76,6 +76,14 @@
     tombstoned: row(219, "tombstoned", "not-run", 503, "The call never arrived, and is refused if it arrives late."),
     modelNotLoaded: row(220, "model-not-loaded", "not-run", 503, "The engine doesn't hold the model now."),
     viewStale: row(221, "view-stale", "not-run", 503, "The key's home is out of touch and may have been replaced."),
+    originUnknown: row(
+        222,
+        "origin-unknown",
+        "not-run",
+        503,
+        "No entry reached knows which software version began it.",
+    ),
+    versionGone: row(223, "version-gone", "not-run", 503, "No instance of the software version that began it serves."),
 
     connectionLost: row(300, "connection-lost", "unknown", 502, "The connection to the agent was lost after dispatch."),
     upstreamReset: row(
--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -61,6 +61,53 @@
     isWhole: z.boolean(),
 });
 
+/** Maximum number of streams in one message. */
+export const MAX_TOLD_STREAMS = 1_000;
+/** Longest time for which a stream's origin is remembered. */
+export const MAX_STREAM_LIFETIME_MS = 600_000;
+const originFields = { service: name, softwareVersion: name };
+
+/** Tells which software version began streams, before their first events are forwarded or when it starts to matter. */
+export const streamOriginsSchema = z.object({
+    kind: z.literal("stream-origins"),
+    streams: z.array(z.object({
+        /** The caller's attempt that brought the first event. */
+        attempt: name,
+        ...originFields,
+        /** How long its caller may still come back. */
+        lifetimeMs: z.number().min(0).max(MAX_STREAM_LIFETIME_MS),
+    })).max(MAX_TOLD_STREAMS),
+});
+
+/** Asks which software version began a stream. */
+export const streamOriginAskSchema = z.object({
+    kind: z.literal("stream-origin-ask"),
+    /** Identifies the question on this connection. */
+    question: z.int().min(0),
+    /** Undefined if the caller didn't state it. */
+    attempt: name.optional(),
+    /** The service that the stream would be resumed on. */
+    service: name,
+    /** Longest time since the stream can have begun. */
+    lifetimeMs: z.number().min(0).max(MAX_STREAM_LIFETIME_MS),
+});
+
+/** A question about a stream's origin. */
+export type StreamOriginAsk = z.infer<typeof streamOriginAskSchema>;
+
+/** What the sender knows about a stream's origin. */
+export const streamOriginAnswerSchema = z.object({
+    kind: z.literal("stream-origin-answer"),
+    question: z.int().min(0),
+    /** One for each service that has written to the stream. */
+    origins: z.array(z.object(originFields)).max(100),
+    /** The only version that instances of the service have had in that time; undefined if unknown. */
+    onlyVersion: name.optional(),
+});
+
+/** The answer to a question about a stream's origin. */
+export type StreamOriginAnswer = z.infer<typeof streamOriginAnswerSchema>;
+
 /** Asks the receiver, a stage host, to run the stages of a call. */
 export const stagesRunSchema = z.object({
     kind: z.literal("stages-run"),
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -48,6 +48,8 @@
     service: configurations.nameSchema.optional(),
     /** IP address and port where the sender accepts connections; undefined if it accepts none. */
     address: z.string().max(64).optional(),
+    /** Whether the sender reads messages about the origins of streams; a process that doesn't would disconnect. */
+    knowsStreamOrigins: z.boolean().optional(),
 });
 
 const callSchema = z.object({
@@ -165,6 +167,9 @@
     entryMessages.presenceSchema,
     entryMessages.publishedFetchSchema,
     entryMessages.publishedUpdateSchema,
+    entryMessages.streamOriginsSchema,
+    entryMessages.streamOriginAskSchema,
+    entryMessages.streamOriginAnswerSchema,
     entryMessages.stagesRunSchema,
     entryMessages.stagesMadeSchema,
     entryMessages.stagesEndSchema,
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -337,6 +337,7 @@
                 failureDomain,
                 incarnation,
                 address,
+                knowsStreamOrigins: true,
             }),
             version: () => this.options.revision(),
             heartbeat: () => ({ kind: "heartbeat" }),
--- a/src/process/routing/PublishedView.ts
+++ b/src/process/routing/PublishedView.ts
@@ -7,6 +7,7 @@
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as tables from "../../version/RouteTable";
+import * as versionHistories from "./VersionHistory";
 
 /** Number of deleted keys that are remembered, so that an older copy doesn't restore them. */
 const MAX_TOMBSTONES = 20_000;
@@ -59,8 +60,12 @@
 
     /** Fires after the view has changed. */
     readonly onChange = this.changeEmitter.event;
+    /** The software versions of the instances, now and before. */
+    readonly versions: versionHistories.VersionHistory;
 
-    constructor(private readonly options: PublishedViewOptions) {}
+    constructor(private readonly options: PublishedViewOptions) {
+        this.versions = new versionHistories.VersionHistory(options.clock);
+    }
 
     /** The revision of the store up to which this view is complete; 0 before the first update. */
     get revision(): number {
@@ -126,6 +131,7 @@
         this.currentRevision = Math.max(this.currentRevision, update.revision);
         if (isFirst) {
             const { revision } = update;
+            this.versions.markListed();
             const instances = this.instancesById.size;
             this.options.log.info({ decision: "listed", revision, source, instances }, "first view of the store");
         }
@@ -158,6 +164,7 @@
     dispose(): void {
         this.pendingRemovals.forEach(removal => removal.dispose());
         this.changeEmitter.dispose();
+        this.versions.dispose();
     }
 
     private applyItem(item: routing.PublishedItem, source: string, graceMs: number): boolean {
@@ -225,9 +232,11 @@
             coldUntilMs: nowMs + instance.coldLeftMs,
         });
         this.instancesByService.clear();
+        this.versions.change(previous, instance);
     }
 
     private removeInstance(id: string): void {
+        this.versions.change(this.instancesById.get(id), undefined);
         this.instancesById.delete(id);
         this.instancesByService.clear();
     }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -20,6 +20,7 @@
 import * as budgets from "./ServiceRetryBudget";
 import * as stageClients from "./StageClient";
 import * as stageHosts from "./StageHost";
+import * as streamExchanges from "./StreamOriginExchange";
 
 const MS_PER_SECOND = 1_000;
 /** How long a stopping process still accepts requests, since callers and the balancer learn of the stop late. */
@@ -138,6 +139,14 @@
         this.exchange = this.disposables.add(
             new exchanges.PublishedExchange({ ...shared, view: this.view, peers: this.peers }),
         );
+        const streamOrigins = this.disposables.add(
+            new streamExchanges.StreamOriginExchange({
+                ...shared,
+                view: this.view,
+                peers: this.peers,
+                unconfirmedMs: () => this.reader.unconfirmedMs,
+            }),
+        );
         this.server = this.disposables.add(
             new servers.RouteServer({
                 ...shared,
@@ -150,6 +159,7 @@
                     wire: options.callWire,
                     connections,
                     pool: this.pool,
+                    streamOrigins,
                     budgetOf: service => this.obtainBudget(service),
                     revision: () => this.view.revision,
                     runStages: (order, signal) => this.stages.run(order, signal),
--- /dev/null
+++ b/src/process/routing/StreamOriginExchange.ts
@@ -0,0 +1,229 @@
+/**
+ * Entries tell each other which software version began a stream, since a caller may come back at any of them. A stream
+ * has a few homes among the entries, chosen by its attempt; they are told when its first event is forwarded, but only
+ * while its service may have instances of several versions. An entry that doesn't know a stream asks its homes.
+ */
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as entryMessages from "../../common/EntryMessages";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as rendezvous from "../../common/RendezvousHash";
+import * as entryPeers from "./EntryPeers";
+import * as peerEntries from "./PeerEntry";
+import * as views from "./PublishedView";
+import * as origins from "./StreamOrigins";
+
+/** Number of entries that are told of a stream. */
+const HOME_COUNT = 3;
+/** Number of entries that are asked: more than are told, since their order changes as entries come and go. */
+const ASKED_COUNT = 4;
+/** Streams whose attempt has a longer name aren't remembered. */
+const MAX_ATTEMPT_LENGTH = 200;
+/** Time for the answers of the entries that are asked. */
+const ANSWER_TIMEOUT_MS = 250;
+/** A view that the store confirmed within this time counts as current. */
+const MAX_UNCONFIRMED_MS = 3_000;
+
+/** What the exchange needs from its process. */
+export interface StreamOriginExchangeOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly peers: entryPeers.EntryPeers;
+    readonly view: views.PublishedView;
+    /** Time since the store last confirmed the view; undefined before the first time. */
+    readonly unconfirmedMs: () => number | undefined;
+}
+
+/** A call that resumes a stream. */
+export interface ResumedCall {
+    /** The attempt that brought the stream's first event; undefined if the caller doesn't state it. */
+    readonly attempt: string | undefined;
+    readonly targets: readonly string[];
+    readonly service: string;
+    /** Longest time since the stream can have begun. */
+    readonly lifetimeMs: number;
+}
+
+/** A decision on a resumed call. */
+export interface ResumeOutcome {
+    readonly decision: origins.ResumeDecision;
+    /** `memory`, `only-version`, or the name of the peer that knew it; undefined if none did. */
+    readonly learntFrom: string | undefined;
+}
+
+interface Question {
+    unanswered: number;
+    readonly settle: (answer: OriginAnswer | undefined, from: string | undefined) => void;
+}
+
+type OriginAnswer = Pick<entryMessages.StreamOriginAnswer, "origins" | "onlyVersion">;
+
+/** Remembers the origins of streams, tells them to other entries and asks for them. */
+export class StreamOriginExchange implements clocks.Disposable {
+    private readonly memory = new origins.StreamOrigins();
+    private readonly subscriptions = new emitters.DisposableStore();
+    private readonly questions = new Map<number, Question>();
+    private nextQuestionId = 1;
+
+    constructor(private readonly options: StreamOriginExchangeOptions) {
+        this.subscriptions.add(options.peers.onFrame(frame => this.handleFrame(frame)));
+        this.subscriptions.add(options.view.versions.onNewVersion(service => this.tellStreamsOf(service)));
+    }
+
+    dispose(): void {
+        this.subscriptions.dispose();
+    }
+
+    /** Remembers which version sent the first event of a stream; called before the event is forwarded. */
+    recordFirstEvent(stream: origins.KnownStream): void {
+        const isNew = stream.attempt.length <= MAX_ATTEMPT_LENGTH
+            && this.memory.add(stream, this.options.clock.now());
+        if (isNew && this.findOnlyVersion(stream.service, stream.lifetimeMs) === undefined) {
+            this.tell([stream]);
+        }
+    }
+
+    /** Decides what a resumed call may be sent to; asks other entries if this one doesn't know. */
+    async resolve(call: ResumedCall): Promise<ResumeOutcome> {
+        const { targets, service, lifetimeMs } = call;
+        const attempt = (call.attempt?.length ?? Infinity) > MAX_ATTEMPT_LENGTH ? undefined : call.attempt;
+        const known = attempt === undefined ? [] : this.memory.find(attempt, this.options.clock.now());
+        const onlyVersion = this.findOnlyVersion(service, lifetimeMs);
+        const decision = origins.decideResume({ origins: known, targets, service, onlyVersion });
+        if (decision.kind !== "unknown") {
+            const learntFrom = known.length > 0 ? "memory" : onlyVersion === undefined ? undefined : "only-version";
+            return { decision, learntFrom };
+        }
+        const { answer, from } = await this.ask(attempt, service, lifetimeMs);
+        if (attempt !== undefined) {
+            this.remember(attempt, answer?.origins ?? [], lifetimeMs);
+        }
+        return {
+            decision: origins.decideResume({
+                origins: answer?.origins ?? [],
+                targets,
+                service,
+                onlyVersion: answer?.onlyVersion,
+            }),
+            learntFrom: from,
+        };
+    }
+
+    private remember(attempt: string, known: readonly origins.StreamOrigin[], lifetimeMs: number): void {
+        known.forEach(origin => this.memory.add({ attempt, ...origin, lifetimeMs }, this.options.clock.now()));
+    }
+
+    /** The only version that the service has had for `lifetimeMs`; undefined if there were several, or may have been. */
+    private findOnlyVersion(service: string, lifetimeMs: number): string | undefined {
+        const { view, peers, clock } = this.options;
+        const isConfirmed = (this.options.unconfirmedMs() ?? Infinity) <= MAX_UNCONFIRMED_MS;
+        const isBehind = peers.livePeers.some(peer => peer.revision > view.revision);
+        const { length: knownCount } = peers.knownPeers;
+        const seesAllEntries = knownCount > 0 && peers.livePeers.length === knownCount;
+        const isCurrent = !isBehind && (isConfirmed || seesAllEntries);
+        return isCurrent ? view.versions.findOnlyVersion(service, clock.now() - lifetimeMs) : undefined;
+    }
+
+    /** Tells the streams of a service that now has several versions. */
+    private tellStreamsOf(service: string): void {
+        if (this.findOnlyVersion(service, 0) !== undefined) {
+            return;
+        }
+        const streams = this.memory.streamsOf(service, this.options.clock.now());
+        if (streams.length > 0) {
+            this.options.log.info(
+                { decision: "stream-origins", service, streams: streams.length },
+                "another software version appeared; telling other entries of the streams in memory",
+            );
+            this.tell(streams);
+        }
+    }
+
+    private tell(streams: readonly origins.KnownStream[]): void {
+        const streamsByPeer = new Map<peerEntries.PeerEntry, origins.KnownStream[]>();
+        for (const stream of streams) {
+            for (const peer of this.rankPeers(stream.attempt).slice(0, HOME_COUNT)) {
+                streamsByPeer.set(peer, [...streamsByPeer.get(peer) ?? [], stream]);
+            }
+        }
+        for (const [peer, told] of streamsByPeer) {
+            for (let start = 0; start < told.length; start += entryMessages.MAX_TOLD_STREAMS) {
+                const batch = told.slice(start, start + entryMessages.MAX_TOLD_STREAMS);
+                this.options.peers.send(peer, { kind: "stream-origins", streams: batch });
+            }
+        }
+    }
+
+    private ask(
+        attempt: string | undefined,
+        service: string,
+        lifetimeMs: number,
+    ): Promise<{ readonly answer: OriginAnswer | undefined; readonly from: string | undefined }> {
+        const question = this.nextQuestionId++;
+        const message = { kind: "stream-origin-ask" as const, question, attempt, service, lifetimeMs };
+        const asked = this.rankPeers(attempt ?? "").slice(0, ASKED_COUNT);
+        const unanswered = asked.filter(peer => this.options.peers.send(peer, message)).length;
+        if (unanswered === 0) {
+            return Promise.resolve({ answer: undefined, from: undefined });
+        }
+        return new Promise(resolve => {
+            const settle = (answer: OriginAnswer | undefined, from: string | undefined): void => {
+                timer.dispose();
+                this.questions.delete(question);
+                resolve({ answer, from });
+            };
+            const timer = this.options.clock.schedule(ANSWER_TIMEOUT_MS, () => settle(undefined, undefined));
+            this.questions.set(question, { unanswered, settle });
+        });
+    }
+
+    /** Connected entries that know these messages, the homes of the attempt first. */
+    private rankPeers(attempt: string): peerEntries.PeerEntry[] {
+        const peers = this.options.peers.livePeers.filter(peer => peer.connection?.remote.knowsStreamOrigins === true);
+        if (peers.length <= HOME_COUNT) {
+            return peers;
+        }
+        const scored = peers.map(peer => ({ peer, score: rendezvous.score(attempt, peer.instance) }));
+        return scored.sort((left, right) => right.score - left.score).map(({ peer }) => peer);
+    }
+
+    private handleFrame(frame: entryPeers.PeerFrame): void {
+        const { message } = frame;
+        if (message.kind === "stream-origins") {
+            const nowMs = this.options.clock.now();
+            message.streams.forEach(stream => this.memory.add(stream, nowMs));
+        }
+        if (message.kind === "stream-origin-ask") {
+            frame.connection.send(this.createAnswer(message));
+        }
+        if (message.kind === "stream-origin-answer") {
+            this.handleAnswer(message, frame.peer.instance);
+        }
+    }
+
+    private createAnswer(question: entryMessages.StreamOriginAsk): messages.Message {
+        const { attempt } = question;
+        const known = attempt === undefined ? [] : this.memory.find(attempt, this.options.clock.now());
+        return {
+            kind: "stream-origin-answer",
+            question: question.question,
+            origins: [...known],
+            onlyVersion: this.findOnlyVersion(question.service, question.lifetimeMs),
+        };
+    }
+
+    private handleAnswer(answer: entryMessages.StreamOriginAnswer, from: string): void {
+        const question = this.questions.get(answer.question);
+        if (question === undefined) {
+            return;
+        }
+        question.unanswered--;
+        if (answer.origins.length > 0 || answer.onlyVersion !== undefined) {
+            question.settle(answer, from);
+        }
+        else if (question.unanswered === 0) {
+            question.settle(undefined, undefined);
+        }
+    }
+}
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -8,11 +8,12 @@
 import * as stageHosts from "../../process/routing/StageHost";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
+import * as streamResumes from "./StreamResume";
 import * as streamRuns from "./StreamRun";
 import * as senders from "./UpstreamSender";
 
 /** Dependencies for running a call. */
-export interface RunContext extends senders.SenderContext {
+export interface RunContext extends streamResumes.ResumeContext {
     readonly runStages: (order: stageOrders.StageOrder, signal: AbortSignal) => Promise<stageHosts.StageRunResult>;
     /** Releases results of stages on the workers that hold them. */
     readonly releaseResults: (handles: readonly string[]) => void;
@@ -27,6 +28,18 @@
     if (call.route.kind !== "stream") {
         return plainRuns.runPlain(context, call);
     }
+    const bound = await streamResumes.bindStream(context, call);
+    if (bound.isErr) {
+        return { kind: "local-failure", failure: bound.error };
+    }
+    return runStream(context, bound.value, sink);
+}
+
+async function runStream(
+    context: RunContext,
+    { call, softwareVersion }: streamResumes.BoundStream,
+    sink: streamRuns.EventSink,
+): Promise<plainRuns.RunOutcome> {
     const inputs = new StageInputs(context, call);
     try {
         const stageFailure = await inputs.compute();
@@ -36,6 +49,8 @@
         return await new streamRuns.StreamRun(context, call, {
             inputs: () => inputs.results,
             recomputeInputs: async () => await inputs.compute() === undefined,
+            softwareVersion,
+            onFirstEvent: version => streamResumes.recordFirstEvent(context, call, version),
             onEventForwarded: () => inputs.release(),
             sink,
         }).run();
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -30,6 +30,10 @@
     readonly inputs: () => readonly senders.CallInput[];
     /** Computes the inputs again after one was lost; resolves to false on failure. */
     readonly recomputeInputs: () => Promise<boolean>;
+    /** The version of the software that began the stream in an earlier attempt; undefined if any will do. */
+    readonly softwareVersion: string | undefined;
+    /** Called before the first event of this answer is forwarded, with the version of the instance that sent it. */
+    readonly onFirstEvent: (softwareVersion: string) => void;
     /** Called after each forwarded event: the instance has read its inputs by then. */
     readonly onEventForwarded: () => void;
     readonly sink: EventSink;
@@ -49,6 +53,7 @@
         private readonly options: StreamOptions,
     ) {
         this.lastEventId = call.metadata.lastEventId;
+        this.history.softwareVersion = options.softwareVersion;
     }
 
     /** Sends the call and resumes it after interruptions, until the stream has ended or may not be resumed. */
@@ -173,6 +178,7 @@
                 continue;
             }
             if (!sink.hasBegun) {
+                this.options.onFirstEvent(answered.softwareVersion);
                 const headers = this.context.wire.answerHeaders(answered.answer.rawHeaders);
                 sink.begin(answered.answer.status, headers, answered.answer.isFramed);
             }
--- a/tests/StreamVersions.test.ts
+++ b/tests/StreamVersions.test.ts
@@ -109,7 +109,7 @@
         { name: "at another entry", entry: 1, isFirstLost: false },
         { name: "at another entry after the one that began it was lost", entry: 2, isFirstLost: true },
     ];
-    vitest.it.fails.each(entryCases)("over a caller's attempts, $name", async ({ entry, isFirstLost }) => {
+    vitest.it.each(entryCases)("over a caller's attempts, $name", async ({ entry, isFirstLost }) => {
         await startFleet(["v1", "v2", "v3", "v1", "v2", "v3"], 3);
         const streams = await beginStreams();
         if (isFirstLost) {
@@ -120,3 +120,89 @@
         vitest.expect(resumed.filter(isWhole)).toHaveLength(STREAM_COUNT);
     });
 });
+
+vitest.describe("a caller that comes back to a stream", () => {
+    vitest.it("is served at any entry, named or not, while the service has had one version only", async () => {
+        await startFleet(["v1", "v1"], 2);
+        const streams = await beginStreams();
+        const resumed = await Promise.all([
+            ...streams.slice(1).map(stream => resumeStream(stream, 1)),
+            resumeStream(streams[0]!, 1, { Resumes: "" }),
+        ]);
+        vitest.expect(resumed.filter(isWhole)).toHaveLength(STREAM_COUNT);
+    });
+
+    vitest.it("is served after another version appeared and the entry that began the stream was lost", async () => {
+        await startFleet(["v1", "v1"], 2);
+        const streams = await beginStreams();
+        for (const id of ["model-3", "model-4"]) {
+            await fleet.addEngine(modelEngine(id, "v2"));
+        }
+        await waitForRun("v2", 0);
+        fleet.entries[0]!.dispose();
+        const resumed = await Promise.all(streams.map(stream => resumeStream(stream, 1)));
+        vitest.expect(mixedStreams(resumed)).toEqual([]);
+        vitest.expect(resumed.filter(isWhole)).toHaveLength(STREAM_COUNT);
+    });
+
+    const rejectedCases: readonly {
+        readonly name: string;
+        readonly headers?: Record<string, string>;
+        readonly prepare: () => void;
+        readonly code: number;
+    }[] = [
+        {
+            name: "is rejected as not run when no entry knows the stream",
+            headers: { Resumes: "unknown" },
+            prepare: () => undefined,
+            code: 222,
+        },
+        {
+            name: "is rejected as not run when it doesn't name the stream",
+            headers: { Resumes: "" },
+            prepare: () => undefined,
+            code: 222,
+        },
+        {
+            name: "is rejected as not run when no instance of its version is left",
+            prepare: () => fleet.store.delete("servers/model-1"),
+            code: 223,
+        },
+        {
+            name: "is rejected as not run when the instance restarted under its id with another version",
+            prepare: () => {
+                const record = fleet.engines[0]!.createStoreRecord() as Record<string, unknown>;
+                fleet.store.put("servers/model-1", { ...record, Version: "v3", born: 1_800_000_000_000 });
+            },
+            code: 223,
+        },
+    ];
+    vitest.it.each(rejectedCases)("$name", async ({ headers, prepare, code }) => {
+        await startFleet(["v1", "v2"], 2);
+        const streams = (await beginStreams()).filter(stream => eventsOf(stream)[0]?.version === "v1");
+        vitest.expect(streams.length).toBeGreaterThan(0);
+        prepare();
+        await fleet.waitUntil(async () => await resumeCode(streams[0]!, headers) === code);
+        fleet.engines.forEach(engine => engine.runs.splice(0));
+        const { answers } = await resumeStream(streams[0]!, 1, headers);
+        vitest.expect(answers.at(-1)).toMatchObject({ status: 503 });
+        vitest.expect(Number(answers.at(-1)!.headers["retry-after"])).toBeGreaterThan(0);
+        vitest.expect(fleet.engines.flatMap(engine => engine.runs)).toEqual([]);
+    });
+});
+
+/** Result code of an attempt to resume at the second entry; undefined if it was served. */
+async function resumeCode(stream: CallerStream, headers: Record<string, string> | undefined): Promise<unknown> {
+    const { answers } = await resumeStream(stream, 1, headers);
+    const last = answers.at(-1)!;
+    return last.status === 200 ? undefined : (JSON.parse(last.body) as { readonly code: number }).code;
+}
+
+/** Waits until an entry has sent a call to an instance of a version. */
+async function waitForRun(version: string, entry: number): Promise<void> {
+    const instances = fleet.engines.filter(engine => engine.options.softwareVersion === version);
+    await fleet.waitUntil(async () => {
+        await fleet.call("/once/1", { entry, headers: fleets.PROMPT_HEADERS });
+        return instances.some(engine => engine.runs.length > 0);
+    });
+}
