Tests of telling and asking for the origins of streams

Tables for a resumed stream that an entry doesn't know (one version, two, a view that isn't current) and for who is told when; peers that don't read the messages are left out.

--- /dev/null
+++ b/src/process/routing/StreamOriginExchange.test.ts
@@ -0,0 +1,176 @@
+import * as vitest from "vitest";
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as entryPeers from "./EntryPeers";
+import * as views from "./PublishedView";
+import * as exchanges from "./StreamOriginExchange";
+import * as origins from "./StreamOrigins";
+import * as versionHistories from "./VersionHistory";
+
+const LIFETIME_MS = 30_000;
+const STREAM: origins.KnownStream = {
+    attempt: "a",
+    service: "model",
+    softwareVersion: "v1",
+    lifetimeMs: LIFETIME_MS,
+};
+const CALL: exchanges.ResumedCall = { attempt: "a", targets: ["model"], service: "model", lifetimeMs: LIFETIME_MS };
+const BOUND: origins.ResumeDecision = {
+    kind: "bound",
+    origin: { service: "model", softwareVersion: "v1" },
+};
+const UNKNOWN: origins.ResumeDecision = { kind: "unknown" };
+
+/** State of the entry under test that differs between cases. */
+interface Scenario {
+    /** Versions of the instances of the service. */
+    readonly versions: readonly string[];
+    readonly unconfirmedMs?: number;
+    readonly peers?: readonly { readonly revision?: number; readonly isOld?: boolean; readonly isLost?: boolean }[];
+}
+
+function createScenario({ versions, unconfirmedMs = 0, peers = [] }: Scenario) {
+    const clock = new clocks.ManualClock();
+    const history = new versionHistories.VersionHistory(clock);
+    history.markListed();
+    const addVersion = (softwareVersion: string): void =>
+        history.change(undefined, {
+            id: softwareVersion,
+            startedMs: 0,
+            service: "model",
+            softwareVersion,
+            address: "10.0.0.1:1",
+            failureDomain: "a",
+            state: "ready",
+            slots: 1,
+            coldLeftMs: 0,
+        });
+    versions.forEach(addVersion);
+    const sent: messages.Message[] = [];
+    const frames = new emitters.Emitter<entryPeers.PeerFrame>();
+    const knownPeers = peers.map(({ revision = 5, isOld = false }, index) => ({
+        instance: `peer-${index}`,
+        revision,
+        connection: { remote: { knowsStreamOrigins: isOld ? undefined : true } },
+    }));
+    const exchange = new exchanges.StreamOriginExchange({
+        clock,
+        log: logs.silentLog,
+        view: { revision: 5, versions: history } as unknown as views.PublishedView,
+        peers: {
+            knownPeers,
+            livePeers: knownPeers.filter((_, index) => peers[index]!.isLost !== true),
+            onFrame: frames.event,
+            send: (_: unknown, message: messages.Message) => sent.push(message) > 0,
+        } as unknown as entryPeers.EntryPeers,
+        unconfirmedMs: () => unconfirmedMs,
+    });
+    /** Delivers a message from a peer. */
+    const receive = (message: messages.Message): void => {
+        const connection = { send: (answer: messages.Message) => sent.push(answer) > 0 };
+        frames.fire({ peer: { instance: "peer-0" }, connection, message } as unknown as entryPeers.PeerFrame);
+    };
+    return { clock, exchange, sent, addVersion, receive };
+}
+
+vitest.describe("a resumed stream that this entry doesn't know", () => {
+    const cases: readonly { readonly name: string; readonly scenario: Scenario; readonly decision: unknown }[] = [
+        { name: "has the only version there has been", scenario: { versions: ["v1"] }, decision: BOUND },
+        { name: "isn't guessed with two versions", scenario: { versions: ["v1", "v2"] }, decision: UNKNOWN },
+        {
+            name: "isn't guessed while the store hasn't confirmed the view",
+            scenario: { versions: ["v1"], unconfirmedMs: 4_000 },
+            decision: UNKNOWN,
+        },
+        {
+            name: "isn't guessed while the store can't be reached and a known entry is lost",
+            scenario: { versions: ["v1"], unconfirmedMs: 4_000, peers: [{}, { isLost: true }] },
+            decision: UNKNOWN,
+        },
+        {
+            name: "has the only version there has been while all entries are cut off from the store",
+            scenario: { versions: ["v1"], unconfirmedMs: 4_000, peers: [{}, {}] },
+            decision: BOUND,
+        },
+        {
+            name: "isn't guessed while another entry has a later view",
+            scenario: { versions: ["v1"], peers: [{ revision: 6 }] },
+            decision: UNKNOWN,
+        },
+    ];
+    vitest.it.each(cases)("$name", async ({ scenario, decision }) => {
+        const { clock, exchange } = createScenario(scenario);
+        const resolving = exchange.resolve(CALL);
+        clock.advance(250);
+        vitest.expect((await resolving).decision).toEqual(decision);
+    });
+
+    vitest.it("is asked for, and bound by the first answer that knows it", async () => {
+        const { exchange, sent, receive } = createScenario({ versions: ["v1", "v2"], peers: [{}, {}] });
+        const resolving = exchange.resolve(CALL);
+        vitest.expect(sent).toHaveLength(2);
+        vitest.expect(sent[0]).toMatchObject({ kind: "stream-origin-ask", attempt: "a", service: "model" });
+        const { question } = sent[0] as { readonly question: number };
+        receive({ kind: "stream-origin-answer", question, origins: [] });
+        receive({ kind: "stream-origin-answer", question, origins: [{ service: "model", softwareVersion: "v1" }] });
+        vitest.expect(await resolving).toEqual({ decision: BOUND, learntFrom: "peer-0" });
+        vitest.expect(await exchange.resolve(CALL)).toEqual({ decision: BOUND, learntFrom: "memory" });
+    });
+
+    vitest.it("is unknown as soon as all that were asked don't know it", async () => {
+        const { exchange, sent, receive } = createScenario({ versions: ["v1", "v2"], peers: [{}] });
+        const resolving = exchange.resolve(CALL);
+        const { question } = sent[0] as { readonly question: number };
+        receive({ kind: "stream-origin-answer", question, origins: [] });
+        vitest.expect((await resolving).decision).toEqual(UNKNOWN);
+    });
+
+    vitest.it("isn't asked for at peers that would disconnect at the message", async () => {
+        const { exchange, sent } = createScenario({ versions: ["v1", "v2"], peers: [{ isOld: true }] });
+        vitest.expect((await exchange.resolve(CALL)).decision).toEqual(UNKNOWN);
+        vitest.expect(sent).toEqual([]);
+    });
+
+    vitest.it("isn't asked for by a name that is too long for the message", async () => {
+        const { clock, exchange, sent } = createScenario({ versions: ["v1", "v2"], peers: [{}] });
+        const resolving = exchange.resolve({ ...CALL, attempt: "a".repeat(201) });
+        clock.advance(250);
+        vitest.expect((await resolving).decision).toEqual(UNKNOWN);
+        vitest.expect(sent[0]).not.toHaveProperty("attempt", "a".repeat(201));
+    });
+});
+
+vitest.describe("the origin of a stream", () => {
+    const peers = [{}, {}, {}, {}, {}];
+    const cases: readonly { readonly name: string; readonly scenario: Scenario; readonly told: number }[] = [
+        { name: "isn't told while there is one version", scenario: { versions: ["v1"], peers }, told: 0 },
+        { name: "is told to three entries of many", scenario: { versions: ["v1", "v2"], peers }, told: 3 },
+        { name: "is told to all of few", scenario: { versions: ["v1", "v2"], peers: [{}, {}] }, told: 2 },
+    ];
+    vitest.it.each(cases)("$name", ({ scenario, told }) => {
+        const { exchange, sent } = createScenario(scenario);
+        exchange.recordFirstEvent(STREAM);
+        exchange.recordFirstEvent(STREAM);
+        vitest.expect(sent).toEqual(Array(told).fill({ kind: "stream-origins", streams: [STREAM] }));
+    });
+
+    vitest.it("is told when another version appears, with the rest of its lifetime", () => {
+        const { clock, exchange, sent, addVersion } = createScenario({ versions: ["v1"], peers: [{}] });
+        exchange.recordFirstEvent(STREAM);
+        clock.advance(10_000);
+        addVersion("v2");
+        const streams = [{ ...STREAM, lifetimeMs: 20_000 }];
+        vitest.expect(sent).toEqual([{ kind: "stream-origins", streams }]);
+    });
+
+    vitest.it("that was told by another entry is known, and answered", async () => {
+        const { exchange, sent, receive } = createScenario({ versions: ["v1", "v2"], peers: [{}] });
+        receive({ kind: "stream-origins", streams: [STREAM] });
+        vitest.expect((await exchange.resolve(CALL)).decision).toEqual(BOUND);
+        receive({ kind: "stream-origin-ask", question: 7, attempt: "a", service: "model", lifetimeMs: LIFETIME_MS });
+        const known = [{ service: "model", softwareVersion: "v1" }];
+        vitest.expect(sent).toEqual([{ kind: "stream-origin-answer", question: 7, origins: known }]);
+    });
+});
