--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -36,6 +36,10 @@
     readonly computeInputs: (signal: AbortSignal) => Promise<boolean>;
     /** Releases the inputs: one of them is lost, or the instance has read them. */
     readonly releaseInputs: () => void;
+    /** The version of the software that began the stream in an earlier attempt; undefined if any will do. */
+    readonly softwareVersion: string | undefined;
+    /** Called before the first event of this answer is forwarded, with the version of the instance that sent it. */
+    readonly onFirstEvent: (softwareVersion: string) => void;
     readonly sink: EventSink;
 }
 
@@ -73,6 +77,7 @@
         private readonly options: StreamOptions,
     ) {
         this.lastEventId = call.metadata.lastEventId;
+        this.history.softwareVersion = options.softwareVersion;
     }
 
     /** Sends the call and resumes it after interruptions, until the stream has ended or may not be resumed. */
@@ -237,10 +242,12 @@
                 continue;
             }
             if (!sink.hasBegun) {
+                this.options.onFirstEvent(answered.softwareVersion);
                 const headers = this.context.wire.answerHeaders(answered.answer.rawHeaders);
                 sink.begin(answered.answer.status, headers, answered.answer.isFramed);
             }
             this.lastEventId = event.id ?? this.lastEventId;
+            this.history.softwareVersion ??= answered.softwareVersion;
             this.call.progress.firstEventMs ??= this.context.clock.now() - this.call.arrivedMs;
             answered.sent.ticket.recordEvent();
             await sink.write(event.bytes);
