Answer a request whose run fails with an exception

Cause: the handler of a request was started without a catch. An exception anywhere in a run left its request without an answer and ended the process, with all other requests in progress.

Evidence: the new test failed: no answer within its 60 s, and an unhandled rejection.

Fix: one catch around the whole of a request.

--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -74,6 +74,19 @@
     socket.destroy();
 }
 
+/** Sends a request and returns the first line of its answer; empty if the connection ends without one. */
+async function requestStatusLine(address: string): Promise<string> {
+    const [host, port] = address.split(":");
+    const socket = net.connect(Number(port), host);
+    socket.write(REQUEST);
+    const received = await new Promise<string>(resolve => {
+        socket.once("data", chunk => resolve(chunk.toString()));
+        socket.once("close", () => resolve(""));
+    });
+    socket.destroy();
+    return received.split("\r\n")[0]!;
+}
+
 vitest.describe("a request that arrived while the process was late", () => {
     const disposables = new emitters.DisposableStore();
     vitest.afterEach(() => disposables.dispose());
@@ -89,3 +102,17 @@
         vitest.expect(choose).toHaveBeenCalledTimes(sends);
     });
 });
+
+vitest.describe("a request whose run fails with an exception", () => {
+    // Guards against a request without any answer, and a process that ends with all its requests.
+    vitest.it("is answered, and the process goes on", async () => {
+        const choose = vitest.vi.fn((): undefined => {
+            throw new Error("a defect");
+        });
+        const server = await startServer(2_000, choose);
+        for (let count = 0; count < 2; count++) {
+            vitest.expect(await requestStatusLine(server.address)).toBe("HTTP/1.1 500 Internal Server Error");
+        }
+        server.dispose();
+    });
+});
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -18,6 +18,7 @@
 import * as bodies from "./CallerBody";
 import * as responses from "./CallerResponse";
 import * as metrics from "./RouteMetrics";
+import * as targets from "./TargetChoice";
 
 /** Header size limit of the HTTP parser; the published limit is checked afterwards. */
 const MAX_PARSED_HEADER_BYTES = 64 * 1024;
@@ -135,6 +136,29 @@
     }
 
     private async handleRequest(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        try {
+            await this.serveRequest(message, response);
+        }
+        catch (error) {
+            this.handleException(message, response, error);
+        }
+    }
+
+    /** Ends a request whose run failed with an exception, which is a defect of this program. */
+    private handleException(message: http.IncomingMessage, response: http.ServerResponse, error: unknown): void {
+        const { call, abortController } = this.callsByResponse.get(response) ?? {};
+        const attempt = this.context.run.wire.readAttempt(message.headers);
+        this.context.log.error({ decision: "exception", attempt, err: error }, "serving a request failed");
+        abortController?.abort();
+        if (response.headersSent) {
+            response.destroy();
+            return;
+        }
+        const failure = codes.failure(codes.codes.internalError, String(error));
+        this.answerFailure(message, response, failure, call, call?.arrivedMs ?? this.context.clock.now());
+    }
+
+    private async serveRequest(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         this.openResponses.add(response);
         response.shouldKeepAlive &&= !this.isDraining;
         response.on("error", () => response.destroy());
@@ -244,7 +268,7 @@
             metadata: callMetadata.value,
             route,
             team,
-            service: pickService(route, this.context.random),
+            service: targets.pickService(route, this.context.random),
             method: message.method ?? "GET",
             path,
             headers: message.rawHeaders,
@@ -305,19 +329,6 @@
     }
 }
 
-/** Picks a service at random, by the route's weights. */
-function pickService(route: routing.Route, random: () => number): string {
-    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-    let remainingWeight = random() * total;
-    for (const target of route.targets) {
-        remainingWeight -= target.weight;
-        if (remainingWeight < 0) {
-            return target.service;
-        }
-    }
-    return route.targets[0]?.service ?? "";
-}
-
 function pathOf(url: string): string {
     const query = url.indexOf("?");
     return query < 0 ? url : url.slice(0, query);
