Limit the time that an order for stages waits for its host

Cause: only the host limited the time of an order. The entry that sent it noticed a lost host, but a host that stays connected and never reports left the request waiting, without an answer, until its caller gave up.

Evidence: the new test, with a host that never reports, waited on after the order's limit.

--- a/src/process/routing/StageClient.test.ts
+++ b/src/process/routing/StageClient.test.ts
@@ -44,3 +44,15 @@
         vitest.expect(send).toHaveBeenCalledTimes(sends);
     });
 });
+
+vitest.describe("an order whose host never reports its result", () => {
+    // Guards against a request that waits without an answer until its caller leaves.
+    vitest.it("fails once its time limit has passed", async () => {
+        const { client, clock } = createScenario();
+        const order = fixtures.createOrder("attempt");
+        const running = client.run(order, new AbortController().signal);
+        clock.advance(order.limitMs + 1_000);
+        const settled = await Promise.race([running, new Promise(resolve => setImmediate(() => resolve("waiting")))]);
+        vitest.expect(settled).toMatchObject({ kind: "failed" });
+    });
+});
--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -24,6 +24,15 @@
 /** Interval of the checks whether the host of a sent order is still present. */
 const HOST_CHECK_INTERVAL_MS = 200;
 
+/** Time after an order's time limit in which its host must have reported the result. */
+const REPORT_MARGIN_MS = 300;
+
+/** Result of an order whose host didn't report in time. */
+const NOT_REPORTED: stageHosts.StageRunResult = {
+    kind: "failed",
+    failure: codes.failure(codes.codes.deadlineUnreachable, "the host didn't report in time", RETRY_AFTER_MS),
+};
+
 /** Dependencies of the client. */
 export interface StageClientOptions {
     readonly clock: clocks.Clock;
@@ -130,10 +139,15 @@
                 resolve("lost");
                 return;
             }
-            const cancel = (): void => {
+            const cancelWith = (result: stageHosts.StageRunResult): void => {
                 connection.send({ kind: "stages-cancel", order, keepsResults: false });
-                settle(stageHosts.CALLER_LEFT);
+                settle(result);
             };
+            const cancel = (): void => cancelWith(stageHosts.CALLER_LEFT);
+            const limitTimer = this.options.clock.schedule(
+                content.limitMs + REPORT_MARGIN_MS,
+                () => cancelWith(NOT_REPORTED),
+            );
             const hostCheck = clocks.every(this.options.clock, HOST_CHECK_INTERVAL_MS, () => {
                 if (!this.options.peers.livePeers.includes(host)) {
                     connection.send({ kind: "stages-cancel", order, keepsResults: true });
@@ -142,6 +156,7 @@
             });
             const settle = (result: stageHosts.StageRunResult | "lost"): void => {
                 hostCheck.dispose();
+                limitTimer.dispose();
                 this.sentOrders.delete(order);
                 signal.removeEventListener("abort", cancel);
                 resolve(result);
