Give a stream without further events its instance's headers

What callers saw: a caller that resumed a stream after its last event (only the end was missing) got status 200 without the instance's signature or any other of its headers.

Cause: the headers were written with the first forwarded event, and there is none. The headers are now written before a complete stream ends, too. The new test failed before (no signature).

--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -118,6 +118,7 @@
         );
         switch (forwarded) {
             case "complete":
+                this.begin(answered);
                 this.options.sink.end();
                 return { outcome: { kind: "streamed", isComplete: true }, isFinal: true };
             case "disconnected":
@@ -179,8 +180,7 @@
             }
             if (!sink.hasBegun) {
                 this.options.onFirstEvent(answered.softwareVersion);
-                const headers = this.context.wire.answerHeaders(answered.answer.rawHeaders);
-                sink.begin(answered.answer.status, headers, answered.answer.isFramed);
+                this.begin(answered);
             }
             this.lastEventId = event.id ?? this.lastEventId;
             this.history.softwareVersion ??= answered.softwareVersion;
@@ -191,6 +191,17 @@
         }
     }
 
+    /** Writes the headers of the instance's answer, unless those of an earlier one have been written. */
+    private begin({ answer }: AnsweredSend): void {
+        if (!this.options.sink.hasBegun) {
+            this.options.sink.begin(
+                answer.status,
+                this.context.wire.answerHeaders(answer.rawHeaders),
+                answer.isFramed,
+            );
+        }
+    }
+
     /** Time to wait for the next bytes of a send before asking again; 0 to give up. */
     private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
         const nowMs = this.context.clock.now();
--- a/tests/RoutedCalls.test.ts
+++ b/tests/RoutedCalls.test.ts
@@ -163,6 +163,12 @@
         vitest.expect(fleet.enginesOf("model")[1]!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
     });
 
+    vitest.it("that is resumed after its last event gets its instance's headers", async () => {
+        const answer = await fleet.call("/notes/1", { headers: { ...PROMPT, "Last-Event-Id": "6" } });
+        vitest.expect(answer).toMatchObject({ status: 200, body: "", isComplete: true });
+        vitest.expect(answer.headers["route-stamp"]).toMatch(/^stamp-model/);
+    });
+
     vitest.it("that may not be resumed is aborted after a complete event", async () => {
         fleet.enginesOf("model").forEach(engine => engine.faults = { breakAfterEvent: 2 });
         const answer = await fleet.call("/once/1", { headers: PROMPT });
