--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -135,8 +135,11 @@
     private async handleAnswer(answered: AnsweredSend): Promise<Step> {
         if (answered.answer.status !== 200) {
             const outcome = await plainRuns.readCompleteAnswer(this.context, this.call, answered);
-            const isFinal = outcome.kind === "disconnected" || (outcome.kind === "buffered" && outcome.status < 500);
-            return { outcome: this.abortUnlessRetryable(outcome), isFinal };
+            const isRejected = outcome.kind === "buffered" && outcome.status < 500;
+            return {
+                outcome: isRejected ? this.abortIfBegun(outcome) : this.abortUnlessRetryable(outcome),
+                isFinal: isRejected || outcome.kind === "disconnected",
+            };
         }
         const forwarded = await this.forward(answered);
         if (forwarded.kind === "broken") {
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -25,7 +25,7 @@
     reset?: boolean | undefined;
     /** Answers with the attempt ID of another call. */
     otherAttempt?: boolean | undefined;
-    /** Status of the answers to calls that were run; streams and unframed answers have 200. */
+    /** Status of the answers to calls that were run, without events if it isn't 200; unframed answers have 200. */
     status?: number | undefined;
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
@@ -142,7 +142,7 @@
             response.end(`answer of ${this.options.id} to ${attemptId}`);
             return;
         }
-        if (eventCount === undefined) {
+        if (eventCount === undefined || (this.faults.status !== undefined && this.faults.unframed !== true)) {
             response.writeHead(this.faults.status ?? 200, headers).end(`answer of ${this.options.id} to ${attemptId}`);
             return;
         }
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -181,6 +181,7 @@
                 Attempts: 2,
             }]),
             { ...stream, Name: "notes", Prefix: "/notes/", Attempts: 2, Resumable: true },
+            { ...stream, Name: "lists", Prefix: "/lists/", Attempts: 3, Resumable: true },
             { ...stream, Name: "once", Prefix: "/once/", Attempts: 1, Resumable: false },
             { ...stream, Name: "staged", Prefix: "/staged/", Attempts: 1, Resumable: false, Stages: stages },
             { ...stream, Name: "drafts", Prefix: "/drafts/", Attempts: 2, Resumable: true, Stages: stages },
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -38,6 +38,15 @@
         vitest.expect(answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
         vitest.expect(fleet.enginesOf("model")[1]!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
     });
+
+    // Guards against a second head in the middle of an answer.
+    vitest.it("that gets an answer without events is broken off after a complete event", async () => {
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { breakAfterEvent: 3 };
+        second!.faults = { status: 404 };
+        const answer = await callFirstModel("/lists/1", PROMPT);
+        vitest.expect(answer).toMatchObject({ status: 200, isComplete: false });
+    });
 });
 
 vitest.describe("a stream of an instance that is silent for a while", () => {
