Soak with three software versions, and callers that resume their streams

The stand-in model engines of a soak have three versions, two of each at first, and their events carry them. A caller whose stream breaks resumes it up to three times at random entries. New check: a stream holds events of one software version, over all attempts. The check of whole answers took a stream without events for a plain answer; it now tells them by their route, and the check of events compares each stream's body in full.

--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -14,6 +14,8 @@
 /** Time after which a caller closes the connection of an unfinished call. */
 const CLIENT_TIMEOUT_MS = CALL_DEADLINE_MS + 3_000;
 const MEAN_PAUSE_MS = 60;
+/** Largest number of attempts to resume a stream. */
+const MAX_RESUMPTIONS = 3;
 /** Share of calls to a route that only one configuration version has. */
 const VERSION_ROUTE_SHARE = 0.1;
 
@@ -31,7 +33,7 @@
 
     async run(): Promise<void> {
         while (!this.isStopped) {
-            this.fleet.history.calls.push(await this.runCall());
+            await this.runWithResumptions();
             await clocks.sleep(clocks.systemClock, MEAN_PAUSE_MS * this.random() * 2);
         }
         this.agent.destroy();
@@ -41,8 +43,20 @@
         this.isStopped = true;
     }
 
-    private runCall(): Promise<histories.SoakCall> {
-        const route = this.drawRoute();
+    /** Sends a call, and resumes a stream that breaks, each time at a random entry. */
+    private async runWithResumptions(): Promise<void> {
+        const first = await this.runCall(this.drawRoute(), undefined);
+        this.fleet.history.calls.push(first);
+        let lastEventId = checks.lastEventIdOf(first);
+        let latest = first;
+        for (let count = 0; count < MAX_RESUMPTIONS && isBrokenStream(latest, lastEventId); count++) {
+            latest = await this.runCall(first.route, { firstAttempt: first.attempt, lastEventId: lastEventId! });
+            this.fleet.history.calls.push(latest);
+            lastEventId = checks.lastEventIdOf(latest) ?? lastEventId;
+        }
+    }
+
+    private runCall(route: string, resumes: histories.SoakCall["resumes"]): Promise<histories.SoakCall> {
         const entry = Math.floor(this.random() * this.fleet.entries.length);
         const attempt = `${this.name}-${this.nextCallNumber++}`;
         const call: histories.SoakCall = {
@@ -55,6 +69,7 @@
             body: "",
             isWhole: false,
             hasRetryAfter: false,
+            resumes,
         };
         return new Promise(resolve => {
             const finish = (): void => {
@@ -78,6 +93,9 @@
             "Deadline-Ms": String(CALL_DEADLINE_MS),
             Authorization: `Token ${routedFleets.TEAM_KEY}`,
             ...kindHeaders,
+            ...(call.resumes === undefined
+                ? {}
+                : { "Last-Event-Id": String(call.resumes.lastEventId), Resumes: call.resumes.firstAttempt }),
         };
         const options = { host, port, method: "POST", path: call.path, headers, agent: this.agent };
         const request = http.request(options, response => {
@@ -106,3 +124,9 @@
         return histories.CALL_KINDS[Math.floor(this.random() * histories.CALL_KINDS.length)]!;
     }
 }
+
+/** Whether a stream that may be resumed has begun and is incomplete. */
+function isBrokenStream(latest: histories.SoakCall, lastEventId: number | undefined): boolean {
+    const isComplete = latest.status === 200 && latest.isWhole;
+    return latest.route === histories.RESUMABLE_KIND && lastEventId !== undefined && !isComplete;
+}
--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -45,6 +45,26 @@
 });
 const streamRun = createRun({ path: "/notes/a-1", engine: "model-1" });
 
+/** The events from one ID to another, as written by a software version. */
+function eventsOf(version: string, fromId: number, toId: number): string {
+    return EVENT_TEXTS.slice(fromId - 1, toId).map(text => text.replace("\n\n", ` of ${version}\n\n`)).join("");
+}
+
+/** A stream that was cut in its fourth event. */
+function brokenStreamCall(version: string): histories.SoakCall {
+    return { ...streamCall, body: `${eventsOf(version, 1, 3)}id: 4\ndata: part 4 of`, isWhole: false };
+}
+
+function resumedStreamCall(version: string): histories.SoakCall {
+    return {
+        ...streamCall,
+        attempt: "a-2",
+        path: "/notes/a-2",
+        body: eventsOf(version, 4, checks.EVENT_COUNT),
+        resumes: { firstAttempt: "a-1", lastEventId: 3 },
+    };
+}
+
 interface Case {
     readonly name: string;
     readonly calls: readonly histories.SoakCall[];
@@ -63,6 +83,38 @@
         calls: [streamCall],
         runs: [streamRun, { ...streamRun, engine: "model-2" }],
     },
+    {
+        name: "a stream of one software version that was resumed by its caller",
+        calls: [brokenStreamCall("v1"), resumedStreamCall("v1")],
+        runs: [streamRun, { ...streamRun, attempt: "a-2", path: "/notes/a-2" }],
+    },
+    {
+        name: "a stream that was resumed after its last event",
+        calls: [{
+            ...streamCall,
+            body: "",
+            resumes: { firstAttempt: "a-0", lastEventId: checks.EVENT_COUNT },
+        }],
+        runs: [streamRun],
+    },
+    {
+        name: "a stream with the answer to a plain call",
+        calls: [{ ...streamCall, body: "answer of model-1 to a-1" }],
+        runs: [streamRun],
+        promise: "a stream has every event once and in order",
+    },
+    {
+        name: "a stream of two software versions over its caller's attempts",
+        calls: [brokenStreamCall("v1"), resumedStreamCall("v2")],
+        runs: [streamRun, { ...streamRun, attempt: "a-2", path: "/notes/a-2" }],
+        promise: "a stream holds events of one software version",
+    },
+    {
+        name: "a stream of two software versions in one answer",
+        calls: [{ ...streamCall, body: eventsOf("v1", 1, 3) + eventsOf("v2", 4, checks.EVENT_COUNT) }],
+        runs: [streamRun],
+        promise: "a stream holds events of one software version",
+    },
     {
         name: "two runs of an at-most-once call",
         calls: [createCall()],
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -24,6 +24,10 @@
 const PROGRAM_LOAD_MS = 100;
 /** Allowance for the time that a call is in flight between two processes. */
 const TRANSIT_MS = 100;
+/** The software version in an event. */
+const WRITER_PATTERN = / of v\d+(?=\n\n)/g;
+/** The same at the end of an answer that was cut. */
+const PARTIAL_WRITER_PATTERN = / (?:of?(?: (?:v\d*)?)?)?(?=\n?$)/;
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 const INVALID_CALL_STATUSES = [400, 401, 404, 413, 431];
 
@@ -45,6 +49,7 @@
     { name: "a call that is refused as not run never runs", find: findRunsOfRejectedCalls },
     { name: "a success is one engine's whole answer to this call", find: findForeignAnswers },
     { name: "a stream has every event once and in order", find: findIncorrectStreams },
+    { name: "a stream holds events of one software version", find: findMixedStreams },
     { name: "engines get calls as their callers sent them", find: findAlteredRequests },
     { name: "proper calls aren't rejected", find: findRejectedValidCalls },
     { name: "no call hangs beyond its deadline", find: findOverdueCalls },
@@ -82,6 +87,10 @@
     return byAttempt;
 }
 
+function isStreamKind(route: string): boolean {
+    return ["notes", "once", "staged"].includes(route);
+}
+
 function isAtMostOnce(call: histories.SoakCall): boolean {
     return histories.AT_MOST_ONCE_KINDS.some(kind => kind === call.route);
 }
@@ -107,21 +116,42 @@
             return false;
         }
         const engine = runs.get(call.attempt)?.find(run => call.stamp === `stamp-${run.engine}`)?.engine;
-        const isStream = call.body.startsWith("id: ");
+        const isStream = isStreamKind(call.route); // Its body, which may be empty, is checked by the events.
         return engine === undefined || (!isStream && call.body !== `answer of ${engine} to ${call.attempt}`);
     });
 }
 
 function findIncorrectStreams(history: histories.SoakHistory): readonly unknown[] {
-    const completeBody = Array.from(
-        { length: EVENT_COUNT },
-        (_, index) => `id: ${index + 1}\ndata: part ${index + 1}\n\n`,
-    ).join(
-        "",
-    );
     return history.calls.filter(call => {
-        const isStream = call.status === 200 && ["notes", "once", "staged"].includes(call.route);
-        return isStream && (call.isWhole ? call.body !== completeBody : !completeBody.startsWith(call.body));
+        const isStream = call.status === 200 && isStreamKind(call.route);
+        const body = call.body.replaceAll(WRITER_PATTERN, "").replace(PARTIAL_WRITER_PATTERN, "");
+        const completeBody = eventsAfter(call.resumes?.lastEventId ?? 0);
+        return isStream && (call.isWhole ? body !== completeBody : !completeBody.startsWith(body));
+    });
+}
+
+/** The body of a complete stream after an event, without the versions that wrote it. */
+function eventsAfter(lastEventId: number): string {
+    const ids = Array.from({ length: EVENT_COUNT - lastEventId }, (_, index) => lastEventId + 1 + index);
+    return ids.map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
+}
+
+/** ID of the last complete event of an answer; undefined if it has none. */
+export function lastEventIdOf(call: histories.SoakCall): number | undefined {
+    const ids = call.status === 200 ? [...call.body.matchAll(/id: (\d+)\ndata: [^\n]*\n\n/g)] : [];
+    return ids.length === 0 ? undefined : Number(ids.at(-1)![1]);
+}
+
+/** Finds streams with events of several software versions, in one answer or over their callers' attempts. */
+function findMixedStreams(history: histories.SoakHistory): readonly unknown[] {
+    const callsByStream = new Map<string, histories.SoakCall[]>();
+    for (const call of history.calls) {
+        const stream = call.resumes?.firstAttempt ?? call.attempt;
+        callsByStream.set(stream, [...callsByStream.get(stream) ?? [], call]);
+    }
+    return [...callsByStream.values()].filter(calls => {
+        const bodies = calls.filter(call => call.status === 200).map(call => call.body).join("");
+        return new Set([...bodies.matchAll(WRITER_PATTERN)].map(([writer]) => writer)).size > 1;
     });
 }
 
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -3,6 +3,7 @@
  */
 import * as randoms from "../src/common/Random";
 import * as engines from "../standins/platform/PlatformEngineStandIn";
+import * as relays from "../standins/TcpRelay";
 
 /** Faults and planned operations of one entry. */
 export const ENTRY_FAULTS = ["kill", "pause", "stop", "reload"] as const;
@@ -51,6 +52,7 @@
 const SERIES_SHARE = 0.2;
 const MAX_SERIES_LENGTH = 4;
 const MAX_SERIES_INTERVAL_MS = 400;
+const LINK_DELAY_MS = 250;
 
 /** Plans the faults of a soak that injects faults for `endMs`. */
 export function planFaults(random: randoms.Random, faultPeriodMs: number): readonly PlannedFault[] {
@@ -107,3 +109,22 @@
     unframed: { unframed: true },
     hang: { hang: true },
 };
+
+/** Disturbs a link, and restores it after the duration. */
+export function injectRelayFault(
+    link: relays.TcpRelay,
+    kind: typeof LINK_FAULTS[number],
+    durationMs: number,
+    runLater: (delayMs: number, action: () => void) => void,
+): void {
+    if (kind === "delay") {
+        link.delayMs = LINK_DELAY_MS;
+    }
+    else {
+        link.mode = kind;
+    }
+    runLater(durationMs, () => {
+        link.delayMs = 0;
+        link.mode = "pass";
+    });
+}
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -23,14 +23,15 @@
 const EVENT_INTERVAL_MS = 40;
 /** Time after which a killed or stopped entry is restarted. */
 const RESTART_DELAY_MS = 300;
-const LINK_DELAY_MS = 250;
 /** Poll interval for processes that have exited unexpectedly. */
 const SUPERVISION_INTERVAL_MS = 200;
 /** Time for which a leaving engine is published as draining before it is removed. */
 const DRAINING_MS = 2_500;
+/** Number of software versions of the engines that stream. */
+const VERSION_COUNT = 3;
 const ENGINE_GROUPS: readonly { readonly service: string; readonly count: number; readonly events?: number }[] = [
     { service: "desk", count: 3 },
-    { service: "model", count: 3, events: checks.EVENT_COUNT },
+    { service: "model", count: 6, events: checks.EVENT_COUNT },
     { service: "archive", count: 2 },
     { service: "ledger", count: 2 },
 ];
@@ -73,7 +74,7 @@
         await fleet.store.listen();
         for (const { service, count, events } of ENGINE_GROUPS) {
             for (let index = 0; index < count; index++) {
-                await fleet.addEngine(service, FAILURE_DOMAINS[index]!, events);
+                await fleet.addEngine(service, FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, events);
             }
         }
         fleet.publish();
@@ -156,9 +157,13 @@
     }
 
     private async addEngine(service: string, failureDomain: string, events: number | undefined): Promise<void> {
-        const id = `${service}-${this.nextEngineNumber++}`;
+        const number = this.nextEngineNumber++;
+        const id = `${service}-${number}`;
         const options = { id, service, failureDomain, serviceMs: CALL_WORK_MS, eventIntervalMs: EVENT_INTERVAL_MS };
-        const standIn = new engines.PlatformEngineStandIn(events === undefined ? options : { ...options, events });
+        const softwareVersion = `v${1 + Math.floor(number / 2) % VERSION_COUNT}`;
+        const standIn = new engines.PlatformEngineStandIn(
+            events === undefined ? options : { ...options, events, softwareVersion },
+        );
         await standIn.listen();
         const link = await relays.TcpRelay.listen(portOf(standIn.address));
         this.engines.push({ standIn, link });
@@ -266,7 +271,7 @@
         durationMs: number,
     ): void {
         this.recordFault({ kind: `${linkName}-${kind}`, entry: index }, durationMs);
-        injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
+        faults.injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
     }
 
     private injectEngineFault(kind: typeof faults.ENGINE_FAULTS[number], index: number, durationMs: number): void {
@@ -278,7 +283,7 @@
             return;
         }
         if (kind === "link-hold" || kind === "link-reset") {
-            injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
+            faults.injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
             return;
         }
         standIn.faults = faults.standInFaults[kind] ?? {};
@@ -323,24 +328,6 @@
     };
 }
 
-function injectRelayFault(
-    link: relays.TcpRelay,
-    kind: typeof faults.LINK_FAULTS[number],
-    durationMs: number,
-    runLater: (delayMs: number, action: () => void) => void,
-): void {
-    if (kind === "delay") {
-        link.delayMs = LINK_DELAY_MS;
-    }
-    else {
-        link.mode = kind;
-    }
-    runLater(durationMs, () => {
-        link.delayMs = 0;
-        link.mode = "pass";
-    });
-}
-
 function pickIndex(items: readonly unknown[], fraction: number): number {
     return Math.floor(fraction * items.length);
 }
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -9,6 +9,9 @@
 /** Kinds of calls that may run at most once. */
 export const AT_MOST_ONCE_KINDS: readonly CallKind[] = ["book", "once", "staged"];
 
+/** The kind of calls that a caller resumes. */
+export const RESUMABLE_KIND: CallKind = "notes";
+
 /** One call, as observed by its caller. */
 export interface SoakCall {
     readonly attempt: string;
@@ -25,6 +28,8 @@
     /** Whether the answer was framed and received completely. */
     isWhole: boolean;
     hasRetryAfter: boolean;
+    /** Set for a call that resumes a stream. */
+    readonly resumes?: { readonly firstAttempt: string; readonly lastEventId: number } | undefined;
 }
 
 /** One call, as observed by an engine. */
