--- a/src/process/routing/StageClient.ts
+++ b/src/process/routing/StageClient.ts
@@ -8,13 +8,13 @@
 import * as codes from "../../common/Codes";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
-import * as messages from "../../common/Messages";
 import * as stageOrders from "../../common/StageOrder";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "./EntryPeers";
 import * as hostRoles from "./HostRoles";
 import * as peerEntries from "./PeerEntry";
 import * as servedOrders from "./ServedOrders";
+import * as stageEndMessages from "./StageEndMessage";
 import * as stageHosts from "./StageHost";
 
 /** Maximum number of attempts to run one order on a host. */
@@ -24,6 +24,15 @@
 /** Interval of the checks whether the host of a sent order is still present. */
 const HOST_CHECK_INTERVAL_MS = 200;
 
+/** Time after an order's time limit in which its host must have reported the result. */
+const REPORT_MARGIN_MS = 300;
+
+/** Result of an order whose host didn't report in time. */
+const NOT_REPORTED: stageHosts.StageRunResult = {
+    kind: "failed",
+    failure: codes.failure(codes.codes.deadlineUnreachable, "the host didn't report in time", RETRY_AFTER_MS),
+};
+
 /** Dependencies of the client. */
 export interface StageClientOptions {
     readonly clock: clocks.Clock;
@@ -130,10 +139,15 @@
                 resolve("lost");
                 return;
             }
-            const cancel = (): void => {
+            const cancelWith = (result: stageHosts.StageRunResult): void => {
                 connection.send({ kind: "stages-cancel", order, keepsResults: false });
-                settle(stageHosts.CALLER_LEFT);
+                settle(result);
             };
+            const cancel = (): void => cancelWith(stageHosts.CALLER_LEFT);
+            const limitTimer = this.options.clock.schedule(
+                content.limitMs + REPORT_MARGIN_MS,
+                () => cancelWith(NOT_REPORTED),
+            );
             const hostCheck = clocks.every(this.options.clock, HOST_CHECK_INTERVAL_MS, () => {
                 if (!this.options.peers.livePeers.includes(host)) {
                     connection.send({ kind: "stages-cancel", order, keepsResults: true });
@@ -142,6 +156,7 @@
             });
             const settle = (result: stageHosts.StageRunResult | "lost"): void => {
                 hostCheck.dispose();
+                limitTimer.dispose();
                 this.sentOrders.delete(order);
                 signal.removeEventListener("abort", cancel);
                 resolve(result);
@@ -161,7 +176,10 @@
             )
             .with({ kind: "stages-release" }, release => this.options.host.releaseResults(release.handles))
             .with({ kind: "stages-made" }, made => this.sentOrders.get(made.order)?.onProgress(made.pieces))
-            .with({ kind: "stages-end" }, end => this.sentOrders.get(end.order)?.settle(decodeResult(end)))
+            .with(
+                { kind: "stages-end" },
+                end => this.sentOrders.get(end.order)?.settle(stageEndMessages.decodeResult(end)),
+            )
             .otherwise(() => undefined);
     }
 
@@ -179,11 +197,3 @@
 function isHandedOver(result: stageHosts.StageRunResult): boolean {
     return result.kind === "failed" && result.failure.code === codes.codes.draining;
 }
-
-function decodeResult(message: Extract<messages.Message, { kind: "stages-end" }>): stageHosts.StageRunResult {
-    if (message.handles !== undefined) {
-        return { kind: "completed", handles: message.handles };
-    }
-    const code = codes.findCode(message.code ?? -1) ?? codes.codes.overloaded;
-    return { kind: "failed", failure: codes.failure(code, message.detail ?? "", message.retryAfterMs) };
-}
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -42,16 +42,16 @@
 ): Promise<plainRuns.RunOutcome> {
     const inputs = new StageInputs(context, call);
     try {
-        const stageFailure = await inputs.compute();
+        const stageFailure = await inputs.compute(call.signal);
         if (stageFailure !== undefined) {
             return call.signal.aborted ? { kind: "disconnected" } : { kind: "local-failure", failure: stageFailure };
         }
         return await new streamRuns.StreamRun(context, call, {
-            inputs: () => inputs.results,
-            recomputeInputs: async () => await inputs.compute() === undefined,
+            inputs: () => inputs.held,
+            computeInputs: async signal => await inputs.compute(signal) === undefined,
+            releaseInputs: () => inputs.release(),
             softwareVersion,
             onFirstEvent: version => streamResumes.recordFirstEvent(context, call, version),
-            onEventForwarded: () => inputs.release(),
             sink,
         }).run();
     }
@@ -62,24 +62,32 @@
 
 /** Holds the stage results that a call reads, from their computation until their release. */
 class StageInputs {
-    results: readonly senders.CallInput[] = [];
+    private results: readonly senders.CallInput[] | undefined;
 
     constructor(private readonly context: RunContext, private readonly call: calls.RoutedCall) {}
 
-    /** Runs the stages, if the call has any; resolves to the failure, or undefined on success. */
-    async compute(): Promise<codes.Failure | undefined> {
+    /** The inputs that are held, none for a call without stages; undefined if they have to be computed. */
+    get held(): readonly senders.CallInput[] | undefined {
+        return this.hasPieces ? this.results : [];
+    }
+
+    private get hasPieces(): boolean {
         const { metadata, route } = this.call;
-        const hasPieces = metadata.pieces.slice(0, route.stages.length).some(count => count > 0);
-        if (!hasPieces) {
+        return metadata.pieces.slice(0, route.stages.length).some(count => count > 0);
+    }
+
+    /** Runs the stages, if the call has any; resolves to the failure, or undefined on success. */
+    async compute(signal: AbortSignal): Promise<codes.Failure | undefined> {
+        if (!this.hasPieces) {
             return undefined;
         }
         this.release();
-        const order = this.createOrder(route);
-        const stagesOutcome = await this.context.runStages(order, this.call.signal);
+        const order = this.createOrder(this.call.route);
+        const stagesOutcome = await this.context.runStages(order, signal);
         if (stagesOutcome.kind === "failed") {
             return stagesOutcome.failure;
         }
-        this.call.progress.stagesMs = this.context.clock.now() - this.call.arrivedMs;
+        this.call.progress.stagesMs ??= this.context.clock.now() - this.call.arrivedMs;
         const sizesBytes = inputSizesBytes(order);
         this.results = stagesOutcome.handles.map((handle, index) => ({ handle, bytes: sizesBytes[index] ?? 0 }));
         return undefined;
@@ -87,8 +95,8 @@
 
     /** Releases the results; safe to call repeatedly. */
     release(): void {
-        this.context.releaseResults(this.results.map(input => input.handle));
-        this.results = [];
+        this.context.releaseResults((this.results ?? []).map(input => input.handle));
+        this.results = undefined;
     }
 
     private createOrder(route: routing.Route): stageOrders.StageOrder {
