Compute results again in time that a stage worker won't hold long enough

Cause: results were counted on until they expire. A worker that leaves before that takes them along, and the pieces that read them fail first ("input-gone").

Change: the scheduler asks whether the results of a worker can still be read when a waiting piece would read them; if not, they are computed again, on the workers in use.

--- a/src/process/routing/StageInstances.ts
+++ b/src/process/routing/StageInstances.ts
@@ -24,6 +24,8 @@
 export interface StageServices {
     capacity(service: string): routing.StageCapacity | undefined;
     instances(service: string): readonly batching.StageInstance[];
+    /** Whether a worker's results can still be read in `afterMs`; without it, until they expire. */
+    areResultsUsable?(instance: string, afterMs: number): boolean;
 }
 
 interface InstanceState {
--- a/src/process/routing/StageScheduler.test.ts
+++ b/src/process/routing/StageScheduler.test.ts
@@ -228,6 +228,36 @@
         vitest.expect(scheduler.nextBatch(4_150)!.service).toBe("archive");
     });
 
+    vitest.it.each([
+        { name: "that leaves", leaving: "ledger-a", isRecomputed: true },
+        { name: "whose neighbour leaves", leaving: "ledger-b", isRecomputed: false },
+    ])("compute inputs again in time that wait on a worker $name, on another one", ({ leaving, isRecomputed }) => {
+        const state = { usableUntilMs: Infinity, nowMs: 0, unavailable: "" };
+        const scheduler = new schedulers.StageScheduler({
+            ...fixtures.services,
+            instances: service =>
+                fixtures.INSTANCES.filter(({ id }) =>
+                    service !== state.unavailable && (id !== leaving || state.usableUntilMs === Infinity)
+                ),
+            areResultsUsable: (instance, afterMs) =>
+                instance !== leaving || state.nowMs + afterMs < state.usableUntilMs,
+        });
+        scheduler.submit(fixtures.createOrder("attempt", { stages, goalMs: 9_000, limitMs: 9_000 }), 0);
+        state.unavailable = "ledger";
+        const first = scheduler.nextBatch(0)!;
+        vitest.expect(first.instance.id).toBe("ledger-a");
+        scheduler.endBatch(first, fixtures.resultsOf(first), 200);
+        state.usableUntilMs = 1_700;
+        state.nowMs = 1_500;
+        scheduler.expire(state.nowMs);
+        vitest.expect(scheduler.nextBatch(state.nowMs)).toBeUndefined(); // The inputs are still of use.
+        state.nowMs = 1_650;
+        scheduler.expire(state.nowMs);
+        const again = scheduler.nextBatch(state.nowMs);
+        vitest.expect(again?.service).toBe(isRecomputed ? "archive" : undefined);
+        vitest.expect(again?.instance.id).not.toBe("ledger-a");
+    });
+
     vitest.it("compute lost inputs again", () => {
         const scheduler = new schedulers.StageScheduler(fixtures.services);
         scheduler.submit(fixtures.createOrder("attempt", { stages }), 0);
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -16,10 +16,8 @@
 
 /** An order is abandoned after more failed calls than this. A failed piece of a call with n pieces counts as 1/n. */
 const MAX_FAILED_CALLS = 6;
-
 /** An input must not expire within this time, so that a call can still read it. */
 const READ_MARGIN_MS = 100;
-
 /** Share of a worker's result memory that is used, since sizes of results are approximate. */
 const USABLE_MEMORY_SHARE = 0.9;
 
@@ -200,11 +198,14 @@
         }
     }
 
-    /** Computes the inputs of waiting pieces again if they would expire before a call could read them. */
+    /** Computes the inputs of waiting pieces again if they would be gone before a call could read them. */
     private recomputeExpiredInputs(job: jobs.StageJob, nowMs: number): void {
+        const isUsable = (handle: string): boolean =>
+            this.memory.isHeld(handle, nowMs + READ_MARGIN_MS)
+            && this.services.areResultsUsable?.(this.memory.instanceOf(handle)!, READ_MARGIN_MS) !== false;
         job.order.stages.forEach((_, stage) => {
             const inputs = job.countWaitingInStage(stage) === 0 ? undefined : job.inputHandles(stage);
-            if (inputs?.some(handle => !this.memory.isHeld(handle, nowMs + READ_MARGIN_MS)) === true) {
+            if (inputs?.some(handle => !isUsable(handle)) === true) {
                 job.recomputeInputs(stage);
             }
         });
