Send nothing new to instances that say in an answer that they leave

Cause: an instance that leaves says so in all its answers (header `Server-Leaving: 1`); nothing read it. Until the store listed it as draining, which may be seconds later or never, every entry went on sending to it, the ones it had told included.

Change: answers to calls, stage calls and releases of results are read for the sign. It marks one start of the instance (id and start of the record by which the request was sent) in this process at once, and in the other entries by a message with its age. The marks (LeavingInstances, no input or output) lie beside the view: no record, revision or later answer ends one; they end after 10 min. Marked instances get no calls, retries, resumptions, prompts by affinity or pieces; results that pieces still wait for are computed again elsewhere. The stand-in of the engines says so in all its answers, the 421 included.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -6,6 +6,8 @@
 import * as stageOrders from "./StageOrder";
 
 const MAX_ENTRIES = 10_000;
+/** Number of leaving instances in one message. */
+export const MAX_LEAVING_SIGNS = 1_000;
 /** Shortest interval of presence messages. */
 export const MIN_PRESENCE_INTERVAL_MS = 300;
 const name = z.string().min(1).max(200);
@@ -99,3 +101,17 @@
     kind: z.literal("stages-release"),
     handles: z.array(z.string().max(400)).max(100_000),
 });
+
+/** Instances that are leaving, as they told the sender or another entry; adds to earlier messages. */
+export const instancesLeavingSchema = z.object({
+    kind: z.literal("instances-leaving"),
+    signs: z.array(
+        z.object({
+            instance: name,
+            /** Start of the incarnation that is leaving, as it published it. */
+            startedMs: z.number(),
+            /** Time since it first said so. */
+            ageMs: z.number().min(0),
+        }),
+    ).max(MAX_LEAVING_SIGNS),
+});
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -170,6 +170,7 @@
     entryMessages.stagesEndSchema,
     entryMessages.stagesCancelSchema,
     entryMessages.stagesReleaseSchema,
+    entryMessages.instancesLeavingSchema,
 ]);
 
 /** The content of a frame: the sender's configuration version in force (0 for none) and a message. */
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -83,6 +83,10 @@
     /** Whether the answer carries the instance's signature. */
     readonly isSigned: boolean;
     readonly load: { readonly running: number; readonly waiting: number } | undefined;
+    /** Whether the instance that answered is leaving. */
+    readonly isLeaving: boolean;
+    /** The instance that answered; undefined if not stated. */
+    readonly instance: string | undefined;
 }
 
 /** Reads and writes the headers of routed calls. Header lists alternate names and values. */
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -1,6 +1,6 @@
 /**
  * The upstream instances that calls may go to: their published state combined with this process's own traffic.
- * Limits the call rate of cold instances and excludes instances that are draining, out of service or paused.
+ * Limits the call rate of cold instances and excludes instances that are draining, leaving, out of service or paused.
  */
 import * as clocks from "../../common/Clock";
 import * as rendezvous from "../../common/RendezvousHash";
@@ -9,6 +9,7 @@
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
 import * as traffic from "./InstanceTraffic";
+import * as leavingInstances from "./LeavingInstances";
 import * as promptReading from "./PromptReading";
 import * as views from "./PublishedView";
 
@@ -36,6 +37,7 @@
     readonly clock: clocks.Clock;
     readonly random: () => number;
     readonly view: views.PublishedView;
+    readonly leaving: leavingInstances.LeavingInstances;
     readonly failureDomain: string;
     /** Name of this entry. */
     readonly self: string;
@@ -116,14 +118,26 @@
         return counts;
     }
 
-    /** Whether the published state allows new work at the instance. */
-    isInService(instance: routing.RoutedInstance): boolean {
-        return instance.state === "ready" && !this.options.view.isOutOfService(instance.failureDomain);
+    /** Ids of the listed instances that have said that they are leaving. */
+    get leavingIds(): string[] {
+        const { view, leaving } = this.options;
+        return view.allInstances.filter(instance => leaving.isLeaving(instance)).map(instance => instance.id);
     }
 
-    /** Instances of a service that are in service and not paused after failures; if all are paused, all in service. */
+    /** Instances at which the published state allows new work. */
+    private instancesInService(service: string): views.KnownInstance[] {
+        const { view } = this.options;
+        return view.instances(service).filter(instance =>
+            instance.state === "ready" && !view.isOutOfService(instance.failureDomain)
+        );
+    }
+
+    /**
+     * Instances of a service that are in service, not leaving and not paused after failures; if all of these are paused,
+     * paused ones too.
+     */
     usableInstances(service: string): views.KnownInstance[] {
-        const inService = this.options.view.instances(service).filter(instance => this.isInService(instance));
+        const inService = this.instancesInService(service).filter(other => !this.options.leaving.isLeaving(other));
         const unpausedInstances = inService.filter(instance => !this.trafficOf(instance).isPaused);
         return unpausedInstances.length > 0 ? unpausedInstances : inService;
     }
@@ -199,8 +213,7 @@
 
     /** The instances that can accept a call now. */
     private findCandidates(requirements: CallRequirements): choices.Candidate[] {
-        const eligible = this.usableInstances(requirements.service)
-            .filter(instance => !this.wasTried(instance, requirements) && this.isWithinColdRate(instance));
+        const eligible = this.findEligible(requirements);
         const affinityId = pickAffinityId(eligible, requirements.promptParts);
         const fastestCallMs = Math.min(
             UNMEASURED_CALL_MS,
@@ -211,6 +224,17 @@
         );
     }
 
+    private findEligible(requirements: CallRequirements): views.KnownInstance[] {
+        const canAccept = (instance: views.KnownInstance): boolean =>
+            !this.wasTried(instance, requirements) && this.isWithinColdRate(instance);
+        const eligible = this.usableInstances(requirements.service).filter(canAccept);
+        if (eligible.length > 0 || requirements.promptTokens > 0) {
+            return eligible; // The end of the instance would abort a long answer; the caller rather returns later.
+        }
+        return this.instancesInService(requirements.service)
+            .filter(instance => this.options.leaving.isLastResort(instance) && canAccept(instance));
+    }
+
     private wasTried(instance: views.KnownInstance, requirements: CallRequirements): boolean {
         const { triedIncarnations } = requirements;
         return triedIncarnations.size > 0 && triedIncarnations.has(incarnationKey(instance));
--- a/src/process/routing/PublishedView.ts
+++ b/src/process/routing/PublishedView.ts
@@ -82,6 +82,11 @@
         return found;
     }
 
+    /** All instances of all services. */
+    get allInstances(): readonly KnownInstance[] {
+        return [...this.instancesById.values()];
+    }
+
     /** The instance with this id; undefined when it isn't known. */
     find(id: string): KnownInstance | undefined {
         return this.instancesById.get(id);
--- a/src/process/routing/ResultReleaser.ts
+++ b/src/process/routing/ResultReleaser.ts
@@ -4,6 +4,7 @@
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
+import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../request/routed/UpstreamExchange";
@@ -19,6 +20,10 @@
     readonly log: logs.Log;
     readonly wire: routingPorts.StageWire;
     readonly connections: upstreamConnections.UpstreamConnections;
+    /** The instance listed at an address; undefined if there is none. */
+    readonly findInstance: (address: string) => routing.RoutedInstance | undefined;
+    /** Called with the head of each answer of a listed instance. */
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer) => void;
 }
 
 /** Collects handles and releases them. Failed calls aren't retried, since results expire on their own. */
@@ -61,6 +66,7 @@
         const startedMs = this.options.clock.now();
         const request = this.options.wire.releaseRequest(handles);
         const body = Buffer.from(request.body);
+        const instance = this.options.findInstance(maker);
         const response = await exchanges.openExchange(this.options.connections, this.options.clock, {
             address: maker,
             method: "POST",
@@ -84,6 +90,9 @@
             }, "could not release results; they will expire on their own");
         }
         if (response.kind === "answer") {
+            if (instance !== undefined) {
+                this.options.onAnswer(instance, response);
+            }
             await exchanges.readBody(response, MAX_RESPONSE_BYTES);
         }
     }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -11,6 +11,8 @@
 import * as entryPeers from "./EntryPeers";
 import * as hostRoles from "./HostRoles";
 import * as pools from "./InstancePool";
+import * as leavingExchanges from "./LeavingExchange";
+import * as leavingInstances from "./LeavingInstances";
 import * as exchanges from "./PublishedExchange";
 import * as readers from "./PublishedReader";
 import * as views from "./PublishedView";
@@ -96,10 +98,15 @@
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
             }),
         );
+        const leaving = new leavingInstances.LeavingInstances(clock);
+        const leavingExchange = this.disposables.add(
+            new leavingExchanges.LeavingExchange({ ...shared, wire: options.callWire, peers: this.peers, leaving }),
+        );
         this.pool = this.disposables.add(
             new pools.InstancePool({
                 ...shared,
                 view: this.view,
+                leaving,
                 failureDomain: settings.failureDomain,
                 self: settings.instance,
                 entryNames: () => this.peers.entryNames,
@@ -107,7 +114,13 @@
             }),
         );
         const releaser = this.disposables.add(
-            new releasers.ResultReleaser({ clock, log, wire: options.stageWire, connections }),
+            new releasers.ResultReleaser({
+                ...shared,
+                wire: options.stageWire,
+                connections,
+                findInstance: address => this.view.findByAddress(address),
+                onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "release"),
+            }),
         );
         this.host = this.disposables.add(
             new stageHosts.StageHost({
@@ -116,7 +129,9 @@
                 connections,
                 pool: this.pool,
                 view: this.view,
+                leaving,
                 releaser,
+                onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "stage-call"),
                 ownInstances: (service, usable) => this.roles.ownInstances(service, usable),
             }),
         );
@@ -150,6 +165,7 @@
                     wire: options.callWire,
                     connections,
                     pool: this.pool,
+                    onAnswer: (instance, answer) => leavingExchange.observe(instance, answer, "call"),
                     budgetOf: service => this.obtainBudget(service),
                     revision: () => this.view.revision,
                     runStages: (order, signal) => this.stages.run(order, signal),
@@ -293,6 +309,7 @@
             "Updates taken from other entries",
             () => this.exchange.appliedUpdates,
         );
+        routeMetrics.addGauge("cumincrank_leaving_instances", "Leaving instances", () => this.pool.leavingIds.length);
         routeMetrics.addGauge("cumincrank_active_calls", "Routed calls under way", () => this.server.active);
         routeMetrics.addGauge(
             "cumincrank_dropped_log_lines",
@@ -311,6 +328,7 @@
             revision: this.view.revision,
             unconfirmedMs: this.reader.unconfirmedMs,
             out: this.view.outOfServiceDomains,
+            leaving: this.pool.leavingIds,
             stageHosts: this.roles.hostNames,
             stageOrders: this.host.size,
             active: this.server.active,
--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -4,12 +4,14 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as stageOrders from "../../common/StageOrder";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../request/routed/UpstreamExchange";
 import * as handOvers from "./HostHandOver";
 import * as pools from "./InstancePool";
+import * as leavingInstances from "./LeavingInstances";
 import * as views from "./PublishedView";
 import * as releasers from "./ResultReleaser";
 import * as batching from "./StageBatching";
@@ -56,7 +58,10 @@
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly pool: pools.InstancePool;
     readonly view: views.PublishedView;
+    readonly leaving: leavingInstances.LeavingInstances;
     readonly releaser: releasers.ResultReleaser;
+    /** Called with the head of each answer to a stage call. */
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer) => void;
     /** Those of the usable instances of a service that this host schedules. */
     readonly ownInstances: (
         service: string,
@@ -78,6 +83,7 @@
         this.scheduler = new schedulers.StageScheduler({
             capacity: service => options.view.table?.findService(service)?.stage,
             instances: service => options.ownInstances(service, options.pool.usableInstances(service)),
+            areResultsUsable: (id, afterMs) => this.areResultsUsable(id, afterMs),
         });
         this.subscription = options.releaser.onReleased(handles => {
             this.scheduler.recordReleased(handles);
@@ -242,6 +248,7 @@
             this.logCall(batch, response.reason);
             return undefined;
         }
+        this.options.onAnswer(published, response);
         const content = await exchanges.readBody(response, MAX_RESPONSE_BYTES);
         const pieceResults = response.status === 200 && content !== undefined
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
@@ -251,6 +258,11 @@
         return pieceResults;
     }
 
+    private areResultsUsable(id: string, afterMs: number): boolean {
+        const worker = this.options.view.find(id);
+        return worker === undefined || this.options.leaving.areResultsUsable(worker, afterMs);
+    }
+
     private toStagePiece(piece: jobs.JobPiece): routingPorts.StagePiece {
         const { order } = piece.job;
         const inputs = piece.job.inputHandles(piece.stage);
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -6,6 +6,7 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as pools from "../../process/routing/InstancePool";
@@ -28,6 +29,8 @@
     readonly wire: routingPorts.RoutedCallWire;
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly pool: pools.InstancePool;
+    /** Called with each answer that an instance gave to its call. */
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: routingPorts.UpstreamAnswerMetadata) => void;
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
@@ -242,6 +245,7 @@
         ticket.end("failed");
         return { kind: "unknown", code: codes.codes.malformedAnswer };
     }
+    context.onAnswer(chosen.instance, metadata);
     if (metadata.load !== undefined) {
         chosen.traffic.recordLoadReport(metadata.load.running, metadata.load.waiting);
     }
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -15,6 +15,8 @@
     readonly body: string;
     /** Time of arrival on the monotonic clock of this process. */
     readonly atMs: number;
+    /** Whether the answer says that the engine leaves. */
+    readonly isLeaving: boolean;
 }
 
 /** Faults; each stays in effect until it is cleared. */
@@ -51,6 +53,8 @@
 /** Simulates one engine with an HTTP server on 127.0.0.1. */
 export class PlatformEngineStandIn {
     faults: EngineFaults = {};
+    /** Whether the engine leaves: all its answers say so, those included with which it rejects a call. */
+    isLeaving = false;
     readonly runs: EngineRun[] = [];
     /** The pieces of each received batch. */
     readonly batches: unknown[][] = [];
@@ -58,9 +62,10 @@
     /** Number of runs whose connection closed before the answer was complete. */
     cancelledRuns = 0;
     private nextHandle = 1;
+    private bornMs = 1_700_000_000_000;
     private listener: listeners.Listener | undefined;
 
-    constructor(readonly options: EngineOptions) {}
+    constructor(public options: EngineOptions) {}
 
     /** IP address and port. */
     get address(): string {
@@ -79,7 +84,7 @@
             State: state,
             ColdLeftMs: 0,
             Seq: 1,
-            born: 1_700_000_000_000,
+            born: this.bornMs,
         };
     }
 
@@ -89,12 +94,22 @@
         this.listener = await listeners.listen(server, "127.0.0.1:0");
     }
 
+    /** Simulates a new start at the same address, by default with the same id. */
+    restart(id = this.options.id): void {
+        this.options = { ...this.options, id };
+        this.bornMs++;
+        this.isLeaving = false;
+    }
+
     dispose(): void {
         this.listener?.dispose();
     }
 
     private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const body = await readBody(request);
+        if (this.isLeaving) {
+            response.setHeader("Server-Leaving", "1");
+        }
         const expectedInstance = request.headers["expect-instance"];
         if (expectedInstance !== undefined && expectedInstance !== this.options.id) {
             response.writeHead(421, { "Instance-Id": this.options.id }).end();
@@ -109,7 +124,8 @@
             return;
         }
         const { method, url, headers } = request;
-        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now() });
+        const { isLeaving } = this;
+        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now(), isLeaving });
         response.on("close", () => this.cancelledRuns += response.writableFinished ? 0 : 1);
         if (this.faults.reset === true) {
             request.socket.resetAndDestroy();
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -95,6 +95,12 @@
         return (await sendRequest(this.readyAddresses[index]!, "GET", "/ready", {}, undefined)).status;
     }
 
+    /** What an entry's admin server reports. */
+    async status(index: number): Promise<Record<string, unknown>> {
+        const answer = await sendRequest(this.entries[index]!.adminAddress, "GET", "/status", {}, undefined);
+        return JSON.parse(answer.body) as Record<string, unknown>;
+    }
+
     enginesOf(service: string): engines.PlatformEngineStandIn[] {
         return this.engines.filter(engine => engine.options.service === service);
     }
