Soak: engines that leave say so before the store lists them

Change: an engine that leaves says so in its answers for 4 s before the store lists it as draining, whatever else fails meanwhile. A new check: nothing that a caller sent 2 s after an entry had passed such an answer on reaches that engine from that entry, unless the entry was killed, stopped or paused since. The faults of links moved to SoakFaults, beside the other faults.

--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -33,10 +33,27 @@
         atMs: 100_010,
         team: "gilders",
         hasKey: false,
+        isLeaving: false,
         ...overrides,
     };
 }
 
+/** Two calls through one entry to an engine that leaves, with `betweenMs` between the first answer and the second call. */
+function createLeavingCase(
+    betweenMs: number,
+    second: Partial<histories.SoakCall> = {},
+): Pick<Case, "calls" | "runs"> {
+    const sentMs = 100_050 + betweenMs;
+    const later = { attempt: "a-2", path: "/book/a-2", sentMs, endedMs: sentMs + 50, body: "answer of desk-1 to a-2" };
+    return {
+        calls: [createCall(), createCall({ ...later, ...second })],
+        runs: [
+            createRun({ isLeaving: true }),
+            createRun({ attempt: "a-2", path: "/book/a-2", atMs: sentMs + 10, isLeaving: true }),
+        ],
+    };
+}
+
 const streamCall = createCall({
     route: "notes",
     path: "/notes/a-1",
@@ -162,6 +179,24 @@
         runs: [createRun()],
         drainingSinceMs: 99_000,
     },
+    {
+        name: "a call long after the engine told the entry that it leaves",
+        ...createLeavingCase(2_100),
+        promise: "an engine that has told an entry that it leaves gets nothing more from it",
+    },
+    { name: "a call soon after the engine told the entry that it leaves", ...createLeavingCase(1_900) },
+    { name: "a call of another entry than the one that the engine told", ...createLeavingCase(2_100, { entry: 1 }) },
+    {
+        name: "a call of an entry that was restarted since the engine told it",
+        ...createLeavingCase(2_100),
+        faults: [{ kind: "kill", entry: 0, fromMs: 100_500, toMs: 100_800 }],
+    },
+    {
+        name: "a call of an entry that the store and the peers can't reach since the engine told it",
+        ...createLeavingCase(2_100),
+        faults: [{ kind: "store-hold", entry: 0, fromMs: 100_500, toMs: 103_000 }],
+        promise: "an engine that has told an entry that it leaves gets nothing more from it",
+    },
     {
         name: "a call that a planned stop aborted",
         calls: [createCall({ status: undefined, isWhole: false })],
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -12,7 +12,7 @@
 const UNDISTURBED_MS = 3_000;
 /** Platform limit: longest time until an undisturbed entry applies a published configuration. */
 const CONFIGURATION_LIMIT_MS = 2_000;
-/** Platform limit: longest time until a draining engine gets no more calls from an undisturbed entry. */
+/** Platform limit: longest time until a leaving engine gets no more calls of an entry, once the entry can know it. */
 const DRAIN_LIMIT_MS = 2_000;
 /** Time for the system to recover once all faults have ended. */
 export const RECOVERY_MS = 12_000;
@@ -50,6 +50,7 @@
     { name: "no call hangs beyond its deadline", find: findOverdueCalls },
     { name: "a configuration is in force in time", find: findStaleConfigurations },
     { name: "an engine that leaves gets nothing more", find: findRunsAfterLeaving },
+    { name: "an engine that has told an entry that it leaves gets nothing more from it", find: findRunsAfterSign },
     { name: "a planned stop cuts nothing", find: findCallsAbortedByStop },
     { name: "a refusal says when to come back", find: findMissingRetryAfter },
     { name: "no process ends by itself", find: findUnexpectedExits },
@@ -178,6 +179,25 @@
     });
 }
 
+/** Finds runs on engines that had told the entry that they leave, in an answer that the entry passed on. */
+function findRunsAfterSign(history: histories.SoakHistory): readonly unknown[] {
+    const calls = new Map(history.calls.map(call => [call.attempt, call] as const));
+    const signs = history.runs.filter(run => run.isLeaving).flatMap(run => {
+        const call = calls.get(run.attempt);
+        const isPassedOn = call?.status !== undefined && call.stamp === `stamp-${run.engine}`;
+        return isPassedOn ? [{ engine: run.engine, entry: call.entry, atMs: call.endedMs }] : [];
+    });
+    return history.runs.filter(run => {
+        const call = calls.get(run.attempt);
+        return run.isLeaving
+            && signs.some(sign =>
+                call !== undefined && sign.engine === run.engine && sign.entry === call.entry
+                && call.sentMs > sign.atMs + DRAIN_LIMIT_MS
+                && !history.wasInterrupted(call.entry, sign.atMs, run.atMs)
+            );
+    });
+}
+
 /** Finds calls that the entry had read, as they reached an engine, but left incomplete only due to its planned stop. */
 function findCallsAbortedByStop(history: histories.SoakHistory): readonly unknown[] {
     const stops = history.faults.filter(fault => fault.kind === "stop");
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -3,6 +3,7 @@
  */
 import * as randoms from "../src/common/Random";
 import * as engines from "../standins/platform/PlatformEngineStandIn";
+import * as relays from "../standins/TcpRelay";
 
 /** Faults and planned operations of one entry. */
 export const ENTRY_FAULTS = ["kill", "pause", "stop", "reload"] as const;
@@ -43,6 +44,7 @@
 
 /** Number of events after which an engine breaks a stream. */
 const BREAK_AFTER_EVENTS = 4;
+const LINK_DELAY_MS = 250;
 /** Mean time between two faults or series. */
 const MEAN_INTERVAL_MS = 700;
 const MIN_DURATION_MS = 200;
@@ -107,3 +109,22 @@
     unframed: { unframed: true },
     hang: { hang: true },
 };
+
+/** Injects a fault into a link, and ends it after its duration. */
+export function injectRelayFault(
+    link: relays.TcpRelay,
+    kind: typeof LINK_FAULTS[number],
+    durationMs: number,
+    runLater: (delayMs: number, action: () => void) => void,
+): void {
+    if (kind === "delay") {
+        link.delayMs = LINK_DELAY_MS;
+    }
+    else {
+        link.mode = kind;
+    }
+    runLater(durationMs, () => {
+        link.delayMs = 0;
+        link.mode = "pass";
+    });
+}
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -23,9 +23,10 @@
 const EVENT_INTERVAL_MS = 40;
 /** Time after which a killed or stopped entry is restarted. */
 const RESTART_DELAY_MS = 300;
-const LINK_DELAY_MS = 250;
 /** Poll interval for processes that have exited unexpectedly. */
 const SUPERVISION_INTERVAL_MS = 200;
+/** Time for which only the answers of a leaving engine say so; then the store lists it as draining. */
+const UNLISTED_MS = 4_000;
 /** Time for which a leaving engine is published as draining before it is removed. */
 const DRAINING_MS = 2_500;
 const ENGINE_GROUPS: readonly { readonly service: string; readonly count: number; readonly events?: number }[] = [
@@ -137,6 +138,7 @@
                 atMs: run.atMs,
                 team: run.headers["tenant"] as string | undefined,
                 hasKey: run.headers["authorization"] !== undefined,
+                isLeaving: run.isLeaving,
             })));
         }
     }
@@ -266,7 +268,7 @@
         durationMs: number,
     ): void {
         this.recordFault({ kind: `${linkName}-${kind}`, entry: index }, durationMs);
-        injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
+        faults.injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
     }
 
     private injectEngineFault(kind: typeof faults.ENGINE_FAULTS[number], index: number, durationMs: number): void {
@@ -278,23 +280,27 @@
             return;
         }
         if (kind === "link-hold" || kind === "link-reset") {
-            injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
+            faults.injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
             return;
         }
         standIn.faults = faults.standInFaults[kind] ?? {};
         this.runLater(durationMs, () => standIn.faults = {});
     }
 
-    /** Drains and removes an engine, and adds one with a new name in its place. */
+    /** Lets an engine leave, and adds one with a new name in its place. */
     private replaceEngine(engine: Engine): void {
-        const { id, service, failureDomain, events } = engine.standIn.options;
-        if (this.history.drainingSinceMs.has(id)) {
+        const { standIn, link } = engine;
+        const { id, service, failureDomain, events } = standIn.options;
+        if (standIn.isLeaving) {
             return;
         }
-        this.store.put(`servers/${id}`, engine.standIn.createStoreRecord("draining", engine.link.address));
-        this.history.drainingSinceMs.set(id, clocks.systemClock.now());
+        standIn.isLeaving = true;
         void this.addEngine(service, failureDomain, events);
-        this.runLater(DRAINING_MS, () => {
+        this.runLater(UNLISTED_MS, () => {
+            this.store.put(`servers/${id}`, standIn.createStoreRecord("draining", link.address));
+            this.history.drainingSinceMs.set(id, clocks.systemClock.now());
+        });
+        this.runLater(UNLISTED_MS + DRAINING_MS, () => {
             this.store.delete(`servers/${id}`);
             this.engines.splice(this.engines.indexOf(engine), 1);
             this.removedEngines.push(engine);
@@ -323,24 +329,6 @@
     };
 }
 
-function injectRelayFault(
-    link: relays.TcpRelay,
-    kind: typeof faults.LINK_FAULTS[number],
-    durationMs: number,
-    runLater: (delayMs: number, action: () => void) => void,
-): void {
-    if (kind === "delay") {
-        link.delayMs = LINK_DELAY_MS;
-    }
-    else {
-        link.mode = kind;
-    }
-    runLater(durationMs, () => {
-        link.delayMs = 0;
-        link.mode = "pass";
-    });
-}
-
 function pickIndex(items: readonly unknown[], fraction: number): number {
     return Math.floor(fraction * items.length);
 }
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -9,6 +9,9 @@
 /** Kinds of calls that may run at most once. */
 export const AT_MOST_ONCE_KINDS: readonly CallKind[] = ["book", "once", "staged"];
 
+/** Faults after which an entry has forgotten what it knew, or learns late what happened. */
+const INTERRUPTIONS: readonly string[] = ["kill", "pause", "stop"];
+
 /** One call, as observed by its caller. */
 export interface SoakCall {
     readonly attempt: string;
@@ -36,6 +39,8 @@
     readonly team: string | undefined;
     /** Whether the caller's API key reached the engine. */
     readonly hasKey: boolean;
+    /** Whether the engine's answer said that it leaves. */
+    readonly isLeaving: boolean;
 }
 
 /** One injected fault, planned operation or configuration change. */
@@ -81,4 +86,14 @@
             && !ignoredKinds.includes(fault.kind)
         );
     }
+
+    /** Whether the entry was restarted or paused in the time span. */
+    wasInterrupted(entry: number, fromMs: number, toMs: number): boolean {
+        return this.faults.some(fault =>
+            fault.entry === entry
+            && INTERRUPTIONS.includes(fault.kind)
+            && fault.fromMs <= toMs
+            && fault.toMs >= fromMs
+        );
+    }
 }
