Measure a stage worker anew after a new start under its id

Cause: speed, pauses and overdue calls were remembered by id alone, so that a worker that was started again got only probe calls, one each 3 s, since its predecessor had been slow.

Change: they are forgotten when the listed start changes; calls in flight stay counted until they end.

--- a/src/process/routing/StageBatching.ts
+++ b/src/process/routing/StageBatching.ts
@@ -19,6 +19,8 @@
     readonly id: string;
     readonly address: string;
     readonly failureDomain: string;
+    /** Start of its incarnation; another value means that it holds and knows nothing of before. */
+    readonly startedMs?: number;
 }
 
 /** One call on an instance, with pieces of one or more orders. */
--- a/src/process/routing/StageInstances.ts
+++ b/src/process/routing/StageInstances.ts
@@ -29,6 +29,8 @@
 }
 
 interface InstanceState {
+    /** Start of the incarnation that was measured. */
+    startedMs: number | undefined;
     /** Moving average of the ratio of measured to expected call time. */
     slowness: number;
     readonly batches: Set<batching.StageBatch>;
@@ -39,6 +41,13 @@
     lastCallEndMs: number;
 }
 
+const INITIAL_MEASUREMENTS = {
+    slowness: 1,
+    consecutiveOverdue: 0,
+    pausedUntilMs: -Infinity,
+    lastCallEndMs: -Infinity,
+} as const;
+
 /** Measurements and calls in flight, by instance. */
 export class StageInstances {
     private readonly states = new Map<string, InstanceState>();
@@ -52,6 +61,7 @@
 
     /** Instances that aren't much slower than the fastest, and slow ones that are due for a probe. */
     selectCandidates(all: readonly batching.StageInstance[], nowMs: number): readonly batching.StageInstance[] {
+        all.forEach(instance => this.resetIfRestarted(instance));
         const fastest = Math.min(...all.map(instance => this.stateOf(instance.id).slowness));
         return all.filter(instance => {
             const state = this.stateOf(instance.id);
@@ -128,6 +138,14 @@
         return overdue;
     }
 
+    /** Forgets the measurements of an earlier start; its calls in flight end or become overdue. */
+    private resetIfRestarted(instance: batching.StageInstance): void {
+        const state = this.stateOf(instance.id);
+        if (state.startedMs !== instance.startedMs) {
+            Object.assign(state, INITIAL_MEASUREMENTS, { startedMs: instance.startedMs });
+        }
+    }
+
     private recordOverdue(state: InstanceState, nowMs: number): void {
         state.consecutiveOverdue++;
         if (state.consecutiveOverdue >= OVERDUE_CALLS_TO_RAISE_SLOWNESS) {
@@ -139,13 +157,7 @@
     private stateOf(id: string): InstanceState {
         let state = this.states.get(id);
         if (state === undefined) {
-            state = {
-                slowness: 1,
-                batches: new Set(),
-                consecutiveOverdue: 0,
-                pausedUntilMs: -Infinity,
-                lastCallEndMs: -Infinity,
-            };
+            state = { ...INITIAL_MEASUREMENTS, startedMs: undefined, batches: new Set() };
             this.states.set(id, state);
         }
         return state;
