--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -15,6 +15,8 @@
     readonly body: string;
     /** Time of arrival on the monotonic clock of this process. */
     readonly atMs: number;
+    /** Whether the answer says that the engine leaves. */
+    readonly isLeaving: boolean;
 }
 
 /** Faults; each stays in effect until it is cleared. */
@@ -57,6 +59,8 @@
 /** Simulates one engine with an HTTP server on 127.0.0.1. */
 export class PlatformEngineStandIn {
     faults: EngineFaults = {};
+    /** Whether the engine leaves: all its answers say so, those included with which it rejects a call. */
+    isLeaving = false;
     readonly runs: EngineRun[] = [];
     /** The pieces of each received batch. */
     readonly batches: unknown[][] = [];
@@ -64,9 +68,12 @@
     /** Number of runs whose connection closed before the answer was complete. */
     cancelledRuns = 0;
     private nextHandle = 1;
+    private bornMs: number;
     private listener: listeners.Listener | undefined;
 
-    constructor(readonly options: EngineOptions) {}
+    constructor(public options: EngineOptions) {
+        this.bornMs = options.startedMs ?? 1_700_000_000_000;
+    }
 
     /** IP address and port. */
     get address(): string {
@@ -75,7 +82,7 @@
 
     /** The engine's record for the store, by default with its own address. */
     createStoreRecord(state: "ready" | "draining" = "ready", address = this.address): unknown {
-        const { service, failureDomain, softwareVersion, startedMs } = this.options;
+        const { service, failureDomain, softwareVersion } = this.options;
         return {
             Service: service,
             Address: address,
@@ -85,7 +92,7 @@
             State: state,
             ColdLeftMs: 0,
             Seq: 1,
-            born: startedMs ?? 1_700_000_000_000,
+            born: this.bornMs,
         };
     }
 
@@ -95,12 +102,22 @@
         this.listener = await listeners.listen(server, "127.0.0.1:0");
     }
 
+    /** Simulates a new start at the same address, by default with the same id. */
+    restart(id = this.options.id): void {
+        this.options = { ...this.options, id };
+        this.bornMs++;
+        this.isLeaving = false;
+    }
+
     dispose(): void {
         this.listener?.dispose();
     }
 
     private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const body = await readBody(request);
+        if (this.isLeaving) {
+            response.setHeader("Server-Leaving", "1");
+        }
         const expectedInstance = request.headers["expect-instance"];
         if (expectedInstance !== undefined && expectedInstance !== this.options.id) {
             response.writeHead(421, { "Instance-Id": this.options.id }).end();
@@ -119,7 +136,8 @@
             return;
         }
         const { method, url, headers } = request;
-        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now() });
+        const { isLeaving } = this;
+        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now(), isLeaving });
         response.on("close", () => this.cancelledRuns += response.writableFinished ? 0 : 1);
         if (this.faults.reset === true) {
             request.socket.resetAndDestroy();
