--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -61,6 +61,8 @@
     readonly releasedHandles: string[] = [];
     /** Number of runs whose connection closed before the answer was complete. */
     cancelledRuns = 0;
+    /** Number of calls that were meant for another engine. */
+    misdirectedCalls = 0;
     private nextHandle = 1;
     private bornMs = 1_700_000_000_000;
     private listener: listeners.Listener | undefined;
@@ -112,6 +114,7 @@
         }
         const expectedInstance = request.headers["expect-instance"];
         if (expectedInstance !== undefined && expectedInstance !== this.options.id) {
+            this.misdirectedCalls++;
             response.writeHead(421, { "Instance-Id": this.options.id }).end();
             return;
         }
--- a/tests/LeavingEngines.test.ts
+++ b/tests/LeavingEngines.test.ts
@@ -130,3 +130,28 @@
         });
     },
 );
+
+vitest.describe("an engine that only seems to say that it leaves", () => {
+    vitest.it("keeps its calls, if that is an answer to another call", async () => {
+        const [engine] = fleet.enginesOf("desk");
+        engine!.faults = { otherAttempt: true };
+        engine!.isLeaving = true;
+        await fleet.waitUntil(async () => {
+            await fleet.call("/book/1");
+            return engine!.runs.length > 0;
+        });
+        vitest.expect(await leavingAt(0)).toEqual([]);
+    });
+
+    vitest.it("isn't marked, if that is the answer of another engine at its address", async () => {
+        const [engine] = fleet.enginesOf("desk");
+        engine!.isLeaving = true;
+        fleet.store.put("servers/desk-9", engine!.createStoreRecord());
+        fleet.store.delete("servers/desk-1");
+        await fleet.waitUntil(async () => {
+            await fleet.call("/look/1");
+            return engine!.misdirectedCalls > 0;
+        });
+        vitest.expect(await leavingAt(0)).not.toContain("desk-9");
+    });
+});
