Complete an answer that still waits for its caller when a planned stop closes idle connections

What callers would see: in a planned stop, 2.2 s after SIGTERM, an answer that had ended at this process but wasn't sent completely, because the caller or its link is slow, was cut off.

Cause: http.Server.closeIdleConnections takes a connection whose response has ended for idle, though the response's last bytes are still buffered. Listener.stopAccepting already avoids http.Server.close for this reason, but RouteServer then called the other function with the same flaw. Also, the connection counted as done, so that the stop didn't wait for it.

Fix: the server counts the responses of each connection until they are sent, and closes those connections without one that have read nothing since the last one.

--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -14,6 +14,7 @@
 import * as tables from "../../version/RouteTable";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as callerWatches from "../serving/CallerWatch";
+import * as idleConnections from "../serving/IdleConnections";
 import * as listeners from "../serving/Listener";
 import * as bodies from "./CallerBody";
 import * as responses from "./CallerResponse";
@@ -60,6 +61,7 @@
 /** Accepts routed calls and writes their answers. */
 export class RouteServer implements clocks.Disposable {
     private readonly server: http.Server;
+    private readonly idleConnections: idleConnections.IdleConnections;
     private listener: listeners.Listener | undefined;
     private readonly pauses: pauseMonitors.PauseMonitor;
     private isDraining = false;
@@ -80,6 +82,7 @@
             requestTimeout: 0,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
+        this.idleConnections = new idleConnections.IdleConnections(this.server);
         this.pauses = new pauseMonitors.PauseMonitor({ clock: context.clock, thresholdMs: PAUSE_THRESHOLD_MS });
         this.applyCallerLimits(DEFAULT_LIMITS);
     }
@@ -114,7 +117,7 @@
     /** Stops accepting connections and closes those without a request. */
     stopAccepting(): void {
         this.listener?.stopAccepting();
-        this.server.closeIdleConnections();
+        this.idleConnections.close();
     }
 
     /** Sends a failure to every call without an answer; streams that have started are aborted at the process's end. */
--- /dev/null
+++ b/src/process/serving/IdleConnections.ts
@@ -0,0 +1,46 @@
+/**
+ * Knows which connections of a server wait for their next request. `http.Server.closeIdleConnections` would also close
+ * those whose ended response has not been sent completely yet.
+ */
+import * as http from "node:http";
+import * as net from "node:net";
+
+interface ConnectionState {
+    openResponses: number;
+    /** Bytes that had been read when the last response was sent; more of them belong to a next request. */
+    bytesRead: number;
+}
+
+/** The connections of one server that have had a request. */
+export class IdleConnections {
+    private readonly states = new Map<net.Socket, ConnectionState>();
+
+    constructor(server: http.Server) {
+        server.on("request", (request, response) => this.countRequest(request.socket, response));
+    }
+
+    /** Closes the connections without a request. */
+    close(): void {
+        for (const [socket, { openResponses, bytesRead }] of this.states) {
+            if (openResponses === 0 && socket.bytesRead === bytesRead) {
+                socket.destroy();
+            }
+        }
+    }
+
+    private countRequest(socket: net.Socket, response: http.ServerResponse): void {
+        const state = this.states.get(socket) ?? this.track(socket);
+        state.openResponses++;
+        response.on("close", () => {
+            state.openResponses--;
+            state.bytesRead = socket.bytesRead;
+        });
+    }
+
+    private track(socket: net.Socket): ConnectionState {
+        const state = { openResponses: 0, bytesRead: 0 };
+        this.states.set(socket, state);
+        socket.on("close", () => this.states.delete(socket));
+        return state;
+    }
+}
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -52,6 +52,8 @@
     readonly eventIntervalMs?: number;
     /** Time between the arrival of a call and the start of its answer. */
     readonly serviceMs?: number;
+    /** Size of each answer that isn't a stream; undefined for a short one. */
+    readonly answerBytes?: number;
 }
 
 /** Simulates one engine with an HTTP server on 127.0.0.1. */
@@ -148,7 +150,8 @@
             return;
         }
         if (eventCount === undefined) {
-            response.writeHead(this.faults.status ?? 200, headers).end(`answer of ${this.options.id} to ${attemptId}`);
+            const answer = `answer of ${this.options.id} to ${attemptId}`;
+            response.writeHead(this.faults.status ?? 200, headers).end(answer.padEnd(this.options.answerBytes ?? 0));
             return;
         }
         if (this.faults.unframed !== true) {
