Notice the end of a silent stream while it is being moved

What callers would see: a stream whose last bytes had all arrived, only its end being late, was broken off if that end arrived while a move was prepared or under way, and no other instance completed the call.

A body emits its end only to a reader, and a move doesn't read, so that it never noticed the end that it listens for. It cancelled the complete answer and continued elsewhere.

Evidence: the two new cases failed before (the move never ended; the complete answer was left at 150 ms).

Fix: an empty read lets the body emit its end.

--- a/src/request/routed/StreamMove.test.ts
+++ b/src/request/routed/StreamMove.test.ts
@@ -21,6 +21,7 @@
     readonly sentOutcomeAtMs?: number;
     readonly outcome: senders.SendOutcome;
     readonly continuesAtMs?: number;
+    readonly endsAtMs?: number;
 }
 
 interface Result {
@@ -45,6 +46,9 @@
     if (course.continuesAtMs !== undefined) {
         clock.schedule(course.continuesAtMs, () => void body.write("id: 4"));
     }
+    if (course.endsAtMs !== undefined) {
+        clock.schedule(course.endsAtMs, () => void body.end());
+    }
     const moving = moves.moveStream({
         clock,
         body,
@@ -94,6 +98,20 @@
             continuesAtMs: 100,
             isSendAborted: true,
         },
+        {
+            name: "when it ends while the inputs are computed",
+            outcome: accepted,
+            preparedAtMs: 800,
+            endsAtMs: 500,
+            isSendAborted: false,
+        },
+        {
+            name: "when it ends before another instance has accepted the call",
+            outcome: accepted,
+            sentOutcomeAtMs: 150,
+            endsAtMs: 100,
+            isSendAborted: true,
+        },
     ];
     vitest.it.each(cases)("$name", async ({ isSendAborted, ...course }) => {
         vitest.expect(await play(course)).toEqual({ end: undefined, leftAtMs: undefined, isSendAborted });
--- a/src/request/routed/StreamMove.ts
+++ b/src/request/routed/StreamMove.ts
@@ -77,6 +77,9 @@
         if (this.body.readableLength > 0) {
             this.resolve("continued");
         }
+        else {
+            this.body.read(0); // A body reports its end only to a reader.
+        }
     };
     private readonly recordEnd = (): void => this.resolve("continued");
 
