Take an answer without a body for complete

What callers would see: 502 instead of an instance's 204 or 304, and instead of the answer to HEAD, when it has no Content-Length.

Cause: an answer with neither a length nor chunked encoding counted as delimited by the end of its connection. These have no body, and their connection stays open, so that they counted as cut short.

Evidence: the new case of the exchange failed before (no body read); the new one of RoutedCalls passes with the fix.

Fix: such answers count as framed.

--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -61,6 +61,7 @@
         close: "fin",
         body: undefined,
     },
+    { name: "of a status without one", answer: "HTTP/1.1 204 No Content\r\n\r\n", close: "open", body: "" },
     { name: "close-delimited, closed with a FIN", answer: `${STATUS_LINE}\r\nok`, close: "fin", body: "ok" },
     { name: "close-delimited, reset", answer: `${STATUS_LINE}\r\nok`, close: "reset", body: undefined },
 ];
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -11,6 +11,8 @@
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Statuses of answers without a body. */
+const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Lower statuses aren't those of an answer. */
 const MIN_FINAL_STATUS = 200;
 
@@ -45,7 +47,7 @@
      * with a FIN; Node.js reports a reset as the end of such a body too.
      */
     readonly isComplete: () => boolean;
-    /** Whether a length or chunked encoding delimits the body; otherwise it is close-delimited. */
+    /** Whether a length or chunked encoding delimits the body, or there is none; otherwise it is close-delimited. */
     readonly isFramed: boolean;
     /** Aborts the exchange and closes its connection. */
     readonly cancel: () => void;
@@ -148,7 +150,9 @@
         }
         this.settle();
         const isFramed = response.headers["content-length"] !== undefined
-            || response.headers["transfer-encoding"] !== undefined;
+            || response.headers["transfer-encoding"] !== undefined
+            || NO_BODY_STATUSES.has(status)
+            || this.request.method === "HEAD";
         let isCleanClose = false;
         if (!isFramed) {
             response.socket.once("end", () => isCleanClose = true);
--- a/tests/RoutedCalls.test.ts
+++ b/tests/RoutedCalls.test.ts
@@ -118,6 +118,7 @@
     vitest.it.each([
         { status: 500, answerStatus: 500 },
         { status: 404, answerStatus: 404 },
+        { status: 204, answerStatus: 204 },
         { status: 503, answerStatus: 502 },
         { status: 429, answerStatus: 502 },
     ])("that ran and failed with $status gets $answerStatus", async ({ status, answerStatus }) => {
