Let the stand-in of the store be restored from a backup

The platform's store may now return from an older copy of itself: what was written since is lost, its revisions are given out again, and Store-Era rises by one. The stand-in had no era and only ever moved forward. It states the era in all its answers, and plays the contract: backUp, restore (waiting watches are cut, a watch from a revision that it doesn't have gets 410), and writeAgain for what the writers write again. No test uses it yet.

--- a/standins/platform/PlatformStoreStandIn.ts
+++ b/standins/platform/PlatformStoreStandIn.ts
@@ -13,7 +13,8 @@
     readonly Lease: number;
 }
 
-type StoreEvent = StoredItem | { readonly Key: string; readonly Rev: number; readonly Deleted: true };
+/** A change of one key. */
+export type StoreEvent = StoredItem | { readonly Key: string; readonly Rev: number; readonly Deleted: true };
 
 /** Faults; each stays in effect until it is cleared. */
 export interface StoreFaults {
@@ -23,6 +24,13 @@
     silent?: boolean | undefined;
 }
 
+/** The content of the store at one time. */
+export interface StoreBackup {
+    readonly revision: number;
+    readonly items: ReadonlyMap<string, StoredItem>;
+    readonly events: readonly StoreEvent[];
+}
+
 const MAX_ITEMS_PER_PAGE = 3;
 
 /** Simulates the store with an HTTP server on 127.0.0.1. */
@@ -31,6 +39,7 @@
     /** Number of calls received. */
     calls = 0;
     private revision = 1;
+    private era = 1;
     private readonly items = new Map<string, StoredItem>();
     private events: StoreEvent[] = [];
     /** Events up to this revision have been discarded. */
@@ -75,6 +84,41 @@
         this.wakeCallbacks.forEach(wake => wake());
     }
 
+    /** Backs up the content. */
+    backUp(): StoreBackup {
+        return { revision: this.revision, items: new Map(this.items), events: [...this.events] };
+    }
+
+    /**
+     * Restores a backup, which starts a new era: later writes are lost, and their revisions are given out again.
+     * Returns the last lost write of each key.
+     */
+    restore(backup: StoreBackup): readonly StoreEvent[] {
+        const lostWrites = new Map(
+            this.events.filter(event => event.Rev > backup.revision).map(event => [event.Key, event] as const),
+        );
+        this.items.clear();
+        backup.items.forEach((item, key) => this.items.set(key, item));
+        this.events = [...backup.events];
+        this.revision = backup.revision;
+        this.compactedRevision = Math.min(this.compactedRevision, backup.revision);
+        this.era++;
+        this.wakeCallbacks.forEach(wake => wake());
+        return [...lostWrites.values()];
+    }
+
+    /** Writes lost writes again, as their writers do, except to keys that were written since the backup was restored. */
+    writeAgain(lostWrites: readonly StoreEvent[], backup: StoreBackup): void {
+        const keysWritten = new Set(this.events.filter(event => event.Rev > backup.revision).map(event => event.Key));
+        for (const write of lostWrites.filter(lost => !keysWritten.has(lost.Key))) {
+            if ("Deleted" in write) {
+                this.delete(write.Key);
+                continue;
+            }
+            this.put(write.Key, Buffer.from(write.Value, "base64"));
+        }
+    }
+
     private appendEvent(event: StoreEvent): void {
         this.events.push(event);
         this.wakeCallbacks.forEach(wake => wake());
@@ -86,7 +130,7 @@
             return;
         }
         if (this.faults.status !== undefined) {
-            response.writeHead(this.faults.status).end();
+            this.startAnswer(response, this.faults.status).end();
             return;
         }
         const { pathname, searchParams } = new URL(request.url ?? "", "http://store");
@@ -103,7 +147,11 @@
             .filter(item => item.Key.startsWith(prefix) && item.Key > afterKey)
             .sort((a, b) => a.Key < b.Key ? -1 : 1);
         const Items = matchingItems.slice(0, MAX_ITEMS_PER_PAGE);
-        sendJson(response, { Items, Truncated: matchingItems.length > MAX_ITEMS_PER_PAGE, CurrentRev: this.revision });
+        this.sendJson(response, {
+            Items,
+            Truncated: matchingItems.length > MAX_ITEMS_PER_PAGE,
+            CurrentRev: this.revision,
+        });
     }
 
     private async watch(
@@ -114,14 +162,19 @@
     ): Promise<void> {
         const findEvents = (): StoreEvent[] =>
             this.events.filter(event => event.Rev > afterRevision && event.Key.startsWith(prefix));
-        if (afterRevision >= this.compactedRevision && findEvents().length === 0) {
+        const { era } = this;
+        if (afterRevision >= this.compactedRevision && afterRevision <= this.revision && findEvents().length === 0) {
             await this.waitForChange(waitMs);
         }
-        if (afterRevision < this.compactedRevision) {
-            response.writeHead(410).end();
+        if (era !== this.era) {
+            response.destroy(); // Calls that wait are cut when the store goes away.
             return;
         }
-        sendJson(response, { events: findEvents(), CurrentRev: this.revision });
+        if (afterRevision < this.compactedRevision || afterRevision > this.revision) {
+            this.startAnswer(response, 410).end();
+            return;
+        }
+        this.sendJson(response, { events: findEvents(), CurrentRev: this.revision });
     }
 
     private waitForChange(waitMs: number): Promise<void> {
@@ -135,9 +188,17 @@
             this.wakeCallbacks.add(wake);
         });
     }
-}
 
-function sendJson(response: http.ServerResponse, body: unknown): void {
-    response.writeHead(200, { "content-type": "application/json" });
-    response.end(JSON.stringify(body));
+    /** Starts an answer, which states the era. */
+    private startAnswer(
+        response: http.ServerResponse,
+        status: number,
+        headers: Record<string, string> = {},
+    ): http.ServerResponse {
+        return response.writeHead(status, { ...headers, "Store-Era": String(this.era) });
+    }
+
+    private sendJson(response: http.ServerResponse, body: unknown): void {
+        this.startAnswer(response, 200, { "content-type": "application/json" }).end(JSON.stringify(body));
+    }
 }
