Order what the store publishes by era and revision together

Cause: a store that returns from an older copy of itself gives its revisions out again, and everything here was ordered by revision alone. Keys kept their highest revision, so that new writes with lower revisions were ignored; a watch from a revision that had been given out again went on as if nothing had happened; peers compared revisions.

PublishedReader's three new cases can't be built on that code.

Change: Position (era, revision) with its comparison; items, pages, changes, updates, frames and fetches carry it, and an answer without the header counts as era 0. The reader lists again when a watch is answered in another era and when the pages of a listing are of different eras.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -1,6 +1,6 @@
 /**
  * Schemas of the messages between entries that serve routed calls; see Messages.ts for their envelope. Its
- * `version` is the latest revision of the published store up to which the sender knows all changes.
+ * `era` and `version` are the position in the published store's history up to which the sender knows all changes.
  */
 import * as z from "zod";
 import * as stageOrders from "./StageOrder";
@@ -43,21 +43,26 @@
 /** Presence message between entries. */
 export type Presence = z.infer<typeof presenceSchema>;
 
-/** Requests the changes of the published store after `revision`. */
-export const publishedFetchSchema = z.object({ kind: z.literal("published-fetch"), revision: z.int().min(0) });
+/** A position in the store's history; see Position.ts. */
+const positionFields = { era: z.int().min(0).default(0), revision: z.int().min(0) };
+
+/** Requests the changes of the published store after a position. */
+export const publishedFetchSchema = z.object({ kind: z.literal("published-fetch"), ...positionFields });
 
 const itemSchema = z.object({
     key: z.string().max(400),
-    revision: z.int().min(0),
+    ...positionFields,
     /** Undefined if the key has been deleted. */
     content: z.instanceof(Uint8Array).optional(),
 });
 
-/** Changes of the published store up to `revision`, or its complete content if `isWhole`. */
+/** Changes of the published store up to a position, or its complete content if `isWhole`. */
 export const publishedUpdateSchema = z.object({
     kind: z.literal("published-update"),
     items: z.array(itemSchema).max(100_000),
-    revision: z.int().min(0),
+    ...positionFields,
+    /** Revision of the backup with which the era began; undefined if the sender doesn't know it. */
+    backupRevision: z.int().min(0).optional(),
     isWhole: z.boolean(),
 });
 
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -172,8 +172,15 @@
     entryMessages.stagesReleaseSchema,
 ]);
 
-/** The content of a frame: the sender's configuration version in force (0 for none) and a message. */
-export const envelopeSchema = z.object({ version: z.int().min(0), message: messageSchema });
+/**
+ * The content of a frame: the sender's configuration version in force (0 for none) and a message. Between entries for
+ * routed calls the version is a revision of the published store, which belongs to an era.
+ */
+export const envelopeSchema = z.object({
+    version: z.int().min(0),
+    era: z.int().min(0).optional(),
+    message: messageSchema,
+});
 
 /** The validated content of one frame. */
 export type Envelope = z.infer<typeof envelopeSchema>;
--- a/src/common/Routing.ts
+++ b/src/common/Routing.ts
@@ -3,6 +3,7 @@
  * them, both read from the published store and decoded by its adapter. A routed call is opaque to the system:
  * method, path and body are forwarded unchanged.
  */
+import * as positions from "./Position";
 
 /** Kind of the calls of a route, which determines whether and how they are retried. */
 export type RouteKind = "idempotent" | "non-idempotent" | "stream";
@@ -123,10 +124,11 @@
     | { readonly kind: "unreadable"; readonly reason: string }
     | { readonly kind: "other" };
 
-/** One key of the store with its encoded content, which is undefined if the key has been deleted. */
-export interface PublishedItem {
+/**
+ * One key of the store at the position of its last change, with its encoded content, which is undefined if the key has
+ * been deleted.
+ */
+export interface PublishedItem extends positions.Position {
     readonly key: string;
-    /** The store's revision at the last change of this key. */
-    readonly revision: number;
     readonly content: Uint8Array | undefined;
 }
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -6,21 +6,19 @@
 import * as result from "true-myth/result";
 import * as codes from "./Codes";
 import * as ports from "./Ports";
+import * as positions from "./Position";
 import * as routing from "./Routing";
 
-/** One page of a listing of the store. */
-export interface PublishedPage {
+/** One page of a listing of the store, at the store's position when it was read. */
+export interface PublishedPage extends positions.Position {
     readonly items: readonly routing.PublishedItem[];
-    /** The store's revision when the page was read. */
-    readonly revision: number;
     /** Key after which the next page starts; undefined on the last page. */
     readonly nextAfter: string | undefined;
 }
 
-/** Changes since a revision. */
-export interface PublishedChanges {
+/** Changes up to a position. */
+export interface PublishedChanges extends positions.Position {
     readonly items: readonly routing.PublishedItem[];
-    readonly revision: number;
     /** Whether the store no longer holds the changes since that revision, so that it must be listed again. */
     readonly isHistoryLost: boolean;
 }
@@ -28,7 +26,10 @@
 /** The store that operators and instances publish to. Read-only here; each call counts against its rate limit. */
 export interface PublishedStore {
     list(after: string | undefined, signal: AbortSignal): ports.Reply<PublishedPage>;
-    /** Long-polls for up to `waitMs` for changes after `revision`. */
+    /**
+     * Long-polls for up to `waitMs` for changes after `revision`. The store may be in another era than the one in which
+     * it gave out that revision; the changes are of no use then.
+     */
     watch(revision: number, waitMs: number, signal: AbortSignal): ports.Reply<PublishedChanges>;
     /** Decodes one key; never throws. */
     decode(item: routing.PublishedItem): routing.PublishedRecord;
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -26,6 +26,8 @@
     hello(): messages.Hello;
     /** This process's configuration version in force; sent in every frame. */
     version(): number;
+    /** The era of the published store to which the version belongs; undefined if it belongs to none. */
+    readonly era?: () => number;
     /** The next heartbeat to send. */
     heartbeat(): messages.Heartbeat;
     /** Silence after which the connection is closed; undefined for `PEER_SILENCE_MS`. */
@@ -134,7 +136,9 @@
             return false;
         }
         this.corkForTurn();
-        this.socket.write(frames.encodeFrame({ version: this.context.version(), message }));
+        const era = this.context.era?.();
+        const envelope = { version: this.context.version(), ...(era === undefined ? {} : { era }), message };
+        this.socket.write(frames.encodeFrame(envelope));
         this.lastSentMs = this.context.clock.now();
         if (this.socket.writableLength > MAX_UNSENT_BYTES) {
             this.close(codes.failure(codes.codes.peerSlow, `${this.socket.writableLength} bytes unsent`));
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -8,6 +8,7 @@
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
+import * as positions from "../../common/Position";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as listeners from "../serving/Listener";
 import * as peerEntries from "./PeerEntry";
@@ -52,8 +53,8 @@
     readonly incarnation: number;
     /** CPU cores available to this process. */
     readonly cores: number;
-    /** Revision up to which this process knows the published store completely. */
-    readonly revision: () => number;
+    /** Position up to which this process knows the published store completely. */
+    readonly position: () => positions.Position;
     readonly isDraining: () => boolean;
     /** What this process hosts; undefined when it isn't a stage host. */
     readonly hosting: () => peerEntries.Hosting | undefined;
@@ -268,7 +269,7 @@
                 break;
             }
             peer.lastHeardMs = this.options.clock.now();
-            peer.revision = envelope.version;
+            peer.position = { era: envelope.era ?? 0, revision: envelope.version };
             this.handleFrame({ peer, connection, message: envelope.message });
         }
         if (peer.connection === connection) {
@@ -338,7 +339,8 @@
                 incarnation,
                 address,
             }),
-            version: () => this.options.revision(),
+            version: () => this.options.position().revision,
+            era: () => this.options.position().era,
             heartbeat: () => ({ kind: "heartbeat" }),
             silenceMs: () => paces.connectionSilenceMs(this.ordinaryIntervalMs),
             heartbeatIntervalMs: () => this.ordinaryIntervalMs,
--- a/src/process/routing/PeerEntry.ts
+++ b/src/process/routing/PeerEntry.ts
@@ -2,6 +2,7 @@
  * What an entry knows about another one.
  */
 import * as entryMessages from "../../common/EntryMessages";
+import * as positions from "../../common/Position";
 import * as peerConnections from "../../connection/PeerConnection";
 
 /** Another entry. */
@@ -25,8 +26,8 @@
     backlogMs: number;
     /** CPU cores available to it. */
     cores: number;
-    /** The latest revision of the published store that it reported. */
-    revision: number;
+    /** Position up to which it knows the published store, as it last stated. */
+    position: positions.Position;
     connection: peerConnections.PeerConnection | undefined;
     /** When its last connection ended; -Infinity if none has. */
     lostAtMs: number;
@@ -53,7 +54,7 @@
         hostingGroup: undefined,
         backlogMs: 0,
         cores: 0,
-        revision: 0,
+        position: positions.START,
         connection: undefined,
         lostAtMs: -Infinity,
     };
--- a/src/process/routing/PublishedExchange.ts
+++ b/src/process/routing/PublishedExchange.ts
@@ -1,10 +1,12 @@
 /**
  * Entries replicate the published store to each other, so that an entry that cannot reach the store stays current.
- * Each frame carries its sender's revision; an entry that is behind requests the changes that it lacks.
+ * Each frame carries its sender's position, an era and a revision; an entry that is behind requests the changes that it
+ * lacks.
  */
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
+import * as positions from "../../common/Position";
 import * as peers from "./EntryPeers";
 import * as peerEntries from "./PeerEntry";
 import * as views from "./PublishedView";
@@ -25,13 +27,13 @@
 /** Keeps the view of this process as current as that of its peers. */
 export class PublishedExchange implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
-    /** Highest peer revision at the last comparison; if the view is still behind it, an update is requested. */
-    private awaitedRevision = 0;
+    /** Latest position of a peer at the last comparison; if the view is still behind it, an update is requested. */
+    private awaitedPosition = positions.START;
     /** Number of updates applied from peers. */
     appliedUpdates = 0;
 
     constructor(private readonly options: PublishedExchangeOptions) {
-        this.disposables.add(clocks.every(options.clock, COMPARE_INTERVAL_MS, () => this.compareRevisions()));
+        this.disposables.add(clocks.every(options.clock, COMPARE_INTERVAL_MS, () => this.comparePositions()));
         this.disposables.add(options.peers.onFrame(frame => this.handleFrame(frame)));
     }
 
@@ -39,42 +41,46 @@
         this.disposables.dispose();
     }
 
-    private compareRevisions(): void {
+    private comparePositions(): void {
         const { view } = this.options;
         let mostCurrent: peerEntries.PeerEntry | undefined;
         for (const peer of this.options.peers.livePeers) {
-            if (peer.revision > view.revision && peer.revision > (mostCurrent?.revision ?? 0)) {
+            if (positions.isAfter(peer.position, mostCurrent?.position ?? view.position)) {
                 mostCurrent = peer;
             }
         }
-        if (mostCurrent !== undefined && this.awaitedRevision > view.revision) {
-            this.options.peers.send(mostCurrent, { kind: "published-fetch", revision: view.revision });
+        if (mostCurrent !== undefined && positions.isAfter(this.awaitedPosition, view.position)) {
+            this.options.peers.send(mostCurrent, { kind: "published-fetch", ...view.position });
         }
-        this.awaitedRevision = mostCurrent?.revision ?? 0;
+        this.awaitedPosition = mostCurrent?.position ?? positions.START;
     }
 
     private handleFrame(frame: peers.PeerFrame): void {
         const { message, connection, peer } = frame;
         if (message.kind === "published-fetch") {
-            const update = this.options.view.updateSince(message.revision);
+            const update = this.options.view.updateSince(message);
             const items = update.items.map(item => ({
                 ...item,
                 content: item.content && new Uint8Array(item.content),
             }));
             connection.send({ kind: "published-update", ...update, items });
         }
-        if (message.kind === "published-update" && message.revision > this.options.view.revision) {
+        if (message.kind === "published-update" && positions.isAfter(message, this.options.view.position)) {
             this.appliedUpdates++;
-            const { revision, items, isWhole } = message;
-            this.options.log.info({
-                decision: "peer-update",
-                peer: peer.instance,
-                from: this.options.view.revision,
-                revision,
-                items: items.length,
-            }, "applying an update from a peer");
+            const { items, isWhole, backupRevision } = message;
+            const position = positions.positionOf(message);
+            const { era: fromEra, revision: from } = this.options.view.position;
+            this.options.log.info(
+                { decision: "peer-update", peer: peer.instance, fromEra, from, ...position, items: items.length },
+                "applying an update from a peer",
+            );
             this.options.view.apply(
-                { items: items.map(item => ({ ...item, content: item.content })), revision, isWhole },
+                {
+                    items: items.map(item => ({ ...item, content: item.content })),
+                    ...position,
+                    isWhole,
+                    backupRevision,
+                },
                 peer.instance,
                 DELETION_GRACE_MS,
             );
--- a/src/process/routing/PublishedReader.test.ts
+++ b/src/process/routing/PublishedReader.test.ts
@@ -12,12 +12,17 @@
 type WatchResult = result.Result<routingPorts.PublishedChanges, codes.Failure>;
 const STORE_UNAVAILABLE = codes.failure(codes.codes.sourceUnavailable, "test");
 
-function item(key: string, revision: number): routing.PublishedItem {
-    return { key, revision, content: Buffer.from("x") };
+function item(key: string, revision: number, era = 0): routing.PublishedItem {
+    return { key, era, revision, content: Buffer.from("x") };
 }
 
-function changes(items: readonly routing.PublishedItem[], revision: number, isHistoryLost = false): WatchResult {
-    return result.ok({ items, revision, isHistoryLost });
+function changes(
+    items: readonly routing.PublishedItem[],
+    revision: number,
+    isHistoryLost = false,
+    era = 0,
+): WatchResult {
+    return result.ok({ items, era, revision, isHistoryLost });
 }
 
 /** A store that answers with the given pages and watch results; later watches wait until they are aborted. */
@@ -48,9 +53,12 @@
     return { store, requests };
 }
 
-const firstPage: routingPorts.PublishedPage = { items: [item("a", 2)], revision: 5, nextAfter: "a" };
-const lastPage: routingPorts.PublishedPage = { items: [item("b", 7)], revision: 7, nextAfter: undefined };
-const onlyPage: routingPorts.PublishedPage = { items: [item("a", 2)], revision: 5, nextAfter: undefined };
+const firstPage: routingPorts.PublishedPage = { items: [item("a", 2)], era: 0, revision: 5, nextAfter: "a" };
+const lastPage: routingPorts.PublishedPage = { items: [item("b", 7)], era: 0, revision: 7, nextAfter: undefined };
+const onlyPage: routingPorts.PublishedPage = { items: [item("a", 2)], era: 0, revision: 5, nextAfter: undefined };
+
+const laterFirstPage: routingPorts.PublishedPage = { ...firstPage, items: [item("a", 2, 1)], era: 1, revision: 3 };
+const laterLastPage: routingPorts.PublishedPage = { ...lastPage, items: [item("b", 2, 1)], era: 1, revision: 4 };
 
 const cases: readonly {
     readonly name: string;
@@ -82,6 +90,24 @@
         watches: [result.err(STORE_UNAVAILABLE), changes([], 6)],
         expectedRequests: ["list -", "watch 5", "watch 5", "watch 6"],
     },
+    {
+        name: "lists again when a watch is answered in another era, whose revisions have gone beyond the known one",
+        pages: [firstPage, lastPage, laterFirstPage, laterLastPage],
+        watches: [changes([item("c", 8, 1)], 9, false, 1)],
+        expectedRequests: ["list -", "list a", "watch 5", "list -", "list a", "watch 3"],
+    },
+    {
+        name: "begins the listing again when its pages are of different eras",
+        pages: [firstPage, laterLastPage, laterFirstPage, laterLastPage],
+        watches: [],
+        expectedRequests: ["list -", "list a", "list -", "list a", "watch 3"],
+    },
+    {
+        name: "makes no use of an answer of an earlier era",
+        pages: [laterFirstPage, laterLastPage],
+        watches: [changes([item("c", 8)], 9), changes([item("c", 6, 1)], 6, false, 1)],
+        expectedRequests: ["list -", "list a", "watch 3", "watch 3", "watch 6"],
+    },
 ];
 
 vitest.describe("PublishedReader", () => {
--- a/src/process/routing/PublishedReader.ts
+++ b/src/process/routing/PublishedReader.ts
@@ -1,10 +1,12 @@
 /**
- * Reads the published store in a single task: lists it once, then watches it for changes, and lists it again when
- * the store no longer has the history since the last known revision.
+ * Reads the published store in a single task: lists it once, then watches it for changes, and lists it again when the
+ * store no longer has the history since the last known revision, or answers in another era than the one it was asked
+ * in. Answers of different eras are never combined.
  */
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as positions from "../../common/Position";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as views from "./PublishedView";
@@ -68,7 +70,7 @@
             }
             if (failure.code === codes.codes.configurationGap) {
                 this.options.log.warn(
-                    { decision: "history-lost", revision: this.options.view.revision },
+                    { decision: "history-lost", ...this.options.view.position, detail: failure.detail },
                     "store history lost; listing all keys again",
                 );
                 isListed = false;
@@ -82,7 +84,7 @@
     /** Reads all pages. The watch starts at the first page's revision, to get changes made in the meantime. */
     private async listAll(): Promise<codes.Failure | undefined> {
         const items: routing.PublishedItem[] = [];
-        let revision: number | undefined;
+        let position: positions.Position | undefined;
         let after: string | undefined;
         do {
             this.storeCalls++;
@@ -90,34 +92,57 @@
             if (page.isErr) {
                 return page.error;
             }
+            position ??= positions.positionOf(page.value);
+            const failure = this.checkEra(position.era, page.value.era);
+            if (failure !== undefined) {
+                return failure;
+            }
             items.push(...page.value.items);
-            revision ??= page.value.revision;
             after = page.value.nextAfter;
         }
         while (after !== undefined);
         this.markConfirmed();
-        this.options.view.apply({ items, revision, isWhole: true }, "store", this.deletionGraceMs());
+        this.options.view.apply({ items, ...position, isWhole: true }, "store", this.deletionGraceMs());
         return undefined;
     }
 
     private async watchOnce(): Promise<codes.Failure | undefined> {
         this.storeCalls++;
         const { view, store } = this.options;
-        const changes = await store.watch(view.revision, this.watchWaitMs(), this.stop.signal);
+        const since = view.position;
+        const changes = await store.watch(since.revision, this.watchWaitMs(), this.stop.signal);
         if (changes.isErr) {
             return changes.error;
         }
+        if (view.position.era !== since.era) {
+            return undefined; // A peer's update has entered another era meanwhile.
+        }
         if (changes.value.isHistoryLost) {
             return codes.failure(codes.codes.configurationGap, "history lost");
         }
+        const failure = this.checkEra(since.era, changes.value.era);
+        if (failure !== undefined) {
+            return failure;
+        }
         this.markConfirmed();
-        const { items, revision } = changes.value;
-        view.apply({ items, revision, isWhole: false }, "store", this.deletionGraceMs());
+        const { items } = changes.value;
+        const position = positions.positionOf(changes.value);
+        view.apply({ items, ...position, isWhole: false }, "store", this.deletionGraceMs());
         const delayMs = Math.min(MAX_WATCH_DELAY_MS, WATCH_DELAY_PER_ENTRY_MS * this.options.entryCount());
         await clocks.sleep(this.options.clock, delayMs, this.stop.signal);
         return undefined;
     }
 
+    /** The failure of a call that was made in one era and answered in another; undefined if the answer is of use. */
+    private checkEra(callEra: number, answerEra: number): codes.Failure | undefined {
+        if (answerEra < this.options.view.position.era) {
+            return codes.failure(codes.codes.sourceUnavailable, `answer of the earlier era ${answerEra}`);
+        }
+        return answerEra === callEra
+            ? undefined
+            : codes.failure(codes.codes.configurationGap, `era ${answerEra} in place of ${callEra}`);
+    }
+
     private watchWaitMs(): number {
         const scaledWaitMs = this.options.entryCount() * WATCH_WAIT_PER_ENTRY_MS;
         return Math.min(MAX_WATCH_WAIT_MS, Math.max(MIN_WATCH_WAIT_MS, scaledWaitMs));
@@ -144,7 +169,7 @@
             this.isStoreUnavailable = false;
             this.restoredAtMs = this.confirmedAtMs;
             this.options.log.info(
-                { dependency: "store", revision: this.options.view.revision },
+                { dependency: "store", ...this.options.view.position },
                 "published store reachable again",
             );
         }
--- a/src/process/routing/PublishedView.test.ts
+++ b/src/process/routing/PublishedView.test.ts
@@ -34,11 +34,11 @@
 }
 
 function storedItem(key: string, revision: number, text = "desk"): routing.PublishedItem {
-    return { key, revision, content: Buffer.from(text) };
+    return { key, era: 0, revision, content: Buffer.from(text) };
 }
 
 function deletion(key: string, revision: number): routing.PublishedItem {
-    return { key, revision, content: undefined };
+    return { key, era: 0, revision, content: undefined };
 }
 
 function newView(clock = new clocks.ManualClock()): views.PublishedView {
@@ -99,7 +99,7 @@
     vitest.it.each(cases)("$name", ({ updates, expected }) => {
         const view = newView();
         for (const items of updates) {
-            view.apply({ items, revision: 10, isWhole: false }, "test");
+            view.apply({ items, era: 0, revision: 10, isWhole: false }, "test");
         }
         vitest.expect(instanceIds(view)).toEqual(expected);
     });
@@ -107,19 +107,19 @@
     vitest.it("removes keys that a complete update omits, unless they are newer", () => {
         const view = newView();
         view.apply(
-            { items: [storedItem("instance/a", 2), storedItem("instance/b", 9)], revision: 9, isWhole: false },
+            { items: [storedItem("instance/a", 2), storedItem("instance/b", 9)], era: 0, revision: 9, isWhole: false },
             "test",
         );
-        view.apply({ items: [], revision: 5, isWhole: true }, "test");
+        view.apply({ items: [], era: 0, revision: 5, isWhole: true }, "test");
         vitest.expect(instanceIds(view)).toEqual(["b"]);
-        vitest.expect(view.revision).toBe(9);
+        vitest.expect(view.position.revision).toBe(9);
     });
 
     vitest.it("takes failure domains out of service and back", () => {
         const view = newView();
-        view.apply({ items: [storedItem("out/a", 2)], revision: 2, isWhole: false }, "test");
+        view.apply({ items: [storedItem("out/a", 2)], era: 0, revision: 2, isWhole: false }, "test");
         vitest.expect(view.isOutOfService("a")).toBe(true);
-        view.apply({ items: [deletion("out/a", 3)], revision: 3, isWhole: false }, "test");
+        view.apply({ items: [deletion("out/a", 3)], era: 0, revision: 3, isWhole: false }, "test");
         vitest.expect(view.isOutOfService("a")).toBe(false);
     });
 });
@@ -131,11 +131,11 @@
     ])("$name", ({ isRestored, expected }) => {
         const clock = new clocks.ManualClock();
         const view = newView(clock);
-        view.apply({ items: [storedItem("instance/a", 2)], revision: 2, isWhole: false }, "test");
-        view.apply({ items: [deletion("instance/a", 3)], revision: 3, isWhole: false }, "test", 1_000);
+        view.apply({ items: [storedItem("instance/a", 2)], era: 0, revision: 2, isWhole: false }, "test");
+        view.apply({ items: [deletion("instance/a", 3)], era: 0, revision: 3, isWhole: false }, "test", 1_000);
         vitest.expect(instanceIds(view)).toEqual(["a"]);
         if (isRestored) {
-            view.apply({ items: [storedItem("instance/a", 4)], revision: 4, isWhole: false }, "test");
+            view.apply({ items: [storedItem("instance/a", 4)], era: 0, revision: 4, isWhole: false }, "test");
         }
         clock.advance(1_001);
         vitest.expect(instanceIds(view)).toEqual(expected);
@@ -149,10 +149,10 @@
         { name: "is complete for a revision before the listing", since: 1, isWhole: true, keys: ["instance/b"] },
     ])("$name", ({ since, isWhole, keys }) => {
         const view = newView();
-        view.apply({ items, revision: 2, isWhole: true }, "test");
-        view.apply({ items: [deletion("instance/a", 6)], revision: 6, isWhole: false }, "test");
-        const update = view.updateSince(since);
-        vitest.expect(update).toMatchObject({ revision: 6, isWhole });
+        view.apply({ items, era: 0, revision: 2, isWhole: true }, "test");
+        view.apply({ items: [deletion("instance/a", 6)], era: 0, revision: 6, isWhole: false }, "test");
+        const update = view.updateSince({ era: 0, revision: since });
+        vitest.expect(update).toMatchObject({ era: 0, revision: 6, isWhole });
         vitest.expect(update.items.map(item => item.key)).toEqual(keys);
         const other = newView();
         other.apply(update, "peer");
@@ -165,16 +165,16 @@
     ])("passes on a deletion that is still delayed here, in $name", ({ since }) => {
         const view = newView();
         view.apply(
-            { items: [storedItem("instance/a", 1), storedItem("instance/b", 2)], revision: 2, isWhole: true },
+            { items: [storedItem("instance/a", 1), storedItem("instance/b", 2)], era: 0, revision: 2, isWhole: true },
             "x",
         );
-        view.apply({ items: [deletion("instance/a", 6)], revision: 6, isWhole: false }, "peer", 1_000);
+        view.apply({ items: [deletion("instance/a", 6)], era: 0, revision: 6, isWhole: false }, "peer", 1_000);
         vitest.expect(instanceIds(view)).toEqual(["a", "b"]);
         const clock = new clocks.ManualClock();
         const other = newView(clock);
         const known = [storedItem("instance/a", 1), storedItem("instance/b", 2)];
-        other.apply({ items: known, revision: 2, isWhole: true }, "x");
-        other.apply(view.updateSince(since), "peer", 1_000);
+        other.apply({ items: known, era: 0, revision: 2, isWhole: true }, "x");
+        other.apply(view.updateSince({ era: 0, revision: since }), "peer", 1_000);
         clock.advance(1_000);
         vitest.expect(instanceIds(other)).toEqual(["b"]);
     });
--- a/src/process/routing/PublishedView.ts
+++ b/src/process/routing/PublishedView.ts
@@ -1,15 +1,18 @@
 /**
  * A process's view of the published store: the configuration in force, the instances of each service and the
- * failure domains out of service. Each key keeps its highest revision, so that an outdated update never reverts it.
+ * failure domains out of service.
  */
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
+import * as positions from "../../common/Position";
 import * as routing from "../../common/Routing";
 import * as tables from "../../version/RouteTable";
+import * as instanceIndexes from "./InstanceIndex";
+import * as publishedKeys from "./PublishedKeys";
 
-/** Number of deleted keys that are remembered, so that an older copy doesn't restore them. */
-const MAX_TOMBSTONES = 20_000;
+export type KnownInstance = instanceIndexes.KnownInstance;
+export type PublishedUpdate = publishedKeys.PublishedUpdate;
 
 /** What the view needs from its owner. */
 export interface PublishedViewOptions {
@@ -18,53 +21,30 @@
     readonly decode: (item: routing.PublishedItem) => routing.PublishedRecord;
 }
 
-/** Items that bring a view up to date. */
-export interface PublishedUpdate {
-    readonly items: readonly routing.PublishedItem[];
-    /** Revision of the view once the items are applied. */
-    readonly revision: number;
-    /** Whether the items are the complete content; keys that they omit are deleted, unless they are newer. */
-    readonly isWhole: boolean;
-}
-
-/** An instance of an upstream service, as known to this process. */
-export interface KnownInstance extends routing.RoutedInstance {
-    /** Since when this process has known this incarnation. */
-    readonly knownSinceMs: number;
-    /** End of the cold time that the instance published, on this process's clock. */
-    readonly coldUntilMs: number;
-}
-
-/** The latest item of a key, with its decoded record. */
-interface StoredEntry {
-    readonly item: routing.PublishedItem;
-    readonly record: routing.PublishedRecord;
-    /** Revision of a deletion that takes effect later; undefined when there is none. */
-    removalRevision: number | undefined;
-}
-
 /** The merged view of all sources. */
 export class PublishedView implements clocks.Disposable {
-    private readonly entriesByKey = new Map<string, StoredEntry>();
-    private readonly tombstones = new Map<string, number>();
-    private readonly instancesById = new Map<string, KnownInstance>();
-    private readonly instancesByService = new Map<string, readonly KnownInstance[]>();
+    private readonly keys: publishedKeys.PublishedKeys;
+    private readonly instanceIndex: instanceIndexes.InstanceIndex;
     private readonly outOfService = new Set<string>();
     private currentTable: tables.RouteTable | undefined;
-    private currentRevision = 0;
-    /** All deletions after this revision are remembered. */
-    private deletionsKnownSince = 0;
     private readonly changeEmitter = new emitters.Emitter<void>();
-    private readonly pendingRemovals = new Set<clocks.Disposable>();
 
     /** Fires after the view has changed. */
     readonly onChange = this.changeEmitter.event;
 
-    constructor(private readonly options: PublishedViewOptions) {}
+    constructor(private readonly options: PublishedViewOptions) {
+        this.instanceIndex = new instanceIndexes.InstanceIndex(options.clock);
+        this.keys = new publishedKeys.PublishedKeys({
+            ...options,
+            put: change => this.putRecord(change),
+            remove: record => this.removeRecord(record),
+            onRelease: () => this.changeEmitter.fire(),
+        });
+    }
 
-    /** The revision of the store up to which this view is complete; 0 before the first update. */
-    get revision(): number {
-        return this.currentRevision;
+    /** The position of the store up to which this view is complete; the start before the first update. */
+    get position(): positions.Position {
+        return this.keys.position;
     }
 
     /** The route table of the configuration in force; undefined before the first one. */
@@ -74,27 +54,17 @@
 
     /** All instances of a service, whatever their state. */
     instances(service: string): readonly KnownInstance[] {
-        let found = this.instancesByService.get(service);
-        if (found === undefined) {
-            found = [...this.instancesById.values()].filter(instance => instance.service === service);
-            this.instancesByService.set(service, found);
-        }
-        return found;
+        return this.instanceIndex.ofService(service);
     }
 
     /** The instance with this id; undefined when it isn't known. */
     find(id: string): KnownInstance | undefined {
-        return this.instancesById.get(id);
+        return this.instanceIndex.find(id);
     }
 
     /** The instance at this address; undefined when none is known there. */
     findByAddress(address: string): KnownInstance | undefined {
-        for (const instance of this.instancesById.values()) {
-            if (instance.address === address) {
-                return instance;
-            }
-        }
-        return undefined;
+        return this.instanceIndex.findByAddress(address);
     }
 
     /** Whether operators have taken the failure domain out of service. */
@@ -112,79 +82,33 @@
      * during an outage of the store register again.
      */
     apply(update: PublishedUpdate, source: string, deletionGraceMs = 0): void {
-        let hasChanged = false;
-        const isFirst = this.currentRevision === 0;
-        for (const item of update.items) {
-            hasChanged = this.applyItem(item, source, deletionGraceMs) || hasChanged;
-        }
-        if (update.isWhole) {
-            hasChanged = this.removeMissing(update, source, deletionGraceMs) || hasChanged;
-            if (update.revision > this.currentRevision) {
-                this.deletionsKnownSince = update.revision;
-            }
-        }
-        this.currentRevision = Math.max(this.currentRevision, update.revision);
+        const isFirst = this.position.revision === 0;
+        const hasChanged = this.keys.apply(update, source, deletionGraceMs);
         if (isFirst) {
-            const { revision } = update;
-            const instances = this.instancesById.size;
-            this.options.log.info({ decision: "listed", revision, source, instances }, "first view of the store");
+            const instances = this.instanceIndex.size;
+            const fields = { decision: "listed", ...positions.positionOf(update), source, instances };
+            this.options.log.info(fields, "first view of the store");
         }
         if (hasChanged) {
             this.changeEmitter.fire();
         }
     }
 
-    /** The update that a view at `revision` lacks. */
-    updateSince(revision: number): PublishedUpdate {
-        const isWhole = revision < this.deletionsKnownSince;
-        const items: routing.PublishedItem[] = [];
-        for (const { item, removalRevision } of this.entriesByKey.values()) {
-            // The receiver may never hear of a deletion up to its new revision again, so that a delayed one is included.
-            if (removalRevision !== undefined && !isWhole && removalRevision > revision) {
-                items.push({ key: item.key, revision: removalRevision, content: undefined });
-            }
-            if (removalRevision === undefined && (isWhole || item.revision > revision)) {
-                items.push(item);
-            }
-        }
-        for (const [key, deletedRevision] of this.tombstones) {
-            if (!isWhole && deletedRevision > revision) {
-                items.push({ key, revision: deletedRevision, content: undefined });
-            }
-        }
-        return { items, revision: this.currentRevision, isWhole };
+    /** The update that a view at this position lacks. */
+    updateSince(since: positions.Position): PublishedUpdate {
+        return this.keys.updateSince(since);
     }
 
     dispose(): void {
-        this.pendingRemovals.forEach(removal => removal.dispose());
+        this.keys.dispose();
         this.changeEmitter.dispose();
     }
 
-    private applyItem(item: routing.PublishedItem, source: string, graceMs: number): boolean {
-        const previous = this.entriesByKey.get(item.key);
-        const latestRevision = Math.max(previous?.item.revision ?? 0, this.tombstones.get(item.key) ?? 0);
-        if (item.revision <= latestRevision) {
-            return false;
-        }
-        if (item.content === undefined) {
-            return this.removeKey(item.key, item.revision, source, graceMs);
-        }
-        const record = this.options.decode(item);
-        this.tombstones.delete(item.key);
-        this.entriesByKey.set(item.key, { item, record, removalRevision: undefined });
-        return this.applyRecord(item, record, previous?.record, source);
-    }
-
-    private applyRecord(
-        item: routing.PublishedItem,
-        record: routing.PublishedRecord,
-        previous: routing.PublishedRecord | undefined,
-        source: string,
-    ): boolean {
+    private putRecord({ item, record, previous, isFromBackup, source, isFirst }: publishedKeys.RecordChange): boolean {
         const { log } = this.options;
-        const keyFields = { key: item.key, revision: item.revision, source };
+        const keyFields = { key: item.key, ...positions.positionOf(item), source };
         if (previous?.kind === "instance" && record.kind !== "instance") {
-            this.removeInstance(previous.instance.id);
+            this.instanceIndex.remove(previous.instance.id);
         }
         switch (record.kind) {
             case "configuration":
@@ -195,8 +119,8 @@
                 );
                 return true;
             case "instance":
-                this.addInstance(record.instance);
-                if (this.currentRevision > 0) { // The instances of the first view are counted in one line.
+                this.instanceIndex.put(record.instance, isFromBackup);
+                if (!isFirst) { // The instances of the first view are counted in one line.
                     log.info({ decision: "instance", ...keyFields, ...record.instance }, "instance changed");
                 }
                 return true;
@@ -215,83 +139,13 @@
         }
     }
 
-    private addInstance(instance: routing.RoutedInstance): void {
-        const previous = this.instancesById.get(instance.id);
-        const nowMs = this.options.clock.now();
-        const isSameIncarnation = previous?.startedMs === instance.startedMs && previous.address === instance.address;
-        this.instancesById.set(instance.id, {
-            ...instance,
-            knownSinceMs: isSameIncarnation ? previous.knownSinceMs : nowMs,
-            coldUntilMs: nowMs + instance.coldLeftMs,
-        });
-        this.instancesByService.clear();
-    }
-
-    private removeInstance(id: string): void {
-        this.instancesById.delete(id);
-        this.instancesByService.clear();
-    }
-
-    private removeMissing(update: PublishedUpdate, source: string, graceMs: number): boolean {
-        const presentKeys = new Set(update.items.map(item => item.key));
-        let hasChanged = false;
-        for (const [key, entry] of this.entriesByKey) {
-            if (!presentKeys.has(key) && entry.item.revision <= update.revision) {
-                hasChanged = this.removeKey(key, update.revision, source, graceMs) || hasChanged;
-            }
-        }
-        return hasChanged;
-    }
-
-    /** Removes a key now, or after the grace time if it belongs to an instance. */
-    private removeKey(key: string, revision: number, source: string, graceMs: number): boolean {
-        const entry = this.entriesByKey.get(key);
-        if (entry === undefined) {
-            this.addTombstone(key, revision);
-            return false;
-        }
-        if (graceMs > 0 && entry.record.kind === "instance") {
-            this.scheduleRemoval(key, entry, revision, source, graceMs);
-            return false;
-        }
-        return this.removeKeyNow(key, entry, revision, source);
-    }
-
-    private scheduleRemoval(key: string, entry: StoredEntry, revision: number, source: string, graceMs: number): void {
-        if (entry.removalRevision !== undefined) {
-            return;
-        }
-        entry.removalRevision = revision;
-        const removal = this.options.clock.schedule(graceMs, () => {
-            this.pendingRemovals.delete(removal);
-            if (this.entriesByKey.get(key) === entry && this.removeKeyNow(key, entry, revision, source)) {
-                this.changeEmitter.fire();
-            }
-        });
-        this.pendingRemovals.add(removal);
-    }
-
-    private removeKeyNow(key: string, entry: StoredEntry, revision: number, source: string): boolean {
-        this.entriesByKey.delete(key);
-        this.addTombstone(key, Math.max(revision, entry.item.revision));
-        this.options.log.info({ decision: "removed", key, revision, source }, "key removed");
-        const { record } = entry;
+    private removeRecord(record: routing.PublishedRecord): boolean {
         if (record.kind === "instance") {
-            this.removeInstance(record.instance.id);
+            this.instanceIndex.remove(record.instance.id);
         }
         if (record.kind === "out-of-service") {
             this.outOfService.delete(record.failureDomain);
         }
         return record.kind !== "other";
     }
-
-    private addTombstone(key: string, revision: number): void {
-        this.tombstones.delete(key);
-        this.tombstones.set(key, revision);
-        if (this.tombstones.size > MAX_TOMBSTONES) {
-            const [oldest] = this.tombstones.keys();
-            this.tombstones.delete(oldest!);
-            this.deletionsKnownSince = this.currentRevision;
-        }
-    }
 }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -90,7 +90,7 @@
                 seeds: () => this.settings.seeds,
                 incarnation: clock.wall(),
                 cores: settings.cores,
-                revision: () => this.view.revision,
+                position: () => this.view.position,
                 isDraining: () => this.isDraining,
                 hosting: () => this.roles.hosting,
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
@@ -151,7 +151,7 @@
                     connections,
                     pool: this.pool,
                     budgetOf: service => this.obtainBudget(service),
-                    revision: () => this.view.revision,
+                    position: () => this.view.position,
                     runStages: (order, signal) => this.stages.run(order, signal),
                     releaseResults: handles => this.stages.release(handles),
                     findResultDomain: handle => this.domainOfAddress(options.stageWire.workerOf(handle)),
@@ -285,7 +285,12 @@
 
     private registerGauges(): void {
         const { metrics: routeMetrics } = this;
-        routeMetrics.addGauge("cumincrank_revision", "Revision of the published store", () => this.view.revision);
+        routeMetrics.addGauge("cumincrank_era", "Era of the published store", () => this.view.position.era);
+        routeMetrics.addGauge(
+            "cumincrank_revision",
+            "Revision of the published store",
+            () => this.view.position.revision,
+        );
         routeMetrics.addGauge("cumincrank_store_calls", "Calls on the published store", () => this.reader.storeCalls);
         routeMetrics.addGauge("cumincrank_stage_calls", "Calls on stages' instances", () => this.host.startedCalls);
         routeMetrics.addGauge(
@@ -308,7 +313,7 @@
             ready: this.isReady,
             draining: this.isDraining,
             version: this.view.table?.configuration.version,
-            revision: this.view.revision,
+            ...this.view.position,
             unconfirmedMs: this.reader.unconfirmedMs,
             out: this.view.outOfServiceDomains,
             stageHosts: this.roles.hostNames,
@@ -318,7 +323,7 @@
                 instance: peer.instance,
                 address: peer.address,
                 connected: peer.connection !== undefined,
-                revision: peer.revision,
+                ...peer.position,
             })),
         };
     }
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -6,6 +6,7 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as positions from "../../common/Position";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as pools from "../../process/routing/InstancePool";
@@ -31,8 +32,8 @@
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
-    /** Revision of the published view, logged with each send. */
-    readonly revision: () => number;
+    /** Position of the published view, logged with each send. */
+    readonly position: () => positions.Position;
 }
 
 /** Sends of a call so far. */
@@ -280,7 +281,7 @@
         expectedMs: Math.round(expectedMs),
         cold: chosen.isCold,
         remainingMs: Math.round(remainingMs),
-        revision: context.revision(),
+        ...context.position(),
     }, "call sent to instance");
 }
 
