Ask the store at once for its era after a failure

Cause: the watch after an outage waits up to 2 s (8 s with many entries). If the store was restored meanwhile and has given out the watched revision again, that watch is valid and simply waits, and all the while new writes up to that revision aren't noticed.

Seen in RestoredStore 'is followed when it does so twice': the second lost change (an instance that drains) was never learnt, and calls got 200 where every instance should be out.

Change: the first watch after a failed call waits 1 ms. It costs one more call for each outage.

--- a/src/process/routing/PublishedReader.test.ts
+++ b/src/process/routing/PublishedReader.test.ts
@@ -161,3 +161,27 @@
         reader.dispose();
     });
 });
+
+vitest.describe("the first watch after a failure", () => {
+    vitest.it("is answered at once, so that a new era is noticed soon", async () => {
+        const clock = clocks.systemClock;
+        const script = scriptedStore([onlyPage], [changes([], 6), result.err(STORE_UNAVAILABLE), changes([], 7)]);
+        const waits: number[] = [];
+        const store: routingPorts.PublishedStore = {
+            ...script.store,
+            watch: (revision, wait, signal) => {
+                waits.push(wait);
+                return script.store.watch(revision, wait, signal);
+            },
+        };
+        const view = new views.PublishedView({ clock, log: logs.silentLog, decode: store.decode });
+        const options = { clock, log: logs.silentLog, store, view, random: () => 0, entryCount: () => 1 };
+        const reader = new readers.PublishedReader(options);
+        reader.start();
+        while (waits.length < 4) {
+            await clocks.sleep(clock, 5);
+        }
+        vitest.expect(waits).toEqual([2_000, 2_000, 1, 2_000]);
+        reader.dispose();
+    });
+});
--- a/src/process/routing/PublishedReader.ts
+++ b/src/process/routing/PublishedReader.ts
@@ -14,6 +14,8 @@
 /** Bounds on how long a watch waits for changes; its answer also shows that the connection is alive. */
 const MIN_WATCH_WAIT_MS = 2_000;
 const MAX_WATCH_WAIT_MS = 8_000;
+/** Wait of the first watch after a failure, which learns soon whether the store is in another era now. */
+const FIRST_WATCH_WAIT_MS = 1;
 /** Watch wait per live entry: on average, some entry's watch ends at this interval, and its peers get the changes. */
 const WATCH_WAIT_PER_ENTRY_MS = 500;
 /** Delay before the next watch, per live entry: batches changes, and few entries fetch each batch from the store. */
@@ -144,6 +146,9 @@
     }
 
     private watchWaitMs(): number {
+        if (this.isStoreUnavailable) {
+            return FIRST_WATCH_WAIT_MS;
+        }
         const scaledWaitMs = this.options.entryCount() * WATCH_WAIT_PER_ENTRY_MS;
         return Math.min(MAX_WATCH_WAIT_MS, Math.max(MIN_WATCH_WAIT_MS, scaledWaitMs));
     }
--- a/tests/RestoredStore.test.ts
+++ b/tests/RestoredStore.test.ts
@@ -147,4 +147,15 @@
         await sleep(EXPIRY_MS);
         vitest.expect(await findServing()).toEqual(onAll(rewritten));
     });
+
+    vitest.it("is followed when it does so twice, and its revisions pass those that were lost", async () => {
+        await lose(() => fleet.publish(2));
+        await lose(() => fleet.store.put("servers/desk-2", fleet.enginesOf("desk")[1]!.createStoreRecord("draining")));
+        writeOthers(60);
+        fleet.store.put("op/evacuate/zone-a", {});
+        fleet.publish(3, { Tenants: [{ Name: "gilders", ApiKeys: ["new"] }] });
+        await sleep(EXPIRY_MS);
+        vitest.expect(await findStatuses({})).toEqual(onAll(401));
+        vitest.expect(await findStatuses(NEW_KEY)).toEqual(onAll(503));
+    });
 });
