Soak: a store that is restored from a backup

A new check finds a process that served a newer configuration and goes back to an older one (two cases in SoakChecks.test). The stand-in finds lost writes by its content, since events may have been discarded and faults overlap.

--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -45,6 +45,23 @@
 });
 const streamRun = createRun({ path: "/notes/a-1", engine: "model-1" });
 
+/** A call on the second version's route, and later one on the first version's. */
+const revertedCalls = [
+    createCall({ route: "v2", path: "/v2/a-1" }),
+    createCall({
+        attempt: "a-2",
+        route: "v1",
+        path: "/v1/a-2",
+        sentMs: 100_500,
+        endedMs: 100_550,
+        body: "answer of desk-1 to a-2",
+    }),
+];
+const revertedRuns = [
+    createRun({ path: "/v2/a-1" }),
+    createRun({ attempt: "a-2", path: "/v1/a-2", atMs: 100_510 }),
+];
+
 interface Case {
     readonly name: string;
     readonly calls: readonly histories.SoakCall[];
@@ -149,6 +166,20 @@
         runs: [createRun({ path: "/v1/a-1" })],
         versions: [{ version: 1, atMs: 80_000 }, { version: 2, atMs: 99_000 }],
     },
+    {
+        name: "an older configuration that is in force again",
+        calls: revertedCalls,
+        runs: revertedRuns,
+        versions: [{ version: 1, atMs: 98_000 }, { version: 2, atMs: 99_000 }],
+        promise: "a configuration never reverts",
+    },
+    {
+        name: "an older configuration in force in a process that was restarted",
+        calls: revertedCalls,
+        runs: revertedRuns,
+        faults: [{ kind: "kill", entry: 0, fromMs: 100_100, toMs: 100_400 }],
+        versions: [{ version: 1, atMs: 98_000 }, { version: 2, atMs: 99_000 }],
+    },
     {
         name: "a run long after the engine began to drain",
         calls: [createCall()],
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -49,6 +49,7 @@
     { name: "proper calls aren't rejected", find: findRejectedValidCalls },
     { name: "no call hangs beyond its deadline", find: findOverdueCalls },
     { name: "a configuration is in force in time", find: findStaleConfigurations },
+    { name: "a configuration never reverts", find: findRevertedConfigurations },
     { name: "an engine that leaves gets nothing more", find: findRunsAfterLeaving },
     { name: "a planned stop cuts nothing", find: findCallsAbortedByStop },
     { name: "a refusal says when to come back", find: findMissingRetryAfter },
@@ -167,6 +168,29 @@
     });
 }
 
+/** Finds calls served on an older version's own route by a process that has served a newer version's before. */
+function findRevertedConfigurations(history: histories.SoakHistory): readonly unknown[] {
+    const served = history.versions.flatMap(({ version }) =>
+        history.calls
+            .filter(call => call.route === routeOfVersion(version) && call.status === 200)
+            .map(call => ({ version, call }))
+    );
+    return served.filter(({ version, call }) =>
+        served.some(other =>
+            other.version > version && other.call.entry === call.entry
+            && call.sentMs > other.call.endedMs + TRANSIT_MS
+            && !wasRestarted(history, call.entry, other.call.sentMs, call.endedMs)
+        )
+    );
+}
+
+/** Whether another process of the entry may have served at the end of the time span than at its start. */
+function wasRestarted(history: histories.SoakHistory, entry: number, fromMs: number, toMs: number): boolean {
+    const restarts = history.faults.filter(fault => fault.kind === "kill" || fault.kind === "stop");
+    return restarts.some(fault => fault.entry === entry && fault.fromMs <= toMs && fault.toMs >= fromMs)
+        || history.unexpectedExits.some(exit => exit.entry === entry && exit.atMs >= fromMs && exit.startedMs <= toMs);
+}
+
 function findRunsAfterLeaving(history: histories.SoakHistory): readonly unknown[] {
     const calls = new Map(history.calls.map(call => [call.attempt, call] as const));
     return history.runs.filter(run => {
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -24,7 +24,7 @@
     "link-reset",
 ] as const;
 /** Faults of the store, which affect all entries. */
-export const STORE_FAULTS = ["store-down", "store-silent", "store-compact"] as const;
+export const STORE_FAULTS = ["store-down", "store-silent", "store-compact", "store-restore"] as const;
 
 /** One planned fault, operation or configuration change. `targetFraction`, in [0, 1), selects the entry or engine. */
 export type PlannedFault =
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -12,9 +12,11 @@
 import * as stores from "../standins/platform/PlatformStoreStandIn";
 import * as routedFleets from "../standins/platform/RoutedFleet";
 import * as relays from "../standins/TcpRelay";
+import * as relayFaults from "./RelayFaults";
 import * as checks from "./SoakChecks";
 import * as faults from "./SoakFaults";
 import * as histories from "./SoakHistory";
+import * as storeRestores from "./StoreRestore";
 
 const FAILURE_DOMAINS = ["zone-a", "zone-b", "zone-c"];
 const STOP_LIMIT_SECONDS = 8;
@@ -23,7 +25,6 @@
 const EVENT_INTERVAL_MS = 40;
 /** Time after which a killed or stopped entry is restarted. */
 const RESTART_DELAY_MS = 300;
-const LINK_DELAY_MS = 250;
 /** Poll interval for processes that have exited unexpectedly. */
 const SUPERVISION_INTERVAL_MS = 200;
 /** Time for which a leaving engine is published as draining before it is removed. */
@@ -266,7 +267,7 @@
         durationMs: number,
     ): void {
         this.recordFault({ kind: `${linkName}-${kind}`, entry: index }, durationMs);
-        injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
+        relayFaults.injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
     }
 
     private injectEngineFault(kind: typeof faults.ENGINE_FAULTS[number], index: number, durationMs: number): void {
@@ -278,7 +279,7 @@
             return;
         }
         if (kind === "link-hold" || kind === "link-reset") {
-            injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
+            relayFaults.injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
             return;
         }
         standIn.faults = faults.standInFaults[kind] ?? {};
@@ -302,11 +303,17 @@
     }
 
     private injectStoreFault(kind: typeof faults.STORE_FAULTS[number], durationMs: number): void {
-        this.recordFault({ kind }, kind === "store-compact" ? 0 : durationMs);
         if (kind === "store-compact") {
+            this.recordFault({ kind }, 0);
             this.store.compact();
             return;
         }
+        if (kind === "store-restore") {
+            this.recordFault({ kind }, storeRestores.durationMs(durationMs));
+            storeRestores.restoreLater(this.store, durationMs, this.runLater);
+            return;
+        }
+        this.recordFault({ kind }, durationMs);
         this.store.faults = kind === "store-down" ? { status: 503 } : { silent: true };
         this.runLater(durationMs, () => this.store.faults = {});
     }
@@ -323,24 +330,6 @@
     };
 }
 
-function injectRelayFault(
-    link: relays.TcpRelay,
-    kind: typeof faults.LINK_FAULTS[number],
-    durationMs: number,
-    runLater: (delayMs: number, action: () => void) => void,
-): void {
-    if (kind === "delay") {
-        link.delayMs = LINK_DELAY_MS;
-    }
-    else {
-        link.mode = kind;
-    }
-    runLater(durationMs, () => {
-        link.delayMs = 0;
-        link.mode = "pass";
-    });
-}
-
 function pickIndex(items: readonly unknown[], fraction: number): number {
     return Math.floor(fraction * items.length);
 }
--- a/standins/platform/PlatformStoreStandIn.ts
+++ b/standins/platform/PlatformStoreStandIn.ts
@@ -13,8 +13,7 @@
     readonly Lease: number;
 }
 
-/** A change of one key. */
-export type StoreEvent = StoredItem | { readonly Key: string; readonly Rev: number; readonly Deleted: true };
+type StoreEvent = StoredItem | { readonly Key: string; readonly Rev: number; readonly Deleted: true };
 
 /** Faults; each stays in effect until it is cleared. */
 export interface StoreFaults {
@@ -27,10 +26,17 @@
 /** The content of the store at one time. */
 export interface StoreBackup {
     readonly revision: number;
+    readonly compactedRevision: number;
     readonly items: ReadonlyMap<string, StoredItem>;
     readonly events: readonly StoreEvent[];
 }
 
+/** The last write of a key that a restored backup lacks; without content it is a deletion. */
+export interface LostWrite {
+    readonly key: string;
+    readonly content: Buffer | undefined;
+}
+
 const MAX_ITEMS_PER_PAGE = 3;
 
 /** Simulates the store with an HTTP server on 127.0.0.1. */
@@ -86,39 +92,47 @@
 
     /** Backs up the content. */
     backUp(): StoreBackup {
-        return { revision: this.revision, items: new Map(this.items), events: [...this.events] };
+        const { revision, compactedRevision } = this;
+        return { revision, compactedRevision, items: new Map(this.items), events: [...this.events] };
     }
 
     /**
      * Restores a backup, which starts a new era: later writes are lost, and their revisions are given out again.
-     * Returns the last lost write of each key.
+     * Returns the lost writes, the last one of each key.
      */
-    restore(backup: StoreBackup): readonly StoreEvent[] {
-        const lostWrites = new Map(
-            this.events.filter(event => event.Rev > backup.revision).map(event => [event.Key, event] as const),
-        );
+    restore(backup: StoreBackup): readonly LostWrite[] {
+        const lostWrites = this.writesSince(backup);
         this.items.clear();
         backup.items.forEach((item, key) => this.items.set(key, item));
         this.events = [...backup.events];
         this.revision = backup.revision;
-        this.compactedRevision = Math.min(this.compactedRevision, backup.revision);
+        this.compactedRevision = backup.compactedRevision;
         this.era++;
         this.wakeCallbacks.forEach(wake => wake());
-        return [...lostWrites.values()];
+        return lostWrites;
     }
 
     /** Writes lost writes again, as their writers do, except to keys that were written since the backup was restored. */
-    writeAgain(lostWrites: readonly StoreEvent[], backup: StoreBackup): void {
-        const keysWritten = new Set(this.events.filter(event => event.Rev > backup.revision).map(event => event.Key));
-        for (const write of lostWrites.filter(lost => !keysWritten.has(lost.Key))) {
-            if ("Deleted" in write) {
-                this.delete(write.Key);
-                continue;
+    writeAgain(lostWrites: readonly LostWrite[], backup: StoreBackup): void {
+        const writtenKeys = new Set(this.writesSince(backup).map(write => write.key));
+        for (const { key, content } of lostWrites.filter(lost => !writtenKeys.has(lost.key))) {
+            if (content === undefined) {
+                this.delete(key);
+            }
+            else {
+                this.put(key, content);
             }
-            this.put(write.Key, Buffer.from(write.Value, "base64"));
         }
     }
 
+    private writesSince(backup: StoreBackup): LostWrite[] {
+        const keys = [...new Set([...backup.items.keys(), ...this.items.keys()])];
+        return keys.filter(key => this.items.get(key) !== backup.items.get(key)).map(key => {
+            const item = this.items.get(key);
+            return { key, content: item && Buffer.from(item.Value, "base64") };
+        });
+    }
+
     private appendEvent(event: StoreEvent): void {
         this.events.push(event);
         this.wakeCallbacks.forEach(wake => wake());
--- a/tests/RestoredStore.test.ts
+++ b/tests/RestoredStore.test.ts
@@ -49,7 +49,7 @@
     writeOthers(20);
     write();
     await sleep(SETTLE_MS);
-    const lostWrites = fleet.store.restore(backup).filter(lost => !lost.Key.startsWith("other/"));
+    const lostWrites = fleet.store.restore(backup).filter(lost => !lost.key.startsWith("other/"));
     return () => fleet.store.writeAgain(lostWrites, backup);
 }
 
