--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -12,15 +12,15 @@
 import * as stores from "../standins/platform/PlatformStoreStandIn";
 import * as routedFleets from "../standins/platform/RoutedFleet";
 import * as relays from "../standins/TcpRelay";
+import * as relayFaults from "./RelayFaults";
 import * as checks from "./SoakChecks";
+import * as soakEngines from "./SoakEngines";
 import * as faults from "./SoakFaults";
 import * as histories from "./SoakHistory";
+import * as storeRestores from "./StoreRestore";
 
 const FAILURE_DOMAINS = ["zone-a", "zone-b", "zone-c"];
 const STOP_LIMIT_SECONDS = 8;
-/** Processing time of an engine per call, and its time between two events of a stream. */
-const CALL_WORK_MS = 20;
-const EVENT_INTERVAL_MS = 40;
 /** Time after which a killed or stopped entry is restarted. */
 const RESTART_DELAY_MS = 300;
 /** Poll interval for processes that have exited unexpectedly. */
@@ -29,15 +29,6 @@
 const UNLISTED_MS = 4_000;
 /** Time for which a leaving engine is published as draining before it is removed. */
 const DRAINING_MS = 2_500;
-/** Number of software versions of the engines that stream. */
-const VERSION_COUNT = 3;
-const ENGINE_GROUPS: readonly { readonly service: string; readonly count: number; readonly events?: number }[] = [
-    { service: "desk", count: 3 },
-    { service: "model", count: 6, events: checks.EVENT_COUNT },
-    { service: "archive", count: 2 },
-    { service: "ledger", count: 2 },
-];
-
 interface Entry {
     readonly process: fleetProcesses.FleetProcess;
     startedMs: number;
@@ -74,7 +65,7 @@
     static async start(history: histories.SoakHistory, program: string, entryCount: number): Promise<SoakFleet> {
         const fleet = new SoakFleet(history, program);
         await fleet.store.listen();
-        for (const { service, count, events } of ENGINE_GROUPS) {
+        for (const { service, count, events } of soakEngines.ENGINE_GROUPS) {
             for (let index = 0; index < count; index++) {
                 await fleet.addEngine(service, FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, events);
             }
@@ -161,12 +152,10 @@
 
     private async addEngine(service: string, failureDomain: string, events: number | undefined): Promise<void> {
         const number = this.nextEngineNumber++;
-        const id = `${service}-${number}`;
-        const options = { id, service, failureDomain, serviceMs: CALL_WORK_MS, eventIntervalMs: EVENT_INTERVAL_MS };
-        const softwareVersion = `v${1 + Math.floor(number / 2) % VERSION_COUNT}`;
         const standIn = new engines.PlatformEngineStandIn(
-            events === undefined ? options : { ...options, events, softwareVersion },
+            soakEngines.createOptions(number, service, failureDomain, events),
         );
+        const { id } = standIn.options;
         await standIn.listen();
         const link = await relays.TcpRelay.listen(portOf(standIn.address));
         this.engines.push({ standIn, link });
@@ -274,7 +263,7 @@
         durationMs: number,
     ): void {
         this.recordFault({ kind: `${linkName}-${kind}`, entry: index }, durationMs);
-        faults.injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
+        relayFaults.injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
     }
 
     private injectEngineFault(kind: typeof faults.ENGINE_FAULTS[number], index: number, durationMs: number): void {
@@ -286,7 +275,7 @@
             return;
         }
         if (kind === "link-hold" || kind === "link-reset") {
-            faults.injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
+            relayFaults.injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
             return;
         }
         standIn.faults = faults.standInFaults[kind] ?? {};
@@ -314,11 +303,17 @@
     }
 
     private injectStoreFault(kind: typeof faults.STORE_FAULTS[number], durationMs: number): void {
-        this.recordFault({ kind }, kind === "store-compact" ? 0 : durationMs);
         if (kind === "store-compact") {
+            this.recordFault({ kind }, 0);
             this.store.compact();
             return;
         }
+        if (kind === "store-restore") {
+            this.recordFault({ kind }, storeRestores.durationMs(durationMs));
+            storeRestores.restoreLater(this.store, durationMs, this.runLater);
+            return;
+        }
+        this.recordFault({ kind }, durationMs);
         this.store.faults = kind === "store-down" ? { status: 503 } : { silent: true };
         this.runLater(durationMs, () => this.store.faults = {});
     }
--- a/src/process/routing/InstancePool.test.ts
+++ b/src/process/routing/InstancePool.test.ts
@@ -35,9 +35,9 @@
     const publish = (revision: number, published: readonly routing.RoutedInstance[]): void => {
         const items = published.map(instance => {
             const content = Buffer.from(JSON.stringify(instance));
-            return { key: `instance/${instance.id}`, revision, content };
+            return { key: `instance/${instance.id}`, era: 0, revision, content };
         });
-        view.apply({ items, revision, isWhole: false }, "store");
+        view.apply({ items, era: 0, revision, isWhole: false }, "store");
     };
     publish(1, instances);
     const choose = (overrides: Partial<pools.CallRequirements> = {}): string | undefined =>
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -11,7 +11,7 @@
 
 /** The parts of an entry whose state is exposed. */
 export interface GaugeSources {
-    readonly view: Pick<views.PublishedView, "revision">;
+    readonly view: Pick<views.PublishedView, "position">;
     readonly reader: Pick<readers.PublishedReader, "storeCalls">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
     readonly exchange: Pick<exchanges.PublishedExchange, "appliedUpdates">;
@@ -25,7 +25,8 @@
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
     const { view, reader, host, exchange, pool, server, droppedLogLines } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
-    add("cumincrank_revision", "Revision of the published store", () => view.revision);
+    add("cumincrank_era", "Era of the published store", () => view.position.era);
+    add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
     add("cumincrank_store_calls", "Calls on the published store", () => reader.storeCalls);
     add("cumincrank_stage_calls", "Calls on stages' instances", () => host.startedCalls);
     add("cumincrank_peer_updates", "Updates taken from other entries", () => exchange.appliedUpdates);
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -31,7 +31,7 @@
         expectedMs: Math.round(expectedMs),
         cold: chosen.isCold,
         remainingMs: Math.round(remainingMs),
-        revision: context.revision(),
+        ...context.position(),
     }, "call sent to instance");
 }
 
@@ -50,7 +50,7 @@
             softwareVersion,
             instances: context.pool.usableInstances(call.service, softwareVersion).length,
             sends: history.sends,
-            revision: context.revision(),
+            ...context.position(),
         }, "no instance of the stream's software version can accept it");
     }
 }
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -6,6 +6,7 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as positions from "../../common/Position";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
@@ -35,8 +36,8 @@
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
-    /** Revision of the published view, logged with each send. */
-    readonly revision: () => number;
+    /** Position of the published view, logged with each send. */
+    readonly position: () => positions.Position;
 }
 
 /** Sends of a call so far. */
