Leave a silent stream only for an instance that was reached

Cause: the 200 ms after which a silent instance is left counted from the send, also while the connection to the other instance wasn't established, which may take 400 ms. A stream was left for an instance that can't be reached.

The new cases of the StreamMove test fail on the module as it was (as do the others, since the time now starts with the connection).

Fix: the time counts from the moment when the other instance is reached; a connection that fails leaves the stream where it is.

--- a/src/request/routed/StreamMove.test.ts
+++ b/src/request/routed/StreamMove.test.ts
@@ -18,6 +18,8 @@
 interface Course {
     readonly preparedAtMs?: number;
     readonly isPreparationFailed?: boolean;
+    /** 0 unless given; undefined if the other instance isn't reached. */
+    readonly reachedAtMs?: number | undefined;
     readonly sentOutcomeAtMs?: number;
     readonly outcome: senders.SendOutcome;
     readonly continuesAtMs?: number;
@@ -31,6 +33,7 @@
 
 async function play(course: Course): Promise<Result> {
     const clock = new clocks.ManualClock(0);
+    const reachedAtMs = "reachedAtMs" in course ? course.reachedAtMs : 0;
     const body = new stream.PassThrough();
     let leftAtMs: number | undefined;
     let sendSignal: AbortSignal | undefined;
@@ -51,8 +54,11 @@
         leave: () => leftAtMs ??= clock.now(),
         prepare: async () =>
             course.preparedAtMs === undefined || await after(course.preparedAtMs, !course.isPreparationFailed) === true,
-        send: signal => {
+        send: (signal, onDispatched) => {
             sendSignal = signal;
+            if (reachedAtMs !== undefined) {
+                clock.schedule(reachedAtMs, onDispatched);
+            }
             return after(course.sentOutcomeAtMs, course.outcome, signal) as Promise<senders.SendOutcome>;
         },
         signal: new AbortController().signal,
@@ -70,6 +76,13 @@
     const accepted = createAnswer(200);
     const cases: readonly (Course & { readonly name: string; readonly isSendAborted: boolean })[] = [
         { name: "when the call is rejected", outcome: rejected, sentOutcomeAtMs: 10, isSendAborted: true },
+        {
+            name: "when the other instance isn't reached",
+            outcome: rejected,
+            reachedAtMs: undefined,
+            sentOutcomeAtMs: 400,
+            isSendAborted: true,
+        },
         { name: "when no instance is left", outcome: none, sentOutcomeAtMs: 0, isSendAborted: true },
         { name: "when the send fails", outcome: lost, sentOutcomeAtMs: 50, isSendAborted: true },
         { name: "when the other instance fails", outcome: createAnswer(500), sentOutcomeAtMs: 50, isSendAborted: true },
@@ -104,7 +117,14 @@
     const accepted = createAnswer(200);
     vitest.it.each([
         { name: "once another instance has accepted the call", sentOutcomeAtMs: 120, outcome: accepted, leftAtMs: 120 },
-        { name: "from 200 ms after the send without an answer", sentOutcomeAtMs: 900, outcome: lost, leftAtMs: 200 },
+        { name: "200 ms after the send without an answer", sentOutcomeAtMs: 900, outcome: lost, leftAtMs: 200 },
+        {
+            name: "200 ms after the other instance was reached",
+            reachedAtMs: 300,
+            sentOutcomeAtMs: 900,
+            outcome: lost,
+            leftAtMs: 500,
+        },
     ])("$name", async ({ leftAtMs, ...course }) => {
         vitest.expect(await play(course)).toEqual({ end: course.outcome, leftAtMs, isSendAborted: false });
     });
--- a/src/request/routed/StreamMove.ts
+++ b/src/request/routed/StreamMove.ts
@@ -7,7 +7,7 @@
 import * as senders from "./UpstreamSender";
 
 /**
- * Time after the send at which the silent instance is left, even if the other one hasn't answered: rejections arrive
+ * Time from reaching the other instance at which the silent one is left, even without an answer: rejections arrive
  * sooner, and two instances must not work on a call for longer.
  */
 const MAX_OVERLAP_MS = 200;
@@ -22,7 +22,7 @@
     /** Provides what the next send needs; resolves to false on failure. */
     readonly prepare: (signal: AbortSignal) => Promise<boolean>;
     /** Sends the call to another instance. */
-    readonly send: (signal: AbortSignal) => Promise<senders.SendOutcome>;
+    readonly send: (signal: AbortSignal, onDispatched: () => void) => Promise<senders.SendOutcome>;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
 }
@@ -39,9 +39,10 @@
             controller.abort();
             return undefined;
         }
-        const sending = options.send(signal);
-        const overlapEnd = new Promise<"overlap-end">(resolve => {
-            overlapTimer = options.clock.schedule(MAX_OVERLAP_MS, () => resolve("overlap-end"));
+        let endOverlap!: (value: "overlap-end") => void;
+        const overlapEnd = new Promise<"overlap-end">(resolve => endOverlap = resolve);
+        const sending = options.send(signal, () => {
+            overlapTimer = options.clock.schedule(MAX_OVERLAP_MS, () => endOverlap("overlap-end"));
         });
         const first = await Promise.race([continuation.promise, sending, overlapEnd]);
         if (first === "overlap-end" || (first !== "continued" && isAccepted(first))) {
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -97,7 +97,7 @@
     }
 
     /** Sends the call with its inputs, which are computed first unless they are held. */
-    private async send(signal: AbortSignal): Promise<senders.SendOutcome> {
+    private async send(signal: AbortSignal, onDispatched?: () => void): Promise<senders.SendOutcome> {
         const hasInputs = this.options.inputs() !== undefined
             || (senders.canSend(this.context, this.call, this.history) && await this.options.computeInputs(signal));
         if (!hasInputs) {
@@ -108,6 +108,7 @@
             inputs: this.options.inputs() ?? [],
             answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
             signal,
+            onDispatched,
         });
     }
 
@@ -214,7 +215,7 @@
             body: answered.answer.body,
             leave: answered.answer.cancel,
             prepare: async signal => this.options.inputs() !== undefined || this.options.computeInputs(signal),
-            send: signal => this.send(signal),
+            send: (signal, onDispatched) => this.send(signal, onDispatched),
             signal: this.call.signal,
         });
         this.staysUntilMs = this.context.clock.now() + MOVE_PAUSE_MS;
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -31,6 +31,8 @@
     readonly answerTimeoutMs: number;
     /** Asked when the time limit has passed: further time to wait, or 0 to give up. Without it, the limit is final. */
     readonly extendTimeoutMs?: () => number;
+    /** Called when the connection is established, so that the request is about to arrive. */
+    readonly onDispatched?: (() => void) | undefined;
 }
 
 /** An answer whose headers have arrived and whose body has yet to be read. */
@@ -127,14 +129,17 @@
     private watchConnect(socket: net.Socket): void {
         socket.setNoDelay(true);
         if (!socket.connecting) {
-            this.isDispatched = true;
+            this.recordDispatch();
             return;
         }
         this.connectTimer = this.clock.schedule(CONNECT_TIMEOUT_MS, () => this.fail("connect"));
-        socket.once("connect", () => {
-            this.isDispatched = true;
-            this.connectTimer?.dispose();
-        });
+        socket.once("connect", () => this.recordDispatch());
+    }
+
+    private recordDispatch(): void {
+        this.isDispatched = true;
+        this.connectTimer?.dispose();
+        this.request.onDispatched?.();
     }
 
     private handleResponse(response: http.IncomingMessage): void {
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -89,6 +89,8 @@
     readonly answerWaitMs: (sent: SentCall) => number;
     /** Aborts the send, and the answer that it gets. */
     readonly signal: AbortSignal;
+    /** Called when the instance is reached. */
+    readonly onDispatched?: (() => void) | undefined;
 }
 
 /** Whether the call can be sent now: time and budget are left, and an instance can accept it. */
@@ -146,6 +148,7 @@
         isNewConnection: !calls.isRetryable(call.route) || history.sends > 1,
         answerTimeoutMs: waitMs(),
         extendTimeoutMs: waitMs,
+        onDispatched: options.onDispatched,
     }, options.signal);
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
