Don't answer a caller that left while a stream's origin was asked for

The rejection was written to a closed connection and logged as an answer; the call now ends as gone. Seen in a reading of the code, not in a run.

--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -30,7 +30,7 @@
     }
     const bound = await streamResumes.bindStream(context, call);
     if (bound.isErr) {
-        return { kind: "local-failure", failure: bound.error };
+        return call.signal.aborted ? { kind: "disconnected" } : { kind: "local-failure", failure: bound.error };
     }
     return runStream(context, bound.value, sink);
 }
