Tell a stream's origin to two other entries

Three copies, with the entry that began the stream, survive the loss of two entries; a third message for each stream would exceed the bytes that the target allows an entry for control while several versions serve (138 bytes a frame).

--- a/src/process/routing/StreamOriginExchange.ts
+++ b/src/process/routing/StreamOriginExchange.ts
@@ -14,8 +14,8 @@
 import * as views from "./PublishedView";
 import * as origins from "./StreamOrigins";
 
-/** Number of entries that are told of a stream. */
-const HOME_COUNT = 3;
+/** Number of entries that are told of a stream: with the one that began it, three know it. */
+const HOME_COUNT = 2;
 /** Number of entries that are asked: more than are told, since their order changes as entries come and go. */
 const ASKED_COUNT = 4;
 /** Streams whose attempt has a longer name aren't remembered. */
