--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -25,6 +25,8 @@
 const RESTART_DELAY_MS = 300;
 /** Poll interval for processes that have exited unexpectedly. */
 const SUPERVISION_INTERVAL_MS = 200;
+/** Time for which only the answers of a leaving engine say so; then the store lists it as draining. */
+const UNLISTED_MS = 4_000;
 /** Time for which a leaving engine is published as draining before it is removed. */
 const DRAINING_MS = 2_500;
 /** Number of software versions of the engines that stream. */
@@ -138,6 +140,7 @@
                 atMs: run.atMs,
                 team: run.headers["tenant"] as string | undefined,
                 hasKey: run.headers["authorization"] !== undefined,
+                isLeaving: run.isLeaving,
             })));
         }
     }
@@ -290,16 +293,20 @@
         this.runLater(durationMs, () => standIn.faults = {});
     }
 
-    /** Drains and removes an engine, and adds one with a new name in its place. */
+    /** Lets an engine leave, and adds one with a new name in its place. */
     private replaceEngine(engine: Engine): void {
-        const { id, service, failureDomain, events } = engine.standIn.options;
-        if (this.history.drainingSinceMs.has(id)) {
+        const { standIn, link } = engine;
+        const { id, service, failureDomain, events } = standIn.options;
+        if (standIn.isLeaving) {
             return;
         }
-        this.store.put(`servers/${id}`, engine.standIn.createStoreRecord("draining", engine.link.address));
-        this.history.drainingSinceMs.set(id, clocks.systemClock.now());
+        standIn.isLeaving = true;
         void this.addEngine(service, failureDomain, events);
-        this.runLater(DRAINING_MS, () => {
+        this.runLater(UNLISTED_MS, () => {
+            this.store.put(`servers/${id}`, standIn.createStoreRecord("draining", link.address));
+            this.history.drainingSinceMs.set(id, clocks.systemClock.now());
+        });
+        this.runLater(UNLISTED_MS + DRAINING_MS, () => {
             this.store.delete(`servers/${id}`);
             this.engines.splice(this.engines.indexOf(engine), 1);
             this.removedEngines.push(engine);
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -6,12 +6,14 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as pools from "../../process/routing/InstancePool";
 import * as traffic from "../../process/routing/InstanceTraffic";
 import * as budgets from "../../process/routing/ServiceRetryBudget";
 import * as calls from "./RoutedCall";
+import * as sendLogs from "./SendLog";
 import * as exchanges from "./UpstreamExchange";
 
 /** Largest urgency value that is sent; larger values are less urgent, and 0 is the most urgent. */
@@ -28,6 +30,8 @@
     readonly wire: routingPorts.RoutedCallWire;
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly pool: pools.InstancePool;
+    /** Called with each answer that an instance gave to its call. */
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: routingPorts.UpstreamAnswerMetadata) => void;
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
@@ -137,7 +141,7 @@
         elsewhereMs: () => findElsewhereMs(context, call, history, options.inputs),
     };
     const waitMs = (): number => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now());
-    logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
+    sendLogs.logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
     call.progress.mayHaveRun = true;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
         address: instance.address,
@@ -164,7 +168,7 @@
         history.possibleRuns++;
     }
     call.progress.mayHaveRun = history.possibleRuns > 0;
-    logUnlessSuccessful(context, call, chosen, exchange, outcome);
+    sendLogs.logUnlessSuccessful(context, call, chosen, exchange, outcome);
     return outcome;
 }
 
@@ -177,7 +181,7 @@
 ): pools.ChosenInstance | undefined {
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
-        logUnlessAnyVersion(context, call, history);
+        sendLogs.logUnlessAnyVersion(context, call, history);
         return undefined;
     }
     const budget = context.budgetOf(call.service);
@@ -266,6 +270,7 @@
         ticket.end("failed");
         return { kind: "unknown", code: codes.codes.malformedAnswer };
     }
+    context.onAnswer(chosen.instance, metadata);
     if (metadata.load !== undefined) {
         chosen.traffic.recordLoadReport(metadata.load.running, metadata.load.waiting);
     }
@@ -283,68 +288,3 @@
     const isSuccess = answer.status >= 200 && answer.status < 300;
     return answer.headers["content-encoding"] === undefined && (!isSuccess || metadata.isSigned);
 }
-
-function logSend(
-    context: SenderContext,
-    call: calls.RoutedCall,
-    history: CallHistory,
-    chosen: pools.ChosenInstance,
-    expectedMs: number,
-    remainingMs: number,
-    lastEventId: number | undefined,
-): void {
-    context.log.info({
-        decision: "send",
-        attempt: call.metadata.attempt,
-        send: history.sends,
-        service: call.service,
-        instance: chosen.instance.id,
-        address: chosen.instance.address,
-        softwareVersion: chosen.instance.softwareVersion,
-        ...(lastEventId === undefined ? {} : { lastEventId, resumes: call.metadata.resumedAttempt }),
-        candidates: chosen.candidateCount,
-        load: chosen.traffic.load,
-        missingTokens: chosen.missingTokens,
-        expectedMs: Math.round(expectedMs),
-        cold: chosen.isCold,
-        remainingMs: Math.round(remainingMs),
-        revision: context.revision(),
-    }, "call sent to instance");
-}
-
-/** Logs that no instance can accept a call that only one software version may get. */
-function logUnlessAnyVersion(context: SenderContext, call: calls.RoutedCall, history: CallHistory): void {
-    const { softwareVersion } = history;
-    if (softwareVersion !== undefined) {
-        context.log.info({
-            decision: "not-sent",
-            attempt: call.metadata.attempt,
-            service: call.service,
-            softwareVersion,
-            instances: context.pool.usableInstances(call.service, softwareVersion).length,
-            sends: history.sends,
-            revision: context.revision(),
-        }, "no instance of the stream's software version can accept it");
-    }
-}
-
-function logUnlessSuccessful(
-    context: SenderContext,
-    call: calls.RoutedCall,
-    chosen: pools.ChosenInstance,
-    exchange: exchanges.OpenAnswer | exchanges.FailedExchange,
-    outcome: SendOutcome,
-): void {
-    if (outcome.kind === "answer" && exchange.kind === "answer" && exchange.status < 400) {
-        return; // Logged with its status when the call ends.
-    }
-    context.log.info({
-        decision: "send-end",
-        attempt: call.metadata.attempt,
-        instance: chosen.instance.id,
-        end: outcome.kind,
-        ...(exchange.kind === "answer"
-            ? { status: exchange.status }
-            : { reason: exchange.reason, dispatched: exchange.isDispatched, stale: exchange.isStaleConnection }),
-    }, "send did not get a successful answer");
-}
