Leave an instance that is silent before its answer only when another one has accepted the call

What callers would see: a resumable stream got 504 after 1.2 s (0.6 s, if the instance also served other streams and was silent to them), though its instance was sound and only silent, and more than half of its time was left.

Cause: the move that waits for the other instance began with the answer's headers. Before them, the exchange was cancelled when the limit for silence had passed, and the call sent again afterwards; if the other instances rejected it, nothing was left.

Evidence: the new test (silent for 2.5 s before the first event, the other instance full) got 504 before, and the whole stream now. New guards, which passed before: a hanging instance is replaced and ended; a caller that leaves during a move ends both exchanges.

Fix: a silent send is moved like a silent stream (AnswerWait, with what a move needs to know of it as a Continuation). An instance that is left counts as failed, as before. While two sends are open, the call may have run, whatever the outcome of one of them; without any answer such a call ends as 504, not as rejected.

--- /dev/null
+++ b/src/request/routed/CallHistory.ts
@@ -0,0 +1,29 @@
+/**
+ * The sends of one call.
+ */
+
+/** Sends of a call so far. */
+export interface CallHistory {
+    readonly triedIncarnations: Set<string>;
+    sends: number;
+    /** Sends without an outcome so far. */
+    openSends: number;
+    /** Sends with the outcome `answer`, `unknown` or `cancelled`: the call may have run. */
+    possibleRuns: number;
+    /** Whether the retry budget denied a retry. */
+    isBudgetSpent: boolean;
+    /** Version of the software that began the call's stream: the only one that it may be sent to. */
+    softwareVersion: string | undefined;
+}
+
+/** Creates the history of a call that has not been sent. */
+export function createHistory(): CallHistory {
+    return {
+        triedIncarnations: new Set(),
+        sends: 0,
+        openSends: 0,
+        possibleRuns: 0,
+        isBudgetSpent: false,
+        softwareVersion: undefined,
+    };
+}
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -2,6 +2,7 @@
  * Runs a call whose answer is buffered and forwarded only once it is complete.
  */
 import * as codes from "../../common/Codes";
+import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as exchanges from "./UpstreamExchange";
 import * as senders from "./UpstreamSender";
@@ -37,7 +38,7 @@
 
 /** Sends the call, with retries where the route allows them, until there is an answer for the caller. */
 export async function runPlain(context: senders.SenderContext, call: calls.RoutedCall): Promise<RunOutcome> {
-    const history = senders.createHistory();
+    const history = histories.createHistory();
     let latestFailure: RunOutcome | undefined;
     for (;;) {
         const sendOutcome = await senders.sendCall(context, call, history, {
@@ -51,7 +52,7 @@
             continue;
         }
         if (runOutcome === "none") {
-            return latestFailure ?? createRejection(history);
+            return latestFailure ?? createFailure(history);
         }
         if (runOutcome.kind === "disconnected" || !canRetry(call, history, runOutcome)) {
             return runOutcome;
@@ -60,8 +61,11 @@
     }
 }
 
-/** Creates the rejection of a call that no instance has run. */
-export function createRejection(history: senders.CallHistory): LocalAnswer {
+/** Creates the answer to a call that no instance answered: a rejection unless an instance may have run it. */
+export function createFailure(history: histories.CallHistory): LocalAnswer {
+    if (history.possibleRuns > 0) {
+        return { kind: "local-failure", failure: codes.failure(codes.codes.upstreamTimeout, "no answer") };
+    }
     const code = history.isBudgetSpent
         ? codes.codes.retryBudgetSpent
         : history.sends === 0
@@ -120,7 +124,7 @@
 }
 
 /** Whether the outcome is a failure that may be retried on another instance. */
-function canRetry(call: calls.RoutedCall, history: senders.CallHistory, runOutcome: RunOutcome): boolean {
+function canRetry(call: calls.RoutedCall, history: histories.CallHistory, runOutcome: RunOutcome): boolean {
     const hasFailed = runOutcome.kind === "local-failure"
         || (runOutcome.kind === "buffered" && runOutcome.status >= 500);
     return hasFailed && calls.isRetryable(call.route) && history.possibleRuns < call.route.attempts;
--- a/src/request/routed/StreamMove.test.ts
+++ b/src/request/routed/StreamMove.test.ts
@@ -51,7 +51,7 @@
     }
     const moving = moves.moveStream({
         clock,
-        body,
+        continuation: new moves.BodyContinuation(body),
         leave: () => leftAtMs ??= clock.now(),
         prepare: async () =>
             course.preparedAtMs === undefined || await after(course.preparedAtMs, !course.isPreparationFailed) === true,
--- a/src/request/routed/StreamMove.ts
+++ b/src/request/routed/StreamMove.ts
@@ -1,5 +1,5 @@
 /**
- * Moves a stream from a silent instance to another one. The exchange with the silent instance stays open until the
+ * Moves a call from a silent instance to another one, before or after its stream has begun. The exchange with the silent instance stays open until the
  * other one has accepted the call: a stream that no other instance takes, or that continues meanwhile, stays.
  */
 import * as stream from "node:stream";
@@ -15,8 +15,8 @@
 /** What a move needs. */
 export interface MoveOptions {
     readonly clock: clocks.Clock;
-    /** Body of the silent instance's answer. */
-    readonly body: stream.Readable;
+    /** Detects that the silent instance continues; disposed of by the move. */
+    readonly continuation: Continuation;
     /** Cancels the exchange with the silent instance. */
     readonly leave: () => void;
     /** Provides what the next send needs; resolves to false on failure. */
@@ -31,7 +31,7 @@
 export async function moveStream(options: MoveOptions): Promise<senders.SendOutcome | undefined> {
     const controller = new AbortController();
     const signal = AbortSignal.any([options.signal, controller.signal]);
-    const continuation = new Continuation(options.body);
+    const { continuation } = options;
     let overlapTimer: clocks.Disposable | undefined;
     try {
         const isPrepared = await Promise.race([options.prepare(signal), continuation.promise]);
@@ -69,8 +69,28 @@
     }
 }
 
+/** Detects that a silent instance continues. */
+export interface Continuation extends clocks.Disposable {
+    readonly promise: Promise<"continued">;
+}
+
+/** Detects that a send gets its answer. */
+export class AnswerContinuation implements Continuation {
+    readonly promise: Promise<"continued">;
+
+    constructor(sending: Promise<senders.SendOutcome>) {
+        this.promise = new Promise((resolve, reject) => {
+            sending.then(outcome => outcome.kind === "answer" && resolve("continued"), reject);
+        });
+    }
+
+    dispose(): void {
+        // Nothing is held.
+    }
+}
+
 /** Detects that a body continues or ends as complete. */
-class Continuation implements clocks.Disposable {
+export class BodyContinuation implements Continuation {
     readonly promise: Promise<"continued">;
     private resolve!: (value: "continued") => void;
     private readonly checkReadable = (): void => {
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -4,6 +4,8 @@
  */
 import * as codes from "../../common/Codes";
 import * as silenceLimits from "../../process/routing/SilenceLimit";
+import * as answerWaits from "./AnswerWait";
+import * as histories from "./CallHistory";
 import * as chunks from "./ChunkReader";
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
@@ -69,7 +71,7 @@
     private lastBytesAtMs = 0;
     /** No move is tried before this time. */
     private staysUntilMs = -Infinity;
-    private readonly history = senders.createHistory();
+    private readonly history = histories.createHistory();
 
     constructor(
         private readonly context: senders.SenderContext,
@@ -108,10 +110,17 @@
         if (!hasInputs) {
             return { kind: signal.aborted ? "cancelled" : "none" };
         }
-        return senders.sendCall(this.context, this.call, this.history, {
-            lastEventId: this.lastEventId,
-            inputs: this.options.inputs() ?? [],
-            answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
+        return answerWaits.sendUntilAnswered({
+            send: (sendSignal, answerWaitMs) =>
+                senders.sendCall(this.context, this.call, this.history, {
+                    lastEventId: this.lastEventId,
+                    inputs: this.options.inputs() ?? [],
+                    answerWaitMs,
+                    signal: sendSignal,
+                }),
+            waitMs: sent => this.waitMs(sent, sent.sentAtMs),
+            isLate: () => this.isLate,
+            move: (continuation, leave) => this.move(continuation, leave, signal),
             signal,
         });
     }
@@ -123,7 +132,7 @@
         switch (sendOutcome.kind) {
             case "none":
                 return {
-                    outcome: this.abortIfBegun(latestFailure ?? plainRuns.createRejection(this.history)),
+                    outcome: this.abortIfBegun(latestFailure ?? plainRuns.createFailure(this.history)),
                     isFinal: true,
                 };
             case "cancelled":
@@ -186,11 +195,13 @@
                 return { kind: "disconnected" };
             }
             if (chunk === "timeout") {
-                if (this.context.clock.now() >= this.call.hardDeadlineAtMs) {
+                if (this.isLate) {
                     answered.answer.cancel();
                     return { kind: "deadline" };
                 }
-                const next = await this.move(answered);
+                this.logInterruption(answered, "silent");
+                const continuation = new moves.BodyContinuation(answered.answer.body);
+                const next = await this.move(continuation, answered.answer.cancel, this.call.signal);
                 if (next !== undefined) {
                     return { kind: "moved", next };
                 }
@@ -209,16 +220,19 @@
         }
     }
 
-    /** Moves the stream to another instance; undefined if it stays at the silent one. */
-    private async move(answered: AnsweredSend): Promise<senders.SendOutcome | undefined> {
-        this.logInterruption(answered, "silent");
+    /** Moves the call to another instance; undefined if it stays at the silent one. */
+    private async move(
+        continuation: moves.Continuation,
+        leave: () => void,
+        signal: AbortSignal,
+    ): Promise<senders.SendOutcome | undefined> {
         const next = await moves.moveStream({
             clock: this.context.clock,
-            body: answered.answer.body,
-            leave: answered.answer.cancel,
-            prepare: async signal => this.options.inputs() !== undefined || this.options.computeInputs(signal),
-            send: signal => this.send(signal),
-            signal: this.call.signal,
+            continuation,
+            leave,
+            prepare: async moveSignal => this.options.inputs() !== undefined || this.options.computeInputs(moveSignal),
+            send: moveSignal => this.send(moveSignal),
+            signal,
         });
         this.staysUntilMs = this.context.clock.now() + MOVE_PAUSE_MS;
         this.context.log.info(
@@ -266,7 +280,7 @@
         }
     }
 
-    /** Time to wait for the next bytes of a send before asking again; 0 to give up. */
+    /** Time to wait for the next bytes of a send before asking again; 0 to move the call, or at its hard deadline. */
     private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
         const nowMs = this.context.clock.now();
         const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
@@ -309,7 +323,11 @@
     private canRetry(): boolean {
         return calls.isRetryable(this.call.route)
             && this.history.possibleRuns < this.call.route.attempts
-            && this.context.clock.now() < this.call.hardDeadlineAtMs;
+            && !this.isLate;
+    }
+
+    private get isLate(): boolean {
+        return this.context.clock.now() >= this.call.hardDeadlineAtMs;
     }
 
     /** Aborts a stream that has begun and cannot be resumed; otherwise returns the outcome unchanged. */
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -11,6 +11,7 @@
 import * as pools from "../../process/routing/InstancePool";
 import * as traffic from "../../process/routing/InstanceTraffic";
 import * as budgets from "../../process/routing/ServiceRetryBudget";
+import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as exchanges from "./UpstreamExchange";
 
@@ -35,29 +36,6 @@
     readonly revision: () => number;
 }
 
-/** Sends of a call so far. */
-export interface CallHistory {
-    readonly triedIncarnations: Set<string>;
-    sends: number;
-    /** Sends with the outcome `answer`, `unknown` or `cancelled`: the call may have run. */
-    possibleRuns: number;
-    /** Whether the retry budget denied a retry. */
-    isBudgetSpent: boolean;
-    /** Version of the software that began the call's stream: the only one that it may be sent to. */
-    softwareVersion: string | undefined;
-}
-
-/** Creates the history of a call that has not been sent. */
-export function createHistory(): CallHistory {
-    return {
-        triedIncarnations: new Set(),
-        sends: 0,
-        possibleRuns: 0,
-        isBudgetSpent: false,
-        softwareVersion: undefined,
-    };
-}
-
 /** Outcome of one send. */
 export type SendOutcome =
     | {
@@ -102,7 +80,7 @@
 }
 
 /** Whether the call can be sent now: time and budget are left, and an instance can accept it. */
-export function canSend(context: SenderContext, call: calls.RoutedCall, history: CallHistory): boolean {
+export function canSend(context: SenderContext, call: calls.RoutedCall, history: histories.CallHistory): boolean {
     const hasTime = call.hardDeadlineAtMs - context.clock.now() >= MIN_REMAINING_MS;
     const isAllowed = history.sends === 0 || context.budgetOf(call.service).canSpend;
     return hasTime
@@ -115,7 +93,7 @@
 export async function sendCall(
     context: SenderContext,
     call: calls.RoutedCall,
-    history: CallHistory,
+    history: histories.CallHistory,
     options: SendOptions,
 ): Promise<SendOutcome> {
     const hasTime = call.hardDeadlineAtMs - context.clock.now() >= MIN_REMAINING_MS;
@@ -139,6 +117,7 @@
     const waitMs = (): number => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now());
     logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
     call.progress.mayHaveRun = true;
+    history.openSends++;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
         address: instance.address,
         method: call.method,
@@ -163,7 +142,8 @@
     if (outcome.kind !== "not-run") {
         history.possibleRuns++;
     }
-    call.progress.mayHaveRun = history.possibleRuns > 0;
+    history.openSends--;
+    call.progress.mayHaveRun = history.possibleRuns + history.openSends > 0;
     logUnlessSuccessful(context, call, chosen, exchange, outcome);
     return outcome;
 }
@@ -172,7 +152,7 @@
 function prepareSend(
     context: SenderContext,
     call: calls.RoutedCall,
-    history: CallHistory,
+    history: histories.CallHistory,
     inputs: readonly CallInput[],
 ): pools.ChosenInstance | undefined {
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
@@ -197,7 +177,7 @@
 function findElsewhereMs(
     context: SenderContext,
     call: calls.RoutedCall,
-    history: CallHistory,
+    history: histories.CallHistory,
     inputs: readonly CallInput[],
 ): number | undefined {
     const isAllowed = calls.isRetryable(call.route)
@@ -209,7 +189,7 @@
 function requirementsOf(
     context: SenderContext,
     call: calls.RoutedCall,
-    history: CallHistory,
+    history: histories.CallHistory,
     inputs: readonly CallInput[],
 ): pools.CallRequirements {
     return {
@@ -287,7 +267,7 @@
 function logSend(
     context: SenderContext,
     call: calls.RoutedCall,
-    history: CallHistory,
+    history: histories.CallHistory,
     chosen: pools.ChosenInstance,
     expectedMs: number,
     remainingMs: number,
@@ -313,7 +293,7 @@
 }
 
 /** Logs that no instance can accept a call that only one software version may get. */
-function logUnlessAnyVersion(context: SenderContext, call: calls.RoutedCall, history: CallHistory): void {
+function logUnlessAnyVersion(context: SenderContext, call: calls.RoutedCall, history: histories.CallHistory): void {
     const { softwareVersion } = history;
     if (softwareVersion !== undefined) {
         context.log.info({
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -29,7 +29,7 @@
     status?: number | undefined;
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
-    /** Streams pause after the event with this ID. */
+    /** Streams pause after the event with this ID; with 0, before their headers. */
     pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
@@ -154,6 +154,7 @@
             response.writeHead(this.faults.status ?? 200, headers).end(answer.padEnd(this.options.answerBytes ?? 0));
             return;
         }
+        await this.pauseAfter(0);
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         }
@@ -164,12 +165,17 @@
                 return;
             }
             response.write(`id: ${id}\ndata: part ${id}${writer}\n\n`);
-            const pauseMs = this.faults.pause?.afterEvent === id ? this.faults.pause.ms : 0;
-            await new Promise(resolve => setTimeout(resolve, pauseMs + (this.options.eventIntervalMs ?? 1)));
+            await this.pauseAfter(id);
+            await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
         response.end();
     }
 
+    private async pauseAfter(eventId: number): Promise<void> {
+        const pauseMs = this.faults.pause?.afterEvent === eventId ? this.faults.pause.ms : 0;
+        await new Promise(resolve => setTimeout(resolve, pauseMs));
+    }
+
     private handleStage(path: string, body: string, response: http.ServerResponse): void {
         if (this.faults.hang === true) {
             return;
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -55,6 +55,39 @@
         vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
     });
 
+    vitest.it("before its first event is complete while the other instance rejects all calls", async () => {
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { pause: { afterEvent: 0, ms: 2_500 } };
+        const answer = callFirstModel("/notes/1", PROMPT);
+        await fleet.waitUntil(() => first!.runs.length > 0);
+        second!.faults = { shed: true };
+        vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+    });
+
+    vitest.it("before its first event is moved to another instance that accepts it", async () => {
+        const [first] = fleet.enginesOf("model");
+        first!.faults = { hang: true };
+        const answer = await callFirstModel("/notes/1", PROMPT);
+        vitest.expect(answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+        await fleet.waitUntil(() => first!.cancelledRuns === 1);
+    });
+
+    vitest.it("is ended at both instances when its caller leaves while it is moved", async () => {
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { pause: { afterEvent: 3, ms: 30_000 } };
+        const controller = new AbortController();
+        const { signal } = controller;
+        while (first!.runs.length === 0) {
+            const answer = fleet.call("/notes/1", { headers: PROMPT, signal }).catch(() => undefined);
+            await Promise.race([answer, fleet.waitUntil(() => first!.runs.length > 0)]);
+        }
+        second!.runs.splice(0);
+        second!.faults = { hang: true };
+        await fleet.waitUntil(() => second!.runs.length > 0);
+        controller.abort();
+        await fleet.waitUntil(() => first!.cancelledRuns === 1 && second!.cancelledRuns === 1);
+    });
+
     vitest.it("is resumed on another instance that accepts it, and ended at the silent one", async () => {
         const [first, second] = fleet.enginesOf("model");
         first!.faults = { pause: { afterEvent: 3, ms: 30_000 } };
