Read what arrived during a late turn before an instance counts as silent

What callers would see: after a pause of their entry (a frozen or starved process, a long turn), calls whose limit for silence had passed meanwhile were given up or moved, though their answers had arrived: runs lost, attempts and retry budget spent, streams that couldn't be resumed any more afterwards.

Cause: Node.js runs due timers before it reads sockets. A limit that expired during the pause was decided on what had been read before it.

Fix: a timer that fires over 20 ms late asks again 10 ms later, after the next read. Peer connections and the callers' server had rules of this kind already.

--- a/src/request/routed/ChunkReader.ts
+++ b/src/request/routed/ChunkReader.ts
@@ -3,6 +3,7 @@
  */
 import * as stream from "node:stream";
 import * as clocks from "../../common/Clock";
+import * as readTimers from "../../common/ReadTimer";
 
 /** Reads the next bytes of a body; `end` once it has ended, complete or not. Asks how long to wait, until it is 0. */
 export function readChunk(
@@ -25,7 +26,7 @@
                 finish("timeout");
                 return;
             }
-            timer = clock.schedule(furtherMs, waitFurther);
+            timer = readTimers.scheduleAfterReads(clock, furtherMs, waitFurther);
         };
         const readAvailable = (): void => {
             const chunk = body.read() as Buffer | undefined;
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -6,6 +6,7 @@
 import * as net from "node:net";
 import * as addresses from "../../common/Address";
 import * as clocks from "../../common/Clock";
+import * as readTimers from "../../common/ReadTimer";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 
 /** Time limit for establishing a new connection. */
@@ -115,7 +116,7 @@
     }
 
     private scheduleTimeout(timeoutMs: number): void {
-        this.answerTimer = this.clock.schedule(timeoutMs, () => {
+        this.answerTimer = readTimers.scheduleAfterReads(this.clock, timeoutMs, () => {
             const extensionMs = this.request.extendTimeoutMs?.() ?? 0;
             if (extensionMs > 0) {
                 this.scheduleTimeout(extensionMs);
