--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -2,6 +2,7 @@
  * The log lines about the sends of a call.
  */
 import * as pools from "../../process/routing/InstancePool";
+import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as exchanges from "./UpstreamExchange";
 import * as senders from "./UpstreamSender";
@@ -10,7 +11,7 @@
 export function logSend(
     context: senders.SenderContext,
     call: calls.RoutedCall,
-    history: senders.CallHistory,
+    history: histories.CallHistory,
     chosen: pools.ChosenInstance,
     expectedMs: number,
     remainingMs: number,
@@ -39,7 +40,7 @@
 export function logUnlessAnyVersion(
     context: senders.SenderContext,
     call: calls.RoutedCall,
-    history: senders.CallHistory,
+    history: histories.CallHistory,
 ): void {
     const { softwareVersion } = history;
     if (softwareVersion !== undefined) {
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -4,7 +4,10 @@
  */
 import * as codes from "../../common/Codes";
 import * as silenceLimits from "../../process/routing/SilenceLimit";
+import * as answerWaits from "./AnswerWait";
+import * as histories from "./CallHistory";
 import * as chunks from "./ChunkReader";
+import * as sinks from "./EventSink";
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
@@ -14,20 +17,6 @@
 /** Pause after a stream couldn't be moved before that is tried again. */
 const MOVE_PAUSE_MS = 500;
 
-/** Destination of the events of a stream. */
-export interface EventSink {
-    /** Whether the headers have been written. */
-    readonly hasBegun: boolean;
-    /** Whether the answer is close-delimited: its body ends with the connection. */
-    readonly isCloseDelimited: boolean;
-    begin(status: number, headers: readonly string[], isFramed: boolean): void;
-    /** Resolves when further bytes can be written without unbounded buffering. */
-    write(bytes: Buffer): Promise<void>;
-    end(): void;
-    /** Aborts the answer so that the caller sees it as incomplete. */
-    abort(): void;
-}
-
 /** What a stream needs in addition to the sender's context. */
 export interface StreamOptions {
     /** The inputs that are held; undefined if they have to be computed before the next send. */
@@ -40,7 +29,7 @@
     readonly softwareVersion: string | undefined;
     /** Called before the first event of this answer is forwarded, with the version of the instance that sent it. */
     readonly onFirstEvent: (softwareVersion: string) => void;
-    readonly sink: EventSink;
+    readonly sink: sinks.EventSink;
 }
 
 /** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
@@ -69,7 +58,7 @@
     private lastBytesAtMs = 0;
     /** No move is tried before this time. */
     private staysUntilMs = -Infinity;
-    private readonly history = senders.createHistory();
+    private readonly history = histories.createHistory();
 
     constructor(
         private readonly context: senders.SenderContext,
@@ -108,12 +97,19 @@
         if (!hasInputs) {
             return { kind: signal.aborted ? "cancelled" : "none" };
         }
-        return senders.sendCall(this.context, this.call, this.history, {
-            lastEventId: this.lastEventId,
-            inputs: this.options.inputs() ?? [],
-            answerWaitMs: sent => this.waitMs(sent, sent.sentAtMs),
+        return answerWaits.sendUntilAnswered({
+            send: (sendSignal, answerWaitMs) =>
+                senders.sendCall(this.context, this.call, this.history, {
+                    lastEventId: this.lastEventId,
+                    inputs: this.options.inputs() ?? [],
+                    answerWaitMs,
+                    signal: sendSignal,
+                    onDispatched,
+                }),
+            waitMs: sent => this.waitMs(sent, sent.sentAtMs),
+            isLate: () => this.isLate,
+            move: (continuation, leave) => this.move(continuation, leave, signal),
             signal,
-            onDispatched,
         });
     }
 
@@ -124,7 +120,7 @@
         switch (sendOutcome.kind) {
             case "none":
                 return {
-                    outcome: this.abortIfBegun(latestFailure ?? plainRuns.createRejection(this.history)),
+                    outcome: this.abortIfBegun(latestFailure ?? plainRuns.createFailure(this.history)),
                     isFinal: true,
                 };
             case "cancelled":
@@ -190,11 +186,13 @@
                 return { kind: "disconnected" };
             }
             if (chunk === "timeout") {
-                if (this.context.clock.now() >= this.call.hardDeadlineAtMs) {
+                if (this.isLate) {
                     answered.answer.cancel();
                     return { kind: "deadline" };
                 }
-                const next = await this.move(answered);
+                this.logInterruption(answered, "silent");
+                const continuation = new moves.BodyContinuation(answered.answer.body);
+                const next = await this.move(continuation, answered.answer.cancel, this.call.signal);
                 if (next !== undefined) {
                     return { kind: "moved", next };
                 }
@@ -213,16 +211,19 @@
         }
     }
 
-    /** Moves the stream to another instance; undefined if it stays at the silent one. */
-    private async move(answered: AnsweredSend): Promise<senders.SendOutcome | undefined> {
-        this.logInterruption(answered, "silent");
+    /** Moves the call to another instance; undefined if it stays at the silent one. */
+    private async move(
+        continuation: moves.Continuation,
+        leave: () => void,
+        signal: AbortSignal,
+    ): Promise<senders.SendOutcome | undefined> {
         const next = await moves.moveStream({
             clock: this.context.clock,
-            body: answered.answer.body,
-            leave: answered.answer.cancel,
-            prepare: async signal => this.options.inputs() !== undefined || this.options.computeInputs(signal),
-            send: (signal, onDispatched) => this.send(signal, onDispatched),
-            signal: this.call.signal,
+            continuation,
+            leave,
+            prepare: async moveSignal => this.options.inputs() !== undefined || this.options.computeInputs(moveSignal),
+            send: (moveSignal, onDispatched) => this.send(moveSignal, onDispatched),
+            signal,
         });
         this.staysUntilMs = this.context.clock.now() + MOVE_PAUSE_MS;
         this.context.log.info(
@@ -270,7 +271,7 @@
         }
     }
 
-    /** Time to wait for the next bytes of a send before asking again; 0 to give up. */
+    /** Time to wait for the next bytes of a send before asking again; 0 to move the call, or at its hard deadline. */
     private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
         const nowMs = this.context.clock.now();
         const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
@@ -313,7 +314,11 @@
     private canRetry(): boolean {
         return calls.isRetryable(this.call.route)
             && this.history.possibleRuns < this.call.route.attempts
-            && this.context.clock.now() < this.call.hardDeadlineAtMs;
+            && !this.isLate;
+    }
+
+    private get isLate(): boolean {
+        return this.context.clock.now() >= this.call.hardDeadlineAtMs;
     }
 
     /** Aborts a stream that has begun and cannot be resumed; otherwise returns the outcome unchanged. */
