Send nothing to an instance that holds off

Cause: an instance that rejects a request with 503 may state with Retry-After for how long it wants nothing more from this machine. Nothing read it: the instance got calls again at once, stage calls every 100 ms, and if all instances of a service rejected, the fallback for paused instances went on sending to them.

Change: the adapter decodes the time for calls, stage calls and releases. InstanceHold decides for one incarnation when and how fast calls return, InstanceHolds keeps, logs and counts the holds of a process. A hold is strict: no fallback overrides it, and an exchange asks once more before its first byte; a send cut there costs neither a send nor retry budget. If all instances hold off, callers are rejected at once with the earliest end plus a random spread. Stage pieces go to other workers; orders that can't make their limit after the hold are rejected at once. Releases wait for the end of a hold of up to 10 s. After a hold calls return by slow start, below the number in flight that was rejected.

--- a/bench/Stages.ts
+++ b/bench/Stages.ts
@@ -97,6 +97,7 @@
         return new schedulers.StageScheduler({
             capacity: service => this.model.services.get(service)?.capacity,
             instances: service => this.workers.runningInstances(service),
+            holdMs: () => 0,
         });
     }
 
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -83,8 +83,13 @@
     /** Whether the answer carries the instance's signature. */
     readonly isSigned: boolean;
     readonly load: { readonly running: number; readonly waiting: number } | undefined;
+    /** For how long the instance wants nothing more from this process; undefined if it doesn't say so. */
+    readonly holdMs: number | undefined;
 }
 
+/** Reads for how long an instance that rejects a request wants nothing more; undefined if it doesn't say so. */
+export type HoldReader = (status: number, headers: http.IncomingHttpHeaders) => number | undefined;
+
 /** Reads and writes the headers of routed calls. Header lists alternate names and values. */
 export interface RoutedCallWire {
     readCall(headers: http.IncomingHttpHeaders): result.Result<RoutedCallMetadata, codes.Failure>;
@@ -126,6 +131,7 @@
     releaseRequest(handles: readonly string[]): { readonly path: string; readonly body: string };
     /** Address of the stage worker that holds a result. */
     workerOf(handle: string): string;
+    readonly readHold: HoldReader;
     /** Headers of a call to one instance. */
     requestHeaders(instance: string): string[];
 }
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -1,13 +1,15 @@
 /**
  * The upstream instances that calls may go to: their published state combined with this process's own traffic.
- * Limits the call rate of cold instances and excludes instances that are draining, out of service or paused.
+ * Limits the call rate of cold instances and excludes instances that are draining, out of service, held or paused.
  */
 import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
 import * as rendezvous from "../../common/RendezvousHash";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
+import * as instanceHolds from "./InstanceHolds";
 import * as traffic from "./InstanceTraffic";
 import * as promptReading from "./PromptReading";
 import * as views from "./PublishedView";
@@ -34,6 +36,7 @@
 /** What the pool needs from its process. */
 export interface InstancePoolOptions {
     readonly clock: clocks.Clock;
+    readonly log: logs.Log;
     readonly random: () => number;
     readonly view: views.PublishedView;
     readonly failureDomain: string;
@@ -75,9 +78,7 @@
 }
 
 /** Identifies one incarnation of an instance. */
-export function incarnationKey(instance: routing.RoutedInstance): string {
-    return `${instance.id}@${instance.startedMs}`;
-}
+export const incarnationKey = instanceHolds.incarnationKey;
 
 /** Chooses instances and keeps the traffic counts of each. */
 export class InstancePool implements clocks.Disposable {
@@ -88,8 +89,14 @@
     /** When each failure domain last returned to service. */
     private readonly backInServiceMs = new Map<string, number>();
     private readonly subscription: clocks.Disposable;
+    readonly holds: instanceHolds.InstanceHolds;
 
     constructor(private readonly options: InstancePoolOptions) {
+        this.holds = new instanceHolds.InstanceHolds({
+            ...options,
+            isInService: instance => this.isInService(instance),
+            entryCount: () => options.entryNames().length,
+        });
         this.subscription = options.view.onChange(() => this.handleViewChange());
     }
 
@@ -110,7 +117,7 @@
     private obtainTraffic(key: string): traffic.InstanceTraffic {
         let counts = this.trafficByIncarnation.get(key);
         if (counts === undefined) {
-            counts = new traffic.InstanceTraffic(this.options.clock);
+            counts = new traffic.InstanceTraffic(this.options.clock, this.holds.obtain(key));
             this.trafficByIncarnation.set(key, counts);
         }
         return counts;
@@ -121,11 +128,15 @@
         return instance.state === "ready" && !this.options.view.isOutOfService(instance.failureDomain);
     }
 
-    /** Instances of a service that are in service and not paused after failures; if all are paused, all in service. */
+    /**
+     * Instances of a service that are in service, don't hold off and aren't paused after failures. If all are paused,
+     * they are used nevertheless; a hold is never overridden.
+     */
     usableInstances(service: string): views.KnownInstance[] {
-        const inService = this.options.view.instances(service).filter(instance => this.isInService(instance));
-        const unpausedInstances = inService.filter(instance => !this.trafficOf(instance).isPaused);
-        return unpausedInstances.length > 0 ? unpausedInstances : inService;
+        const allowed = this.options.view.instances(service)
+            .filter(instance => this.isInService(instance) && this.holds.remainingMs(instance) === 0);
+        const unpausedInstances = allowed.filter(instance => !this.trafficOf(instance).isPaused);
+        return unpausedInstances.length > 0 ? unpausedInstances : allowed;
     }
 
     /** Chooses an instance without counting the call yet; undefined when none can accept it now. */
@@ -180,6 +191,11 @@
         return nowMs < instance.coldUntilMs + COLD_MARGIN_MS || nowMs < possibleRestartMs + coldMs + COLD_MARGIN_MS;
     }
 
+    /** Whether an instance that may be cold, or returns from a hold, can accept a call now. */
+    private mayCall(instance: views.KnownInstance): boolean {
+        return this.trafficOf(instance).hold.mayCall(this.options.clock.now()) && this.isWithinColdRate(instance);
+    }
+
     /** Whether the instance isn't cold, or this entry's share of its cold rate allows another call now. */
     private isWithinColdRate(instance: views.KnownInstance): boolean {
         if (!this.isCold(instance)) {
@@ -200,7 +216,7 @@
     /** The instances that can accept a call now. */
     private findCandidates(requirements: CallRequirements): choices.Candidate[] {
         const eligible = this.usableInstances(requirements.service)
-            .filter(instance => !this.wasTried(instance, requirements) && this.isWithinColdRate(instance));
+            .filter(instance => !this.wasTried(instance, requirements) && this.mayCall(instance));
         const affinityId = pickAffinityId(eligible, requirements.promptParts);
         const fastestCallMs = Math.min(
             UNMEASURED_CALL_MS,
@@ -250,6 +266,7 @@
                 this.trafficByIncarnation.delete(key);
             }
         }
+        this.holds.forgetUnused(key => this.trafficByIncarnation.has(key));
     }
 }
 
--- a/src/process/routing/InstanceTraffic.ts
+++ b/src/process/routing/InstanceTraffic.ts
@@ -3,6 +3,7 @@
  */
 import * as clocks from "../../common/Clock";
 import * as coldShares from "./ColdShare";
+import * as holds from "./InstanceHold";
 import * as promptReading from "./PromptReading";
 
 /** First pause of an instance after failures; doubles with each further pause until a call succeeds. */
@@ -32,6 +33,11 @@
     end(outcome: CallOutcome): void;
 }
 
+/** Outcome of a rejected call: a hold that is as long as a pause takes its place. */
+export function rejectionOutcome(holdMs: number | undefined): CallOutcome {
+    return holdMs !== undefined && holdMs >= MIN_PAUSE_MS ? "cancelled" : "refused";
+}
+
 /** Counts and estimates for one incarnation. */
 export class InstanceTraffic {
     inFlight = 0;
@@ -51,7 +57,7 @@
     private meanUpdatedMs = -Infinity;
     private readonly cachedParts = new Set<string>();
 
-    constructor(private readonly clock: clocks.Clock) {}
+    constructor(private readonly clock: clocks.Clock, readonly hold = new holds.InstanceHold()) {}
 
     /** Whether the instance is paused after failures: it gets calls only if all others are paused too. */
     get isPaused(): boolean {
@@ -97,6 +103,7 @@
         this.arrivals.add(this.clock.now());
         this.addCachedParts(parts);
         const startedAtMs = this.clock.now();
+        const countedCall = this.hold.startCall();
         let unreadTokens = missingTokens;
         let isStreaming = false;
         let hasEnded = false;
@@ -108,6 +115,7 @@
             expectedFirstEventMs: promptReading.firstEventMs(this.waitingTokens),
             recordEvent: () => {
                 recordRead();
+                countedCall.accept();
                 this.openStreams += isStreaming || hasEnded ? 0 : 1;
                 isStreaming = true;
                 this.lastEventAtMs = this.clock.now();
@@ -116,6 +124,10 @@
                 if (!hasEnded) {
                     hasEnded = true;
                     recordRead();
+                    if (outcome === "ok") {
+                        countedCall.accept();
+                    }
+                    countedCall.end();
                     this.openStreams -= isStreaming ? 1 : 0;
                     this.inFlight--;
                     this.recordOutcome(outcome);
--- a/src/process/routing/ResultReleaser.ts
+++ b/src/process/routing/ResultReleaser.ts
@@ -7,10 +7,14 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../request/routed/UpstreamExchange";
+import * as instanceHolds from "./InstanceHolds";
+import * as views from "./PublishedView";
 
 /** Handles are collected for this time, so that one call releases many. */
 const BATCH_DELAY_MS = 5;
 const ANSWER_TIMEOUT_MS = 2_000;
+/** Releases don't wait for the end of longer holds, since results expire on their own. */
+const MAX_HOLD_MS = 10_000;
 const MAX_RESPONSE_BYTES = 64 * 1024;
 
 /** Dependencies of the releaser. */
@@ -19,12 +23,16 @@
     readonly log: logs.Log;
     readonly wire: routingPorts.StageWire;
     readonly connections: upstreamConnections.UpstreamConnections;
+    readonly holds: instanceHolds.InstanceHolds;
+    readonly view: views.PublishedView;
 }
 
 /** Collects handles and releases them. Failed calls aren't retried, since results expire on their own. */
 export class ResultReleaser implements clocks.Disposable {
     private readonly handlesByWorker = new Map<string, string[]>();
     private timer: clocks.Disposable | undefined;
+    /** Releases that wait until their worker's hold ends. */
+    private readonly heldTimers = new Map<string, clocks.Disposable>();
     private readonly releasedEmitter = new emitters.Emitter<readonly string[]>();
     /** Fires with the handles that a worker has released. */
     readonly onReleased = this.releasedEmitter.event;
@@ -46,22 +54,46 @@
 
     dispose(): void {
         this.timer?.dispose();
+        this.heldTimers.forEach(timer => timer.dispose());
         this.releasedEmitter.dispose();
     }
 
     private flush(): void {
         this.timer = undefined;
-        const pending = [...this.handlesByWorker];
-        this.handlesByWorker.clear();
-        pending.forEach(([worker, handles]) => void this.releaseFrom(worker, handles));
+        for (const [worker, handles] of [...this.handlesByWorker]) {
+            const holdMs = this.options.holds.remainingMsAt(worker);
+            if (holdMs > 0 && holdMs <= MAX_HOLD_MS) {
+                this.flushAfterHold(worker, holdMs);
+                continue;
+            }
+            this.handlesByWorker.delete(worker);
+            if (holdMs > MAX_HOLD_MS) {
+                this.logFailure(worker, handles, "held", this.options.clock.now());
+            }
+            else {
+                void this.releaseFrom(worker, handles);
+            }
+        }
+    }
+
+    /** Keeps the handles of a worker until its hold ends, so that one call releases all of them. */
+    private flushAfterHold(worker: string, holdMs: number): void {
+        if (!this.heldTimers.has(worker)) {
+            const flush = (): void => {
+                this.heldTimers.delete(worker);
+                this.flush();
+            };
+            this.heldTimers.set(worker, this.options.clock.schedule(holdMs, flush));
+        }
     }
 
     /** Releases results on the stage worker at the address `maker`. */
     private async releaseFrom(maker: string, handles: readonly string[]): Promise<void> {
-        const startedMs = this.options.clock.now();
-        const request = this.options.wire.releaseRequest(handles);
+        const { clock, wire, connections, holds, view } = this.options;
+        const startedMs = clock.now();
+        const request = wire.releaseRequest(handles);
         const body = Buffer.from(request.body);
-        const response = await exchanges.openExchange(this.options.connections, this.options.clock, {
+        const response = await exchanges.openExchange(connections, clock, {
             address: maker,
             method: "POST",
             path: request.path,
@@ -69,22 +101,32 @@
             body,
             isNewConnection: false,
             answerTimeoutMs: ANSWER_TIMEOUT_MS,
+            isHeld: () => holds.remainingMsAt(maker) > 0,
         });
-        const isReleased = response.kind === "answer" && response.status === 200;
-        if (isReleased) {
+        if (response.kind === "failed") {
+            this.logFailure(maker, handles, response.reason, startedMs);
+            return;
+        }
+        const holdMs = wire.readHold(response.status, response.headers);
+        if (holdMs !== undefined) {
+            holds.start(maker, view.findByAddress(maker), holdMs, "release");
+        }
+        if (response.status === 200) {
             this.releasedEmitter.fire(handles);
         }
         else {
-            this.options.log.warn({
-                decision: "release-failed",
-                maker,
-                results: handles.length,
-                reason: response.kind === "failed" ? response.reason : `status ${response.status}`,
-                elapsedMs: Math.round(this.options.clock.now() - startedMs),
-            }, "could not release results; they will expire on their own");
-        }
-        if (response.kind === "answer") {
-            await exchanges.readBody(response, MAX_RESPONSE_BYTES);
+            this.logFailure(maker, handles, `status ${response.status}`, startedMs);
         }
+        await exchanges.readBody(response, MAX_RESPONSE_BYTES);
+    }
+
+    private logFailure(maker: string, handles: readonly string[], reason: string, startedMs: number): void {
+        this.options.log.warn({
+            decision: "release-failed",
+            maker,
+            results: handles.length,
+            reason,
+            elapsedMs: Math.round(this.options.clock.now() - startedMs),
+        }, "could not release results; they will expire on their own");
     }
 }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -107,7 +107,13 @@
             }),
         );
         const releaser = this.disposables.add(
-            new releasers.ResultReleaser({ clock, log, wire: options.stageWire, connections }),
+            new releasers.ResultReleaser({
+                ...shared,
+                wire: options.stageWire,
+                connections,
+                holds: this.pool.holds,
+                view: this.view,
+            }),
         );
         this.host = this.disposables.add(
             new stageHosts.StageHost({
@@ -293,6 +299,9 @@
             "Updates taken from other entries",
             () => this.exchange.appliedUpdates,
         );
+        const { holds } = this.pool;
+        routeMetrics.addGauge("cumincrank_held_instances", "Instances that hold off", () => holds.heldCount);
+        routeMetrics.addGauge("cumincrank_instance_holds", "Rejections that asked for a hold", () => holds.count);
         routeMetrics.addGauge("cumincrank_active_calls", "Routed calls under way", () => this.server.active);
         routeMetrics.addGauge(
             "cumincrank_dropped_log_lines",
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -47,7 +47,7 @@
         run: {
             clock: clocks.systemClock,
             log,
-            pool: { choose },
+            pool: { choose, holds: { callerRetryAfterMs: () => undefined } },
             wire: { readCall: () => result.ok(metadata), readAttempt: () => "1", errorHeaders: () => [] },
         },
     };
--- a/src/process/routing/ServiceRetryBudget.ts
+++ b/src/process/routing/ServiceRetryBudget.ts
@@ -52,6 +52,11 @@
         return true;
     }
 
+    /** Takes back the latest first call or retry, which wasn't sent after all. */
+    takeBack(kind: "first-call" | "retry"): void {
+        (kind === "retry" ? this.retryTimesMs : this.firstCallTimesMs).pop();
+    }
+
     private dropExpired(): void {
         const sinceMs = this.clock.now() - this.bound().windowMs;
         dropBefore(this.firstCallTimesMs, sinceMs);
--- a/src/process/routing/StageAdmission.ts
+++ b/src/process/routing/StageAdmission.ts
@@ -45,7 +45,7 @@
         const services = new Set(openJobs.flatMap(job => job.order.stages.map(stage => stage.service)));
         const loads = [...services].flatMap(service => this.loadOf(service, openJobs) ?? []);
         const usable = loads.filter(load => load.instanceCount > 0);
-        return Math.max(0, ...usable.map(load => load.piecesAhead / estimates.piecesPerMs(load)));
+        return Math.max(0, ...usable.map(load => load.holdMs + load.piecesAhead / estimates.piecesPerMs(load)));
     }
 
     /** Updates the bias with the actual time of a completed order. */
@@ -65,7 +65,12 @@
         const piecesAhead = preceding.reduce((sum, job) => sum + job.countWaitingPieces(service), 0);
         const slowness = meanSlowness(instances.map(instance => this.instances.slowness(instance.id)));
         const freeInstanceCount = instances.filter(instance => this.instances.isFree(instance.id, capacity)).length;
-        return { capacity, instanceCount: instances.length, freeInstanceCount, piecesAhead, slowness };
+        const holdMs = this.services.holdMs(service);
+        if (holdMs > 0) {
+            // The first one to return; when the others do isn't counted on.
+            return { capacity, instanceCount: 1, freeInstanceCount: 1, piecesAhead, slowness: 1, holdMs };
+        }
+        return { capacity, instanceCount: instances.length, freeInstanceCount, piecesAhead, slowness, holdMs };
     }
 }
 
--- a/src/process/routing/StageBatching.ts
+++ b/src/process/routing/StageBatching.ts
@@ -21,6 +21,15 @@
     readonly failureDomain: string;
 }
 
+/** Scheduling input for one service: instances to use or probe, those of them with a free slot, and ready pieces. */
+export interface ServiceWork {
+    readonly service: string;
+    readonly capacity: routing.StageCapacity;
+    readonly candidates: readonly StageInstance[];
+    readonly free: readonly StageInstance[];
+    readonly ready: readonly jobs.JobPiece[];
+}
+
 /** One call on an instance, with pieces of one or more orders. */
 export interface StageBatch {
     readonly id: number;
--- a/src/process/routing/StageEstimate.ts
+++ b/src/process/routing/StageEstimate.ts
@@ -18,6 +18,15 @@
     readonly piecesAhead: number;
     /** Ratio of measured to published call time. */
     readonly slowness: number;
+    /** Time until the first of them accepts work. */
+    readonly holdMs: number;
+}
+
+/** Published data of services, and their holds. */
+export interface ServiceSource {
+    capacity(service: string): routing.StageCapacity | undefined;
+    /** Time until one of a service's instances may be called, while all of them hold off; else 0. */
+    holdMs(service: string): number;
 }
 
 /** Throughput of a service with full calls, in pieces per millisecond. */
@@ -35,7 +44,7 @@
 function stageEndMs(load: ServiceLoad, pieces: number, startMs: number): number {
     const { capacity, instanceCount, slowness } = load;
     const fullCallMs = callTimeMs(capacity, capacity.batch) * slowness;
-    const waitMs = load.piecesAhead / piecesPerMs(load) - startMs;
+    const waitMs = load.piecesAhead / piecesPerMs(load) - (startMs - load.holdMs);
     const isBusy = waitMs > 0 || (load.freeInstanceCount === 0 && startMs === 0);
     if (!isBusy) {
         return startMs + callTimeMs(capacity, Math.min(pieces, capacity.batch)) * slowness;
@@ -53,8 +62,11 @@
 ): number {
     const stageEndsMs: number[] = [];
     for (const stage of order.stages) {
-        const startMs = Math.max(0, ...stage.after.map(predecessor => stageEndsMs[predecessor] ?? 0));
         const load = stage.pieces === 0 ? undefined : loadOf(stage.service);
+        const startMs = Math.max(
+            load?.holdMs ?? 0,
+            ...stage.after.map(predecessor => stageEndsMs[predecessor] ?? 0),
+        );
         if (stage.pieces > 0 && (load === undefined || load.instanceCount === 0)) {
             return Infinity;
         }
@@ -66,14 +78,16 @@
 /** Optimistic time until an order is done: calls as full as possible, no delays; running pieces count as done. */
 export function minCompletionMs(
     job: jobs.StageJob,
-    capacityOf: (service: string) => routing.StageCapacity | undefined,
+    services: ServiceSource,
 ): number {
     const stageEndsMs: number[] = [];
     job.order.stages.forEach((stage, index) => {
-        const startMs = Math.max(0, ...stage.after.map(predecessor => stageEndsMs[predecessor] ?? 0));
-        const capacity = capacityOf(stage.service);
+        const inputsMs = Math.max(0, ...stage.after.map(predecessor => stageEndsMs[predecessor] ?? 0));
+        const capacity = services.capacity(stage.service);
         const waiting = Math.min(job.countWaitingInStage(index), capacity?.batch ?? 0);
-        stageEndsMs.push(startMs + (capacity === undefined || waiting === 0 ? 0 : callTimeMs(capacity, waiting)));
+        const isDone = capacity === undefined || waiting === 0;
+        const startMs = Math.max(inputsMs, isDone ? 0 : services.holdMs(stage.service));
+        stageEndsMs.push(startMs + (isDone ? 0 : callTimeMs(capacity, waiting)));
     });
     return Math.max(0, ...stageEndsMs);
 }
--- a/src/process/routing/StageFixtures.ts
+++ b/src/process/routing/StageFixtures.ts
@@ -24,7 +24,11 @@
 }));
 
 /** Published data of the sample service, the same for any name. */
-export const services: stageInstances.StageServices = { capacity: () => CAPACITY, instances: () => INSTANCES };
+export const services: stageInstances.StageServices = {
+    capacity: () => CAPACITY,
+    instances: () => INSTANCES,
+    holdMs: () => 0,
+};
 
 /** An order with one stage of 16 pieces, unless overridden. */
 export function createOrder(attempt: string, overrides: Partial<stageOrders.StageOrder> = {}): stageOrders.StageOrder {
--- a/src/process/routing/StageHost.ts
+++ b/src/process/routing/StageHost.ts
@@ -10,6 +10,7 @@
 import * as exchanges from "../../request/routed/UpstreamExchange";
 import * as handOvers from "./HostHandOver";
 import * as pools from "./InstancePool";
+import * as traffic from "./InstanceTraffic";
 import * as views from "./PublishedView";
 import * as releasers from "./ResultReleaser";
 import * as batching from "./StageBatching";
@@ -78,6 +79,7 @@
         this.scheduler = new schedulers.StageScheduler({
             capacity: service => options.view.table?.findService(service)?.stage,
             instances: service => options.ownInstances(service, options.pool.usableInstances(service)),
+            holdMs: service => options.pool.holds.serviceHoldMs(service),
         });
         this.subscription = options.releaser.onReleased(handles => {
             this.scheduler.recordReleased(handles);
@@ -122,7 +124,9 @@
             waiting,
         }, "stage order received");
         if (job === undefined) {
-            const retryAfterMs = admission.kind === "refused" ? admission.retryAfterMs : undefined;
+            const estimatedMs = admission.kind === "refused" ? admission.retryAfterMs : undefined;
+            const heldMs = this.heldRetryAfterMs(order);
+            const retryAfterMs = heldMs === undefined ? estimatedMs : Math.max(heldMs, estimatedMs ?? 0);
             const failure = codes.failure(codes.codes.deadlineUnreachable, "stages are busy", retryAfterMs);
             return Promise.resolve({ kind: "failed", failure });
         }
@@ -206,14 +210,20 @@
         );
         const pieceResults = await this.sendBatch(batch);
         inputsReadTimer.dispose();
-        this.scheduler.endBatch(batch, pieceResults, this.options.clock.now());
+        if (pieceResults === "held") {
+            this.scheduler.returnBatch(batch, this.options.clock.now());
+        }
+        else {
+            this.scheduler.endBatch(batch, pieceResults, this.options.clock.now());
+        }
         this.dispatch();
     }
 
+    /** Resolves to the outcomes of the pieces, `held` if the instance holds off, or undefined on failure. */
     private async sendBatch(
         batch: batching.StageBatch,
-    ): Promise<readonly routingPorts.StagePieceOutcome[] | undefined> {
-        const { clock, wire, view } = this.options;
+    ): Promise<readonly routingPorts.StagePieceOutcome[] | "held" | undefined> {
+        const { clock, wire, view, pool: { holds } } = this.options;
         const published = view.find(batch.instance.id);
         if (published === undefined) {
             return undefined;
@@ -236,19 +246,26 @@
             body,
             isNewConnection: false,
             answerTimeoutMs: ANSWER_TIMEOUT_MS,
+            isHeld: () => holds.remainingMs(published) > 0,
         });
         if (response.kind === "failed") {
-            ticket.end(response.isStaleConnection ? "cancelled" : "unreachable");
+            const isHeld = response.reason === "held";
+            ticket.end(response.isStaleConnection || isHeld ? "cancelled" : "unreachable");
             this.logCall(batch, response.reason);
-            return undefined;
+            return isHeld ? "held" : undefined;
+        }
+        const holdMs = wire.readHold(response.status, response.headers);
+        if (holdMs !== undefined) {
+            holds.start(batch.instance.address, published, holdMs, "stage-call");
         }
         const content = await exchanges.readBody(response, MAX_RESPONSE_BYTES);
         const pieceResults = response.status === 200 && content !== undefined
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
             : undefined;
-        ticket.end(pieceResults === undefined ? "failed" : "ok");
+        const failedOutcome = holdMs === undefined ? "failed" : traffic.rejectionOutcome(holdMs);
+        ticket.end(pieceResults === undefined ? failedOutcome : "ok");
         this.logCall(batch, pieceResults === undefined ? `status ${response.status}` : describeResults(pieceResults));
-        return pieceResults;
+        return holdMs === undefined ? pieceResults : "held";
     }
 
     private toStagePiece(piece: jobs.JobPiece): routingPorts.StagePiece {
@@ -280,10 +297,22 @@
             return;
         }
         const code = outcome.reason === "late" ? codes.codes.deadlineUnreachable : codes.codes.overloaded;
-        const failure = codes.failure(code, `stages ended: ${outcome.reason}`, RETRY_AFTER_MS);
+        const failure = codes.failure(
+            code,
+            `stages ended: ${outcome.reason}`,
+            this.heldRetryAfterMs(job.order) ?? RETRY_AFTER_MS,
+        );
         pendingOrder?.settle({ kind: "failed", failure });
     }
 
+    /** Retry delay of an order's caller while all instances of one of its services hold off; undefined otherwise. */
+    private heldRetryAfterMs(order: stageOrders.StageOrder): number | undefined {
+        const { holds } = this.options.pool;
+        const services = order.stages.filter(stage => stage.pieces > 0).map(stage => stage.service);
+        const delaysMs = services.flatMap(service => holds.callerRetryAfterMs(service) ?? []);
+        return delaysMs.length === 0 ? undefined : Math.max(...delaysMs);
+    }
+
     private releaseUnneeded(): void {
         this.options.releaser.add(this.scheduler.takeReleasable());
     }
--- a/src/process/routing/StageInstances.ts
+++ b/src/process/routing/StageInstances.ts
@@ -3,6 +3,7 @@
  */
 import * as routing from "../../common/Routing";
 import * as batching from "./StageBatching";
+import * as estimates from "./StageEstimate";
 
 /** Weight of the newest call in the moving average of an instance's slowness. */
 const NEWEST_WEIGHT = 0.3;
@@ -21,8 +22,7 @@
 const MIN_SLOWNESS = 0.1;
 
 /** Published data of the services; read at each decision. */
-export interface StageServices {
-    capacity(service: string): routing.StageCapacity | undefined;
+export interface StageServices extends estimates.ServiceSource {
     instances(service: string): readonly batching.StageInstance[];
 }
 
--- a/src/process/routing/StageScheduler.test.ts
+++ b/src/process/routing/StageScheduler.test.ts
@@ -40,6 +40,7 @@
     vitest.it("leave out pieces whose results don't fit into the worker's result memory", () => {
         const smallCapacity = { ...fixtures.CAPACITY, resultMemoryBytes: 70_000 };
         const scheduler = new schedulers.StageScheduler({
+            ...fixtures.services,
             capacity: () => smallCapacity,
             instances: () => [fixtures.INSTANCES[0]!],
         });
@@ -88,6 +89,7 @@
     vitest.it("that are overdue occupy no slot, and reserve result memory only until their results expire", () => {
         const smallCapacity = { ...fixtures.CAPACITY, resultMemoryBytes: 110_000 };
         const scheduler = new schedulers.StageScheduler({
+            ...fixtures.services,
             capacity: () => smallCapacity,
             instances: () => [fixtures.INSTANCES[0]!],
         });
@@ -174,7 +176,11 @@
             inputs: string[];
         } {
             const instances = (service: string) => [fixtures.INSTANCES[service === "archive" ? 0 : 1]!];
-            const scheduler = new schedulers.StageScheduler({ capacity: () => smallCapacity, instances });
+            const scheduler = new schedulers.StageScheduler({
+                capacity: () => smallCapacity,
+                instances,
+                holdMs: () => 0,
+            });
             scheduler.submit(fixtures.createOrder("first", { stages: wideStages }), 0);
             const first = scheduler.nextBatch(0)!;
             scheduler.endBatch(first, fixtures.resultsOf(first), 200);
--- a/src/process/routing/StageScheduler.ts
+++ b/src/process/routing/StageScheduler.ts
@@ -31,15 +31,6 @@
     readonly reason: "done" | "late" | "failed";
 }
 
-/** Scheduling input for one service: instances to use or probe, those of them with a free slot, and ready pieces. */
-interface ServiceWork {
-    readonly service: string;
-    readonly capacity: routing.StageCapacity;
-    readonly candidates: readonly batching.StageInstance[];
-    readonly free: readonly batching.StageInstance[];
-    readonly ready: readonly jobs.JobPiece[];
-}
-
 /** Schedules all stage orders of one stage host. */
 export class StageScheduler {
     private readonly jobs = new Map<number, jobs.StageJob>();
@@ -123,7 +114,7 @@
     }
 
     /** Starts a call on the first free instance with eligible pieces and enough result memory for some of them. */
-    private startOnFirstSuitable(work: ServiceWork, nowMs: number): batching.StageBatch | undefined {
+    private startOnFirstSuitable(work: batching.ServiceWork, nowMs: number): batching.StageBatch | undefined {
         const { service, capacity, candidates, free, ready } = work;
         const awaited = batching.awaitedDomains(ready, candidates, capacity, nowMs);
         for (const instance of ready.length === 0 ? [] : free) {
@@ -169,6 +160,13 @@
         }
     }
 
+    /** Queues the pieces of a call again that its instance rejected because it holds off. */
+    returnBatch(batch: batching.StageBatch, nowMs: number): void {
+        this.instances.recordEnd(batch, false, false, nowMs);
+        this.memory.unreserve(batch.id);
+        batch.pieces.forEach(piece => piece.job.requeue(piece.stage, piece.piece));
+    }
+
     /** Records that a worker had less free result memory than planned. */
     private recordMemoryFull(batch: batching.StageBatch, nowMs: number): void {
         const memoryBytes = this.services.capacity(batch.service)?.resultMemoryBytes ?? 0;
@@ -241,7 +239,7 @@
     }
 
     private minCompletionMs(job: jobs.StageJob): number {
-        return estimates.minCompletionMs(job, service => this.services.capacity(service));
+        return estimates.minCompletionMs(job, this.services);
     }
 
     /** Tracks the memory of results that were computed for an earlier host. */
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -61,6 +61,9 @@
 
 /** Creates the rejection of a call that no instance has run. */
 export function createRejection(history: senders.CallHistory): LocalAnswer {
+    if (history.heldRetryAfterMs !== undefined) {
+        return createHoldRejection(history.heldRetryAfterMs);
+    }
     const code = history.isBudgetSpent
         ? codes.codes.retryBudgetSpent
         : history.sends === 0
@@ -69,6 +72,12 @@
     return { kind: "local-failure", failure: codes.failure(code, `${history.sends} sends`, DEFAULT_RETRY_AFTER_MS) };
 }
 
+/** Creates the rejection of a call to a service of which all instances hold off. */
+export function createHoldRejection(retryAfterMs: number): LocalAnswer {
+    const failure = codes.failure(codes.codes.overloaded, "all instances hold off", retryAfterMs);
+    return { kind: "local-failure", failure };
+}
+
 /** Turns the outcome of one send into the outcome of the run; reads the answer if there is one. */
 async function handleSendOutcome(
     context: senders.SenderContext,
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -27,6 +27,10 @@
     if (call.route.kind !== "stream") {
         return plainRuns.runPlain(context, call);
     }
+    const heldBeyondDeadline = findHoldBeyondDeadline(context, call);
+    if (heldBeyondDeadline !== undefined) {
+        return heldBeyondDeadline;
+    }
     const inputs = new StageInputs(context, call);
     try {
         const stageFailure = await inputs.compute();
@@ -45,6 +49,14 @@
     }
 }
 
+/** Rejects a call before its stages run if all instances that could run it hold off until its deadline. */
+function findHoldBeyondDeadline(context: RunContext, call: calls.RoutedCall): plainRuns.RunOutcome | undefined {
+    const { holds } = context.pool;
+    const retryAfterMs = holds.callerRetryAfterMs(call.service);
+    const isBeyondDeadline = context.clock.now() + holds.serviceHoldMs(call.service) >= call.hardDeadlineAtMs;
+    return retryAfterMs !== undefined && isBeyondDeadline ? plainRuns.createHoldRejection(retryAfterMs) : undefined;
+}
+
 /** Holds the stage results that a call reads, from their computation until their release. */
 class StageInputs {
     results: readonly senders.CallInput[] = [];
--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -147,3 +147,33 @@
         served.server.close();
     });
 });
+
+vitest.describe("a request to an instance that begins to hold off while the connection is opened", () => {
+    vitest.it.each([{ connection: "a new", warmUp: 0 }, { connection: "a reused", warmUp: 1 }])(
+        "isn't sent on $connection connection",
+        async ({ warmUp }) => {
+            const requests: number[] = [];
+            const served = await serve((socket, count) => {
+                requests.push(count);
+                socket.write(`${STATUS_LINE}Content-Length: 2\r\n\r\nok`);
+            });
+            const connections = new upstreamConnections.UpstreamConnections();
+            for (let count = 0; count < warmUp; count++) {
+                const answer = await exchanges.openExchange(connections, clocks.systemClock, request(served.address));
+                await exchanges.readBody(answer as exchanges.OpenAnswer, 10);
+            }
+            let isHeld = false;
+            const pending = exchanges.openExchange(connections, clocks.systemClock, {
+                ...request(served.address),
+                isHeld: () => isHeld,
+            });
+            isHeld = true;
+            const expected = { kind: "failed", isDispatched: false, isStaleConnection: false, reason: "held" };
+            vitest.expect(await pending).toEqual(expected);
+            await clocks.sleep(clocks.systemClock, 50);
+            vitest.expect(requests).toHaveLength(warmUp);
+            connections.destroy();
+            served.server.close();
+        },
+    );
+});
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -29,6 +29,8 @@
     readonly answerTimeoutMs: number;
     /** Asked when the time limit has passed: further time to wait, or 0 to give up. Without it, the limit is final. */
     readonly extendTimeoutMs?: () => number;
+    /** Whether the instance holds off. Asked once more when the connection is established, before the first byte. */
+    readonly isHeld?: () => boolean;
 }
 
 /** An answer whose headers have arrived and whose body has yet to be read. */
@@ -56,7 +58,7 @@
     readonly isDispatched: boolean;
     /** Whether a reused connection was reset, possibly because it was closed while idle; a new one may work. */
     readonly isStaleConnection: boolean;
-    readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled";
+    readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled" | "held";
 }
 
 /** Sends a request and waits for the headers of the answer; `signal` aborts the exchange. Never rejects. */
@@ -125,16 +127,25 @@
     private watchConnect(socket: net.Socket): void {
         socket.setNoDelay(true);
         if (!socket.connecting) {
-            this.isDispatched = true;
+            this.dispatch();
             return;
         }
         this.connectTimer = this.clock.schedule(CONNECT_TIMEOUT_MS, () => this.fail("connect"));
         socket.once("connect", () => {
-            this.isDispatched = true;
             this.connectTimer?.dispose();
+            this.dispatch();
         });
     }
 
+    /** Lets the first byte be sent, unless the instance has begun to hold off since the request was made. */
+    private dispatch(): void {
+        if (this.request.isHeld?.() === true) {
+            this.fail("held");
+            return;
+        }
+        this.isDispatched = true;
+    }
+
     private handleResponse(response: http.IncomingMessage): void {
         if (this.isSettled) {
             return;
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -43,11 +43,19 @@
     possibleRuns: number;
     /** Whether the retry budget denied a retry. */
     isBudgetSpent: boolean;
+    /** When the caller should return, since all instances hold off; undefined if they don't. */
+    heldRetryAfterMs: number | undefined;
 }
 
 /** Creates the history of a call that has not been sent. */
 export function createHistory(): CallHistory {
-    return { triedIncarnations: new Set(), sends: 0, possibleRuns: 0, isBudgetSpent: false };
+    return {
+        triedIncarnations: new Set(),
+        sends: 0,
+        possibleRuns: 0,
+        isBudgetSpent: false,
+        heldRetryAfterMs: undefined,
+    };
 }
 
 /** Outcome of one send. */
@@ -134,7 +142,11 @@
         isNewConnection: !calls.isRetryable(call.route) || history.sends > 1,
         answerTimeoutMs: waitMs(),
         extendTimeoutMs: waitMs,
+        isHeld: () => context.pool.holds.remainingMs(instance) > 0,
     }, call.signal);
+    if (exchange.kind === "failed" && exchange.reason === "held") {
+        takeBackSend(context, call, history);
+    }
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
         : classifyAnswer(context, call, exchange, sent, chosen);
@@ -155,6 +167,7 @@
 ): pools.ChosenInstance | undefined {
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
+        history.heldRetryAfterMs = context.pool.holds.callerRetryAfterMs(call.service);
         return undefined;
     }
     const budget = context.budgetOf(call.service);
@@ -170,6 +183,12 @@
     return chosen;
 }
 
+/** Takes back a send that was cut before its first byte, since its instance began to hold off. */
+function takeBackSend(context: SenderContext, call: calls.RoutedCall, history: CallHistory): void {
+    history.sends--;
+    context.budgetOf(call.service).takeBack(history.sends === 0 ? "first-call" : "retry");
+}
+
 /** Expected time to the first event of the call's next send; undefined when it may not or can't be sent again. */
 function findElsewhereMs(
     context: SenderContext,
@@ -214,7 +233,7 @@
         return { kind: "cancelled" };
     }
     if (!exchange.isDispatched) {
-        ticket.end("unreachable");
+        ticket.end(exchange.reason === "held" ? "cancelled" : "unreachable");
         return { kind: "not-run", isInputLost: false };
     }
     // A reset of a reused connection does not indicate a failed instance: it may have been closed while idle.
@@ -236,6 +255,9 @@
 ): SendOutcome {
     const { ticket } = sent;
     const metadata = context.wire.readAnswer(answer.status, answer.headers);
+    if (metadata.holdMs !== undefined) {
+        context.pool.holds.start(chosen.instance.address, chosen.instance, metadata.holdMs, "call");
+    }
     const isOtherAttempt = metadata.attempt !== undefined && metadata.attempt !== call.metadata.attempt;
     if (isOtherAttempt || !isValidAnswer(answer, metadata)) {
         answer.cancel();
@@ -247,7 +269,8 @@
     }
     if (metadata.effect !== "ran") {
         answer.body.resume();
-        ticket.end(metadata.effect === "other-instance" ? "unreachable" : "refused");
+        const isOther = metadata.effect === "other-instance";
+        ticket.end(isOther ? "unreachable" : traffic.rejectionOutcome(metadata.holdMs));
         return { kind: "not-run", isInputLost: metadata.isInputLost };
     }
     return { kind: "answer", answer, metadata, sent, instance: chosen.instance.id };
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -17,10 +17,22 @@
     readonly atMs: number;
 }
 
+/** A received call, stage call or release, whatever became of it. */
+export interface EngineArrival {
+    /** The call's attempt; undefined for stage calls and releases. */
+    readonly attempt: string | undefined;
+    readonly path: string;
+    readonly atMs: number;
+    /** The `Retry-After` with which the engine rejected it; undefined if it didn't. */
+    readonly retryAfter: string | undefined;
+}
+
 /** Faults; each stays in effect until it is cleared. */
 export interface EngineFaults {
     /** Rejects every call with the header `Not-Executed`. */
     shed?: boolean | undefined;
+    /** Added to these rejections as `Retry-After`. */
+    retryAfter?: string | undefined;
     /** Runs calls and resets the connection without an answer. */
     reset?: boolean | undefined;
     /** Answers with the attempt ID of another call. */
@@ -52,6 +64,7 @@
 export class PlatformEngineStandIn {
     faults: EngineFaults = {};
     readonly runs: EngineRun[] = [];
+    readonly arrivals: EngineArrival[] = [];
     /** The pieces of each received batch. */
     readonly batches: unknown[][] = [];
     readonly releasedHandles: string[] = [];
@@ -100,8 +113,13 @@
             response.writeHead(421, { "Instance-Id": this.options.id }).end();
             return;
         }
-        if (this.faults.shed === true) {
-            response.writeHead(503, { "Not-Executed": "1" }).end();
+        const { shed, retryAfter } = this.faults;
+        const attempt = request.headers["attempt-id"] as string | undefined;
+        const atMs = clocks.systemClock.now();
+        this.arrivals.push({ attempt, path: request.url!, atMs, retryAfter: shed === true ? retryAfter : undefined });
+        if (shed === true) {
+            const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": retryAfter };
+            response.writeHead(503, { "Not-Executed": "1", ...retryHeaders }).end();
             return;
         }
         if (request.url === "/stage-run" || request.url === "/stage-free") {
@@ -109,7 +127,7 @@
             return;
         }
         const { method, url, headers } = request;
-        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now() });
+        this.runs.push({ method: method!, path: url!, headers, body, atMs });
         response.on("close", () => this.cancelledRuns += response.writableFinished ? 0 : 1);
         if (this.faults.reset === true) {
             request.socket.resetAndDestroy();
