Soak: engines ask for holds

Cause: no fault of the soak brought about a rejection with Retry-After.

Change: the fault "hold-off" lets all engines of a service reject calls with Retry-After 1.5 s; the stand-in records every arrival, and the soak checks that at most two calls of one entry reach the engine between 0.5 s and the end. Stage calls aren't checked, since the soak can't tell which entry sent them.

--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -52,6 +52,8 @@
     readonly faults?: readonly histories.SoakFault[];
     readonly versions?: readonly histories.SoakVersion[];
     readonly drainingSinceMs?: number;
+    /** Times at which calls reach an engine that has rejected one with a hold of 2 s at 100,000. */
+    readonly arrivalsInHoldMs?: readonly number[];
     readonly promise?: string;
 }
 
@@ -178,6 +180,26 @@
             { kind: "kill", entry: 0, fromMs: 100_030, toMs: 100_500 },
         ],
     },
+    {
+        name: "three calls in the hold of an engine",
+        calls: [createCall()],
+        runs: [createRun()],
+        arrivalsInHoldMs: [100_600, 100_700, 101_900],
+        promise: "an engine that asks for a hold gets nothing in it",
+    },
+    {
+        name: "two calls in the hold of an engine, others before and after",
+        calls: [createCall()],
+        runs: [createRun()],
+        arrivalsInHoldMs: [100_100, 100_400, 100_600, 101_900, 102_001],
+    },
+    {
+        name: "calls in the hold of an engine whose link was held",
+        calls: [createCall()],
+        runs: [createRun()],
+        faults: [{ kind: "link-hold", engine: "desk-1", fromMs: 99_900, toMs: 100_100 }],
+        arrivalsInHoldMs: [100_600, 100_700, 101_900],
+    },
     {
         name: "a rejection without Retry-After",
         calls: [createCall({ status: 429 })],
@@ -197,18 +219,26 @@
         vitest.expect(checks.findViolations(history, DEADLINE_MS)).toHaveLength(isViolation ? 1 : 0);
     });
 
-    vitest.it.each(cases)("classify $name", ({ calls, runs, faults, versions, drainingSinceMs, promise }) => {
-        const history = new histories.SoakHistory();
-        history.calls.push(...calls);
-        history.runs.push(...runs);
-        history.faults.push(...faults ?? []);
-        history.versions.push(...versions ?? []);
-        if (drainingSinceMs !== undefined) {
-            history.drainingSinceMs.set("desk-1", drainingSinceMs);
-        }
-        const found = checks.findViolations(history, DEADLINE_MS).map(violation => violation.promise);
-        vitest.expect(found).toEqual(promise === undefined ? [] : [promise]);
-    });
+    vitest.it.each(cases)(
+        "classify $name",
+        ({ calls, runs, faults, versions, drainingSinceMs, arrivalsInHoldMs, promise }) => {
+            const history = new histories.SoakHistory();
+            history.calls.push(...calls);
+            history.runs.push(...runs);
+            history.faults.push(...faults ?? []);
+            history.versions.push(...versions ?? []);
+            const arrival = { attempt: "a-1", engine: "desk-1" };
+            history.arrivals.push({ ...arrival, atMs: 100_000, retryAfter: arrivalsInHoldMs && "2" });
+            history.arrivals.push(
+                ...(arrivalsInHoldMs ?? []).map(atMs => ({ ...arrival, atMs, retryAfter: undefined })),
+            );
+            if (drainingSinceMs !== undefined) {
+                history.drainingSinceMs.set("desk-1", drainingSinceMs);
+            }
+            const found = checks.findViolations(history, DEADLINE_MS).map(violation => violation.promise);
+            vitest.expect(found).toEqual(promise === undefined ? [] : [promise]);
+        },
+    );
 
     vitest.it.each([
         { name: "most calls served", failedCount: 1, isViolation: false },
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -14,6 +14,10 @@
 const CONFIGURATION_LIMIT_MS = 2_000;
 /** Platform limit: longest time until a draining engine gets no more calls from an undisturbed entry. */
 const DRAIN_LIMIT_MS = 2_000;
+/** Platform limit: calls that are on their way when an engine asks for a hold arrive within this time. */
+const HOLD_TRANSIT_MS = 500;
+/** Platform limit: most calls from one entry that may reach an engine later in its hold. */
+const MAX_ARRIVALS_IN_HOLD = 2;
 /** Time for the system to recover once all faults have ended. */
 export const RECOVERY_MS = 12_000;
 /** Minimum share of the calls after the recovery that must be served. */
@@ -50,6 +54,7 @@
     { name: "no call hangs beyond its deadline", find: findOverdueCalls },
     { name: "a configuration is in force in time", find: findStaleConfigurations },
     { name: "an engine that leaves gets nothing more", find: findRunsAfterLeaving },
+    { name: "an engine that asks for a hold gets nothing in it", find: findArrivalsInHolds },
     { name: "a planned stop cuts nothing", find: findCallsAbortedByStop },
     { name: "a refusal says when to come back", find: findMissingRetryAfter },
     { name: "no process ends by itself", find: findUnexpectedExits },
@@ -178,6 +183,29 @@
     });
 }
 
+/** Finds rejections after which too many calls of the same entry reached the engine in the hold that it asked for. */
+function findArrivalsInHolds(history: histories.SoakHistory): readonly unknown[] {
+    const entries = new Map(history.calls.map(call => [call.attempt, call.entry] as const));
+    const entryOf = (arrival: histories.SoakArrival): number | undefined => entries.get(arrival.attempt ?? "");
+    return history.arrivals.flatMap(rejection => {
+        const entry = entryOf(rejection);
+        if (rejection.retryAfter === undefined || entry === undefined) {
+            return [];
+        }
+        const fromMs = rejection.atMs + HOLD_TRANSIT_MS;
+        const toMs = rejection.atMs + Number(rejection.retryAfter) * 1_000;
+        const arrivals = history.arrivals.filter(other =>
+            other.engine === rejection.engine && other.atMs > fromMs && other.atMs < toMs && entryOf(other) === entry
+        );
+        const isExcused = !history.isUndisturbed(entry, rejection.atMs, toMs)
+            || history.faults.some(fault =>
+                fault.engine === rejection.engine && fault.kind.startsWith("link-")
+                && fault.fromMs <= toMs && fault.toMs >= rejection.atMs
+            );
+        return arrivals.length > MAX_ARRIVALS_IN_HOLD && !isExcused ? [{ rejection, arrivals }] : [];
+    });
+}
+
 /** Finds calls that the entry had read, as they reached an engine, but left incomplete only due to its planned stop. */
 function findCallsAbortedByStop(history: histories.SoakHistory): readonly unknown[] {
     const stops = history.faults.filter(fault => fault.kind === "stop");
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -14,6 +14,7 @@
 export const ENGINE_FAULTS = [
     "reset",
     "shed",
+    "hold-off",
     "error",
     "other-attempt",
     "break",
@@ -23,6 +24,8 @@
     "link-hold",
     "link-reset",
 ] as const;
+/** Those of them that affect all engines of the service. */
+export const SERVICE_FAULTS: ReadonlySet<string> = new Set(["hold-off"]);
 /** Faults of the store, which affect all entries. */
 export const STORE_FAULTS = ["store-down", "store-silent", "store-compact"] as const;
 
@@ -101,6 +104,7 @@
 export const standInFaults: Record<string, engines.EngineFaults> = {
     reset: { reset: true },
     shed: { shed: true },
+    "hold-off": { shed: true, retryAfter: "1.5" },
     error: { status: 500 },
     "other-attempt": { otherAttempt: true },
     break: { breakAfterEvent: BREAK_AFTER_EVENTS },
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -108,12 +108,7 @@
                 this.injectEntryFault(fault.kind, pickIndex(this.entries, fault.targetFraction), fault.durationMs);
                 return;
             case "link":
-                this.injectLinkFault(
-                    fault.link,
-                    fault.kind,
-                    pickIndex(this.entries, fault.targetFraction),
-                    fault.durationMs,
-                );
+                this.injectLinkFault(fault.link, fault.kind, fault.targetFraction, fault.durationMs);
                 return;
             case "engine":
                 this.injectEngineFault(fault.kind, pickIndex(this.engines, fault.targetFraction), fault.durationMs);
@@ -127,12 +122,13 @@
         }
     }
 
-    /** Adds the runs of all engines, including the removed ones, to the history. */
+    /** Adds what all engines have observed, including the removed ones, to the history. */
     collectRuns(): void {
-        for (const { standIn } of [...this.engines, ...this.removedEngines]) {
-            this.history.runs.push(...standIn.runs.map(run => ({
+        for (const { standIn: { arrivals, runs, options } } of [...this.engines, ...this.removedEngines]) {
+            this.history.arrivals.push(...arrivals.map(arrival => ({ ...arrival, engine: options.id })));
+            this.history.runs.push(...runs.map(run => ({
                 attempt: String(run.headers["attempt-id"]),
-                engine: standIn.options.id,
+                engine: options.id,
                 path: run.path,
                 atMs: run.atMs,
                 team: run.headers["tenant"] as string | undefined,
@@ -262,9 +258,10 @@
     private injectLinkFault(
         linkName: typeof faults.LINK_NAMES[number],
         kind: typeof faults.LINK_FAULTS[number],
-        index: number,
+        targetFraction: number,
         durationMs: number,
     ): void {
+        const index = pickIndex(this.entries, targetFraction);
         this.recordFault({ kind: `${linkName}-${kind}`, entry: index }, durationMs);
         injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
     }
@@ -281,8 +278,11 @@
             injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
             return;
         }
-        standIn.faults = faults.standInFaults[kind] ?? {};
-        this.runLater(durationMs, () => standIn.faults = {});
+        const sameService = this.engines.filter(other => other.standIn.options.service === standIn.options.service);
+        for (const affected of faults.SERVICE_FAULTS.has(kind) ? sameService : [engine]) {
+            affected.standIn.faults = faults.standInFaults[kind] ?? {};
+            this.runLater(durationMs, () => affected.standIn.faults = {});
+        }
     }
 
     /** Drains and removes an engine, and adds one with a new name in its place. */
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -38,6 +38,15 @@
     readonly hasKey: boolean;
 }
 
+/** One call that reached an engine, which ran or rejected it. */
+export interface SoakArrival {
+    readonly attempt: string | undefined;
+    readonly engine: string;
+    readonly atMs: number;
+    /** The time, in seconds, for which the engine wants nothing more from the entry, if it rejected the call so. */
+    readonly retryAfter: string | undefined;
+}
+
 /** One injected fault, planned operation or configuration change. */
 export interface SoakFault {
     readonly kind: string;
@@ -65,6 +74,7 @@
 export class SoakHistory {
     readonly calls: SoakCall[] = [];
     readonly runs: SoakRun[] = [];
+    readonly arrivals: SoakArrival[] = [];
     readonly faults: SoakFault[] = [];
     readonly versions: SoakVersion[] = [];
     readonly unexpectedExits: UnexpectedExit[] = [];
