--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -1,43 +1,9 @@
 import * as vitest from "vitest";
 import * as checks from "./SoakChecks";
+import * as fixtures from "./SoakFixtures";
 import * as histories from "./SoakHistory";
 
 const DEADLINE_MS = 4_000;
-const EVENT_TEXTS = Array.from(
-    { length: checks.EVENT_COUNT },
-    (_, index) => `id: ${index + 1}\ndata: part ${index + 1}\n\n`,
-);
-
-function createCall(overrides: Partial<histories.SoakCall> = {}): histories.SoakCall {
-    return {
-        attempt: "a-1",
-        route: "book",
-        entry: 0,
-        path: "/book/a-1",
-        sentMs: 100_000,
-        endedMs: 100_050,
-        status: 200,
-        stamp: "stamp-desk-1",
-        body: "answer of desk-1 to a-1",
-        isWhole: true,
-        hasRetryAfter: false,
-        ...overrides,
-    };
-}
-
-function createRun(overrides: Partial<histories.SoakRun> = {}): histories.SoakRun {
-    return {
-        attempt: "a-1",
-        engine: "desk-1",
-        path: "/book/a-1",
-        atMs: 100_010,
-        team: "gilders",
-        hasKey: false,
-        isLeaving: false,
-        ...overrides,
-    };
-}
-
 /** Two calls through one entry to an engine that leaves, with `betweenMs` between the first answer and the second call. */
 function createLeavingCase(
     betweenMs: number,
@@ -46,25 +12,27 @@
     const sentMs = 100_050 + betweenMs;
     const later = { attempt: "a-2", path: "/book/a-2", sentMs, endedMs: sentMs + 50, body: "answer of desk-1 to a-2" };
     return {
-        calls: [createCall(), createCall({ ...later, ...second })],
+        calls: [fixtures.createCall(), fixtures.createCall({ ...later, ...second })],
         runs: [
-            createRun({ isLeaving: true }),
-            createRun({ attempt: "a-2", path: "/book/a-2", atMs: sentMs + 10, isLeaving: true }),
+            fixtures.createRun({ isLeaving: true }),
+            fixtures.createRun({ attempt: "a-2", path: "/book/a-2", atMs: sentMs + 10, isLeaving: true }),
         ],
     };
 }
 
-const streamCall = createCall({
+const streamCall = fixtures.createCall({
     route: "notes",
     path: "/notes/a-1",
-    body: EVENT_TEXTS.join(""),
+    body: fixtures.EVENT_TEXTS.join(""),
     stamp: "stamp-model-1",
 });
-const streamRun = createRun({ path: "/notes/a-1", engine: "model-1" });
+const streamRun = fixtures.createRun({ path: "/notes/a-1", engine: "model-1" });
 
 /** The events from one ID to another, as written by a software version. */
 function eventsOf(version: string, fromId: number, toId: number): string {
-    return EVENT_TEXTS.slice(fromId - 1, toId).map(text => text.replace("\n\n", ` of ${version}\n\n`)).join("");
+    return fixtures.EVENT_TEXTS.slice(fromId - 1, toId).map(text => text.replace("\n\n", ` of ${version}\n\n`)).join(
+        "",
+    );
 }
 
 /** A stream that was cut in its fourth event. */
@@ -83,8 +51,8 @@
 }
 /** A call on the second version's route, and later one on the first version's. */
 const revertedCalls = [
-    createCall({ route: "v2", path: "/v2/a-1" }),
-    createCall({
+    fixtures.createCall({ route: "v2", path: "/v2/a-1" }),
+    fixtures.createCall({
         attempt: "a-2",
         route: "v1",
         path: "/v1/a-2",
@@ -94,8 +62,8 @@
     }),
 ];
 const revertedRuns = [
-    createRun({ path: "/v2/a-1" }),
-    createRun({ attempt: "a-2", path: "/v1/a-2", atMs: 100_510 }),
+    fixtures.createRun({ path: "/v2/a-1" }),
+    fixtures.createRun({ attempt: "a-2", path: "/v1/a-2", atMs: 100_510 }),
 ];
 
 interface Case {
@@ -105,11 +73,13 @@
     readonly faults?: readonly histories.SoakFault[];
     readonly versions?: readonly histories.SoakVersion[];
     readonly drainingSinceMs?: number;
+    /** Times at which calls reach an engine that has rejected one with a hold of 2 s at 100,000. */
+    readonly arrivalsInHoldMs?: readonly number[];
     readonly promise?: string;
 }
 
 const cases: readonly Case[] = [
-    { name: "a call that ran once", calls: [createCall()], runs: [createRun()] },
+    { name: "a call that ran once", calls: [fixtures.createCall()], runs: [fixtures.createRun()] },
     { name: "a stream", calls: [streamCall], runs: [streamRun] },
     {
         name: "a stream that was resumed on another engine",
@@ -150,88 +120,88 @@
     },
     {
         name: "two runs of an at-most-once call",
-        calls: [createCall()],
-        runs: [createRun(), createRun({ engine: "desk-2" })],
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun(), fixtures.createRun({ engine: "desk-2" })],
         promise: "a call that may run once runs once",
     },
     {
         name: "a call that ran and was rejected as not run",
-        calls: [createCall({ status: 503, hasRetryAfter: true, isWhole: true })],
-        runs: [createRun()],
+        calls: [fixtures.createCall({ status: 503, hasRetryAfter: true, isWhole: true })],
+        runs: [fixtures.createRun()],
         promise: "a call that is refused as not run never runs",
     },
     {
         name: "an answer to another call",
-        calls: [createCall({ body: "answer of desk-1 to a-2" })],
-        runs: [createRun()],
+        calls: [fixtures.createCall({ body: "answer of desk-1 to a-2" })],
+        runs: [fixtures.createRun()],
         promise: "a success is one engine's whole answer to this call",
     },
     {
         name: "a success without an answer of an engine",
-        calls: [createCall({ stamp: undefined })],
+        calls: [fixtures.createCall({ stamp: undefined })],
         runs: [],
         promise: "a success is one engine's whole answer to this call",
     },
     {
         name: "a missing event",
-        calls: [{ ...streamCall, body: EVENT_TEXTS.filter((_, index) => index !== 2).join("") }],
+        calls: [{ ...streamCall, body: fixtures.EVENT_TEXTS.filter((_, index) => index !== 2).join("") }],
         runs: [streamRun],
         promise: "a stream has every event once and in order",
     },
     {
         name: "a repeated event in an interrupted stream",
-        calls: [{ ...streamCall, body: `${EVENT_TEXTS[0]}${EVENT_TEXTS[0]}`, isWhole: false }],
+        calls: [{ ...streamCall, body: `${fixtures.EVENT_TEXTS[0]}${fixtures.EVENT_TEXTS[0]}`, isWhole: false }],
         runs: [streamRun],
         promise: "a stream has every event once and in order",
     },
     {
         name: "a path that was changed before it reached the engine",
-        calls: [createCall()],
-        runs: [createRun({ path: "/book/a-2" })],
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun({ path: "/book/a-2" })],
         promise: "engines get calls as their callers sent them",
     },
     {
         name: "an API key that was passed to an engine",
-        calls: [createCall()],
-        runs: [createRun({ hasKey: true })],
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun({ hasKey: true })],
         promise: "engines get calls as their callers sent them",
     },
     {
         name: "a valid call that was rejected",
-        calls: [createCall({ status: 404 })],
+        calls: [fixtures.createCall({ status: 404 })],
         runs: [],
         promise: "proper calls aren't rejected",
     },
     {
         name: "a call that exceeds its deadline",
-        calls: [createCall({ endedMs: 106_000, status: undefined, isWhole: false })],
+        calls: [fixtures.createCall({ endedMs: 106_000, status: undefined, isWhole: false })],
         runs: [],
         promise: "no call hangs beyond its deadline",
     },
     {
         name: "a call that exceeds its deadline on a paused entry",
-        calls: [createCall({ endedMs: 106_000, status: undefined, isWhole: false })],
+        calls: [fixtures.createCall({ endedMs: 106_000, status: undefined, isWhole: false })],
         runs: [],
         faults: [{ kind: "pause", entry: 0, fromMs: 99_000, toMs: 105_000 }],
     },
     {
         name: "a call served on a route that was removed long ago",
-        calls: [createCall({ route: "v1", path: "/v1/a-1" })],
-        runs: [createRun({ path: "/v1/a-1" })],
+        calls: [fixtures.createCall({ route: "v1", path: "/v1/a-1" })],
+        runs: [fixtures.createRun({ path: "/v1/a-1" })],
         versions: [{ version: 1, atMs: 80_000 }, { version: 2, atMs: 97_000 }],
         promise: "a configuration is in force in time",
     },
     {
         name: "a call rejected on a route that was added long ago",
-        calls: [createCall({ route: "v2", path: "/v2/a-1", status: 404 })],
+        calls: [fixtures.createCall({ route: "v2", path: "/v2/a-1", status: 404 })],
         runs: [],
         versions: [{ version: 1, atMs: 80_000 }, { version: 2, atMs: 97_000 }],
         promise: "a configuration is in force in time",
     },
     {
         name: "a call served on a route that was just removed",
-        calls: [createCall({ route: "v1", path: "/v1/a-1" })],
-        runs: [createRun({ path: "/v1/a-1" })],
+        calls: [fixtures.createCall({ route: "v1", path: "/v1/a-1" })],
+        runs: [fixtures.createRun({ path: "/v1/a-1" })],
         versions: [{ version: 1, atMs: 80_000 }, { version: 2, atMs: 99_000 }],
     },
     {
@@ -250,15 +220,15 @@
     },
     {
         name: "a run long after the engine began to drain",
-        calls: [createCall()],
-        runs: [createRun()],
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun()],
         drainingSinceMs: 97_000,
         promise: "an engine that leaves gets nothing more",
     },
     {
         name: "a run just after the engine began to drain",
-        calls: [createCall()],
-        runs: [createRun()],
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun()],
         drainingSinceMs: 99_000,
     },
     {
@@ -281,23 +251,43 @@
     },
     {
         name: "a call that a planned stop aborted",
-        calls: [createCall({ status: undefined, isWhole: false })],
-        runs: [createRun()],
+        calls: [fixtures.createCall({ status: undefined, isWhole: false })],
+        runs: [fixtures.createRun()],
         faults: [{ kind: "stop", entry: 0, fromMs: 100_020, toMs: 103_000 }],
         promise: "a planned stop cuts nothing",
     },
     {
         name: "a call that was aborted by a kill of its entry during a planned stop",
-        calls: [createCall({ status: undefined, isWhole: false })],
-        runs: [createRun()],
+        calls: [fixtures.createCall({ status: undefined, isWhole: false })],
+        runs: [fixtures.createRun()],
         faults: [
             { kind: "stop", entry: 0, fromMs: 100_020, toMs: 103_000 },
             { kind: "kill", entry: 0, fromMs: 100_030, toMs: 100_500 },
         ],
     },
+    {
+        name: "three calls in the hold of an engine",
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun()],
+        arrivalsInHoldMs: [100_600, 100_700, 101_900],
+        promise: "an engine that asks for a hold gets nothing in it",
+    },
+    {
+        name: "two calls in the hold of an engine, others before and after",
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun()],
+        arrivalsInHoldMs: [100_100, 100_400, 100_600, 101_900, 102_001],
+    },
+    {
+        name: "calls in the hold of an engine whose link was held",
+        calls: [fixtures.createCall()],
+        runs: [fixtures.createRun()],
+        faults: [{ kind: "link-hold", engine: "desk-1", fromMs: 99_900, toMs: 100_100 }],
+        arrivalsInHoldMs: [100_600, 100_700, 101_900],
+    },
     {
         name: "a rejection without Retry-After",
-        calls: [createCall({ status: 429 })],
+        calls: [fixtures.createCall({ status: 429 })],
         runs: [],
         promise: "a refusal says when to come back",
     },
@@ -314,18 +304,26 @@
         vitest.expect(checks.findViolations(history, DEADLINE_MS)).toHaveLength(isViolation ? 1 : 0);
     });
 
-    vitest.it.each(cases)("classify $name", ({ calls, runs, faults, versions, drainingSinceMs, promise }) => {
-        const history = new histories.SoakHistory();
-        history.calls.push(...calls);
-        history.runs.push(...runs);
-        history.faults.push(...faults ?? []);
-        history.versions.push(...versions ?? []);
-        if (drainingSinceMs !== undefined) {
-            history.drainingSinceMs.set("desk-1", drainingSinceMs);
-        }
-        const found = checks.findViolations(history, DEADLINE_MS).map(violation => violation.promise);
-        vitest.expect(found).toEqual(promise === undefined ? [] : [promise]);
-    });
+    vitest.it.each(cases)(
+        "classify $name",
+        ({ calls, runs, faults, versions, drainingSinceMs, arrivalsInHoldMs, promise }) => {
+            const history = new histories.SoakHistory();
+            history.calls.push(...calls);
+            history.runs.push(...runs);
+            history.faults.push(...faults ?? []);
+            history.versions.push(...versions ?? []);
+            const arrival = { attempt: "a-1", engine: "desk-1" };
+            history.arrivals.push({ ...arrival, atMs: 100_000, retryAfter: arrivalsInHoldMs && "2" });
+            history.arrivals.push(
+                ...(arrivalsInHoldMs ?? []).map(atMs => ({ ...arrival, atMs, retryAfter: undefined })),
+            );
+            if (drainingSinceMs !== undefined) {
+                history.drainingSinceMs.set("desk-1", drainingSinceMs);
+            }
+            const found = checks.findViolations(history, DEADLINE_MS).map(violation => violation.promise);
+            vitest.expect(found).toEqual(promise === undefined ? [] : [promise]);
+        },
+    );
 
     vitest.it.each([
         { name: "most calls served", failedCount: 1, isViolation: false },
@@ -333,7 +331,7 @@
     ])("classify a recovery with $name", ({ failedCount, isViolation }) => {
         const history = new histories.SoakHistory();
         for (let index = 0; index < 100; index++) {
-            history.calls.push(createCall({ status: index < failedCount ? 503 : 200 }));
+            history.calls.push(fixtures.createCall({ status: index < failedCount ? 503 : 200 }));
         }
         vitest.expect(checks.findRecoveryViolation(history, 0) !== undefined).toBe(isViolation);
     });
--- a/src/process/routing/InstancePool.test.ts
+++ b/src/process/routing/InstancePool.test.ts
@@ -24,6 +24,7 @@
     const leaving = new leavingInstances.LeavingInstances(clock);
     const pool = new pools.InstancePool({
         clock,
+        log: logs.silentLog,
         random: () => 0,
         view,
         leaving,
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -1,13 +1,15 @@
 /**
  * The upstream instances that calls may go to: their published state combined with this process's own traffic.
- * Limits the call rate of cold instances and excludes instances that are draining, leaving, out of service or paused.
+ * Limits the call rate of cold instances and excludes those that are draining, leaving, out of service, held or paused.
  */
 import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
 import * as rendezvous from "../../common/RendezvousHash";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
+import * as instanceHolds from "./InstanceHolds";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
 import * as promptReading from "./PromptReading";
@@ -35,6 +37,7 @@
 /** What the pool needs from its process. */
 export interface InstancePoolOptions {
     readonly clock: clocks.Clock;
+    readonly log: logs.Log;
     readonly random: () => number;
     readonly view: views.PublishedView;
     readonly leaving: leavingInstances.LeavingInstances;
@@ -79,9 +82,7 @@
 }
 
 /** Identifies one incarnation of an instance. */
-export function incarnationKey(instance: routing.RoutedInstance): string {
-    return `${instance.id}@${instance.startedMs}`;
-}
+export const incarnationKey = instanceHolds.incarnationKey;
 
 /** Chooses instances and keeps the traffic counts of each. */
 export class InstancePool implements clocks.Disposable {
@@ -92,8 +93,14 @@
     /** When each failure domain last returned to service. */
     private readonly backInServiceMs = new Map<string, number>();
     private readonly subscription: clocks.Disposable;
+    readonly holds: instanceHolds.InstanceHolds;
 
     constructor(private readonly options: InstancePoolOptions) {
+        this.holds = new instanceHolds.InstanceHolds({
+            ...options,
+            isInService: instance => this.isInService(instance) && !options.leaving.isLeaving(instance),
+            entryCount: () => options.entryNames().length,
+        });
         this.subscription = options.view.onChange(() => this.handleViewChange());
     }
 
@@ -114,7 +121,7 @@
     private obtainTraffic(key: string): traffic.InstanceTraffic {
         let counts = this.trafficByIncarnation.get(key);
         if (counts === undefined) {
-            counts = new traffic.InstanceTraffic(this.options.clock);
+            counts = new traffic.InstanceTraffic(this.options.clock, this.holds.obtain(key));
             this.trafficByIncarnation.set(key, counts);
         }
         return counts;
@@ -126,25 +133,28 @@
         return view.allInstances.filter(instance => leaving.isLeaving(instance)).map(instance => instance.id);
     }
 
+    /** Whether the published state allows new work at the instance. */
+    private isInService(instance: routing.RoutedInstance): boolean {
+        return instance.state === "ready" && !this.options.view.isOutOfService(instance.failureDomain);
+    }
+
     /** Instances of a service, and of a software version if one is given, at which the published state allows new work. */
     private instancesInService(service: string, softwareVersion: string | undefined): views.KnownInstance[] {
-        const { view } = this.options;
-        return view.instances(service).filter(instance =>
-            instance.state === "ready"
-            && !view.isOutOfService(instance.failureDomain)
+        return this.options.view.instances(service).filter(instance =>
+            this.isInService(instance)
             && (softwareVersion === undefined || instance.softwareVersion === softwareVersion)
         );
     }
 
     /**
-     * Instances of a service, and of a software version if one is given, that are in service, not leaving and not paused
-     * after failures; if all of these are paused, paused ones too.
+     * Instances of a service, and of a software version if one is given, that are in service, not leaving, don't hold off
+     * and aren't paused after failures. If all of these are paused, they are used nevertheless; a hold is never overridden.
      */
     usableInstances(service: string, softwareVersion?: string): views.KnownInstance[] {
-        const inService = this.instancesInService(service, softwareVersion)
-            .filter(other => !this.options.leaving.isLeaving(other));
-        const unpausedInstances = inService.filter(instance => !this.trafficOf(instance).isPaused);
-        return unpausedInstances.length > 0 ? unpausedInstances : inService;
+        const allowed = this.instancesInService(service, softwareVersion)
+            .filter(other => !this.options.leaving.isLeaving(other) && this.holds.remainingMs(other) === 0);
+        const unpausedInstances = allowed.filter(instance => !this.trafficOf(instance).isPaused);
+        return unpausedInstances.length > 0 ? unpausedInstances : allowed;
     }
 
     /** Chooses an instance without counting the call yet; undefined when none can accept it now. */
@@ -199,6 +209,11 @@
         return nowMs < instance.coldUntilMs + COLD_MARGIN_MS || nowMs < possibleRestartMs + coldMs + COLD_MARGIN_MS;
     }
 
+    /** Whether an instance that may be cold, or returns from a hold, can accept a call now. */
+    private mayCall(instance: views.KnownInstance): boolean {
+        return this.trafficOf(instance).hold.mayCall(this.options.clock.now()) && this.isWithinColdRate(instance);
+    }
+
     /** Whether the instance isn't cold, or this entry's share of its cold rate allows another call now. */
     private isWithinColdRate(instance: views.KnownInstance): boolean {
         if (!this.isCold(instance)) {
@@ -231,7 +246,7 @@
 
     private findEligible(requirements: CallRequirements): views.KnownInstance[] {
         const canAccept = (instance: views.KnownInstance): boolean =>
-            !this.wasTried(instance, requirements) && this.isWithinColdRate(instance);
+            !this.wasTried(instance, requirements) && this.mayCall(instance);
         const { service, softwareVersion } = requirements;
         const eligible = this.usableInstances(service, softwareVersion).filter(canAccept);
         if (eligible.length > 0 || requirements.promptTokens > 0) {
@@ -280,6 +295,7 @@
                 this.trafficByIncarnation.delete(key);
             }
         }
+        this.holds.forgetUnused(key => this.trafficByIncarnation.has(key));
     }
 }
 
--- a/src/process/routing/LeavingExchange.test.ts
+++ b/src/process/routing/LeavingExchange.test.ts
@@ -30,6 +30,7 @@
     load: undefined,
     isLeaving: true,
     instance: undefined,
+    holdMs: undefined,
 };
 
 /** An entry and what it sends to its peers. */
--- a/src/process/routing/LeavingInstances.test.ts
+++ b/src/process/routing/LeavingInstances.test.ts
@@ -15,6 +15,7 @@
         load: undefined,
         isLeaving: true,
         instance: undefined,
+        holdMs: undefined,
     };
     const cases: readonly {
         readonly name: string;
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -120,6 +120,7 @@
                 ...shared,
                 wire: options.stageWire,
                 connections,
+                holds: this.pool.holds,
                 findInstance: address => this.view.findByAddress(address),
                 onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "release"),
             }),
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -15,7 +15,7 @@
     readonly reader: Pick<readers.PublishedReader, "storeCalls">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
     readonly exchange: Pick<exchanges.PublishedExchange, "appliedUpdates">;
-    readonly pool: Pick<pools.InstancePool, "leavingIds">;
+    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds">;
     readonly server: Pick<servers.RouteServer, "active">;
     /** Number of log lines dropped since the start. */
     readonly droppedLogLines: () => number;
@@ -31,6 +31,8 @@
     add("cumincrank_stage_calls", "Calls on stages' instances", () => host.startedCalls);
     add("cumincrank_peer_updates", "Updates taken from other entries", () => exchange.appliedUpdates);
     add("cumincrank_leaving_instances", "Leaving instances", () => pool.leavingIds.length);
+    add("cumincrank_held_instances", "Instances that hold off", () => pool.holds.heldCount);
+    add("cumincrank_instance_holds", "Rejections that asked for a hold", () => pool.holds.count);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
     add("cumincrank_dropped_log_lines", "Log lines dropped", () => droppedLogLines());
 }
--- a/src/request/routed/CallHistory.ts
+++ b/src/request/routed/CallHistory.ts
@@ -12,6 +12,8 @@
     possibleRuns: number;
     /** Whether the retry budget denied a retry. */
     isBudgetSpent: boolean;
+    /** When the caller should return, since all instances hold off; undefined if they don't. */
+    heldRetryAfterMs: number | undefined;
     /** Version of the software that began the call's stream: the only one that it may be sent to. */
     softwareVersion: string | undefined;
 }
@@ -24,6 +26,7 @@
         openSends: 0,
         possibleRuns: 0,
         isBudgetSpent: false,
+        heldRetryAfterMs: undefined,
         softwareVersion: undefined,
     };
 }
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -66,6 +66,9 @@
     if (history.possibleRuns > 0) {
         return { kind: "local-failure", failure: codes.failure(codes.codes.upstreamTimeout, "no answer") };
     }
+    if (history.heldRetryAfterMs !== undefined) {
+        return createHoldRejection(history.heldRetryAfterMs);
+    }
     const code = history.isBudgetSpent
         ? codes.codes.retryBudgetSpent
         : history.sends === 0
@@ -74,6 +77,12 @@
     return { kind: "local-failure", failure: codes.failure(code, `${history.sends} sends`, DEFAULT_RETRY_AFTER_MS) };
 }
 
+/** Creates the rejection of a call to a service of which all instances hold off. */
+export function createHoldRejection(retryAfterMs: number): LocalAnswer {
+    const failure = codes.failure(codes.codes.overloaded, "all instances hold off", retryAfterMs);
+    return { kind: "local-failure", failure };
+}
+
 /** Turns the outcome of one send into the outcome of the run; reads the answer if there is one. */
 async function handleSendOutcome(
     context: senders.SenderContext,
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -29,6 +29,10 @@
     if (call.route.kind !== "stream") {
         return plainRuns.runPlain(context, call);
     }
+    const heldBeyondDeadline = findHoldBeyondDeadline(context, call);
+    if (heldBeyondDeadline !== undefined) {
+        return heldBeyondDeadline;
+    }
     const bound = await streamResumes.bindStream(context, call);
     if (bound.isErr) {
         return call.signal.aborted ? { kind: "disconnected" } : { kind: "local-failure", failure: bound.error };
@@ -61,6 +65,14 @@
     }
 }
 
+/** Rejects a call before its stages run if all instances that could run it hold off until its deadline. */
+function findHoldBeyondDeadline(context: RunContext, call: calls.RoutedCall): plainRuns.RunOutcome | undefined {
+    const { holds } = context.pool;
+    const retryAfterMs = holds.callerRetryAfterMs(call.service);
+    const isBeyondDeadline = context.clock.now() + holds.serviceHoldMs(call.service) >= call.hardDeadlineAtMs;
+    return retryAfterMs !== undefined && isBeyondDeadline ? plainRuns.createHoldRejection(retryAfterMs) : undefined;
+}
+
 /** Holds the stage results that a call reads, from their computation until their release. */
 class StageInputs {
     private results: readonly senders.CallInput[] | undefined;
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -36,6 +36,8 @@
     readonly extendTimeoutMs?: () => number;
     /** Called when the connection is established, so that the request is about to arrive. */
     readonly onDispatched?: (() => void) | undefined;
+    /** Whether the instance holds off. Asked once more when the connection is established, before the first byte. */
+    readonly isHeld?: () => boolean;
 }
 
 /** An answer whose headers have arrived and whose body has yet to be read. */
@@ -63,7 +65,7 @@
     readonly isDispatched: boolean;
     /** Whether a reused connection was reset, possibly because it was closed while idle; a new one may work. */
     readonly isStaleConnection: boolean;
-    readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled";
+    readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled" | "held";
 }
 
 /** Sends a request and waits for the headers of the answer; `signal` aborts the exchange. Never rejects. */
@@ -132,16 +134,21 @@
     private watchConnect(socket: net.Socket): void {
         socket.setNoDelay(true);
         if (!socket.connecting) {
-            this.recordDispatch();
+            this.dispatch();
             return;
         }
         this.connectTimer = this.clock.schedule(CONNECT_TIMEOUT_MS, () => this.fail("connect"));
-        socket.once("connect", () => this.recordDispatch());
+        socket.once("connect", () => this.dispatch());
     }
 
-    private recordDispatch(): void {
-        this.isDispatched = true;
+    /** Lets the first byte be sent, unless the instance has begun to hold off since the request was made. */
+    private dispatch(): void {
         this.connectTimer?.dispose();
+        if (this.request.isHeld?.() === true) {
+            this.fail("held");
+            return;
+        }
+        this.isDispatched = true;
         this.request.onDispatched?.();
     }
 
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -143,7 +143,11 @@
         answerTimeoutMs: waitMs(),
         extendTimeoutMs: waitMs,
         onDispatched: options.onDispatched,
+        isHeld: () => context.pool.holds.remainingMs(instance) > 0,
     }, options.signal);
+    if (exchange.kind === "failed" && exchange.reason === "held") {
+        takeBackSend(context, call, history);
+    }
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
         : classifyAnswer(context, call, exchange, sent, chosen);
@@ -165,6 +169,7 @@
 ): pools.ChosenInstance | undefined {
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
+        history.heldRetryAfterMs = context.pool.holds.callerRetryAfterMs(call.service);
         sendLogs.logUnlessAnyVersion(context, call, history);
         return undefined;
     }
@@ -181,6 +186,12 @@
     return chosen;
 }
 
+/** Takes back a send that was cut before its first byte, since its instance began to hold off. */
+function takeBackSend(context: SenderContext, call: calls.RoutedCall, history: histories.CallHistory): void {
+    history.sends--;
+    context.budgetOf(call.service).takeBack(history.sends === 0 ? "first-call" : "retry");
+}
+
 /** Expected time to the first event of the call's next send; undefined when it may not or can't be sent again. */
 function findElsewhereMs(
     context: SenderContext,
@@ -226,7 +237,7 @@
         return { kind: "cancelled" };
     }
     if (!exchange.isDispatched) {
-        ticket.end("unreachable");
+        ticket.end(exchange.reason === "held" ? "cancelled" : "unreachable");
         return { kind: "not-run", isInputLost: false };
     }
     // A reset of a reused connection does not indicate a failed instance: it may have been closed while idle.
@@ -248,6 +259,9 @@
 ): SendOutcome {
     const { ticket } = sent;
     const metadata = context.wire.readAnswer(answer.status, answer.headers);
+    if (metadata.holdMs !== undefined) {
+        context.pool.holds.start(chosen.instance.address, chosen.instance, metadata.holdMs, "call");
+    }
     const isOtherAttempt = metadata.attempt !== undefined && metadata.attempt !== call.metadata.attempt;
     if (isOtherAttempt || !isValidAnswer(answer, metadata)) {
         answer.cancel();
@@ -260,7 +274,8 @@
     }
     if (metadata.effect !== "ran") {
         answer.body.resume();
-        ticket.end(metadata.effect === "other-instance" ? "unreachable" : "refused");
+        const isOther = metadata.effect === "other-instance";
+        ticket.end(isOther ? "unreachable" : traffic.rejectionOutcome(metadata.holdMs));
         return { kind: "not-run", isInputLost: metadata.isInputLost };
     }
     const { id, softwareVersion } = chosen.instance;
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -19,10 +19,22 @@
     readonly isLeaving: boolean;
 }
 
+/** A received call, stage call or release, whatever became of it. */
+export interface EngineArrival {
+    /** The call's attempt; undefined for stage calls and releases. */
+    readonly attempt: string | undefined;
+    readonly path: string;
+    readonly atMs: number;
+    /** The `Retry-After` with which the engine rejected it; undefined if it didn't. */
+    readonly retryAfter: string | undefined;
+}
+
 /** Faults; each stays in effect until it is cleared. */
 export interface EngineFaults {
     /** Rejects every call with the header `Not-Executed`. */
     shed?: boolean | undefined;
+    /** Added to these rejections as `Retry-After`. */
+    retryAfter?: string | undefined;
     /** Runs calls and resets the connection without an answer. */
     reset?: boolean | undefined;
     /** Answers with the attempt ID of another call. */
@@ -64,6 +76,7 @@
     /** Whether the engine leaves: all its answers say so, those included with which it rejects a call. */
     isLeaving = false;
     readonly runs: EngineRun[] = [];
+    readonly arrivals: EngineArrival[] = [];
     /** The pieces of each received batch. */
     readonly batches: unknown[][] = [];
     readonly releasedHandles: string[] = [];
@@ -128,8 +141,13 @@
             response.writeHead(421, { "Instance-Id": this.options.id }).end();
             return;
         }
-        if (this.faults.shed === true) {
-            response.writeHead(503, { "Not-Executed": "1" }).end();
+        const { shed, retryAfter } = this.faults;
+        const attempt = request.headers["attempt-id"] as string | undefined;
+        const atMs = clocks.systemClock.now();
+        this.arrivals.push({ attempt, path: request.url!, atMs, retryAfter: shed === true ? retryAfter : undefined });
+        if (shed === true) {
+            const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": retryAfter };
+            response.writeHead(503, { "Not-Executed": "1", ...retryHeaders }).end();
             return;
         }
         if (request.url === "/stage-run" || request.url === "/stage-free") {
@@ -142,7 +160,7 @@
         }
         const { method, url, headers } = request;
         const { isLeaving } = this;
-        this.runs.push({ method: method!, path: url!, headers, body, atMs: clocks.systemClock.now(), isLeaving });
+        this.runs.push({ method: method!, path: url!, headers, body, atMs, isLeaving });
         response.on("close", () => this.cancelledRuns += response.writableFinished ? 0 : 1);
         if (this.faults.reset === true) {
             request.socket.resetAndDestroy();
