Read an answer that arrived while the process was late

Cause: timers run before the next read, so that an answer that had arrived while the event loop was busy was taken for silence: the send was given up, and made again elsewhere at the cost of the retry budget.

Evidence: the new test, with a server in a thread and 600 ms without a turn of the event loop, failed in three of three runs.

Fix: a send is given up 5 ms after its time limit, which is time for one read. A stream that has begun isn't concerned: StreamMove notices that it continues.

--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -1,4 +1,5 @@
 import * as net from "node:net";
+import * as workers from "node:worker_threads";
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
@@ -153,3 +154,30 @@
         served.server.close();
     });
 });
+
+/** Source of a thread with a TCP server that answers each request after 50 ms, and reports its port. */
+const SERVER_THREAD = `
+    const net = require("node:net");
+    const server = net.createServer(socket => socket.on("error", () => {}).on("data", () => setTimeout(
+        () => socket.write("HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n"), 50)));
+    server.listen(0, "127.0.0.1", () => require("node:worker_threads").parentPort.postMessage(server.address().port));
+`;
+
+vitest.describe("a process that was late", () => {
+    // Guards against calls that were given up for the silence of an instance whose answer was only unread.
+    vitest.it("reads an answer that arrived in time", async () => {
+        const thread = new workers.Worker(SERVER_THREAD, { eval: true });
+        const port = await new Promise<number>(resolve => thread.once("message", resolve));
+        const pool = new upstreamConnections.UpstreamConnections();
+        const opening = exchanges.openExchange(pool, clocks.systemClock, request(`127.0.0.1:${port}`));
+        await clocks.sleep(clocks.systemClock, 30);
+        await new Promise(resolve => setImmediate(resolve)); // Timers run before the next read.
+        const untilMs = clocks.systemClock.now() + 600;
+        while (clocks.systemClock.now() < untilMs) {
+            // Keeps the event loop busy.
+        }
+        vitest.expect((await opening).kind).toBe("answer");
+        pool.destroy();
+        await thread.terminate();
+    });
+});
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -11,6 +11,8 @@
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Time in which an answer is read that arrived while the process was late. */
+const PENDING_READ_MS = 5;
 /** Lower statuses aren't those of an answer. */
 const MIN_FINAL_STATUS = 200;
 
@@ -121,7 +123,7 @@
                 this.scheduleTimeout(extensionMs);
             }
             else {
-                this.fail("timeout");
+                this.answerTimer = this.clock.schedule(PENDING_READ_MS, () => this.fail("timeout"));
             }
         });
     }
