Reset the connection of a stream without a length that is broken off

What callers would see: a stream whose instance sent it without a length, and that this process broke off, ended with an orderly close, which is how a complete one ends.

Cause: such an answer was ended by destroying its socket, which closes it in order. The comment on the function said so.

Fix: an answer that ends with its connection is aborted by a reset, also after an exception and at the limit of a planned stop, where streams in progress are now aborted before the process ends rather than by it.

--- a/src/process/routing/CallerResponse.ts
+++ b/src/process/routing/CallerResponse.ts
@@ -66,8 +66,11 @@
         this.response.end();
     }
 
-    /** Aborts a stream, so that the caller sees it as incomplete, unless it is close-delimited. */
+    /** Aborts an answer, so that the caller sees it as incomplete: a close-delimited one is reset. */
     abort(): void {
+        if (this.isCloseDelimited) {
+            this.response.socket?.resetAndDestroy();
+        }
         this.response.destroy();
     }
 }
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -120,7 +120,7 @@
         this.idleConnections.close();
     }
 
-    /** Sends a failure to every call without an answer; streams that have started are aborted at the process's end. */
+    /** Sends a failure to every call without an answer, and aborts streams that have started. */
     failUnansweredCalls(): void {
         for (const [response, { call, message, abortController }] of this.callsByResponse) {
             if (!response.headersSent && !response.destroyed) {
@@ -130,6 +130,9 @@
                 this.answerFailure(message, response, failure, call, call.arrivedMs);
                 abortController.abort(); // A call reported as not run must not be sent any more.
             }
+            else if (!response.writableEnded) {
+                new responses.CallerResponse(response).abort();
+            }
         }
     }
 
@@ -154,7 +157,7 @@
         this.context.log.error({ decision: "exception", attempt, err: error }, "serving a request failed");
         abortController?.abort();
         if (response.headersSent) {
-            response.destroy();
+            new responses.CallerResponse(response).abort();
             return;
         }
         const failure = codes.failure(codes.codes.internalError, String(error));
