--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -40,6 +40,7 @@
     readonly name: string;
     readonly answer: string;
     readonly close: "fin" | "reset" | "open";
+    readonly method?: string;
     readonly body: string | undefined;
 }[] = [
     { name: "with a length", answer: `${STATUS_LINE}Content-Length: 2\r\n\r\nok`, close: "open", body: "ok" },
@@ -62,12 +63,13 @@
         body: undefined,
     },
     { name: "of a status without one", answer: "HTTP/1.1 204 No Content\r\n\r\n", close: "open", body: "" },
+    { name: "of a HEAD request", answer: `${STATUS_LINE}\r\n`, close: "open", method: "HEAD", body: "" },
     { name: "close-delimited, closed with a FIN", answer: `${STATUS_LINE}\r\nok`, close: "fin", body: "ok" },
     { name: "close-delimited, reset", answer: `${STATUS_LINE}\r\nok`, close: "reset", body: undefined },
 ];
 
 vitest.describe("an answer body is read only if complete", () => {
-    vitest.it.each(bodies)("$name", async ({ answer, close, body }) => {
+    vitest.it.each(bodies)("$name", async ({ answer, close, method, body }) => {
         const served = await serve(socket => {
             socket.write(answer);
             if (close === "fin") {
@@ -79,7 +81,8 @@
         });
         const pool = new upstreamConnections.UpstreamConnections();
         const signal = new AbortController().signal;
-        const opened = await exchanges.openExchange(pool, clocks.systemClock, request(served.address), signal);
+        const sent = { ...request(served.address), method: method ?? "GET" };
+        const opened = await exchanges.openExchange(pool, clocks.systemClock, sent, signal);
         vitest.expect(opened.kind).toBe("answer");
         const read = await exchanges.readBody(opened as exchanges.OpenAnswer, 1_000);
         vitest.expect(read?.toString()).toBe(body);
