Move a silent call again after an instance has rejected it

What callers would see: a resumable stream stayed at an instance that had stopped until its hard deadline (504, or an answer broken off), though a third instance could have run it, once one other instance had rejected it as not run.

Cause: whether a silent call can be moved was bounded by its sends, not by its possible runs. With two attempts, one rejection used them up, no matter whether it came before the silent send or in a move.

Fix: possible runs and open sends count against the route's attempts, as in canRetry; all sends count against the limit of five, and against the retry budget, as before.

--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -181,7 +181,8 @@
     inputs: readonly CallInput[],
 ): number | undefined {
     const isAllowed = calls.isRetryable(call.route)
-        && history.sends < Math.min(MAX_SENDS, call.route.attempts)
+        && history.sends < MAX_SENDS
+        && history.possibleRuns + history.openSends < call.route.attempts
         && context.budgetOf(call.service).canSpend;
     return isAllowed ? context.pool.expectedFirstEventMs(requirementsOf(context, call, history, inputs)) : undefined;
 }
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -65,6 +65,8 @@
     readonly releasedHandles: string[] = [];
     /** Number of runs whose connection closed before the answer was complete. */
     cancelledRuns = 0;
+    /** Number of calls rejected as not run. */
+    rejectedCalls = 0;
     private nextHandle = 1;
     private listener: listeners.Listener | undefined;
 
@@ -109,6 +111,7 @@
             return;
         }
         if (this.faults.shed === true) {
+            this.rejectedCalls++;
             response.writeHead(503, { "Not-Executed": "1" }).end();
             return;
         }
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -72,6 +72,20 @@
         await fleet.waitUntil(() => first!.cancelledRuns === 1);
     });
 
+    // Guards against calls that stay at an instance that has stopped, since a rejection counted as a run.
+    vitest.it.each([
+        { name: "before its first event", faults: { hang: true } },
+        { name: "after an event", faults: { pause: { afterEvent: 3, ms: 30_000 } } },
+    ])("$name is moved to a third instance when the second one rejects it", async ({ faults }) => {
+        const [first, second] = fleet.enginesOf("model");
+        second!.faults = { shed: true };
+        first!.faults = faults;
+        const answer = callFirstModel("/notes/1", PROMPT);
+        await fleet.waitUntil(() => first!.runs.length > 0 && second!.rejectedCalls > 0);
+        await fleet.addEngine({ id: "model-3", service: "model", failureDomain: "zone-b", events: 6 });
+        vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+    });
+
     vitest.it("is ended at both instances when its caller leaves while it is moved", async () => {
         const [first, second] = fleet.enginesOf("model");
         first!.faults = { pause: { afterEvent: 3, ms: 30_000 } };
