--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -196,6 +196,7 @@
             }
             if (chunk === "timeout") {
                 if (this.isLate) {
+                    this.logInterruption(answered, "deadline");
                     answered.answer.cancel();
                     return { kind: "deadline" };
                 }
