--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -84,6 +84,8 @@
     cancelledRuns = 0;
     /** Number of calls that were meant for another engine. */
     misdirectedCalls = 0;
+    /** Number of calls rejected as not run. */
+    rejectedCalls = 0;
     private nextHandle = 1;
     private bornMs: number;
     private listener: listeners.Listener | undefined;
@@ -146,6 +148,7 @@
         const atMs = clocks.systemClock.now();
         this.arrivals.push({ attempt, path: request.url!, atMs, retryAfter: shed === true ? retryAfter : undefined });
         if (shed === true) {
+            this.rejectedCalls++;
             const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": retryAfter };
             response.writeHead(503, { "Not-Executed": "1", ...retryHeaders }).end();
             return;
