Test holds on stage calls for another entry's orders

Cause: what a peer sends through a process in its hold had no test.

Change: two entries send orders with stages to one host while a worker holds off.

--- a/tests/InstanceHolds.test.ts
+++ b/tests/InstanceHolds.test.ts
@@ -36,7 +36,7 @@
     return fleet.engines.find(engine => engine.options.id === id)!;
 }
 
-/** Sends calls at a steady rate for `periodMs`, and resolves to their answers. */
+/** Sends calls to all entries in turn, at a steady rate for `periodMs`, and resolves to their answers. */
 async function sendCalls(
     path: string,
     headers: Record<string, string>,
@@ -46,7 +46,7 @@
     const answers: Promise<fleets.Answer>[] = [];
     const endMs = clocks.systemClock.now() + periodMs;
     while (clocks.systemClock.now() < endMs) {
-        answers.push(fleet.call(path, { headers }));
+        answers.push(fleet.call(path, { headers, entry: answers.length % fleet.entries.length }));
         await clocks.sleep(clocks.systemClock, intervalMs);
     }
     return Promise.all(answers);
@@ -107,6 +107,19 @@
     });
 });
 
+vitest.it("stage calls for the orders of another entry are held back too", async () => {
+    await fleet.addEntry();
+    await fleet.waitUntil(async () => (await fleet.call("/staged/1", { headers: STAGED, entry: 1 })).status === 200);
+    const pending = sendCalls("/staged/1", STAGED, WARM_UP_MS + HOLD_MS);
+    await clocks.sleep(clocks.systemClock, WARM_UP_MS);
+    engineOf("archive-1").faults = { shed: true, retryAfter: String(HOLD_MS / 1_000) };
+    const statuses = new Set((await pending).map(answer => answer.status));
+    const { all, late } = arrivalsInHold(engineOf("archive-1"));
+    vitest.expect([...statuses]).toEqual([200]);
+    vitest.expect(late).toEqual([]);
+    vitest.expect(all).toBeLessThanOrEqual(2);
+});
+
 vitest.describe("while all instances hold off", () => {
     vitest.it.each([
         { name: "calls", path: "/look/1", headers: {}, held: ["desk-1", "desk-2"] },
