Soak: lose a configuration with each restored store

The stand-in remembers the last write of each key in place of comparing with one backup: with overlapping faults the comparison lost writes for good.

--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -310,7 +310,7 @@
         }
         if (kind === "store-restore") {
             this.recordFault({ kind }, storeRestores.durationMs(durationMs));
-            storeRestores.restoreLater(this.store, durationMs, this.runLater);
+            storeRestores.restoreLater(this.store, durationMs, () => this.publish(), this.runLater);
             return;
         }
         this.recordFault({ kind }, durationMs);
--- a/standins/platform/PlatformStoreStandIn.ts
+++ b/standins/platform/PlatformStoreStandIn.ts
@@ -31,12 +31,6 @@
     readonly events: readonly StoreEvent[];
 }
 
-/** The last write of a key that a restored backup lacks; without content it is a deletion. */
-export interface LostWrite {
-    readonly key: string;
-    readonly content: Buffer | undefined;
-}
-
 const MAX_ITEMS_PER_PAGE = 3;
 
 /** Simulates the store with an HTTP server on 127.0.0.1. */
@@ -47,6 +41,8 @@
     private revision = 1;
     private era = 1;
     private readonly items = new Map<string, StoredItem>();
+    /** The content last written to each key, also if it was lost; undefined for a deletion. */
+    private readonly lastWrites = new Map<string, string | undefined>();
     private events: StoreEvent[] = [];
     /** Events up to this revision have been discarded. */
     private compactedRevision = 0;
@@ -75,11 +71,13 @@
         const Created = this.items.get(key)?.Created ?? Rev;
         const item = { Key: key, Value: content.toString("base64"), Rev, Created, Lease: 0 };
         this.items.set(key, item);
+        this.lastWrites.set(key, item.Value);
         this.appendEvent(item);
     }
 
     delete(key: string): void {
         this.items.delete(key);
+        this.lastWrites.set(key, undefined);
         this.appendEvent({ Key: key, Rev: ++this.revision, Deleted: true });
     }
 
@@ -96,12 +94,8 @@
         return { revision, compactedRevision, items: new Map(this.items), events: [...this.events] };
     }
 
-    /**
-     * Restores a backup, which starts a new era: later writes are lost, and their revisions are given out again.
-     * Returns the lost writes, the last one of each key.
-     */
-    restore(backup: StoreBackup): readonly LostWrite[] {
-        const lostWrites = this.writesSince(backup);
+    /** Restores a backup, which starts a new era: later writes are lost, and their revisions are given out again. */
+    restore(backup: StoreBackup): void {
         this.items.clear();
         backup.items.forEach((item, key) => this.items.set(key, item));
         this.events = [...backup.events];
@@ -109,30 +103,23 @@
         this.compactedRevision = backup.compactedRevision;
         this.era++;
         this.wakeCallbacks.forEach(wake => wake());
-        return lostWrites;
     }
 
-    /** Writes lost writes again, as their writers do, except to keys that were written since the backup was restored. */
-    writeAgain(lostWrites: readonly LostWrite[], backup: StoreBackup): void {
-        const writtenKeys = new Set(this.writesSince(backup).map(write => write.key));
-        for (const { key, content } of lostWrites.filter(lost => !writtenKeys.has(lost.key))) {
+    /** Writes lost writes again, the last one of each key, as their writers do. */
+    writeAgain(isWritten: (key: string) => boolean = () => true): void {
+        for (const [key, content] of this.lastWrites) {
+            if (this.items.get(key)?.Value === content || !isWritten(key)) {
+                continue;
+            }
             if (content === undefined) {
                 this.delete(key);
             }
             else {
-                this.put(key, content);
+                this.put(key, Buffer.from(content, "base64"));
             }
         }
     }
 
-    private writesSince(backup: StoreBackup): LostWrite[] {
-        const keys = [...new Set([...backup.items.keys(), ...this.items.keys()])];
-        return keys.filter(key => this.items.get(key) !== backup.items.get(key)).map(key => {
-            const item = this.items.get(key);
-            return { key, content: item && Buffer.from(item.Value, "base64") };
-        });
-    }
-
     private appendEvent(event: StoreEvent): void {
         this.events.push(event);
         this.wakeCallbacks.forEach(wake => wake());
--- a/tests/RestoredStore.test.ts
+++ b/tests/RestoredStore.test.ts
@@ -49,8 +49,8 @@
     writeOthers(20);
     write();
     await sleep(SETTLE_MS);
-    const lostWrites = fleet.store.restore(backup).filter(lost => !lost.key.startsWith("other/"));
-    return () => fleet.store.writeAgain(lostWrites, backup);
+    fleet.store.restore(backup);
+    return () => fleet.store.writeAgain(key => !key.startsWith("other/"));
 }
 
 /** Instances of the service `desk` that get calls from each of the entries. */
