--- a/soak/SoakChecks.test.ts
+++ b/soak/SoakChecks.test.ts
@@ -33,10 +33,27 @@
         atMs: 100_010,
         team: "gilders",
         hasKey: false,
+        isLeaving: false,
         ...overrides,
     };
 }
 
+/** Two calls through one entry to an engine that leaves, with `betweenMs` between the first answer and the second call. */
+function createLeavingCase(
+    betweenMs: number,
+    second: Partial<histories.SoakCall> = {},
+): Pick<Case, "calls" | "runs"> {
+    const sentMs = 100_050 + betweenMs;
+    const later = { attempt: "a-2", path: "/book/a-2", sentMs, endedMs: sentMs + 50, body: "answer of desk-1 to a-2" };
+    return {
+        calls: [createCall(), createCall({ ...later, ...second })],
+        runs: [
+            createRun({ isLeaving: true }),
+            createRun({ attempt: "a-2", path: "/book/a-2", atMs: sentMs + 10, isLeaving: true }),
+        ],
+    };
+}
+
 const streamCall = createCall({
     route: "notes",
     path: "/notes/a-1",
@@ -45,6 +62,42 @@
 });
 const streamRun = createRun({ path: "/notes/a-1", engine: "model-1" });
 
+/** The events from one ID to another, as written by a software version. */
+function eventsOf(version: string, fromId: number, toId: number): string {
+    return EVENT_TEXTS.slice(fromId - 1, toId).map(text => text.replace("\n\n", ` of ${version}\n\n`)).join("");
+}
+
+/** A stream that was cut in its fourth event. */
+function brokenStreamCall(version: string): histories.SoakCall {
+    return { ...streamCall, body: `${eventsOf(version, 1, 3)}id: 4\ndata: part 4 of`, isWhole: false };
+}
+
+function resumedStreamCall(version: string): histories.SoakCall {
+    return {
+        ...streamCall,
+        attempt: "a-2",
+        path: "/notes/a-2",
+        body: eventsOf(version, 4, checks.EVENT_COUNT),
+        resumes: { firstAttempt: "a-1", lastEventId: 3 },
+    };
+}
+/** A call on the second version's route, and later one on the first version's. */
+const revertedCalls = [
+    createCall({ route: "v2", path: "/v2/a-1" }),
+    createCall({
+        attempt: "a-2",
+        route: "v1",
+        path: "/v1/a-2",
+        sentMs: 100_500,
+        endedMs: 100_550,
+        body: "answer of desk-1 to a-2",
+    }),
+];
+const revertedRuns = [
+    createRun({ path: "/v2/a-1" }),
+    createRun({ attempt: "a-2", path: "/v1/a-2", atMs: 100_510 }),
+];
+
 interface Case {
     readonly name: string;
     readonly calls: readonly histories.SoakCall[];
@@ -63,6 +116,38 @@
         calls: [streamCall],
         runs: [streamRun, { ...streamRun, engine: "model-2" }],
     },
+    {
+        name: "a stream of one software version that was resumed by its caller",
+        calls: [brokenStreamCall("v1"), resumedStreamCall("v1")],
+        runs: [streamRun, { ...streamRun, attempt: "a-2", path: "/notes/a-2" }],
+    },
+    {
+        name: "a stream that was resumed after its last event",
+        calls: [{
+            ...streamCall,
+            body: "",
+            resumes: { firstAttempt: "a-0", lastEventId: checks.EVENT_COUNT },
+        }],
+        runs: [streamRun],
+    },
+    {
+        name: "a stream with the answer to a plain call",
+        calls: [{ ...streamCall, body: "answer of model-1 to a-1" }],
+        runs: [streamRun],
+        promise: "a stream has every event once and in order",
+    },
+    {
+        name: "a stream of two software versions over its caller's attempts",
+        calls: [brokenStreamCall("v1"), resumedStreamCall("v2")],
+        runs: [streamRun, { ...streamRun, attempt: "a-2", path: "/notes/a-2" }],
+        promise: "a stream holds events of one software version",
+    },
+    {
+        name: "a stream of two software versions in one answer",
+        calls: [{ ...streamCall, body: eventsOf("v1", 1, 3) + eventsOf("v2", 4, checks.EVENT_COUNT) }],
+        runs: [streamRun],
+        promise: "a stream holds events of one software version",
+    },
     {
         name: "two runs of an at-most-once call",
         calls: [createCall()],
@@ -149,6 +234,20 @@
         runs: [createRun({ path: "/v1/a-1" })],
         versions: [{ version: 1, atMs: 80_000 }, { version: 2, atMs: 99_000 }],
     },
+    {
+        name: "an older configuration that is in force again",
+        calls: revertedCalls,
+        runs: revertedRuns,
+        versions: [{ version: 1, atMs: 98_000 }, { version: 2, atMs: 99_000 }],
+        promise: "a configuration never reverts",
+    },
+    {
+        name: "an older configuration in force in a process that was restarted",
+        calls: revertedCalls,
+        runs: revertedRuns,
+        faults: [{ kind: "kill", entry: 0, fromMs: 100_100, toMs: 100_400 }],
+        versions: [{ version: 1, atMs: 98_000 }, { version: 2, atMs: 99_000 }],
+    },
     {
         name: "a run long after the engine began to drain",
         calls: [createCall()],
@@ -162,6 +261,24 @@
         runs: [createRun()],
         drainingSinceMs: 99_000,
     },
+    {
+        name: "a call long after the engine told the entry that it leaves",
+        ...createLeavingCase(2_100),
+        promise: "an engine that has told an entry that it leaves gets nothing more from it",
+    },
+    { name: "a call soon after the engine told the entry that it leaves", ...createLeavingCase(1_900) },
+    { name: "a call of another entry than the one that the engine told", ...createLeavingCase(2_100, { entry: 1 }) },
+    {
+        name: "a call of an entry that was restarted since the engine told it",
+        ...createLeavingCase(2_100),
+        faults: [{ kind: "kill", entry: 0, fromMs: 100_500, toMs: 100_800 }],
+    },
+    {
+        name: "a call of an entry that the store and the peers can't reach since the engine told it",
+        ...createLeavingCase(2_100),
+        faults: [{ kind: "store-hold", entry: 0, fromMs: 100_500, toMs: 103_000 }],
+        promise: "an engine that has told an entry that it leaves gets nothing more from it",
+    },
     {
         name: "a call that a planned stop aborted",
         calls: [createCall({ status: undefined, isWhole: false })],
--- /dev/null
+++ b/soak/SoakEngines.ts
@@ -0,0 +1,32 @@
+/**
+ * The engines of a soak.
+ */
+import * as engines from "../standins/platform/PlatformEngineStandIn";
+import * as checks from "./SoakChecks";
+
+/** Processing time of an engine per call, and its time between two events of a stream. */
+const CALL_WORK_MS = 20;
+const EVENT_INTERVAL_MS = 40;
+/** Number of software versions of the engines that stream. */
+const VERSION_COUNT = 3;
+/** The engines at the start, by service; those with events stream. */
+export const ENGINE_GROUPS: readonly { readonly service: string; readonly count: number; readonly events?: number }[] =
+    [
+        { service: "desk", count: 3 },
+        { service: "model", count: 6, events: checks.EVENT_COUNT },
+        { service: "archive", count: 2 },
+        { service: "ledger", count: 2 },
+    ];
+
+/** Options of the engine with this number. Engines that stream have one of several software versions. */
+export function createOptions(
+    number: number,
+    service: string,
+    failureDomain: string,
+    events: number | undefined,
+): engines.EngineOptions {
+    const id = `${service}-${number}`;
+    const options = { id, service, failureDomain, serviceMs: CALL_WORK_MS, eventIntervalMs: EVENT_INTERVAL_MS };
+    const softwareVersion = `v${1 + Math.floor(number / 2) % VERSION_COUNT}`;
+    return events === undefined ? options : { ...options, events, softwareVersion };
+}
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -12,29 +12,23 @@
 import * as stores from "../standins/platform/PlatformStoreStandIn";
 import * as routedFleets from "../standins/platform/RoutedFleet";
 import * as relays from "../standins/TcpRelay";
+import * as relayFaults from "./RelayFaults";
 import * as checks from "./SoakChecks";
+import * as soakEngines from "./SoakEngines";
 import * as faults from "./SoakFaults";
 import * as histories from "./SoakHistory";
+import * as storeRestores from "./StoreRestore";
 
 const FAILURE_DOMAINS = ["zone-a", "zone-b", "zone-c"];
 const STOP_LIMIT_SECONDS = 8;
-/** Processing time of an engine per call, and its time between two events of a stream. */
-const CALL_WORK_MS = 20;
-const EVENT_INTERVAL_MS = 40;
 /** Time after which a killed or stopped entry is restarted. */
 const RESTART_DELAY_MS = 300;
-const LINK_DELAY_MS = 250;
 /** Poll interval for processes that have exited unexpectedly. */
 const SUPERVISION_INTERVAL_MS = 200;
+/** Time for which only the answers of a leaving engine say so; then the store lists it as draining. */
+const UNLISTED_MS = 4_000;
 /** Time for which a leaving engine is published as draining before it is removed. */
 const DRAINING_MS = 2_500;
-const ENGINE_GROUPS: readonly { readonly service: string; readonly count: number; readonly events?: number }[] = [
-    { service: "desk", count: 3 },
-    { service: "model", count: 3, events: checks.EVENT_COUNT },
-    { service: "archive", count: 2 },
-    { service: "ledger", count: 2 },
-];
-
 interface Entry {
     readonly process: fleetProcesses.FleetProcess;
     startedMs: number;
@@ -71,9 +65,9 @@
     static async start(history: histories.SoakHistory, program: string, entryCount: number): Promise<SoakFleet> {
         const fleet = new SoakFleet(history, program);
         await fleet.store.listen();
-        for (const { service, count, events } of ENGINE_GROUPS) {
+        for (const { service, count, events } of soakEngines.ENGINE_GROUPS) {
             for (let index = 0; index < count; index++) {
-                await fleet.addEngine(service, FAILURE_DOMAINS[index]!, events);
+                await fleet.addEngine(service, FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, events);
             }
         }
         fleet.publish();
@@ -137,6 +131,7 @@
                 atMs: run.atMs,
                 team: run.headers["tenant"] as string | undefined,
                 hasKey: run.headers["authorization"] !== undefined,
+                isLeaving: run.isLeaving,
             })));
         }
     }
@@ -156,9 +151,11 @@
     }
 
     private async addEngine(service: string, failureDomain: string, events: number | undefined): Promise<void> {
-        const id = `${service}-${this.nextEngineNumber++}`;
-        const options = { id, service, failureDomain, serviceMs: CALL_WORK_MS, eventIntervalMs: EVENT_INTERVAL_MS };
-        const standIn = new engines.PlatformEngineStandIn(events === undefined ? options : { ...options, events });
+        const number = this.nextEngineNumber++;
+        const standIn = new engines.PlatformEngineStandIn(
+            soakEngines.createOptions(number, service, failureDomain, events),
+        );
+        const { id } = standIn.options;
         await standIn.listen();
         const link = await relays.TcpRelay.listen(portOf(standIn.address));
         this.engines.push({ standIn, link });
@@ -266,7 +263,7 @@
         durationMs: number,
     ): void {
         this.recordFault({ kind: `${linkName}-${kind}`, entry: index }, durationMs);
-        injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
+        relayFaults.injectRelayFault(this.entries[index]!.links[linkName], kind, durationMs, this.runLater);
     }
 
     private injectEngineFault(kind: typeof faults.ENGINE_FAULTS[number], index: number, durationMs: number): void {
@@ -278,23 +275,27 @@
             return;
         }
         if (kind === "link-hold" || kind === "link-reset") {
-            injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
+            relayFaults.injectRelayFault(link, kind === "link-hold" ? "hold" : "reset", durationMs, this.runLater);
             return;
         }
         standIn.faults = faults.standInFaults[kind] ?? {};
         this.runLater(durationMs, () => standIn.faults = {});
     }
 
-    /** Drains and removes an engine, and adds one with a new name in its place. */
+    /** Lets an engine leave, and adds one with a new name in its place. */
     private replaceEngine(engine: Engine): void {
-        const { id, service, failureDomain, events } = engine.standIn.options;
-        if (this.history.drainingSinceMs.has(id)) {
+        const { standIn, link } = engine;
+        const { id, service, failureDomain, events } = standIn.options;
+        if (standIn.isLeaving) {
             return;
         }
-        this.store.put(`servers/${id}`, engine.standIn.createStoreRecord("draining", engine.link.address));
-        this.history.drainingSinceMs.set(id, clocks.systemClock.now());
+        standIn.isLeaving = true;
         void this.addEngine(service, failureDomain, events);
-        this.runLater(DRAINING_MS, () => {
+        this.runLater(UNLISTED_MS, () => {
+            this.store.put(`servers/${id}`, standIn.createStoreRecord("draining", link.address));
+            this.history.drainingSinceMs.set(id, clocks.systemClock.now());
+        });
+        this.runLater(UNLISTED_MS + DRAINING_MS, () => {
             this.store.delete(`servers/${id}`);
             this.engines.splice(this.engines.indexOf(engine), 1);
             this.removedEngines.push(engine);
@@ -302,11 +303,17 @@
     }
 
     private injectStoreFault(kind: typeof faults.STORE_FAULTS[number], durationMs: number): void {
-        this.recordFault({ kind }, kind === "store-compact" ? 0 : durationMs);
         if (kind === "store-compact") {
+            this.recordFault({ kind }, 0);
             this.store.compact();
             return;
         }
+        if (kind === "store-restore") {
+            this.recordFault({ kind }, storeRestores.durationMs(durationMs));
+            storeRestores.restoreLater(this.store, durationMs, this.runLater);
+            return;
+        }
+        this.recordFault({ kind }, durationMs);
         this.store.faults = kind === "store-down" ? { status: 503 } : { silent: true };
         this.runLater(durationMs, () => this.store.faults = {});
     }
@@ -323,24 +330,6 @@
     };
 }
 
-function injectRelayFault(
-    link: relays.TcpRelay,
-    kind: typeof faults.LINK_FAULTS[number],
-    durationMs: number,
-    runLater: (delayMs: number, action: () => void) => void,
-): void {
-    if (kind === "delay") {
-        link.delayMs = LINK_DELAY_MS;
-    }
-    else {
-        link.mode = kind;
-    }
-    runLater(durationMs, () => {
-        link.delayMs = 0;
-        link.mode = "pass";
-    });
-}
-
 function pickIndex(items: readonly unknown[], fraction: number): number {
     return Math.floor(fraction * items.length);
 }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -11,10 +11,13 @@
 import * as entryPeers from "./EntryPeers";
 import * as hostRoles from "./HostRoles";
 import * as pools from "./InstancePool";
+import * as leavingExchanges from "./LeavingExchange";
+import * as leavingInstances from "./LeavingInstances";
 import * as exchanges from "./PublishedExchange";
 import * as readers from "./PublishedReader";
 import * as views from "./PublishedView";
 import * as releasers from "./ResultReleaser";
+import * as gauges from "./RouteGauges";
 import * as metrics from "./RouteMetrics";
 import * as servers from "./RouteServer";
 import * as budgets from "./ServiceRetryBudget";
@@ -91,16 +94,21 @@
                 seeds: () => this.settings.seeds,
                 incarnation: clock.wall(),
                 cores: settings.cores,
-                revision: () => this.view.revision,
+                position: () => this.view.position,
                 isDraining: () => this.isDraining,
                 hosting: () => this.roles.hosting,
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
             }),
         );
+        const leaving = new leavingInstances.LeavingInstances(clock);
+        const leavingExchange = this.disposables.add(
+            new leavingExchanges.LeavingExchange({ ...shared, wire: options.callWire, peers: this.peers, leaving }),
+        );
         this.pool = this.disposables.add(
             new pools.InstancePool({
                 ...shared,
                 view: this.view,
+                leaving,
                 failureDomain: settings.failureDomain,
                 self: settings.instance,
                 entryNames: () => this.peers.entryNames,
@@ -108,7 +116,13 @@
             }),
         );
         const releaser = this.disposables.add(
-            new releasers.ResultReleaser({ clock, log, wire: options.stageWire, connections }),
+            new releasers.ResultReleaser({
+                ...shared,
+                wire: options.stageWire,
+                connections,
+                findInstance: address => this.view.findByAddress(address),
+                onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "release"),
+            }),
         );
         this.host = this.disposables.add(
             new stageHosts.StageHost({
@@ -117,7 +131,9 @@
                 connections,
                 pool: this.pool,
                 view: this.view,
+                leaving,
                 releaser,
+                onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "stage-call"),
                 ownInstances: (service, usable) => this.roles.ownInstances(service, usable),
             }),
         );
@@ -160,8 +176,9 @@
                     connections,
                     pool: this.pool,
                     streamOrigins,
+                    onAnswer: (instance, answer) => leavingExchange.observe(instance, answer, "call"),
                     budgetOf: service => this.obtainBudget(service),
-                    revision: () => this.view.revision,
+                    position: () => this.view.position,
                     runStages: (order, signal) => this.stages.run(order, signal),
                     releaseResults: handles => this.stages.release(handles),
                     findResultDomain: handle => this.domainOfAddress(options.stageWire.workerOf(handle)),
@@ -169,7 +186,15 @@
             }),
         );
         this.disposables.add(this.view.onChange(() => this.applyLimits()));
-        this.registerGauges();
+        gauges.registerGauges(this.metrics, {
+            view: this.view,
+            reader: this.reader,
+            host: this.host,
+            exchange: this.exchange,
+            pool: this.pool,
+            server: this.server,
+            droppedLogLines: options.droppedLogLines,
+        });
     }
 
     /** Starts an entry; rejects when an address can't be used. */
@@ -293,24 +318,6 @@
         return this.view.findByAddress(address)?.failureDomain;
     }
 
-    private registerGauges(): void {
-        const { metrics: routeMetrics } = this;
-        routeMetrics.addGauge("cumincrank_revision", "Revision of the published store", () => this.view.revision);
-        routeMetrics.addGauge("cumincrank_store_calls", "Calls on the published store", () => this.reader.storeCalls);
-        routeMetrics.addGauge("cumincrank_stage_calls", "Calls on stages' instances", () => this.host.startedCalls);
-        routeMetrics.addGauge(
-            "cumincrank_peer_updates",
-            "Updates taken from other entries",
-            () => this.exchange.appliedUpdates,
-        );
-        routeMetrics.addGauge("cumincrank_active_calls", "Routed calls under way", () => this.server.active);
-        routeMetrics.addGauge(
-            "cumincrank_dropped_log_lines",
-            "Log lines dropped",
-            () => this.options.droppedLogLines(),
-        );
-    }
-
     private buildStatus(): unknown {
         return {
             instance: this.settings.instance,
@@ -318,9 +325,10 @@
             ready: this.isReady,
             draining: this.isDraining,
             version: this.view.table?.configuration.version,
-            revision: this.view.revision,
+            ...this.view.position,
             unconfirmedMs: this.reader.unconfirmedMs,
             out: this.view.outOfServiceDomains,
+            leaving: this.pool.leavingIds,
             stageHosts: this.roles.hostNames,
             stageOrders: this.host.size,
             active: this.server.active,
@@ -328,7 +336,7 @@
                 instance: peer.instance,
                 address: peer.address,
                 connected: peer.connection !== undefined,
-                revision: peer.revision,
+                ...peer.position,
             })),
         };
     }
--- a/src/process/routing/StreamOriginExchange.test.ts
+++ b/src/process/routing/StreamOriginExchange.test.ts
@@ -3,12 +3,14 @@
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
+import * as positions from "../../common/Position";
 import * as entryPeers from "./EntryPeers";
 import * as views from "./PublishedView";
 import * as exchanges from "./StreamOriginExchange";
 import * as origins from "./StreamOrigins";
 import * as versionHistories from "./VersionHistory";
 
+const POSITION: positions.Position = { era: 1, revision: 5 };
 const LIFETIME_MS = 30_000;
 const STREAM: origins.KnownStream = {
     attempt: "a",
@@ -28,7 +30,11 @@
     /** Versions of the instances of the service. */
     readonly versions: readonly string[];
     readonly unconfirmedMs?: number;
-    readonly peers?: readonly { readonly revision?: number; readonly isOld?: boolean; readonly isLost?: boolean }[];
+    readonly peers?: readonly {
+        readonly position?: positions.Position;
+        readonly isOld?: boolean;
+        readonly isLost?: boolean;
+    }[];
 }
 
 function createScenario({ versions, unconfirmedMs = 0, peers = [] }: Scenario) {
@@ -50,15 +56,15 @@
     versions.forEach(addVersion);
     const sent: messages.Message[] = [];
     const frames = new emitters.Emitter<entryPeers.PeerFrame>();
-    const knownPeers = peers.map(({ revision = 5, isOld = false }, index) => ({
+    const knownPeers = peers.map(({ position = POSITION, isOld = false }, index) => ({
         instance: `peer-${index}`,
-        revision,
+        position,
         connection: { remote: { knowsStreamOrigins: isOld ? undefined : true } },
     }));
     const exchange = new exchanges.StreamOriginExchange({
         clock,
         log: logs.silentLog,
-        view: { revision: 5, versions: history } as unknown as views.PublishedView,
+        view: { position: POSITION, versions: history } as unknown as views.PublishedView,
         peers: {
             knownPeers,
             livePeers: knownPeers.filter((_, index) => peers[index]!.isLost !== true),
@@ -96,7 +102,12 @@
         },
         {
             name: "isn't guessed while another entry has a later view",
-            scenario: { versions: ["v1"], peers: [{ revision: 6 }] },
+            scenario: { versions: ["v1"], peers: [{ position: { era: 1, revision: 6 } }] },
+            decision: UNKNOWN,
+        },
+        {
+            name: "isn't guessed while another entry has a view of a later era",
+            scenario: { versions: ["v1"], peers: [{ position: { era: 2, revision: 1 } }] },
             decision: UNKNOWN,
         },
     ];
@@ -146,8 +157,8 @@
     const peers = [{}, {}, {}, {}, {}];
     const cases: readonly { readonly name: string; readonly scenario: Scenario; readonly told: number }[] = [
         { name: "isn't told while there is one version", scenario: { versions: ["v1"], peers }, told: 0 },
-        { name: "is told to three entries of many", scenario: { versions: ["v1", "v2"], peers }, told: 3 },
-        { name: "is told to all of few", scenario: { versions: ["v1", "v2"], peers: [{}, {}] }, told: 2 },
+        { name: "is told to two entries of many", scenario: { versions: ["v1", "v2"], peers }, told: 2 },
+        { name: "is told to the only other one", scenario: { versions: ["v1", "v2"], peers: [{}] }, told: 1 },
     ];
     vitest.it.each(cases)("$name", ({ scenario, told }) => {
         const { exchange, sent } = createScenario(scenario);
--- a/src/process/routing/StreamOriginExchange.ts
+++ b/src/process/routing/StreamOriginExchange.ts
@@ -8,14 +8,15 @@
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
+import * as positions from "../../common/Position";
 import * as rendezvous from "../../common/RendezvousHash";
 import * as entryPeers from "./EntryPeers";
 import * as peerEntries from "./PeerEntry";
 import * as views from "./PublishedView";
 import * as origins from "./StreamOrigins";
 
-/** Number of entries that are told of a stream. */
-const HOME_COUNT = 3;
+/** Number of entries that are told of a stream: with the one that began it, three know it. */
+const HOME_COUNT = 2;
 /** Number of entries that are asked: more than are told, since their order changes as entries come and go. */
 const ASKED_COUNT = 4;
 /** Streams whose attempt has a longer name aren't remembered. */
@@ -118,7 +119,7 @@
     private findOnlyVersion(service: string, lifetimeMs: number): string | undefined {
         const { view, peers, clock } = this.options;
         const isConfirmed = (this.options.unconfirmedMs() ?? Infinity) <= MAX_UNCONFIRMED_MS;
-        const isBehind = peers.livePeers.some(peer => peer.revision > view.revision);
+        const isBehind = peers.livePeers.some(peer => positions.isAfter(peer.position, view.position));
         const { length: knownCount } = peers.knownPeers;
         const seesAllEntries = knownCount > 0 && peers.livePeers.length === knownCount;
         const isCurrent = !isBehind && (isConfirmed || seesAllEntries);
--- /dev/null
+++ b/src/request/routed/SendLog.ts
@@ -0,0 +1,79 @@
+/**
+ * The log lines about the sends of a call.
+ */
+import * as pools from "../../process/routing/InstancePool";
+import * as histories from "./CallHistory";
+import * as calls from "./RoutedCall";
+import * as exchanges from "./UpstreamExchange";
+import * as senders from "./UpstreamSender";
+
+/** Logs a call that is being sent. */
+export function logSend(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    history: histories.CallHistory,
+    chosen: pools.ChosenInstance,
+    expectedMs: number,
+    remainingMs: number,
+    lastEventId: number | undefined,
+): void {
+    context.log.info({
+        decision: "send",
+        attempt: call.metadata.attempt,
+        send: history.sends,
+        service: call.service,
+        instance: chosen.instance.id,
+        address: chosen.instance.address,
+        softwareVersion: chosen.instance.softwareVersion,
+        ...(lastEventId === undefined ? {} : { lastEventId, resumes: call.metadata.resumedAttempt }),
+        candidates: chosen.candidateCount,
+        load: chosen.traffic.load,
+        missingTokens: chosen.missingTokens,
+        expectedMs: Math.round(expectedMs),
+        cold: chosen.isCold,
+        remainingMs: Math.round(remainingMs),
+        ...context.position(),
+    }, "call sent to instance");
+}
+
+/** Logs that no instance can accept a call that only one software version may get. */
+export function logUnlessAnyVersion(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    history: histories.CallHistory,
+): void {
+    const { softwareVersion } = history;
+    if (softwareVersion !== undefined) {
+        context.log.info({
+            decision: "not-sent",
+            attempt: call.metadata.attempt,
+            service: call.service,
+            softwareVersion,
+            instances: context.pool.usableInstances(call.service, softwareVersion).length,
+            sends: history.sends,
+            ...context.position(),
+        }, "no instance of the stream's software version can accept it");
+    }
+}
+
+/** Logs the end of a send, unless its answer is a success. */
+export function logUnlessSuccessful(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    chosen: pools.ChosenInstance,
+    exchange: exchanges.OpenAnswer | exchanges.FailedExchange,
+    outcome: senders.SendOutcome,
+): void {
+    if (outcome.kind === "answer" && exchange.kind === "answer" && exchange.status < 400) {
+        return; // Logged with its status when the call ends.
+    }
+    context.log.info({
+        decision: "send-end",
+        attempt: call.metadata.attempt,
+        instance: chosen.instance.id,
+        end: outcome.kind,
+        ...(exchange.kind === "answer"
+            ? { status: exchange.status }
+            : { reason: exchange.reason, dispatched: exchange.isDispatched, stale: exchange.isStaleConnection }),
+    }, "send did not get a successful answer");
+}
--- a/src/request/routed/StreamResume.ts
+++ b/src/request/routed/StreamResume.ts
@@ -88,6 +88,6 @@
         outcome: decision.kind,
         ...(decision.kind === "bound" ? decision.origin : {}),
         learntFrom,
-        revision: context.revision(),
+        ...context.position(),
     }, "caller resumes a stream");
 }
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -7,6 +7,7 @@
 import * as answerWaits from "./AnswerWait";
 import * as histories from "./CallHistory";
 import * as chunks from "./ChunkReader";
+import * as sinks from "./EventSink";
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
@@ -16,20 +17,6 @@
 /** Pause after a stream couldn't be moved before that is tried again. */
 const MOVE_PAUSE_MS = 500;
 
-/** Destination of the events of a stream. */
-export interface EventSink {
-    /** Whether the headers have been written. */
-    readonly hasBegun: boolean;
-    /** Whether the answer is close-delimited: its body ends with the connection. */
-    readonly isCloseDelimited: boolean;
-    begin(status: number, headers: readonly string[], isFramed: boolean): void;
-    /** Resolves when further bytes can be written without unbounded buffering. */
-    write(bytes: Buffer): Promise<void>;
-    end(): void;
-    /** Aborts the answer so that the caller sees it as incomplete. */
-    abort(): void;
-}
-
 /** What a stream needs in addition to the sender's context. */
 export interface StreamOptions {
     /** The inputs that are held; undefined if they have to be computed before the next send. */
@@ -42,7 +29,7 @@
     readonly softwareVersion: string | undefined;
     /** Called before the first event of this answer is forwarded, with the version of the instance that sent it. */
     readonly onFirstEvent: (softwareVersion: string) => void;
-    readonly sink: EventSink;
+    readonly sink: sinks.EventSink;
 }
 
 /** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
@@ -104,7 +91,7 @@
     }
 
     /** Sends the call with its inputs, which are computed first unless they are held. */
-    private async send(signal: AbortSignal): Promise<senders.SendOutcome> {
+    private async send(signal: AbortSignal, onDispatched?: () => void): Promise<senders.SendOutcome> {
         const hasInputs = this.options.inputs() !== undefined
             || (senders.canSend(this.context, this.call, this.history) && await this.options.computeInputs(signal));
         if (!hasInputs) {
@@ -117,6 +104,7 @@
                     inputs: this.options.inputs() ?? [],
                     answerWaitMs,
                     signal: sendSignal,
+                    onDispatched,
                 }),
             waitMs: sent => this.waitMs(sent, sent.sentAtMs),
             isLate: () => this.isLate,
@@ -149,8 +137,11 @@
     private async handleAnswer(answered: AnsweredSend): Promise<Step> {
         if (answered.answer.status !== 200) {
             const outcome = await plainRuns.readCompleteAnswer(this.context, this.call, answered);
-            const isFinal = outcome.kind === "disconnected" || (outcome.kind === "buffered" && outcome.status < 500);
-            return { outcome: this.abortUnlessRetryable(outcome), isFinal };
+            const isRejected = outcome.kind === "buffered" && outcome.status < 500;
+            return {
+                outcome: isRejected ? this.abortIfBegun(outcome) : this.abortUnlessRetryable(outcome),
+                isFinal: isRejected || outcome.kind === "disconnected",
+            };
         }
         const forwarded = await this.forward(answered);
         if (forwarded.kind === "broken") {
@@ -232,7 +223,7 @@
             continuation,
             leave,
             prepare: async moveSignal => this.options.inputs() !== undefined || this.options.computeInputs(moveSignal),
-            send: moveSignal => this.send(moveSignal),
+            send: (moveSignal, onDispatched) => this.send(moveSignal, onDispatched),
             signal,
         });
         this.staysUntilMs = this.context.clock.now() + MOVE_PAUSE_MS;
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -6,6 +6,8 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as positions from "../../common/Position";
+import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as pools from "../../process/routing/InstancePool";
@@ -13,6 +15,7 @@
 import * as budgets from "../../process/routing/ServiceRetryBudget";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
+import * as sendLogs from "./SendLog";
 import * as exchanges from "./UpstreamExchange";
 
 /** Largest urgency value that is sent; larger values are less urgent, and 0 is the most urgent. */
@@ -29,11 +32,13 @@
     readonly wire: routingPorts.RoutedCallWire;
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly pool: pools.InstancePool;
+    /** Called with each answer that an instance gave to its call. */
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: routingPorts.UpstreamAnswerMetadata) => void;
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
-    /** Revision of the published view, logged with each send. */
-    readonly revision: () => number;
+    /** Position of the published view, logged with each send. */
+    readonly position: () => positions.Position;
 }
 
 /** Outcome of one send. */
@@ -77,6 +82,8 @@
     readonly answerWaitMs: (sent: SentCall) => number;
     /** Aborts the send, and the answer that it gets. */
     readonly signal: AbortSignal;
+    /** Called when the instance is reached. */
+    readonly onDispatched?: (() => void) | undefined;
 }
 
 /** Whether the call can be sent now: time and budget are left, and an instance can accept it. */
@@ -115,7 +122,7 @@
         elsewhereMs: () => findElsewhereMs(context, call, history, options.inputs),
     };
     const waitMs = (): number => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now());
-    logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
+    sendLogs.logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
     call.progress.mayHaveRun = true;
     history.openSends++;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
@@ -135,6 +142,7 @@
         isNewConnection: !calls.isRetryable(call.route) || history.sends > 1,
         answerTimeoutMs: waitMs(),
         extendTimeoutMs: waitMs,
+        onDispatched: options.onDispatched,
     }, options.signal);
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
@@ -144,7 +152,7 @@
     }
     history.openSends--;
     call.progress.mayHaveRun = history.possibleRuns + history.openSends > 0;
-    logUnlessSuccessful(context, call, chosen, exchange, outcome);
+    sendLogs.logUnlessSuccessful(context, call, chosen, exchange, outcome);
     return outcome;
 }
 
@@ -157,7 +165,7 @@
 ): pools.ChosenInstance | undefined {
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
-        logUnlessAnyVersion(context, call, history);
+        sendLogs.logUnlessAnyVersion(context, call, history);
         return undefined;
     }
     const budget = context.budgetOf(call.service);
@@ -247,6 +255,7 @@
         ticket.end("failed");
         return { kind: "unknown", code: codes.codes.malformedAnswer };
     }
+    context.onAnswer(chosen.instance, metadata);
     if (metadata.load !== undefined) {
         chosen.traffic.recordLoadReport(metadata.load.running, metadata.load.waiting);
     }
@@ -264,68 +273,3 @@
     const isSuccess = answer.status >= 200 && answer.status < 300;
     return answer.headers["content-encoding"] === undefined && (!isSuccess || metadata.isSigned);
 }
-
-function logSend(
-    context: SenderContext,
-    call: calls.RoutedCall,
-    history: histories.CallHistory,
-    chosen: pools.ChosenInstance,
-    expectedMs: number,
-    remainingMs: number,
-    lastEventId: number | undefined,
-): void {
-    context.log.info({
-        decision: "send",
-        attempt: call.metadata.attempt,
-        send: history.sends,
-        service: call.service,
-        instance: chosen.instance.id,
-        address: chosen.instance.address,
-        softwareVersion: chosen.instance.softwareVersion,
-        ...(lastEventId === undefined ? {} : { lastEventId, resumes: call.metadata.resumedAttempt }),
-        candidates: chosen.candidateCount,
-        load: chosen.traffic.load,
-        missingTokens: chosen.missingTokens,
-        expectedMs: Math.round(expectedMs),
-        cold: chosen.isCold,
-        remainingMs: Math.round(remainingMs),
-        revision: context.revision(),
-    }, "call sent to instance");
-}
-
-/** Logs that no instance can accept a call that only one software version may get. */
-function logUnlessAnyVersion(context: SenderContext, call: calls.RoutedCall, history: histories.CallHistory): void {
-    const { softwareVersion } = history;
-    if (softwareVersion !== undefined) {
-        context.log.info({
-            decision: "not-sent",
-            attempt: call.metadata.attempt,
-            service: call.service,
-            softwareVersion,
-            instances: context.pool.usableInstances(call.service, softwareVersion).length,
-            sends: history.sends,
-            revision: context.revision(),
-        }, "no instance of the stream's software version can accept it");
-    }
-}
-
-function logUnlessSuccessful(
-    context: SenderContext,
-    call: calls.RoutedCall,
-    chosen: pools.ChosenInstance,
-    exchange: exchanges.OpenAnswer | exchanges.FailedExchange,
-    outcome: SendOutcome,
-): void {
-    if (outcome.kind === "answer" && exchange.kind === "answer" && exchange.status < 400) {
-        return; // Logged with its status when the call ends.
-    }
-    context.log.info({
-        decision: "send-end",
-        attempt: call.metadata.attempt,
-        instance: chosen.instance.id,
-        end: outcome.kind,
-        ...(exchange.kind === "answer"
-            ? { status: exchange.status }
-            : { reason: exchange.reason, dispatched: exchange.isDispatched, stale: exchange.isStaleConnection }),
-    }, "send did not get a successful answer");
-}
