--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -12,6 +12,7 @@
 import * as peerConnections from "../../connection/PeerConnection";
 import * as listeners from "../serving/Listener";
 import * as peerEntries from "./PeerEntry";
+import * as presences from "./PeerPresence";
 import * as paces from "./PresencePace";
 
 /** Share of the peers that get the list of entries with each presence message, picked at random. */
@@ -21,8 +22,6 @@
 const FIRST_RECONNECT_MS = 20;
 /** Time that an entry leaves to the other one to open their connection, so that there are seldom two. */
 const PEER_OPENS_MS = 120;
-/** An entry whose connection ended counts as present for this long. */
-const RECONNECT_GRACE_MS = 200;
 const RECONNECT_POLL_INTERVAL_MS = 10;
 const MAX_RECONNECT_MS = 2_000;
 /** Interval at which unreachable entries are removed and tasks for new addresses are started. */
@@ -68,6 +67,7 @@
     private readonly addressesWithTask = new Set<string>();
     private readonly stop = new AbortController();
     private readonly timers: clocks.Disposable[] = [];
+    private readonly presence: presences.PeerPresence;
     private listener: listeners.Listener | undefined;
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
@@ -82,6 +82,7 @@
 
     constructor(private readonly options: EntryPeersOptions) {
         this.startedMs = options.clock.now();
+        this.presence = new presences.PeerPresence(options.clock);
     }
 
     /** Starts to accept and open connections; rejects when the address can't be used. */
@@ -100,17 +101,13 @@
 
     /** The same, and those whose connection ended so recently that it may be back at once. */
     get presentPeers(): peerEntries.PeerEntry[] {
-        const nowMs = this.options.clock.now();
-        return [...this.peersByInstance.values()].filter(peer =>
-            (peer.connection !== undefined || nowMs - peer.lostAtMs < RECONNECT_GRACE_MS)
-            && nowMs - peer.lastHeardMs <= paces.timeoutMs(peer.presenceIntervalMs)
-        );
+        return [...this.peersByInstance.values()].filter(peer => this.presence.isPresent(peer));
     }
 
     /** Waits until a peer whose connection has just ended is connected again, or for the grace time. */
     async waitForReconnect(peer: peerEntries.PeerEntry): Promise<void> {
         const { clock } = this.options;
-        while (peer.connection === undefined && clock.now() - peer.lostAtMs < RECONNECT_GRACE_MS) {
+        while (peer.connection === undefined && clock.now() - peer.lostAtMs < presences.RECONNECT_GRACE_MS) {
             await clocks.sleep(clock, RECONNECT_POLL_INTERVAL_MS, this.stop.signal);
         }
     }
@@ -144,6 +141,7 @@
     dispose(): void {
         this.stop.abort();
         this.timers.forEach(timer => timer.dispose());
+        this.presence.dispose();
         this.peersByInstance.forEach(peer => peer.connection?.dispose());
         this.listener?.dispose();
         this.frameEmitter.dispose();
