--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -12,7 +12,7 @@
 const UNDISTURBED_MS = 3_000;
 /** Platform limit: longest time until an undisturbed entry applies a published configuration. */
 const CONFIGURATION_LIMIT_MS = 2_000;
-/** Platform limit: longest time until a draining engine gets no more calls from an undisturbed entry. */
+/** Platform limit: longest time until a leaving engine gets no more calls of an entry, once the entry can know it. */
 const DRAIN_LIMIT_MS = 2_000;
 /** Time for the system to recover once all faults have ended. */
 export const RECOVERY_MS = 12_000;
@@ -24,6 +24,10 @@
 const PROGRAM_LOAD_MS = 100;
 /** Allowance for the time that a call is in flight between two processes. */
 const TRANSIT_MS = 100;
+/** The software version in an event. */
+const WRITER_PATTERN = / of v\d+(?=\n\n)/g;
+/** The same at the end of an answer that was cut. */
+const PARTIAL_WRITER_PATTERN = / (?:of?(?: (?:v\d*)?)?)?(?=\n?$)/;
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 const INVALID_CALL_STATUSES = [400, 401, 404, 413, 431];
 
@@ -45,11 +49,14 @@
     { name: "a call that is refused as not run never runs", find: findRunsOfRejectedCalls },
     { name: "a success is one engine's whole answer to this call", find: findForeignAnswers },
     { name: "a stream has every event once and in order", find: findIncorrectStreams },
+    { name: "a stream holds events of one software version", find: findMixedStreams },
     { name: "engines get calls as their callers sent them", find: findAlteredRequests },
     { name: "proper calls aren't rejected", find: findRejectedValidCalls },
     { name: "no call hangs beyond its deadline", find: findOverdueCalls },
     { name: "a configuration is in force in time", find: findStaleConfigurations },
+    { name: "a configuration never reverts", find: findRevertedConfigurations },
     { name: "an engine that leaves gets nothing more", find: findRunsAfterLeaving },
+    { name: "an engine that has told an entry that it leaves gets nothing more from it", find: findRunsAfterSign },
     { name: "a planned stop cuts nothing", find: findCallsAbortedByStop },
     { name: "a refusal says when to come back", find: findMissingRetryAfter },
     { name: "no process ends by itself", find: findUnexpectedExits },
@@ -82,6 +89,10 @@
     return byAttempt;
 }
 
+function isStreamKind(route: string): boolean {
+    return ["notes", "once", "staged"].includes(route);
+}
+
 function isAtMostOnce(call: histories.SoakCall): boolean {
     return histories.AT_MOST_ONCE_KINDS.some(kind => kind === call.route);
 }
@@ -107,21 +118,42 @@
             return false;
         }
         const engine = runs.get(call.attempt)?.find(run => call.stamp === `stamp-${run.engine}`)?.engine;
-        const isStream = call.body.startsWith("id: ");
+        const isStream = isStreamKind(call.route); // Its body, which may be empty, is checked by the events.
         return engine === undefined || (!isStream && call.body !== `answer of ${engine} to ${call.attempt}`);
     });
 }
 
 function findIncorrectStreams(history: histories.SoakHistory): readonly unknown[] {
-    const completeBody = Array.from(
-        { length: EVENT_COUNT },
-        (_, index) => `id: ${index + 1}\ndata: part ${index + 1}\n\n`,
-    ).join(
-        "",
-    );
     return history.calls.filter(call => {
-        const isStream = call.status === 200 && ["notes", "once", "staged"].includes(call.route);
-        return isStream && (call.isWhole ? call.body !== completeBody : !completeBody.startsWith(call.body));
+        const isStream = call.status === 200 && isStreamKind(call.route);
+        const body = call.body.replaceAll(WRITER_PATTERN, "").replace(PARTIAL_WRITER_PATTERN, "");
+        const completeBody = eventsAfter(call.resumes?.lastEventId ?? 0);
+        return isStream && (call.isWhole ? body !== completeBody : !completeBody.startsWith(body));
+    });
+}
+
+/** The body of a complete stream after an event, without the versions that wrote it. */
+function eventsAfter(lastEventId: number): string {
+    const ids = Array.from({ length: EVENT_COUNT - lastEventId }, (_, index) => lastEventId + 1 + index);
+    return ids.map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
+}
+
+/** ID of the last complete event of an answer; undefined if it has none. */
+export function lastEventIdOf(call: histories.SoakCall): number | undefined {
+    const ids = call.status === 200 ? [...call.body.matchAll(/id: (\d+)\ndata: [^\n]*\n\n/g)] : [];
+    return ids.length === 0 ? undefined : Number(ids.at(-1)![1]);
+}
+
+/** Finds streams with events of several software versions, in one answer or over their callers' attempts. */
+function findMixedStreams(history: histories.SoakHistory): readonly unknown[] {
+    const callsByStream = new Map<string, histories.SoakCall[]>();
+    for (const call of history.calls) {
+        const stream = call.resumes?.firstAttempt ?? call.attempt;
+        callsByStream.set(stream, [...callsByStream.get(stream) ?? [], call]);
+    }
+    return [...callsByStream.values()].filter(calls => {
+        const bodies = calls.filter(call => call.status === 200).map(call => call.body).join("");
+        return new Set([...bodies.matchAll(WRITER_PATTERN)].map(([writer]) => writer)).size > 1;
     });
 }
 
@@ -167,6 +199,29 @@
     });
 }
 
+/** Finds calls served on an older version's own route by a process that has served a newer version's before. */
+function findRevertedConfigurations(history: histories.SoakHistory): readonly unknown[] {
+    const served = history.versions.flatMap(({ version }) =>
+        history.calls
+            .filter(call => call.route === routeOfVersion(version) && call.status === 200)
+            .map(call => ({ version, call }))
+    );
+    return served.filter(({ version, call }) =>
+        served.some(other =>
+            other.version > version && other.call.entry === call.entry
+            && call.sentMs > other.call.endedMs + TRANSIT_MS
+            && !wasRestarted(history, call.entry, other.call.sentMs, call.endedMs)
+        )
+    );
+}
+
+/** Whether another process of the entry may have served at the end of the time span than at its start. */
+function wasRestarted(history: histories.SoakHistory, entry: number, fromMs: number, toMs: number): boolean {
+    const restarts = history.faults.filter(fault => fault.kind === "kill" || fault.kind === "stop");
+    return restarts.some(fault => fault.entry === entry && fault.fromMs <= toMs && fault.toMs >= fromMs)
+        || history.unexpectedExits.some(exit => exit.entry === entry && exit.atMs >= fromMs && exit.startedMs <= toMs);
+}
+
 function findRunsAfterLeaving(history: histories.SoakHistory): readonly unknown[] {
     const calls = new Map(history.calls.map(call => [call.attempt, call] as const));
     return history.runs.filter(run => {
@@ -178,6 +233,25 @@
     });
 }
 
+/** Finds runs on engines that had told the entry that they leave, in an answer that the entry passed on. */
+function findRunsAfterSign(history: histories.SoakHistory): readonly unknown[] {
+    const calls = new Map(history.calls.map(call => [call.attempt, call] as const));
+    const signs = history.runs.filter(run => run.isLeaving).flatMap(run => {
+        const call = calls.get(run.attempt);
+        const isPassedOn = call?.status !== undefined && call.stamp === `stamp-${run.engine}`;
+        return isPassedOn ? [{ engine: run.engine, entry: call.entry, atMs: call.endedMs }] : [];
+    });
+    return history.runs.filter(run => {
+        const call = calls.get(run.attempt);
+        return run.isLeaving
+            && signs.some(sign =>
+                call !== undefined && sign.engine === run.engine && sign.entry === call.entry
+                && call.sentMs > sign.atMs + DRAIN_LIMIT_MS
+                && !history.wasInterrupted(call.entry, sign.atMs, run.atMs)
+            );
+    });
+}
+
 /** Finds calls that the entry had read, as they reached an engine, but left incomplete only due to its planned stop. */
 function findCallsAbortedByStop(history: histories.SoakHistory): readonly unknown[] {
     const stops = history.faults.filter(fault => fault.kind === "stop");
--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -8,9 +8,11 @@
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
+import * as positions from "../../common/Position";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as listeners from "../serving/Listener";
 import * as peerEntries from "./PeerEntry";
+import * as presences from "./PeerPresence";
 import * as paces from "./PresencePace";
 
 /** Share of the peers that get the list of entries with each presence message, picked at random. */
@@ -20,8 +22,6 @@
 const FIRST_RECONNECT_MS = 20;
 /** Time that an entry leaves to the other one to open their connection, so that there are seldom two. */
 const PEER_OPENS_MS = 120;
-/** An entry whose connection ended counts as present for this long. */
-const RECONNECT_GRACE_MS = 200;
 const RECONNECT_POLL_INTERVAL_MS = 10;
 const MAX_RECONNECT_MS = 2_000;
 /** Interval at which unreachable entries are removed and tasks for new addresses are started. */
@@ -52,8 +52,8 @@
     readonly incarnation: number;
     /** CPU cores available to this process. */
     readonly cores: number;
-    /** Revision up to which this process knows the published store completely. */
-    readonly revision: () => number;
+    /** Position up to which this process knows the published store completely. */
+    readonly position: () => positions.Position;
     readonly isDraining: () => boolean;
     /** What this process hosts; undefined when it isn't a stage host. */
     readonly hosting: () => peerEntries.Hosting | undefined;
@@ -67,6 +67,7 @@
     private readonly addressesWithTask = new Set<string>();
     private readonly stop = new AbortController();
     private readonly timers: clocks.Disposable[] = [];
+    private readonly presence: presences.PeerPresence;
     private listener: listeners.Listener | undefined;
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
@@ -81,6 +82,7 @@
 
     constructor(private readonly options: EntryPeersOptions) {
         this.startedMs = options.clock.now();
+        this.presence = new presences.PeerPresence(options.clock);
     }
 
     /** Starts to accept and open connections; rejects when the address can't be used. */
@@ -99,17 +101,13 @@
 
     /** The same, and those whose connection ended so recently that it may be back at once. */
     get presentPeers(): peerEntries.PeerEntry[] {
-        const nowMs = this.options.clock.now();
-        return [...this.peersByInstance.values()].filter(peer =>
-            (peer.connection !== undefined || nowMs - peer.lostAtMs < RECONNECT_GRACE_MS)
-            && nowMs - peer.lastHeardMs <= paces.timeoutMs(peer.presenceIntervalMs)
-        );
+        return [...this.peersByInstance.values()].filter(peer => this.presence.isPresent(peer));
     }
 
     /** Waits until a peer whose connection has just ended is connected again, or for the grace time. */
     async waitForReconnect(peer: peerEntries.PeerEntry): Promise<void> {
         const { clock } = this.options;
-        while (peer.connection === undefined && clock.now() - peer.lostAtMs < RECONNECT_GRACE_MS) {
+        while (peer.connection === undefined && clock.now() - peer.lostAtMs < presences.RECONNECT_GRACE_MS) {
             await clocks.sleep(clock, RECONNECT_POLL_INTERVAL_MS, this.stop.signal);
         }
     }
@@ -143,6 +141,7 @@
     dispose(): void {
         this.stop.abort();
         this.timers.forEach(timer => timer.dispose());
+        this.presence.dispose();
         this.peersByInstance.forEach(peer => peer.connection?.dispose());
         this.listener?.dispose();
         this.frameEmitter.dispose();
@@ -268,7 +267,7 @@
                 break;
             }
             peer.lastHeardMs = this.options.clock.now();
-            peer.revision = envelope.version;
+            peer.position = { era: envelope.era ?? 0, revision: envelope.version };
             this.handleFrame({ peer, connection, message: envelope.message });
         }
         if (peer.connection === connection) {
@@ -339,7 +338,8 @@
                 address,
                 knowsStreamOrigins: true,
             }),
-            version: () => this.options.revision(),
+            version: () => this.options.position().revision,
+            era: () => this.options.position().era,
             heartbeat: () => ({ kind: "heartbeat" }),
             silenceMs: () => paces.connectionSilenceMs(this.ordinaryIntervalMs),
             heartbeatIntervalMs: () => this.ordinaryIntervalMs,
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -6,6 +6,7 @@
 import * as stageOrders from "../../common/StageOrder";
 import * as promptReading from "../../process/routing/PromptReading";
 import * as stageHosts from "../../process/routing/StageHost";
+import * as sinks from "./EventSink";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
 import * as streamResumes from "./StreamResume";
@@ -23,14 +24,14 @@
 export async function runRouted(
     context: RunContext,
     call: calls.RoutedCall,
-    sink: streamRuns.EventSink,
+    sink: sinks.EventSink,
 ): Promise<plainRuns.RunOutcome> {
     if (call.route.kind !== "stream") {
         return plainRuns.runPlain(context, call);
     }
     const bound = await streamResumes.bindStream(context, call);
     if (bound.isErr) {
-        return { kind: "local-failure", failure: bound.error };
+        return call.signal.aborted ? { kind: "disconnected" } : { kind: "local-failure", failure: bound.error };
     }
     return runStream(context, bound.value, sink);
 }
@@ -38,7 +39,7 @@
 async function runStream(
     context: RunContext,
     { call, softwareVersion }: streamResumes.BoundStream,
-    sink: streamRuns.EventSink,
+    sink: sinks.EventSink,
 ): Promise<plainRuns.RunOutcome> {
     const inputs = new StageInputs(context, call);
     try {
--- a/src/request/routed/StreamMove.ts
+++ b/src/request/routed/StreamMove.ts
@@ -1,13 +1,14 @@
 /**
- * Moves a call from a silent instance to another one, before or after its stream has begun. The exchange with the silent instance stays open until the
- * other one has accepted the call: a stream that no other instance takes, or that continues meanwhile, stays.
+ * Moves a call from a silent instance to another one, before or after its stream has begun. The exchange with the silent
+ * instance stays open until the other one has accepted the call: a call that no other instance takes, or that continues
+ * meanwhile, stays.
  */
 import * as stream from "node:stream";
 import * as clocks from "../../common/Clock";
 import * as senders from "./UpstreamSender";
 
 /**
- * Time after the send at which the silent instance is left, even if the other one hasn't answered: rejections arrive
+ * Time from reaching the other instance at which the silent one is left, even without an answer: rejections arrive
  * sooner, and two instances must not work on a call for longer.
  */
 const MAX_OVERLAP_MS = 200;
@@ -22,7 +23,7 @@
     /** Provides what the next send needs; resolves to false on failure. */
     readonly prepare: (signal: AbortSignal) => Promise<boolean>;
     /** Sends the call to another instance. */
-    readonly send: (signal: AbortSignal) => Promise<senders.SendOutcome>;
+    readonly send: (signal: AbortSignal, onDispatched: () => void) => Promise<senders.SendOutcome>;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
 }
@@ -39,9 +40,10 @@
             controller.abort();
             return undefined;
         }
-        const sending = options.send(signal);
-        const overlapEnd = new Promise<"overlap-end">(resolve => {
-            overlapTimer = options.clock.schedule(MAX_OVERLAP_MS, () => resolve("overlap-end"));
+        let endOverlap!: (value: "overlap-end") => void;
+        const overlapEnd = new Promise<"overlap-end">(resolve => endOverlap = resolve);
+        const sending = options.send(signal, () => {
+            overlapTimer = options.clock.schedule(MAX_OVERLAP_MS, () => endOverlap("overlap-end"));
         });
         const first = await Promise.race([continuation.promise, sending, overlapEnd]);
         if (first === "overlap-end" || (first !== "continued" && isAccepted(first))) {
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -100,6 +100,12 @@
         return (await sendRequest(this.readyAddresses[index]!, "GET", "/ready", {}, undefined)).status;
     }
 
+    /** What an entry's admin server reports. */
+    async status(index: number): Promise<Record<string, unknown>> {
+        const answer = await sendRequest(this.entries[index]!.adminAddress, "GET", "/status", {}, undefined);
+        return JSON.parse(answer.body) as Record<string, unknown>;
+    }
+
     enginesOf(service: string): engines.PlatformEngineStandIn[] {
         return this.engines.filter(engine => engine.options.service === service);
     }
@@ -186,6 +192,7 @@
                 Attempts: 2,
             }]),
             { ...stream, Name: "notes", Prefix: "/notes/", Attempts: 2, Resumable: true },
+            { ...stream, Name: "lists", Prefix: "/lists/", Attempts: 3, Resumable: true },
             { ...stream, Name: "once", Prefix: "/once/", Attempts: 1, Resumable: false },
             { ...stream, Name: "staged", Prefix: "/staged/", Attempts: 1, Resumable: false, Stages: stages },
             { ...stream, Name: "drafts", Prefix: "/drafts/", Attempts: 2, Resumable: true, Stages: stages },
