--- a/src/process/routing/EntryPeers.ts
+++ b/src/process/routing/EntryPeers.ts
@@ -10,6 +10,7 @@
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
 import * as peerConnections from "../../connection/PeerConnection";
+import * as pauseMonitors from "../membership/PauseMonitor";
 import * as listeners from "../serving/Listener";
 import * as peerEntries from "./PeerEntry";
 import * as presences from "./PeerPresence";
@@ -41,6 +42,8 @@
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
     readonly random: () => number;
+    /** Detects late turns of the event loop, which may have left messages unread. */
+    readonly pauses: pauseMonitors.PauseMonitor;
     readonly instance: string;
     readonly failureDomain: string;
     /** Listening address of this process. */
@@ -82,7 +85,7 @@
 
     constructor(private readonly options: EntryPeersOptions) {
         this.startedMs = options.clock.now();
-        this.presence = new presences.PeerPresence(options.clock);
+        this.presence = new presences.PeerPresence(options.clock, options.pauses);
     }
 
     /** Starts to accept and open connections; rejects when the address can't be used. */
@@ -141,7 +144,6 @@
     dispose(): void {
         this.stop.abort();
         this.timers.forEach(timer => timer.dispose());
-        this.presence.dispose();
         this.peersByInstance.forEach(peer => peer.connection?.dispose());
         this.listener?.dispose();
         this.frameEmitter.dispose();
--- a/src/process/routing/PeerPresence.test.ts
+++ b/src/process/routing/PeerPresence.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as peerConnections from "../../connection/PeerConnection";
+import * as pauseMonitors from "../membership/PauseMonitor";
 import * as peerEntries from "./PeerEntry";
 import * as presences from "./PeerPresence";
 
@@ -14,12 +15,13 @@
         { name: "is present before its time-out", pauseMs: 0, afterMs: 900, isPresent: true },
     ])("$name", ({ pauseMs, afterMs, isPresent }) => {
         const clock = new clocks.ManualClock();
-        const presence = new presences.PeerPresence(clock);
+        const pauses = new pauseMonitors.PauseMonitor({ clock, thresholdMs: 200 });
+        const presence = new presences.PeerPresence(clock, pauses);
         const peer = peerEntries.createPeerEntry("other", "127.0.0.1:1", "zone-a", clock.now());
         peer.connection = {} as peerConnections.PeerConnection;
         clock.skip(pauseMs);
         clock.advance(afterMs);
         vitest.expect(presence.isPresent(peer)).toBe(isPresent);
-        presence.dispose();
+        pauses.dispose();
     });
 });
--- a/src/process/routing/PeerPresence.ts
+++ b/src/process/routing/PeerPresence.ts
@@ -9,18 +9,12 @@
 
 /** An entry whose connection ended counts as present for this long. */
 export const RECONNECT_GRACE_MS = 200;
-/** A turn of the event loop that was late by more than this may have left messages unread for as long. */
-const PAUSE_THRESHOLD_MS = 200;
 /** Time after a late turn in which these messages are read. */
 const PAUSE_WINDOW_MS = 100;
 
 /** The presence of all peers of one process. */
-export class PeerPresence implements clocks.Disposable {
-    private readonly pauses: pauseMonitors.PauseMonitor;
-
-    constructor(private readonly clock: clocks.Clock) {
-        this.pauses = new pauseMonitors.PauseMonitor({ clock, thresholdMs: PAUSE_THRESHOLD_MS });
-    }
+export class PeerPresence {
+    constructor(private readonly clock: clocks.Clock, private readonly pauses: pauseMonitors.PauseMonitor) {}
 
     /** Whether a peer is connected, or was until just now, and has sent a frame within its presence time-out. */
     isPresent(peer: peerEntries.PeerEntry): boolean {
@@ -29,8 +23,4 @@
         return (peer.connection !== undefined || nowMs - peer.lostAtMs < RECONNECT_GRACE_MS)
             && nowMs - peer.lastHeardMs <= paces.timeoutMs(peer.presenceIntervalMs) + unreadMs;
     }
-
-    dispose(): void {
-        this.pauses.dispose();
-    }
 }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -7,6 +7,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as settingsShapes from "../../common/Settings";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
+import * as pauseMonitors from "../membership/PauseMonitor";
 import * as adminServers from "../serving/AdminServer";
 import * as entryPeers from "./EntryPeers";
 import * as hostRoles from "./HostRoles";
@@ -26,6 +27,8 @@
 import * as streamExchanges from "./StreamOriginExchange";
 
 const MS_PER_SECOND = 1_000;
+/** A turn of the event loop that was late by more than this may have left requests and messages unread for as long. */
+const PAUSE_THRESHOLD_MS = 200;
 /** How long a stopping process still accepts requests, since callers and the balancer learn of the stop late. */
 const DRAIN_ACCEPT_MS = 2_200;
 /** A process without a successor accepts requests until this long before its stop deadline. */
@@ -73,6 +76,7 @@
     ) {
         const { clock, log, random, store } = options;
         const shared = { clock, log, random };
+        const pauses = this.disposables.add(new pauseMonitors.PauseMonitor({ clock, thresholdMs: PAUSE_THRESHOLD_MS }));
         const connections = new upstreamConnections.UpstreamConnections();
         this.disposables.add({ dispose: () => connections.destroy() });
         this.view = this.disposables.add(new views.PublishedView({ clock, log, decode: item => store.decode(item) }));
@@ -87,6 +91,7 @@
         this.peers = this.disposables.add(
             new entryPeers.EntryPeers({
                 ...shared,
+                pauses,
                 instance: settings.instance,
                 failureDomain: settings.failureDomain,
                 listen: settings.peerListen,
@@ -167,6 +172,7 @@
         this.server = this.disposables.add(
             new servers.RouteServer({
                 ...shared,
+                pauses,
                 metrics: this.metrics,
                 table: () => this.view.table,
                 isClosing: () => this.isClosing,
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -6,6 +6,7 @@
 import * as emitters from "../../common/Emitter";
 import * as routing from "../../common/Routing";
 import * as tables from "../../version/RouteTable";
+import * as pauseMonitors from "../membership/PauseMonitor";
 import * as metrics from "./RouteMetrics";
 import * as servers from "./RouteServer";
 
@@ -30,12 +31,17 @@
     teams: undefined,
     limits: { headerBytes: 10_000, bodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 3_000 },
 });
+const PAUSE_THRESHOLD_MS = 200;
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
 /** Starts a server whose calls find no instance; `choose` is called when a call would be sent. */
-async function startServer(remainingMs: number, choose: () => undefined): Promise<servers.RouteServer> {
+async function startServer(
+    remainingMs: number,
+    choose: () => undefined,
+): Promise<clocks.Disposable & { readonly address: string }> {
     const metadata = { attempt: "1", remainingMs, promptParts: [], promptTokens: 0, outputTokens: 0, pieces: [] };
     const log = pino.pino({ level: "silent" });
+    const pauses = new pauseMonitors.PauseMonitor({ clock: clocks.systemClock, thresholdMs: PAUSE_THRESHOLD_MS });
     const context = {
         clock: clocks.systemClock,
         log,
@@ -43,6 +49,7 @@
         metrics: new metrics.RouteMetrics(),
         table: () => table,
         isClosing: () => false,
+        pauses,
         stopDeadlineMs: () => undefined,
         run: {
             clock: clocks.systemClock,
@@ -53,7 +60,13 @@
     };
     const server = new servers.RouteServer(context as unknown as servers.RouteServerContext);
     await server.listen("127.0.0.1:0");
-    return server;
+    return {
+        address: server.address,
+        dispose: () => {
+            server.dispose();
+            pauses.dispose();
+        },
+    };
 }
 
 /** Connects, sends a request and lets the process do nothing else for `pauseMs`; the caller may leave meanwhile. */
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -31,8 +31,6 @@
 const ANSWER_MARGIN_MS = 25;
 /** Retry delay sent by a process that isn't ready or is stopping. */
 const NOT_READY_RETRY_MS = 500;
-/** A turn of the event loop that was late by more than this may have left requests unread for as long. */
-const PAUSE_THRESHOLD_MS = 200;
 /** Requests that are read within this time of a late turn may have arrived during it. */
 const PAUSE_WINDOW_MS = 100;
 /** Time in which the end of a connection is read that arrived with its last request. */
@@ -56,6 +54,8 @@
     /** When requests still in progress are aborted; undefined while the process isn't stopping. */
     readonly stopDeadlineMs: () => number | undefined;
     readonly metrics: metrics.RouteMetrics;
+    /** Detects late turns of the event loop, which may have left requests unread. */
+    readonly pauses: pauseMonitors.PauseMonitor;
 }
 
 /** Accepts routed calls and writes their answers. */
@@ -63,7 +63,6 @@
     private readonly server: http.Server;
     private readonly idleConnections: idleConnections.IdleConnections;
     private listener: listeners.Listener | undefined;
-    private readonly pauses: pauseMonitors.PauseMonitor;
     private isDraining = false;
     private readonly openResponses = new Set<http.ServerResponse>();
     /** Calls in progress by their response. */
@@ -83,7 +82,6 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
         this.idleConnections = new idleConnections.IdleConnections(this.server);
-        this.pauses = new pauseMonitors.PauseMonitor({ clock: context.clock, thresholdMs: PAUSE_THRESHOLD_MS });
         this.applyCallerLimits(DEFAULT_LIMITS);
     }
 
@@ -137,7 +135,6 @@
     }
 
     dispose(): void {
-        this.pauses.dispose();
         this.listener?.dispose();
     }
 
@@ -173,7 +170,7 @@
             this.callsByResponse.delete(response);
         });
         // The request may have waited unread for the whole pause, and its caller may have left since.
-        const pauseMs = this.pauses.recentPauseMs(PAUSE_WINDOW_MS);
+        const pauseMs = this.context.pauses.recentPauseMs(PAUSE_WINDOW_MS);
         const arrivedMs = this.context.clock.now() - pauseMs;
         const abortController = callerWatches.watchCaller(response);
         const accepted = await this.readRequest(message, response, arrivedMs, abortController.signal);
