Identify incarnations by one function

InstanceHolds, InstancePool (as an alias) and LeavingInstances each had their own. Behaviour as before; types, linter, unused code and the tests of src/process/routing and src/request pass (435).

--- a/src/common/Routing.ts
+++ b/src/common/Routing.ts
@@ -118,6 +118,11 @@
     readonly coldLeftMs: number;
 }
 
+/** Identifies one incarnation of an instance. */
+export function incarnationKey({ id, startedMs }: Pick<RoutedInstance, "id" | "startedMs">): string {
+    return `${id}@${startedMs}`;
+}
+
 /** The decoded content of one key of the store; `unreadable` when it can't be decoded. */
 export type PublishedRecord =
     | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration }
--- a/src/process/routing/InstanceHoldLoad.test.ts
+++ b/src/process/routing/InstanceHoldLoad.test.ts
@@ -129,7 +129,7 @@
             else if (!budget.trySpend()) {
                 return RETRY_AFTER_MS;
             }
-            triedIncarnations.add(pools.incarnationKey(chosen.instance));
+            triedIncarnations.add(routing.incarnationKey(chosen.instance));
             const instance = instances.get(chosen.instance.id)!;
             const name = ENTRIES[caller.entry]!;
             const nowMs = clock.now();
--- a/src/process/routing/InstanceHolds.ts
+++ b/src/process/routing/InstanceHolds.ts
@@ -22,11 +22,6 @@
     readonly entryCount: () => number;
 }
 
-/** Identifies one incarnation of an instance. */
-export function incarnationKey(instance: routing.RoutedInstance): string {
-    return `${instance.id}@${instance.startedMs}`;
-}
-
 /** Records the holds that instances ask for. */
 export class InstanceHolds {
     private readonly byIncarnation = new Map<string, holds.InstanceHold>();
@@ -73,7 +68,7 @@
         const { clock, log, random, entryCount } = this.options;
         const hold = instance === undefined
             ? this.byAddress.get(address) ?? new holds.InstanceHold()
-            : this.obtain(incarnationKey(instance));
+            : this.obtain(routing.incarnationKey(instance));
         const endMs = clock.now() + statedMs + holds.returnSpreadMs(entryCount(), random());
         hold.extendTo(endMs);
         this.lastEndMs = Math.max(this.lastEndMs, endMs);
@@ -93,7 +88,7 @@
 
     /** Time until anything may be sent to an instance again; 0 if it doesn't hold off. */
     remainingMs(instance: routing.RoutedInstance): number {
-        const hold = this.isAnyInForce ? this.byIncarnation.get(incarnationKey(instance)) : undefined;
+        const hold = this.isAnyInForce ? this.byIncarnation.get(routing.incarnationKey(instance)) : undefined;
         return this.remainingMsOf(hold);
     }
 
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/routing/InstancePool.ts
@@ -81,9 +81,6 @@
     readonly missingTokens: number;
 }
 
-/** Identifies one incarnation of an instance. */
-export const incarnationKey = instanceHolds.incarnationKey;
-
 /** Chooses instances and keeps the traffic counts of each. */
 export class InstancePool implements clocks.Disposable {
     private readonly trafficByIncarnation = new Map<string, traffic.InstanceTraffic>();
@@ -112,7 +109,7 @@
     trafficOf(instance: routing.RoutedInstance): traffic.InstanceTraffic {
         let counts = this.trafficByRecord.get(instance);
         if (counts === undefined) {
-            counts = this.obtainTraffic(incarnationKey(instance));
+            counts = this.obtainTraffic(routing.incarnationKey(instance));
             this.trafficByRecord.set(instance, counts);
         }
         return counts;
@@ -258,7 +255,7 @@
 
     private wasTried(instance: views.KnownInstance, requirements: CallRequirements): boolean {
         const { triedIncarnations } = requirements;
-        return triedIncarnations.size > 0 && triedIncarnations.has(incarnationKey(instance));
+        return triedIncarnations.size > 0 && triedIncarnations.has(routing.incarnationKey(instance));
     }
 
     private toCandidate(
--- a/src/process/routing/LeavingInstances.ts
+++ b/src/process/routing/LeavingInstances.ts
@@ -67,7 +67,11 @@
         if (sign.ageMs >= MARK_LIFETIME_MS || (known !== undefined && known.sinceMs <= sinceMs)) {
             return false;
         }
-        this.marks.set(keyOf(incarnation), { ...incarnation, sinceMs, learnedMs: known?.learnedMs ?? nowMs });
+        this.marks.set(routing.incarnationKey(incarnation), {
+            ...incarnation,
+            sinceMs,
+            learnedMs: known?.learnedMs ?? nowMs,
+        });
         if (this.marks.size > MAX_MARKS) {
             const [oldest] = this.marks.keys();
             this.marks.delete(oldest!);
@@ -102,7 +106,7 @@
     /** Drops the marks that have ended, and returns their incarnations. */
     takeExpired(): Incarnation[] {
         const expired = [...this.marks.values()].filter(mark => this.isExpired(mark));
-        expired.forEach(mark => this.marks.delete(keyOf(mark)));
+        expired.forEach(mark => this.marks.delete(routing.incarnationKey(mark)));
         return expired;
     }
 
@@ -116,7 +120,7 @@
         if (this.marks.size === 0) {
             return undefined; // Asked for each instance at each choice.
         }
-        const mark = this.marks.get(keyOf(instance));
+        const mark = this.marks.get(routing.incarnationKey(instance));
         return mark === undefined || this.isExpired(mark) ? undefined : mark;
     }
 
@@ -124,7 +128,3 @@
         return this.clock.now() - mark.sinceMs >= MARK_LIFETIME_MS;
     }
 }
-
-function keyOf(instance: Incarnation): string {
-    return `${instance.id}@${instance.startedMs}`;
-}
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -182,7 +182,7 @@
         return undefined;
     }
     history.sends++;
-    history.triedIncarnations.add(pools.incarnationKey(chosen.instance));
+    history.triedIncarnations.add(routing.incarnationKey(chosen.instance));
     return chosen;
 }
 
