Fail an exchange that can't be made, instead of ending the process

What callers saw: a stage worker that names a result at an address that can't be connected to, such as a port above 65535, ended the entry as soon as the result was released, and every call in progress there without an answer.

Cause: openExchange, which "never rejects", rejected when http.request threw, as it does for such a port and for a header value with a control character. Stage calls and releases run without a caller that waits for them, so that nobody handled the rejection, and Node.js ends the process. Calls themselves got 500, and their place in the counts of the instance was never given back. Addresses and handles come from the store and from the instances.

Evidence (before the change; both of the first also rejected with "Invalid character in header content"): UpstreamExchange.test.ts, a request that can't be made > to a port that doesn't exist fails as not dispatched RangeError: Port should be >= 0 and < 65536.

Why it works: the exception becomes an exchange that failed before its first byte, with the reason `invalid`, which the callers of openExchange log. A call counts it as not run, and not against the instance. Not seen with the users.

--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -130,6 +130,20 @@
     });
 });
 
+vitest.describe("a request that can't be made", () => {
+    // Guards against an exception that nobody handles, which ends the process with all its requests.
+    vitest.it.each([
+        { name: "to a port that doesn't exist", change: { address: "127.0.0.1:70000" } },
+        { name: "with a header that can't be sent", change: { headers: ["Inputs", "10.0.0.1:80/\n"] } },
+    ])("$name fails as not dispatched", async ({ change }) => {
+        const pool = new upstreamConnections.UpstreamConnections();
+        const sent = { ...request("127.0.0.1:9"), ...change };
+        const outcome = await exchanges.openExchange(pool, clocks.systemClock, sent);
+        vitest.expect(outcome).toMatchObject({ kind: "failed", isDispatched: false, reason: "invalid" });
+        pool.destroy();
+    });
+});
+
 vitest.describe("a keep-alive connection", () => {
     vitest.it.each([
         { name: "is reused after a complete answer", extra: "", connections: 1 },
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/request/routed/UpstreamExchange.ts
@@ -65,7 +65,8 @@
     readonly isDispatched: boolean;
     /** Whether a reused connection was reset, possibly because it was closed while idle; a new one may work. */
     readonly isStaleConnection: boolean;
-    readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled" | "held";
+    /** `invalid`: the request can't be made, since its address or a header is malformed. */
+    readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled" | "held" | "invalid";
 }
 
 /** Sends a request and waits for the headers of the answer; `signal` aborts the exchange. Never rejects. */
@@ -78,7 +79,15 @@
     if (signal?.aborted === true) {
         return Promise.resolve({ kind: "failed", isDispatched: false, isStaleConnection: false, reason: "cancelled" });
     }
-    return new Promise(resolve => new Exchange(connections, clock, request, signal, resolve).start());
+    return new Promise(resolve => {
+        try {
+            new Exchange(connections, clock, request, signal, resolve).start();
+        }
+        catch {
+            // The caller logs the reason. Addresses and headers are partly data of other processes.
+            resolve({ kind: "failed", isDispatched: false, isStaleConnection: false, reason: "invalid" });
+        }
+    });
 }
 
 class Exchange {
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -238,7 +238,8 @@
         return { kind: "cancelled" };
     }
     if (!exchange.isDispatched) {
-        ticket.end(exchange.reason === "held" ? "cancelled" : "unreachable");
+        const isUnreachable = exchange.reason !== "held" && exchange.reason !== "invalid";
+        ticket.end(isUnreachable ? "unreachable" : "cancelled");
         return { kind: "not-run", isInputLost: false };
     }
     // A reset of a reused connection does not indicate a failed instance: it may have been closed while idle.
