Read the rest of a request that is answered early before its connection is closed

What callers saw: a request that was rejected before its body had arrived (unknown route or key, as beside a change of the configuration; too large; a process that stops) got neither the answer nor a rejection if its caller wrote the whole request before it read: its connection was reset.

Cause: the connection was given up together with the answer, with the rest of the body unread. The system resets a connection that is closed with unread bytes, and bytes that arrive later reset it too; the caller's next write fails.

Evidence (tests/EarlyAnswers.test.ts, before the change): for an unknown key: expected 'write EPIPE' to contain 'HTTP/1.1 401 ' for a body that is too large, for chunks that are too large: expected 'write EPIPE' to contain 'HTTP/1.1 413 ' while its process stops: expected 'write EPIPE' to contain 'HTTP/1.1 503 ' and the same for an unknown route; 5 of 5 failed. After: 5 of 5 pass, one run.

Why it works: the answer is written at once, but its connection is closed only when the body has ended, the caller has left, or after 2 s. A stopping process counts the request as open for that time, within its stop limit. Not seen with the users.

--- a/src/process/routing/CallerBody.ts
+++ b/src/process/routing/CallerBody.ts
@@ -6,6 +6,9 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 
+/** Longest time in which the rest of a body is read whose request has already been answered. */
+const DISCARD_LIMIT_MS = 2_000;
+
 /** Limits on a request body. */
 export interface BodyLimits {
     readonly maxBytes: number;
@@ -48,3 +51,23 @@
         message.on("close", () => finish(result.err(codes.failure(codes.codes.cancelled, "the caller left"))));
     });
 }
+
+/**
+ * Reads the rest of a body and discards it; resolves at its end, when the caller disconnects, or at a time limit. A
+ * connection that is closed with unread bytes is reset, and its caller may lose the answer.
+ */
+export function discardCallerBody(message: http.IncomingMessage, clock: clocks.Clock): Promise<void> {
+    if (message.complete || message.destroyed) {
+        return Promise.resolve();
+    }
+    return new Promise(resolve => {
+        const timer = clock.schedule(DISCARD_LIMIT_MS, resolve);
+        const finish = (): void => {
+            timer.dispose();
+            resolve();
+        };
+        message.on("end", finish);
+        message.on("close", finish);
+        message.resume();
+    });
+}
--- a/src/process/routing/CallerResponse.ts
+++ b/src/process/routing/CallerResponse.ts
@@ -75,15 +75,25 @@
     }
 }
 
-/** Writes an answer that this process produces itself, with the result code as its body. */
+/**
+ * Writes an answer that this process produces itself, with the result code as its body. The connection of a request that
+ * hasn't been read completely is closed after the answer, once `bodyEnd` has resolved.
+ */
 export function writeLocalAnswer(
     response: http.ServerResponse,
     status: number,
     headers: readonly string[],
     code: codes.ResultCode,
+    bodyEnd: Promise<void> | undefined,
 ): void {
     const body = JSON.stringify({ code: code.code, name: code.name, outcome: code.outcome });
     const length = String(Buffer.byteLength(body));
+    response.shouldKeepAlive &&= bodyEnd === undefined; // Unread bytes can't be told from a next request.
     response.writeHead(status, [...headers, "Content-Type", "application/json", "Content-Length", length]);
-    response.end(body);
+    if (bodyEnd === undefined) {
+        response.end(body);
+        return;
+    }
+    response.write(body);
+    void bodyEnd.then(() => response.end());
 }
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -291,12 +291,10 @@
         call: calls.RoutedCall | undefined,
         arrivedMs: number,
     ): void {
-        if (!message.complete) {
-            response.shouldKeepAlive = false; // Unless read to its end, the body can't be told from a next request.
-        }
+        const bodyEnd = message.complete ? undefined : bodies.discardCallerBody(message, this.context.clock);
         const attempt = this.context.run.wire.readAttempt(message.headers);
         const headers = this.context.run.wire.errorHeaders(attempt, failure.retryAfterMs);
-        responses.writeLocalAnswer(response, failure.code.status, headers, failure.code);
+        responses.writeLocalAnswer(response, failure.code.status, headers, failure.code, bodyEnd);
         this.context.metrics.countEnd(call?.route.name ?? "none", String(failure.code.status));
         this.context.log.info({
             decision: "answer",
