--- a/src/request/routed/LateProcess.test.ts
+++ b/src/request/routed/LateProcess.test.ts
@@ -9,9 +9,9 @@
 const HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CHUNK = "5\r\nevent\r\n";
 
-/** Keeps the event loop busy for longer than the limit. */
-function beLate(): void {
-    const untilMs = clocks.systemClock.now() + 2 * LIMIT_MS;
+/** Keeps the event loop busy, by default for longer than the limit. */
+function beLate(forMs = 2 * LIMIT_MS): void {
+    const untilMs = clocks.systemClock.now() + forMs;
     while (clocks.systemClock.now() < untilMs) {
         // The process does nothing else.
     }
@@ -37,6 +37,33 @@
     return server;
 }
 
+/** Milliseconds for which a connection may be opened, and some more. */
+const CONNECT_PAUSE_MS = 600;
+
+vitest.describe("an instance isn't taken for unreachable while this process is late", () => {
+    // Guards against calls that are rejected after a pause, though their connection was established meanwhile.
+    vitest.it("in opening the connection", async () => {
+        const { systemClock } = clocks;
+        const server = await startUpstream(0);
+        const pool = new upstreamConnections.UpstreamConnections();
+        const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+        const opening = exchanges.openExchange(pool, systemClock, {
+            address,
+            method: "GET",
+            path: "/",
+            headers: ["Host", address],
+            body: undefined,
+            isNewConnection: true,
+            answerTimeoutMs: 5 * CONNECT_PAUSE_MS,
+        });
+        await new Promise(resolve => process.nextTick(resolve));
+        beLate(CONNECT_PAUSE_MS);
+        vitest.expect((await opening).kind).toBe("answer");
+        pool.destroy();
+        server.close();
+    });
+});
+
 vitest.describe("an instance isn't taken for silent while this process is late", () => {
     // Guards against calls that a process gives up after a pause of its own, with their answers unread.
     vitest.it.each([
