Read whether a connection is established before giving it up

Callers were told, at moments when an agent or entry was late, that an upstream accepts no connection, and entries counted a connection failure against an instance that had accepted it at once.

Cause: the time limits of a connection and of an exchange fire in the first phase of a turn of the event loop, before the phase that reads that the connection is established. The timers that read first (ReadTimer) weren't used in HttpRequest, nor for the connection in UpstreamExchange; and they read only in a process late by more than 20 ms, and only if no other timer of the same turn took as long as they wait.

--- a/bench/PlacementFakes.ts
+++ b/bench/PlacementFakes.ts
@@ -47,6 +47,10 @@
         };
     }
 
+    afterReads(callback: () => void): clocks.Disposable {
+        return this.schedule(0, callback);
+    }
+
     /** Runs the callback now, or when the process resumes. */
     whenRunning(callback: () => void): void {
         if (this.paused) {
--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -15,8 +15,16 @@
     wall(): number;
     /** Calls `callback` once after `delayMs`. */
     schedule(delayMs: number, callback: () => void): Disposable;
+    /** Calls `callback` once the event loop has read what has arrived by now, connections that ended among it. */
+    afterReads(callback: () => void): Disposable;
 }
 
+/**
+ * Turns of the event loop in which pending input is read. The end of a connection takes the most: it is read in the
+ * first complete turn, and reported as closed in the next one.
+ */
+const READ_TURNS = 4;
+
 /** The clock of the operating system. */
 export const systemClock: Clock = {
     now: () => performance.now(),
@@ -25,6 +33,19 @@
         const timer = setTimeout(callback, Math.max(0, delayMs));
         return { dispose: () => clearTimeout(timer) };
     },
+    afterReads(callback) {
+        let turns = 0;
+        let immediate = setImmediate(nextTurn);
+        function nextTurn(): void {
+            turns++;
+            if (turns === READ_TURNS) {
+                callback();
+                return;
+            }
+            immediate = setImmediate(nextTurn);
+        }
+        return { dispose: () => clearImmediate(immediate) };
+    },
 };
 
 /** Resolves after `delayMs`, or as soon as `signal` aborts. */
@@ -81,6 +102,10 @@
         return { dispose: () => void this.timers.delete(timer) };
     }
 
+    afterReads(callback: () => void): Disposable {
+        return this.schedule(0, callback);
+    }
+
     /** Advances the time without running timers, as if the process had been paused. */
     skip(byMs: number): void {
         this.nowMs += byMs;
--- a/src/common/ReadTimer.ts
+++ b/src/common/ReadTimer.ts
@@ -8,15 +8,18 @@
 /** Time in which bytes are read that arrived during a late turn of the event loop. */
 const PENDING_READ_MS = 10;
 
-/** Calls `callback` after `delayMs`, in a late process only once it has read what arrived meanwhile. */
+/** Calls `callback` after `delayMs`, but only once the process has read what arrived meanwhile. */
 export function scheduleAfterReads(clock: clocks.Clock, delayMs: number, callback: () => void): clocks.Disposable {
     const dueMs = clock.now() + delayMs;
+    const fireAfterReads = (): void => {
+        timer = clock.afterReads(callback);
+    };
     let timer = clock.schedule(delayMs, () => {
         if (clock.now() - dueMs <= LATE_MS) {
-            callback();
+            fireAfterReads();
             return;
         }
-        timer = clock.schedule(PENDING_READ_MS, callback);
+        timer = clock.schedule(PENDING_READ_MS, fireAfterReads);
     });
     return { dispose: () => timer.dispose() };
 }
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -10,6 +10,7 @@
 import * as codes from "../../common/Codes";
 import * as emitters from "../../common/Emitter";
 import * as ports from "../../common/Ports";
+import * as readTimers from "../../common/ReadTimer";
 
 /** Time to establish a new connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -281,7 +282,7 @@
     }
 
     private schedule(delayMs: number, callback: () => void): clocks.Disposable {
-        const timer = clocks.systemClock.schedule(delayMs, callback);
+        const timer = readTimers.scheduleAfterReads(clocks.systemClock, delayMs, callback);
         this.timers.add(timer);
         return timer;
     }
--- a/src/process/membership/Node.test.ts
+++ b/src/process/membership/Node.test.ts
@@ -24,6 +24,7 @@
             delaysMs.push(delayMs);
             return manual.schedule(delayMs, callback);
         },
+        afterReads: callback => manual.afterReads(callback),
     };
     const source: ports.ConfigurationSource = {
         read() {
