Send the bytes after an answer only once its connection is back in the pool

Now the test sends them when the connection is free, and waits until the client has closed it before the next request; as strictly as before, the number of connections is compared.

--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -139,11 +139,10 @@
             connections: 2,
         },
     ])("$name", async ({ extra, connections }) => {
+        const sockets: net.Socket[] = [];
         const served = await serve((socket, count) => {
+            sockets.push(socket);
             socket.write(`${STATUS_LINE}Content-Length: 1\r\n\r\n${count}`);
-            if (count === 1 && extra !== "") {
-                setTimeout(() => socket.write(extra), 20);
-            }
         });
         const pool = new upstreamConnections.UpstreamConnections();
         const signal = new AbortController().signal;
@@ -151,7 +150,13 @@
             const opened = await exchanges.openExchange(pool, clocks.systemClock, request(served.address), signal);
             const read = await exchanges.readBody(opened as exchanges.OpenAnswer, 1_000);
             vitest.expect(read?.toString()).toBe(expected);
-            await clocks.sleep(clocks.systemClock, 60);
+            // The connection is back in the pool.
+            await new Promise<void>(resolve => clocks.systemClock.afterReads(resolve));
+            if (extra !== "" && expected === "1") {
+                const isClosed = new Promise(resolve => sockets[0]!.once("close", resolve));
+                sockets[0]!.write(extra);
+                await isClosed;
+            }
         }
         vitest.expect(served.connections).toBe(connections);
         pool.destroy();
