Read the end of a connection before its request is sent after a pause

After a pause an entry sent calls whose caller had left meanwhile, and computed deadlines of calls as if they had arrived after the pause.

Cause: (1) after the pause the server waited 10 ms for the end of the connection, but a timer can fire before anything is read if the process is late again. (2) A pause counted as recent for 100 ms from its detection. The detection runs with the timers; if these take 100 to 200 ms, the request is read after that time and no further pause is found. Change: the server waits for its reads after the 10 ms, and a pause lasts until what arrived during it has been read. The test waited 150 ms before it counted; it now waits for the end of the request.

--- a/src/process/membership/PauseMonitor.test.ts
+++ b/src/process/membership/PauseMonitor.test.ts
@@ -26,6 +26,14 @@
             clock.skip(1_000);
             return monitor.recentPauseMs(0);
         }, 1_000],
+        ["a pause with the time until its reads are done", (clock, monitor) => {
+            clock.skip(1_000);
+            monitor.check();
+            clock.skip(150);
+            const unreadMs = monitor.recentPauseMs(100);
+            clock.advance(0);
+            return [unreadMs, monitor.recentPauseMs(100)];
+        }, [1_150, 1_150]],
         ["no pause for a delay equal to the threshold", (clock, monitor) => {
             clock.skip(THRESHOLD_MS);
             return monitor.check();
--- a/src/process/membership/PauseMonitor.ts
+++ b/src/process/membership/PauseMonitor.ts
@@ -16,8 +16,12 @@
 /** Detects pauses by a timer and by synchronous checks. */
 export class PauseMonitor implements clocks.Disposable {
     private lastCheckAtMs: number;
+    private pauseStartedAtMs = 0;
+    /** When what arrived during the last pause had been read. */
+    private pauseEndedAtMs = -Infinity;
     private lastPauseMs = 0;
-    private lastPauseEndedAtMs = -Infinity;
+    /** Set after a pause, until what arrived during it has been read. */
+    private pendingReads: clocks.Disposable | undefined;
     private readonly timer: clocks.Disposable;
     private readonly pauseEmitter = new emitters.Emitter<number>();
 
@@ -37,20 +41,40 @@
         if (gapMs <= this.options.thresholdMs) {
             return 0;
         }
-        this.lastPauseMs = gapMs;
-        this.lastPauseEndedAtMs = nowMs;
+        this.recordPause(nowMs - gapMs);
         this.pauseEmitter.fire(gapMs);
         return gapMs;
     }
 
-    /** Length in milliseconds of the last pause if it was detected at most `windowMs` ago, or 0. */
+    /**
+     * Length in milliseconds of the last pause if it ended at most `windowMs` ago, or 0. It lasts until what arrived
+     * meanwhile has been read.
+     */
     recentPauseMs(windowMs: number): number {
         this.check();
-        return this.options.clock.now() - this.lastPauseEndedAtMs <= windowMs ? this.lastPauseMs : 0;
+        const nowMs = this.options.clock.now();
+        if (this.pendingReads !== undefined) {
+            return nowMs - this.pauseStartedAtMs;
+        }
+        return nowMs - this.pauseEndedAtMs <= windowMs ? this.lastPauseMs : 0;
+    }
+
+    /** A pause that begins while reads of an earlier one are pending continues it. */
+    private recordPause(startedAtMs: number): void {
+        if (this.pendingReads === undefined) {
+            this.pauseStartedAtMs = startedAtMs;
+        }
+        this.pendingReads?.dispose();
+        this.pendingReads = this.options.clock.afterReads(() => {
+            this.pendingReads = undefined;
+            this.pauseEndedAtMs = this.options.clock.now();
+            this.lastPauseMs = this.pauseEndedAtMs - this.pauseStartedAtMs;
+        });
     }
 
     dispose(): void {
         this.timer.dispose();
+        this.pendingReads?.dispose();
         this.pauseEmitter.dispose();
     }
 }
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -32,21 +32,34 @@
     limits: { headerBytes: 10_000, bodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 3_000 },
 });
 const PAUSE_THRESHOLD_MS = 200;
+const PAUSE_MS = 500;
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
-/** Starts a server whose calls find no instance; `choose` is called when a call would be sent. */
+/**
+ * Starts a server whose calls find no instance; `choose` is called when a call would be sent, `onRead` on arrival.
+ * `ended` resolves once the first request has ended.
+ */
 async function startServer(
     remainingMs: number,
     choose: () => undefined,
-): Promise<clocks.Disposable & { readonly address: string }> {
+    onRead = (): void => undefined,
+): Promise<clocks.Disposable & { readonly address: string; readonly ended: Promise<void> }> {
     const metadata = { attempt: "1", remainingMs, promptParts: [], promptTokens: 0, outputTokens: 0, pieces: [] };
+    const readCall = (): unknown => {
+        onRead();
+        return result.ok(metadata);
+    };
+    const routeMetrics = new metrics.RouteMetrics();
+    const ended = new Promise<void>(resolve => {
+        vitest.vi.spyOn(routeMetrics, "countEnd").mockImplementation(() => resolve());
+    });
     const log = pino.pino({ level: "silent" });
     const pauses = new pauseMonitors.PauseMonitor({ clock: clocks.systemClock, thresholdMs: PAUSE_THRESHOLD_MS });
     const context = {
         clock: clocks.systemClock,
         log,
         random: () => 0,
-        metrics: new metrics.RouteMetrics(),
+        metrics: routeMetrics,
         table: () => table,
         isClosing: () => false,
         pauses,
@@ -55,13 +68,14 @@
             clock: clocks.systemClock,
             log,
             pool: { choose, holds: { callerRetryAfterMs: () => undefined } },
-            wire: { readCall: () => result.ok(metadata), readAttempt: () => "1", errorHeaders: () => [] },
+            wire: { readCall, readAttempt: () => "1", errorHeaders: () => [] },
         },
     };
     const server = new servers.RouteServer(context as unknown as servers.RouteServerContext);
     await server.listen("127.0.0.1:0");
     return {
         address: server.address,
+        ended,
         dispose: () => {
             server.dispose();
             pauses.dispose();
@@ -69,21 +83,36 @@
     };
 }
 
-/** Connects, sends a request and lets the process do nothing else for `pauseMs`; the caller may leave meanwhile. */
-async function requestInPause(address: string, pauseMs: number, isLeaving: boolean): Promise<void> {
+/** Keeps the event loop busy. */
+function block(durationMs: number): void {
+    const untilMs = clocks.systemClock.now() + durationMs;
+    while (clocks.systemClock.now() < untilMs) {
+        // Nothing else runs.
+    }
+}
+
+/**
+ * Connects, sends a request and lets the process do nothing else for `pauseMs`; the caller may leave meanwhile. The
+ * timers after the pause take `timersMs` before the request is read.
+ */
+async function requestInPause(
+    { address, ended }: { readonly address: string; readonly ended: Promise<void> },
+    pauseMs: number,
+    isLeaving: boolean,
+    timersMs: number,
+): Promise<void> {
     const [host, port] = address.split(":");
     const socket = net.connect(Number(port), host);
     await new Promise(resolve => socket.once("connect", resolve));
     await clocks.sleep(clocks.systemClock, 100);
+    await new Promise(resolve => setImmediate(resolve)); // Timers run before the next read.
     socket.write(REQUEST);
     if (isLeaving) {
         socket.destroy();
     }
-    const untilMs = clocks.systemClock.now() + pauseMs;
-    while (clocks.systemClock.now() < untilMs) {
-        // Keeps the event loop busy.
-    }
-    await clocks.sleep(clocks.systemClock, 150);
+    clocks.systemClock.schedule(pauseMs - 10, () => block(timersMs)); // Later than the monitor's.
+    block(pauseMs);
+    await ended;
     socket.destroy();
 }
 
@@ -105,13 +134,44 @@
     vitest.afterEach(() => disposables.dispose());
 
     vitest.it.each([
-        { name: "is sent", pauseMs: 500, remainingMs: 2_000, isLeaving: false, sends: 1 },
-        { name: "isn't sent when its caller has left", pauseMs: 500, remainingMs: 2_000, isLeaving: true, sends: 0 },
-        { name: "isn't sent after its deadline", pauseMs: 500, remainingMs: 400, isLeaving: false, sends: 0 },
-    ])("$name", async ({ pauseMs, remainingMs, isLeaving, sends }) => {
+        { name: "is sent", remainingMs: 2_000, isLeaving: false, timersMs: 0, readMs: 0, sends: 1 },
+        {
+            name: "isn't sent when its caller has left",
+            remainingMs: 2_000,
+            isLeaving: true,
+            timersMs: 0,
+            readMs: 0,
+            sends: 0,
+        },
+        {
+            name: "isn't sent when its caller has left, if the process is late again",
+            remainingMs: 2_000,
+            isLeaving: true,
+            timersMs: 0,
+            readMs: 50,
+            sends: 0,
+        },
+        {
+            name: "isn't sent when its caller has left, if it is read long after the pause was detected",
+            remainingMs: 2_000,
+            isLeaving: true,
+            timersMs: 150,
+            readMs: 0,
+            sends: 0,
+        },
+        { name: "isn't sent after its deadline", remainingMs: 400, isLeaving: false, timersMs: 0, readMs: 0, sends: 0 },
+        {
+            name: "isn't sent after its deadline, if it is read long after the pause was detected",
+            remainingMs: 600,
+            isLeaving: false,
+            timersMs: 150,
+            readMs: 0,
+            sends: 0,
+        },
+    ])("$name", async ({ remainingMs, isLeaving, timersMs, readMs, sends }) => {
         const choose = vitest.vi.fn(() => undefined);
-        const server = disposables.add(await startServer(remainingMs, choose));
-        await requestInPause(server.address, pauseMs, isLeaving);
+        const server = disposables.add(await startServer(remainingMs, choose, () => setImmediate(() => block(readMs))));
+        await requestInPause(server, PAUSE_MS, isLeaving, timersMs);
         vitest.expect(choose).toHaveBeenCalledTimes(sends);
     });
 });
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -176,6 +176,7 @@
         const accepted = await this.readRequest(message, response, arrivedMs, abortController.signal);
         if (pauseMs > 0) {
             await clocks.sleep(this.context.clock, PENDING_READ_MS);
+            await new Promise<void>(resolve => this.context.clock.afterReads(resolve));
         }
         if (accepted.isErr) {
             this.answerFailure(message, response, accepted.error, undefined, arrivedMs);
