Keep all lost orders of one attempt until they are claimed

Seen by callers: when an entry opens a new connection to a stage host before the host has noticed the loss of the earlier one, two orders of one attempt run on the host. When both connections were lost, the caller's stages were computed a third time on its return, and the instances kept computing for the order that nobody could claim, or held its results until they expired, so that calls of others waited for that memory.

Cause: ServedOrders kept lost orders in a map by attempt, one for each; the second overwrote the first, and the first one's timer then took it for claimed, so that it was neither aborted nor released.

Evidence: ServedOrders.test.ts, "two orders of one attempt whose connections were reset": before, 3 runs in place of 2 on return, 1 order aborted in place of 2, and the results of one of two released; all three cases pass now.

Why it works: each attempt has a list of lost orders, the oldest, which has computed most, is claimed first, and each order's timer looks for that order itself.

--- a/src/process/routing/ServedOrders.test.ts
+++ b/src/process/routing/ServedOrders.test.ts
@@ -95,6 +95,53 @@
     );
 });
 
+vitest.describe("two orders of one attempt whose connections were reset", () => {
+    // The sender opened a second connection before this process noticed the loss of the first one.
+    vitest.it.each([
+        {
+            name: "continue when their sender returns",
+            returnsAfterMs: 100,
+            runCount: 2,
+            answers: [
+                { kind: "stages-end", order: 7, handles: ["h1"] },
+                { kind: "stages-end", order: 8, handles: ["h1"] },
+            ],
+            abortedCount: 0,
+        },
+        {
+            name: "are both ended when nobody claims them",
+            returnsAfterMs: 2_000,
+            runCount: 4,
+            answers: [],
+            abortedCount: 2,
+        },
+    ])("$name", async ({ returnsAfterMs, runCount, answers, abortedCount }) => {
+        const { clock, connect, orders, runs } = createScenario();
+        const lost = [connect(), connect()];
+        lost.forEach((connection, index) => orders.serve(connection, index, fixtures.createOrder("attempt")));
+        lost.forEach(connection => orders.handleLostConnection(connection));
+        clock.advance(returnsAfterMs);
+        const returned = connect();
+        [7, 8].forEach(order => orders.serve(returned, order, fixtures.createOrder("attempt")));
+        vitest.expect(runs).toHaveLength(runCount);
+        vitest.expect(runs.filter(run => run.signal.aborted)).toHaveLength(abortedCount);
+        runs.slice(0, 2).forEach(run => run.complete());
+        await new Promise(resolve => setImmediate(resolve));
+        vitest.expect(returned.sent).toEqual(answers);
+    });
+
+    vitest.it("release the results of both when nobody claims them", async () => {
+        const { clock, connect, orders, released, runs } = createScenario();
+        const lost = [connect(), connect()];
+        lost.forEach((connection, index) => orders.serve(connection, index, fixtures.createOrder("attempt")));
+        lost.forEach(connection => orders.handleLostConnection(connection));
+        runs.forEach(run => run.complete());
+        await new Promise(resolve => setImmediate(resolve));
+        clock.advance(2_000);
+        vitest.expect(released).toEqual(["h1", "h1"]);
+    });
+});
+
 vitest.describe("a cancelled order", () => {
     vitest.it.each([
         { keepsResults: false, reason: "AbortError" },
--- a/src/process/routing/ServedOrders.ts
+++ b/src/process/routing/ServedOrders.ts
@@ -38,20 +38,20 @@
 /** Runs the orders of other entries and reports their results. */
 export class ServedOrders {
     private readonly ordersByConnection = new Map<OrderConnection, Map<number, ServedOrder>>();
-    /** Orders whose connection is lost, by the call's attempt. */
-    private readonly unclaimed = new Map<string, ServedOrder>();
+    /** Orders whose connection is lost, by the call's attempt, which may have several of them: the oldest first. */
+    private readonly unclaimed = new Map<string, readonly ServedOrder[]>();
 
     constructor(private readonly clock: clocks.Clock, private readonly host: OrderHost) {}
 
     /** Runs an order, or continues one whose connection was lost. */
     serve(connection: OrderConnection, order: number, content: stageOrders.StageOrder): void {
         const sender = { connection, order };
-        const claimed = this.unclaimed.get(content.attempt);
+        const claimed = this.unclaimed.get(content.attempt)?.[0];
         if (claimed === undefined) {
             void this.start(sender, content);
             return;
         }
-        this.unclaimed.delete(content.attempt);
+        this.removeUnclaimed(claimed);
         this.assign(claimed, sender);
         if (claimed.result !== undefined) {
             this.report(claimed, claimed.result);
@@ -70,7 +70,7 @@
         this.ordersByConnection.delete(connection);
         lost?.forEach(served => {
             served.sender = undefined;
-            this.unclaimed.set(served.attempt, served);
+            this.unclaimed.set(served.attempt, [...this.unclaimed.get(served.attempt) ?? [], served]);
             this.clock.schedule(CLAIM_TIMEOUT_MS, () => this.dropUnclaimed(served));
         });
     }
@@ -104,10 +104,9 @@
     }
 
     private dropUnclaimed(served: ServedOrder): void {
-        if (this.unclaimed.get(served.attempt) !== served) {
+        if (!this.removeUnclaimed(served)) {
             return;
         }
-        this.unclaimed.delete(served.attempt);
         if (served.result === undefined) {
             served.controller.abort();
         }
@@ -115,4 +114,17 @@
             this.host.releaseResults(served.result.handles);
         }
     }
+
+    /** Returns whether the order was unclaimed. */
+    private removeUnclaimed(served: ServedOrder): boolean {
+        const orders = this.unclaimed.get(served.attempt) ?? [];
+        const others = orders.filter(order => order !== served);
+        if (others.length === 0) {
+            this.unclaimed.delete(served.attempt);
+        }
+        else {
+            this.unclaimed.set(served.attempt, others);
+        }
+        return others.length < orders.length;
+    }
 }
