Keep a lost order for its whole time after each loss of its connection

Seen by callers: when connections between entries were reset twice within 500 ms, the stages of a call were aborted and computed again, though its sender returned in time.

Cause: the timer of the first loss went on after the order had been claimed, and dropped it soon after the second loss.

Evidence: ServedOrders.test.ts, "an order whose connection is reset again after its sender has returned": before, 2 runs in place of 1; passes now.

Why it works: each order has one timer, which is disposed of when the order is claimed.

--- a/src/process/routing/ServedOrders.test.ts
+++ b/src/process/routing/ServedOrders.test.ts
@@ -95,6 +95,23 @@
     );
 });
 
+vitest.describe("an order whose connection is reset again after its sender has returned", () => {
+    vitest.it("is kept for the whole time from the last loss on", () => {
+        const { clock, connect, orders, runs } = createScenario();
+        const [first, second, third] = [connect(), connect(), connect()];
+        orders.serve(first, 1, fixtures.createOrder("attempt"));
+        orders.handleLostConnection(first);
+        clock.advance(100);
+        orders.serve(second, 2, fixtures.createOrder("attempt"));
+        clock.advance(300);
+        orders.handleLostConnection(second);
+        clock.advance(300);
+        orders.serve(third, 3, fixtures.createOrder("attempt"));
+        vitest.expect(runs).toHaveLength(1);
+        vitest.expect(runs[0]!.signal.aborted).toBe(false);
+    });
+});
+
 vitest.describe("two orders of one attempt whose connections were reset", () => {
     // The sender opened a second connection before this process noticed the loss of the first one.
     vitest.it.each([
--- a/src/process/routing/ServedOrders.ts
+++ b/src/process/routing/ServedOrders.ts
@@ -31,6 +31,8 @@
     readonly controller: AbortController;
     /** Undefined while the connection to the sender is lost. */
     sender: Sender | undefined;
+    /** Ends the order unless it is claimed in time; undefined while the sender is connected. */
+    claimTimer: clocks.Disposable | undefined;
     /** Set once the order has ended. */
     result: stageHosts.StageRunResult | undefined;
 }
@@ -51,6 +53,7 @@
             void this.start(sender, content);
             return;
         }
+        claimed.claimTimer?.dispose();
         this.removeUnclaimed(claimed);
         this.assign(claimed, sender);
         if (claimed.result !== undefined) {
@@ -71,13 +74,19 @@
         lost?.forEach(served => {
             served.sender = undefined;
             this.unclaimed.set(served.attempt, [...this.unclaimed.get(served.attempt) ?? [], served]);
-            this.clock.schedule(CLAIM_TIMEOUT_MS, () => this.dropUnclaimed(served));
+            served.claimTimer = this.clock.schedule(CLAIM_TIMEOUT_MS, () => this.dropUnclaimed(served));
         });
     }
 
     private async start(sender: Sender, content: stageOrders.StageOrder): Promise<void> {
         const controller = new AbortController();
-        const served: ServedOrder = { attempt: content.attempt, controller, sender: undefined, result: undefined };
+        const served: ServedOrder = {
+            attempt: content.attempt,
+            controller,
+            sender: undefined,
+            claimTimer: undefined,
+            result: undefined,
+        };
         this.assign(served, sender);
         const result = await this.host.run(content, controller.signal, computed => {
             const { connection, order } = served.sender ?? {};
@@ -104,9 +113,7 @@
     }
 
     private dropUnclaimed(served: ServedOrder): void {
-        if (!this.removeUnclaimed(served)) {
-            return;
-        }
+        this.removeUnclaimed(served);
         if (served.result === undefined) {
             served.controller.abort();
         }
@@ -115,16 +122,13 @@
         }
     }
 
-    /** Returns whether the order was unclaimed. */
-    private removeUnclaimed(served: ServedOrder): boolean {
-        const orders = this.unclaimed.get(served.attempt) ?? [];
-        const others = orders.filter(order => order !== served);
+    private removeUnclaimed(served: ServedOrder): void {
+        const others = (this.unclaimed.get(served.attempt) ?? []).filter(order => order !== served);
         if (others.length === 0) {
             this.unclaimed.delete(served.attempt);
         }
         else {
             this.unclaimed.set(served.attempt, others);
         }
-        return others.length < orders.length;
     }
 }
