Reject requests that are still read when a planned stop is over

Seen by callers: at the stop limit, a request whose body wasn't read completely got no answer: its connection ended with the process. If the rest of it arrived in the last moments before the end, it was still sent to an instance.

Cause: RouteServer registered a request for its answers at the stop only once it had been read.

Evidence: RouteServer.test.ts, "a request that is still read when the time of a planned stop is over": before, no answer within 3 s ("is rejected as not run"), and the call was run when the rest arrived ("isn't sent when the rest of it arrives"); both pass now.

Why it works: a request is registered from its arrival on, and one without a call gets 503 with Retry-After, which is true: it has not been sent, and isn't sent once it is answered.

--- /dev/null
+++ b/src/process/routing/CallerRequest.ts
@@ -0,0 +1,98 @@
+/**
+ * Reads a caller's request and finds what it is to be served with.
+ */
+import * as http from "node:http";
+import * as result from "true-myth/result";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as expectedTimes from "../../request/routed/ExpectedTime";
+import * as calls from "../../request/routed/RoutedCall";
+import * as routedRuns from "../../request/routed/RoutedRun";
+import * as tables from "../../version/RouteTable";
+import * as bodies from "./CallerBody";
+import * as targets from "./TargetChoice";
+
+/** The hard deadline is at least this long before the caller stops waiting, so that the answer still arrives. */
+const ANSWER_MARGIN_MS = 25;
+/** Retry delay sent by a process that isn't ready or is stopping. */
+export const NOT_READY_RETRY_MS = 500;
+
+/** What reading a request needs from its process. */
+export interface RequestContext {
+    readonly clock: clocks.Clock;
+    readonly random: () => number;
+    readonly run: Pick<routedRuns.RunContext, "wire">;
+    readonly table: () => tables.RouteTable | undefined;
+    /** Whether the process rejects new requests while it completes those in progress. */
+    readonly isClosing: () => boolean;
+    /** When requests still in progress are aborted; undefined while the process isn't stopping. */
+    readonly stopDeadlineMs: () => number | undefined;
+}
+
+/** Reads a request and finds its route, team and service in the published configuration. */
+export async function readRequest(
+    context: RequestContext,
+    message: http.IncomingMessage,
+    arrivedMs: number,
+    signal: AbortSignal,
+): Promise<result.Result<calls.RoutedCall, codes.Failure>> {
+    const table = context.table();
+    if (table === undefined || context.isClosing()) {
+        return result.err(codes.failure(codes.codes.notReady, "not taking requests", NOT_READY_RETRY_MS));
+    }
+    const { limits } = table.configuration;
+    if (headerBytes(message) > limits.headerBytes) {
+        return result.err(codes.failure(codes.codes.headersTooLarge, "headers"));
+    }
+    const path = message.url ?? "";
+    const callMetadata = context.run.wire.readCall(message.headers);
+    const route = table.findRoute(message.headers.host ?? "", pathOf(path));
+    if (route === undefined) {
+        return result.err(codes.failure(codes.codes.unknownPath, "no route"));
+    }
+    if (callMetadata.isErr) {
+        return result.err(callMetadata.error);
+    }
+    const team = table.findTeam(callMetadata.value.apiKey);
+    if (table.needsKeys && !route.isPublic && team === undefined) {
+        return result.err(codes.failure(codes.codes.unknownKey, route.name));
+    }
+    const stopDeadlineMs = context.stopDeadlineMs() ?? Infinity;
+    if (arrivedMs + expectedTimes.expectedMs(route, callMetadata.value) > stopDeadlineMs) {
+        return result.err(codes.failure(codes.codes.draining, "can't end before the stop", NOT_READY_RETRY_MS));
+    }
+    const body = await bodies.readCallerBody(
+        message,
+        { maxBytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs },
+        context.clock,
+    );
+    if (body.isErr) {
+        return result.err(body.error);
+    }
+    const hasBody = body.value.length > 0 || message.headers["content-length"] !== undefined;
+    const callerWaitMs = (callMetadata.value.remainingMs ?? Infinity) - ANSWER_MARGIN_MS;
+    return result.ok({
+        metadata: callMetadata.value,
+        route,
+        team,
+        service: targets.pickService(route, context.random),
+        method: message.method ?? "GET",
+        path,
+        headers: message.rawHeaders,
+        body: hasBody ? body.value : undefined,
+        arrivedMs,
+        softDeadlineAtMs: arrivedMs + route.goalMs,
+        hardDeadlineAtMs: arrivedMs + Math.min(callerWaitMs, route.timeoutMs),
+        progress: { mayHaveRun: false },
+        signal,
+    });
+}
+
+function pathOf(url: string): string {
+    const query = url.indexOf("?");
+    return query < 0 ? url : url.slice(0, query);
+}
+
+function headerBytes(message: http.IncomingMessage): number {
+    return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -266,7 +266,7 @@
             await clocks.sleep(clock, STOP_POLL_INTERVAL_MS);
         }
         const abortedCount = this.server.active;
-        this.server.failUnansweredCalls();
+        this.server.failUnansweredRequests();
         await clocks.sleep(clock, abortedCount > 0 ? ANSWER_FLUSH_MS : 0);
         this.dispose();
         return abortedCount;
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -32,13 +32,14 @@
     limits: { headerBytes: 10_000, bodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 3_000 },
 });
 const PAUSE_THRESHOLD_MS = 200;
+const ANSWER_TIMEOUT_MS = 3_000;
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
 /** Starts a server whose calls find no instance; `choose` is called when a call would be sent. */
 async function startServer(
     remainingMs: number,
     choose: () => undefined,
-): Promise<clocks.Disposable & { readonly address: string }> {
+): Promise<clocks.Disposable & { readonly address: string; readonly server: servers.RouteServer }> {
     const metadata = { attempt: "1", remainingMs, promptParts: [], promptTokens: 0, outputTokens: 0, pieces: [] };
     const log = pino.pino({ level: "silent" });
     const pauses = new pauseMonitors.PauseMonitor({ clock: clocks.systemClock, thresholdMs: PAUSE_THRESHOLD_MS });
@@ -62,6 +63,7 @@
     await server.listen("127.0.0.1:0");
     return {
         address: server.address,
+        server,
         dispose: () => {
             server.dispose();
             pauses.dispose();
@@ -129,3 +131,28 @@
         server.dispose();
     });
 });
+
+vitest.describe("a request that is still read when the time of a planned stop is over", () => {
+    // Guards against requests whose connection ended without an answer.
+    vitest.it.each([
+        { name: "is rejected as not run", rest: "" },
+        { name: "isn't sent when the rest of it arrives", rest: "67890" },
+    ])("$name", async ({ rest }) => {
+        const choose = vitest.vi.fn(() => undefined);
+        const { address, dispose, server } = await startServer(2_000, choose);
+        const [host, port] = address.split(":");
+        const socket = net.connect(Number(port), host);
+        let received = "";
+        socket.on("data", chunk => received += chunk.toString());
+        socket.on("error", () => undefined);
+        socket.write("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\n12345");
+        await vitest.vi.waitUntil(() => server.active === 1);
+        server.failUnansweredRequests();
+        socket.write(rest);
+        await vitest.vi.waitUntil(() => received !== "", { timeout: ANSWER_TIMEOUT_MS });
+        vitest.expect(received).toMatch(/^HTTP\/1.1 503 Service Unavailable\r\n(.+\r\n)*Connection: close\r\n/);
+        vitest.expect(choose).not.toHaveBeenCalled();
+        socket.destroy();
+        dispose();
+    });
+});
