End a stream at its hard deadline when its caller doesn't read

Seen by callers: a caller that keeps its connection but reads nothing held the exchange and a place at the instance until it went away, so that others were rejected or waited for that place; its own answer neither went on nor ended.

Cause: the run waits for room to write, without a limit; the deadline was checked only while it waited for the instance.

Why it works: writing waits for room until the hard deadline at most (EventSink.writeWithin), and then ends as the wait for the instance does: the exchange is cancelled and the answer aborted. A caller that reads slowly within its deadline is served as before. No timer is made while there is room.

--- a/src/process/routing/CallerResponse.ts
+++ b/src/process/routing/CallerResponse.ts
@@ -45,10 +45,10 @@
         this.response.writeHead(status, [...headers]);
     }
 
-    /** Writes a chunk of a stream; resolves when the socket can buffer more or is closed. */
-    write(bytes: Buffer): Promise<void> {
+    /** Writes a chunk of a stream; resolves when the socket can buffer more or is closed, undefined if that is so. */
+    write(bytes: Buffer): Promise<void> | undefined {
         if (this.response.write(bytes) || this.response.destroyed) {
-            return Promise.resolve();
+            return undefined;
         }
         return new Promise(resolve => {
             const finish = (): void => {
--- /dev/null
+++ b/src/request/routed/SilenceWait.ts
@@ -0,0 +1,78 @@
+/**
+ * How long one call waits for the next bytes of the instances that it is sent to, from one decision to the next.
+ */
+import * as clocks from "../../common/Clock";
+import * as silenceLimits from "../../process/routing/SilenceLimit";
+import * as calls from "./RoutedCall";
+import * as senders from "./UpstreamSender";
+
+/** Pause after a stream couldn't be moved before that is tried again. */
+const MOVE_PAUSE_MS = 500;
+
+/** The silence of the instance that a call is at; used for one call. */
+export class SilenceWait {
+    /** When the current instance last sent anything, or when the call was sent to it. */
+    private lastBytesAtMs = 0;
+    /** No move is tried before this time. */
+    private staysUntilMs = -Infinity;
+
+    constructor(private readonly clock: clocks.Clock, private readonly call: calls.RoutedCall) {}
+
+    /** Whether the call's hard deadline has passed. */
+    get isLate(): boolean {
+        return this.clock.now() >= this.call.hardDeadlineAtMs;
+    }
+
+    /** Time since the current instance last sent anything. */
+    get silentMs(): number {
+        return this.clock.now() - this.lastBytesAtMs;
+    }
+
+    /** Called when the headers of an instance's answer have arrived, which don't count as a sign of progress. */
+    recordAnswer(sent: senders.SentCall): void {
+        this.lastBytesAtMs = sent.sentAtMs;
+    }
+
+    /** Called for all further bytes of the current instance. */
+    recordBytes(): void {
+        this.lastBytesAtMs = this.clock.now();
+    }
+
+    /** Called when the move of the call to another instance has ended. */
+    recordMove(): void {
+        this.staysUntilMs = this.clock.now() + MOVE_PAUSE_MS;
+    }
+
+    /** Time to wait for the answer to a send; 0 to move the call, or at its hard deadline. */
+    answerWaitMs(sent: senders.SentCall): number {
+        return this.waitMs(sent, sent.sentAtMs);
+    }
+
+    /** The same for the next bytes of an answer. */
+    nextBytesWaitMs(sent: senders.SentCall): number {
+        return this.waitMs(sent, this.lastBytesAtMs);
+    }
+
+    private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
+        const nowMs = this.clock.now();
+        const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
+        if (!calls.isRetryable(this.call.route)) {
+            return remainingMs;
+        }
+        const staysMs = this.staysUntilMs - nowMs;
+        if (staysMs > 0) {
+            return Math.min(staysMs, remainingMs);
+        }
+        const silentCall = {
+            waitedMs: nowMs - lastBytesAtMs,
+            expectedMs: sent.ticket.expectedFirstEventMs,
+            quietMs: sent.traffic.quietMs,
+            remainingMs,
+            elsewhereMs: sent.elsewhereMs,
+        };
+        const hasReadPrompt = lastBytesAtMs > sent.sentAtMs; // An instance that resumes a stream reads it again.
+        return hasReadPrompt
+            ? silenceLimits.nextEventWaitMs(silentCall)
+            : silenceLimits.firstEventWaitMs(silentCall);
+    }
+}
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -3,7 +3,6 @@
  * that breaks is resumed on another instance where the route allows it.
  */
 import * as codes from "../../common/Codes";
-import * as silenceLimits from "../../process/routing/SilenceLimit";
 import * as answerWaits from "./AnswerWait";
 import * as histories from "./CallHistory";
 import * as chunks from "./ChunkReader";
@@ -11,12 +10,10 @@
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
+import * as silenceWaits from "./SilenceWait";
 import * as moves from "./StreamMove";
 import * as senders from "./UpstreamSender";
 
-/** Pause after a stream couldn't be moved before that is tried again. */
-const MOVE_PAUSE_MS = 500;
-
 /** What a stream needs in addition to the sender's context. */
 export interface StreamOptions {
     /** The inputs that are held; undefined if they have to be computed before the next send. */
@@ -54,11 +51,8 @@
 /** Forwards one stream to its caller; used once. */
 export class StreamRun {
     private lastEventId: number | undefined;
-    /** When the current instance last sent anything, or when the call was sent to it. */
-    private lastBytesAtMs = 0;
-    /** No move is tried before this time. */
-    private staysUntilMs = -Infinity;
     private readonly history = histories.createHistory();
+    private readonly silence: silenceWaits.SilenceWait;
 
     constructor(
         private readonly context: senders.SenderContext,
@@ -66,6 +60,7 @@
         private readonly options: StreamOptions,
     ) {
         this.lastEventId = call.metadata.lastEventId;
+        this.silence = new silenceWaits.SilenceWait(context.clock, call);
         this.history.softwareVersion = options.softwareVersion;
     }
 
@@ -106,8 +101,8 @@
                     signal: sendSignal,
                     onDispatched,
                 }),
-            waitMs: sent => this.waitMs(sent, sent.sentAtMs),
-            isLate: () => this.isLate,
+            waitMs: sent => this.silence.answerWaitMs(sent),
+            isLate: () => this.silence.isLate,
             move: (continuation, leave) => this.move(continuation, leave, signal),
             signal,
         });
@@ -174,22 +169,20 @@
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
         const splitter = new splitters.EventSplitter();
         const { sent } = answered;
-        this.lastBytesAtMs = sent.sentAtMs;
+        this.silence.recordAnswer(sent);
         for (;;) {
-            const waitMs = (): number => this.waitMs(sent, this.lastBytesAtMs);
+            const waitMs = (): number => this.silence.nextBytesWaitMs(sent);
             const chunk = await chunks.readChunk(answered.answer.body, this.context.clock, waitMs);
             if (chunk instanceof Buffer) {
-                this.lastBytesAtMs = this.context.clock.now();
+                this.silence.recordBytes();
             }
             if (this.call.signal.aborted) {
                 answered.answer.cancel();
                 return { kind: "disconnected" };
             }
             if (chunk === "timeout") {
-                if (this.isLate) {
-                    this.logInterruption(answered, "deadline");
-                    answered.answer.cancel();
-                    return { kind: "deadline" };
+                if (this.silence.isLate) {
+                    return this.endAtDeadline(answered, "deadline");
                 }
                 this.logInterruption(answered, "silent");
                 const continuation = new moves.BodyContinuation(answered.answer.body);
@@ -208,10 +201,18 @@
                 answered.answer.cancel();
                 return { kind: "broken" };
             }
-            await this.forwardEvents(events, answered);
+            if (!await this.forwardEvents(events, answered)) {
+                return this.endAtDeadline(answered, "unread");
+            }
         }
     }
 
+    private endAtDeadline(answered: AnsweredSend, reason: string): ForwardOutcome {
+        this.logInterruption(answered, reason);
+        answered.answer.cancel();
+        return { kind: "deadline" };
+    }
+
     /** Moves the call to another instance; undefined if it stays at the silent one. */
     private async move(
         continuation: moves.Continuation,
@@ -226,7 +227,7 @@
             send: (moveSignal, onDispatched) => this.send(moveSignal, onDispatched),
             signal,
         });
-        this.staysUntilMs = this.context.clock.now() + MOVE_PAUSE_MS;
+        this.silence.recordMove();
         this.context.log.info(
             { decision: "stream-move", attempt: this.call.metadata.attempt, end: next?.kind ?? "stayed" },
             "move of a silent stream ended",
@@ -242,8 +243,10 @@
         return answered.answer.isComplete() && (answered.answer.isFramed || this.options.sink.isCloseDelimited);
     }
 
-    private async forwardEvents(events: readonly splitters.StreamEvent[], answered: AnsweredSend): Promise<void> {
+    /** Resolves to false if the caller hasn't read enough of them until its hard deadline. */
+    private async forwardEvents(events: readonly splitters.StreamEvent[], answered: AnsweredSend): Promise<boolean> {
         const { sink } = this.options;
+        const { clock } = this.context;
         for (const event of events) {
             if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
                 continue;
@@ -254,11 +257,16 @@
             }
             this.lastEventId = event.id ?? this.lastEventId;
             this.history.softwareVersion ??= answered.softwareVersion;
-            this.call.progress.firstEventMs ??= this.context.clock.now() - this.call.arrivedMs;
+            this.call.progress.firstEventMs ??= clock.now() - this.call.arrivedMs;
             answered.sent.ticket.recordEvent();
-            await sink.write(event.bytes);
+            const limitMs = this.call.hardDeadlineAtMs - clock.now();
+            const isInTime = await sinks.writeWithin(clock, sink, event.bytes, limitMs);
             this.options.releaseInputs();
+            if (!isInTime) {
+                return false;
+            }
         }
+        return true;
     }
 
     /** Writes the headers of the instance's answer, unless those of an earlier one have been written. */
@@ -272,30 +280,6 @@
         }
     }
 
-    /** Time to wait for the next bytes of a send before asking again; 0 to move the call, or at its hard deadline. */
-    private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
-        const nowMs = this.context.clock.now();
-        const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
-        if (!calls.isRetryable(this.call.route)) {
-            return remainingMs;
-        }
-        const staysMs = this.staysUntilMs - nowMs;
-        if (staysMs > 0) {
-            return Math.min(staysMs, remainingMs);
-        }
-        const silentCall = {
-            waitedMs: nowMs - lastBytesAtMs,
-            expectedMs: sent.ticket.expectedFirstEventMs,
-            quietMs: sent.traffic.quietMs,
-            remainingMs,
-            elsewhereMs: sent.elsewhereMs,
-        };
-        const hasReadPrompt = lastBytesAtMs > sent.sentAtMs; // An instance that resumes a stream reads it again.
-        return hasReadPrompt
-            ? silenceLimits.nextEventWaitMs(silentCall)
-            : silenceLimits.firstEventWaitMs(silentCall);
-    }
-
     private logInterruption(answered: AnsweredSend, reason: string): void {
         const { quietMs } = answered.sent.traffic;
         this.context.log.info({
@@ -305,7 +289,7 @@
             reason,
             begun: this.options.sink.hasBegun,
             lastEventId: this.lastEventId,
-            silentMs: Math.round(this.context.clock.now() - this.lastBytesAtMs),
+            silentMs: Math.round(this.silence.silentMs),
             quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
             inputs: this.options.inputs()?.length,
             resumable: this.canRetry(),
@@ -315,11 +299,7 @@
     private canRetry(): boolean {
         return calls.isRetryable(this.call.route)
             && this.history.possibleRuns < this.call.route.attempts
-            && !this.isLate;
-    }
-
-    private get isLate(): boolean {
-        return this.context.clock.now() >= this.call.hardDeadlineAtMs;
+            && !this.silence.isLate;
     }
 
     /** Aborts a stream that has begun and cannot be resumed; otherwise returns the outcome unchanged. */
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -62,6 +62,8 @@
     readonly startedMs?: number;
     /** Number of events of each stream; undefined for an engine that doesn't stream. */
     readonly events?: number;
+    /** Least size of the data of each event. */
+    readonly eventBytes?: number;
     /** Time between events. */
     readonly eventIntervalMs?: number;
     /** Time between the arrival of a call and the start of its answer. */
@@ -206,7 +208,7 @@
                 setTimeout(() => request.socket.destroy(), 5);
                 return;
             }
-            response.write(`id: ${id}\ndata: part ${id}${writer}\n\n`);
+            response.write(`id: ${id}\ndata: ${`part ${id}${writer}`.padEnd(this.options.eventBytes ?? 0)}\n\n`);
             await this.pauseAfter(id);
             await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
