--- a/src/process/routing/ServedOrders.ts
+++ b/src/process/routing/ServedOrders.ts
@@ -31,6 +31,8 @@
     readonly controller: AbortController;
     /** Undefined while the connection to the sender is lost. */
     sender: Sender | undefined;
+    /** Ends the order unless it is claimed in time; undefined while the sender is connected. */
+    claimTimer: clocks.Disposable | undefined;
     /** Set once the order has ended. */
     result: stageHosts.StageRunResult | undefined;
 }
@@ -38,20 +40,21 @@
 /** Runs the orders of other entries and reports their results. */
 export class ServedOrders {
     private readonly ordersByConnection = new Map<OrderConnection, Map<number, ServedOrder>>();
-    /** Orders whose connection is lost, by the call's attempt. */
-    private readonly unclaimed = new Map<string, ServedOrder>();
+    /** Orders whose connection is lost, by the call's attempt, which may have several of them: the oldest first. */
+    private readonly unclaimed = new Map<string, readonly ServedOrder[]>();
 
     constructor(private readonly clock: clocks.Clock, private readonly host: OrderHost) {}
 
     /** Runs an order, or continues one whose connection was lost. */
     serve(connection: OrderConnection, order: number, content: stageOrders.StageOrder): void {
         const sender = { connection, order };
-        const claimed = this.unclaimed.get(content.attempt);
+        const claimed = this.unclaimed.get(content.attempt)?.[0];
         if (claimed === undefined) {
             void this.start(sender, content);
             return;
         }
-        this.unclaimed.delete(content.attempt);
+        claimed.claimTimer?.dispose();
+        this.removeUnclaimed(claimed);
         this.assign(claimed, sender);
         if (claimed.result !== undefined) {
             this.report(claimed, claimed.result);
@@ -70,14 +73,20 @@
         this.ordersByConnection.delete(connection);
         lost?.forEach(served => {
             served.sender = undefined;
-            this.unclaimed.set(served.attempt, served);
-            this.clock.schedule(CLAIM_TIMEOUT_MS, () => this.dropUnclaimed(served));
+            this.unclaimed.set(served.attempt, [...this.unclaimed.get(served.attempt) ?? [], served]);
+            served.claimTimer = this.clock.schedule(CLAIM_TIMEOUT_MS, () => this.dropUnclaimed(served));
         });
     }
 
     private async start(sender: Sender, content: stageOrders.StageOrder): Promise<void> {
         const controller = new AbortController();
-        const served: ServedOrder = { attempt: content.attempt, controller, sender: undefined, result: undefined };
+        const served: ServedOrder = {
+            attempt: content.attempt,
+            controller,
+            sender: undefined,
+            claimTimer: undefined,
+            result: undefined,
+        };
         this.assign(served, sender);
         const result = await this.host.run(content, controller.signal, computed => {
             const { connection, order } = served.sender ?? {};
@@ -104,10 +113,7 @@
     }
 
     private dropUnclaimed(served: ServedOrder): void {
-        if (this.unclaimed.get(served.attempt) !== served) {
-            return;
-        }
-        this.unclaimed.delete(served.attempt);
+        this.removeUnclaimed(served);
         if (served.result === undefined) {
             served.controller.abort();
         }
@@ -115,4 +121,14 @@
             this.host.releaseResults(served.result.handles);
         }
     }
+
+    private removeUnclaimed(served: ServedOrder): void {
+        const others = (this.unclaimed.get(served.attempt) ?? []).filter(order => order !== served);
+        if (others.length === 0) {
+            this.unclaimed.delete(served.attempt);
+        }
+        else {
+            this.unclaimed.set(served.attempt, others);
+        }
+    }
 }
