Let entries send each other every text that a caller may choose

What callers saw: a call with stages whose attempt ID had more than 200 characters, or whose piece key had more than 400, was rejected with 503, and while it was tried, the connection of its entry to the stage host was closed up to five times. All orders of other calls on that connection were lost with it each time and had to be sent again.

Cause: the schemas of the messages between entries refused such texts, and a peer that reads a message that it refuses closes the connection; nobody checked the texts where they arrive. The limits now follow from what the HTTP parser accepts, as for the attempts in the messages on the origins of streams (no test of these failed: no message was sent).

Not seen with the users.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -79,7 +79,7 @@
     kind: z.literal("stream-origins"),
     streams: z.array(z.object({
         /** The caller's attempt that brought the first event. */
-        attempt: name,
+        attempt: stageOrders.callerTextSchema.min(1),
         ...originFields,
         /** How long its caller may still come back. */
         lifetimeMs: z.number().min(0).max(MAX_STREAM_LIFETIME_MS),
@@ -92,7 +92,7 @@
     /** Identifies the question on this connection. */
     question: z.int().min(0),
     /** Undefined if the caller didn't state it. */
-    attempt: name.optional(),
+    attempt: stageOrders.callerTextSchema.min(1).optional(),
     /** The service that the stream would be resumed on. */
     service: name,
     /** Longest time since the stream can have begun. */
--- a/src/common/StageOrder.ts
+++ b/src/common/StageOrder.ts
@@ -6,6 +6,11 @@
 
 const MAX_STAGES = 64;
 const MAX_PIECES = 10_000;
+/** Longest text that a caller's header can hold; a peer closes the connection on which a longer one arrives. */
+const MAX_CALLER_TEXT_LENGTH = 64 * 1024;
+
+/** Schema of a text that a caller chooses, such as its attempt. */
+export const callerTextSchema = z.string().max(MAX_CALLER_TEXT_LENGTH);
 
 const stageSchema = z.object({
     service: z.string().min(1).max(200),
@@ -32,9 +37,9 @@
 
 /** Schema of an order in messages between entries. */
 export const stageOrderSchema = z.object({
-    attempt: z.string().min(1).max(200),
+    attempt: callerTextSchema.min(1),
     /** Identifies the caller's input to stages without predecessors. */
-    pieceKey: z.string().max(400),
+    pieceKey: callerTextSchema,
     stages: z.array(stageSchema).max(MAX_STAGES),
     /** 0 is the most urgent. */
     priority: z.number(),
