--- a/src/common/StageOrder.ts
+++ b/src/common/StageOrder.ts
@@ -5,7 +5,8 @@
 import * as z from "zod";
 
 const MAX_STAGES = 64;
-const MAX_PIECES = 10_000;
+/** Largest number of pieces of all stages of an order. */
+export const MAX_PIECES = 10_000;
 /** Longest text that a caller's header can hold; a peer closes the connection on which a longer one arrives. */
 const MAX_CALLER_TEXT_LENGTH = 64 * 1024;
 
