End watches of the store that begin together one after the other

Cause: a change ends the watches of all entries at once, so that all began the next ones together and, with 28 entries, waited up to 8 s.

Change: WatchPace, without input or output, decides the wait. Watches that may begin together (after a listing, a change or an outage) wait 1 s to 8 s by a ranking of the live entries on which they agree without messages, one every 500 ms; it differs by revision. A watch that ended by its wait is followed by one of the full period, as before. The entries that notice the silence first poll as before, and the others learn from them by the existing updates.

Test: StoreSilence replays it in virtual time with the readers and exchanges of 1 to 68 entries: six silences, four changes after each, two seeds; also a store that is silent for some entries, for all but one, for one call of two. The table of waits in PublishedReader.test moved to WatchPace.test with the same values; in its place a test ties the reader to WatchPace.

--- a/src/process/routing/PublishedExchange.ts
+++ b/src/process/routing/PublishedExchange.ts
@@ -16,12 +16,15 @@
 /** Delay of deletions received from peers, since instances that expired during a store outage register again. */
 const DELETION_GRACE_MS = 1_000;
 
+/** The connections to the other entries, as far as the exchange uses them. */
+export type ExchangePeers = Pick<peers.EntryPeers, "livePeers" | "send" | "onFrame">;
+
 /** What the exchange needs from its process. */
 export interface PublishedExchangeOptions {
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
     readonly view: views.PublishedView;
-    readonly peers: peers.EntryPeers;
+    readonly peers: ExchangePeers;
 }
 
 /** Keeps the view of this process as current as that of its peers. */
--- a/src/process/routing/PublishedReader.test.ts
+++ b/src/process/routing/PublishedReader.test.ts
@@ -8,6 +8,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as readers from "./PublishedReader";
 import * as views from "./PublishedView";
+import * as paces from "./WatchPace";
 
 type WatchResult = result.Result<routingPorts.PublishedChanges, codes.Failure>;
 const STORE_UNAVAILABLE = codes.failure(codes.codes.sourceUnavailable, "test");
@@ -121,7 +122,8 @@
             store: script.store,
             view,
             random: () => 0,
-            entryCount: () => 1,
+            instance: "self",
+            peerNames: () => [],
         });
         reader.start();
         while (script.requests.length < expectedRequests.length) {
@@ -134,14 +136,19 @@
 });
 
 vitest.describe("the wait of a watch", () => {
+    const peers = Array.from({ length: 7 }, (_, index) => `peer-${index}`);
     vitest.it.each([
-        { entries: 1, waitMs: 2_000 },
-        { entries: 4, waitMs: 2_000 },
-        { entries: 8, waitMs: 4_000 },
-        { entries: 31, waitMs: 8_000 },
-    ])("with $entries entries is $waitMs ms", async ({ entries, waitMs }) => {
+        { name: "after the listing", watches: [], isInStep: true },
+        { name: "after a watch without changes", watches: [changes([], 5)], isInStep: false },
+        { name: "after a change", watches: [changes([], 5), changes([item("c", 6)], 6)], isInStep: true },
+        {
+            name: "after an outage",
+            watches: [changes([], 5), result.err(STORE_UNAVAILABLE), changes([], 5)],
+            isInStep: true,
+        },
+    ])("is that of WatchPace $name", async ({ watches, isInStep }) => {
         const clock = clocks.systemClock;
-        const script = scriptedStore([onlyPage], []);
+        const script = scriptedStore([onlyPage], watches);
         const waits: number[] = [];
         const store: routingPorts.PublishedStore = {
             ...script.store,
@@ -151,13 +158,15 @@
             },
         };
         const view = new views.PublishedView({ clock, log: logs.silentLog, decode: store.decode });
-        const options = { clock, log: logs.silentLog, store, view, random: () => 0, entryCount: () => entries };
-        const reader = new readers.PublishedReader(options);
+        const shared = { clock, log: logs.silentLog, store, view, random: () => 0 };
+        const reader = new readers.PublishedReader({ ...shared, instance: "self", peerNames: () => peers });
         reader.start();
-        while (waits.length === 0) {
+        while (waits.length <= watches.length) {
             await clocks.sleep(clock, 5);
         }
-        vitest.expect(waits).toEqual([waitMs]);
+        const { revision } = view.position;
+        const expectedMs = paces.waitMs({ instance: "self", peers, revision, isInStep });
+        vitest.expect(waits.at(-1)).toBe(expectedMs);
         reader.dispose();
     });
 });
@@ -175,7 +184,15 @@
             },
         };
         const view = new views.PublishedView({ clock, log: logs.silentLog, decode: store.decode });
-        const options = { clock, log: logs.silentLog, store, view, random: () => 0, entryCount: () => 1 };
+        const options = {
+            clock,
+            log: logs.silentLog,
+            store,
+            view,
+            random: () => 0,
+            instance: "self",
+            peerNames: () => [],
+        };
         const reader = new readers.PublishedReader(options);
         reader.start();
         while (waits.length < 4) {
--- a/src/process/routing/PublishedReader.ts
+++ b/src/process/routing/PublishedReader.ts
@@ -10,14 +10,10 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as views from "./PublishedView";
+import * as paces from "./WatchPace";
 
-/** Bounds on how long a watch waits for changes; its answer also shows that the connection is alive. */
-const MIN_WATCH_WAIT_MS = 2_000;
-const MAX_WATCH_WAIT_MS = 8_000;
 /** Wait of the first watch after a failure, which learns soon whether the store is in another era now. */
 const FIRST_WATCH_WAIT_MS = 1;
-/** Watch wait per live entry: on average, some entry's watch ends at this interval, and its peers get the changes. */
-const WATCH_WAIT_PER_ENTRY_MS = 500;
 /** Delay before the next watch, per live entry: batches changes, and few entries fetch each batch from the store. */
 const WATCH_DELAY_PER_ENTRY_MS = 30;
 const MAX_WATCH_DELAY_MS = 2_000;
@@ -33,8 +29,10 @@
     readonly store: routingPorts.PublishedStore;
     readonly view: views.PublishedView;
     readonly random: () => number;
-    /** Number of live entries, including this one. */
-    readonly entryCount: () => number;
+    /** Name of this entry. */
+    readonly instance: string;
+    /** Names of the other live entries. */
+    readonly peerNames: () => readonly string[];
 }
 
 /** Keeps a view up to date from the store. */
@@ -43,6 +41,8 @@
     private isStoreUnavailable = false;
     private restoredAtMs = -Infinity;
     private confirmedAtMs: number | undefined;
+    /** Whether others may begin a watch when this entry does. */
+    private isInStep = true;
     /** Number of calls on the store. */
     storeCalls = 0;
 
@@ -104,6 +104,7 @@
         }
         while (after !== undefined);
         this.markConfirmed();
+        this.isInStep = true;
         this.options.view.apply({ items, ...position, isWhole: true }, "store", this.deletionGraceMs());
         return undefined;
     }
@@ -126,11 +127,13 @@
         if (failure !== undefined) {
             return failure;
         }
+        const wasUnavailable = this.isStoreUnavailable;
         this.markConfirmed();
         const { items } = changes.value;
         const position = positions.positionOf(changes.value);
         view.apply({ items, ...position, isWhole: false }, "store", this.deletionGraceMs());
-        const delayMs = Math.min(MAX_WATCH_DELAY_MS, WATCH_DELAY_PER_ENTRY_MS * this.options.entryCount());
+        this.isInStep = wasUnavailable || items.length > 0;
+        const delayMs = Math.min(MAX_WATCH_DELAY_MS, WATCH_DELAY_PER_ENTRY_MS * (this.options.peerNames().length + 1));
         await clocks.sleep(this.options.clock, delayMs, this.stop.signal);
         return undefined;
     }
@@ -149,8 +152,9 @@
         if (this.isStoreUnavailable) {
             return FIRST_WATCH_WAIT_MS;
         }
-        const scaledWaitMs = this.options.entryCount() * WATCH_WAIT_PER_ENTRY_MS;
-        return Math.min(MAX_WATCH_WAIT_MS, Math.max(MIN_WATCH_WAIT_MS, scaledWaitMs));
+        const { instance, peerNames, view } = this.options;
+        const { revision } = view.position;
+        return paces.waitMs({ instance, peers: peerNames(), revision, isInStep: this.isInStep });
     }
 
     private deletionGraceMs(): number {
--- /dev/null
+++ b/src/process/routing/PublishedReplication.ts
@@ -0,0 +1,46 @@
+/**
+ * Keeps an entry's view of the published store current: from the store itself, and from the other entries.
+ */
+import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
+import * as routingPorts from "../../common/RoutingPorts";
+import * as exchanges from "./PublishedExchange";
+import * as readers from "./PublishedReader";
+import * as views from "./PublishedView";
+
+/** What the replication needs from its process. */
+export interface PublishedReplicationOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly random: () => number;
+    readonly store: routingPorts.PublishedStore;
+    readonly view: views.PublishedView;
+    /** Name of this entry. */
+    readonly instance: string;
+    readonly peers: exchanges.ExchangePeers;
+}
+
+/** The reader of the store and the exchange with the other entries. */
+export class PublishedReplication implements clocks.Disposable {
+    readonly reader: readers.PublishedReader;
+    readonly exchange: exchanges.PublishedExchange;
+
+    constructor(options: PublishedReplicationOptions) {
+        const { peers } = options;
+        this.reader = new readers.PublishedReader({
+            ...options,
+            peerNames: () => peers.livePeers.map(peer => peer.instance),
+        });
+        this.exchange = new exchanges.PublishedExchange(options);
+    }
+
+    /** Starts to read the store; runs until disposed. */
+    start(): void {
+        this.reader.start();
+    }
+
+    dispose(): void {
+        this.reader.dispose();
+        this.exchange.dispose();
+    }
+}
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -14,8 +14,7 @@
 import * as pools from "./InstancePool";
 import * as leavingExchanges from "./LeavingExchange";
 import * as leavingInstances from "./LeavingInstances";
-import * as exchanges from "./PublishedExchange";
-import * as readers from "./PublishedReader";
+import * as replications from "./PublishedReplication";
 import * as views from "./PublishedView";
 import * as releasers from "./ResultReleaser";
 import * as gauges from "./RouteGauges";
@@ -55,13 +54,12 @@
 export class RouteEntry implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
     private readonly view: views.PublishedView;
-    private readonly reader: readers.PublishedReader;
+    private readonly replication: replications.PublishedReplication;
     private readonly peers: entryPeers.EntryPeers;
     private readonly pool: pools.InstancePool;
     private readonly host: stageHosts.StageHost;
     private readonly roles: hostRoles.HostRoles;
     private readonly stages: stageClients.StageClient;
-    private readonly exchange: exchanges.PublishedExchange;
     private readonly server: servers.RouteServer;
     private readonly metrics = new metrics.RouteMetrics();
     private readonly budgetsByService = new Map<string, budgets.ServiceRetryBudget>();
@@ -80,14 +78,6 @@
         const connections = new upstreamConnections.UpstreamConnections();
         this.disposables.add({ dispose: () => connections.destroy() });
         this.view = this.disposables.add(new views.PublishedView({ clock, log, decode: item => store.decode(item) }));
-        this.reader = this.disposables.add(
-            new readers.PublishedReader({
-                ...shared,
-                store,
-                view: this.view,
-                entryCount: () => this.peers.livePeers.length + 1,
-            }),
-        );
         this.peers = this.disposables.add(
             new entryPeers.EntryPeers({
                 ...shared,
@@ -158,15 +148,21 @@
         this.stages = this.disposables.add(
             new stageClients.StageClient({ ...shared, peers: this.peers, roles: this.roles, host: this.host }),
         );
-        this.exchange = this.disposables.add(
-            new exchanges.PublishedExchange({ ...shared, view: this.view, peers: this.peers }),
+        this.replication = this.disposables.add(
+            new replications.PublishedReplication({
+                ...shared,
+                store,
+                view: this.view,
+                instance: settings.instance,
+                peers: this.peers,
+            }),
         );
         const streamOrigins = this.disposables.add(
             new streamExchanges.StreamOriginExchange({
                 ...shared,
                 view: this.view,
                 peers: this.peers,
-                unconfirmedMs: () => this.reader.unconfirmedMs,
+                unconfirmedMs: () => this.replication.reader.unconfirmedMs,
             }),
         );
         this.server = this.disposables.add(
@@ -195,9 +191,8 @@
         this.disposables.add(this.view.onChange(() => this.applyLimits()));
         gauges.registerGauges(this.metrics, {
             view: this.view,
-            reader: this.reader,
+            replication: this.replication,
             host: this.host,
-            exchange: this.exchange,
             pool: this.pool,
             server: this.server,
             droppedLogLines: options.droppedLogLines,
@@ -288,7 +283,7 @@
             status: () => this.buildStatus(),
             registry: this.metrics.registry,
         };
-        this.reader.start();
+        this.replication.start();
         await this.peers.start();
         this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, settings.readyPath));
         this.admin = await adminServers.listenAdmin(settings.adminListen, source);
@@ -333,7 +328,7 @@
             draining: this.isDraining,
             version: this.view.table?.configuration.version,
             ...this.view.position,
-            unconfirmedMs: this.reader.unconfirmedMs,
+            unconfirmedMs: this.replication.reader.unconfirmedMs,
             out: this.view.outOfServiceDomains,
             leaving: this.pool.leavingIds,
             stageHosts: this.roles.hostNames,
--- /dev/null
+++ b/src/process/routing/StoreSimulation.ts
@@ -0,0 +1,274 @@
+/**
+ * Fixture: entries that follow one published store in virtual time, each with its reader and its exchange with the
+ * others, and a store that loses answers for a time.
+ */
+import * as result from "true-myth/result";
+import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as messages from "../../common/Messages";
+import * as ports from "../../common/Ports";
+import * as routing from "../../common/Routing";
+import * as routingPorts from "../../common/RoutingPorts";
+import * as peers from "./EntryPeers";
+import * as peerEntries from "./PeerEntry";
+import * as paces from "./PresencePace";
+import * as exchanges from "./PublishedExchange";
+import * as replications from "./PublishedReplication";
+import * as views from "./PublishedView";
+
+const STEP_MS = 10;
+const LATENCY_MS = 5;
+/** Time beyond its wait after which a watch counts as lost. */
+const WATCH_MARGIN_MS = 600;
+const GIVE_UP_MS = 60_000;
+
+/** A time in which the store loses answers. */
+export interface StoreFault {
+    readonly fromMs: number;
+    readonly toMs: number;
+    /** The entries concerned, by index; all if undefined. */
+    readonly isAffected?: (entry: number) => boolean;
+    /** The calls concerned, by their number; all if undefined. */
+    readonly isLost?: (call: number) => boolean;
+}
+
+/** A fleet to simulate. */
+export interface FleetOptions {
+    readonly entries: number;
+    readonly seed: number;
+    readonly faults: readonly StoreFault[];
+    /** Whether messages from one entry to another are lost, by index. */
+    readonly lostLinks?: ((from: number, to: number) => boolean) | undefined;
+}
+
+interface WaitingWatch {
+    readonly entry: number;
+    readonly call: number;
+    readonly revision: number;
+    isLost: boolean;
+    readonly answer: () => void;
+}
+
+interface SimulatedEntry {
+    readonly view: views.PublishedView;
+    readonly replication: replications.PublishedReplication;
+    readonly mesh: SimulatedPeers;
+}
+
+type Frame = peers.PeerFrame;
+
+/** The other entries, as one entry sees them. */
+class SimulatedPeers implements exchanges.ExchangePeers {
+    private readonly frameEmitter = new emitters.Emitter<Frame>();
+    readonly onFrame = this.frameEmitter.event;
+    /** The entries by index. */
+    readonly peers = new Map<number, peerEntries.PeerEntry>();
+
+    constructor(private readonly deliver: (peer: peerEntries.PeerEntry, message: messages.Message) => void) {}
+
+    get livePeers(): peerEntries.PeerEntry[] {
+        return [...this.peers.values()];
+    }
+
+    send(peer: peerEntries.PeerEntry, message: messages.Message): boolean {
+        this.deliver(peer, message);
+        return true;
+    }
+
+    receive(frame: Frame): void {
+        this.frameEmitter.fire(frame);
+    }
+}
+
+/** A pseudo-random number generator (mulberry32). */
+function createRandom(seed: number): () => number {
+    let state = seed;
+    return () => {
+        state = (state + 0x6d2b79f5) | 0;
+        let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+        mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+        return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+    };
+}
+
+/** The entries and their store. */
+export class Fleet implements clocks.Disposable {
+    private readonly clock = new clocks.ManualClock(0);
+    private readonly random: () => number;
+    private readonly entries: SimulatedEntry[] = [];
+    private readonly timers: clocks.Disposable[] = [];
+    private readonly items: routing.PublishedItem[] = [];
+    private waiting: WaitingWatch[] = [];
+    private revision = 1;
+    /** Number of calls on the store. */
+    calls = 0;
+
+    constructor(private readonly options: FleetOptions) {
+        this.random = createRandom(options.seed);
+        for (let index = 0; index < options.entries; index++) {
+            this.entries.push(this.createEntry(index));
+        }
+        this.entries.forEach((entry, index) => this.connect(entry, index));
+        for (const fault of options.faults) {
+            this.timers.push(this.clock.schedule(fault.fromMs, () => this.loseWaiting(fault)));
+        }
+        this.entries.forEach(entry => entry.replication.start());
+    }
+
+    /** Advances to a time after the start. */
+    async run(toMs: number): Promise<void> {
+        while (this.clock.now() < toMs) {
+            this.clock.advance(Math.min(STEP_MS, toMs - this.clock.now()));
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    /** Changes the store's content and returns the new revision. */
+    change(): number {
+        this.revision++;
+        const content = Buffer.from("x");
+        this.items.push({ key: `key-${this.revision}`, era: 0, revision: this.revision, content });
+        this.waiting.forEach(watch => watch.answer());
+        return this.revision;
+    }
+
+    /** Advances until all entries know a revision and returns the time. */
+    async waitUntilKnown(revision: number): Promise<number> {
+        while (this.entries.some(entry => entry.view.position.revision < revision)) {
+            if (this.clock.now() > GIVE_UP_MS) {
+                return Infinity;
+            }
+            await this.run(this.clock.now() + STEP_MS);
+        }
+        return this.clock.now();
+    }
+
+    dispose(): void {
+        this.timers.forEach(timer => timer.dispose());
+        this.entries.forEach(({ replication, view }) => {
+            replication.dispose();
+            view.dispose();
+        });
+    }
+
+    private createEntry(index: number): SimulatedEntry {
+        const { clock, random } = this;
+        const shared = { clock, random, log: logs.silentLog };
+        const store = this.createStore(index);
+        const view = new views.PublishedView({ ...shared, decode: item => store.decode(item) });
+        const mesh = new SimulatedPeers((peer, message) => this.deliver(index, Number(peer.instance), message));
+        const replication = new replications.PublishedReplication({
+            ...shared,
+            store,
+            view,
+            instance: String(index),
+            peers: mesh,
+        });
+        return { view, replication, mesh };
+    }
+
+    /** Connects an entry to all others, to which it states its position at the interval of presence messages. */
+    private connect({ mesh }: SimulatedEntry, index: number): void {
+        const others = this.entries.map((_, other) => other).filter(other => other !== index);
+        others.forEach(other => mesh.peers.set(other, peerEntries.createPeerEntry(String(other), "", "", 0)));
+        const intervalMs = paces.ordinaryIntervalMs(others.length);
+        this.timers.push(this.clock.schedule(this.random() * intervalMs, () => {
+            this.timers.push(clocks.every(this.clock, intervalMs, () => this.tellPosition(index, others)));
+        }));
+    }
+
+    private tellPosition(from: number, others: readonly number[]): void {
+        const { position } = this.entries[from]!.view;
+        const reached = others.filter(to => this.options.lostLinks?.(from, to) !== true);
+        this.clock.schedule(LATENCY_MS, () => {
+            reached.forEach(to => this.entries[to]!.mesh.peers.get(from)!.position = position);
+        });
+    }
+
+    private deliver(from: number, to: number, message: messages.Message): void {
+        if (this.options.lostLinks?.(from, to) === true) {
+            return;
+        }
+        const { position } = this.entries[from]!.view;
+        this.clock.schedule(LATENCY_MS, () => {
+            const { mesh } = this.entries[to]!;
+            const peer = mesh.peers.get(from)!;
+            peer.position = position;
+            const connection = { send: (reply: messages.Message) => this.deliver(to, from, reply) };
+            mesh.receive({ peer, message, connection: connection as unknown as Frame["connection"] });
+        });
+    }
+
+    private createStore(entry: number): routingPorts.PublishedStore {
+        return {
+            list: (_, signal) =>
+                this.call(entry, 0, 1_500, signal, () => ({ ...this.content(0), nextAfter: undefined })),
+            watch: (revision, waitMs, signal) =>
+                this.call(entry, waitMs, waitMs + WATCH_MARGIN_MS, signal, () => ({
+                    ...this.content(revision),
+                    isHistoryLost: false,
+                }), revision),
+            decode: item => ({ kind: "out-of-service", failureDomain: item.key }),
+        };
+    }
+
+    private content(since: number): { items: routing.PublishedItem[]; era: number; revision: number } {
+        return { items: this.items.filter(item => item.revision > since), era: 0, revision: this.revision };
+    }
+
+    /** One call: answered after `waitMs` or at a change after `revision`, if its answer isn't lost. */
+    private call<T>(
+        entry: number,
+        waitMs: number,
+        timeoutMs: number,
+        signal: AbortSignal,
+        answer: () => T,
+        revision = Infinity,
+    ): ports.Reply<T> {
+        const call = ++this.calls;
+        const { clock } = this;
+        return new Promise(resolve => {
+            const settle = (reply: result.Result<T, codes.Failure>): void => {
+                timers.forEach(timer => timer.dispose());
+                this.waiting = this.waiting.filter(other => other !== watch);
+                signal.removeEventListener("abort", cancel);
+                resolve(reply);
+            };
+            const fail = (code: codes.ResultCode): void => settle(result.err(codes.failure(code, "test")));
+            const cancel = (): void => fail(codes.codes.cancelled);
+            const watch: WaitingWatch = {
+                entry,
+                call,
+                revision,
+                isLost: this.options.faults.some(fault => isLostBy(fault, entry, call, clock.now())),
+                answer: () => {
+                    if (!watch.isLost) {
+                        clock.schedule(LATENCY_MS, () => settle(result.ok(answer())));
+                    }
+                },
+            };
+            const timers = [clock.schedule(timeoutMs, () => fail(codes.codes.upstreamTimeout))];
+            signal.addEventListener("abort", cancel);
+            if (this.revision > revision || waitMs === 0) {
+                watch.answer();
+            }
+            else {
+                timers.push(clock.schedule(waitMs, () => watch.answer()));
+                this.waiting.push(watch);
+            }
+        });
+    }
+
+    private loseWaiting(fault: StoreFault): void {
+        for (const watch of this.waiting) {
+            watch.isLost ||= isLostBy(fault, watch.entry, watch.call, fault.fromMs);
+        }
+    }
+}
+
+function isLostBy(fault: StoreFault, entry: number, call: number, nowMs: number): boolean {
+    return nowMs >= fault.fromMs && nowMs < fault.toMs
+        && (fault.isAffected?.(entry) ?? true) && (fault.isLost?.(call) ?? true);
+}
