Ask an instance which start of it runs before a call that is bound to a version

Callers would see events of two software versions in one stream: an instance that restarts under its id with another version was told from its predecessor only by its new record, so that a resumed call reached the new process until that record had arrived (seconds while the store is away).

Cause: a call is bound to the version of a record, and the record is taken for the process. Answers to calls state neither the start nor the version (the platform's page and its message examples name only the attempt and a signature); an instance's own state has its start (`born`).

Why it works: the start decides, by the record, which version runs, and it is asked of the process itself, directly before the call. A call that isn't sent costs no send and no retry budget. Instances that state no start are used as before. Not covered: a stream that begins there before the record arrives (see docs/design/stream-versions.md).

--- a/src/common/Routing.ts
+++ b/src/common/Routing.ts
@@ -118,6 +118,9 @@
     readonly coldLeftMs: number;
 }
 
+/** `startedMs` of an instance whose record doesn't state a start. */
+export const UNSTATED_START_MS = 0;
+
 /** Identifies one incarnation of an instance. */
 export function incarnationKey({ id, startedMs }: Pick<RoutedInstance, "id" | "startedMs">): string {
     return `${id}@${startedMs}`;
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -104,6 +104,10 @@
     readAttempt(headers: http.IncomingHttpHeaders): string | undefined;
     forwardHeaders(callerHeaders: readonly string[], metadata: ForwardMetadata): string[];
     readAnswer(status: number, headers: http.IncomingHttpHeaders): UpstreamAnswerMetadata;
+    /** The request with which an instance is asked for its own state. */
+    stateRequest(instance: string): { readonly path: string; readonly headers: readonly string[] };
+    /** The start that an instance states with its own state, in milliseconds since 1970; undefined if it states none. */
+    readStart(body: string): number | undefined;
     /** The headers of an instance's answer to pass to the caller, without Content-Length. */
     answerHeaders(upstreamHeaders: readonly string[]): string[];
     /** The headers of an answer that this system gives in place of an instance. */
--- a/src/process/routing/InstanceHolds.ts
+++ b/src/process/routing/InstanceHolds.ts
@@ -9,7 +9,7 @@
 import * as views from "./PublishedView";
 
 /** The kind of request that the instance rejected. */
-export type HoldSource = "call" | "stage-call" | "release";
+export type HoldSource = "call" | "stage-call" | "release" | "start-check";
 
 /** What the holds need from their process. */
 export interface InstanceHoldsOptions {
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -1,9 +1,11 @@
 /**
  * The log lines about the sends of a call.
  */
+import * as routing from "../../common/Routing";
 import * as pools from "../../process/routing/InstancePool";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
+import * as startChecks from "./StartCheck";
 import * as exchanges from "./UpstreamExchange";
 import * as senders from "./UpstreamSender";
 
@@ -56,6 +58,25 @@
     }
 }
 
+/** Logs whether the process at an instance's address is the start that its record describes. */
+export function logStartCheck(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    instance: routing.RoutedInstance,
+    check: startChecks.StartCheckOutcome,
+): void {
+    context.log.info({
+        decision: "start-check",
+        attempt: call.metadata.attempt,
+        instance: instance.id,
+        startedMs: instance.startedMs,
+        softwareVersion: instance.softwareVersion,
+        outcome: check.kind,
+        ...(check.kind === "none" ? { reason: check.reason } : {}),
+        ...context.position(),
+    }, "instance asked for its start, before a call that only its software version may get");
+}
+
 /** Logs the end of a send, unless its answer is a success. */
 export function logUnlessSuccessful(
     context: senders.SenderContext,
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -16,6 +16,7 @@
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as sendLogs from "./SendLog";
+import * as startChecks from "./StartCheck";
 import * as exchanges from "./UpstreamExchange";
 
 /** Largest urgency value that is sent; larger values are less urgent, and 0 is the most urgent. */
@@ -113,6 +114,13 @@
     const { instance } = chosen;
     const partIds = call.metadata.promptParts.map(part => part.id);
     const ticket = chosen.traffic.begin(chosen.missingTokens, partIds);
+    history.openSends++;
+    const unsent = await findUnsentOutcome(context, call, history, chosen, ticket, options.signal);
+    if (unsent !== undefined) {
+        history.openSends--;
+        takeBackSend(context, call, history);
+        return unsent;
+    }
     const sentAtMs = context.clock.now();
     const remainingMs = call.hardDeadlineAtMs - sentAtMs;
     const sent: SentCall = {
@@ -124,7 +132,6 @@
     const waitMs = (): number => Math.min(options.answerWaitMs(sent), call.hardDeadlineAtMs - context.clock.now());
     sendLogs.logSend(context, call, history, chosen, ticket.expectedFirstEventMs, remainingMs, options.lastEventId);
     call.progress.mayHaveRun = true;
-    history.openSends++;
     const exchange = await exchanges.openExchange(context.connections, context.clock, {
         address: instance.address,
         method: call.method,
@@ -186,7 +193,41 @@
     return chosen;
 }
 
-/** Takes back a send that was cut before its first byte, since its instance began to hold off. */
+/**
+ * The outcome of a call that is bound to a software version and mustn't be sent, since the process at the instance's
+ * address isn't the start that its record describes, or doesn't answer; undefined if it may be sent.
+ */
+async function findUnsentOutcome(
+    context: SenderContext,
+    call: calls.RoutedCall,
+    history: histories.CallHistory,
+    { instance }: pools.ChosenInstance,
+    ticket: traffic.Ticket,
+    signal: AbortSignal,
+): Promise<SendOutcome | undefined> {
+    if (history.softwareVersion === undefined || instance.startedMs === routing.UNSTATED_START_MS) {
+        return undefined;
+    }
+    const { holds } = context.pool;
+    const check = await startChecks.checkStart(context, instance, () => holds.remainingMs(instance) > 0, signal);
+    sendLogs.logStartCheck(context, call, instance, check);
+    if (check.kind === "none") {
+        ticket.end(startChecks.ticketOutcomes[check.reason]);
+        return check.reason === "cancelled" ? { kind: "cancelled" } : { kind: "not-run", isInputLost: false };
+    }
+    const { holdMs } = check.metadata;
+    if (holdMs !== undefined) {
+        holds.start(instance.address, instance, holdMs, "start-check");
+    }
+    context.onAnswer(instance, check.metadata);
+    if (check.kind === "other" || holdMs !== undefined) {
+        ticket.end(check.kind === "other" ? "unreachable" : "cancelled");
+        return { kind: "not-run", isInputLost: false };
+    }
+    return undefined;
+}
+
+/** Takes back a send that ended before the first byte of its request. */
 function takeBackSend(context: SenderContext, call: calls.RoutedCall, history: histories.CallHistory): void {
     history.sends--;
     context.budgetOf(call.service).takeBack(history.sends === 0 ? "first-call" : "retry");
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -84,10 +84,13 @@
     cancelledRuns = 0;
     /** Number of calls that were meant for another engine. */
     misdirectedCalls = 0;
+    /** Number of requests for the engine's own state. */
+    reports = 0;
     /** Number of calls rejected as not run. */
     rejectedCalls = 0;
     private nextHandle = 1;
     private bornMs: number;
+    private readonly sockets = new Set<net.Socket>();
     private listener: listeners.Listener | undefined;
 
     constructor(public options: EngineOptions) {
@@ -117,15 +120,20 @@
 
     async listen(): Promise<void> {
         const server = http.createServer((request, response) => void this.handle(request, response));
-        server.on("connection", (socket: net.Socket) => socket.setNoDelay(true));
+        server.on("connection", (socket: net.Socket) => {
+            socket.setNoDelay(true);
+            this.sockets.add(socket);
+            socket.on("close", () => this.sockets.delete(socket));
+        });
         this.listener = await listeners.listen(server, "127.0.0.1:0");
     }
 
-    /** Simulates a new start at the same address, by default with the same id. */
-    restart(id = this.options.id): void {
-        this.options = { ...this.options, id };
+    /** Simulates a new start at the same address, by default with the same id and software; ends all connections. */
+    restart(change: Partial<Pick<EngineOptions, "id" | "softwareVersion">> = {}): void {
+        this.options = { ...this.options, ...change };
         this.bornMs++;
         this.isLeaving = false;
+        this.sockets.forEach(socket => socket.destroy());
     }
 
     dispose(): void {
@@ -153,6 +161,10 @@
             response.writeHead(503, { "Not-Executed": "1", ...retryHeaders }).end();
             return;
         }
+        if (request.url === "/report") {
+            this.report(response);
+            return;
+        }
         if (request.url === "/stage-run" || request.url === "/stage-free") {
             this.handleStage(request.url, body, response);
             return;
@@ -213,6 +225,15 @@
         response.end();
     }
 
+    private report(response: http.ServerResponse): void {
+        this.reports++;
+        if (this.faults.hang === true) {
+            return;
+        }
+        response.writeHead(200, { "content-type": "application/json" });
+        response.end(JSON.stringify({ Stage: "colocated", Busy: false, Seq: 1, born: this.bornMs }));
+    }
+
     private async pauseAfter(eventId: number): Promise<void> {
         const pauseMs = this.faults.pause?.afterEvent === eventId ? this.faults.pause.ms : 0;
         await new Promise(resolve => setTimeout(resolve, pauseMs));
--- a/tests/LeavingEngines.test.ts
+++ b/tests/LeavingEngines.test.ts
@@ -114,7 +114,7 @@
                 return JSON.stringify(await leavingAt(1)) === "[\"desk-1\"]";
             });
             vitest.expect(await countNewWork(engine!, "/look/1", {})).toBe(0);
-            engine!.restart(id);
+            engine!.restart({ id });
             fleet.store.put(`servers/${id}`, engine!.createStoreRecord());
             if (id !== "desk-1") {
                 fleet.store.delete("servers/desk-1");
--- a/tests/StreamVersions.test.ts
+++ b/tests/StreamVersions.test.ts
@@ -121,6 +121,37 @@
     });
 });
 
+vitest.describe("an instance that restarts under its id with another version, before its record changes", () => {
+    vitest.beforeEach(() => startFleet(["v1", "v2", "v2"], 2));
+
+    vitest.it("gets no stream that its earlier version began, from a caller that comes back", async () => {
+        const streams = (await beginStreams()).filter(stream => eventsOf(stream)[0]?.version === "v1");
+        vitest.expect(streams.length).toBeGreaterThan(0);
+        fleet.engines[0]!.restart({ softwareVersion: "v3" });
+        const resumed = await Promise.all(streams.map((stream, index) => resumeStream(stream, index % 2)));
+        vitest.expect(mixedStreams(resumed)).toEqual([]);
+        vitest.expect(resumed.map(stream => stream.answers.at(-1)!.status)).toEqual(streams.map(() => 503));
+    });
+
+    vitest.it("gets no stream that another instance of its earlier version began, inside one answer", async () => {
+        fleet.engines[1]!.faults = { breakAfterEvent: BREAK_AFTER_EVENT };
+        fleet.engines[2]!.restart({ softwareVersion: "v3" });
+        const headers = fleets.PROMPT_HEADERS;
+        const streams = await Promise.all(Array.from({ length: 4 * STREAM_COUNT }, async (_, index) => {
+            return { attempt: "", answers: [await fleet.call(`/notes/${index}`, { headers })] };
+        }));
+        vitest.expect(fleet.engines[1]!.runs.length).toBeGreaterThan(0);
+        vitest.expect(mixedStreams(streams)).toEqual([]);
+    });
+
+    vitest.it("gets them again once its record states the start that runs", async () => {
+        const streams = (await beginStreams()).filter(stream => eventsOf(stream)[0]?.version === "v1");
+        fleet.engines[0]!.restart();
+        fleet.store.put("servers/model-1", fleet.engines[0]!.createStoreRecord());
+        await fleet.waitUntil(async () => await resumeCode(streams[0]!, {}) === undefined);
+    });
+});
+
 vitest.describe("a caller that comes back to a stream", () => {
     vitest.it("is served at any entry, named or not, while the service has had one version only", async () => {
         await startFleet(["v1", "v1"], 2);
