--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -8,6 +8,7 @@
 import * as faults from "./SoakFaults";
 import * as fleets from "./SoakFleet";
 import * as histories from "./SoakHistory";
+import * as shares from "./SoakShares";
 
 /** Time for the entries to start before the first call. */
 const STARTUP_MS = 3_000;
@@ -32,6 +33,7 @@
     readonly served: number;
     readonly runs: number;
     readonly faults: number;
+    readonly streams: shares.StreamShares;
     readonly violations: readonly checks.Violation[];
     /** Path of the file with the logs of all entries. */
     readonly logFile: string;
@@ -58,14 +60,18 @@
         await Promise.all(callerLoops);
         fleet.collectRuns();
         const recoveryViolation = checks.findRecoveryViolation(history, recoveryEndMs);
+        const streams = shares.countStreams(history);
         const violations = checks.findViolations(history, callers.CALL_DEADLINE_MS);
+        const otherViolations = [recoveryViolation, shares.findShareViolation(streams)]
+            .filter(violation => violation !== undefined);
         return {
             seed: options.seed,
             calls: history.calls.length,
             served: history.calls.filter(call => call.status === 200 && call.isWhole).length,
             runs: history.runs.length,
             faults: history.faults.length,
-            violations: recoveryViolation === undefined ? violations : [...violations, recoveryViolation],
+            streams,
+            violations: [...violations, ...otherViolations],
             logFile: fleet.logFile,
             history,
         };
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -155,6 +155,14 @@
         await standIn.listen();
         const link = await relays.TcpRelay.listen(portOf(standIn.address));
         this.engines.push({ standIn, link });
+        const fromMs = clocks.systemClock.now();
+        this.history.engines.push({
+            id,
+            service,
+            softwareVersion: standIn.options.softwareVersion,
+            fromMs,
+            leavesAtMs: Infinity,
+        });
         this.store.put(`servers/${id}`, standIn.createStoreRecord("ready", link.address));
     }
 
@@ -290,6 +298,7 @@
             return;
         }
         standIn.isLeaving = true;
+        this.history.engines.find(other => other.id === id)!.leavesAtMs = clocks.systemClock.now();
         void this.addEngine(service, failureDomain, events);
         this.runLater(UNLISTED_MS, () => {
             this.store.put(`servers/${id}`, standIn.createStoreRecord("draining", link.address));
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -56,6 +56,16 @@
     readonly retryAfter: string | undefined;
 }
 
+/** An engine, and the time during which it serves. */
+export interface SoakEngine {
+    readonly id: string;
+    readonly service: string;
+    readonly softwareVersion: string | undefined;
+    readonly fromMs: number;
+    /** When it begins to leave. */
+    leavesAtMs: number;
+}
+
 /** One injected fault, planned operation or configuration change. */
 export interface SoakFault {
     readonly kind: string;
@@ -85,6 +95,7 @@
     readonly runs: SoakRun[] = [];
     readonly arrivals: SoakArrival[] = [];
     readonly faults: SoakFault[] = [];
+    readonly engines: SoakEngine[] = [];
     readonly versions: SoakVersion[] = [];
     readonly unexpectedExits: UnexpectedExit[] = [];
     /** Time at which an engine was published as draining, by its id. */
