--- a/src/request/routed/StartCheck.ts
+++ b/src/request/routed/StartCheck.ts
@@ -22,6 +22,7 @@
     reset: "unreachable",
     cancelled: "cancelled",
     held: "cancelled",
+    invalid: "cancelled",
 };
 
 /** Dependencies for asking an instance. */
