Count the soft deadline of a resumed stream's stages from its interruption

Seen by callers: a stream with stages that had begun and then lost its instance, or fell silent there, was broken off, or waited in silence for its hard deadline, while other instances were free.

Cause: an order for a stream that has begun carried the soft deadline of its first event, which had been met long before, so that admission took it for late and held it against half of the time left. A caller who comes back to the same stream gets a new soft deadline, and was admitted.

Evidence: InterruptedStreams.test.ts, "is complete when its stages take long and the goal of its first event has passed": before, broken off after the third event ("stages" with admission refused); passes now, three times of three.

Why it works: StageGoal counts the soft deadline from the interruption once the first event has been forwarded, at most until the hard deadline, so that the entry's own resumption is admitted and ordered as the caller's return would be. Before the first event, the deadline stays that of the call.

--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -9,6 +9,7 @@
 import * as sinks from "./EventSink";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
+import * as stageGoals from "./StageGoal";
 import * as streamResumes from "./StreamResume";
 import * as streamRuns from "./StreamRun";
 import * as senders from "./UpstreamSender";
@@ -131,7 +132,7 @@
                 resultBytes: stage.resultBytes,
             })),
             priority: calls.priorityOf(this.call),
-            goalMs: this.call.softDeadlineAtMs - nowMs - reserveMs,
+            goalMs: stageGoals.stageSoftDeadlineAtMs(this.call, nowMs) - nowMs - reserveMs,
             limitMs: this.call.hardDeadlineAtMs - nowMs - reserveMs,
             made: [],
             failureDomain,
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -16,6 +16,16 @@
 
 vitest.afterEach(() => fleet.dispose());
 
+/** Services whose stages are expected to take more than half of the time that is left after the interruption. */
+function createSlowStages(): unknown[] {
+    const { Services: services } = fleets.createConfiguration(2) as { Services: { Pieces?: object }[] };
+    return services.map(service => service.Pieces === undefined ? service : slowDown(service));
+}
+
+function slowDown(service: { Pieces?: object }): unknown {
+    return { ...service, Pieces: { ...service.Pieces, CallMs: 800 } };
+}
+
 /** Calls until the first model engine runs a call, and returns the answer to that call. */
 async function callFirstModel(path: string, headers: Record<string, string>): Promise<fleets.Answer> {
     const [first] = fleet.enginesOf("model");
@@ -39,6 +49,19 @@
         vitest.expect(fleet.enginesOf("model")[1]!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
     });
 
+    // Guards against streams whose stages were rejected as late, since the goal of their first event had passed.
+    vitest.it("is complete when its stages take long and the goal of its first event has passed", async () => {
+        fleet.publish(2, { Services: createSlowStages() });
+        await fleet.waitUntil(async () => (await fleet.status(0))["version"] === 2);
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { breakAfterEvent: 3, pause: { afterEvent: 3, ms: 1_900 } };
+        second!.faults = { shed: true };
+        const answer = fleet.call("/drafts/1", { headers: STAGED });
+        await fleet.waitUntil(() => first!.runs.length > 0);
+        second!.faults = {};
+        vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+    });
+
     // Guards against a second head in the middle of an answer.
     vitest.it("that gets an answer without events is broken off after a complete event", async () => {
         const [first, second] = fleet.enginesOf("model");
