Don't break a stream off before its caller's deadline

What callers saw: a stream that was still being delivered ended with a broken connection 25 ms before the time for which its caller waits.

Cause: the hard deadline lies 25 ms before the caller's, so that an answer of the entry still arrives. A stream that has begun gets none: it can only be broken off, and by the entry, although its instance, which is told the same deadline, ends it at that moment by itself.

Why it works: once it has begun, a stream goes on for 50 ms after its hard deadline, 25 ms after its caller's. Until then its last events arrive, the instance ends it, or its caller leaves. At a route's timeout it is held for 50 ms longer. Whether the users counted such ends isn't known: they don't count where the deadline was reached.

--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -14,6 +14,11 @@
 import * as moves from "./StreamMove";
 import * as senders from "./UpstreamSender";
 
+/**
+ * How long a stream that has begun goes on after its hard deadline, which leaves time for an answer of this process. It
+ * needs none, and breaking it off before its caller stops waiting would only take its last events away.
+ */
+const BEGUN_STREAM_EXTENSION_MS = 50;
 /** Pause after a stream couldn't be moved before that is tried again. */
 const MOVE_PAUSE_MS = 500;
 
@@ -276,6 +281,9 @@
     private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
         const nowMs = this.context.clock.now();
         const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
+        if (remainingMs === 0 && this.options.sink.hasBegun) {
+            return this.call.hardDeadlineAtMs + BEGUN_STREAM_EXTENSION_MS - nowMs;
+        }
         if (!calls.isRetryable(this.call.route)) {
             return remainingMs;
         }
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -1,4 +1,5 @@
 import * as vitest from "vitest";
+import * as clocks from "../src/common/Clock";
 import * as fleets from "../standins/platform/RoutedFleet";
 
 const STREAM_BODY = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
@@ -120,3 +121,18 @@
         await fleet.waitUntil(() => first!.cancelledRuns === 1);
     });
 });
+
+vitest.describe("a stream whose instance is silent until its caller's deadline", () => {
+    // Guards against streams that are broken off before their caller has stopped waiting.
+    vitest.it.each([
+        { name: "that may be resumed", path: "/notes/1" },
+        { name: "that may not be resumed", path: "/once/1" },
+    ])("$name, isn't broken off before", async ({ path }) => {
+        const deadlineMs = 1_000;
+        fleet.enginesOf("model").forEach(engine => engine.faults = { pause: { afterEvent: 3, ms: 30_000 } });
+        const sentAtMs = clocks.systemClock.now();
+        const answer = await fleet.call(path, { headers: { ...PROMPT, "Deadline-Ms": String(deadlineMs) } });
+        vitest.expect(answer.isComplete).toBe(false);
+        vitest.expect(clocks.systemClock.now() - sentAtMs).toBeGreaterThanOrEqual(deadlineMs);
+    });
+});
