--- a/src/request/routed/SilenceWait.ts
+++ b/src/request/routed/SilenceWait.ts
@@ -6,6 +6,11 @@
 import * as calls from "./RoutedCall";
 import * as senders from "./UpstreamSender";
 
+/**
+ * How long a stream that has begun goes on after its hard deadline, which leaves time for an answer of this process. It
+ * needs none, and breaking it off before its caller stops waiting would only take its last events away.
+ */
+const BEGUN_STREAM_EXTENSION_MS = 50;
 /** Pause after a stream couldn't be moved before that is tried again. */
 const MOVE_PAUSE_MS = 500;
 
@@ -16,7 +21,11 @@
     /** No move is tried before this time. */
     private staysUntilMs = -Infinity;
 
-    constructor(private readonly clock: clocks.Clock, private readonly call: calls.RoutedCall) {}
+    constructor(
+        private readonly clock: clocks.Clock,
+        private readonly call: calls.RoutedCall,
+        private readonly hasBegun: () => boolean,
+    ) {}
 
     /** Whether the call's hard deadline has passed. */
     get isLate(): boolean {
@@ -56,6 +65,9 @@
     private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
         const nowMs = this.clock.now();
         const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
+        if (remainingMs === 0 && this.hasBegun()) {
+            return this.call.hardDeadlineAtMs + BEGUN_STREAM_EXTENSION_MS - nowMs;
+        }
         if (!calls.isRetryable(this.call.route)) {
             return remainingMs;
         }
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -60,7 +60,7 @@
         private readonly options: StreamOptions,
     ) {
         this.lastEventId = call.metadata.lastEventId;
-        this.silence = new silenceWaits.SilenceWait(context.clock, call);
+        this.silence = new silenceWaits.SilenceWait(context.clock, call, () => options.sink.hasBegun);
         this.history.softwareVersion = options.softwareVersion;
     }
 
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -47,8 +47,8 @@
     pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
-    /** Never answers. */
-    hang?: boolean | undefined;
+    /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
+    hang?: boolean | "calls" | undefined;
 }
 
 /** Identity and timing of an engine. */
@@ -183,7 +183,7 @@
             request.socket.resetAndDestroy();
             return;
         }
-        if (this.faults.hang === true) {
+        if (this.faults.hang) {
             return;
         }
         await this.run(request, response);
@@ -242,7 +242,7 @@
     }
 
     private handleStage(path: string, body: string, response: http.ServerResponse): void {
-        if (this.faults.hang === true) {
+        if (this.faults.hang) {
             return;
         }
         const content = JSON.parse(body) as { Items?: unknown[]; Handles?: string[] };
