Tell resumed streams when the instances of their version end their hold

Callers that came back to a stream while all instances of its version held off (and those of other versions didn't) got 223 "version-gone" with Retry-After 1 s, though the version was there and the time of its return known: they came back into the same hold and spent their attempts.

Cause: the time to the end of a hold was asked for the whole service; a stream is bound to a version, so that the service's other instances don't help it.

Evidence: tests/StreamVersions.test.ts "a caller that comes back while all instances of its version hold off is told when they don't" failed before (223 for overloaded, hold of 3 s). Now the rejection is "overloaded" with the earliest end among that version's instances, in the resumption of a caller and inside an answer, as for a service of which all instances hold off.

--- a/src/process/routing/InstanceHolds.ts
+++ b/src/process/routing/InstanceHolds.ts
@@ -98,16 +98,27 @@
         return instance === undefined ? this.remainingMsOf(this.byAddress.get(address)) : this.remainingMs(instance);
     }
 
-    /** Time until an instance of a service may be used again; 0 if one may be now, or if none is in service. */
-    serviceHoldMs(service: string): number {
+    /**
+     * Time until an instance of a service, and of a software version if one is given, may be used again; 0 if one may be
+     * now, or if none is in service.
+     */
+    serviceHoldMs(service: string, softwareVersion?: string): number {
         const { view, isInService } = this.options;
-        const inService = this.isAnyInForce ? view.instances(service).filter(isInService) : [];
+        const inService = this.isAnyInForce
+            ? view.instances(service).filter(instance =>
+                isInService(instance)
+                && (softwareVersion === undefined || instance.softwareVersion === softwareVersion)
+            )
+            : [];
         return inService.length === 0 ? 0 : Math.min(...inService.map(instance => this.remainingMs(instance)));
     }
 
-    /** Retry delay for callers of a service of which all instances hold off; undefined if one may be used. */
-    callerRetryAfterMs(service: string): number | undefined {
-        const holdMs = this.serviceHoldMs(service);
+    /**
+     * Retry delay for callers of a service, and of a software version if one is given, of which all instances hold off;
+     * undefined if one may be used.
+     */
+    callerRetryAfterMs(service: string, softwareVersion?: string): number | undefined {
+        const holdMs = this.serviceHoldMs(service, softwareVersion);
         return holdMs === 0 ? undefined : holds.callerRetryAfterMs(holdMs, this.options.random());
     }
 
--- a/src/request/routed/StreamResume.ts
+++ b/src/request/routed/StreamResume.ts
@@ -51,12 +51,20 @@
         case "bound": {
             const { service, softwareVersion } = outcome.decision.origin;
             return context.pool.usableInstances(service, softwareVersion).length === 0
-                ? result.err(codes.failure(codes.codes.versionGone, softwareVersion, GONE_RETRY_MS))
+                ? result.err(createUnusableFailure(context, service, softwareVersion))
                 : result.ok({ call: { ...call, service }, softwareVersion });
         }
     }
 }
 
+/** Why no instance of a version can be used: all of them hold off for a known time, or none is in service. */
+function createUnusableFailure(context: ResumeContext, service: string, softwareVersion: string): codes.Failure {
+    const retryAfterMs = context.pool.holds.callerRetryAfterMs(service, softwareVersion);
+    return retryAfterMs === undefined
+        ? codes.failure(codes.codes.versionGone, softwareVersion, GONE_RETRY_MS)
+        : codes.failure(codes.codes.overloaded, `all instances of ${softwareVersion} hold off`, retryAfterMs);
+}
+
 /** Records which version sent the first event of an answer, if its caller may come back to the stream. */
 export function recordFirstEvent(context: ResumeContext, call: calls.RoutedCall, softwareVersion: string): void {
     const { attempt, lastEventId, resumedAttempt } = call.metadata;
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -176,7 +176,7 @@
 ): pools.ChosenInstance | undefined {
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
-        history.heldRetryAfterMs = context.pool.holds.callerRetryAfterMs(call.service);
+        history.heldRetryAfterMs = context.pool.holds.callerRetryAfterMs(call.service, history.softwareVersion);
         sendLogs.logUnlessAnyVersion(context, call, history);
         return undefined;
     }
--- a/tests/StreamVersions.test.ts
+++ b/tests/StreamVersions.test.ts
@@ -222,6 +222,23 @@
     });
 });
 
+vitest.it("a caller that comes back while all instances of its version hold off is told when they don't", async () => {
+    const holdSeconds = 3;
+    await startFleet(["v1", "v2"], 1);
+    const stream = (await beginStreams()).find(other => eventsOf(other)[0]?.version === "v1")!;
+    const [engine] = fleet.engines;
+    engine!.faults = { shed: true, retryAfter: String(holdSeconds) };
+    await fleet.waitUntil(async () => {
+        await fleet.call("/notes/2", { headers: fleets.PROMPT_HEADERS });
+        return engine!.rejectedCalls > 0;
+    });
+    const { answers } = await resumeStream(stream, 0);
+    vitest.expect(answers.at(-1)).toMatchObject({ status: 503 });
+    vitest.expect(JSON.parse(answers.at(-1)!.body)).toMatchObject({ name: "overloaded", outcome: "not-run" });
+    vitest.expect(Number(answers.at(-1)!.headers["retry-after"])).toBeGreaterThan(holdSeconds - 1);
+    vitest.expect(engine!.rejectedCalls).toBe(1);
+});
+
 /** Result code of an attempt to resume at the second entry; undefined if it was served. */
 async function resumeCode(stream: CallerStream, headers: Record<string, string> | undefined): Promise<unknown> {
     const { answers } = await resumeStream(stream, 1, headers);
