Tell a stream's origin to entries in different failure domains

When a failure domain is lost, callers of streams whose first entry and both homes were in it would be rejected with 222 at every entry while versions differ.

Cause: homes were chosen by hash alone, without regard to what is lost together.

Evidence: two cases of StreamOriginExchange.test.ts ("are in other domains than its entry and each other") failed before, and pass now. A third kind of case checks that an entry of any domain asks all homes.

Why it works: the homes are the first entries, by hash, of the first two domains other than the teller's. An entry that asks ranks the first of each domain before the others; whichever domain the stream began in, both homes are among the first three, and four are asked. With fewer domains the order by hash decides, as before. The number of messages is unchanged.

--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -75,7 +75,7 @@
         private readonly options: RouteEntryOptions,
     ) {
         const { clock, log, random, store } = options;
-        const shared = { clock, log, random };
+        const shared = { clock, log, random, failureDomain: settings.failureDomain };
         const pauses = this.disposables.add(new pauseMonitors.PauseMonitor({ clock, thresholdMs: PAUSE_THRESHOLD_MS }));
         const connections = new upstreamConnections.UpstreamConnections();
         this.disposables.add({ dispose: () => connections.destroy() });
@@ -93,7 +93,6 @@
                 ...shared,
                 pauses,
                 instance: settings.instance,
-                failureDomain: settings.failureDomain,
                 listen: settings.peerListen,
                 address: settings.peerAddress ?? settings.peerListen,
                 seeds: () => this.settings.seeds,
@@ -114,7 +113,6 @@
                 ...shared,
                 view: this.view,
                 leaving,
-                failureDomain: settings.failureDomain,
                 self: settings.instance,
                 entryNames: () => this.peers.entryNames,
                 coldRateLimit: () => this.settings.coldRate,
--- a/src/process/routing/StreamOriginExchange.test.ts
+++ b/src/process/routing/StreamOriginExchange.test.ts
@@ -30,14 +30,16 @@
     /** Versions of the instances of the service. */
     readonly versions: readonly string[];
     readonly unconfirmedMs?: number;
+    readonly failureDomain?: string;
     readonly peers?: readonly {
         readonly position?: positions.Position;
         readonly isOld?: boolean;
         readonly isLost?: boolean;
+        readonly failureDomain?: string;
     }[];
 }
 
-function createScenario({ versions, unconfirmedMs = 0, peers = [] }: Scenario) {
+function createScenario({ versions, unconfirmedMs = 0, failureDomain = "a", peers = [] }: Scenario) {
     const clock = new clocks.ManualClock();
     const history = new versionHistories.VersionHistory(clock);
     history.markListed();
@@ -56,8 +58,10 @@
     versions.forEach(addVersion);
     const sent: messages.Message[] = [];
     const frames = new emitters.Emitter<entryPeers.PeerFrame>();
-    const knownPeers = peers.map(({ position = POSITION, isOld = false }, index) => ({
+    const receivers: number[] = [];
+    const knownPeers = peers.map(({ position = POSITION, isOld = false, failureDomain: domain = "a" }, index) => ({
         instance: `peer-${index}`,
+        failureDomain: domain,
         position,
         connection: { remote: { knowsStreamOrigins: isOld ? undefined : true } },
     }));
@@ -69,18 +73,58 @@
             knownPeers,
             livePeers: knownPeers.filter((_, index) => peers[index]!.isLost !== true),
             onFrame: frames.event,
-            send: (_: unknown, message: messages.Message) => sent.push(message) > 0,
+            send: (peer: (typeof knownPeers)[number], message: messages.Message) => {
+                receivers.push(knownPeers.indexOf(peer));
+                return sent.push(message) > 0;
+            },
         } as unknown as entryPeers.EntryPeers,
         unconfirmedMs: () => unconfirmedMs,
+        failureDomain,
     });
     /** Delivers a message from a peer. */
     const receive = (message: messages.Message): void => {
         const connection = { send: (answer: messages.Message) => sent.push(answer) > 0 };
         frames.fire({ peer: { instance: "peer-0" }, connection, message } as unknown as entryPeers.PeerFrame);
     };
-    return { clock, exchange, sent, addVersion, receive };
+    return { clock, exchange, sent, receivers, addVersion, receive };
 }
 
+vitest.describe("the homes of a stream", () => {
+    const domainCases: readonly { readonly name: string; readonly domains: readonly string[]; readonly own: string }[] =
+        [
+            { name: "one of many in each of three domains", domains: ["a", "a", "a", "a", "b", "c"], own: "a" },
+            { name: "in two of four domains", domains: ["a", "b", "b", "b", "b", "c", "d", "d"], own: "d" },
+        ];
+    const attempts = Array.from({ length: 20 }, (_, index) => `attempt-${index}`);
+
+    vitest.it.each(domainCases)("are in other domains than its entry and each other, $name", ({ domains, own }) => {
+        for (const attempt of attempts) {
+            const { exchange, receivers } = createScenario({
+                versions: ["v1", "v2"],
+                peers: domains.map(failureDomain => ({ failureDomain })),
+                failureDomain: own,
+            });
+            exchange.recordFirstEvent({ ...STREAM, attempt });
+            const homes = receivers.map(index => domains[index]!);
+            vitest.expect(homes).toHaveLength(2);
+            vitest.expect(new Set([own, ...homes]).size).toBe(3);
+        }
+    });
+
+    vitest.it.each(domainCases)("are asked by an entry of any domain, $name", ({ domains, own }) => {
+        for (const attempt of attempts) {
+            for (const failureDomain of new Set(domains)) {
+                const scenario = { versions: ["v1", "v2"], peers: domains.map(domain => ({ failureDomain: domain })) };
+                const teller = createScenario({ ...scenario, failureDomain: own });
+                teller.exchange.recordFirstEvent({ ...STREAM, attempt });
+                const asker = createScenario({ ...scenario, failureDomain });
+                void asker.exchange.resolve({ ...CALL, attempt });
+                vitest.expect(asker.receivers).toEqual(vitest.expect.arrayContaining(teller.receivers));
+            }
+        }
+    });
+});
+
 vitest.describe("a resumed stream that this entry doesn't know", () => {
     const cases: readonly { readonly name: string; readonly scenario: Scenario; readonly decision: unknown }[] = [
         { name: "has the only version there has been", scenario: { versions: ["v1"] }, decision: BOUND },
--- a/src/process/routing/StreamOriginExchange.ts
+++ b/src/process/routing/StreamOriginExchange.ts
@@ -32,6 +32,8 @@
     readonly log: logs.Log;
     readonly peers: entryPeers.EntryPeers;
     readonly view: views.PublishedView;
+    /** Failure domain of this entry. */
+    readonly failureDomain: string;
     /** Time since the store last confirmed the view; undefined before the first time. */
     readonly unconfirmedMs: () => number | undefined;
 }
@@ -144,7 +146,7 @@
     private tell(streams: readonly origins.KnownStream[]): void {
         const streamsByPeer = new Map<peerEntries.PeerEntry, origins.KnownStream[]>();
         for (const stream of streams) {
-            for (const peer of this.rankPeers(stream.attempt).slice(0, HOME_COUNT)) {
+            for (const peer of this.findHomes(stream.attempt)) {
                 streamsByPeer.set(peer, [...streamsByPeer.get(peer) ?? [], stream]);
             }
         }
@@ -179,14 +181,33 @@
         });
     }
 
-    /** Connected entries that know these messages, the homes of the attempt first. */
+    /** The entries that are told of a stream, in other failure domains than this one and each other where there are any. */
+    private findHomes(attempt: string): peerEntries.PeerEntry[] {
+        const ranked = this.rankPeers(attempt);
+        const isElsewhere = (peer: peerEntries.PeerEntry): boolean =>
+            peer.failureDomain !== this.options.failureDomain
+            && ranked.find(other => other.failureDomain === peer.failureDomain) === peer;
+        const preferred = ranked.filter(isElsewhere).slice(0, HOME_COUNT);
+        const others = ranked.filter(peer => !preferred.includes(peer));
+        return [...preferred, ...others].slice(0, HOME_COUNT);
+    }
+
+    /**
+     * Connected entries that know these messages, in the order in which they are asked for a stream: the first of each
+     * failure domain, then the others. An entry that is asked may be in any domain, also in that of the stream's first
+     * entry.
+     */
     private rankPeers(attempt: string): peerEntries.PeerEntry[] {
         const peers = this.options.peers.livePeers.filter(peer => peer.connection?.remote.knowsStreamOrigins === true);
         if (peers.length <= HOME_COUNT) {
             return peers;
         }
         const scored = peers.map(peer => ({ peer, score: rendezvous.score(attempt, peer.instance) }));
-        return scored.sort((left, right) => right.score - left.score).map(({ peer }) => peer);
+        const sorted = scored.sort((left, right) => right.score - left.score).map(({ peer }) => peer);
+        const firstByDomain = new Map<string, peerEntries.PeerEntry>();
+        sorted.forEach(peer => firstByDomain.has(peer.failureDomain) || firstByDomain.set(peer.failureDomain, peer));
+        const firsts = [...firstByDomain.values()];
+        return [...firsts, ...sorted.filter(peer => !firsts.includes(peer))];
     }
 
     private handleFrame(frame: entryPeers.PeerFrame): void {
