Give the test of a stop without a successor a time limit that it doesn't reach

RoutedCalls.test.ts "keeps accepting requests while no other entry does" failed once beside load (KNOWN-RED.txt): with a time limit of 8 s the entry rightly closes 4.5 s after the stop began, and the test asks after 2.6 s by the wall clock. Now the limit is 300 s, and a second entry ends the stop, so that the test also shows that the stop lasts until there is a successor and ends with it.

--- a/tests/RoutedCalls.test.ts
+++ b/tests/RoutedCalls.test.ts
@@ -6,6 +6,9 @@
 const STREAM_BODY = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
 const { PROMPT_HEADERS: PROMPT, STAGED_HEADERS: STAGED } = fleets;
 
+/** Time limit of a planned stop that no test reaches, however late its process. */
+const LONG_STOP_SECONDS = 300;
+
 let fleet: fleets.RoutedFleet;
 
 vitest.beforeEach(async () => {
@@ -282,10 +285,18 @@
     });
 
     vitest.it("keeps accepting requests while no other entry does", async () => {
-        const exitCode = fleet.entries[0]!.stop();
+        const single = new fleets.RoutedFleet();
+        await single.start();
+        const entry = await single.addEntry(single.store.address, LONG_STOP_SECONDS);
+        await single.waitUntil(async () => (await single.call("/look/1")).status === 200);
+        let hasEnded = false;
+        const exitCode = entry.stop().finally(() => hasEnded = true);
         await clocks.sleep(clocks.systemClock, 2_600);
-        vitest.expect((await fleet.call("/look/1")).status).toBe(200);
+        vitest.expect((await single.call("/look/1")).status).toBe(200);
+        vitest.expect(hasEnded).toBe(false);
+        await single.addEntry();
         vitest.expect(await exitCode).toBe(0);
+        single.dispose();
     });
 
     vitest.it("hands the stages over to the other entry", async () => {
