Ask another peer for an update when one doesn't answer

Cause: an entry whose view of the store is behind asked the first of the most current peers, each 250 ms the same one. If that entry's messages to it were lost while the peer's arrived, its connection was never replaced, and the entry never learned of a change that the store didn't tell it either.

One log line ("update-unanswered") for each position.

--- a/src/process/routing/PublishedExchange.ts
+++ b/src/process/routing/PublishedExchange.ts
@@ -10,6 +10,7 @@
 import * as peers from "./EntryPeers";
 import * as peerEntries from "./PeerEntry";
 import * as views from "./PublishedView";
+import * as updateSources from "./UpdateSource";
 
 /** Time between two comparisons with the peers, usually enough for this process's own watch to catch up. */
 const COMPARE_INTERVAL_MS = 250;
@@ -23,6 +24,7 @@
 export interface PublishedExchangeOptions {
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
+    readonly random: () => number;
     readonly view: views.PublishedView;
     readonly peers: ExchangePeers;
 }
@@ -32,6 +34,11 @@
     private readonly disposables = new emitters.DisposableStore();
     /** Latest position of a peer at the last comparison; if the view is still behind it, an update is requested. */
     private awaitedPosition = positions.START;
+    /** Position of the view at the last request for an update. */
+    private askedAt = positions.START;
+    /** The peers that were asked at that position and haven't answered. */
+    private readonly unanswered = new Set<string>();
+    private isUnansweredLogged = false;
     /** Number of updates applied from peers. */
     appliedUpdates = 0;
 
@@ -45,17 +52,34 @@
     }
 
     private comparePositions(): void {
-        const { view } = this.options;
-        let mostCurrent: peerEntries.PeerEntry | undefined;
-        for (const peer of this.options.peers.livePeers) {
-            if (positions.isAfter(peer.position, mostCurrent?.position ?? view.position)) {
-                mostCurrent = peer;
-            }
+        const { view, random } = this.options;
+        const { livePeers } = this.options.peers;
+        if (positions.compare(view.position, this.askedAt) !== 0) {
+            this.unanswered.clear();
+            this.isUnansweredLogged = false;
         }
-        if (mostCurrent !== undefined && positions.isAfter(this.awaitedPosition, view.position)) {
-            this.options.peers.send(mostCurrent, { kind: "published-fetch", ...view.position });
+        if (positions.isAfter(this.awaitedPosition, view.position)) {
+            this.request(updateSources.chooseUpdateSources(livePeers, view.position, this.unanswered, random));
+        }
+        this.awaitedPosition = livePeers.map(peer => peer.position).reduce(positions.latest, positions.START);
+    }
+
+    private request(sources: readonly peerEntries.PeerEntry[]): void {
+        const { view, log } = this.options;
+        if (this.unanswered.size > 0 && sources.length > 0 && !this.isUnansweredLogged) {
+            this.isUnansweredLogged = true; // One line for each position.
+            const asked = sources.map(peer => peer.instance);
+            const fields = { decision: "update-unanswered", ...view.position, peers: [...this.unanswered], asked };
+            log.info(fields, "a peer hasn't answered the request for an update; asking again");
+        }
+        if (sources.some(peer => this.unanswered.has(peer.instance))) {
+            this.unanswered.clear(); // All have been asked.
+        }
+        this.askedAt = view.position;
+        for (const peer of sources) {
+            this.unanswered.add(peer.instance);
+            this.options.peers.send(peer, { kind: "published-fetch", ...view.position });
         }
-        this.awaitedPosition = mostCurrent?.position ?? positions.START;
     }
 
     private handleFrame(frame: peers.PeerFrame): void {
--- a/src/process/routing/StoreSilence.test.ts
+++ b/src/process/routing/StoreSilence.test.ts
@@ -76,8 +76,37 @@
             fault: {},
             lostLinks: (from, to) => from === 0 && to !== 1,
         },
+        {
+            name: "silent, and the messages of every second entry to one that isn't affected are lost",
+            fault: { isAffected: entry => entry !== 0 },
+            lostLinks: (from, to) => from % 2 === 1 && to === 0,
+        },
+        { name: "rejecting calls", fault: { isRejecting: true } },
+        {
+            name: "rejecting the calls of every second entry",
+            fault: { isRejecting: true, isAffected: entry => entry % 2 === 0 },
+        },
     ];
     vitest.it.each(partialFaults)("$name", async propagation => {
         vitest.expect(await measureExcessMs(28, MIDDLE, propagation)).toBeLessThanOrEqual(0);
     });
 });
+
+vitest.describe("an entry that the store never answers", { timeout: 120_000 }, () => {
+    vitest.it.each([
+        { name: "learns each change from its peers", lostLinks: undefined },
+        {
+            name: "learns each change while its requests to some peers are lost",
+            lostLinks: (from: number, to: number) => from === 5 && to < 5,
+        },
+    ])("$name", async ({ lostLinks }) => {
+        const fault = { fromMs: 1_000, toMs: Infinity, isAffected: (entry: number) => entry === 5 };
+        const fleet = new simulations.Fleet({ entries: 28, seed: 1, faults: [fault], lostLinks });
+        for (let changeMs = 5_000; changeMs < 20_000; changeMs += 3_500) {
+            await fleet.run(changeMs);
+            const knownMs = await fleet.waitUntilKnown(fleet.change());
+            vitest.expect(knownMs - changeMs).toBeLessThanOrEqual(MIDDLE.configMs);
+        }
+        fleet.dispose();
+    });
+});
--- a/src/process/routing/StoreSimulation.ts
+++ b/src/process/routing/StoreSimulation.ts
@@ -24,10 +24,12 @@
 const WATCH_MARGIN_MS = 600;
 const GIVE_UP_MS = 60_000;
 
-/** A time in which the store loses answers. */
+/** A time in which the store loses answers or rejects calls. */
 export interface StoreFault {
     readonly fromMs: number;
     readonly toMs: number;
+    /** Whether calls are rejected at once; otherwise their answers are lost. */
+    readonly isRejecting?: boolean;
     /** The entries concerned, by index; all if undefined. */
     readonly isAffected?: (entry: number) => boolean;
     /** The calls concerned, by their number; all if undefined. */
@@ -49,6 +51,7 @@
     readonly revision: number;
     isLost: boolean;
     readonly answer: () => void;
+    readonly reject: () => void;
 }
 
 interface SimulatedEntry {
@@ -238,11 +241,13 @@
             };
             const fail = (code: codes.ResultCode): void => settle(result.err(codes.failure(code, "test")));
             const cancel = (): void => fail(codes.codes.cancelled);
+            const fault = this.options.faults.find(other => isLostBy(other, entry, call, clock.now()));
             const watch: WaitingWatch = {
                 entry,
                 call,
                 revision,
-                isLost: this.options.faults.some(fault => isLostBy(fault, entry, call, clock.now())),
+                isLost: fault !== undefined,
+                reject: () => clock.schedule(LATENCY_MS, () => fail(codes.codes.sourceUnavailable)),
                 answer: () => {
                     if (!watch.isLost) {
                         clock.schedule(LATENCY_MS, () => settle(result.ok(answer())));
@@ -251,7 +256,10 @@
             };
             const timers = [clock.schedule(timeoutMs, () => fail(codes.codes.upstreamTimeout))];
             signal.addEventListener("abort", cancel);
-            if (this.revision > revision || waitMs === 0) {
+            if (fault?.isRejecting === true) {
+                watch.reject();
+            }
+            else if (this.revision > revision || waitMs === 0) {
                 watch.answer();
             }
             else {
@@ -262,8 +270,11 @@
     }
 
     private loseWaiting(fault: StoreFault): void {
-        for (const watch of this.waiting) {
-            watch.isLost ||= isLostBy(fault, watch.entry, watch.call, fault.fromMs);
+        for (const watch of this.waiting.filter(({ entry, call }) => isLostBy(fault, entry, call, fault.fromMs))) {
+            watch.isLost = true;
+            if (fault.isRejecting === true) {
+                watch.reject();
+            }
         }
     }
 }
