Cut the folder of routed calls by what it decides, and end the imports that ran back up

src/process/routing was one folder of some 80 files. Its files are now in published, peers, instances, streams and stages; routing keeps the entry and its server. Files were moved by git and imports follow; nothing else changes. Imports that ran back between folders ended by moving files: Listener, UpstreamExchange and ChunkReader to connection, metrics to a folder of their own, Deadline to common, SettingsFile to commands, AgentServer to process.

--- a/bench/Domains.ts
+++ b/bench/Domains.ts
@@ -5,11 +5,11 @@
  * agents accept work for the removed domain and send restarted upstreams their full load at once.
  */
 import * as result from "true-myth/result";
+import * as settingsFiles from "../src/commands/SettingsFile";
 import * as clocks from "../src/common/Clock";
 import * as codes from "../src/common/Codes";
 import * as configurations from "../src/common/Configuration";
 import * as randoms from "../src/common/Random";
-import * as settingsFiles from "../src/common/SettingsFile";
 import * as agentProcesses from "../src/process/AgentProcess";
 import * as baselineChoices from "../src/process/choice/BaselineChoices";
 import * as entryProcesses from "../src/process/EntryProcess";
--- a/bench/StageWorld.ts
+++ b/bench/StageWorld.ts
@@ -6,7 +6,7 @@
 import * as randoms from "../src/common/Random";
 import * as routing from "../src/common/Routing";
 import * as routingPorts from "../src/common/RoutingPorts";
-import * as batching from "../src/process/routing/StageBatching";
+import * as batching from "../src/process/stages/StageBatching";
 
 /** One-way delay of a message. */
 const MESSAGE_DELAY_MS = 1;
--- a/bench/Stages.ts
+++ b/bench/Stages.ts
@@ -6,9 +6,9 @@
 import * as clocks from "../src/common/Clock";
 import * as randoms from "../src/common/Random";
 import * as stageOrders from "../src/common/StageOrder";
-import * as batching from "../src/process/routing/StageBatching";
-import * as stageHosts from "../src/process/routing/StageHost";
-import * as schedulers from "../src/process/routing/StageScheduler";
+import * as batching from "../src/process/stages/StageBatching";
+import * as stageHosts from "../src/process/stages/StageHost";
+import * as schedulers from "../src/process/stages/StageScheduler";
 import * as experiments from "./Experiment";
 import * as traffic from "./StageTraffic";
 import * as worlds from "./StageWorld";
--- a/src/commands/Check.ts
+++ b/src/commands/Check.ts
@@ -1,9 +1,9 @@
 /**
  * `cumincrank check FILE`: validates settings or a published configuration.
  */
-import * as files from "../common/SettingsFile";
 import * as configurationChecks from "../version/ConfigurationCheck";
 import * as exitCodes from "./Exits";
+import * as files from "./SettingsFile";
 
 /** Validates the file at `path`, writes one line per problem, and returns the exit code: 0 if valid, 2 if not. */
 export function checkFile(path: string, write: (line: string) => void): number {
--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -6,7 +6,6 @@
 import * as codes from "../common/Codes";
 import * as logs from "../common/Log";
 import * as settingsShapes from "../common/Settings";
-import * as settingsFiles from "../common/SettingsFile";
 import * as configurationServices from "../process/adapters/ConfigurationService";
 import * as engineUpstreams from "../process/adapters/EngineUpstream";
 import * as instanceLists from "../process/adapters/InstanceListService";
@@ -16,6 +15,7 @@
 import * as checks from "./Check";
 import * as exitCodes from "./Exits";
 import * as routeCommands from "./ServeRoutes";
+import * as settingsFiles from "./SettingsFile";
 import * as signals from "./Signals";
 
 type PipelineProcessSettings = settingsShapes.EntrySettings | settingsShapes.AgentSettings;
--- a/src/common/SettingsFile.ts
+++ b/src/commands/SettingsFile.ts
@@ -4,8 +4,8 @@
 import * as fs from "node:fs";
 import * as result from "true-myth/result";
 import * as yaml from "yaml";
+import * as settings from "../common/Settings";
 import * as checks from "../version/ConfigurationCheck";
-import * as settings from "./Settings";
 
 /** Largest file read, in bytes. */
 const MAX_FILE_BYTES = 4 * 1024 * 1024;
--- a/src/commands/SettingsReload.test.ts
+++ b/src/commands/SettingsReload.test.ts
@@ -5,7 +5,7 @@
 import * as clocks from "../common/Clock";
 import * as logs from "../common/Log";
 import * as settingsShapes from "../common/Settings";
-import * as settingsFiles from "../common/SettingsFile";
+import * as settingsFiles from "./SettingsFile";
 import * as reloads from "./SettingsReload";
 
 /** Longer than the poll interval. */
--- a/src/commands/SettingsReload.ts
+++ b/src/commands/SettingsReload.ts
@@ -6,7 +6,7 @@
 import * as codes from "../common/Codes";
 import * as logs from "../common/Log";
 import * as settingsShapes from "../common/Settings";
-import * as settingsFiles from "../common/SettingsFile";
+import * as settingsFiles from "./SettingsFile";
 
 /** Interval between checks of the file's modification time. */
 const POLL_INTERVAL_MS = 2_000;
--- a/src/request/Deadline.ts
+++ b/src/common/Deadline.ts
@@ -1,7 +1,7 @@
 /**
  * The deadline of a request, shared by all its stages.
  */
-import * as clocks from "../common/Clock";
+import * as clocks from "./Clock";
 
 /** Longest gap between two parts of a stream; replaces the deadline from the first token on. */
 export const STREAM_PROGRESS_TIMEOUT_MS = 2_000;
--- a/src/request/routed/ChunkReader.ts
+++ b/src/connection/ChunkReader.ts
@@ -2,8 +2,8 @@
  * Reads a body chunk by chunk, each with a time limit that is decided anew while waiting.
  */
 import * as stream from "node:stream";
-import * as clocks from "../../common/Clock";
-import * as readTimers from "../../common/ReadTimer";
+import * as clocks from "../common/Clock";
+import * as readTimers from "../common/ReadTimer";
 
 /** Reads the next bytes of a body; `end` once it has ended, complete or not. Asks how long to wait, until it is 0. */
 export function readChunk(
--- a/src/request/routed/LateProcess.test.ts
+++ b/src/connection/LateProcess.test.ts
@@ -1,8 +1,8 @@
 import * as net from "node:net";
 import * as vitest from "vitest";
-import * as clocks from "../../common/Clock";
-import * as upstreamConnections from "../../connection/UpstreamConnections";
+import * as clocks from "../common/Clock";
 import * as chunks from "./ChunkReader";
+import * as upstreamConnections from "./UpstreamConnections";
 import * as exchanges from "./UpstreamExchange";
 
 const LIMIT_MS = 400;
--- a/src/process/serving/Listener.ts
+++ b/src/connection/Listener.ts
@@ -2,8 +2,8 @@
  * Starts a server on an IP address and port, and closes it together with all its connections.
  */
 import * as net from "node:net";
-import * as addresses from "../../common/Address";
-import * as clocks from "../../common/Clock";
+import * as addresses from "../common/Address";
+import * as clocks from "../common/Clock";
 
 /** A listening server. */
 export interface Listener extends clocks.Disposable {
--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/connection/UpstreamExchange.test.ts
@@ -1,8 +1,8 @@
 import * as net from "node:net";
 import * as workers from "node:worker_threads";
 import * as vitest from "vitest";
-import * as clocks from "../../common/Clock";
-import * as upstreamConnections from "../../connection/UpstreamConnections";
+import * as clocks from "../common/Clock";
+import * as upstreamConnections from "./UpstreamConnections";
 import * as exchanges from "./UpstreamExchange";
 
 const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
--- a/src/request/routed/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -4,10 +4,10 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
-import * as addresses from "../../common/Address";
-import * as clocks from "../../common/Clock";
-import * as readTimers from "../../common/ReadTimer";
-import * as upstreamConnections from "../../connection/UpstreamConnections";
+import * as addresses from "../common/Address";
+import * as clocks from "../common/Clock";
+import * as readTimers from "../common/ReadTimer";
+import * as upstreamConnections from "./UpstreamConnections";
 
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -10,21 +10,21 @@
 import * as messages from "../common/Messages";
 import * as ports from "../common/Ports";
 import * as settingsFile from "../common/Settings";
-import * as agentServers from "../connection/AgentServer";
+import * as listeners from "../connection/Listener";
 import * as peerConnections from "../connection/PeerConnection";
 import * as upstreamWorks from "../request/UpstreamWork";
 import * as limits from "./admission/AdmissionLimit";
 import * as queues from "./admission/FairQueue";
 import * as upstreamWatches from "./admission/UpstreamWatch";
+import * as agentServers from "./AgentServer";
 import * as attemptMemories from "./keys/AttemptMemory";
 import * as keyOwnerships from "./keys/KeyOwnership";
 import * as ledgers from "./keys/Ledger";
 import * as incarnations from "./membership/Incarnation";
 import * as nodes from "./membership/Node";
+import * as agentMetrics from "./metrics/AgentMetrics";
 import * as agentPlacements from "./placement/AgentPlacement";
 import * as adminServers from "./serving/AdminServer";
-import * as agentMetrics from "./serving/AgentMetrics";
-import * as listeners from "./serving/Listener";
 
 const MAX_REMEMBERED_ATTEMPTS = 100_000;
 /** Maximum number of agents of its service that an agent connects to; they report which models they hold. */
--- a/src/connection/AgentServer.ts
+++ b/src/process/AgentServer.ts
@@ -3,9 +3,9 @@
  */
 import * as codes from "../common/Codes";
 import * as messages from "../common/Messages";
+import * as partBatches from "../connection/PartBatch";
+import * as peerConnections from "../connection/PeerConnection";
 import * as upstreamWorks from "../request/UpstreamWork";
-import * as partBatches from "./PartBatch";
-import * as peerConnections from "./PeerConnection";
 
 /** Work in progress on one connection, by call number. */
 type WorkByCall = Map<number, upstreamWorks.UpstreamWork>;
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -4,12 +4,13 @@
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
+import * as deadlines from "../common/Deadline";
 import * as emitters from "../common/Emitter";
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as ports from "../common/Ports";
 import * as settingsFile from "../common/Settings";
-import * as deadlines from "../request/Deadline";
+import * as listeners from "../connection/Listener";
 import * as pipelineRuns from "../request/PipelineRun";
 import * as keyHomes from "../version/KeyHome";
 import * as flowEstimates from "./admission/FlowEstimate";
@@ -19,10 +20,9 @@
 import * as choices from "./choice/UpstreamChoice";
 import * as incarnations from "./membership/Incarnation";
 import * as nodes from "./membership/Node";
+import * as entryMetrics from "./metrics/EntryMetrics";
 import * as adminServers from "./serving/AdminServer";
 import * as callerServers from "./serving/CallerServer";
-import * as entryMetrics from "./serving/EntryMetrics";
-import * as listeners from "./serving/Listener";
 
 const NOT_READY_RETRY_MS = 1_000;
 const SHED_RETRY_MS = 1_000;
--- a/src/process/adapters/EngineUpstream.ts
+++ b/src/process/adapters/EngineUpstream.ts
@@ -6,8 +6,8 @@
 import * as result from "true-myth/result";
 import * as z from "zod";
 import * as codes from "../../common/Codes";
+import * as deadlines from "../../common/Deadline";
 import * as ports from "../../common/Ports";
-import * as deadlines from "../../request/Deadline";
 import * as httpRequests from "./HttpRequest";
 import * as plainUpstreams from "./PlainUpstream";
 import * as tokenStreamParsers from "./TokenStreamParser";
--- a/src/process/choice/StageHistory.test.ts
+++ b/src/process/choice/StageHistory.test.ts
@@ -1,6 +1,6 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
-import * as deadlines from "../../request/Deadline";
+import * as deadlines from "../../common/Deadline";
 import * as histories from "./StageHistory";
 
 const { expect, it } = vitest;
--- a/src/process/routing/InstanceHoldLoad.test.ts
+++ b/src/process/instances/InstanceHoldLoad.test.ts
@@ -8,9 +8,9 @@
 import * as logs from "../../common/Log";
 import * as randoms from "../../common/Random";
 import * as routing from "../../common/Routing";
+import * as views from "../published/PublishedView";
 import * as pools from "./InstancePool";
 import * as leavingInstances from "./LeavingInstances";
-import * as views from "./PublishedView";
 import * as budgets from "./ServiceRetryBudget";
 
 const ENTRIES = ["entry-1", "entry-2", "entry-3"];
--- a/src/process/routing/InstanceHolds.test.ts
+++ b/src/process/instances/InstanceHolds.test.ts
@@ -2,11 +2,11 @@
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
+import * as views from "../published/PublishedView";
 import * as holds from "./InstanceHolds";
 import * as pools from "./InstancePool";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
-import * as views from "./PublishedView";
 
 const HOLD_MS = 2_000;
 /** The random spread is always the longest; with two entries, it is this. */
--- a/src/process/routing/InstanceHolds.ts
+++ b/src/process/instances/InstanceHolds.ts
@@ -5,8 +5,8 @@
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
+import * as views from "../published/PublishedView";
 import * as holds from "./InstanceHold";
-import * as views from "./PublishedView";
 
 /** The kind of request that the instance rejected. */
 export type HoldSource = "call" | "stage-call" | "release" | "start-check";
--- a/src/process/routing/InstancePool.test.ts
+++ b/src/process/instances/InstancePool.test.ts
@@ -2,9 +2,9 @@
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
+import * as views from "../published/PublishedView";
 import * as pools from "./InstancePool";
 import * as leavingInstances from "./LeavingInstances";
-import * as views from "./PublishedView";
 
 const SHARED_PROMPT = [{ id: "shared", tokens: 900 }, { id: "own", tokens: 100 }];
 
--- a/src/process/routing/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -7,13 +7,13 @@
 import * as rendezvous from "../../common/RendezvousHash";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as views from "../published/PublishedView";
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
 import * as instanceHolds from "./InstanceHolds";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
 import * as promptReading from "./PromptReading";
-import * as views from "./PublishedView";
 
 /**
  * Added to the published cold time, since this process learns of a start late, and since an instance may start some
--- a/src/process/routing/LeavingExchange.test.ts
+++ b/src/process/instances/LeavingExchange.test.ts
@@ -6,10 +6,10 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as peerConnections from "../../connection/PeerConnection";
-import * as entryPeers from "./EntryPeers";
+import * as entryPeers from "../peers/EntryPeers";
+import * as peerEntries from "../peers/PeerEntry";
 import * as leavingExchanges from "./LeavingExchange";
 import * as leavingInstances from "./LeavingInstances";
-import * as peerEntries from "./PeerEntry";
 
 const instance: routing.RoutedInstance = {
     id: "i-1",
--- a/src/process/routing/LeavingExchange.ts
+++ b/src/process/instances/LeavingExchange.ts
@@ -10,7 +10,7 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as peerConnections from "../../connection/PeerConnection";
-import * as entryPeers from "./EntryPeers";
+import * as entryPeers from "../peers/EntryPeers";
 import * as leavingInstances from "./LeavingInstances";
 
 /** Interval at which new connections are told all signs, and one peer the recent ones. */
--- a/src/process/routing/RouteMetrics.ts
+++ b/src/process/metrics/RouteMetrics.ts
@@ -2,7 +2,7 @@
  * Counters and histograms of an entry for routed calls, in a registry of their own.
  */
 import * as prom from "prom-client";
-import * as gauges from "../serving/Gauge";
+import * as gauges from "./Gauge";
 
 const MS_PER_SECOND = 1_000;
 
--- a/src/process/routing/PublishedExchange.ts
+++ b/src/process/peers/PublishedExchange.ts
@@ -7,9 +7,9 @@
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as positions from "../../common/Position";
+import * as views from "../published/PublishedView";
 import * as peers from "./EntryPeers";
 import * as peerEntries from "./PeerEntry";
-import * as views from "./PublishedView";
 import * as updateSources from "./UpdateSource";
 
 /** Time between two comparisons with the peers, usually enough for this process's own watch to catch up. */
--- a/src/process/routing/PublishedReplication.ts
+++ b/src/process/peers/PublishedReplication.ts
@@ -4,9 +4,9 @@
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as readers from "../published/PublishedReader";
+import * as views from "../published/PublishedView";
 import * as exchanges from "./PublishedExchange";
-import * as readers from "./PublishedReader";
-import * as views from "./PublishedView";
 
 /** What the replication needs from its process. */
 export interface PublishedReplicationOptions {
--- a/src/process/routing/StoreSimulation.ts
+++ b/src/process/peers/StoreSimulation.ts
@@ -11,12 +11,12 @@
 import * as ports from "../../common/Ports";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as views from "../published/PublishedView";
 import * as peers from "./EntryPeers";
 import * as peerEntries from "./PeerEntry";
 import * as paces from "./PresencePace";
 import * as exchanges from "./PublishedExchange";
 import * as replications from "./PublishedReplication";
-import * as views from "./PublishedView";
 
 const STEP_MS = 10;
 const LATENCY_MS = 5;
--- a/src/process/routing/Decisions.test.ts
+++ b/src/process/routing/Decisions.test.ts
@@ -1,11 +1,11 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
-import * as coldShares from "./ColdShare";
-import * as biases from "./EstimateBias";
-import * as hostChoices from "./HostChoice";
-import * as choices from "./InstanceChoice";
-import * as traffic from "./InstanceTraffic";
-import * as budgets from "./ServiceRetryBudget";
+import * as coldShares from "../instances/ColdShare";
+import * as choices from "../instances/InstanceChoice";
+import * as traffic from "../instances/InstanceTraffic";
+import * as budgets from "../instances/ServiceRetryBudget";
+import * as biases from "../stages/EstimateBias";
+import * as hostChoices from "../stages/HostChoice";
 
 const idleInstance: choices.Candidate = {
     id: "idle",
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -1,12 +1,12 @@
 /**
  * The gauges of an entry for routed calls, read from its parts at each scrape.
  */
-import * as pools from "./InstancePool";
-import * as replications from "./PublishedReplication";
-import * as views from "./PublishedView";
-import * as metrics from "./RouteMetrics";
+import * as pools from "../instances/InstancePool";
+import * as metrics from "../metrics/RouteMetrics";
+import * as replications from "../peers/PublishedReplication";
+import * as views from "../published/PublishedView";
+import * as stageHosts from "../stages/StageHost";
 import * as servers from "./RouteServer";
-import * as stageHosts from "./StageHost";
 
 /** The parts of an entry whose state is exposed. */
 export interface GaugeSources {
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -7,7 +7,7 @@
 import * as routing from "../../common/Routing";
 import * as tables from "../../version/RouteTable";
 import * as pauseMonitors from "../membership/PauseMonitor";
-import * as metrics from "./RouteMetrics";
+import * as metrics from "../metrics/RouteMetrics";
 import * as servers from "./RouteServer";
 
 const route: routing.Route = {
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -6,17 +6,17 @@
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
+import * as listeners from "../../connection/Listener";
 import * as plainRuns from "../../request/routed/PlainRun";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as metrics from "../metrics/RouteMetrics";
 import * as callerWatches from "../serving/CallerWatch";
 import * as idleConnections from "../serving/IdleConnections";
-import * as listeners from "../serving/Listener";
 import * as bodies from "./CallerBody";
 import * as callerRequests from "./CallerRequest";
 import * as responses from "./CallerResponse";
-import * as metrics from "./RouteMetrics";
 
 /** Header size limit of the HTTP parser; the published limit is checked afterwards. */
 const MAX_PARSED_HEADER_BYTES = 64 * 1024;
--- a/src/process/serving/AdminServer.ts
+++ b/src/process/serving/AdminServer.ts
@@ -3,7 +3,7 @@
  */
 import * as http from "node:http";
 import * as prom from "prom-client";
-import * as listeners from "./Listener";
+import * as listeners from "../../connection/Listener";
 
 /** The process that the admin server reports on. */
 export interface AdminSource {
--- a/src/process/serving/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -6,13 +6,13 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as configurations from "../../common/Configuration";
+import * as deadlines from "../../common/Deadline";
+import * as listeners from "../../connection/Listener";
 import * as answers from "../../request/CallerAnswer";
 import * as callerRequests from "../../request/CallerRequest";
-import * as deadlines from "../../request/Deadline";
 import * as pipelineRuns from "../../request/PipelineRun";
+import * as entryMetrics from "../metrics/EntryMetrics";
 import * as callerWatches from "./CallerWatch";
-import * as entryMetrics from "./EntryMetrics";
-import * as listeners from "./Listener";
 
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
--- a/src/process/serving/IdleConnections.test.ts
+++ b/src/process/serving/IdleConnections.test.ts
@@ -2,8 +2,8 @@
 import * as net from "node:net";
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
+import * as listeners from "../../connection/Listener";
 import * as idleConnections from "./IdleConnections";
-import * as listeners from "./Listener";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 /** More than the operating system buffers of a connection. */
--- a/src/process/routing/HostRoles.ts
+++ b/src/process/stages/HostRoles.ts
@@ -5,10 +5,10 @@
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 import * as stageOrders from "../../common/StageOrder";
-import * as entryPeers from "./EntryPeers";
+import * as entryPeers from "../peers/EntryPeers";
+import * as peerEntries from "../peers/PeerEntry";
+import * as views from "../published/PublishedView";
 import * as hostChoices from "./HostChoice";
-import * as peerEntries from "./PeerEntry";
-import * as views from "./PublishedView";
 import * as batching from "./StageBatching";
 import * as stageGroups from "./StageGroups";
 
--- a/src/process/routing/ResultReleaser.ts
+++ b/src/process/stages/ResultReleaser.ts
@@ -7,8 +7,8 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as exchanges from "../../request/routed/UpstreamExchange";
-import * as instanceHolds from "./InstanceHolds";
+import * as exchanges from "../../connection/UpstreamExchange";
+import * as instanceHolds from "../instances/InstanceHolds";
 
 /** Handles are collected for this time, so that one call releases many. */
 const BATCH_DELAY_MS = 5;
--- a/src/process/routing/SilenceLimit.test.ts
+++ b/src/process/streams/SilenceLimit.test.ts
@@ -1,6 +1,6 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
-import * as traffic from "./InstanceTraffic";
+import * as traffic from "../instances/InstanceTraffic";
 import * as silenceLimits from "./SilenceLimit";
 
 const silentCall: silenceLimits.SilentCall = {
--- a/src/process/routing/StreamOriginExchange.test.ts
+++ b/src/process/streams/StreamOriginExchange.test.ts
@@ -4,11 +4,11 @@
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
-import * as entryPeers from "./EntryPeers";
-import * as views from "./PublishedView";
+import * as entryPeers from "../peers/EntryPeers";
+import * as views from "../published/PublishedView";
+import * as versionHistories from "../published/VersionHistory";
 import * as exchanges from "./StreamOriginExchange";
 import * as origins from "./StreamOrigins";
-import * as versionHistories from "./VersionHistory";
 
 const POSITION: positions.Position = { era: 1, revision: 5 };
 const LIFETIME_MS = 30_000;
--- a/src/process/routing/StreamOriginExchange.ts
+++ b/src/process/streams/StreamOriginExchange.ts
@@ -10,9 +10,9 @@
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
 import * as rendezvous from "../../common/RendezvousHash";
-import * as entryPeers from "./EntryPeers";
-import * as peerEntries from "./PeerEntry";
-import * as views from "./PublishedView";
+import * as entryPeers from "../peers/EntryPeers";
+import * as peerEntries from "../peers/PeerEntry";
+import * as views from "../published/PublishedView";
 import * as origins from "./StreamOrigins";
 
 /** Number of entries that are told of a stream: with the one that began it, three know it. */
--- a/src/request/PipelineRun.ts
+++ b/src/request/PipelineRun.ts
@@ -3,10 +3,10 @@
  */
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
+import * as deadlines from "../common/Deadline";
 import * as flowEstimates from "../process/admission/FlowEstimate";
 import * as stageHistories from "../process/choice/StageHistory";
-import * as entryMetrics from "../process/serving/EntryMetrics";
-import * as deadlines from "./Deadline";
+import * as entryMetrics from "../process/metrics/EntryMetrics";
 import * as stageTypes from "./Stage";
 import * as stageCalls from "./StageCall";
 
--- a/src/request/Stage.ts
+++ b/src/request/Stage.ts
@@ -2,12 +2,12 @@
  * Types for running one stage of a request: its input, its outcome and the context shared by all stages.
  */
 import * as codes from "../common/Codes";
+import * as deadlines from "../common/Deadline";
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
 import * as agentClients from "../connection/AgentClient";
 import * as retryBudgets from "../process/admission/RetryBudget";
 import * as choices from "../process/choice/UpstreamChoice";
-import * as deadlines from "./Deadline";
 
 /** A stage to run, with the request it belongs to. */
 export interface StageWork {
--- a/src/request/StageAttempt.ts
+++ b/src/request/StageAttempt.ts
@@ -2,10 +2,10 @@
  * One attempt of a stage: sends one call to one instance and determines the result code.
  */
 import * as codes from "../common/Codes";
+import * as deadlines from "../common/Deadline";
 import * as messages from "../common/Messages";
 import * as agentClients from "../connection/AgentClient";
 import * as choices from "../process/choice/UpstreamChoice";
-import * as deadlines from "./Deadline";
 import * as stages from "./Stage";
 import * as streams from "./StreamAssembly";
 
--- a/src/request/StageCall.test.ts
+++ b/src/request/StageCall.test.ts
@@ -1,11 +1,11 @@
 import * as vitest from "vitest";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
+import * as deadlines from "../common/Deadline";
 import * as logs from "../common/Log";
 import * as agentClients from "../connection/AgentClient";
 import * as retryBudgets from "../process/admission/RetryBudget";
 import * as choices from "../process/choice/UpstreamChoice";
-import * as deadlines from "./Deadline";
 import * as stages from "./Stage";
 import * as stageCalls from "./StageCall";
 
--- a/src/request/UpstreamDispatch.ts
+++ b/src/request/UpstreamDispatch.ts
@@ -6,10 +6,10 @@
 import * as pattern from "ts-pattern";
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
+import * as deadlines from "../common/Deadline";
 import * as ports from "../common/Ports";
 import * as limits from "../process/admission/AdmissionLimit";
 import * as queues from "../process/admission/FairQueue";
-import * as deadlines from "./Deadline";
 
 /** Time within which an upstream notices a closed connection. */
 const DISCONNECT_NOTICE_MS = 50;
--- a/src/request/UpstreamWork.ts
+++ b/src/request/UpstreamWork.ts
@@ -7,6 +7,7 @@
 import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
+import * as deadlines from "../common/Deadline";
 import * as fingerprints from "../common/Fingerprint";
 import * as logs from "../common/Log";
 import * as messages from "../common/Messages";
@@ -14,7 +15,6 @@
 import * as queues from "../process/admission/FairQueue";
 import * as attemptMemories from "../process/keys/AttemptMemory";
 import * as ledgers from "../process/keys/Ledger";
-import * as deadlines from "./Deadline";
 import * as dispatches from "./UpstreamDispatch";
 
 const REJECTED_RETRY_AFTER_MS = 500;
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -2,9 +2,9 @@
  * Runs a call whose answer is buffered and forwarded only once it is complete.
  */
 import * as codes from "../../common/Codes";
+import * as exchanges from "../../connection/UpstreamExchange";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
-import * as exchanges from "./UpstreamExchange";
 import * as senders from "./UpstreamSender";
 
 /** Largest answer that is buffered. */
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -4,8 +4,8 @@
 import * as codes from "../../common/Codes";
 import * as routing from "../../common/Routing";
 import * as stageOrders from "../../common/StageOrder";
-import * as promptReading from "../../process/routing/PromptReading";
-import * as stageHosts from "../../process/routing/StageHost";
+import * as promptReading from "../../process/instances/PromptReading";
+import * as stageHosts from "../../process/stages/StageHost";
 import * as sinks from "./EventSink";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -2,11 +2,11 @@
  * The log lines about the sends of a call.
  */
 import * as routing from "../../common/Routing";
-import * as pools from "../../process/routing/InstancePool";
+import * as exchanges from "../../connection/UpstreamExchange";
+import * as pools from "../../process/instances/InstancePool";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as startChecks from "./StartCheck";
-import * as exchanges from "./UpstreamExchange";
 import * as senders from "./UpstreamSender";
 
 /** Logs a call that is being sent. */
--- a/src/request/routed/SilenceWait.ts
+++ b/src/request/routed/SilenceWait.ts
@@ -2,7 +2,7 @@
  * How long one call waits for the next bytes of the instances that it is sent to, from one decision to the next.
  */
 import * as clocks from "../../common/Clock";
-import * as silenceLimits from "../../process/routing/SilenceLimit";
+import * as silenceLimits from "../../process/streams/SilenceLimit";
 import * as calls from "./RoutedCall";
 import * as senders from "./UpstreamSender";
 
--- a/src/request/routed/StartCheck.test.ts
+++ b/src/request/routed/StartCheck.test.ts
@@ -2,8 +2,8 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as routing from "../../common/Routing";
+import * as listeners from "../../connection/Listener";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as listeners from "../../process/serving/Listener";
 import * as startChecks from "./StartCheck";
 
 const STARTED_MS = 1_700_000_000_000;
--- a/src/request/routed/StartCheck.ts
+++ b/src/request/routed/StartCheck.ts
@@ -7,8 +7,8 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as traffic from "../../process/routing/InstanceTraffic";
-import * as exchanges from "./UpstreamExchange";
+import * as exchanges from "../../connection/UpstreamExchange";
+import * as traffic from "../../process/instances/InstanceTraffic";
 
 /** Time limit for the answer, including the connection. */
 const CHECK_TIMEOUT_MS = 400;
--- a/src/request/routed/StreamResume.ts
+++ b/src/request/routed/StreamResume.ts
@@ -5,7 +5,7 @@
 import * as result from "true-myth/result";
 import * as codes from "../../common/Codes";
 import * as entryMessages from "../../common/EntryMessages";
-import * as streamExchanges from "../../process/routing/StreamOriginExchange";
+import * as streamExchanges from "../../process/streams/StreamOriginExchange";
 import * as calls from "./RoutedCall";
 import * as senders from "./UpstreamSender";
 
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -3,9 +3,9 @@
  * that breaks is resumed on another instance where the route allows it.
  */
 import * as codes from "../../common/Codes";
+import * as chunks from "../../connection/ChunkReader";
 import * as answerWaits from "./AnswerWait";
 import * as histories from "./CallHistory";
-import * as chunks from "./ChunkReader";
 import * as sinks from "./EventSink";
 import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -10,14 +10,14 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as pools from "../../process/routing/InstancePool";
-import * as traffic from "../../process/routing/InstanceTraffic";
-import * as budgets from "../../process/routing/ServiceRetryBudget";
+import * as exchanges from "../../connection/UpstreamExchange";
+import * as pools from "../../process/instances/InstancePool";
+import * as traffic from "../../process/instances/InstanceTraffic";
+import * as budgets from "../../process/instances/ServiceRetryBudget";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as sendLogs from "./SendLog";
 import * as startChecks from "./StartCheck";
-import * as exchanges from "./UpstreamExchange";
 
 /** Largest urgency value that is sent; larger values are less urgent, and 0 is the most urgent. */
 const MAX_URGENCY = 9;
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -5,7 +5,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import * as clocks from "../../src/common/Clock";
-import * as listeners from "../../src/process/serving/Listener";
+import * as listeners from "../../src/connection/Listener";
 
 /** A received call that the engine ran. */
 export interface EngineRun {
--- a/standins/platform/PlatformStoreStandIn.ts
+++ b/standins/platform/PlatformStoreStandIn.ts
@@ -3,7 +3,7 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
-import * as listeners from "../../src/process/serving/Listener";
+import * as listeners from "../../src/connection/Listener";
 
 interface StoredItem {
     readonly Key: string;
