Let any number of tasks wait for the stop of the connections to other entries

Operators saw plain text on standard error (MaxListenersExceededWarning) from entries with more than ten others: each connection's task waits for the same abort signal.

--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -1,6 +1,7 @@
 /**
  * The only module that reads the time; all other code gets it through a `Clock`, in milliseconds.
  */
+import * as events from "node:events";
 
 /** Releases a resource, such as a timer, a listener or a connection. Further calls have no effect. */
 export interface Disposable {
@@ -48,6 +49,13 @@
     },
 };
 
+/** A controller whose signal any number of tasks may wait for; Node.js warns from eleven listeners on. */
+export function createStop(): AbortController {
+    const stop = new AbortController();
+    events.EventEmitter.setMaxListeners(0, stop.signal);
+    return stop;
+}
+
 /** Resolves after `delayMs`, or as soon as `signal` aborts. */
 export function sleep(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) {
--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -68,7 +68,7 @@
 export class EntryPeers implements clocks.Disposable {
     private readonly peersByInstance = new Map<string, peerEntries.PeerEntry>();
     private readonly addressesWithTask = new Set<string>();
-    private readonly stop = new AbortController();
+    private readonly stop = clocks.createStop();
     private readonly timers: clocks.Disposable[] = [];
     private readonly presence: presences.PeerPresence;
     private listener: listeners.Listener | undefined;
