--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -14,8 +14,7 @@
 import * as pools from "./InstancePool";
 import * as leavingExchanges from "./LeavingExchange";
 import * as leavingInstances from "./LeavingInstances";
-import * as exchanges from "./PublishedExchange";
-import * as readers from "./PublishedReader";
+import * as replications from "./PublishedReplication";
 import * as views from "./PublishedView";
 import * as releasers from "./ResultReleaser";
 import * as gauges from "./RouteGauges";
@@ -55,13 +54,12 @@
 export class RouteEntry implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
     private readonly view: views.PublishedView;
-    private readonly reader: readers.PublishedReader;
+    private readonly replication: replications.PublishedReplication;
     private readonly peers: entryPeers.EntryPeers;
     private readonly pool: pools.InstancePool;
     private readonly host: stageHosts.StageHost;
     private readonly roles: hostRoles.HostRoles;
     private readonly stages: stageClients.StageClient;
-    private readonly exchange: exchanges.PublishedExchange;
     private readonly server: servers.RouteServer;
     private readonly metrics = new metrics.RouteMetrics();
     private readonly budgetsByService = new Map<string, budgets.ServiceRetryBudget>();
@@ -75,25 +73,16 @@
         private readonly options: RouteEntryOptions,
     ) {
         const { clock, log, random, store } = options;
-        const shared = { clock, log, random };
+        const shared = { clock, log, random, failureDomain: settings.failureDomain };
         const pauses = this.disposables.add(new pauseMonitors.PauseMonitor({ clock, thresholdMs: PAUSE_THRESHOLD_MS }));
         const connections = new upstreamConnections.UpstreamConnections();
         this.disposables.add({ dispose: () => connections.destroy() });
         this.view = this.disposables.add(new views.PublishedView({ clock, log, decode: item => store.decode(item) }));
-        this.reader = this.disposables.add(
-            new readers.PublishedReader({
-                ...shared,
-                store,
-                view: this.view,
-                entryCount: () => this.peers.livePeers.length + 1,
-            }),
-        );
         this.peers = this.disposables.add(
             new entryPeers.EntryPeers({
                 ...shared,
                 pauses,
                 instance: settings.instance,
-                failureDomain: settings.failureDomain,
                 listen: settings.peerListen,
                 address: settings.peerAddress ?? settings.peerListen,
                 seeds: () => this.settings.seeds,
@@ -114,7 +103,6 @@
                 ...shared,
                 view: this.view,
                 leaving,
-                failureDomain: settings.failureDomain,
                 self: settings.instance,
                 entryNames: () => this.peers.entryNames,
                 coldRateLimit: () => this.settings.coldRate,
@@ -158,15 +146,21 @@
         this.stages = this.disposables.add(
             new stageClients.StageClient({ ...shared, peers: this.peers, roles: this.roles, host: this.host }),
         );
-        this.exchange = this.disposables.add(
-            new exchanges.PublishedExchange({ ...shared, view: this.view, peers: this.peers }),
+        this.replication = this.disposables.add(
+            new replications.PublishedReplication({
+                ...shared,
+                store,
+                view: this.view,
+                instance: settings.instance,
+                peers: this.peers,
+            }),
         );
         const streamOrigins = this.disposables.add(
             new streamExchanges.StreamOriginExchange({
                 ...shared,
                 view: this.view,
                 peers: this.peers,
-                unconfirmedMs: () => this.reader.unconfirmedMs,
+                unconfirmedMs: () => this.replication.reader.unconfirmedMs,
             }),
         );
         this.server = this.disposables.add(
@@ -195,9 +189,8 @@
         this.disposables.add(this.view.onChange(() => this.applyLimits()));
         gauges.registerGauges(this.metrics, {
             view: this.view,
-            reader: this.reader,
+            replication: this.replication,
             host: this.host,
-            exchange: this.exchange,
             pool: this.pool,
             server: this.server,
             droppedLogLines: options.droppedLogLines,
@@ -266,7 +259,7 @@
             await clocks.sleep(clock, STOP_POLL_INTERVAL_MS);
         }
         const abortedCount = this.server.active;
-        this.server.failUnansweredCalls();
+        this.server.failUnansweredRequests();
         await clocks.sleep(clock, abortedCount > 0 ? ANSWER_FLUSH_MS : 0);
         this.dispose();
         return abortedCount;
@@ -288,7 +281,7 @@
             status: () => this.buildStatus(),
             registry: this.metrics.registry,
         };
-        this.reader.start();
+        this.replication.start();
         await this.peers.start();
         this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, settings.readyPath));
         this.admin = await adminServers.listenAdmin(settings.adminListen, source);
@@ -333,7 +326,7 @@
             draining: this.isDraining,
             version: this.view.table?.configuration.version,
             ...this.view.position,
-            unconfirmedMs: this.reader.unconfirmedMs,
+            unconfirmedMs: this.replication.reader.unconfirmedMs,
             out: this.view.outOfServiceDomains,
             leaving: this.pool.leavingIds,
             stageHosts: this.roles.hostNames,
--- a/src/request/routed/UpstreamExchange.test.ts
+++ b/src/request/routed/UpstreamExchange.test.ts
@@ -130,6 +130,20 @@
     });
 });
 
+vitest.describe("a request that can't be made", () => {
+    // Guards against an exception that nobody handles, which ends the process with all its requests.
+    vitest.it.each([
+        { name: "to a port that doesn't exist", change: { address: "127.0.0.1:70000" } },
+        { name: "with a header that can't be sent", change: { headers: ["Inputs", "10.0.0.1:80/\n"] } },
+    ])("$name fails as not dispatched", async ({ change }) => {
+        const pool = new upstreamConnections.UpstreamConnections();
+        const sent = { ...request("127.0.0.1:9"), ...change };
+        const outcome = await exchanges.openExchange(pool, clocks.systemClock, sent);
+        vitest.expect(outcome).toMatchObject({ kind: "failed", isDispatched: false, reason: "invalid" });
+        pool.destroy();
+    });
+});
+
 vitest.describe("a keep-alive connection", () => {
     vitest.it.each([
         { name: "is reused after a complete answer", extra: "", connections: 1 },
@@ -139,11 +153,10 @@
             connections: 2,
         },
     ])("$name", async ({ extra, connections }) => {
+        const sockets: net.Socket[] = [];
         const served = await serve((socket, count) => {
+            sockets.push(socket);
             socket.write(`${STATUS_LINE}Content-Length: 1\r\n\r\n${count}`);
-            if (count === 1 && extra !== "") {
-                setTimeout(() => socket.write(extra), 20);
-            }
         });
         const pool = new upstreamConnections.UpstreamConnections();
         const signal = new AbortController().signal;
@@ -151,7 +164,13 @@
             const opened = await exchanges.openExchange(pool, clocks.systemClock, request(served.address), signal);
             const read = await exchanges.readBody(opened as exchanges.OpenAnswer, 1_000);
             vitest.expect(read?.toString()).toBe(expected);
-            await clocks.sleep(clocks.systemClock, 60);
+            // The connection is back in the pool.
+            await new Promise<void>(resolve => clocks.systemClock.afterReads(resolve));
+            if (extra !== "" && expected === "1") {
+                const isClosed = new Promise(resolve => sockets[0]!.once("close", resolve));
+                sockets[0]!.write(extra);
+                await isClosed;
+            }
         }
         vitest.expect(served.connections).toBe(connections);
         pool.destroy();
@@ -198,14 +217,25 @@
 `;
 
 vitest.describe("a process that was late", () => {
-    // Guards against calls that were given up for the silence of an instance whose answer was only unread.
-    vitest.it("reads an answer that arrived in time", async () => {
+    // Guards against calls that were given up for the silence of an instance whose answer, or whose acceptance of the
+    // connection, was only unread.
+    vitest.it.each([
+        { name: "reads an answer that arrived in time", lateAfterMs: 30, answerTimeoutMs: 300 },
+        { name: "reads that it's connected", lateAfterMs: 0, answerTimeoutMs: 2_000 },
+    ])("$name", async ({ lateAfterMs, answerTimeoutMs }) => {
         const thread = new workers.Worker(SERVER_THREAD, { eval: true });
         const port = await new Promise<number>(resolve => thread.once("message", resolve));
         const pool = new upstreamConnections.UpstreamConnections();
-        const opening = exchanges.openExchange(pool, clocks.systemClock, request(`127.0.0.1:${port}`));
-        await clocks.sleep(clocks.systemClock, 30);
         await new Promise(resolve => setImmediate(resolve)); // Timers run before the next read.
+        const opening = exchanges.openExchange(pool, clocks.systemClock, {
+            ...request(`127.0.0.1:${port}`),
+            answerTimeoutMs,
+        });
+        await new Promise<void>(resolve => process.nextTick(resolve)); // The client begins to connect.
+        if (lateAfterMs > 0) {
+            await clocks.sleep(clocks.systemClock, lateAfterMs);
+            await new Promise(resolve => setImmediate(resolve)); // Timers run before the next read.
+        }
         const untilMs = clocks.systemClock.now() + 600;
         while (clocks.systemClock.now() < untilMs) {
             // Keeps the event loop busy.
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -47,8 +47,8 @@
     pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
-    /** Never answers. */
-    hang?: boolean | undefined;
+    /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
+    hang?: boolean | "calls" | undefined;
 }
 
 /** Identity and timing of an engine. */
@@ -62,6 +62,8 @@
     readonly startedMs?: number;
     /** Number of events of each stream; undefined for an engine that doesn't stream. */
     readonly events?: number;
+    /** Least size of the data of each event. */
+    readonly eventBytes?: number;
     /** Time between events. */
     readonly eventIntervalMs?: number;
     /** Time between the arrival of a call and the start of its answer. */
@@ -84,10 +86,13 @@
     cancelledRuns = 0;
     /** Number of calls that were meant for another engine. */
     misdirectedCalls = 0;
+    /** Number of requests for the engine's own state. */
+    reports = 0;
     /** Number of calls rejected as not run. */
     rejectedCalls = 0;
     private nextHandle = 1;
     private bornMs: number;
+    private readonly sockets = new Set<net.Socket>();
     private listener: listeners.Listener | undefined;
 
     constructor(public options: EngineOptions) {
@@ -117,15 +122,20 @@
 
     async listen(): Promise<void> {
         const server = http.createServer((request, response) => void this.handle(request, response));
-        server.on("connection", (socket: net.Socket) => socket.setNoDelay(true));
+        server.on("connection", (socket: net.Socket) => {
+            socket.setNoDelay(true);
+            this.sockets.add(socket);
+            socket.on("close", () => this.sockets.delete(socket));
+        });
         this.listener = await listeners.listen(server, "127.0.0.1:0");
     }
 
-    /** Simulates a new start at the same address, by default with the same id. */
-    restart(id = this.options.id): void {
-        this.options = { ...this.options, id };
+    /** Simulates a new start at the same address, by default with the same id and software; ends all connections. */
+    restart(change: Partial<Pick<EngineOptions, "id" | "softwareVersion">> = {}): void {
+        this.options = { ...this.options, ...change };
         this.bornMs++;
         this.isLeaving = false;
+        this.sockets.forEach(socket => socket.destroy());
     }
 
     dispose(): void {
@@ -153,6 +163,10 @@
             response.writeHead(503, { "Not-Executed": "1", ...retryHeaders }).end();
             return;
         }
+        if (request.url === "/report") {
+            this.report(response);
+            return;
+        }
         if (request.url === "/stage-run" || request.url === "/stage-free") {
             this.handleStage(request.url, body, response);
             return;
@@ -169,7 +183,7 @@
             request.socket.resetAndDestroy();
             return;
         }
-        if (this.faults.hang === true) {
+        if (this.faults.hang) {
             return;
         }
         await this.run(request, response);
@@ -206,20 +220,29 @@
                 setTimeout(() => request.socket.destroy(), 5);
                 return;
             }
-            response.write(`id: ${id}\ndata: part ${id}${writer}\n\n`);
+            response.write(`id: ${id}\ndata: ${`part ${id}${writer}`.padEnd(this.options.eventBytes ?? 0)}\n\n`);
             await this.pauseAfter(id);
             await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
         response.end();
     }
 
+    private report(response: http.ServerResponse): void {
+        this.reports++;
+        if (this.faults.hang === true) {
+            return;
+        }
+        response.writeHead(200, { "content-type": "application/json" });
+        response.end(JSON.stringify({ Stage: "colocated", Busy: false, Seq: 1, born: this.bornMs }));
+    }
+
     private async pauseAfter(eventId: number): Promise<void> {
         const pauseMs = this.faults.pause?.afterEvent === eventId ? this.faults.pause.ms : 0;
         await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
 
     private handleStage(path: string, body: string, response: http.ServerResponse): void {
-        if (this.faults.hang === true) {
+        if (this.faults.hang) {
             return;
         }
         const content = JSON.parse(body) as { Items?: unknown[]; Handles?: string[] };
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -1,7 +1,10 @@
 import * as vitest from "vitest";
+import * as clocks from "../src/common/Clock";
 import * as fleets from "../standins/platform/RoutedFleet";
 
 const STREAM_BODY = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
+/** The deadline of an instance is this long before that of its caller. */
+const ANSWER_MARGIN_MS = 25;
 const { PROMPT_HEADERS: PROMPT, STAGED_HEADERS: STAGED } = fleets;
 
 let fleet: fleets.RoutedFleet;
@@ -16,6 +19,16 @@
 
 vitest.afterEach(() => fleet.dispose());
 
+/** Services whose stages are expected to take more than half of the time that is left after the interruption. */
+function createSlowStages(): unknown[] {
+    const { Services: services } = fleets.createConfiguration(2) as { Services: { Pieces?: object }[] };
+    return services.map(service => service.Pieces === undefined ? service : slowDown(service));
+}
+
+function slowDown(service: { Pieces?: object }): unknown {
+    return { ...service, Pieces: { ...service.Pieces, CallMs: 800 } };
+}
+
 /** Calls until the first model engine runs a call, and returns the answer to that call. */
 async function callFirstModel(path: string, headers: Record<string, string>): Promise<fleets.Answer> {
     const [first] = fleet.enginesOf("model");
@@ -39,6 +52,19 @@
         vitest.expect(fleet.enginesOf("model")[1]!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
     });
 
+    // Guards against streams whose stages were rejected as late, since the goal of their first event had passed.
+    vitest.it("is complete when its stages take long and the goal of its first event has passed", async () => {
+        fleet.publish(2, { Services: createSlowStages() });
+        await fleet.waitUntil(async () => (await fleet.status(0))["version"] === 2);
+        const [first, second] = fleet.enginesOf("model");
+        first!.faults = { breakAfterEvent: 3, pause: { afterEvent: 3, ms: 1_900 } };
+        second!.faults = { shed: true };
+        const answer = fleet.call("/drafts/1", { headers: STAGED });
+        await fleet.waitUntil(() => first!.runs.length > 0);
+        second!.faults = {};
+        vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+    });
+
     // Guards against a second head in the middle of an answer.
     vitest.it("that gets an answer without events is broken off after a complete event", async () => {
         const [first, second] = fleet.enginesOf("model");
@@ -105,7 +131,7 @@
             await Promise.race([answer, fleet.waitUntil(() => first!.runs.length > 0)]);
         }
         second!.runs.splice(0);
-        second!.faults = { hang: true };
+        second!.faults = { hang: "calls" };
         await fleet.waitUntil(() => second!.runs.length > 0);
         controller.abort();
         await fleet.waitUntil(() => first!.cancelledRuns === 1 && second!.cancelledRuns === 1);
@@ -120,3 +146,21 @@
         await fleet.waitUntil(() => first!.cancelledRuns === 1);
     });
 });
+
+vitest.describe("a stream whose instance is silent until its caller's deadline", () => {
+    // Guards against streams that are broken off before their caller has stopped waiting.
+    vitest.it.each([
+        { name: "that may be resumed", path: "/notes/1" },
+        { name: "that may not be resumed", path: "/once/1" },
+    ])("$name, isn't broken off before", async ({ path }) => {
+        const engines = fleet.enginesOf("model");
+        engines.forEach(engine => engine.faults = { pause: { afterEvent: 3, ms: 30_000 } });
+        const sentAtMs = clocks.systemClock.now();
+        const answer = await fleet.call(path, { headers: { ...PROMPT, "Deadline-Ms": "1000" } });
+        const waitedMs = clocks.systemClock.now() - sentAtMs;
+        vitest.expect(answer.isComplete).toBe(false);
+        // The caller's deadline as the instance got it: an entry that was late assumes that the call came earlier.
+        const [run] = engines.flatMap(engine => engine.runs);
+        vitest.expect(waitedMs).toBeGreaterThanOrEqual(Number(run!.headers["deadline-ms"]) + ANSWER_MARGIN_MS);
+    });
+});
