Wait for pending reads of a late process in one place

RouteServer had its own copy of the wait of ReadTimer: 10 ms, then the turns in which what arrived is read. Behaviour as before; the tests of both files pass unchanged.

--- a/src/common/ReadTimer.ts
+++ b/src/common/ReadTimer.ts
@@ -11,15 +11,17 @@
 /** Calls `callback` after `delayMs`, but only once the process has read what arrived meanwhile. */
 export function scheduleAfterReads(clock: clocks.Clock, delayMs: number, callback: () => void): clocks.Disposable {
     const dueMs = clock.now() + delayMs;
-    const fireAfterReads = (): void => {
-        timer = clock.afterReads(callback);
-    };
     let timer = clock.schedule(delayMs, () => {
-        if (clock.now() - dueMs <= LATE_MS) {
-            fireAfterReads();
-            return;
-        }
-        timer = clock.schedule(PENDING_READ_MS, fireAfterReads);
+        const isLate = clock.now() - dueMs > LATE_MS;
+        timer = isLate ? schedulePendingReads(clock, callback) : clock.afterReads(callback);
+    });
+    return { dispose: () => timer.dispose() };
+}
+
+/** Calls `callback` once a process that was late has read what arrived meanwhile. */
+export function schedulePendingReads(clock: clocks.Clock, callback: () => void): clocks.Disposable {
+    let timer = clock.schedule(PENDING_READ_MS, () => {
+        timer = clock.afterReads(callback);
     });
     return { dispose: () => timer.dispose() };
 }
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -5,6 +5,7 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
+import * as readTimers from "../../common/ReadTimer";
 import * as routing from "../../common/Routing";
 import * as listeners from "../../connection/Listener";
 import * as plainRuns from "../../request/routed/PlainRun";
@@ -26,8 +27,6 @@
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Requests that are read within this time of a late turn may have arrived during it. */
 const PAUSE_WINDOW_MS = 100;
-/** Time in which the end of a connection is read that arrived with its last request. */
-const PENDING_READ_MS = 10;
 const DEFAULT_LIMITS: routing.CallerLimits = {
     headerBytes: 16_384,
     bodyBytes: 4 * 1024 * 1024,
@@ -171,8 +170,8 @@
             abortController.signal,
         );
         if (pauseMs > 0) {
-            await clocks.sleep(this.context.clock, PENDING_READ_MS);
-            await new Promise<void>(resolve => this.context.clock.afterReads(resolve));
+            // The end of the connection may have arrived with its last request.
+            await new Promise<void>(resolve => readTimers.schedulePendingReads(this.context.clock, resolve));
         }
         if (response.headersSent) {
             return; // Already answered by `failUnansweredRequests`.
