Read answers of the store of any size for as long as they flow

Cause: list and watch had one time limit for the whole answer (1,500 ms; the wait and 600 ms), whatever its size, and began anew after it.

--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -11,6 +11,7 @@
 import * as emitters from "../../common/Emitter";
 import * as ports from "../../common/Ports";
 import * as readTimers from "../../common/ReadTimer";
+import * as transferLimits from "../../common/TransferLimit";
 
 /** Time to establish a new connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -39,8 +40,10 @@
     readonly headers?: Record<string, string>;
     /** Sent as JSON; undefined for an empty body. */
     readonly body?: unknown;
-    /** Time-out of the complete exchange. */
+    /** Time-out of the complete exchange; with `bodyLimits`, until the body begins. */
     readonly timeoutMs: number;
+    /** Limits of a body of any size. */
+    readonly bodyLimits?: transferLimits.TransferLimits;
     /** Whether to use a new connection, outside the pool. */
     readonly usesFreshConnection?: boolean;
     readonly maxResponseBytes?: number;
@@ -131,6 +134,8 @@
     private isSettled = false;
     private hasResponseStarted = false;
     private exchangeTimeout: clocks.Disposable | undefined;
+    private bodyStartedAtMs = 0;
+    private bodyReceivedAtMs = 0;
     private readonly onAbort = () => this.cancel();
 
     constructor(
@@ -193,6 +198,7 @@
             this.fail(codes.codes.malformedAnswer, "an answer to another request");
             return;
         }
+        this.startBodyLimits();
         response.on("data", (chunk: Buffer) => this.receiveChunk(response, chunk));
         response.on("error", error => this.fail(mapErrorCode(error), error.message));
         response.on("end", () => this.completeResponse(response));
@@ -218,6 +224,7 @@
             return;
         }
         this.receivedBytes += chunk.length;
+        this.bodyReceivedAtMs = clocks.systemClock.now();
         if (this.receivedBytes > (this.request.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)) {
             this.fail(codes.codes.malformedAnswer, `more than ${this.receivedBytes} bytes`);
             return;
@@ -225,6 +232,37 @@
         this.chunks.push(chunk);
     }
 
+    /** Replaces the time-out of the exchange by the limits of its body, if there are any. */
+    private startBodyLimits(): void {
+        const limits = this.request.bodyLimits;
+        if (limits !== undefined) {
+            this.bodyStartedAtMs = clocks.systemClock.now();
+            this.bodyReceivedAtMs = this.bodyStartedAtMs;
+            this.scheduleBodyCheck(limits);
+        }
+    }
+
+    private scheduleBodyCheck(limits: transferLimits.TransferLimits): void {
+        const remainingMs = this.remainingBodyMs(limits);
+        this.replaceTimeout(remainingMs, () => {
+            if (this.remainingBodyMs(limits) > 0) {
+                this.scheduleBodyCheck(limits);
+                return;
+            }
+            const tookMs = Math.round(clocks.systemClock.now() - this.bodyStartedAtMs);
+            this.fail(codes.codes.upstreamTimeout, `${this.receivedBytes} bytes of the body in ${tookMs} ms`);
+        });
+    }
+
+    private remainingBodyMs(limits: transferLimits.TransferLimits): number {
+        const state = {
+            startedAtMs: this.bodyStartedAtMs,
+            receivedAtMs: this.bodyReceivedAtMs,
+            receivedBytes: this.receivedBytes,
+        };
+        return transferLimits.remainingMs(limits, state, clocks.systemClock.now());
+    }
+
     private completeResponse(response: http.IncomingMessage): void {
         if (!response.complete) {
             this.fail(codes.codes.upstreamReset, "answer cut short");
@@ -270,17 +308,21 @@
     /** Replaces the time-out of the exchange; undefined keeps the current one. */
     private restartTimeout(timeoutMs: number | undefined): void {
         if (timeoutMs !== undefined && !this.isSettled) {
-            if (this.exchangeTimeout !== undefined) {
-                this.exchangeTimeout.dispose();
-                this.timers.delete(this.exchangeTimeout);
-            }
-            this.exchangeTimeout = this.schedule(
+            this.replaceTimeout(
                 timeoutMs,
                 () => this.fail(codes.codes.upstreamTimeout, `silent for ${timeoutMs} ms`),
             );
         }
     }
 
+    private replaceTimeout(timeoutMs: number, callback: () => void): void {
+        if (this.exchangeTimeout !== undefined) {
+            this.exchangeTimeout.dispose();
+            this.timers.delete(this.exchangeTimeout);
+        }
+        this.exchangeTimeout = this.schedule(timeoutMs, callback);
+    }
+
     private schedule(delayMs: number, callback: () => void): clocks.Disposable {
         const timer = readTimers.scheduleAfterReads(clocks.systemClock, delayMs, callback);
         this.timers.add(timer);
--- a/standins/platform/PlatformStoreStandIn.ts
+++ b/standins/platform/PlatformStoreStandIn.ts
@@ -21,6 +21,10 @@
     status?: number | undefined;
     /** Whether calls are read and never answered. */
     silent?: boolean | undefined;
+    /** Rate of each answer; undefined for no limit. */
+    bytesPerSecond?: number | undefined;
+    /** Number of bytes of an answer after which nothing more is sent; undefined if all is. */
+    stopsAfterBytes?: number | undefined;
 }
 
 /** The content of the store at one time. */
@@ -32,6 +36,8 @@
 }
 
 const MAX_ITEMS_PER_PAGE = 3;
+/** Interval of the writes of an answer whose rate is limited. */
+const WRITE_INTERVAL_MS = 20;
 
 /** Simulates the store with an HTTP server on 127.0.0.1. */
 export class PlatformStoreStandIn {
@@ -200,6 +206,27 @@
     }
 
     private sendJson(response: http.ServerResponse, body: unknown): void {
-        this.startAnswer(response, 200, { "content-type": "application/json" }).end(JSON.stringify(body));
+        this.startAnswer(response, 200, { "content-type": "application/json" });
+        const { bytesPerSecond = Infinity, stopsAfterBytes = Infinity } = this.faults;
+        const content = Buffer.from(JSON.stringify(body));
+        if (bytesPerSecond === Infinity && stopsAfterBytes === Infinity) {
+            response.end(content);
+            return;
+        }
+        this.writeSlowly(response, content, Math.min(bytesPerSecond * WRITE_INTERVAL_MS / 1_000, stopsAfterBytes));
+    }
+
+    /** Writes `sliceBytes` of an answer at a time. */
+    private writeSlowly(response: http.ServerResponse, content: Buffer, sliceBytes: number): void {
+        const isLast = content.length <= sliceBytes;
+        response.write(content.subarray(0, sliceBytes));
+        if (this.faults.stopsAfterBytes !== undefined) {
+            return;
+        }
+        if (isLast) {
+            response.end();
+            return;
+        }
+        setTimeout(() => this.writeSlowly(response, content.subarray(sliceBytes), sliceBytes), WRITE_INTERVAL_MS);
     }
 }
