--- a/src/process/adapters/EngineUpstream.ts
+++ b/src/process/adapters/EngineUpstream.ts
@@ -10,6 +10,7 @@
 import * as ports from "../../common/Ports";
 import * as httpRequests from "./HttpRequest";
 import * as plainUpstreams from "./PlainUpstream";
+import * as responseHeaders from "./ResponseHeader";
 import * as tokenStreamParsers from "./TokenStreamParser";
 
 const REPORT_TIMEOUT_MS = 1_000;
@@ -92,7 +93,7 @@
     if (streamEnd === undefined) {
         return result.err(codes.failure(codes.codes.streamBroken, "no last line"));
     }
-    const boot = httpRequests.readHeader(reply.value, "x-boot");
+    const boot = responseHeaders.readHeader(reply.value, "x-boot");
     return result.ok({ code: codes.codes.ok, body: streamEnd.body, tokens: streamEnd.tokens, boot });
 }
 
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -12,6 +12,7 @@
 import * as ports from "../../common/Ports";
 import * as readTimers from "../../common/ReadTimer";
 import * as transferLimits from "../../common/TransferLimit";
+import * as bodyTimeouts from "./BodyTimeout";
 
 /** Time to establish a new connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -134,8 +135,7 @@
     private isSettled = false;
     private hasResponseStarted = false;
     private exchangeTimeout: clocks.Disposable | undefined;
-    private bodyStartedAtMs = 0;
-    private bodyReceivedAtMs = 0;
+    private bodyTimeout: bodyTimeouts.BodyTimeout | undefined;
     private readonly onAbort = () => this.cancel();
 
     constructor(
@@ -198,7 +198,7 @@
             this.fail(codes.codes.malformedAnswer, "an answer to another request");
             return;
         }
-        this.startBodyLimits();
+        this.startBodyTimeout();
         response.on("data", (chunk: Buffer) => this.receiveChunk(response, chunk));
         response.on("error", error => this.fail(mapErrorCode(error), error.message));
         response.on("end", () => this.completeResponse(response));
@@ -224,7 +224,7 @@
             return;
         }
         this.receivedBytes += chunk.length;
-        this.bodyReceivedAtMs = clocks.systemClock.now();
+        this.bodyTimeout?.receive(chunk.length);
         if (this.receivedBytes > (this.request.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)) {
             this.fail(codes.codes.malformedAnswer, `more than ${this.receivedBytes} bytes`);
             return;
@@ -233,34 +233,19 @@
     }
 
     /** Replaces the time-out of the exchange by the limits of its body, if there are any. */
-    private startBodyLimits(): void {
+    private startBodyTimeout(): void {
         const limits = this.request.bodyLimits;
-        if (limits !== undefined) {
-            this.bodyStartedAtMs = clocks.systemClock.now();
-            this.bodyReceivedAtMs = this.bodyStartedAtMs;
-            this.scheduleBodyCheck(limits);
+        if (limits === undefined) {
+            return;
         }
-    }
-
-    private scheduleBodyCheck(limits: transferLimits.TransferLimits): void {
-        const remainingMs = this.remainingBodyMs(limits);
-        this.replaceTimeout(remainingMs, () => {
-            if (this.remainingBodyMs(limits) > 0) {
-                this.scheduleBodyCheck(limits);
-                return;
-            }
-            const tookMs = Math.round(clocks.systemClock.now() - this.bodyStartedAtMs);
-            this.fail(codes.codes.upstreamTimeout, `${this.receivedBytes} bytes of the body in ${tookMs} ms`);
+        this.exchangeTimeout?.dispose();
+        this.bodyTimeout = new bodyTimeouts.BodyTimeout({
+            clock: clocks.systemClock,
+            limits,
+            onTimeout: (bytes, elapsedMs) =>
+                this.fail(codes.codes.upstreamTimeout, `${bytes} bytes of the body in ${Math.round(elapsedMs)} ms`),
         });
-    }
-
-    private remainingBodyMs(limits: transferLimits.TransferLimits): number {
-        const state = {
-            startedAtMs: this.bodyStartedAtMs,
-            receivedAtMs: this.bodyReceivedAtMs,
-            receivedBytes: this.receivedBytes,
-        };
-        return transferLimits.remainingMs(limits, state, clocks.systemClock.now());
+        this.timers.add(this.bodyTimeout);
     }
 
     private completeResponse(response: http.IncomingMessage): void {
@@ -308,21 +293,17 @@
     /** Replaces the time-out of the exchange; undefined keeps the current one. */
     private restartTimeout(timeoutMs: number | undefined): void {
         if (timeoutMs !== undefined && !this.isSettled) {
-            this.replaceTimeout(
+            if (this.exchangeTimeout !== undefined) {
+                this.exchangeTimeout.dispose();
+                this.timers.delete(this.exchangeTimeout);
+            }
+            this.exchangeTimeout = this.schedule(
                 timeoutMs,
                 () => this.fail(codes.codes.upstreamTimeout, `silent for ${timeoutMs} ms`),
             );
         }
     }
 
-    private replaceTimeout(timeoutMs: number, callback: () => void): void {
-        if (this.exchangeTimeout !== undefined) {
-            this.exchangeTimeout.dispose();
-            this.timers.delete(this.exchangeTimeout);
-        }
-        this.exchangeTimeout = this.schedule(timeoutMs, callback);
-    }
-
     private schedule(delayMs: number, callback: () => void): clocks.Disposable {
         const timer = readTimers.scheduleAfterReads(clocks.systemClock, delayMs, callback);
         this.timers.add(timer);
@@ -359,15 +340,3 @@
         return result.err(codes.failure(codes.codes.malformedAnswer, String(error)));
     }
 }
-
-/** Converts a `retry-after` header, which is in seconds; undefined if it is missing or not a number. */
-export function readRetryAfterMs(response: Response): number | undefined {
-    const seconds = Number(response.headers["retry-after"]);
-    return Number.isFinite(seconds) && seconds >= 0 ? Math.ceil(seconds * 1_000) : undefined;
-}
-
-/** Value of a header; undefined if it is missing, empty or longer than 200 characters. */
-export function readHeader(response: Response, name: string): string | undefined {
-    const value = response.headers[name];
-    return typeof value === "string" && value.length > 0 && value.length <= 200 ? value : undefined;
-}
--- a/src/process/adapters/PlainUpstream.ts
+++ b/src/process/adapters/PlainUpstream.ts
@@ -7,6 +7,7 @@
 import * as codes from "../../common/Codes";
 import * as ports from "../../common/Ports";
 import * as httpRequests from "./HttpRequest";
+import * as responseHeaders from "./ResponseHeader";
 
 /** Status of the health check while the upstream accepts no new work. */
 const UNAVAILABLE_STATUS = 503;
@@ -53,7 +54,7 @@
     if (!httpRequests.isSuccess(reply.value.status)) {
         return result.err(codes.failure(codes.codes.upstreamFailed, `status ${reply.value.status}`));
     }
-    const boot = httpRequests.readHeader(reply.value, "x-boot");
+    const boot = responseHeaders.readHeader(reply.value, "x-boot");
     return boot === undefined
         ? result.err(codes.failure(codes.codes.malformedAnswer, "no boot identity"))
         : result.ok({ boot });
@@ -97,11 +98,11 @@
         code: isRejected ? codes.codes.upstreamRejected : codes.codes.ok,
         body,
         tokens: readTokenCount(response),
-        boot: httpRequests.readHeader(response, "x-boot"),
+        boot: responseHeaders.readHeader(response, "x-boot"),
     }));
 }
 
 function readTokenCount(response: httpRequests.Response): number {
-    const count = Number(httpRequests.readHeader(response, "x-tokens"));
+    const count = Number(responseHeaders.readHeader(response, "x-tokens"));
     return Number.isSafeInteger(count) && count >= 0 ? count : 0;
 }
--- a/src/process/adapters/PlatformRequest.ts
+++ b/src/process/adapters/PlatformRequest.ts
@@ -7,6 +7,7 @@
 import * as codes from "../../common/Codes";
 import * as ports from "../../common/Ports";
 import * as httpRequests from "./HttpRequest";
+import * as responseHeaders from "./ResponseHeader";
 
 /** Delay before a retry if a response with status 429 has no `retry-after` header. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -24,7 +25,7 @@
     }
     const response = reply.value;
     if (response.status === 429) {
-        const retryAfterMs = httpRequests.readRetryAfterMs(response) ?? DEFAULT_RETRY_AFTER_MS;
+        const retryAfterMs = responseHeaders.readRetryAfterMs(response) ?? DEFAULT_RETRY_AFTER_MS;
         return result.err(codes.failure(codes.codes.overloaded, request.path, retryAfterMs));
     }
     if (!httpRequests.isSuccess(response.status)) {
