--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -49,13 +49,23 @@
 const positionFields = { era: z.int().min(0).default(0), revision: z.int().min(0) };
 
 /** Requests the changes of the published store after a position. */
-export const publishedFetchSchema = z.object({ kind: z.literal("published-fetch"), ...positionFields });
+export const publishedFetchSchema = z.object({
+    kind: z.literal("published-fetch"),
+    ...positionFields,
+    /** Whether large contents may be stated by their parts. */
+    acceptsParts: z.boolean().default(false),
+});
+
+/** A request for changes of the published store. */
+export type PublishedFetch = z.infer<typeof publishedFetchSchema>;
 
 const itemSchema = z.object({
     key: z.string().max(400),
     ...positionFields,
-    /** Undefined if the key has been deleted. */
+    /** Undefined if the key has been deleted, or the content is stated by its parts. */
     content: z.instanceof(Uint8Array).optional(),
+    /** References to the parts of the content; see ContentParts.ts. */
+    parts: z.instanceof(Uint8Array).optional(),
 });
 
 /** Changes of the published store up to a position, or its complete content if `isWhole`. */
@@ -68,6 +78,31 @@
     isWhole: z.boolean(),
 });
 
+/** Changes of the published store. */
+export type PublishedUpdate = z.infer<typeof publishedUpdateSchema>;
+
+/** Requests parts of contents that the receiver has stated. */
+export const partsFetchSchema = z.object({
+    kind: z.literal("parts-fetch"),
+    /** Identifies the request on this connection. */
+    request: z.int().min(0),
+    /** References to the parts; see ContentParts.ts. */
+    parts: z.instanceof(Uint8Array),
+});
+
+/** A request for parts of contents. */
+export type PartsFetch = z.infer<typeof partsFetchSchema>;
+
+/** The requested parts that the sender has. */
+export const partsSchema = z.object({
+    kind: z.literal("parts"),
+    request: z.int().min(0),
+    contents: z.array(z.instanceof(Uint8Array)).max(1_000),
+});
+
+/** Parts of contents. */
+export type Parts = z.infer<typeof partsSchema>;
+
 /** Maximum number of streams in one message. */
 export const MAX_TOLD_STREAMS = 1_000;
 /** Longest time for which a stream's origin is remembered. */
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -167,6 +167,8 @@
     entryMessages.presenceSchema,
     entryMessages.publishedFetchSchema,
     entryMessages.publishedUpdateSchema,
+    entryMessages.partsFetchSchema,
+    entryMessages.partsSchema,
     entryMessages.streamOriginsSchema,
     entryMessages.streamOriginAskSchema,
     entryMessages.streamOriginAnswerSchema,
--- a/src/connection/FrameCodec.ts
+++ b/src/connection/FrameCodec.ts
@@ -22,21 +22,26 @@
 /** Decodes a byte stream into validated envelopes. After a failure the rest of the stream can't be trusted. */
 export class FrameDecoder {
     private chunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private receivedBytes = 0;
 
     constructor(private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES) {}
 
+    /** Number of bytes received of frames that aren't complete. */
+    get bufferedBytes(): number {
+        return this.receivedBytes;
+    }
+
     /** Appends received bytes and returns the envelopes that they complete. */
     push(chunk: Buffer): result.Result<messages.Envelope[], codes.Failure> {
         this.chunks.push(chunk);
-        this.bufferedBytes += chunk.length;
+        this.receivedBytes += chunk.length;
         const envelopes: messages.Envelope[] = [];
-        while (this.bufferedBytes >= PREFIX_BYTES) {
+        while (this.receivedBytes >= PREFIX_BYTES) {
             const length = this.peekLength();
             if (length > this.maxFrameBytes) {
                 return result.err(codes.failure(codes.codes.frameTooLarge, `${length} bytes`));
             }
-            if (this.bufferedBytes < PREFIX_BYTES + length) {
+            if (this.receivedBytes < PREFIX_BYTES + length) {
                 break;
             }
             const decoded = decodeContent(this.consume(PREFIX_BYTES + length).subarray(PREFIX_BYTES));
@@ -69,7 +74,7 @@
         else {
             this.chunks[0] = rest;
         }
-        this.bufferedBytes -= length;
+        this.receivedBytes -= length;
         return joined.subarray(0, length);
     }
 }
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -130,6 +130,11 @@
         return this.context.clock.now() - this.lastReceivedMs;
     }
 
+    /** Number of bytes that have arrived of a frame that isn't complete. */
+    get partialFrameBytes(): number {
+        return this.decoder.bufferedBytes;
+    }
+
     /** Sends a message; false if the connection is closed. */
     send(message: messages.Message): boolean {
         if (this.closeReason !== undefined) {
--- a/src/process/peers/StoreSimulation.ts
+++ b/src/process/peers/StoreSimulation.ts
@@ -11,8 +11,10 @@
 import * as ports from "../../common/Ports";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as frames from "../../connection/FrameCodec";
 import * as views from "../published/PublishedView";
 import * as peers from "./EntryPeers";
+import * as links from "./LinkSimulation";
 import * as peerEntries from "./PeerEntry";
 import * as paces from "./PresencePace";
 import * as exchanges from "./PublishedExchange";
@@ -43,8 +45,15 @@
     readonly faults: readonly StoreFault[];
     /** Whether messages from one entry to another are lost, by index. */
     readonly lostLinks?: ((from: number, to: number) => boolean) | undefined;
+    /** Rate of an entry's link, by index; unlimited if undefined. */
+    readonly linkBytesPerMs?: (entry: number) => number;
 }
 
+/** A message with no content, in bytes. */
+const MESSAGE_BYTES = 60;
+/** Size of a content in an answer of the store, relative to its own. */
+const STORE_ENCODING = 4 / 3;
+
 interface WaitingWatch {
     readonly entry: number;
     readonly call: number;
@@ -58,6 +67,8 @@
     readonly view: views.PublishedView;
     readonly replication: replications.PublishedReplication;
     readonly mesh: SimulatedPeers;
+    /** Undefined if the rate of its link isn't limited. */
+    readonly link: links.SimulatedLink | undefined;
 }
 
 type Frame = peers.PeerFrame;
@@ -102,7 +113,7 @@
     private readonly random: () => number;
     private readonly entries: SimulatedEntry[] = [];
     private readonly timers: clocks.Disposable[] = [];
-    private readonly items: routing.PublishedItem[] = [];
+    private items: routing.PublishedItem[] = [];
     private waiting: WaitingWatch[] = [];
     private revision = 1;
     /** Number of calls on the store. */
@@ -128,18 +139,29 @@
         }
     }
 
-    /** Changes the store's content and returns the new revision. */
-    change(): number {
+    /** Writes a key of the store, a new one by default, and returns the new revision. */
+    change(key = `key-${this.revision + 1}`, content: Buffer = Buffer.from("x")): number {
         this.revision++;
-        const content = Buffer.from("x");
-        this.items.push({ key: `key-${this.revision}`, era: 0, revision: this.revision, content });
+        this.items = this.items.filter(item => item.key !== key);
+        this.items.push({ key, era: 0, revision: this.revision, content });
         this.waiting.forEach(watch => watch.answer());
         return this.revision;
     }
 
+    /** Number of bytes that an entry has received, and that are under way to it. */
+    traffic(entry: number): { readonly receivedBytes: number; readonly queuedBytes: number } {
+        const { receivedBytes, queuedBytes } = this.entries[entry]!.link!;
+        return { receivedBytes, queuedBytes };
+    }
+
+    /** Whether all entries know a revision. */
+    isKnown(revision: number): boolean {
+        return this.entries.every(entry => entry.view.position.revision >= revision);
+    }
+
     /** Advances until all entries know a revision and returns the time. */
     async waitUntilKnown(revision: number): Promise<number> {
-        while (this.entries.some(entry => entry.view.position.revision < revision)) {
+        while (!this.isKnown(revision)) {
             if (this.clock.now() > GIVE_UP_MS) {
                 return Infinity;
             }
@@ -150,7 +172,8 @@
 
     dispose(): void {
         this.timers.forEach(timer => timer.dispose());
-        this.entries.forEach(({ replication, view }) => {
+        this.entries.forEach(({ replication, view, link }) => {
+            link?.dispose();
             replication.dispose();
             view.dispose();
         });
@@ -169,7 +192,9 @@
             instance: String(index),
             peers: mesh,
         });
-        return { view, replication, mesh };
+        const { linkBytesPerMs } = this.options;
+        const link = linkBytesPerMs && new links.SimulatedLink(clock, linkBytesPerMs(index));
+        return { view, replication, mesh, link };
     }
 
     /** Connects an entry to all others, to which it states its position at the interval of presence messages. */
@@ -186,7 +211,10 @@
         const { position } = this.entries[from]!.view;
         const reached = others.filter(to => this.options.lostLinks?.(from, to) !== true);
         this.clock.schedule(LATENCY_MS, () => {
-            reached.forEach(to => this.entries[to]!.mesh.peers.get(from)!.position = position);
+            for (const to of reached) {
+                const { mesh } = this.entries[to]!;
+                this.transfer(to, String(from), MESSAGE_BYTES, () => mesh.peers.get(from)!.position = position);
+            }
         });
     }
 
@@ -195,13 +223,25 @@
             return;
         }
         const { position } = this.entries[from]!.view;
-        this.clock.schedule(LATENCY_MS, () => {
-            const { mesh } = this.entries[to]!;
+        const isLimited = this.options.linkBytesPerMs !== undefined;
+        const bytes = isLimited ? frames.encodeFrame({ version: position.revision, message }).length : 0;
+        this.clock.schedule(LATENCY_MS, () => this.transfer(to, String(from), bytes, () => receive(this.entries[to]!)));
+        const receive = ({ mesh }: SimulatedEntry): void => {
             const peer = mesh.peers.get(from)!;
             peer.position = position;
             const connection = { send: (reply: messages.Message) => this.deliver(to, from, reply) };
             mesh.receive({ peer, message, connection: connection as unknown as Frame["connection"] });
-        });
+        };
+    }
+
+    /** Lets bytes arrive over an entry's link, if its rate is limited. */
+    private transfer(to: number, connection: string, bytes: number, receive: () => void): void {
+        const { link } = this.entries[to]!;
+        if (link === undefined) {
+            receive();
+            return;
+        }
+        link.send(connection, bytes, receive);
     }
 
     private createStore(entry: number): routingPorts.PublishedStore {
@@ -222,7 +262,7 @@
     }
 
     /** One call: answered after `waitMs` or at a change after `revision`, if its answer isn't lost. */
-    private call<T>(
+    private call<T extends { readonly items: readonly routing.PublishedItem[] }>(
         entry: number,
         waitMs: number,
         timeoutMs: number,
@@ -249,9 +289,15 @@
                 isLost: fault !== undefined,
                 reject: () => clock.schedule(LATENCY_MS, () => fail(codes.codes.sourceUnavailable)),
                 answer: () => {
-                    if (!watch.isLost) {
-                        clock.schedule(LATENCY_MS, () => settle(result.ok(answer())));
+                    if (watch.isLost) {
+                        return;
                     }
+                    this.waiting = this.waiting.filter(other => other !== watch);
+                    const content = answer();
+                    clock.schedule(LATENCY_MS, () => {
+                        timers.forEach(timer => timer.dispose()); // The answer has begun.
+                        this.transfer(entry, "store", sizeOf(content), () => settle(result.ok(content)));
+                    });
                 },
             };
             const timers = [clock.schedule(timeoutMs, () => fail(codes.codes.upstreamTimeout))];
@@ -279,6 +325,12 @@
     }
 }
 
+/** Size of an answer of the store. */
+function sizeOf({ items }: { readonly items: readonly routing.PublishedItem[] }): number {
+    const contentBytes = items.reduce((sum, item) => sum + (item.content?.length ?? 0), 0);
+    return MESSAGE_BYTES + contentBytes * STORE_ENCODING;
+}
+
 function isLostBy(fault: StoreFault, entry: number, call: number, nowMs: number): boolean {
     return nowMs >= fault.fromMs && nowMs < fault.toMs
         && (fault.isAffected?.(entry) ?? true) && (fault.isLost?.(call) ?? true);
--- a/src/process/published/PublishedKeys.ts
+++ b/src/process/published/PublishedKeys.ts
@@ -118,6 +118,11 @@
         return hasChanged;
     }
 
+    /** The content of a key that is in force; undefined if there is none. */
+    findContent(key: string): Uint8Array | undefined {
+        return this.entriesByKey.get(key)?.item.content;
+    }
+
     /** The update that a process at `since` lacks. */
     updateSince(since: positions.Position): PublishedUpdate {
         const isWhole = positions.isAfter(this.deletionsKnownSince, since);
--- a/src/process/published/PublishedView.ts
+++ b/src/process/published/PublishedView.ts
@@ -104,6 +104,11 @@
         }
     }
 
+    /** The content of a key that is in force; undefined if there is none. */
+    findContent(key: string): Uint8Array | undefined {
+        return this.keys.findContent(key);
+    }
+
     /** The update that a view at this position lacks. */
     updateSince(since: positions.Position): PublishedUpdate {
         return this.keys.updateSince(since);
