Refuse a call as unknown only on a view as new as those of the other entries

Cause: that a route or a key isn't in this process's view was taken for final, although other entries had stated a later position. Change: before 404 or 401 the call waits until the view is as new as that of any live entry at that moment, at most 1.5 s and half of the caller's time; if it isn't by then, 503 with Retry-After. Calls that the view allows don't wait.

--- a/src/process/routing/CallerRequest.ts
+++ b/src/process/routing/CallerRequest.ts
@@ -8,8 +8,8 @@
 import * as expectedTimes from "../../request/routed/ExpectedTime";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
-import * as tables from "../../version/RouteTable";
 import * as bodies from "./CallerBody";
+import * as callTargets from "./CallTarget";
 import * as targets from "./TargetChoice";
 
 /** The hard deadline is at least this long before the caller stops waiting, so that the answer still arrives. */
@@ -18,11 +18,10 @@
 export const NOT_READY_RETRY_MS = 500;
 
 /** What reading a request needs from its process. */
-export interface RequestContext {
+export interface RequestContext extends callTargets.TargetContext {
     readonly clock: clocks.Clock;
     readonly random: () => number;
     readonly run: Pick<routedRuns.RunContext, "wire">;
-    readonly table: () => tables.RouteTable | undefined;
     /** Whether the process rejects new requests while it completes those in progress. */
     readonly isClosing: () => boolean;
     /** When requests still in progress are aborted; undefined while the process isn't stopping. */
@@ -46,17 +45,21 @@
     }
     const path = message.url ?? "";
     const callMetadata = context.run.wire.readCall(message.headers);
-    const route = table.findRoute(message.headers.host ?? "", pathOf(path));
-    if (route === undefined) {
-        return result.err(codes.failure(codes.codes.unknownPath, "no route"));
-    }
     if (callMetadata.isErr) {
-        return result.err(callMetadata.error);
+        const route = table.findRoute(message.headers.host ?? "", pathOf(path));
+        const noRoute = codes.failure(codes.codes.unknownPath, "no route");
+        return result.err(route === undefined ? noRoute : callMetadata.error);
     }
-    const team = table.findTeam(callMetadata.value.apiKey);
-    if (table.needsKeys && !route.isPublic && team === undefined) {
-        return result.err(codes.failure(codes.codes.unknownKey, route.name));
+    const target = await callTargets.findTarget(context, {
+        host: message.headers.host ?? "",
+        path: pathOf(path),
+        apiKey: callMetadata.value.apiKey,
+        remainingMs: callMetadata.value.remainingMs,
+    }, signal);
+    if (target.isErr) {
+        return result.err(target.error);
     }
+    const { route, team } = target.value;
     const stopDeadlineMs = context.stopDeadlineMs() ?? Infinity;
     if (arrivedMs + expectedTimes.expectedMs(route, callMetadata.value) > stopDeadlineMs) {
         return result.err(codes.failure(codes.codes.draining, "can't end before the stop", NOT_READY_RETRY_MS));
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -15,6 +15,7 @@
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
 import * as replications from "../peers/PublishedReplication";
+import * as viewLags from "../peers/ViewLag";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
 import * as hostRoles from "../stages/HostRoles";
@@ -163,12 +164,18 @@
                 unconfirmedMs: () => this.replication.reader.unconfirmedMs,
             }),
         );
+        const viewLag = new viewLags.ViewLag({
+            clock,
+            position: () => this.view.position,
+            peerPositions: () => this.peers.livePeers.map(peer => peer.position),
+        });
         this.server = this.disposables.add(
             new servers.RouteServer({
                 ...shared,
                 pauses,
                 metrics: this.metrics,
                 table: () => this.view.table,
+                catchUp: (maxMs, signal) => viewLag.catchUp(maxMs, signal),
                 isClosing: () => this.isClosing,
                 stopDeadlineMs: () => this.stopDeadlineMs,
                 run: {
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -68,6 +68,7 @@
         random: () => 0,
         metrics: routeMetrics,
         table: () => table,
+        catchUp: () => Promise.resolve(true),
         isClosing: () => false,
         pauses,
         stopDeadlineMs: () => undefined,
