Hold back calls whose prompts have a part that crashes instances

Cause: nothing connected the ends. Which prompts an instance was about to answer when it ended was forgotten at once, no entry told another, and the next prompt with the same part went to the next engine. Change: an interruption at the start of an answer counts as an end once the instance's address refuses connections. Parts of the prompts that it was about to answer are suspected after three ends at different times without a sound answer since; a part that another explains is not, and parts that always came together are held back only together. Entries tell each other ends (by incarnation, so that each counts once) and answered parts; new connections get all. Forgotten two minutes after the last such prompt, or an hour after the last end. 503 parts-held-back with Retry-After.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -202,3 +202,31 @@
         }),
     ).max(MAX_LEAVING_SIGNS),
 });
+
+/** Number of ends, and of answered parts, in one message. */
+export const MAX_TOLD_CRASHES = 16;
+export const MAX_TOLD_PARTS = 256;
+const partId = z.string().min(1).max(200);
+const ageMs = z.number().min(0);
+
+/** Ends of instances with the prompts that they were about to answer, and answers that clear parts; adds to earlier ones. */
+export const crashesSchema = z.object({
+    kind: z.literal("crashes"),
+    crashes: z.array(z.object({
+        instance: name,
+        /** Start of the incarnation that ended, as it published it. */
+        startedMs: z.number(),
+        /** Time since it ended. */
+        ageMs,
+        /** Time since a prompt with parts that are held to be the cause was last seen. */
+        seenAgeMs: ageMs,
+        parts: z.array(partId).max(64),
+        /** An attempt of a caller among the prompts. */
+        attempt: stageOrders.callerTextSchema.min(1),
+    })).max(MAX_TOLD_CRASHES),
+    /** Parts of prompts that instances have answered. */
+    answered: z.array(z.object({ part: partId, ageMs })).max(MAX_TOLD_PARTS),
+});
+
+/** Ends of instances, and answered parts. */
+export type Crashes = z.infer<typeof crashesSchema>;
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -50,6 +50,8 @@
     address: z.string().max(64).optional(),
     /** Whether the sender reads messages about the origins of streams; a process that doesn't would disconnect. */
     knowsStreamOrigins: z.boolean().optional(),
+    /** The same for messages about ends of instances. */
+    knowsCrashes: z.boolean().optional(),
 });
 
 const callSchema = z.object({
@@ -169,6 +171,7 @@
     entryMessages.publishedUpdateSchema,
     entryMessages.partsFetchSchema,
     entryMessages.partsSchema,
+    entryMessages.crashesSchema,
     entryMessages.streamOriginsSchema,
     entryMessages.streamOriginAskSchema,
     entryMessages.streamOriginAnswerSchema,
--- /dev/null
+++ b/src/process/crashes/CrashExchange.ts
@@ -0,0 +1,147 @@
+/**
+ * Tells the other entries which instances have ended with which prompts, and which parts instances have answered since.
+ * An entry tells all others at once; one that was cut off learns it from any entry that it reaches. An end is identified
+ * by its instance's incarnation, so that it counts once, whoever tells it.
+ */
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as entryMessages from "../../common/EntryMessages";
+import * as logs from "../../common/Log";
+import * as peerConnections from "../../connection/PeerConnection";
+import * as entryPeers from "../peers/EntryPeers";
+import * as crashEvidence from "./CrashEvidence";
+import * as crashMonitors from "./CrashMonitor";
+
+/** Interval at which new connections are told all, and the others what is new. */
+const TELL_INTERVAL_MS = 250;
+/** An end is passed on to peers picked at random for this long after it was learnt or last seen. */
+const RELAY_MS = 10_000;
+/** Interval at which the same answered part is told again. */
+const ANSWERED_INTERVAL_MS = 1_000;
+
+/** What the exchange needs from its process. */
+export interface CrashExchangeOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly random: () => number;
+    readonly peers: Pick<entryPeers.EntryPeers, "knownPeers" | "onFrame">;
+    readonly evidence: crashEvidence.CrashEvidence;
+    readonly monitor: crashMonitors.CrashMonitor;
+}
+
+/** Keeps the evidence of this process and of the others alike. */
+export class CrashExchange implements clocks.Disposable {
+    private readonly disposables = new emitters.DisposableStore();
+    /** Connections whose peers were told all ends. */
+    private readonly toldConnections = new WeakSet<peerConnections.PeerConnection>();
+    /** When each part was last told to be answered. */
+    private readonly toldAnsweredMs = new Map<string, number>();
+
+    constructor(private readonly options: CrashExchangeOptions) {
+        const { clock, peers, monitor } = options;
+        this.disposables.add(clocks.every(clock, TELL_INTERVAL_MS, () => this.handleTimer()));
+        this.disposables.add(peers.onFrame(frame => this.handleFrame(frame)));
+        this.disposables.add(monitor.onCrash(crash => this.tellAll([crash], [])));
+    }
+
+    dispose(): void {
+        this.disposables.dispose();
+    }
+
+    private get connections(): peerConnections.PeerConnection[] {
+        return this.options.peers.knownPeers.flatMap(({ connection }) =>
+            connection?.remote.knowsCrashes === true ? connection : []
+        );
+    }
+
+    private handleFrame({ message, peer }: entryPeers.PeerFrame): void {
+        if (message.kind !== "crashes") {
+            return;
+        }
+        const { clock, evidence, log, monitor } = this.options;
+        const nowMs = clock.now();
+        message.answered.forEach(({ part, ageMs }) => evidence.recordAnswer([part], nowMs - ageMs));
+        for (const { ageMs, seenAgeMs, parts, ...told } of message.crashes) {
+            const crash = { ...told, atMs: nowMs - ageMs, parts: new Set(parts) };
+            if (evidence.recordCrash(crash, nowMs - seenAgeMs)) {
+                const { instance, startedMs, attempt } = told;
+                const fields = { instance, startedMs, attempt, parts, peer: peer.instance, ageMs: Math.round(ageMs) };
+                log.info({ decision: "crash", ...fields }, "instance ended before its answers");
+            }
+        }
+        monitor.logChanges();
+    }
+
+    private handleTimer(): void {
+        const { clock, evidence, monitor, random } = this.options;
+        const crashes = evidence.all;
+        if (crashes.length === 0) {
+            return;
+        }
+        const { connections } = this;
+        for (const connection of connections) {
+            if (!this.toldConnections.has(connection)) {
+                this.toldConnections.add(connection);
+                this.tell(connection, crashes, []);
+            }
+        }
+        const recent = crashes.filter(crash => clock.now() - Math.max(crash.atMs, crash.seenAtMs) < RELAY_MS);
+        const picked = connections[Math.floor(random() * connections.length)];
+        if (picked !== undefined && recent.length > 0) {
+            this.tell(picked, recent, []);
+        }
+        const answered = this.takeAnswered();
+        if (answered.length > 0) {
+            this.tellAll([], answered);
+        }
+        monitor.logChanges();
+    }
+
+    /** Parts that matter for what is suspected and that this process has seen answered. */
+    private takeAnswered(): string[] {
+        const { clock, evidence } = this.options;
+        const nowMs = clock.now();
+        const doubtful = evidence.listDoubtful().filter(part => {
+            const answeredMs = evidence.lastAnsweredMs(part);
+            const toldMs = this.toldAnsweredMs.get(part) ?? -Infinity;
+            return answeredMs !== undefined && answeredMs > toldMs && nowMs - toldMs >= ANSWERED_INTERVAL_MS;
+        });
+        const told = doubtful.slice(0, entryMessages.MAX_TOLD_PARTS);
+        told.forEach(part => this.toldAnsweredMs.set(part, nowMs));
+        for (const [part, toldMs] of this.toldAnsweredMs) {
+            if (nowMs - toldMs > RELAY_MS) {
+                this.toldAnsweredMs.delete(part);
+            }
+        }
+        return told;
+    }
+
+    private tellAll(crashes: readonly crashEvidence.Crash[], answered: readonly string[]): void {
+        this.connections.forEach(connection => this.tell(connection, crashes, answered));
+    }
+
+    private tell(
+        connection: peerConnections.PeerConnection,
+        crashes: readonly crashEvidence.Crash[],
+        answered: readonly string[],
+    ): void {
+        const { clock, evidence } = this.options;
+        const nowMs = clock.now();
+        const toldCrashes = crashes.map(({ atMs, seenAtMs, parts, ...crash }) => ({
+            ...crash,
+            ageMs: nowMs - atMs,
+            seenAgeMs: Math.max(0, nowMs - seenAtMs),
+            parts: [...parts],
+        }));
+        const toldAnswered = answered.map(part => ({ part, ageMs: nowMs - (evidence.lastAnsweredMs(part) ?? nowMs) }));
+        const messageCount = Math.max(1, Math.ceil(toldCrashes.length / entryMessages.MAX_TOLD_CRASHES));
+        for (let index = 0; index < messageCount; index++) {
+            const first = index * entryMessages.MAX_TOLD_CRASHES;
+            connection.send({
+                kind: "crashes",
+                crashes: toldCrashes.slice(first, first + entryMessages.MAX_TOLD_CRASHES),
+                answered: index === 0 ? toldAnswered : [],
+            });
+        }
+    }
+}
--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -327,19 +327,10 @@
     }
 
     private connectionContext(): peerConnections.PeerContext {
-        const { clock, instance, failureDomain, incarnation, address } = this.options;
+        const { clock } = this.options;
         return {
             clock,
-            hello: () => ({
-                kind: "hello",
-                protocol: messages.PROTOCOL_VERSION,
-                role: "entry",
-                instance,
-                failureDomain,
-                incarnation,
-                address,
-                knowsStreamOrigins: true,
-            }),
+            hello: () => peerEntries.buildHello(this.options),
             version: () => this.options.position().revision,
             era: () => this.options.position().era,
             heartbeat: () => ({ kind: "heartbeat" }),
--- a/src/process/peers/PeerEntry.ts
+++ b/src/process/peers/PeerEntry.ts
@@ -2,6 +2,7 @@
  * What an entry knows about another one.
  */
 import * as entryMessages from "../../common/EntryMessages";
+import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
 import * as peerConnections from "../../connection/PeerConnection";
 
@@ -71,6 +72,24 @@
     peer.hostingSinceMs = presence.hostingMs === undefined ? undefined : nowMs - presence.hostingMs;
 }
 
+/** Builds the hello with which an entry introduces itself. */
+export function buildHello(
+    self: Pick<messages.Hello, "instance" | "failureDomain" | "incarnation" | "address">,
+): messages.Hello {
+    const { instance, failureDomain, incarnation, address } = self;
+    return {
+        kind: "hello",
+        protocol: messages.PROTOCOL_VERSION,
+        role: "entry",
+        instance,
+        failureDomain,
+        incarnation,
+        address,
+        knowsStreamOrigins: true,
+        knowsCrashes: true,
+    };
+}
+
 /** Builds the list of this entry and its connected peers. */
 export function buildEntryList(self: ListedEntry, peers: readonly PeerEntry[]): entryMessages.Entries {
     const connected = peers.filter(peer => peer.connection !== undefined);
--- a/src/process/peers/PublishedReplication.ts
+++ b/src/process/peers/PublishedReplication.ts
@@ -7,6 +7,7 @@
 import * as readers from "../published/PublishedReader";
 import * as views from "../published/PublishedView";
 import * as exchanges from "./PublishedExchange";
+import * as viewLags from "./ViewLag";
 
 /** What the replication needs from its process. */
 export interface PublishedReplicationOptions {
@@ -24,6 +25,7 @@
 export class PublishedReplication implements clocks.Disposable {
     readonly reader: readers.PublishedReader;
     readonly exchange: exchanges.PublishedExchange;
+    readonly lag: viewLags.ViewLag;
 
     constructor(options: PublishedReplicationOptions) {
         const { peers } = options;
@@ -32,6 +34,11 @@
             peerNames: () => peers.livePeers.map(peer => peer.instance),
         });
         this.exchange = new exchanges.PublishedExchange(options);
+        this.lag = new viewLags.ViewLag({
+            clock: options.clock,
+            position: () => options.view.position,
+            peerPositions: () => peers.livePeers.map(peer => peer.position),
+        });
     }
 
     /** Starts to read the store; runs until disposed. */
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -7,6 +7,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as settingsShapes from "../../common/Settings";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
+import * as guards from "../crashes/CrashGuard";
 import * as pools from "../instances/InstancePool";
 import * as leavingExchanges from "../instances/LeavingExchange";
 import * as leavingInstances from "../instances/LeavingInstances";
@@ -15,7 +16,6 @@
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
 import * as replications from "../peers/PublishedReplication";
-import * as viewLags from "../peers/ViewLag";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
 import * as hostRoles from "../stages/HostRoles";
@@ -164,18 +164,14 @@
                 unconfirmedMs: () => this.replication.reader.unconfirmedMs,
             }),
         );
-        const viewLag = new viewLags.ViewLag({
-            clock,
-            position: () => this.view.position,
-            peerPositions: () => this.peers.livePeers.map(peer => peer.position),
-        });
+        const { monitor: crashes } = this.disposables.add(new guards.CrashGuard({ ...shared, peers: this.peers }));
         this.server = this.disposables.add(
             new servers.RouteServer({
                 ...shared,
                 pauses,
                 metrics: this.metrics,
                 table: () => this.view.table,
-                catchUp: (maxMs, signal) => viewLag.catchUp(maxMs, signal),
+                catchUp: (maxMs, signal) => this.replication.lag.catchUp(maxMs, signal),
                 isClosing: () => this.isClosing,
                 stopDeadlineMs: () => this.stopDeadlineMs,
                 run: {
@@ -184,6 +180,7 @@
                     connections,
                     pool: this.pool,
                     streamOrigins,
+                    crashes,
                     onAnswer: (instance, answer) => leavingExchange.observe(instance, answer, "call"),
                     budgetOf: service => this.obtainBudget(service),
                     position: () => this.view.position,
@@ -199,6 +196,7 @@
             replication: this.replication,
             host: this.host,
             pool: this.pool,
+            crashes,
             server: this.server,
             droppedLogLines: options.droppedLogLines,
         });
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -1,6 +1,7 @@
 /**
  * The gauges of an entry for routed calls, read from its parts at each scrape.
  */
+import * as crashMonitors from "../crashes/CrashMonitor";
 import * as pools from "../instances/InstancePool";
 import * as metrics from "../metrics/RouteMetrics";
 import * as replications from "../peers/PublishedReplication";
@@ -14,6 +15,7 @@
     readonly replication: Pick<replications.PublishedReplication, "reader" | "exchange">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
     readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds">;
+    readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly server: Pick<servers.RouteServer, "active">;
     /** Number of log lines dropped since the start. */
     readonly droppedLogLines: () => number;
@@ -21,7 +23,7 @@
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
-    const { view, replication, host, pool, server, droppedLogLines } = sources;
+    const { view, replication, host, pool, crashes, server, droppedLogLines } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -31,6 +33,8 @@
     add("cumincrank_leaving_instances", "Leaving instances", () => pool.leavingIds.length);
     add("cumincrank_held_instances", "Instances that hold off", () => pool.holds.heldCount);
     add("cumincrank_instance_holds", "Rejections that asked for a hold", () => pool.holds.count);
+    add("cumincrank_held_parts", "Parts of prompts held back", () => crashes.suspectedCount);
+    add("cumincrank_parts_rejections", "Checks that held a call back for its parts", () => crashes.heldCalls);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
     add("cumincrank_dropped_log_lines", "Log lines dropped", () => droppedLogLines());
 }
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -75,6 +75,7 @@
         run: {
             clock: clocks.systemClock,
             log,
+            crashes: { findHeld: () => undefined },
             pool: { choose, holds: { callerRetryAfterMs: () => undefined } },
             wire: { readCall, readAttempt: () => "1", errorHeaders: () => [] },
         },
--- a/src/request/routed/CallHistory.ts
+++ b/src/request/routed/CallHistory.ts
@@ -14,6 +14,8 @@
     isBudgetSpent: boolean;
     /** When the caller should return, since all instances hold off; undefined if they don't. */
     heldRetryAfterMs: number | undefined;
+    /** Parts of the call's prompt for which it must not be sent; undefined if there are none. */
+    heldParts: ReadonlySet<string> | undefined;
     /** Version of the software that began the call's stream: the only one that it may be sent to. */
     softwareVersion: string | undefined;
 }
@@ -27,6 +29,7 @@
         possibleRuns: 0,
         isBudgetSpent: false,
         heldRetryAfterMs: undefined,
+        heldParts: undefined,
         softwareVersion: undefined,
     };
 }
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -14,6 +14,10 @@
 /** Retry-after of a rejection for which there is no better estimate. */
 export const DEFAULT_RETRY_AFTER_MS = 300;
 
+/** Retry-after of a call that is held back for parts of its prompt, which may be cleared meanwhile. */
+const PARTS_RETRY_AFTER_MS = 60_000;
+const MAX_DETAIL_LENGTH = 200;
+
 /** A complete answer from an instance, buffered. */
 export interface CompleteAnswer {
     readonly kind: "buffered";
@@ -66,6 +70,9 @@
     if (history.possibleRuns > 0) {
         return { kind: "local-failure", failure: codes.failure(codes.codes.upstreamTimeout, "no answer") };
     }
+    if (history.heldParts !== undefined) {
+        return createPartsRejection(history.heldParts);
+    }
     if (history.heldRetryAfterMs !== undefined) {
         return createHoldRejection(history.heldRetryAfterMs);
     }
@@ -83,6 +90,12 @@
     return { kind: "local-failure", failure };
 }
 
+/** Creates the rejection of a call whose prompt has parts that crash instances. */
+export function createPartsRejection(parts: ReadonlySet<string>): LocalAnswer {
+    const detail = [...parts].join(",").slice(0, MAX_DETAIL_LENGTH);
+    return { kind: "local-failure", failure: codes.failure(codes.codes.partsHeldBack, detail, PARTS_RETRY_AFTER_MS) };
+}
+
 /** Turns the outcome of one send into the outcome of the run; reads the answer if there is one. */
 async function handleSendOutcome(
     context: senders.SenderContext,
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -30,6 +30,10 @@
     if (call.route.kind !== "stream") {
         return plainRuns.runPlain(context, call);
     }
+    const heldParts = context.crashes.findHeld(call.metadata.promptParts);
+    if (heldParts !== undefined) {
+        return plainRuns.createPartsRejection(heldParts);
+    }
     const heldBeyondDeadline = findHoldBeyondDeadline(context, call);
     if (heldBeyondDeadline !== undefined) {
         return heldBeyondDeadline;
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -4,6 +4,7 @@
  */
 import * as codes from "../../common/Codes";
 import * as chunks from "../../connection/ChunkReader";
+import * as answerStarts from "./AnswerStart";
 import * as answerWaits from "./AnswerWait";
 import * as histories from "./CallHistory";
 import * as sinks from "./EventSink";
@@ -169,6 +170,7 @@
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
         const splitter = new splitters.EventSplitter();
         const { sent } = answered;
+        const start = new answerStarts.AnswerStart(this.context.clock, this.context.crashes, this.call, sent.instance);
         this.silence.recordAnswer(sent);
         for (;;) {
             const waitMs = (): number => this.silence.nextBytesWaitMs(sent);
@@ -194,6 +196,7 @@
             }
             if (chunk === "end") {
                 const isComplete = this.isStreamComplete(answered) && !splitter.hasPartialEvent;
+                start.recordEnd(isComplete);
                 return { kind: isComplete ? "complete" : "broken" };
             }
             const events = splitter.push(chunk);
@@ -201,6 +204,9 @@
                 answered.answer.cancel();
                 return { kind: "broken" };
             }
+            if (events.length > 0) {
+                start.recordEvents();
+            }
             if (!await this.forwardEvents(events, answered)) {
                 return this.endAtDeadline(answered, "unread");
             }
--- a/src/request/routed/UpstreamSender.test.ts
+++ b/src/request/routed/UpstreamSender.test.ts
@@ -96,6 +96,7 @@
             wire: { forwardHeaders: () => [] },
             connections,
             pool,
+            crashes: { findHeld: () => undefined, observeInterruption: () => undefined },
             budgetOf: () => budget,
             position: () => POSITION,
         } as unknown as senders.SenderContext;
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -11,6 +11,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../connection/UpstreamExchange";
+import * as crashMonitors from "../../process/crashes/CrashMonitor";
 import * as pools from "../../process/instances/InstancePool";
 import * as traffic from "../../process/instances/InstanceTraffic";
 import * as budgets from "../../process/instances/ServiceRetryBudget";
@@ -38,6 +39,7 @@
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
+    readonly crashes: Pick<crashMonitors.CrashMonitor, "findHeld" | "observeAnswer" | "observeInterruption">;
     /** Position of the published view, logged with each send. */
     readonly position: () => positions.Position;
 }
@@ -69,6 +71,7 @@
 /** A call that was sent and has not ended. */
 export interface SentCall {
     readonly sentAtMs: number;
+    readonly instance: routing.RoutedInstance;
     readonly ticket: traffic.Ticket;
     readonly traffic: traffic.InstanceTraffic;
     /** Expected time to the first event on the best other instance; undefined when the call can't be moved. */
@@ -93,6 +96,7 @@
     const isAllowed = history.sends === 0 || context.budgetOf(call.service).canSpend;
     return hasTime
         && isAllowed
+        && context.crashes.findHeld(call.metadata.promptParts) === undefined
         && history.sends < MAX_SENDS
         && context.pool.expectedFirstEventMs(requirementsOf(context, call, history, [])) !== undefined;
 }
@@ -125,6 +129,7 @@
     const remainingMs = call.hardDeadlineAtMs - sentAtMs;
     const sent: SentCall = {
         sentAtMs,
+        instance,
         ticket,
         traffic: chosen.traffic,
         elsewhereMs: () => findElsewhereMs(context, call, history, options.inputs),
@@ -155,6 +160,9 @@
     if (exchange.kind === "failed" && exchange.reason === "held") {
         takeBackSend(context, call, history);
     }
+    if (exchange.kind === "failed" && exchange.reason === "reset" && exchange.isDispatched) {
+        context.crashes.observeInterruption(instance, call.metadata.promptParts, call.metadata.attempt);
+    }
     const outcome = exchange.kind === "failed"
         ? classifyFailure(exchange, ticket)
         : classifyAnswer(context, call, exchange, sent, chosen);
@@ -174,6 +182,10 @@
     history: histories.CallHistory,
     inputs: readonly CallInput[],
 ): pools.ChosenInstance | undefined {
+    history.heldParts = context.crashes.findHeld(call.metadata.promptParts);
+    if (history.heldParts !== undefined) {
+        return undefined;
+    }
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
         history.heldRetryAfterMs = context.pool.holds.callerRetryAfterMs(call.service, history.softwareVersion);
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -47,6 +47,8 @@
     pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
+    /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
+    crashPart?: string | undefined;
     /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
     hang?: boolean | "calls" | undefined;
 }
@@ -72,6 +74,9 @@
     readonly answerBytes?: number;
 }
 
+/** Time from a crash to the next start. */
+const CRASH_DOWN_MS = 300;
+
 /** Simulates one engine with an HTTP server on 127.0.0.1. */
 export class PlatformEngineStandIn {
     faults: EngineFaults = {};
@@ -92,8 +97,13 @@
     rejectedCalls = 0;
     private nextHandle = 1;
     private bornMs: number;
+    private isDisposed = false;
     private readonly sockets = new Set<net.Socket>();
     private listener: listeners.Listener | undefined;
+    /** Number of times that a prompt ended the engine. */
+    crashes = 0;
+    /** Called when the engine has started again after a crash. */
+    onRestart: () => void = () => undefined;
 
     constructor(public options: EngineOptions) {
         this.bornMs = options.startedMs ?? 1_700_000_000_000;
@@ -120,14 +130,28 @@
         };
     }
 
-    async listen(): Promise<void> {
+    async listen(address = "127.0.0.1:0"): Promise<void> {
         const server = http.createServer((request, response) => void this.handle(request, response));
         server.on("connection", (socket: net.Socket) => {
             socket.setNoDelay(true);
             this.sockets.add(socket);
             socket.on("close", () => this.sockets.delete(socket));
         });
-        this.listener = await listeners.listen(server, "127.0.0.1:0");
+        this.listener = await listeners.listen(server, address);
+    }
+
+    /** Simulates the end of the process, and a new start at the same address after a while. */
+    private crash(): void {
+        this.crashes++;
+        const { address } = this;
+        this.listener?.dispose();
+        this.sockets.forEach(socket => socket.destroy());
+        setTimeout(() => {
+            if (!this.isDisposed) {
+                this.bornMs++;
+                void this.listen(address).then(() => this.onRestart());
+            }
+        }, CRASH_DOWN_MS);
     }
 
     /** Simulates a new start at the same address, by default with the same id and software; ends all connections. */
@@ -139,6 +163,7 @@
     }
 
     dispose(): void {
+        this.isDisposed = true;
         this.listener?.dispose();
     }
 
@@ -214,6 +239,11 @@
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         }
+        if (this.faults.crashPart !== undefined && hasPart(request.headers, this.faults.crashPart)) {
+            response.flushHeaders();
+            this.crash();
+            return;
+        }
         for (let id = Number(request.headers["last-event-id"] ?? 0) + 1; id <= eventCount; id++) {
             if (this.faults.breakAfterEvent !== undefined && id > this.faults.breakAfterEvent) {
                 response.write(`id: ${id}\nda`);
@@ -263,6 +293,11 @@
     return String(headers["pieces"] ?? "").split(",").some(count => Number(count) > 0);
 }
 
+/** Whether a call's prompt has a part. */
+function hasPart(headers: http.IncomingHttpHeaders, part: string): boolean {
+    return String(headers["prefix-hash"] ?? "").split(",").some(entry => entry.startsWith(`${part}:`));
+}
+
 async function readBody(request: http.IncomingMessage): Promise<string> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -52,7 +52,9 @@
         const engine = new engines.PlatformEngineStandIn(options);
         await engine.listen();
         this.engines.push(engine);
-        this.store.put(`servers/${options.id}`, engine.createStoreRecord());
+        const publish = (): void => this.store.put(`servers/${options.id}`, engine.createStoreRecord());
+        engine.onRestart = publish;
+        publish();
     }
 
     /** Publishes a configuration with `change` merged into its top level. */
