End a stage call whose answer stops after its head

Cause of what is mended here: the body of a stage worker's answer, or of a release, was read without a time limit. A worker that stopped after the head kept the exchange and its connection open for good ('stage call ended' was never logged). Evidence: EndlessAnswers.test.ts, 'is made again elsewhere in time, and ended': on the code before, the connection was still open after 8 s. The callers were served there too, since overdue pieces are made elsewhere; so this isn't shown to be the users' case, which doesn't say whether heads had arrived. Change: such short bodies follow the rule of the store's answers: 2 s without a byte, or a mean below 16 KB/s, ends them. The other cases of the new test (bytes without end, in heads, bodies and events, from services, model engines and stage workers) passed before and stay as guards.

--- a/src/process/adapters/BodyTimeout.ts
+++ b/src/connection/BodyTimeout.ts
@@ -1,9 +1,9 @@
 /**
  * Watches the flow of a response body and reports when its transfer is to be given up.
  */
-import * as clocks from "../../common/Clock";
-import * as readTimers from "../../common/ReadTimer";
-import * as transferLimits from "../../common/TransferLimit";
+import * as clocks from "../common/Clock";
+import * as readTimers from "../common/ReadTimer";
+import * as transferLimits from "../common/TransferLimit";
 
 /** What the time-out needs from its exchange. */
 export interface BodyTimeoutOptions {
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -7,11 +7,15 @@
 import * as addresses from "../common/Address";
 import * as clocks from "../common/Clock";
 import * as readTimers from "../common/ReadTimer";
+import * as transferLimits from "../common/TransferLimit";
+import * as bodyTimeouts from "./BodyTimeout";
 import * as upstreamConnections from "./UpstreamConnections";
 
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Limits of a short body. */
+const BODY_LIMITS: transferLimits.TransferLimits = { silenceMs: 2_000, minBytesPerSecond: 16_000 };
 /** Statuses of answers without a body. */
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Lower statuses aren't those of an answer. */
@@ -240,3 +244,17 @@
         body.on("close", () => resolve(undefined));
     });
 }
+
+/** Reads a short body to its end; undefined also if it stops or trickles. */
+export async function readShortBody(
+    answer: OpenAnswer,
+    maxBytes: number,
+    clock: clocks.Clock,
+): Promise<Buffer | undefined> {
+    const { body } = answer;
+    const timeout = new bodyTimeouts.BodyTimeout({ clock, limits: BODY_LIMITS, onTimeout: () => body.destroy() });
+    body.on("data", (chunk: Buffer) => timeout.receive(chunk.length));
+    const content = await readBody(answer, maxBytes);
+    timeout.dispose();
+    return content;
+}
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -12,7 +12,7 @@
 import * as ports from "../../common/Ports";
 import * as readTimers from "../../common/ReadTimer";
 import * as transferLimits from "../../common/TransferLimit";
-import * as bodyTimeouts from "./BodyTimeout";
+import * as bodyTimeouts from "../../connection/BodyTimeout";
 
 /** Time to establish a new connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
--- a/src/process/stages/ResultReleaser.ts
+++ b/src/process/stages/ResultReleaser.ts
@@ -124,7 +124,7 @@
         else {
             this.logFailure(maker, handles, `status ${response.status}`, startedMs);
         }
-        await exchanges.readBody(response, MAX_RESPONSE_BYTES);
+        await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
     }
 
     private logFailure(maker: string, handles: readonly string[], reason: string, startedMs: number): void {
--- a/src/process/stages/StageHost.ts
+++ b/src/process/stages/StageHost.ts
@@ -260,7 +260,7 @@
             holds.start(address, published, holdMs, "stage-call");
         }
         this.options.onAnswer(published, response);
-        const content = await exchanges.readBody(response, MAX_RESPONSE_BYTES);
+        const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
         const pieceResults = response.status === 200 && content !== undefined
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
             : undefined;
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -47,6 +47,8 @@
     pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
+    /** Whether answers to stage calls and releases have a head and nothing more. */
+    stalledBody?: boolean | undefined;
     /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
     crashPart?: string | undefined;
     /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
@@ -100,6 +102,8 @@
     private isDisposed = false;
     private readonly sockets = new Set<net.Socket>();
     private listener: listeners.Listener | undefined;
+    /** Number of answers that have a head and nothing more, and whose callers still wait. */
+    stalledAnswers = 0;
     /** Number of times that a prompt ended the engine. */
     crashes = 0;
     /** Called when the engine has started again after a crash. */
@@ -277,6 +281,13 @@
         }
         const content = JSON.parse(body) as { Items?: unknown[]; Handles?: string[] };
         response.writeHead(200, { "content-type": "application/json" });
+        if (this.faults.stalledBody === true) {
+            this.batches.push(content.Items ?? []);
+            response.flushHeaders();
+            this.stalledAnswers++;
+            response.on("close", () => this.stalledAnswers--);
+            return;
+        }
         if (path === "/stage-free") {
             this.releasedHandles.push(...content.Handles ?? []);
             response.end("{}");
