Let prompts crash engines in every soak, and check that few do once the part is known

One more caller sends prompts with a part that ends the engine which begins to answer, behind a link that refuses connections until it has started again, beside all other faults. Checked: after the fifth end and the platform's 3 s, at most three such prompts reach engines from entries free of faults; callers of sound prompts with the same other parts count for the recovery as before.

--- a/soak/Soak.ts
+++ b/soak/Soak.ts
@@ -52,6 +52,7 @@
             { length: options.callerCount },
             (_, index) => new callers.SoakCaller(`c${index}`, fleet, randoms.createRandom(options.seed + index + 1)),
         );
+        soakCallers.push(new callers.SoakCaller("crash", fleet, randoms.createRandom(options.seed), true));
         const callerLoops = soakCallers.map(caller => caller.run());
         await injectFaults(fleet, plan);
         const recoveryEndMs = clocks.systemClock.now() + checks.RECOVERY_MS;
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -6,6 +6,7 @@
 import * as randoms from "../src/common/Random";
 import * as routedFleets from "../standins/platform/RoutedFleet";
 import * as checks from "./SoakChecks";
+import * as soakEngines from "./SoakEngines";
 import * as soakFleets from "./SoakFleet";
 import * as histories from "./SoakHistory";
 
@@ -14,11 +15,18 @@
 /** Time after which a caller closes the connection of an unfinished call. */
 const CLIENT_TIMEOUT_MS = CALL_DEADLINE_MS + 3_000;
 const MEAN_PAUSE_MS = 60;
+/** The same between calls that crash engines. */
+const MEAN_CRASH_PAUSE_MS = 500;
 /** Largest number of attempts to resume a stream. */
 const MAX_RESUMPTIONS = 3;
 /** Share of calls to a route that only one configuration version has. */
 const VERSION_ROUTE_SHARE = 0.1;
 
+/** A prompt with the part that crashes engines; its other parts are those of sound prompts too. */
+const CRASH_PROMPT = { ...routedFleets.PROMPT_HEADERS, "Prefix-Hash": `5c:800,${soakEngines.CRASH_PART}:410,e4:250` };
+/** The route of the calls that crash engines, which aren't resumed. */
+const CRASH_ROUTE = "once";
+
 /** Sends calls until it is stopped, and records them in the history. */
 export class SoakCaller {
     private readonly agent = new http.Agent({ keepAlive: true });
@@ -29,12 +37,15 @@
         private readonly name: string,
         private readonly fleet: soakFleets.SoakFleet,
         private readonly random: randoms.Random,
+        /** Whether it sends only calls that crash engines. */
+        private readonly isCrashing = false,
     ) {}
 
     async run(): Promise<void> {
         while (!this.isStopped) {
             await this.runWithResumptions();
-            await clocks.sleep(clocks.systemClock, MEAN_PAUSE_MS * this.random() * 2);
+            const meanPauseMs = this.isCrashing ? MEAN_CRASH_PAUSE_MS : MEAN_PAUSE_MS;
+            await clocks.sleep(clocks.systemClock, meanPauseMs * this.random() * 2);
         }
         this.agent.destroy();
     }
@@ -69,6 +80,7 @@
             body: "",
             isWhole: false,
             hasRetryAfter: false,
+            isCrashing: this.isCrashing,
             resumes,
         };
         return new Promise(resolve => {
@@ -86,7 +98,8 @@
 
     private sendRequest(call: histories.SoakCall, finish: () => void): http.ClientRequest {
         const [host, port] = this.fleet.entries[call.entry]!.callerAddress.split(":");
-        const kindHeaders = call.route === "staged" ? routedFleets.STAGED_HEADERS : routedFleets.PROMPT_HEADERS;
+        const promptHeaders = this.isCrashing ? CRASH_PROMPT : routedFleets.PROMPT_HEADERS;
+        const kindHeaders = call.route === "staged" ? routedFleets.STAGED_HEADERS : promptHeaders;
         const headers = {
             Host: "desk.example",
             "Attempt-Id": call.attempt,
@@ -116,6 +129,9 @@
     }
 
     private drawRoute(): string {
+        if (this.isCrashing) {
+            return CRASH_ROUTE;
+        }
         if (this.random() < VERSION_ROUTE_SHARE) {
             const newest = this.fleet.newestVersion;
             const version = this.random() < 0.5 ? newest : Math.max(1, newest - 1);
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -18,6 +18,9 @@
 const HOLD_TRANSIT_MS = 500;
 /** Platform limit: most calls from one entry that may reach an engine later in its hold. */
 const MAX_ARRIVALS_IN_HOLD = 2;
+/** Platform limits: ends of engines from which a part must be known, and most prompts with it that reach one later. */
+const KNOWN_CRASHES = 5;
+const MAX_LATE_CRASHES = 3;
 /** Time for the system to recover once all faults have ended. */
 export const RECOVERY_MS = 12_000;
 /** Minimum share of the calls after the recovery that must be served. */
@@ -62,6 +65,7 @@
     { name: "an engine that leaves gets nothing more", find: findRunsAfterLeaving },
     { name: "an engine that has told an entry that it leaves gets nothing more from it", find: findRunsAfterSign },
     { name: "an engine that asks for a hold gets nothing in it", find: findArrivalsInHolds },
+    { name: "few prompts reach engines with a part that is known to crash them", find: findLateCrashes },
     { name: "a planned stop cuts nothing", find: findCallsAbortedByStop },
     { name: "a refusal says when to come back", find: findMissingRetryAfter },
     { name: "no process ends by itself", find: findUnexpectedExits },
@@ -77,7 +81,7 @@
 /** A violation if too few of the calls sent from `fromMs` on were served; undefined otherwise. */
 export function findRecoveryViolation(history: histories.SoakHistory, fromMs: number): Violation | undefined {
     const calls = history.calls.filter(call =>
-        call.sentMs >= fromMs && histories.CALL_KINDS.some(kind => kind === call.route)
+        call.sentMs >= fromMs && call.isCrashing !== true && histories.CALL_KINDS.some(kind => kind === call.route)
     );
     const served = calls.filter(call => call.status === 200 && call.isWhole);
     const detail = { calls: calls.length, unserved: calls.filter(call => !served.includes(call)) };
@@ -295,6 +299,18 @@
     });
 }
 
+/** Finds calls with the part that crashes engines which undisturbed entries sent on once they had to know the part. */
+function findLateCrashes(history: histories.SoakHistory): readonly unknown[] {
+    const crashes = history.faults.filter(fault => fault.kind === "crash").sort((a, b) => a.fromMs - b.fromMs);
+    const knownFromMs = (crashes[KNOWN_CRASHES - 1]?.fromMs ?? Infinity) + UNDISTURBED_MS;
+    const late = crashes.filter(({ attempt, fromMs }) => {
+        const call = history.calls.find(other => other.attempt === attempt);
+        return fromMs > knownFromMs && call !== undefined
+            && history.isUndisturbed(call.entry, fromMs - UNDISTURBED_MS, fromMs);
+    });
+    return late.length > MAX_LATE_CRASHES ? late : [];
+}
+
 function findMissingRetryAfter(history: histories.SoakHistory): readonly unknown[] {
     return history.calls.filter(call => call.status === 429 && !call.hasRetryAfter);
 }
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -2,7 +2,10 @@
  * The engines of a soak.
  */
 import * as engines from "../standins/platform/PlatformEngineStandIn";
+import * as stores from "../standins/platform/PlatformStoreStandIn";
+import * as relays from "../standins/TcpRelay";
 import * as checks from "./SoakChecks";
+import * as histories from "./SoakHistory";
 
 /** Processing time of an engine per call, and its time between two events of a stream. */
 const CALL_WORK_MS = 20;
@@ -30,3 +33,40 @@
     const softwareVersion = `v${1 + Math.floor(number / 2) % VERSION_COUNT}`;
     return events === undefined ? options : { ...options, events, softwareVersion };
 }
+
+/** An engine and the link on which entries reach it. */
+export interface Engine {
+    readonly standIn: engines.PlatformEngineStandIn;
+    readonly link: relays.TcpRelay;
+}
+
+/** A part of prompts that crashes the engines that begin to answer them. */
+export const CRASH_PART = "bad0";
+
+/** Lets prompts with this part end an engine, whose link refuses connections until it has started again. */
+export function letCrash(
+    { standIn, link }: Engine,
+    events: { readonly onCrash: (attempt: string) => void; readonly onRestart: () => void },
+): void {
+    standIn.crashPart = CRASH_PART;
+    standIn.onCrash = attempt => {
+        link.refuse();
+        events.onCrash(attempt);
+    };
+    standIn.onRestart = () => {
+        link.acceptAgain();
+        events.onRestart();
+    };
+}
+
+/** Puts an engine's record into the store, unless it was published as draining. */
+export function publish(
+    store: stores.PlatformStoreStandIn,
+    history: histories.SoakHistory,
+    { standIn, link }: Engine,
+): void {
+    const { id } = standIn.options;
+    if (!history.drainingSinceMs.has(id)) {
+        store.put(`servers/${id}`, standIn.createStoreRecord("ready", link.address));
+    }
+}
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -39,19 +39,14 @@
     readonly links: Record<typeof faults.LINK_NAMES[number], relays.TcpRelay>;
 }
 
-interface Engine {
-    readonly standIn: engines.PlatformEngineStandIn;
-    readonly link: relays.TcpRelay;
-}
-
 /** The processes and stand-ins of one soak, and the injection of faults into them. */
 export class SoakFleet implements clocks.Disposable {
     readonly entries: Entry[] = [];
     readonly logFile: string;
     private readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-soak-"));
     private readonly store = new stores.PlatformStoreStandIn();
-    private readonly engines: Engine[] = [];
-    private readonly removedEngines: Engine[] = [];
+    private readonly engines: soakEngines.Engine[] = [];
+    private readonly removedEngines: soakEngines.Engine[] = [];
     private version = 0;
     private nextEngineNumber = 1;
     private isDisposed = false;
@@ -154,7 +149,12 @@
         const { id } = standIn.options;
         await standIn.listen();
         const link = await relays.TcpRelay.listen(portOf(standIn.address));
-        this.engines.push({ standIn, link });
+        const engine = { standIn, link };
+        this.engines.push(engine);
+        soakEngines.letCrash(engine, {
+            onCrash: attempt => this.recordFault({ kind: "crash", engine: id, attempt }, engines.CRASH_DOWN_MS),
+            onRestart: () => soakEngines.publish(this.store, this.history, engine),
+        });
         const fromMs = clocks.systemClock.now();
         this.history.engines.push({
             id,
@@ -163,7 +163,7 @@
             fromMs,
             leavesAtMs: Infinity,
         });
-        this.store.put(`servers/${id}`, standIn.createStoreRecord("ready", link.address));
+        soakEngines.publish(this.store, this.history, engine);
     }
 
     private async addEntry(
@@ -291,7 +291,7 @@
     }
 
     /** Lets an engine leave, and adds one with a new name in its place. */
-    private replaceEngine(engine: Engine): void {
+    private replaceEngine(engine: soakEngines.Engine): void {
         const { standIn, link } = engine;
         const { id, service, failureDomain, events } = standIn.options;
         if (standIn.isLeaving) {
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -30,6 +30,8 @@
     /** Whether the answer was framed and received completely. */
     isWhole: boolean;
     hasRetryAfter: boolean;
+    /** Whether its prompt has the part that crashes engines. */
+    readonly isCrashing?: boolean | undefined;
     /** Set for a call that resumes a stream. */
     readonly resumes?: { readonly firstAttempt: string; readonly lastEventId: number } | undefined;
 }
@@ -72,6 +74,8 @@
     /** Index of the affected entry; undefined if an engine or all entries are affected. */
     readonly entry?: number | undefined;
     readonly engine?: string | undefined;
+    /** The call that caused it, if one did. */
+    readonly attempt?: string | undefined;
     readonly fromMs: number;
     toMs: number;
 }
--- a/standins/TcpRelay.ts
+++ b/standins/TcpRelay.ts
@@ -50,6 +50,18 @@
         }
     }
 
+    /** Refuses connections and ends those that are open, as when nothing listens there. */
+    refuse(): void {
+        this.mode = "cut";
+        this.server.close();
+    }
+
+    /** Accepts connections again after `refuse`. */
+    acceptAgain(): void {
+        this.mode = "pass";
+        this.server.listen(this.port, "127.0.0.1");
+    }
+
     dispose(): void {
         this.mode = "cut";
         this.server.close();
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -49,8 +49,6 @@
     unframed?: boolean | undefined;
     /** Whether answers to stage calls and releases have a head and nothing more. */
     stalledBody?: boolean | undefined;
-    /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
-    crashPart?: string | undefined;
     /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
     hang?: boolean | "calls" | undefined;
 }
@@ -77,7 +75,7 @@
 }
 
 /** Time from a crash to the next start. */
-const CRASH_DOWN_MS = 300;
+export const CRASH_DOWN_MS = 300;
 
 /** Simulates one engine with an HTTP server on 127.0.0.1. */
 export class PlatformEngineStandIn {
@@ -104,9 +102,12 @@
     private listener: listeners.Listener | undefined;
     /** Number of answers that have a head and nothing more, and whose callers still wait. */
     stalledAnswers = 0;
-    /** Number of times that a prompt ended the engine. */
-    crashes = 0;
-    /** Called when the engine has started again after a crash. */
+    /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
+    crashPart: string | undefined;
+    /** The attempts whose prompts ended the engine. */
+    readonly crashes: string[] = [];
+    /** Called when a prompt ends the engine, and when it has started again. */
+    onCrash: (attempt: string) => void = () => undefined;
     onRestart: () => void = () => undefined;
 
     constructor(public options: EngineOptions) {
@@ -145,8 +146,9 @@
     }
 
     /** Simulates the end of the process, and a new start at the same address after a while. */
-    private crash(): void {
-        this.crashes++;
+    private crash(attempt: string): void {
+        this.crashes.push(attempt);
+        this.onCrash(attempt);
         const { address } = this;
         this.listener?.dispose();
         this.sockets.forEach(socket => socket.destroy());
@@ -243,9 +245,9 @@
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         }
-        if (this.faults.crashPart !== undefined && hasPart(request.headers, this.faults.crashPart)) {
+        if (this.crashPart !== undefined && hasPart(request.headers, this.crashPart)) {
             response.flushHeaders();
-            this.crash();
+            this.crash(attemptId);
             return;
         }
         for (let id = Number(request.headers["last-event-id"] ?? 0) + 1; id <= eventCount; id++) {
--- a/tests/CrashingPrompts.test.ts
+++ b/tests/CrashingPrompts.test.ts
@@ -45,12 +45,12 @@
 }
 
 function countCrashes(): number {
-    return fleet.engines.reduce((sum, engine) => sum + engine.crashes, 0);
+    return fleet.engines.reduce((sum, engine) => sum + engine.crashes.length, 0);
 }
 
 /** Sends prompts with the part to all entries in turn, with sound ones of the same caller beside them. */
 async function crashEngines(): Promise<void> {
-    fleet.engines.forEach(engine => engine.faults = { crashPart: CRASH_PART });
+    fleet.engines.forEach(engine => engine.crashPart = CRASH_PART);
     let rejections = 0;
     for (let turn = 0; countCrashes() < LEARNT_CRASHES && rejections < ENTRIES; turn++) {
         const entry = turn % fleet.entries.length;
