--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -70,6 +70,8 @@
     readonly eventIntervalMs?: number;
     /** Time between the arrival of a call and the start of its answer. */
     readonly serviceMs?: number;
+    /** Time between the arrival of a stage call and its answer. */
+    readonly stageMs?: number;
     /** Size of each answer that isn't a stream; undefined for a short one. */
     readonly answerBytes?: number;
 }
@@ -199,7 +201,7 @@
             return;
         }
         if (request.url === "/stage-run" || request.url === "/stage-free") {
-            this.handleStage(request.url, body, response);
+            await this.handleStage(request.url, body, response);
             return;
         }
         if (hasPieces(request.headers) && request.headers["inputs"] === undefined) {
@@ -277,12 +279,12 @@
         await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
 
-    private handleStage(path: string, body: string, response: http.ServerResponse): void {
+    private async handleStage(path: string, body: string, response: http.ServerResponse): Promise<void> {
         if (this.faults.hang) {
             return;
         }
         const content = JSON.parse(body) as { Items?: unknown[]; Handles?: string[] };
-        response.writeHead(200, { "content-type": "application/json" });
+        response.setHeader("content-type", "application/json");
         if (this.faults.stalledBody === true) {
             this.batches.push(content.Items ?? []);
             response.flushHeaders();
@@ -296,6 +298,7 @@
             return;
         }
         this.batches.push(content.Items ?? []);
+        await new Promise(resolve => setTimeout(resolve, this.options.stageMs ?? 0));
         const items = (content.Items ?? []).map(() => ({ Handle: `${this.address}/${this.nextHandle++}` }));
         response.end(JSON.stringify({ Items: items }));
     }
