Tell parts of prompts with long names in short, and keep an update's small items back before the first view

Callers choose the names of parts; a message with longer ones than the schema allows would close the connection to the other entry (CrashMonitor.test.ts, 'with parts of any length', new with this code). Before the first view of the store, items that are applied by themselves would count as the listing; found by reading.

--- a/src/process/crashes/CrashMonitor.ts
+++ b/src/process/crashes/CrashMonitor.ts
@@ -3,6 +3,7 @@
  * calls whose prompts have parts that crash instances. A connection may also be lost while its instance serves on, so an
  * interruption counts only once the instance's address refuses connections.
  */
+import * as crypto from "node:crypto";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
@@ -17,6 +18,8 @@
 const SAME_END_MS = 1_000;
 /** Interval of the notes of calls that are held back. */
 const NOTE_INTERVAL_MS = 1_000;
+/** Longer names of parts are replaced by their digests. */
+const MAX_NAME_LENGTH = 64;
 
 /** What the monitor needs from its process. */
 export interface CrashMonitorOptions {
@@ -32,10 +35,19 @@
     readonly parts: Set<string>;
 }
 
-/** Parts of a prompt that other prompts may share: all but the last one, which belongs to the request. */
-export function sharedParts(parts: readonly routingPorts.PromptPart[]): string[] {
-    const ids = parts.map(part => part.id);
-    return ids.length > 1 ? ids.slice(0, -1) : ids;
+/** The names of a prompt's parts, as entries tell each other. Callers choose them, and they may be of any length. */
+function partNames(prompt: readonly routingPorts.PromptPart[]): string[] {
+    return prompt.map(({ id }) => id.length > MAX_NAME_LENGTH ? digestName(id) : id);
+}
+
+/** Those that other prompts may share: all but the last one, which belongs to the request. */
+function sharedPartNames(prompt: readonly routingPorts.PromptPart[]): string[] {
+    const names = partNames(prompt);
+    return names.length > 1 ? names.slice(0, -1) : names;
+}
+
+function digestName(id: string): string {
+    return crypto.createHash("sha256").update(id).digest("hex");
 }
 
 /** Observes the calls of this process. */
@@ -63,7 +75,7 @@
         prompt: readonly routingPorts.PromptPart[],
         attempt: string,
     ): void {
-        const parts = sharedParts(prompt);
+        const parts = sharedPartNames(prompt);
         if (parts.length === 0) {
             return;
         }
@@ -80,7 +92,7 @@
 
     /** Records that an instance has answered a call's prompt. */
     observeAnswer(prompt: readonly routingPorts.PromptPart[]): void {
-        this.options.evidence.recordAnswer(sharedParts(prompt));
+        this.options.evidence.recordAnswer(sharedPartNames(prompt));
     }
 
     /** The suspected parts that a prompt has, for which its call must not be sent; undefined if it has none. */
@@ -89,8 +101,8 @@
         if (suspected.length === 0) {
             return undefined;
         }
-        const ids = new Set(prompt.map(part => part.id));
-        const held = suspected.find(({ parts }) => [...parts].every(part => ids.has(part)));
+        const names = new Set(partNames(prompt));
+        const held = suspected.find(({ parts }) => [...parts].every(part => names.has(part)));
         if (held === undefined) {
             return undefined;
         }
--- a/src/process/peers/UpdateTransfer.ts
+++ b/src/process/peers/UpdateTransfer.ts
@@ -53,7 +53,8 @@
             return;
         }
         const { view } = this.options;
-        if (!assembly.isWhole && assembly.position.era === view.position.era) {
+        const isContinuation = !assembly.isWhole && view.position.revision > 0;
+        if (isContinuation && assembly.position.era === view.position.era) {
             // These don't wait for the parts; the view isn't complete up to the update's position yet.
             this.options.apply({ items: assembly.inlineItems, ...view.position, isWhole: false }, source.instance);
         }
