--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -47,8 +47,8 @@
     pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
-    /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
-    crashPart?: string | undefined;
+    /** Whether answers to stage calls and releases have a head and nothing more. */
+    stalledBody?: boolean | undefined;
     /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
     hang?: boolean | "calls" | undefined;
 }
@@ -70,12 +70,14 @@
     readonly eventIntervalMs?: number;
     /** Time between the arrival of a call and the start of its answer. */
     readonly serviceMs?: number;
+    /** Time between the arrival of a stage call and its answer. */
+    readonly stageMs?: number;
     /** Size of each answer that isn't a stream; undefined for a short one. */
     readonly answerBytes?: number;
 }
 
 /** Time from a crash to the next start. */
-const CRASH_DOWN_MS = 300;
+export const CRASH_DOWN_MS = 300;
 
 /** Simulates one engine with an HTTP server on 127.0.0.1. */
 export class PlatformEngineStandIn {
@@ -100,9 +102,14 @@
     private isDisposed = false;
     private readonly sockets = new Set<net.Socket>();
     private listener: listeners.Listener | undefined;
-    /** Number of times that a prompt ended the engine. */
-    crashes = 0;
-    /** Called when the engine has started again after a crash. */
+    /** Number of answers that have a head and nothing more, and whose callers still wait. */
+    stalledAnswers = 0;
+    /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
+    crashPart: string | undefined;
+    /** The attempts whose prompts ended the engine. */
+    readonly crashes: string[] = [];
+    /** Called when a prompt ends the engine, and when it has started again. */
+    onCrash: (attempt: string) => void = () => undefined;
     onRestart: () => void = () => undefined;
 
     constructor(public options: EngineOptions) {
@@ -141,8 +148,9 @@
     }
 
     /** Simulates the end of the process, and a new start at the same address after a while. */
-    private crash(): void {
-        this.crashes++;
+    private crash(attempt: string): void {
+        this.crashes.push(attempt);
+        this.onCrash(attempt);
         const { address } = this;
         this.listener?.dispose();
         this.sockets.forEach(socket => socket.destroy());
@@ -193,7 +201,7 @@
             return;
         }
         if (request.url === "/stage-run" || request.url === "/stage-free") {
-            this.handleStage(request.url, body, response);
+            await this.handleStage(request.url, body, response);
             return;
         }
         if (hasPieces(request.headers) && request.headers["inputs"] === undefined) {
@@ -239,9 +247,9 @@
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         }
-        if (this.faults.crashPart !== undefined && hasPart(request.headers, this.faults.crashPart)) {
+        if (this.crashPart !== undefined && hasPart(request.headers, this.crashPart)) {
             response.flushHeaders();
-            this.crash();
+            this.crash(attemptId);
             return;
         }
         for (let id = Number(request.headers["last-event-id"] ?? 0) + 1; id <= eventCount; id++) {
@@ -271,18 +279,26 @@
         await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
 
-    private handleStage(path: string, body: string, response: http.ServerResponse): void {
+    private async handleStage(path: string, body: string, response: http.ServerResponse): Promise<void> {
         if (this.faults.hang) {
             return;
         }
         const content = JSON.parse(body) as { Items?: unknown[]; Handles?: string[] };
-        response.writeHead(200, { "content-type": "application/json" });
+        response.setHeader("content-type", "application/json");
+        if (this.faults.stalledBody === true) {
+            this.batches.push(content.Items ?? []);
+            response.flushHeaders();
+            this.stalledAnswers++;
+            response.on("close", () => this.stalledAnswers--);
+            return;
+        }
         if (path === "/stage-free") {
             this.releasedHandles.push(...content.Handles ?? []);
             response.end("{}");
             return;
         }
         this.batches.push(content.Items ?? []);
+        await new Promise(resolve => setTimeout(resolve, this.options.stageMs ?? 0));
         const items = (content.Items ?? []).map(() => ({ Handle: `${this.address}/${this.nextHandle++}` }));
         response.end(JSON.stringify({ Items: items }));
     }
