--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -271,7 +271,12 @@
             return [];
         }
         const fromMs = rejection.atMs + HOLD_TRANSIT_MS;
-        const toMs = rejection.atMs + Number(rejection.retryAfter) * 1_000;
+        // A new start of the engine knows nothing of the hold.
+        const crashes = history.faults.filter(fault =>
+            fault.kind === "crash" && fault.engine === rejection.engine && fault.fromMs > rejection.atMs
+        );
+        const endMs = rejection.atMs + Number(rejection.retryAfter) * 1_000;
+        const toMs = Math.min(endMs, ...crashes.map(crash => crash.fromMs));
         const arrivals = history.arrivals.filter(other =>
             other.engine === rejection.engine && other.atMs > fromMs && other.atMs < toMs && entryOf(other) === entry
         );
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -54,8 +54,10 @@
         events.onCrash(attempt);
     };
     standIn.onRestart = () => {
-        link.acceptAgain();
-        events.onRestart();
+        if (!standIn.isLeaving) { // Otherwise it is gone.
+            link.acceptAgain();
+            events.onRestart();
+        }
     };
 }
 
