--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -227,3 +227,6 @@
     /** Parts of prompts that instances have answered. */
     answered: z.array(z.object({ part: partId, ageMs })).max(MAX_TOLD_PARTS),
 });
+
+/** Ends of instances, and answered parts. */
+export type Crashes = z.infer<typeof crashesSchema>;
--- a/src/process/crashes/CrashExchange.ts
+++ b/src/process/crashes/CrashExchange.ts
@@ -19,6 +19,8 @@
 /** Interval at which the same answered part is told again. */
 const ANSWERED_INTERVAL_MS = 1_000;
 
+type ToldCrash = entryMessages.Crashes["crashes"][number];
+
 /** What the exchange needs from its process. */
 export interface CrashExchangeOptions {
     readonly clock: clocks.Clock;
@@ -125,23 +127,26 @@
         crashes: readonly crashEvidence.Crash[],
         answered: readonly string[],
     ): void {
+        const encodedCrashes = crashes.map(crash => this.encodeCrash(crash));
+        const encodedAnswered = answered.map(part => this.encodeAnswered(part));
+        if (encodedAnswered.length > 0) {
+            connection.send({ kind: "crashes", crashes: [], answered: encodedAnswered });
+        }
+        for (let first = 0; first < encodedCrashes.length; first += entryMessages.MAX_TOLD_CRASHES) {
+            const told = encodedCrashes.slice(first, first + entryMessages.MAX_TOLD_CRASHES);
+            connection.send({ kind: "crashes", crashes: told, answered: [] });
+        }
+    }
+
+    private encodeCrash({ atMs, seenAtMs, parts, ...identity }: crashEvidence.Crash): ToldCrash {
+        const nowMs = this.options.clock.now();
+        const seenAgeMs = Math.max(0, nowMs - seenAtMs);
+        return { ...identity, ageMs: Math.max(0, nowMs - atMs), seenAgeMs, parts: [...parts] };
+    }
+
+    private encodeAnswered(part: string): entryMessages.Crashes["answered"][number] {
         const { clock, evidence } = this.options;
         const nowMs = clock.now();
-        const toldCrashes = crashes.map(({ atMs, seenAtMs, parts, ...crash }) => ({
-            ...crash,
-            ageMs: nowMs - atMs,
-            seenAgeMs: Math.max(0, nowMs - seenAtMs),
-            parts: [...parts],
-        }));
-        const toldAnswered = answered.map(part => ({ part, ageMs: nowMs - (evidence.lastAnsweredMs(part) ?? nowMs) }));
-        const messageCount = Math.max(1, Math.ceil(toldCrashes.length / entryMessages.MAX_TOLD_CRASHES));
-        for (let index = 0; index < messageCount; index++) {
-            const first = index * entryMessages.MAX_TOLD_CRASHES;
-            connection.send({
-                kind: "crashes",
-                crashes: toldCrashes.slice(first, first + entryMessages.MAX_TOLD_CRASHES),
-                answered: index === 0 ? toldAnswered : [],
-            });
-        }
+        return { part, ageMs: Math.max(0, nowMs - (evidence.lastAnsweredMs(part) ?? nowMs)) };
     }
 }
--- a/src/process/crashes/CrashMonitor.ts
+++ b/src/process/crashes/CrashMonitor.ts
@@ -56,7 +56,7 @@
     private readonly crashEmitter = new emitters.Emitter<crashEvidence.Crash>();
     private suspectedKeys = new Map<string, crashEvidence.SuspectedParts>();
     private notedAtMs = -Infinity;
-    /** Number of calls that were held back. */
+    /** Number of checks that held a call back. */
     heldCalls = 0;
 
     /** Fires with each end of an instance that this process has found. */
