--- a/src/common/TransferLimit.ts
+++ b/src/common/TransferLimit.ts
@@ -12,6 +12,9 @@
     readonly minBytesPerSecond: number;
 }
 
+/** Limits of a body that is read as a whole; a sound sender may fall silent for about a second. */
+export const BODY_LIMITS: TransferLimits = { silenceMs: 2_000, minBytesPerSecond: 16_000 };
+
 /** The state of a transfer; times in milliseconds on one clock. */
 export interface TransferState {
     readonly startedAtMs: number;
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -14,8 +14,6 @@
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 32 * 1024;
-/** Limits of a short body. */
-const BODY_LIMITS: transferLimits.TransferLimits = { silenceMs: 2_000, minBytesPerSecond: 16_000 };
 /** Statuses of answers without a body. */
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Lower statuses aren't those of an answer. */
@@ -252,7 +250,8 @@
     clock: clocks.Clock,
 ): Promise<Buffer | undefined> {
     const { body } = answer;
-    const timeout = new bodyTimeouts.BodyTimeout({ clock, limits: BODY_LIMITS, onTimeout: () => body.destroy() });
+    const limits = transferLimits.BODY_LIMITS;
+    const timeout = new bodyTimeouts.BodyTimeout({ clock, limits, onTimeout: () => body.destroy() });
     body.on("data", (chunk: Buffer) => timeout.receive(chunk.length));
     const content = await readBody(answer, maxBytes);
     timeout.dispose();
