Find new connections to other entries in one place, and ends of instances by their key

CrashExchange had copied LeavingExchange's record of told connections; both use NewConnections. The comment on listDoubtful stated a check that it doesn't make. Otherwise behaviour as before.

--- a/src/process/crashes/CrashEvidence.ts
+++ b/src/process/crashes/CrashEvidence.ts
@@ -56,9 +56,14 @@
         return [...this.crashes.values()];
     }
 
+    /** The end of an incarnation; undefined if none is remembered. */
+    find(instance: routing.RoutedInstance): Crash | undefined {
+        return this.crashes.get(routing.incarnationKey(instance));
+    }
+
     /** Records the end of an instance, or further parts that it was about to answer; returns whether this is new. */
     recordCrash(crash: Omit<Crash, "seenAtMs">, seenAtMs = crash.atMs): boolean {
-        const key = routing.incarnationKey({ id: crash.instance, startedMs: crash.startedMs });
+        const key = keyOf(crash);
         const known = this.crashes.get(key);
         const atMs = Math.min(crash.atMs, known?.atMs ?? Infinity);
         const parts = new Set(known?.parts);
@@ -96,7 +101,7 @@
         return this.answeredAtMs.get(part);
     }
 
-    /** Parts that occurred in several ends and in no sound answer that this process knows of since. */
+    /** Parts that occurred in several ends, so that it matters whether they have been answered. */
     listDoubtful(): string[] {
         const counts = new Map<string, number>();
         for (const part of this.all.flatMap(crash => [...crash.parts])) {
@@ -116,7 +121,7 @@
     noteSeen(suspected: SuspectedParts): void {
         const nowMs = this.clock.now();
         for (const crash of suspected.crashes) {
-            const key = routing.incarnationKey({ id: crash.instance, startedMs: crash.startedMs });
+            const key = keyOf(crash);
             const known = this.crashes.get(key);
             if (known !== undefined) {
                 this.crashes.set(key, { ...known, seenAtMs: nowMs });
@@ -197,6 +202,10 @@
     }
 }
 
+function keyOf({ instance, startedMs }: Pick<Crash, "instance" | "startedMs">): string {
+    return routing.incarnationKey({ id: instance, startedMs });
+}
+
 function isSameGroups(a: readonly (readonly Crash[])[], b: readonly (readonly Crash[])[]): boolean {
     return a.length === b.length && a.every(group => b.includes(group));
 }
--- a/src/process/crashes/CrashExchange.ts
+++ b/src/process/crashes/CrashExchange.ts
@@ -9,6 +9,7 @@
 import * as logs from "../../common/Log";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "../peers/EntryPeers";
+import * as newConnections from "../peers/NewConnections";
 import * as crashEvidence from "./CrashEvidence";
 import * as crashMonitors from "./CrashMonitor";
 
@@ -34,8 +35,7 @@
 /** Keeps the evidence of this process and of the others alike. */
 export class CrashExchange implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
-    /** Connections whose peers were told all ends. */
-    private readonly toldConnections = new WeakSet<peerConnections.PeerConnection>();
+    private readonly newConnections = new newConnections.NewConnections();
     /** When each part was last told to be answered. */
     private readonly toldAnsweredMs = new Map<string, number>();
 
@@ -81,12 +81,7 @@
             return;
         }
         const { connections } = this;
-        for (const connection of connections) {
-            if (!this.toldConnections.has(connection)) {
-                this.toldConnections.add(connection);
-                this.tell(connection, crashes, []);
-            }
-        }
+        this.newConnections.take(connections).forEach(connection => this.tell(connection, crashes, []));
         const recent = crashes.filter(crash => clock.now() - Math.max(crash.atMs, crash.seenAtMs) < RELAY_MS);
         const picked = connections[Math.floor(random() * connections.length)];
         if (picked !== undefined && recent.length > 0) {
--- a/src/process/crashes/CrashMonitor.ts
+++ b/src/process/crashes/CrashMonitor.ts
@@ -3,13 +3,13 @@
  * calls whose prompts have parts that crash instances. A connection may also be lost while its instance serves on, so an
  * interruption counts only once the instance's address refuses connections.
  */
-import * as crypto from "node:crypto";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as endpointProbes from "../../connection/EndpointProbe";
+import * as deltas from "../../version/ConfigurationDelta";
 import * as crashEvidence from "./CrashEvidence";
 
 /** An ending process closes its connections shortly before or after its listening socket. */
@@ -37,7 +37,7 @@
 
 /** The names of a prompt's parts, as entries tell each other. Callers choose them, and they may be of any length. */
 function partNames(prompt: readonly routingPorts.PromptPart[]): string[] {
-    return prompt.map(({ id }) => id.length > MAX_NAME_LENGTH ? digestName(id) : id);
+    return prompt.map(({ id }) => id.length > MAX_NAME_LENGTH ? deltas.digestText(id) : id);
 }
 
 /** Those that other prompts may share: all but the last one, which belongs to the request. */
@@ -46,10 +46,6 @@
     return names.length > 1 ? names.slice(0, -1) : names;
 }
 
-function digestName(id: string): string {
-    return crypto.createHash("sha256").update(id).digest("hex");
-}
-
 /** Observes the calls of this process. */
 export class CrashMonitor implements clocks.Disposable {
     private readonly possibleEnds = new Map<string, PossibleEnd>();
@@ -164,11 +160,9 @@
         }
     }
 
-    private isKnownEnd({ id, startedMs }: routing.RoutedInstance): boolean {
-        const sinceMs = this.options.clock.now() - SAME_END_MS;
-        return this.options.evidence.all.some(crash =>
-            crash.instance === id && crash.startedMs === startedMs && crash.atMs > sinceMs
-        );
+    private isKnownEnd(instance: routing.RoutedInstance): boolean {
+        const known = this.options.evidence.find(instance);
+        return known !== undefined && known.atMs > this.options.clock.now() - SAME_END_MS;
     }
 
     private note(held: crashEvidence.SuspectedParts): void {
--- a/src/process/instances/LeavingExchange.ts
+++ b/src/process/instances/LeavingExchange.ts
@@ -11,6 +11,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "../peers/EntryPeers";
+import * as newConnections from "../peers/NewConnections";
 import * as leavingInstances from "./LeavingInstances";
 
 /** Interval at which new connections are told all signs, and one peer the recent ones. */
@@ -36,8 +37,7 @@
 /** Keeps the leaving instances known to this process and to the others. */
 export class LeavingExchange implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
-    /** Connections whose peers were told all signs. */
-    private readonly toldConnections = new WeakSet<peerConnections.PeerConnection>();
+    private readonly newConnections = new newConnections.NewConnections();
 
     constructor(private readonly options: LeavingExchangeOptions) {
         this.disposables.add(clocks.every(options.clock, TELL_INTERVAL_MS, () => this.handleTimer()));
@@ -109,11 +109,8 @@
     /** Tells all signs on new connections, and the recent ones to one peer picked at random. */
     private tellRegularly(): void {
         const peers = this.connectedPeers;
-        for (const { connection } of peers) {
-            if (connection !== undefined && !this.toldConnections.has(connection)) {
-                this.toldConnections.add(connection);
-                this.tell(connection, this.options.leaving.signs());
-            }
+        for (const connection of this.newConnections.take(peers.flatMap(peer => peer.connection ?? []))) {
+            this.tell(connection, this.options.leaving.signs());
         }
         const recent = this.options.leaving.signs(RELAY_MS).slice(0, MAX_RELAYED_SIGNS);
         const picked = peers[Math.floor(this.options.random() * peers.length)];
