Encode references to parts without a second copy

encodeReferences returned a Buffer that both callers copied; the exchange repeated the conversion of an update's items, and a call's target had a table that nothing read. Behaviour as before.

--- a/src/common/ContentParts.ts
+++ b/src/common/ContentParts.ts
@@ -56,11 +56,12 @@
 }
 
 /** Encodes references as fixed-size records of digest and length. */
-export function encodeReferences(references: readonly PartReference[]): Uint8Array {
-    const encoded = Buffer.alloc(references.length * REFERENCE_BYTES);
+export function encodeReferences(references: readonly PartReference[]): Uint8Array<ArrayBuffer> {
+    const encoded = new Uint8Array(references.length * REFERENCE_BYTES);
+    const buffer = Buffer.from(encoded.buffer);
     references.forEach(({ digest, bytes }, index) => {
-        encoded.write(digest, index * REFERENCE_BYTES, "hex");
-        encoded.writeUInt32BE(bytes, index * REFERENCE_BYTES + DIGEST_BYTES);
+        buffer.write(digest, index * REFERENCE_BYTES, "hex");
+        buffer.writeUInt32BE(bytes, index * REFERENCE_BYTES + DIGEST_BYTES);
     });
     return encoded;
 }
--- a/src/process/peers/PublishedExchange.ts
+++ b/src/process/peers/PublishedExchange.ts
@@ -17,6 +17,7 @@
 import * as peers from "./EntryPeers";
 import * as partIndexes from "./PartIndex";
 import * as peerEntries from "./PeerEntry";
+import * as updateAssemblies from "./UpdateAssembly";
 import * as updateSources from "./UpdateSource";
 import * as updateTransfers from "./UpdateTransfer";
 
@@ -148,7 +149,7 @@
             key,
             era,
             revision,
-            parts: new Uint8Array(contentParts.encodeReferences(this.index.add(key, content))),
+            parts: contentParts.encodeReferences(this.index.add(key, content)),
         };
     }
 
@@ -168,7 +169,7 @@
             return;
         }
         const { items, isWhole, backupRevision } = message;
-        const published = items.map(({ key, era, revision, content }) => ({ key, era, revision, content }));
+        const published = items.map(updateAssemblies.toItem);
         const position = positions.positionOf(message);
         this.apply({ items: published, ...position, isWhole, backupRevision }, peer.instance);
     }
--- a/src/process/peers/UpdateAssembly.ts
+++ b/src/process/peers/UpdateAssembly.ts
@@ -81,7 +81,8 @@
     }
 }
 
-function toItem({ key, era, revision, content }: StatedItem["item"]): routing.PublishedItem {
+/** An item of a message as one of the store. */
+export function toItem({ key, era, revision, content }: StatedItem["item"]): routing.PublishedItem {
     return { key, era, revision, content };
 }
 
--- a/src/process/peers/UpdateTransfer.ts
+++ b/src/process/peers/UpdateTransfer.ts
@@ -110,7 +110,7 @@
             this.askedInstance = pending.source.instance;
             const request = this.nextRequest++;
             this.sentRequests.set(request, group.length);
-            const parts = new Uint8Array(contentParts.encodeReferences(group));
+            const parts = contentParts.encodeReferences(group);
             this.options.peers.send(pending.source, { kind: "parts-fetch", request, parts });
         }
     }
--- a/src/process/routing/CallTarget.ts
+++ b/src/process/routing/CallTarget.ts
@@ -25,7 +25,6 @@
 
 /** What a call is served with. */
 export interface CallTarget {
-    readonly table: tables.RouteTable;
     readonly route: routing.Route;
     /** Undefined for a route without keys. */
     readonly team: routing.RoutedTeam | undefined;
@@ -69,5 +68,5 @@
     const team = table.findTeam(apiKey);
     return table.needsKeys && !route.isPublic && team === undefined
         ? result.err(codes.failure(codes.codes.unknownKey, route.name))
-        : result.ok({ table, route, team });
+        : result.ok({ route, team });
 }
