--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -97,6 +97,14 @@
         return entry;
     }
 
+    /** Starts an entry and waits until it serves calls of a path; resolves to its index. */
+    async addServingEntry(path = "/look/ready", headers: Record<string, string> = {}): Promise<number> {
+        const entry = this.entries.length;
+        await this.addEntry();
+        await this.waitUntil(async () => (await this.call(path, { entry, headers })).status === 200);
+        return entry;
+    }
+
     /** Status with which an entry answers the load balancer's readiness check. */
     async readyStatus(index = 0): Promise<number> {
         return (await sendRequest(this.readyAddresses[index]!, "GET", "/ready", {}, undefined)).status;
--- a/tests/CrashingPrompts.test.ts
+++ b/tests/CrashingPrompts.test.ts
@@ -29,21 +29,12 @@
     fleet = new fleets.RoutedFleet();
     await fleet.start(ENGINES);
     for (let index = 0; index < ENTRIES; index++) {
-        await addEntry();
+        await fleet.addServingEntry("/once/ready", prompt("aa"));
     }
 });
 
 vitest.afterEach(() => fleet.dispose());
 
-async function addEntry(): Promise<number> {
-    const entry = fleet.entries.length;
-    await fleet.addEntry();
-    await fleet.waitUntil(async () =>
-        (await fleet.call("/once/ready", { entry, headers: prompt("aa") })).status === 200
-    );
-    return entry;
-}
-
 function countCrashes(): number {
     return fleet.engines.reduce((sum, engine) => sum + engine.crashes.length, 0);
 }
@@ -67,7 +58,7 @@
     vitest.it("is held back by all entries, those included that start later", async () => {
         await crashEngines();
         const crashes = countCrashes();
-        await addEntry();
+        await fleet.addServingEntry("/once/ready", prompt("aa"));
         await fleet.waitUntil(async () => JSON.stringify(await fleet.status(ENTRIES)).includes("\"connected\":true"));
         await new Promise(resolve => setTimeout(resolve, 600));
         const answers = await Promise.all(
--- a/tests/RollingStops.test.ts
+++ b/tests/RollingStops.test.ts
@@ -35,19 +35,12 @@
     fleet = new fleets.RoutedFleet();
     await fleet.start(ENGINES);
     for (let index = 0; index < ENTRIES; index++) {
-        await addEntry();
+        await fleet.addServingEntry();
     }
 });
 
 vitest.afterEach(() => fleet.dispose());
 
-async function addEntry(): Promise<number> {
-    const entry = fleet.entries.length;
-    await fleet.addEntry();
-    await fleet.waitUntil(async () => (await fleet.call("/look/ready", { entry })).status === 200);
-    return entry;
-}
-
 /** Sends calls with stages to an entry, one after the other on open connections, until it stops. */
 async function callUntilStopped(entry: number, isStopped: () => boolean, records: CallRecord[]): Promise<void> {
     const agent = new http.Agent({ keepAlive: true });
@@ -102,7 +95,7 @@
             }));
             await clocks.sleep(clocks.systemClock, RESTART_DELAY_MS);
             for (let started = 0; started < overlap; started++) {
-                callers.push(callUntilStopped(await addEntry(), () => stopped.has(-1), records));
+                callers.push(callUntilStopped(await fleet.addServingEntry(), () => stopped.has(-1), records));
             }
         }
         stopped.add(-1);
