--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -27,6 +27,8 @@
     readonly atMs: number;
     /** The `Retry-After` with which the engine rejected it; undefined if it didn't. */
     readonly retryAfter: string | undefined;
+    /** Whether its answer names a limit. */
+    readonly isLimited: boolean;
 }
 
 /** Faults; each stays in effect until it is cleared. */
@@ -84,6 +86,8 @@
     faults: EngineFaults = {};
     /** Whether the engine leaves: all its answers say so, those included with which it rejects a call. */
     isLeaving = false;
+    /** Requests a second that it takes from all entries together, named in all its answers. */
+    limitPerSecond: number | undefined;
     readonly runs: EngineRun[] = [];
     readonly arrivals: EngineArrival[] = [];
     /** The pieces of each received batch. */
@@ -180,6 +184,10 @@
         if (this.isLeaving) {
             response.setHeader("Server-Leaving", "1");
         }
+        const isLimited = this.limitPerSecond !== undefined;
+        if (isLimited) {
+            response.setHeader("Server-Limit", String(this.limitPerSecond));
+        }
         const expectedInstance = request.headers["expect-instance"];
         if (expectedInstance !== undefined && expectedInstance !== this.options.id) {
             this.misdirectedCalls++;
@@ -189,7 +197,8 @@
         const { shed, retryAfter } = this.faults;
         const attempt = request.headers["attempt-id"] as string | undefined;
         const atMs = clocks.systemClock.now();
-        this.arrivals.push({ attempt, path: request.url!, atMs, retryAfter: shed === true ? retryAfter : undefined });
+        const shedRetryAfter = shed === true ? retryAfter : undefined;
+        this.arrivals.push({ attempt, path: request.url!, atMs, retryAfter: shedRetryAfter, isLimited });
         if (shed === true) {
             this.rejectedCalls++;
             const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": retryAfter };
