Tell facts about instances through one gossip

LeavingExchange and CrashExchange told new connections all, all entries what is new, and one entry at random what is recent, each with its own copy of that. A third kind (limits) would have been a third copy. Behaviour as before, but for the order of a message's ends and answered parts, which are told apart anyway.

--- a/src/process/crashes/CrashExchange.ts
+++ b/src/process/crashes/CrashExchange.ts
@@ -7,18 +7,17 @@
 import * as emitters from "../../common/Emitter";
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
-import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "../peers/EntryPeers";
-import * as newConnections from "../peers/NewConnections";
+import * as gossips from "../peers/FactGossip";
 import * as crashEvidence from "./CrashEvidence";
 import * as crashMonitors from "./CrashMonitor";
 
 /** Interval at which new connections are told all, and the others what is new. */
 const TELL_INTERVAL_MS = 250;
-/** An end is passed on to peers picked at random for this long after it was learnt or last seen. */
-const RELAY_MS = 10_000;
 /** Interval at which the same answered part is told again. */
 const ANSWERED_INTERVAL_MS = 1_000;
+/** Time after which it is forgotten when a part was told. */
+const TOLD_LIFETIME_MS = 10_000;
 
 type ToldCrash = entryMessages.Crashes["crashes"][number];
 
@@ -35,27 +34,36 @@
 /** Keeps the evidence of this process and of the others alike. */
 export class CrashExchange implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
-    private readonly newConnections = new newConnections.NewConnections();
+    private readonly gossip: gossips.FactGossip<crashEvidence.Crash>;
     /** When each part was last told to be answered. */
     private readonly toldAnsweredMs = new Map<string, number>();
 
     constructor(private readonly options: CrashExchangeOptions) {
         const { clock, peers, monitor } = options;
-        this.disposables.add(clocks.every(clock, TELL_INTERVAL_MS, () => this.handleTimer()));
+        this.gossip = this.disposables.add(
+            new gossips.FactGossip({
+                ...options,
+                intervalMs: TELL_INTERVAL_MS,
+                isReader: connection => connection.remote.knowsCrashes === true,
+                list: withinMs => this.listCrashes(withinMs),
+                maxFacts: entryMessages.MAX_TOLD_CRASHES,
+                maxRelayed: Infinity,
+                encode: crashes => ({
+                    kind: "crashes",
+                    crashes: crashes.map(crash => this.encodeCrash(crash)),
+                    answered: [],
+                }),
+            }),
+        );
+        this.disposables.add(clocks.every(clock, TELL_INTERVAL_MS, () => this.tellAnswered()));
         this.disposables.add(peers.onFrame(frame => this.handleFrame(frame)));
-        this.disposables.add(monitor.onCrash(crash => this.tellAll([crash], [])));
+        this.disposables.add(monitor.onCrash(crash => this.gossip.tellAll([crash])));
     }
 
     dispose(): void {
         this.disposables.dispose();
     }
 
-    private get connections(): peerConnections.PeerConnection[] {
-        return this.options.peers.knownPeers.flatMap(({ connection }) =>
-            connection?.remote.knowsCrashes === true ? connection : []
-        );
-    }
-
     private handleFrame({ message, peer }: entryPeers.PeerFrame): void {
         if (message.kind !== "crashes") {
             return;
@@ -74,24 +82,21 @@
         monitor.logChanges();
     }
 
-    private handleTimer(): void {
-        const { clock, evidence, monitor, random } = this.options;
-        const crashes = evidence.all;
-        if (crashes.length === 0) {
+    /** The ends that happened, or whose cause was seen, at most `withinMs` ago. */
+    private listCrashes(withinMs: number): crashEvidence.Crash[] {
+        const nowMs = this.options.clock.now();
+        return this.options.evidence.all.filter(({ atMs, seenAtMs }) => nowMs - Math.max(atMs, seenAtMs) < withinMs);
+    }
+
+    private tellAnswered(): void {
+        if (this.options.evidence.all.length === 0) {
             return;
         }
-        const { connections } = this;
-        this.newConnections.take(connections).forEach(connection => this.tell(connection, crashes, []));
-        const recent = crashes.filter(crash => clock.now() - Math.max(crash.atMs, crash.seenAtMs) < RELAY_MS);
-        const picked = connections[Math.floor(random() * connections.length)];
-        if (picked !== undefined && recent.length > 0) {
-            this.tell(picked, recent, []);
-        }
-        const answered = this.takeAnswered();
+        const answered = this.takeAnswered().map(part => this.encodeAnswered(part));
         if (answered.length > 0) {
-            this.tellAll([], answered);
+            this.gossip.connections.forEach(connection => connection.send({ kind: "crashes", crashes: [], answered }));
         }
-        monitor.logChanges();
+        this.options.monitor.logChanges();
     }
 
     /** Parts that matter for what is suspected and that this process has seen answered. */
@@ -106,33 +111,13 @@
         const told = doubtful.slice(0, entryMessages.MAX_TOLD_PARTS);
         told.forEach(part => this.toldAnsweredMs.set(part, nowMs));
         for (const [part, toldMs] of this.toldAnsweredMs) {
-            if (nowMs - toldMs > RELAY_MS) {
+            if (nowMs - toldMs > TOLD_LIFETIME_MS) {
                 this.toldAnsweredMs.delete(part);
             }
         }
         return told;
     }
 
-    private tellAll(crashes: readonly crashEvidence.Crash[], answered: readonly string[]): void {
-        this.connections.forEach(connection => this.tell(connection, crashes, answered));
-    }
-
-    private tell(
-        connection: peerConnections.PeerConnection,
-        crashes: readonly crashEvidence.Crash[],
-        answered: readonly string[],
-    ): void {
-        const encodedCrashes = crashes.map(crash => this.encodeCrash(crash));
-        const encodedAnswered = answered.map(part => this.encodeAnswered(part));
-        if (encodedAnswered.length > 0) {
-            connection.send({ kind: "crashes", crashes: [], answered: encodedAnswered });
-        }
-        for (let first = 0; first < encodedCrashes.length; first += entryMessages.MAX_TOLD_CRASHES) {
-            const told = encodedCrashes.slice(first, first + entryMessages.MAX_TOLD_CRASHES);
-            connection.send({ kind: "crashes", crashes: told, answered: [] });
-        }
-    }
-
     private encodeCrash({ atMs, seenAtMs, parts, ...identity }: crashEvidence.Crash): ToldCrash {
         const nowMs = this.options.clock.now();
         const seenAgeMs = Math.max(0, nowMs - seenAtMs);
--- a/src/process/instances/LeavingExchange.ts
+++ b/src/process/instances/LeavingExchange.ts
@@ -9,15 +9,12 @@
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
-import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "../peers/EntryPeers";
-import * as newConnections from "../peers/NewConnections";
+import * as gossips from "../peers/FactGossip";
 import * as leavingInstances from "./LeavingInstances";
 
 /** Interval at which new connections are told all signs, and one peer the recent ones. */
 const TELL_INTERVAL_MS = 500;
-/** Signs are passed on to peers picked at random for this long, in case that not all entries are connected. */
-const RELAY_MS = 10_000;
 /** Number of signs in a message to a peer picked at random. */
 const MAX_RELAYED_SIGNS = 50;
 
@@ -37,10 +34,21 @@
 /** Keeps the leaving instances known to this process and to the others. */
 export class LeavingExchange implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
-    private readonly newConnections = new newConnections.NewConnections();
+    private readonly gossip: gossips.FactGossip<leavingInstances.LeavingSign>;
 
     constructor(private readonly options: LeavingExchangeOptions) {
-        this.disposables.add(clocks.every(options.clock, TELL_INTERVAL_MS, () => this.handleTimer()));
+        this.gossip = this.disposables.add(
+            new gossips.FactGossip({
+                ...options,
+                intervalMs: TELL_INTERVAL_MS,
+                isReader: () => true,
+                list: withinMs => options.leaving.signs(withinMs),
+                maxFacts: entryMessages.MAX_LEAVING_SIGNS,
+                maxRelayed: MAX_RELAYED_SIGNS,
+                encode: signs => ({ kind: "instances-leaving", signs: [...signs] }),
+            }),
+        );
+        this.disposables.add(clocks.every(options.clock, TELL_INTERVAL_MS, () => this.logExpired()));
         this.disposables.add(options.peers.onFrame(frame => this.handleFrame(frame)));
     }
 
@@ -68,14 +76,10 @@
         }
         const sign = { instance: instance.id, startedMs: instance.startedMs, ageMs: 0 };
         if (this.record(sign, source)) {
-            this.connectedPeers.forEach(peer => peer.connection?.send({ kind: "instances-leaving", signs: [sign] }));
+            this.gossip.tellAll([sign]);
         }
     }
 
-    private get connectedPeers(): entryPeers.EntryPeers["knownPeers"] {
-        return this.options.peers.knownPeers.filter(peer => peer.connection !== undefined);
-    }
-
     private record(sign: leavingInstances.LeavingSign, source: SignSource): boolean {
         const isNew = this.options.leaving.record(sign);
         if (isNew) {
@@ -96,34 +100,12 @@
         }
     }
 
-    private handleTimer(): void {
+    private logExpired(): void {
         for (const { id, startedMs } of this.options.leaving.takeExpired()) {
             this.options.log.info(
                 { decision: "leaving-expired", instance: id, startedMs },
                 "instance said long ago that it was leaving; it may get new work again",
             );
         }
-        this.tellRegularly();
-    }
-
-    /** Tells all signs on new connections, and the recent ones to one peer picked at random. */
-    private tellRegularly(): void {
-        const peers = this.connectedPeers;
-        for (const connection of this.newConnections.take(peers.flatMap(peer => peer.connection ?? []))) {
-            this.tell(connection, this.options.leaving.signs());
-        }
-        const recent = this.options.leaving.signs(RELAY_MS).slice(0, MAX_RELAYED_SIGNS);
-        const picked = peers[Math.floor(this.options.random() * peers.length)];
-        this.tell(picked?.connection, recent);
-    }
-
-    private tell(
-        connection: peerConnections.PeerConnection | undefined,
-        signs: readonly leavingInstances.LeavingSign[],
-    ): void {
-        for (let first = 0; first < signs.length; first += entryMessages.MAX_LEAVING_SIGNS) {
-            const part = signs.slice(first, first + entryMessages.MAX_LEAVING_SIGNS);
-            connection?.send({ kind: "instances-leaving", signs: part });
-        }
     }
 }
