Keep to the limits that instances name for all entries together

Cause: nothing read the header, so that it got its ordinary share of the load.

Each entry now sends at most its equal share of the limit in any 4 s (the remainder by rendezvous rank, so that 1 a second before 300 entries needs no coordination), counts all that it sends (calls, resends, resumed streams, stage calls, releases, questions for a start), and tells the others. Stage hosts plan with the limits.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -203,6 +203,25 @@
     ).max(MAX_LEAVING_SIGNS),
 });
 
+/** Number of limits in one message. */
+export const MAX_TOLD_LIMITS = 1_000;
+
+/** Limits that instances name for all entries together, as they told the sender or another entry. */
+export const instancesLimitedSchema = z.object({
+    kind: z.literal("instances-limited"),
+    words: z.array(
+        z.object({
+            instance: name,
+            /** Start of the incarnation, as it published it. */
+            startedMs: z.number(),
+            /** Requests a second; undefined if it names no limit any more. */
+            perSecond: z.number().min(0).optional(),
+            /** Time since the answer that said so. */
+            ageMs: z.number().min(0),
+        }),
+    ).max(MAX_TOLD_LIMITS),
+});
+
 /** Number of ends, and of answered parts, in one message. */
 export const MAX_TOLD_CRASHES = 16;
 export const MAX_TOLD_PARTS = 256;
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -52,6 +52,8 @@
     knowsStreamOrigins: z.boolean().optional(),
     /** The same for messages about ends of instances. */
     knowsCrashes: z.boolean().optional(),
+    /** The same for messages about limits of instances. */
+    knowsLimits: z.boolean().optional(),
 });
 
 const callSchema = z.object({
@@ -181,6 +183,7 @@
     entryMessages.stagesCancelSchema,
     entryMessages.stagesReleaseSchema,
     entryMessages.instancesLeavingSchema,
+    entryMessages.instancesLimitedSchema,
 ]);
 
 /**
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -92,6 +92,8 @@
     readonly instance: string | undefined;
     /** For how long the instance wants nothing more from this process; undefined if it doesn't say so. */
     readonly holdMs: number | undefined;
+    /** Requests a second that the instance takes from all entries together; undefined if it names no limit. */
+    readonly limitPerSecond: number | undefined;
 }
 
 /** Reads for how long an instance that rejects a request wants nothing more; undefined if it doesn't say so. */
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -1,18 +1,20 @@
 /**
  * The upstream instances that calls may go to: their published state combined with this process's own traffic.
- * Limits the call rate of cold instances and excludes those that are draining, leaving, out of service, held or paused.
+ * Limits the call rate of cold instances and excludes those that are draining, leaving, out of
+ * service, held, at their limit or paused.
  */
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
-import * as rendezvous from "../../common/RendezvousHash";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as views from "../published/PublishedView";
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
 import * as instanceHolds from "./InstanceHolds";
+import * as instanceLimits from "./InstanceLimits";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
+import * as affinities from "./PromptAffinity";
 import * as promptReading from "./PromptReading";
 
 /**
@@ -46,6 +48,8 @@
     readonly self: string;
     /** Names of all known entries, including this one. */
     readonly entryNames: () => readonly string[];
+    /** Least number of entries that this process has to assume; undefined for those that it knows. */
+    readonly minEntries?: () => number;
     readonly coldRateLimit: () => ColdRateLimit;
 }
 
@@ -91,8 +95,10 @@
     private readonly backInServiceMs = new Map<string, number>();
     private readonly subscription: clocks.Disposable;
     readonly holds: instanceHolds.InstanceHolds;
+    readonly limits: instanceLimits.InstanceLimits;
 
     constructor(private readonly options: InstancePoolOptions) {
+        this.limits = new instanceLimits.InstanceLimits(options);
         this.holds = new instanceHolds.InstanceHolds({
             ...options,
             isInService: instance => this.isInService(instance) && !options.leaving.isLeaving(instance),
@@ -118,7 +124,11 @@
     private obtainTraffic(key: string): traffic.InstanceTraffic {
         let counts = this.trafficByIncarnation.get(key);
         if (counts === undefined) {
-            counts = new traffic.InstanceTraffic(this.options.clock, this.holds.obtain(key));
+            counts = new traffic.InstanceTraffic(
+                this.options.clock,
+                this.holds.obtain(key),
+                this.limits.obtainRate(key),
+            );
             this.trafficByIncarnation.set(key, counts);
         }
         return counts;
@@ -135,6 +145,23 @@
         return instance.state === "ready" && !this.options.view.isOutOfService(instance.failureDomain);
     }
 
+    /** Whether this process sends to an incarnation. */
+    isInUse(incarnation: string): boolean {
+        return this.trafficByIncarnation.has(incarnation);
+    }
+
+    /** Retry delay for callers of a service of which all usable instances hold off or are at their limits, else undefined. */
+    callerRetryAfterMs(service: string, softwareVersion?: string): number | undefined {
+        return this.holds.callerRetryAfterMs(service, softwareVersion)
+            ?? this.limits.callerRetryAfterMs(this.usableInstances(service, softwareVersion));
+    }
+
+    /** Time until a usable instance of a service may be sent a call again; 0 if one may be now, or if there is none. */
+    serviceWaitMs(service: string): number {
+        const limitedMs = this.usableInstances(service).map(instance => this.limits.waitMs(instance));
+        return Math.max(this.holds.serviceHoldMs(service), limitedMs.length === 0 ? 0 : Math.min(...limitedMs));
+    }
+
     /** Instances of a service, and of a software version if one is given, at which the published state allows new work. */
     private instancesInService(service: string, softwareVersion: string | undefined): views.KnownInstance[] {
         return this.options.view.instances(service).filter(instance =>
@@ -181,7 +208,7 @@
         parts: readonly routingPorts.PromptPart[],
     ): ExpectedPlacement {
         const instances = this.usableInstances(service);
-        const affinityId = pickAffinityId(instances, parts);
+        const affinityId = affinities.pickAffinityId(instances, parts);
         if (affinityId === undefined) {
             return { failureDomain: undefined, missingTokens: promptTokens };
         }
@@ -206,9 +233,11 @@
         return nowMs < instance.coldUntilMs + COLD_MARGIN_MS || nowMs < possibleRestartMs + coldMs + COLD_MARGIN_MS;
     }
 
-    /** Whether an instance that may be cold, or returns from a hold, can accept a call now. */
+    /** Whether an instance that may be cold or limited, or returns from a hold, can accept a call now. */
     private mayCall(instance: views.KnownInstance): boolean {
-        return this.trafficOf(instance).hold.mayCall(this.options.clock.now()) && this.isWithinColdRate(instance);
+        return this.trafficOf(instance).hold.mayCall(this.options.clock.now())
+            && this.limits.waitMs(instance) === 0
+            && this.isWithinColdRate(instance);
     }
 
     /** Whether the instance isn't cold, or this entry's share of its cold rate allows another call now. */
@@ -231,7 +260,7 @@
     /** The instances that can accept a call now. */
     private findCandidates(requirements: CallRequirements): choices.Candidate[] {
         const eligible = this.findEligible(requirements);
-        const affinityId = pickAffinityId(eligible, requirements.promptParts);
+        const affinityId = affinities.pickAffinityId(eligible, requirements.promptParts);
         const fastestCallMs = Math.min(
             UNMEASURED_CALL_MS,
             ...eligible.map(other => this.trafficOf(other).recentCallMs ?? UNMEASURED_CALL_MS),
@@ -265,12 +294,13 @@
         fastestCallMs: number,
     ): choices.Candidate {
         const counts = this.trafficOf(instance);
+        const { promptTokens, promptParts } = requirements;
         return {
             id: instance.id,
             isSameDomain: instance.failureDomain === this.options.failureDomain,
             load: counts.load,
             waitingTokens: counts.waitingTokens,
-            missingTokens: estimateMissingTokens(requirements, counts, hasAffinity),
+            missingTokens: affinities.estimateMissingTokens(promptTokens, promptParts, counts, hasAffinity),
             crossDomainInputBytes: crossDomainBytes(requirements.inputBytesByDomain, instance.failureDomain),
             slots: instance.slots,
             slowness: Math.max(fastestCallMs, counts.recentCallMs ?? 0) / fastestCallMs,
@@ -296,15 +326,6 @@
     }
 }
 
-/** The instance that all entries prefer for a prompt's shared parts, so that the parts are read only once. */
-function pickAffinityId(
-    instances: readonly views.KnownInstance[],
-    parts: readonly routingPorts.PromptPart[],
-): string | undefined {
-    const lastSharedPart = parts.at(-2);
-    return lastSharedPart && rendezvous.pickWinner(lastSharedPart.id, instances.map(instance => instance.id));
-}
-
 function crossDomainBytes(inputBytes: ReadonlyMap<string, number>, domain: string): number {
     let bytes = 0;
     for (const [sourceDomain, size] of inputBytes) {
@@ -312,25 +333,3 @@
     }
     return bytes;
 }
-
-/**
- * With affinity all shared parts count as cached, else those before the first one that wasn't recently sent there.
- * The last part is never shared with other calls.
- */
-function estimateMissingTokens(
-    requirements: CallRequirements,
-    counts: traffic.InstanceTraffic,
-    hasAffinity: boolean,
-): number {
-    const parts = requirements.promptParts;
-    if (parts.length === 0) {
-        return requirements.promptTokens;
-    }
-    let missingTokens = 0;
-    let isCached = true;
-    parts.forEach((part, index) => {
-        isCached = isCached && index < parts.length - 1 && (hasAffinity || counts.isPartCached(part.id));
-        missingTokens += isCached ? 0 : part.tokens;
-    });
-    return missingTokens;
-}
--- a/src/process/instances/InstanceTraffic.ts
+++ b/src/process/instances/InstanceTraffic.ts
@@ -4,6 +4,7 @@
 import * as clocks from "../../common/Clock";
 import * as coldShares from "./ColdShare";
 import * as holds from "./InstanceHold";
+import * as limitedRates from "./LimitedRate";
 import * as promptReading from "./PromptReading";
 
 /** First pause of an instance after failures; doubles with each further pause until a call succeeds. */
@@ -57,7 +58,11 @@
     private meanUpdatedMs = -Infinity;
     private readonly cachedParts = new Set<string>();
 
-    constructor(private readonly clock: clocks.Clock, readonly hold = new holds.InstanceHold()) {}
+    constructor(
+        private readonly clock: clocks.Clock,
+        readonly hold = new holds.InstanceHold(),
+        readonly rate = new limitedRates.LimitedRate(),
+    ) {}
 
     /** Whether the instance is paused after failures: it gets calls only if all others are paused too. */
     get isPaused(): boolean {
@@ -101,6 +106,7 @@
         this.inFlight++;
         this.waitingTokens += missingTokens;
         this.arrivals.add(this.clock.now());
+        this.rate.add(this.clock.now());
         this.addCachedParts(parts);
         const startedAtMs = this.clock.now();
         const countedCall = this.hold.startCall();
--- a/src/process/instances/LeavingExchange.ts
+++ b/src/process/instances/LeavingExchange.ts
@@ -2,7 +2,6 @@
  * Learns from the answers of upstream instances which of them are leaving, and tells the other entries. An entry that
  * an instance told tells all others at once; one that was cut off then learns it from any entry that it reaches.
  */
-import * as http from "node:http";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as entryMessages from "../../common/EntryMessages";
@@ -26,7 +25,6 @@
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
     readonly random: () => number;
-    readonly wire: Pick<routingPorts.RoutedCallWire, "readAnswer">;
     readonly peers: Pick<entryPeers.EntryPeers, "knownPeers" | "onFrame">;
     readonly leaving: leavingInstances.LeavingInstances;
 }
@@ -56,15 +54,6 @@
         this.disposables.dispose();
     }
 
-    /** Reads from the head of an answer whether the instance that the request was sent to is leaving. */
-    observeHead(
-        instance: routing.RoutedInstance,
-        answer: { readonly status: number; readonly headers: http.IncomingHttpHeaders },
-        source: SignSource,
-    ): void {
-        this.observe(instance, this.options.wire.readAnswer(answer.status, answer.headers), source);
-    }
-
     /** Records whether the instance that a request was sent to is leaving. */
     observe(
         instance: routing.RoutedInstance,
--- a/src/process/instances/LeavingInstances.test.ts
+++ b/src/process/instances/LeavingInstances.test.ts
@@ -16,6 +16,7 @@
         isLeaving: true,
         instance: undefined,
         holdMs: undefined,
+        limitPerSecond: undefined,
     };
     const cases: readonly {
         readonly name: string;
--- /dev/null
+++ b/src/process/instances/RetryBudgets.ts
@@ -0,0 +1,34 @@
+/**
+ * The retry budgets of all services that a process sends calls to.
+ */
+import * as clocks from "../../common/Clock";
+import * as settingsShapes from "../../common/Settings";
+import * as budgets from "./ServiceRetryBudget";
+
+const MS_PER_SECOND = 1_000;
+
+/** Creates the budget of each service at its first use. */
+export class RetryBudgets {
+    private readonly byService = new Map<string, budgets.ServiceRetryBudget>();
+
+    constructor(
+        private readonly clock: clocks.Clock,
+        private readonly settings: () => settingsShapes.RouteEntrySettings["repeats"],
+        /** Number of entries that share the slack. */
+        private readonly entryCount: () => number,
+    ) {}
+
+    /** Finds or creates the budget of a service. */
+    obtain(service: string): budgets.ServiceRetryBudget {
+        let budget = this.byService.get(service);
+        if (budget === undefined) {
+            const bound = (): budgets.RetryBound => {
+                const { ratio, slack, windowSeconds } = this.settings();
+                return { ratio, slack, windowMs: windowSeconds * MS_PER_SECOND };
+            };
+            budget = new budgets.ServiceRetryBudget(this.clock, bound, this.entryCount);
+            this.byService.set(service, budget);
+        }
+        return budget;
+    }
+}
--- a/src/process/peers/PeerEntry.ts
+++ b/src/process/peers/PeerEntry.ts
@@ -87,6 +87,7 @@
         address,
         knowsStreamOrigins: true,
         knowsCrashes: true,
+        knowsLimits: true,
     };
 }
 
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -8,10 +8,10 @@
 import * as settingsShapes from "../../common/Settings";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as guards from "../crashes/CrashGuard";
+import * as answerSigns from "../instances/AnswerSigns";
 import * as pools from "../instances/InstancePool";
-import * as leavingExchanges from "../instances/LeavingExchange";
 import * as leavingInstances from "../instances/LeavingInstances";
-import * as budgets from "../instances/ServiceRetryBudget";
+import * as budgets from "../instances/RetryBudgets";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
@@ -23,6 +23,7 @@
 import * as stageClients from "../stages/StageClient";
 import * as stageHosts from "../stages/StageHost";
 import * as streamExchanges from "../streams/StreamOriginExchange";
+import * as entryStatuses from "./EntryStatus";
 import * as gauges from "./RouteGauges";
 import * as servers from "./RouteServer";
 
@@ -39,6 +40,11 @@
 /** Time for the last answers to be sent. */
 const ANSWER_FLUSH_MS = 100;
 
+/** Time after its start in which an entry learns of all others. */
+const DISCOVERY_MS = 5_000;
+/** Entries that exist, for each that is known in this time. */
+const UNKNOWN_ENTRIES_FACTOR = 2;
+
 /** External dependencies of the process. */
 export interface RouteEntryOptions {
     readonly clock: clocks.Clock;
@@ -63,7 +69,6 @@
     private readonly stages: stageClients.StageClient;
     private readonly server: servers.RouteServer;
     private readonly metrics = new metrics.RouteMetrics();
-    private readonly budgetsByService = new Map<string, budgets.ServiceRetryBudget>();
     private isClosing = false;
     /** When requests still in progress are aborted; undefined while the process isn't stopping. */
     private stopDeadlineMs: number | undefined;
@@ -96,9 +101,6 @@
             }),
         );
         const leaving = new leavingInstances.LeavingInstances(clock);
-        const leavingExchange = this.disposables.add(
-            new leavingExchanges.LeavingExchange({ ...shared, wire: options.callWire, peers: this.peers, leaving }),
-        );
         this.pool = this.disposables.add(
             new pools.InstancePool({
                 ...shared,
@@ -106,17 +108,28 @@
                 leaving,
                 self: settings.instance,
                 entryNames: () => this.peers.entryNames,
+                minEntries: () => this.minEntries,
                 coldRateLimit: () => this.settings.coldRate,
             }),
         );
+        const signs = this.disposables.add(
+            new answerSigns.AnswerSigns({
+                ...shared,
+                wire: options.callWire,
+                peers: this.peers,
+                leaving,
+                pool: this.pool,
+            }),
+        );
         const releaser = this.disposables.add(
             new releasers.ResultReleaser({
                 ...shared,
                 wire: options.stageWire,
                 connections,
                 holds: this.pool.holds,
+                limits: this.pool.limits,
                 findInstance: address => this.view.findByAddress(address),
-                onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "release"),
+                onAnswer: (instance, head, atMs) => signs.observeHead(instance, head, "release", atMs),
             }),
         );
         this.host = this.disposables.add(
@@ -128,7 +141,7 @@
                 view: this.view,
                 leaving,
                 releaser,
-                onAnswer: (instance, answer) => leavingExchange.observeHead(instance, answer, "stage-call"),
+                onAnswer: (instance, head, atMs) => signs.observeHead(instance, head, "stage-call", atMs),
                 ownInstances: (service, usable) => this.roles.ownInstances(service, usable),
             }),
         );
@@ -165,6 +178,11 @@
             }),
         );
         const { monitor: crashes } = this.disposables.add(new guards.CrashGuard({ ...shared, peers: this.peers }));
+        const retryBudgets = new budgets.RetryBudgets(
+            clock,
+            () => this.settings.repeats,
+            () => this.peers.entryNames.length,
+        );
         this.server = this.disposables.add(
             new servers.RouteServer({
                 ...shared,
@@ -181,8 +199,8 @@
                     pool: this.pool,
                     streamOrigins,
                     crashes,
-                    onAnswer: (instance, answer) => leavingExchange.observe(instance, answer, "call"),
-                    budgetOf: service => this.obtainBudget(service),
+                    onAnswer: (instance, answer, atMs) => signs.observe(instance, answer, "call", atMs),
+                    budgetOf: service => retryBudgets.obtain(service),
                     position: () => this.view.position,
                     runStages: (order, signal) => this.stages.run(order, signal),
                     releaseResults: handles => this.stages.release(handles),
@@ -283,7 +301,20 @@
         const { settings } = this;
         const source: adminServers.AdminSource = {
             isReady: () => this.isReady,
-            status: () => this.buildStatus(),
+            status: () =>
+                entryStatuses.buildStatus({
+                    view: this.view,
+                    replication: this.replication,
+                    pool: this.pool,
+                    roles: this.roles,
+                    host: this.host,
+                    server: this.server,
+                    peers: this.peers,
+                    isReady: this.isReady,
+                    isDraining: this.isDraining,
+                    instance: settings.instance,
+                    address: this.peerAddress,
+                }),
             registry: this.metrics.registry,
         };
         this.replication.start();
@@ -293,6 +324,12 @@
         await this.server.listen(settings.callerListen);
     }
 
+    /** Least number of entries to assume: for a while after its start, this process knows few of them. */
+    private get minEntries(): number {
+        const isNew = this.options.clock.now() - this.peers.startedMs < DISCOVERY_MS;
+        return isNew ? UNKNOWN_ENTRIES_FACTOR * Math.max(this.peers.entryNames.length, this.settings.seeds.length) : 0;
+    }
+
     /** Whether another live entry accepts requests. */
     private hasSuccessor(): boolean {
         return this.peers.livePeers.some(peer => !peer.isDraining);
@@ -305,44 +342,7 @@
         }
     }
 
-    /** Finds or creates the budget of a service. */
-    private obtainBudget(service: string): budgets.ServiceRetryBudget {
-        let budget = this.budgetsByService.get(service);
-        if (budget === undefined) {
-            const bound = (): budgets.RetryBound => {
-                const { ratio, slack, windowSeconds } = this.settings.repeats;
-                return { ratio, slack, windowMs: windowSeconds * MS_PER_SECOND };
-            };
-            budget = new budgets.ServiceRetryBudget(this.options.clock, bound, () => this.peers.entryNames.length);
-            this.budgetsByService.set(service, budget);
-        }
-        return budget;
-    }
-
     private domainOfAddress(address: string): string | undefined {
         return this.view.findByAddress(address)?.failureDomain;
     }
-
-    private buildStatus(): unknown {
-        return {
-            instance: this.settings.instance,
-            address: this.peerAddress,
-            ready: this.isReady,
-            draining: this.isDraining,
-            version: this.view.table?.configuration.version,
-            ...this.view.position,
-            unconfirmedMs: this.replication.reader.unconfirmedMs,
-            out: this.view.outOfServiceDomains,
-            leaving: this.pool.leavingIds,
-            stageHosts: this.roles.hostNames,
-            stageOrders: this.host.size,
-            active: this.server.active,
-            entries: this.peers.knownPeers.map(peer => ({
-                instance: peer.instance,
-                address: peer.address,
-                connected: peer.connection !== undefined,
-                ...peer.position,
-            })),
-        };
-    }
 }
--- a/src/process/stages/ResultReleaser.test.ts
+++ b/src/process/stages/ResultReleaser.test.ts
@@ -19,6 +19,7 @@
             wire: platformStages.platformStages,
             connections,
             holds: { remainingMsAt: () => 0 },
+            limits: { spareWaitMsAt: () => 0 },
             findInstance: () => undefined,
             onAnswer: () => undefined,
         };
--- a/src/process/stages/ResultReleaser.ts
+++ b/src/process/stages/ResultReleaser.ts
@@ -9,6 +9,7 @@
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as instanceHolds from "../instances/InstanceHolds";
+import * as instanceLimits from "../instances/InstanceLimits";
 
 /** Handles are collected for this time, so that one call releases many. */
 const BATCH_DELAY_MS = 5;
@@ -24,17 +25,18 @@
     readonly wire: routingPorts.StageWire;
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly holds: instanceHolds.InstanceHolds;
+    readonly limits: Pick<instanceLimits.InstanceLimits, "spareWaitMsAt" | "countRequest">;
     /** The instance listed at an address; undefined if there is none. */
     readonly findInstance: (address: string) => routing.RoutedInstance | undefined;
     /** Called with the head of each answer of a listed instance. */
-    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer) => void;
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer, sentAtMs: number) => void;
 }
 
 /** Collects handles and releases them. Failed calls aren't retried, since results expire on their own. */
 export class ResultReleaser implements clocks.Disposable {
     private readonly handlesByWorker = new Map<string, string[]>();
     private timer: clocks.Disposable | undefined;
-    /** Releases that wait until their worker's hold ends. */
+    /** Releases that wait until their worker's hold ends, or its limit leaves room. */
     private readonly heldTimers = new Map<string, clocks.Disposable>();
     private readonly releasedEmitter = new emitters.Emitter<readonly string[]>();
     /** Fires with the handles that a worker has released. */
@@ -64,7 +66,8 @@
     private flush(): void {
         this.timer = undefined;
         for (const [worker, handles] of [...this.handlesByWorker]) {
-            const holdMs = this.options.holds.remainingMsAt(worker);
+            const { holds, limits } = this.options;
+            const holdMs = Math.max(holds.remainingMsAt(worker), limits.spareWaitMsAt(worker));
             if (holdMs > 0 && holdMs <= MAX_HOLD_MS) {
                 this.flushAfterHold(worker, holdMs);
                 continue;
@@ -92,11 +95,14 @@
 
     /** Releases results on the stage worker at the address `maker`. */
     private async releaseFrom(maker: string, handles: readonly string[]): Promise<void> {
-        const { clock, wire, connections, holds, findInstance } = this.options;
+        const { clock, wire, connections, holds, limits, findInstance } = this.options;
         const startedMs = clock.now();
         const request = wire.releaseRequest(handles);
         const body = Buffer.from(request.body);
         const instance = findInstance(maker);
+        if (instance !== undefined) {
+            limits.countRequest(instance);
+        }
         const response = await exchanges.openExchange(connections, clock, {
             address: maker,
             method: "POST",
@@ -116,7 +122,7 @@
             holds.start(maker, instance, holdMs, "release");
         }
         if (instance !== undefined) {
-            this.options.onAnswer(instance, response);
+            this.options.onAnswer(instance, response, startedMs);
         }
         if (response.status === 200) {
             this.releasedEmitter.fire(handles);
--- a/src/process/stages/StageAdmission.ts
+++ b/src/process/stages/StageAdmission.ts
@@ -2,8 +2,10 @@
  * Admission control for stage orders: estimates when an order would complete after the orders with precedence, and
  * compares that with its deadlines.
  */
+import * as routing from "../../common/Routing";
 import * as stageOrders from "../../common/StageOrder";
 import * as biases from "./EstimateBias";
+import * as batching from "./StageBatching";
 import * as estimates from "./StageEstimate";
 import * as stageInstances from "./StageInstances";
 import * as jobs from "./StageJob";
@@ -55,6 +57,23 @@
         }
     }
 
+    private mayStart(id: string, capacity: routing.StageCapacity): boolean {
+        return this.instances.isFree(id, capacity) && (this.services.callWaitMs?.(id) ?? 0) === 0;
+    }
+
+    /** Share of the calls that the instances can do which their limits leave. */
+    private limitedShare(
+        instances: readonly batching.StageInstance[],
+        capacity: routing.StageCapacity,
+    ): number {
+        const fullCallMs = estimates.callTimeMs(capacity, capacity.batch) / capacity.slots;
+        const shares = instances.map(({ id }) => {
+            const intervalMs = this.services.callIntervalMs?.(id) ?? 0;
+            return Math.min(1, fullCallMs * this.instances.slowness(id) / Math.max(1, intervalMs));
+        });
+        return shares.length === 0 ? 1 : shares.reduce((sum, share) => sum + share, 0) / shares.length;
+    }
+
     /** Load of a service, with the waiting pieces of `preceding` as pieces ahead; undefined for an unknown service. */
     private loadOf(service: string, preceding: readonly jobs.StageJob[]): estimates.ServiceLoad | undefined {
         const capacity = this.services.capacity(service);
@@ -64,13 +83,15 @@
         const instances = this.services.instances(service);
         const piecesAhead = preceding.reduce((sum, job) => sum + job.countWaitingPieces(service), 0);
         const slowness = meanSlowness(instances.map(instance => this.instances.slowness(instance.id)));
-        const freeInstanceCount = instances.filter(instance => this.instances.isFree(instance.id, capacity)).length;
+        const limitedShare = this.limitedShare(instances, capacity);
+        const freeInstanceCount = instances.filter(({ id }) => this.mayStart(id, capacity)).length;
         const holdMs = this.services.holdMs(service);
         if (holdMs > 0) {
             // The first one to return; when the others do isn't counted on.
             return { capacity, instanceCount: 1, freeInstanceCount: 1, piecesAhead, slowness: 1, holdMs };
         }
-        return { capacity, instanceCount: instances.length, freeInstanceCount, piecesAhead, slowness, holdMs };
+        const instanceCount = instances.length;
+        return { capacity, instanceCount, freeInstanceCount, piecesAhead, slowness, limitedShare, holdMs };
     }
 }
 
--- a/src/process/stages/StageEstimate.ts
+++ b/src/process/stages/StageEstimate.ts
@@ -18,6 +18,8 @@
     readonly piecesAhead: number;
     /** Ratio of measured to published call time. */
     readonly slowness: number;
+    /** Share of the calls that the instances can do which their limits leave; undefined without limits. */
+    readonly limitedShare?: number;
     /** Time until the first of them accepts work. */
     readonly holdMs: number;
 }
@@ -32,7 +34,8 @@
 /** Throughput of a service with full calls, in pieces per millisecond. */
 export function piecesPerMs(load: ServiceLoad): number {
     const { slots, batch, callMs, pieceMs } = load.capacity;
-    return load.instanceCount * slots * batch / ((callMs + batch * pieceMs) * load.slowness);
+    const limitedShare = load.limitedShare ?? 1;
+    return limitedShare * load.instanceCount * slots * batch / ((callMs + batch * pieceMs) * load.slowness);
 }
 
 /** Published time of a call with `pieces` pieces. */
@@ -50,7 +53,7 @@
         return startMs + callTimeMs(capacity, Math.min(pieces, capacity.batch)) * slowness;
     }
     // Assumes full calls, a free slot after a fraction of a call, and pieces that are split over several calls.
-    const nextSlotMs = fullCallMs / (instanceCount + 1);
+    const nextSlotMs = fullCallMs / (instanceCount + 1) / (load.limitedShare ?? 1);
     const splitMs = pieces > 1 ? fullCallMs * pieces / capacity.batch / instanceCount : 0;
     return startMs + Math.max(0, waitMs) + nextSlotMs + splitMs + fullCallMs;
 }
--- a/src/process/stages/StageHost.ts
+++ b/src/process/stages/StageHost.ts
@@ -18,6 +18,7 @@
 import * as batching from "./StageBatching";
 import * as jobs from "./StageJob";
 import * as schedulers from "./StageScheduler";
+import * as workerStates from "./WorkerStates";
 
 /** Interval between checks for overdue calls, expired inputs and missed deadlines. */
 const POLL_INTERVAL_MS = 50;
@@ -62,7 +63,7 @@
     readonly leaving: leavingInstances.LeavingInstances;
     readonly releaser: releasers.ResultReleaser;
     /** Called with the head of each answer to a stage call. */
-    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer) => void;
+    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer, sentAtMs: number) => void;
     /** Those of the usable instances of a service that this host schedules. */
     readonly ownInstances: (
         service: string,
@@ -81,11 +82,14 @@
     startedCalls = 0;
 
     constructor(private readonly options: StageHostOptions) {
+        const workers = new workerStates.WorkerStates(options.view, options.leaving, options.pool.limits);
         this.scheduler = new schedulers.StageScheduler({
             capacity: service => options.view.table?.findService(service)?.stage,
             instances: service => options.ownInstances(service, options.pool.usableInstances(service)),
-            areResultsUsable: (id, afterMs) => this.areResultsUsable(id, afterMs),
+            areResultsUsable: (id, afterMs) => workers.areResultsUsable(id, afterMs),
             holdMs: service => options.pool.holds.serviceHoldMs(service),
+            callWaitMs: id => workers.callWaitMs(id),
+            callIntervalMs: id => workers.callIntervalMs(id),
         });
         this.subscription = options.releaser.onReleased(handles => {
             this.scheduler.recordReleased(handles);
@@ -259,7 +263,7 @@
         if (holdMs !== undefined) {
             holds.start(address, published, holdMs, "stage-call");
         }
-        this.options.onAnswer(published, response);
+        this.options.onAnswer(published, response, batch.startedMs);
         const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
         const pieceResults = response.status === 200 && content !== undefined
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
@@ -270,11 +274,6 @@
         return holdMs === undefined ? pieceResults : "held";
     }
 
-    private areResultsUsable(id: string, afterMs: number): boolean {
-        const worker = this.options.view.find(id);
-        return worker === undefined || this.options.leaving.areResultsUsable(worker, afterMs);
-    }
-
     private toStagePiece(piece: jobs.JobPiece): routingPorts.StagePiece {
         const { order } = piece.job;
         const inputs = piece.job.inputHandles(piece.stage);
--- a/src/process/stages/StageInstances.ts
+++ b/src/process/stages/StageInstances.ts
@@ -26,6 +26,10 @@
     instances(service: string): readonly batching.StageInstance[];
     /** Whether a worker's results can still be read in `afterMs`; without it, until they expire. */
     areResultsUsable?(instance: string, afterMs: number): boolean;
+    /** Time until another call may be started on an instance that names a limit; 0 without one. */
+    callWaitMs?(instance: string): number;
+    /** Mean time between two calls that such an instance takes; 0 without a limit. */
+    callIntervalMs?(instance: string): number;
 }
 
 interface InstanceState {
--- a/src/process/stages/StageScheduler.ts
+++ b/src/process/stages/StageScheduler.ts
@@ -97,7 +97,8 @@
         for (const service of jobs.servicesWithReadyPieces(this.jobs.values())) {
             const capacity = this.services.capacity(service);
             const candidates = this.instances.selectCandidates(this.services.instances(service), nowMs);
-            const free = capacity === undefined ? [] : this.instances.selectFree(candidates, capacity, nowMs);
+            const free = capacity === undefined ? [] : this.instances.selectFree(candidates, capacity, nowMs)
+                .filter(instance => (this.services.callWaitMs?.(instance.id) ?? 0) === 0);
             if (capacity === undefined || free.length === 0) {
                 continue;
             }
--- a/src/request/routed/CallHistory.ts
+++ b/src/request/routed/CallHistory.ts
@@ -12,7 +12,7 @@
     possibleRuns: number;
     /** Whether the retry budget denied a retry. */
     isBudgetSpent: boolean;
-    /** When the caller should return, since all instances hold off; undefined if they don't. */
+    /** When the caller should return, since all instances hold off or are at their limits; undefined if they don't. */
     heldRetryAfterMs: number | undefined;
     /** Parts of the call's prompt for which it must not be sent; undefined if there are none. */
     heldParts: ReadonlySet<string> | undefined;
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -84,9 +84,13 @@
     return { kind: "local-failure", failure: codes.failure(code, `${history.sends} sends`, DEFAULT_RETRY_AFTER_MS) };
 }
 
-/** Creates the rejection of a call to a service of which all instances hold off. */
+/** Creates the rejection of a call to a service of which all instances hold off or are at their limits. */
 export function createHoldRejection(retryAfterMs: number): LocalAnswer {
-    const failure = codes.failure(codes.codes.overloaded, "all instances hold off", retryAfterMs);
+    const failure = codes.failure(
+        codes.codes.overloaded,
+        "all instances hold off or are at their limits",
+        retryAfterMs,
+    );
     return { kind: "local-failure", failure };
 }
 
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -70,11 +70,10 @@
     }
 }
 
-/** Rejects a call before its stages run if all instances that could run it hold off until its deadline. */
+/** Rejects a call before its stages run if no instance may be sent it until its deadline. */
 function findHoldBeyondDeadline(context: RunContext, call: calls.RoutedCall): plainRuns.RunOutcome | undefined {
-    const { holds } = context.pool;
-    const retryAfterMs = holds.callerRetryAfterMs(call.service);
-    const isBeyondDeadline = context.clock.now() + holds.serviceHoldMs(call.service) >= call.hardDeadlineAtMs;
+    const retryAfterMs = context.pool.callerRetryAfterMs(call.service);
+    const isBeyondDeadline = context.clock.now() + context.pool.serviceWaitMs(call.service) >= call.hardDeadlineAtMs;
     return retryAfterMs !== undefined && isBeyondDeadline ? plainRuns.createHoldRejection(retryAfterMs) : undefined;
 }
 
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -35,7 +35,11 @@
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly pool: pools.InstancePool;
     /** Called with each answer that an instance gave to its call. */
-    readonly onAnswer: (instance: routing.RoutedInstance, answer: routingPorts.UpstreamAnswerMetadata) => void;
+    readonly onAnswer: (
+        instance: routing.RoutedInstance,
+        answer: routingPorts.UpstreamAnswerMetadata,
+        sentAtMs: number,
+    ) => void;
     readonly budgetOf: (service: string) => budgets.ServiceRetryBudget;
     /** Failure domain that holds a stage result; undefined if unknown. */
     readonly findResultDomain: (handle: string) => string | undefined;
@@ -188,7 +192,7 @@
     }
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
-        history.heldRetryAfterMs = context.pool.holds.callerRetryAfterMs(call.service, history.softwareVersion);
+        history.heldRetryAfterMs = context.pool.callerRetryAfterMs(call.service, history.softwareVersion);
         sendLogs.logUnlessAnyVersion(context, call, history);
         return undefined;
     }
@@ -220,7 +224,9 @@
     if (history.softwareVersion === undefined || instance.startedMs === routing.UNSTATED_START_MS) {
         return undefined;
     }
-    const { holds } = context.pool;
+    const { holds, limits } = context.pool;
+    const checkedAtMs = context.clock.now();
+    limits.countRequest(instance);
     const check = await startChecks.checkStart(context, instance, () => holds.remainingMs(instance) > 0, signal);
     sendLogs.logStartCheck(context, call, instance, check);
     if (check.kind === "none") {
@@ -231,7 +237,7 @@
     if (holdMs !== undefined) {
         holds.start(instance.address, instance, holdMs, "start-check");
     }
-    context.onAnswer(instance, check.metadata);
+    context.onAnswer(instance, check.metadata, checkedAtMs);
     if (check.kind === "other" || holdMs !== undefined) {
         ticket.end(check.kind === "other" ? "unreachable" : "cancelled");
         return { kind: "not-run", isInputLost: false };
@@ -323,7 +329,7 @@
         ticket.end("failed");
         return { kind: "unknown", code: codes.codes.malformedAnswer };
     }
-    context.onAnswer(chosen.instance, metadata);
+    context.onAnswer(chosen.instance, metadata, sent.sentAtMs);
     if (metadata.load !== undefined) {
         chosen.traffic.recordLoadReport(metadata.load.running, metadata.load.waiting);
     }
