--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -110,6 +110,8 @@
     stalledAnswers = 0;
     /** A part of prompts; the engine ends when it begins to answer a prompt with it, and starts again. */
     crashPart: string | undefined;
+    /** A body; the engine ends when it begins to run a request with it. */
+    crashBody: string | undefined;
     /** The attempts whose prompts ended the engine. */
     readonly crashes: string[] = [];
     /** Called when a prompt ends the engine, and when it has started again. */
@@ -228,6 +230,10 @@
         if (this.faults.hang) {
             return;
         }
+        if (this.crashBody !== undefined && body === this.crashBody) {
+            this.crash(attempt!);
+            return;
+        }
         await this.run(request, response);
     }
 
