Hold back requests that crash instances and come again

Cause: the evidence of ends knew parts of prompts only; a call without a prompt wasn't observed at all. And ends within 250 ms counted as one, while such a request ends four engines in 0.2 s. Class: evidence bound to one kind of trait. Requests and parts are now one evidence: a request is known by a digest of host, path, team and body (computed only after an interruption or while an end is remembered), and each end for which it was sent after the last one had ended counts for itself. Companions of such a request aren't suspected: its explanation covers its own ends only.

--- a/src/common/Codes.ts
+++ b/src/common/Codes.ts
@@ -84,7 +84,13 @@
         "No entry reached knows which software version began it.",
     ),
     versionGone: row(223, "version-gone", "not-run", 503, "No instance of the software version that began it serves."),
-    partsHeldBack: row(224, "parts-held-back", "not-run", 503, "Prompts with these parts crashed several instances."),
+    partsHeldBack: row(
+        224,
+        "parts-held-back",
+        "not-run",
+        503,
+        "This call, or prompts with these parts, crashed several instances.",
+    ),
 
     connectionLost: row(300, "connection-lost", "unknown", 502, "The connection to the agent was lost after dispatch."),
     upstreamReset: row(
--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -240,6 +240,8 @@
         /** Time since a prompt with parts that are held to be the cause was last seen. */
         seenAgeMs: ageMs,
         parts: z.array(partId).max(64),
+        /** Requests that it was about to answer, by digest, and the time since each was last sent there. */
+        requests: z.array(z.object({ request: partId, sentAgeMs: ageMs })).max(128).default([]),
         /** An attempt of a caller among the prompts. */
         attempt: stageOrders.callerTextSchema.min(1),
     })).max(MAX_TOLD_CRASHES),
--- a/src/process/crashes/CrashExchange.ts
+++ b/src/process/crashes/CrashExchange.ts
@@ -71,12 +71,17 @@
         const { clock, evidence, log, monitor } = this.options;
         const nowMs = clock.now();
         message.answered.forEach(({ part, ageMs }) => evidence.recordAnswer([part], nowMs - ageMs));
-        for (const { ageMs, seenAgeMs, parts, ...told } of message.crashes) {
-            const crash = { ...told, atMs: nowMs - ageMs, parts: new Set(parts) };
+        for (const { ageMs, seenAgeMs, parts, requests: sent, ...told } of message.crashes) {
+            const requests = new Map(sent.map(({ request, sentAgeMs }) => [request, nowMs - sentAgeMs]));
+            const crash = { ...told, atMs: nowMs - ageMs, parts: new Set(parts), requests };
             if (evidence.recordCrash(crash, nowMs - seenAgeMs)) {
                 const { instance, startedMs, attempt } = told;
-                const fields = { instance, startedMs, attempt, parts, peer: peer.instance, ageMs: Math.round(ageMs) };
-                log.info({ decision: "crash", ...fields }, "instance ended before its answers");
+                const names = [...parts, ...requests.keys()];
+                const fields = { instance, startedMs, attempt, parts: names, peer: peer.instance };
+                log.info(
+                    { decision: "crash", ...fields, ageMs: Math.round(ageMs) },
+                    "instance ended before its answers",
+                );
             }
         }
         monitor.logChanges();
@@ -118,10 +123,11 @@
         return told;
     }
 
-    private encodeCrash({ atMs, seenAtMs, parts, ...identity }: crashEvidence.Crash): ToldCrash {
+    private encodeCrash({ atMs, seenAtMs, parts, requests, ...identity }: crashEvidence.Crash): ToldCrash {
         const nowMs = this.options.clock.now();
-        const seenAgeMs = Math.max(0, nowMs - seenAtMs);
-        return { ...identity, ageMs: Math.max(0, nowMs - atMs), seenAgeMs, parts: [...parts] };
+        const ageOf = (timeMs: number): number => Math.max(0, nowMs - timeMs);
+        const sent = [...requests].map(([request, sentAtMs]) => ({ request, sentAgeMs: ageOf(sentAtMs) }));
+        return { ...identity, ageMs: ageOf(atMs), seenAgeMs: ageOf(seenAtMs), parts: [...parts], requests: sent };
     }
 
     private encodeAnswered(part: string): entryMessages.Crashes["answered"][number] {
--- a/src/process/crashes/CrashMonitor.ts
+++ b/src/process/crashes/CrashMonitor.ts
@@ -1,6 +1,6 @@
 /**
- * Learns from interrupted calls which instances have ended, and which prompts they were about to answer; holds back
- * calls whose prompts have parts that crash instances. A connection may also be lost while its instance serves on, so an
+ * Learns from interrupted calls which instances have ended, and which calls they were about to answer; holds back calls
+ * that crash instances, and those whose prompts have parts that do. A connection may also be lost while its instance serves on, so an
  * interruption counts only once the instance's address refuses connections.
  */
 import * as clocks from "../../common/Clock";
@@ -29,10 +29,26 @@
     readonly probe?: typeof endpointProbes.probeEndpoint;
 }
 
-/** The prompts of an instance that may have ended. */
+/** A call as far as it matters here. */
+export interface ObservedCall {
+    readonly attempt: string;
+    readonly promptParts: readonly routingPorts.PromptPart[];
+    /** Digests that identify the request when it comes again; computed at the first use. */
+    readonly requestDigests: () => readonly string[];
+}
+
+/** The calls of an instance that may have ended. */
 interface PossibleEnd {
     readonly atMs: number;
     readonly parts: Set<string>;
+    readonly requests: Map<string, number>;
+}
+
+/** A part's name has no colon, so that no caller can choose this one. */
+const REQUEST_PREFIX = "request:";
+
+function requestNames(call: ObservedCall): string[] {
+    return call.requestDigests().map(digest => REQUEST_PREFIX + digest);
 }
 
 /** The names of a prompt's parts, as entries tell each other. Callers choose them, and they may be of any length. */
@@ -66,38 +82,32 @@
     }
 
     /** Records that a call was interrupted which its instance was about to answer. */
-    observeInterruption(
-        instance: routing.RoutedInstance,
-        prompt: readonly routingPorts.PromptPart[],
-        attempt: string,
-    ): void {
-        const parts = sharedPartNames(prompt);
-        if (parts.length === 0) {
-            return;
-        }
+    observeInterruption(instance: routing.RoutedInstance, call: ObservedCall, sentAtMs: number): void {
         const key = routing.incarnationKey(instance);
         const pending = this.possibleEnds.get(key);
-        if (pending !== undefined) {
-            parts.forEach(part => pending.parts.add(part));
-            return;
+        const possible = pending ?? { atMs: this.options.clock.now(), parts: new Set(), requests: new Map() };
+        sharedPartNames(call.promptParts).forEach(part => possible.parts.add(part));
+        requestNames(call).forEach(request => possible.requests.set(request, sentAtMs));
+        if (pending === undefined) {
+            this.possibleEnds.set(key, possible);
+            void this.examine(instance, possible, call.attempt).finally(() => this.possibleEnds.delete(key));
         }
-        const possible = { atMs: this.options.clock.now(), parts: new Set(parts) };
-        this.possibleEnds.set(key, possible);
-        void this.examine(instance, possible, attempt).finally(() => this.possibleEnds.delete(key));
     }
 
-    /** Records that an instance has answered a call's prompt. */
-    observeAnswer(prompt: readonly routingPorts.PromptPart[]): void {
-        this.options.evidence.recordAnswer(sharedPartNames(prompt));
+    /** Records that an instance has answered a call. */
+    observeAnswer(call: ObservedCall): void {
+        const { evidence } = this.options;
+        const requests = evidence.hasCrashes ? requestNames(call) : []; // They matter only for requests that come again.
+        evidence.recordAnswer([...sharedPartNames(call.promptParts), ...requests]);
     }
 
-    /** The suspected parts that a prompt has, for which its call must not be sent; undefined if it has none. */
-    findHeld(prompt: readonly routingPorts.PromptPart[]): ReadonlySet<string> | undefined {
+    /** What a call has that is suspected, for which it must not be sent; undefined if there is nothing. */
+    findHeld(call: ObservedCall): ReadonlySet<string> | undefined {
         const suspected = this.options.evidence.findSuspected();
         if (suspected.length === 0) {
             return undefined;
         }
-        const names = new Set(partNames(prompt));
+        const names = new Set([...partNames(call.promptParts), ...requestNames(call)]);
         const held = suspected.find(({ parts }) => [...parts].every(part => names.has(part)));
         if (held === undefined) {
             return undefined;
@@ -115,7 +125,7 @@
                 const fields = { parts: [...parts], instances, attempt: crashes[0]?.attempt };
                 this.options.log.warn(
                     { decision: "parts-suspected", ...fields },
-                    "prompts with these parts crash instances; calls with them are held back",
+                    "calls with these parts crash instances; they are held back",
                 );
             }
         }
@@ -148,9 +158,9 @@
             }
         }
         const { id, startedMs } = instance;
-        const crash = { instance: id, startedMs, atMs: possible.atMs, parts: possible.parts, attempt };
+        const crash = { instance: id, startedMs, ...possible, attempt };
         if (evidence.recordCrash(crash)) {
-            const parts = [...possible.parts];
+            const parts = [...possible.parts, ...possible.requests.keys()];
             log.info(
                 { decision: "crash", instance: id, startedMs, attempt, parts },
                 "instance ended before its answers",
--- a/src/request/routed/AnswerStart.ts
+++ b/src/request/routed/AnswerStart.ts
@@ -3,9 +3,10 @@
  * suspect if the answer is interrupted before.
  */
 import * as clocks from "../../common/Clock";
-import * as routing from "../../common/Routing";
 import * as crashMonitors from "../../process/crashes/CrashMonitor";
+import * as requestDigests from "./RequestDigest";
 import * as calls from "./RoutedCall";
+import * as senders from "./UpstreamSender";
 
 /** Time after its first event for which an answer must go on. */
 const SOUND_AFTER_MS = 200;
@@ -19,7 +20,7 @@
         private readonly clock: clocks.Clock,
         private readonly crashes: Pick<crashMonitors.CrashMonitor, "observeAnswer" | "observeInterruption">,
         private readonly call: calls.RoutedCall,
-        private readonly instance: routing.RoutedInstance,
+        private readonly sent: Pick<senders.SentCall, "instance" | "sentAtMs">,
     ) {}
 
     /** Records that events have arrived. */
@@ -39,12 +40,12 @@
             this.markSound();
             return;
         }
-        const { attempt, promptParts } = this.call.metadata;
-        this.crashes.observeInterruption(this.instance, promptParts, attempt);
+        const { instance, sentAtMs } = this.sent;
+        this.crashes.observeInterruption(instance, requestDigests.observedCall(this.call), sentAtMs);
     }
 
     private markSound(): void {
         this.isSound = true;
-        this.crashes.observeAnswer(this.call.metadata.promptParts);
+        this.crashes.observeAnswer(requestDigests.observedCall(this.call));
     }
 }
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -4,6 +4,7 @@
 import * as codes from "../../common/Codes";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as histories from "./CallHistory";
+import * as requestDigests from "./RequestDigest";
 import * as calls from "./RoutedCall";
 import * as senders from "./UpstreamSender";
 
@@ -14,7 +15,7 @@
 /** Retry-after of a rejection for which there is no better estimate. */
 export const DEFAULT_RETRY_AFTER_MS = 300;
 
-/** Retry-after of a call that is held back for parts of its prompt, which may be cleared meanwhile. */
+/** Retry-after of a call that is held back because it, or a part of its prompt, crashes instances; it may be cleared. */
 const PARTS_RETRY_AFTER_MS = 60_000;
 const MAX_DETAIL_LENGTH = 200;
 
@@ -94,7 +95,7 @@
     return { kind: "local-failure", failure };
 }
 
-/** Creates the rejection of a call whose prompt has parts that crash instances. */
+/** Creates the rejection of a call that crashes instances, or whose prompt has parts that do. */
 export function createPartsRejection(parts: ReadonlySet<string>): LocalAnswer {
     const detail = [...parts].join(",").slice(0, MAX_DETAIL_LENGTH);
     return { kind: "local-failure", failure: codes.failure(codes.codes.partsHeldBack, detail, PARTS_RETRY_AFTER_MS) };
@@ -134,8 +135,9 @@
     }
     const { status, rawHeaders } = answered.answer;
     answered.sent.ticket.end(body !== undefined && status < 500 ? "ok" : "failed");
+    const isLate = context.clock.now() >= call.hardDeadlineAtMs;
+    observeEnd(context, call, answered.sent, body !== undefined, isLate);
     if (body === undefined) {
-        const isLate = context.clock.now() >= call.hardDeadlineAtMs;
         const code = isLate ? codes.codes.upstreamTimeout : codes.codes.upstreamReset;
         return { kind: "local-failure", failure: codes.failure(code, "answer cut short") };
     }
@@ -149,6 +151,23 @@
     return { kind: "buffered", status, headers, body, isFramed: answered.answer.isFramed, instance: answered.instance };
 }
 
+/** Records whether an instance has answered a call, unless this process has cut the answer. */
+function observeEnd(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    { instance, sentAtMs }: senders.SentCall,
+    isComplete: boolean,
+    isLate: boolean,
+): void {
+    const observed = requestDigests.observedCall(call);
+    if (isComplete) {
+        context.crashes.observeAnswer(observed);
+    }
+    else if (!isLate) {
+        context.crashes.observeInterruption(instance, observed, sentAtMs);
+    }
+}
+
 /** Whether the outcome is a failure that may be retried on another instance. */
 function canRetry(call: calls.RoutedCall, history: histories.CallHistory, runOutcome: RunOutcome): boolean {
     const hasFailed = runOutcome.kind === "local-failure"
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -8,6 +8,7 @@
 import * as stageHosts from "../../process/stages/StageHost";
 import * as sinks from "./EventSink";
 import * as plainRuns from "./PlainRun";
+import * as requestDigests from "./RequestDigest";
 import * as calls from "./RoutedCall";
 import * as stageGoals from "./StageGoal";
 import * as streamResumes from "./StreamResume";
@@ -30,7 +31,7 @@
     if (call.route.kind !== "stream") {
         return plainRuns.runPlain(context, call);
     }
-    const heldParts = context.crashes.findHeld(call.metadata.promptParts);
+    const heldParts = context.crashes.findHeld(requestDigests.observedCall(call));
     if (heldParts !== undefined) {
         return plainRuns.createPartsRejection(heldParts);
     }
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -170,7 +170,7 @@
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
         const splitter = new splitters.EventSplitter();
         const { sent } = answered;
-        const start = new answerStarts.AnswerStart(this.context.clock, this.context.crashes, this.call, sent.instance);
+        const start = new answerStarts.AnswerStart(this.context.clock, this.context.crashes, this.call, sent);
         this.silence.recordAnswer(sent);
         for (;;) {
             const waitMs = (): number => this.silence.nextBytesWaitMs(sent);
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -15,7 +15,9 @@
 import * as pools from "../../process/instances/InstancePool";
 import * as traffic from "../../process/instances/InstanceTraffic";
 import * as budgets from "../../process/instances/ServiceRetryBudget";
+import * as classifications from "./AnswerClassification";
 import * as histories from "./CallHistory";
+import * as requestDigests from "./RequestDigest";
 import * as calls from "./RoutedCall";
 import * as sendLogs from "./SendLog";
 import * as startChecks from "./StartCheck";
@@ -100,7 +102,7 @@
     const isAllowed = history.sends === 0 || context.budgetOf(call.service).canSpend;
     return hasTime
         && isAllowed
-        && context.crashes.findHeld(call.metadata.promptParts) === undefined
+        && context.crashes.findHeld(requestDigests.observedCall(call)) === undefined
         && history.sends < MAX_SENDS
         && context.pool.expectedFirstEventMs(requirementsOf(context, call, history, [])) !== undefined;
 }
@@ -165,11 +167,11 @@
         takeBackSend(context, call, history);
     }
     if (exchange.kind === "failed" && exchange.reason === "reset" && exchange.isDispatched) {
-        context.crashes.observeInterruption(instance, call.metadata.promptParts, call.metadata.attempt);
+        context.crashes.observeInterruption(instance, requestDigests.observedCall(call), sentAtMs);
     }
     const outcome = exchange.kind === "failed"
-        ? classifyFailure(exchange, ticket)
-        : classifyAnswer(context, call, exchange, sent, chosen);
+        ? classifications.classifyFailure(exchange, ticket)
+        : classifications.classifyAnswer(context, call, exchange, sent, chosen);
     if (outcome.kind !== "not-run") {
         history.possibleRuns++;
     }
@@ -186,7 +188,7 @@
     history: histories.CallHistory,
     inputs: readonly CallInput[],
 ): pools.ChosenInstance | undefined {
-    history.heldParts = context.crashes.findHeld(call.metadata.promptParts);
+    history.heldParts = context.crashes.findHeld(requestDigests.observedCall(call));
     if (history.heldParts !== undefined) {
         return undefined;
     }
@@ -290,61 +292,3 @@
     }
     return bytes;
 }
-
-function classifyFailure(exchange: exchanges.FailedExchange, ticket: traffic.Ticket): SendOutcome {
-    if (exchange.reason === "cancelled") {
-        ticket.end("cancelled");
-        return { kind: "cancelled" };
-    }
-    if (!exchange.isDispatched) {
-        const isUnreachable = exchange.reason !== "held" && exchange.reason !== "invalid";
-        ticket.end(isUnreachable ? "unreachable" : "cancelled");
-        return { kind: "not-run", isInputLost: false };
-    }
-    // A reset of a reused connection does not indicate a failed instance: it may have been closed while idle.
-    ticket.end(exchange.isStaleConnection ? "cancelled" : exchange.reason === "reset" ? "unreachable" : "failed");
-    const code = exchange.reason === "timeout"
-        ? codes.codes.upstreamTimeout
-        : exchange.reason === "malformed"
-        ? codes.codes.malformedAnswer
-        : codes.codes.upstreamReset;
-    return { kind: "unknown", code };
-}
-
-function classifyAnswer(
-    context: SenderContext,
-    call: calls.RoutedCall,
-    answer: exchanges.OpenAnswer,
-    sent: SentCall,
-    chosen: pools.ChosenInstance,
-): SendOutcome {
-    const { ticket } = sent;
-    const metadata = context.wire.readAnswer(answer.status, answer.headers);
-    if (metadata.holdMs !== undefined) {
-        context.pool.holds.start(chosen.instance.address, chosen.instance, metadata.holdMs, "call");
-    }
-    const isOtherAttempt = metadata.attempt !== undefined && metadata.attempt !== call.metadata.attempt;
-    if (isOtherAttempt || !isValidAnswer(answer, metadata)) {
-        answer.cancel();
-        ticket.end("failed");
-        return { kind: "unknown", code: codes.codes.malformedAnswer };
-    }
-    context.onAnswer(chosen.instance, metadata, sent.sentAtMs);
-    if (metadata.load !== undefined) {
-        chosen.traffic.recordLoadReport(metadata.load.running, metadata.load.waiting);
-    }
-    if (metadata.effect !== "ran") {
-        answer.body.resume();
-        const isOther = metadata.effect === "other-instance";
-        ticket.end(isOther ? "unreachable" : traffic.rejectionOutcome(metadata.holdMs));
-        return { kind: "not-run", isInputLost: metadata.isInputLost };
-    }
-    const { id, softwareVersion } = chosen.instance;
-    return { kind: "answer", answer, metadata, sent, instance: id, softwareVersion };
-}
-
-/** Whether the content is unencoded and, if the status is a success, signed by the instance. */
-function isValidAnswer(answer: exchanges.OpenAnswer, metadata: routingPorts.UpstreamAnswerMetadata): boolean {
-    const isSuccess = answer.status >= 200 && answer.status < 300;
-    return answer.headers["content-encoding"] === undefined && (!isSuccess || metadata.isSigned);
-}
