--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -24,8 +24,12 @@
 
 /** A prompt with the part that crashes engines; its other parts are those of sound prompts too. */
 const CRASH_PROMPT = { ...routedFleets.PROMPT_HEADERS, "Prefix-Hash": `5c:800,${soakEngines.CRASH_PART}:410,e4:250` };
-/** The route of the calls that crash engines, which aren't resumed. */
+/** The route of the calls with such prompts, which aren't resumed. */
 const CRASH_ROUTE = "once";
+/** Share of the calls that crash engines which are the same request again, and its route and path. */
+const REPEATED_SHARE = 0.5;
+const REPEATED_ROUTE = "look";
+const REPEATED_PATH = "/look/again";
 
 /** Sends calls until it is stopped, and records them in the history. */
 export class SoakCaller {
@@ -70,17 +74,19 @@
     private runCall(route: string, resumes: histories.SoakCall["resumes"]): Promise<histories.SoakCall> {
         const entry = Math.floor(this.random() * this.fleet.entries.length);
         const attempt = `${this.name}-${this.nextCallNumber++}`;
+        const isRepeated = this.isCrashing && route === REPEATED_ROUTE;
         const call: histories.SoakCall = {
             attempt,
             route,
             entry,
-            path: `/${route}/${attempt}`,
+            path: isRepeated ? REPEATED_PATH : `/${route}/${attempt}`,
             sentMs: clocks.systemClock.now(),
             endedMs: 0,
             body: "",
             isWhole: false,
             hasRetryAfter: false,
             isCrashing: this.isCrashing,
+            isRepeated,
             resumes,
         };
         return new Promise(resolve => {
@@ -98,7 +104,7 @@
 
     private sendRequest(call: histories.SoakCall, finish: () => void): http.ClientRequest {
         const [host, port] = this.fleet.entries[call.entry]!.callerAddress.split(":");
-        const promptHeaders = this.isCrashing ? CRASH_PROMPT : routedFleets.PROMPT_HEADERS;
+        const promptHeaders = this.isCrashing && call.isRepeated !== true ? CRASH_PROMPT : routedFleets.PROMPT_HEADERS;
         const kindHeaders = call.route === "staged" ? routedFleets.STAGED_HEADERS : promptHeaders;
         const headers = {
             Host: "desk.example",
@@ -124,13 +130,13 @@
                 finish();
             });
         });
-        request.end("body");
+        request.end(call.isRepeated === true ? soakEngines.CRASH_BODY : "body");
         return request;
     }
 
     private drawRoute(): string {
         if (this.isCrashing) {
-            return CRASH_ROUTE;
+            return this.random() < REPEATED_SHARE ? REPEATED_ROUTE : CRASH_ROUTE;
         }
         if (this.random() < VERSION_ROUTE_SHARE) {
             const newest = this.fleet.newestVersion;
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,6 +1,7 @@
 /**
  * The guarantees of the system, checked on what callers and engines observed.
  */
+import * as limitChecks from "./LimitCheck";
 import * as histories from "./SoakHistory";
 
 /** Number of events in each stream. */
@@ -20,6 +21,7 @@
 const MAX_ARRIVALS_IN_HOLD = 2;
 /** Platform limits: ends of engines from which a part must be known, and most prompts with it that reach one later. */
 const KNOWN_CRASHES = 5;
+const KNOWN_REQUEST_CRASHES = 3;
 const MAX_LATE_CRASHES = 3;
 /** Time for the system to recover once all faults have ended. */
 export const RECOVERY_MS = 12_000;
@@ -66,6 +68,8 @@
     { name: "an engine that has told an entry that it leaves gets nothing more from it", find: findRunsAfterSign },
     { name: "an engine that asks for a hold gets nothing in it", find: findArrivalsInHolds },
     { name: "few prompts reach engines with a part that is known to crash them", find: findLateCrashes },
+    { name: "few requests reach engines that are known to crash them", find: findLateRepeats },
+    { name: "an engine that names a limit gets no more", find: limitChecks.findArrivalsBeyondLimit },
     { name: "a planned stop cuts nothing", find: findCallsAbortedByStop },
     { name: "a refusal says when to come back", find: findMissingRetryAfter },
     { name: "no process ends by itself", find: findUnexpectedExits },
@@ -306,10 +310,22 @@
 
 /** Finds calls with the part that crashes engines which undisturbed entries sent on once they had to know the part. */
 function findLateCrashes(history: histories.SoakHistory): readonly unknown[] {
-    const crashes = history.faults.filter(fault => fault.kind === "crash").sort((a, b) => a.fromMs - b.fromMs);
-    const knownFromMs = (crashes[KNOWN_CRASHES - 1]?.fromMs ?? Infinity) + UNDISTURBED_MS;
+    return findLate(history, false, KNOWN_CRASHES);
+}
+
+/** The same for the request that crashes engines and comes again. */
+function findLateRepeats(history: histories.SoakHistory): readonly unknown[] {
+    return findLate(history, true, KNOWN_REQUEST_CRASHES);
+}
+
+function findLate(history: histories.SoakHistory, isRepeated: boolean, knownCrashes: number): readonly unknown[] {
+    const calls = new Map(history.calls.map(call => [call.attempt, call] as const));
+    const crashes = history.faults
+        .filter(fault => fault.kind === "crash" && (calls.get(fault.attempt ?? "")?.isRepeated === true) === isRepeated)
+        .sort((a, b) => a.fromMs - b.fromMs);
+    const knownFromMs = (crashes[knownCrashes - 1]?.fromMs ?? Infinity) + UNDISTURBED_MS;
     const late = crashes.filter(({ attempt, fromMs }) => {
-        const call = history.calls.find(other => other.attempt === attempt);
+        const call = calls.get(attempt ?? "");
         return fromMs > knownFromMs && call !== undefined
             && history.isUndisturbed(call.entry, fromMs - UNDISTURBED_MS, fromMs);
     });
--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -48,7 +48,7 @@
     private readonly engines: soakEngines.Engine[] = [];
     private readonly removedEngines: soakEngines.Engine[] = [];
     private version = 0;
-    private nextEngineNumber = 1;
+    private nextEngineNumber = soakEngines.FIRST_NUMBER;
     private isDisposed = false;
     private supervision: clocks.Disposable | undefined;
 
@@ -143,9 +143,7 @@
 
     private async addEngine(service: string, failureDomain: string, events: number | undefined): Promise<void> {
         const number = this.nextEngineNumber++;
-        const standIn = new engines.PlatformEngineStandIn(
-            soakEngines.createOptions(number, service, failureDomain, events),
-        );
+        const standIn = soakEngines.createStandIn(number, service, failureDomain, events);
         const { id } = standIn.options;
         await standIn.listen();
         const link = await relays.TcpRelay.listen(portOf(standIn.address));
--- a/soak/SoakHistory.ts
+++ b/soak/SoakHistory.ts
@@ -30,8 +30,9 @@
     /** Whether the answer was framed and received completely. */
     isWhole: boolean;
     hasRetryAfter: boolean;
-    /** Whether its prompt has the part that crashes engines. */
+    /** Whether it crashes engines: by a part of its prompt, or as a request that comes again. */
     readonly isCrashing?: boolean | undefined;
+    readonly isRepeated?: boolean | undefined;
     /** Set for a call that resumes a stream. */
     readonly resumes?: { readonly firstAttempt: string; readonly lastEventId: number } | undefined;
 }
@@ -56,6 +57,8 @@
     readonly atMs: number;
     /** The time, in seconds, for which the engine wants nothing more from the entry, if it rejected the call so. */
     readonly retryAfter: string | undefined;
+    /** Whether its answer names a limit. */
+    readonly isLimited?: boolean;
 }
 
 /** An engine, and the time during which it serves. */
