--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -209,7 +209,7 @@
 /** Limits that instances name for all entries together, as they told the sender or another entry. */
 export const instancesLimitedSchema = z.object({
     kind: z.literal("instances-limited"),
-    words: z.array(
+    signs: z.array(
         z.object({
             instance: name,
             /** Start of the incarnation, as it published it. */
--- a/src/process/instances/InstanceLimits.ts
+++ b/src/process/instances/InstanceLimits.ts
@@ -1,6 +1,6 @@
 /**
  * The limits that instances in need have named, each for all entries together, from their answers to this process and
- * to others. The newest word of an incarnation counts.
+ * to others. The newest sign of an incarnation counts.
  */
 import * as clocks from "../../common/Clock";
 import * as routing from "../../common/Routing";
@@ -9,15 +9,15 @@
 import * as holds from "./InstanceHold";
 import * as limitedRates from "./LimitedRate";
 
-/** A word is forgotten after this time, in which an instance with any demand has been asked again. */
-const WORD_LIFETIME_MS = 60_000;
+/** A sign is forgotten after this time, in which an instance with any demand has been asked again. */
+const SIGN_LIFETIME_MS = 60_000;
 /** How long a computed share is used; longer than a choice among many instances takes. */
 const SHARE_LIFETIME_MS = 250;
 /** A stage worker gets its calls from its host, and for a moment from two; both together keep within the limit. */
 const HOST_SHARE = 0.75;
 
-/** What an instance last said, as entries tell each other. */
-export interface LimitWord {
+/** What an instance last said about its limit, as entries tell each other. */
+export interface LimitSign {
     readonly instance: string;
     readonly startedMs: number;
     /** Undefined if it names no limit any more. */
@@ -39,7 +39,7 @@
     readonly minEntries?: () => number;
 }
 
-interface Word {
+interface KnownSign {
     readonly instance: string;
     readonly startedMs: number;
     readonly perSecond: number | undefined;
@@ -51,14 +51,14 @@
 
 /** Keeps the limits and this process's share of each. */
 export class InstanceLimits {
-    private readonly words = new Map<string, Word>();
+    private readonly signs = new Map<string, KnownSign>();
     private readonly rates = new Map<string, limitedRates.LimitedRate>();
 
     constructor(private readonly options: InstanceLimitsOptions) {}
 
     /** Number of incarnations that name a limit now. */
     get count(): number {
-        return [...this.words.values()].filter(({ perSecond }) => perSecond !== undefined).length;
+        return [...this.signs.values()].filter(({ perSecond }) => perSecond !== undefined).length;
     }
 
     /** The requests of this process to an incarnation, created at the first use. */
@@ -72,20 +72,20 @@
     }
 
     /**
-     * The word in an answer of the instance to a request that was sent at `sentAtMs`; undefined if it is none. An answer
+     * The sign in an answer of the instance to a request that was sent at `sentAtMs`; undefined if it is none. An answer
      * without a limit counts only if it can't have been begun before the instance named one.
      */
-    readWord(
+    readSign(
         instance: Pick<routing.RoutedInstance, "id" | "startedMs">,
         answer: Pick<routingPorts.UpstreamAnswerMetadata, "limitPerSecond" | "instance" | "effect">,
         sentAtMs: number,
-    ): LimitWord | undefined {
-        if (this.words.size === 0 && answer.limitPerSecond === undefined) {
+    ): LimitSign | undefined {
+        if (this.signs.size === 0 && answer.limitPerSecond === undefined) {
             return undefined; // Asked for each answer.
         }
         const isFromOther = answer.effect === "other-instance"
             || (answer.instance !== undefined && answer.instance !== instance.id);
-        const known = this.words.get(routing.incarnationKey(instance));
+        const known = this.signs.get(routing.incarnationKey(instance));
         const isNews = answer.limitPerSecond !== undefined
             || (known?.perSecond !== undefined && sentAtMs >= known.saidAtMs);
         if (isFromOther || !isNews) {
@@ -94,18 +94,18 @@
         return { instance: instance.id, startedMs: instance.startedMs, perSecond: answer.limitPerSecond, ageMs: 0 };
     }
 
-    /** Records a word unless a newer one is known; returns whether the limit is another one now. */
-    record({ instance, startedMs, perSecond, ageMs }: LimitWord): boolean {
+    /** Records a sign unless a newer one is known; returns whether the limit is another one now. */
+    record({ instance, startedMs, perSecond, ageMs }: LimitSign): boolean {
         const nowMs = this.options.clock.now();
         const key = routing.incarnationKey({ id: instance, startedMs });
-        const known = this.words.get(key);
+        const known = this.signs.get(key);
         const saidAtMs = nowMs - ageMs;
-        if (ageMs >= WORD_LIFETIME_MS || (known !== undefined && known.saidAtMs >= saidAtMs)) {
+        if (ageMs >= SIGN_LIFETIME_MS || (known !== undefined && known.saidAtMs >= saidAtMs)) {
             return false;
         }
         const isChange = known === undefined ? perSecond !== undefined : known.perSecond !== perSecond;
         const rate = this.obtainRate(key);
-        this.words.set(key, { instance, startedMs, perSecond, saidAtMs, rate, shareUntilMs: -Infinity });
+        this.signs.set(key, { instance, startedMs, perSecond, saidAtMs, rate, shareUntilMs: -Infinity });
         if (perSecond === undefined) {
             rate.setShare(Infinity);
         }
@@ -115,28 +115,28 @@
         return isChange;
     }
 
-    /** The words that an instance said at most `withinMs` ago. */
-    list(withinMs = Infinity): LimitWord[] {
+    /** The signs that are at most `withinMs` old. */
+    list(withinMs = Infinity): LimitSign[] {
         const nowMs = this.options.clock.now();
-        return [...this.words.values()].flatMap(({ instance, startedMs, perSecond, saidAtMs }) => {
+        return [...this.signs.values()].flatMap(({ instance, startedMs, perSecond, saidAtMs }) => {
             const ageMs = nowMs - saidAtMs;
             return ageMs <= withinMs ? { instance, startedMs, perSecond, ageMs } : [];
         });
     }
 
-    /** Forgets old words, and rates of incarnations that aren't in use; returns the words that were limits. */
-    forgetOld(isInUse: (incarnation: string) => boolean): LimitWord[] {
+    /** Forgets old signs, and rates of incarnations that aren't in use; returns the signs that were limits. */
+    forgetOld(isInUse: (incarnation: string) => boolean): LimitSign[] {
         const nowMs = this.options.clock.now();
-        const ended: LimitWord[] = [];
-        for (const [key, { instance, startedMs, perSecond, saidAtMs, rate }] of this.words) {
-            if (nowMs - saidAtMs >= WORD_LIFETIME_MS) {
-                this.words.delete(key);
+        const ended: LimitSign[] = [];
+        for (const [key, { instance, startedMs, perSecond, saidAtMs, rate }] of this.signs) {
+            if (nowMs - saidAtMs >= SIGN_LIFETIME_MS) {
+                this.signs.delete(key);
                 rate.setShare(Infinity);
                 ended.push(...(perSecond === undefined ? [] : [{ instance, startedMs, perSecond, ageMs: 0 }]));
             }
         }
         for (const key of this.rates.keys()) {
-            if (!this.words.has(key) && !isInUse(key)) {
+            if (!this.signs.has(key) && !isInUse(key)) {
                 this.rates.delete(key);
             }
         }
@@ -145,32 +145,32 @@
 
     /** The limit that an instance names, in requests a second for all entries; undefined if it names none. */
     perSecondOf(instance: Pick<routing.RoutedInstance, "id" | "startedMs">): number | undefined {
-        return this.words.size === 0 ? undefined : this.words.get(routing.incarnationKey(instance))?.perSecond;
+        return this.signs.size === 0 ? undefined : this.signs.get(routing.incarnationKey(instance))?.perSecond;
     }
 
     /** Time until this process may send the instance another request; 0 without a limit, Infinity without a share. */
     waitMs(instance: Pick<routing.RoutedInstance, "id" | "startedMs">): number {
-        if (this.words.size === 0) {
+        if (this.signs.size === 0) {
             return 0; // Asked for each instance at each choice.
         }
         const key = routing.incarnationKey(instance);
-        const word = this.words.get(key);
-        if (word?.perSecond === undefined) {
+        const sign = this.signs.get(key);
+        if (sign?.perSecond === undefined) {
             return 0;
         }
         this.updateShare(key);
-        return word.rate.waitMs(this.options.clock.now());
+        return sign.rate.waitMs(this.options.clock.now());
     }
 
     /** The same for a request that can be left out, at whichever instance the store lists at an address. */
     spareWaitMsAt(address: string): number {
-        const instance = this.words.size === 0 ? undefined : this.options.view.findByAddress(address);
+        const instance = this.signs.size === 0 ? undefined : this.options.view.findByAddress(address);
         return instance === undefined ? 0 : this.rateOf(instance).spareWaitMs(this.options.clock.now());
     }
 
     /** Counts a request beside calls, such as one for the instance's state. */
     countRequest(instance: Pick<routing.RoutedInstance, "id" | "startedMs">): void {
-        if (this.words.size > 0) {
+        if (this.signs.size > 0) {
             this.rateOf(instance).add(this.options.clock.now());
         }
     }
@@ -188,11 +188,11 @@
     }
 
     private updateShare(key: string): void {
-        const word = this.words.get(key)!;
+        const sign = this.signs.get(key)!;
         const nowMs = this.options.clock.now();
-        if (nowMs >= word.shareUntilMs) {
-            word.shareUntilMs = nowMs + SHARE_LIFETIME_MS;
-            word.rate.setShare(this.computeShare(word.instance, word.perSecond!));
+        if (nowMs >= sign.shareUntilMs) {
+            sign.shareUntilMs = nowMs + SHARE_LIFETIME_MS;
+            sign.rate.setShare(this.computeShare(sign.instance, sign.perSecond!));
         }
     }
 
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -1,7 +1,7 @@
 /**
  * The upstream instances that calls may go to: their published state combined with this process's own traffic.
- * Limits the call rate of cold instances and excludes those that are draining, leaving, out of
- * service, held, at their limit or paused.
+ * Limits the call rate of cold instances and excludes those that are draining, leaving, out of service, held, at
+ * their limit or paused.
  */
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
--- a/src/process/instances/LimitExchange.ts
+++ b/src/process/instances/LimitExchange.ts
@@ -15,7 +15,7 @@
 /** Interval at which new connections are told all limits, and one peer those of late. */
 const TELL_INTERVAL_MS = 500;
 /** Number of limits in a message to a peer picked at random. */
-const MAX_RELAYED_WORDS = 50;
+const MAX_RELAYED_SIGNS = 50;
 
 /** What the exchange needs from its process. */
 export interface LimitExchangeOptions {
@@ -31,7 +31,7 @@
 /** Keeps the limits known to this process and to the others. */
 export class LimitExchange implements clocks.Disposable {
     private readonly disposables = new emitters.DisposableStore();
-    private readonly gossip: gossips.FactGossip<instanceLimits.LimitWord>;
+    private readonly gossip: gossips.FactGossip<instanceLimits.LimitSign>;
 
     constructor(private readonly options: LimitExchangeOptions) {
         this.gossip = this.disposables.add(
@@ -41,8 +41,8 @@
                 isReader: connection => connection.remote.knowsLimits === true,
                 list: withinMs => options.limits.list(withinMs),
                 maxFacts: entryMessages.MAX_TOLD_LIMITS,
-                maxRelayed: MAX_RELAYED_WORDS,
-                encode: words => ({ kind: "instances-limited", words: [...words] }),
+                maxRelayed: MAX_RELAYED_SIGNS,
+                encode: signs => ({ kind: "instances-limited", signs: [...signs] }),
             }),
         );
         this.disposables.add(clocks.every(options.clock, TELL_INTERVAL_MS, () => this.forgetOld()));
@@ -59,34 +59,34 @@
         answer: routingPorts.UpstreamAnswerMetadata,
         sentAtMs: number,
     ): void {
-        const word = this.options.limits.readWord(instance, answer, sentAtMs);
-        if (word !== undefined && this.record(word, undefined)) {
-            this.gossip.tellAll([word]);
+        const sign = this.options.limits.readSign(instance, answer, sentAtMs);
+        if (sign !== undefined && this.record(sign, undefined)) {
+            this.gossip.tellAll([sign]);
         }
     }
 
-    private record(word: instanceLimits.LimitWord, peer: string | undefined): boolean {
-        const isChange = this.options.limits.record(word);
+    private record(sign: instanceLimits.LimitSign, peer: string | undefined): boolean {
+        const isChange = this.options.limits.record(sign);
         if (isChange) {
-            this.log(word, peer === undefined ? { source: "answer" } : { source: "peer", peer });
+            this.log(sign, peer === undefined ? { source: "answer" } : { source: "peer", peer });
         }
         return isChange;
     }
 
     private handleFrame({ message, peer }: entryPeers.PeerFrame): void {
         if (message.kind === "instances-limited") {
-            message.words.forEach(word => this.record({ ...word, perSecond: word.perSecond }, peer.instance));
+            message.signs.forEach(sign => this.record({ ...sign, perSecond: sign.perSecond }, peer.instance));
         }
     }
 
     private forgetOld(): void {
         const { limits, isInUse } = this.options;
-        limits.forgetOld(isInUse).forEach(word => this.log({ ...word, perSecond: undefined }, { source: "age" }));
+        limits.forgetOld(isInUse).forEach(sign => this.log({ ...sign, perSecond: undefined }, { source: "age" }));
     }
 
-    private log(word: instanceLimits.LimitWord, source: Record<string, string>): void {
-        const { instance, startedMs, perSecond } = word;
-        const fields = { instance, startedMs, perSecond, ageMs: Math.round(word.ageMs), ...source };
+    private log(sign: instanceLimits.LimitSign, source: Record<string, string>): void {
+        const { instance, startedMs, perSecond } = sign;
+        const fields = { instance, startedMs, perSecond, ageMs: Math.round(sign.ageMs), ...source };
         this.options.log.info(
             { decision: perSecond === undefined ? "limit-ended" : "instance-limited", ...fields },
             perSecond === undefined
--- a/src/process/routing/EntryStatus.ts
+++ b/src/process/routing/EntryStatus.ts
@@ -38,7 +38,7 @@
         unconfirmedMs: replication.reader.unconfirmedMs,
         out: view.outOfServiceDomains,
         leaving: pool.leavingIds,
-        limited: pool.limits.list().flatMap(word => word.perSecond === undefined ? [] : word),
+        limited: pool.limits.list().flatMap(sign => sign.perSecond === undefined ? [] : sign),
         stageHosts: roles.hostNames,
         stageOrders: host.size,
         active: server.active,
