Doubt a connection after two presence intervals, since entries with little processor time are late

Now 700 ms; a peer counts as lost after 1,000 ms as before. The test with real connections had a bound on wall-clock time, which our tests don't have: a table in virtual time (PeerPresence.test.ts) has it instead, and the test keeps that no peer is lost.

--- a/src/process/peers/PeerPresence.test.ts
+++ b/src/process/peers/PeerPresence.test.ts
@@ -25,3 +25,27 @@
         pauses.dispose();
     });
 });
+
+vitest.describe("a connection to a peer with presence messages each 300 ms", () => {
+    vitest.it.each([
+        { name: "isn't doubted while they come", silentMs: 400, bytesMs: 400, isDoubtful: false },
+        { name: "isn't doubted after one that is late", silentMs: 690, bytesMs: 690, isDoubtful: false },
+        { name: "is doubted sooner than the peer counts as lost", silentMs: 720, bytesMs: 720, isDoubtful: true },
+        {
+            name: "isn't doubted while the bytes of a large frame arrive",
+            silentMs: 720,
+            bytesMs: 10,
+            isDoubtful: false,
+        },
+    ])("$name", ({ silentMs, bytesMs, isDoubtful }) => {
+        const clock = new clocks.ManualClock();
+        const pauses = new pauseMonitors.PauseMonitor({ clock, thresholdMs: 200 });
+        const presence = new presences.PeerPresence(clock, pauses);
+        const peer = peerEntries.createPeerEntry("other", "127.0.0.1:1", "zone-a", clock.now());
+        peer.connection = { silentMs: bytesMs } as peerConnections.PeerConnection;
+        clock.advance(silentMs);
+        vitest.expect(presence.isDoubtful(peer)).toBe(isDoubtful);
+        vitest.expect(presence.isPresent(peer)).toBe(true);
+        pauses.dispose();
+    });
+});
--- a/src/process/peers/PresencePace.ts
+++ b/src/process/peers/PresencePace.ts
@@ -14,7 +14,7 @@
 const TIMEOUT_INTERVALS = 3;
 const TIMEOUT_MARGIN_MS = 100;
 /** Silence after which another connection is opened beside one, in the same intervals. */
-const DOUBT_INTERVALS = 1.5;
+const DOUBT_INTERVALS = 2;
 /** Silence after which a connection is replaced, in intervals; a broken connection isn't always reset. */
 const CONNECTION_SILENCE_INTERVALS = 3;
 const MIN_CONNECTION_SILENCE_MS = 1_500;
