List instances for limits only while a limit is known

Each stream listed the usable instances of its service twice before its stages, also when no instance had ever named a limit.

--- a/src/process/instances/InstanceLimits.ts
+++ b/src/process/instances/InstanceLimits.ts
@@ -56,6 +56,11 @@
 
     constructor(private readonly options: InstanceLimitsOptions) {}
 
+    /** Whether any sign is known; without one, callers needn't list instances. */
+    get isAnyKnown(): boolean {
+        return this.signs.size > 0;
+    }
+
     /** Number of incarnations that name a limit now. */
     get count(): number {
         return [...this.signs.values()].filter(({ perSecond }) => perSecond !== undefined).length;
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -153,12 +153,15 @@
     /** Retry delay for callers of a service of which all usable instances hold off or are at their limits, else undefined. */
     callerRetryAfterMs(service: string, softwareVersion?: string): number | undefined {
         return this.holds.callerRetryAfterMs(service, softwareVersion)
-            ?? this.limits.callerRetryAfterMs(this.usableInstances(service, softwareVersion));
+            ?? (this.limits.isAnyKnown
+                ? this.limits.callerRetryAfterMs(this.usableInstances(service, softwareVersion))
+                : undefined);
     }
 
     /** Time until a usable instance of a service may be sent a call again; 0 if one may be now, or if there is none. */
     serviceWaitMs(service: string): number {
-        const limitedMs = this.usableInstances(service).map(instance => this.limits.waitMs(instance));
+        const usable = this.limits.isAnyKnown ? this.usableInstances(service) : [];
+        const limitedMs = usable.map(instance => this.limits.waitMs(instance));
         return Math.max(this.holds.serviceHoldMs(service), limitedMs.length === 0 ? 0 : Math.min(...limitedMs));
     }
 
