Don't join streams of two versions after a loss of all entries

Cause: an entry that has just started inferred the version of a resumed stream from the starts of the present instances. A version whose last instances left without successors shortly before left no trace there, so that its streams went on at the other one. The same for a service without instances at the first listing.

A version found there counts as gone at the listing; an instance that left without its version being known, or a store that doesn't answer, rules the inference out.

Result: tests/StreamVersions.test.ts, 'isn't joined from two versions when all entries are lost and the last instance of its version had just left': fails on, passes now.

--- a/src/process/peers/PublishedReplication.ts
+++ b/src/process/peers/PublishedReplication.ts
@@ -6,6 +6,7 @@
 import * as routingPorts from "../../common/RoutingPorts";
 import * as readers from "../published/PublishedReader";
 import * as views from "../published/PublishedView";
+import * as storeHistories from "../published/StoreHistory";
 import * as exchanges from "./PublishedExchange";
 import * as viewLags from "./ViewLag";
 
@@ -21,11 +22,12 @@
     readonly peers: exchanges.ExchangePeers;
 }
 
-/** The reader of the store and the exchange with the other entries. */
+/** The reader of the store and of its history, and the exchange with the other entries. */
 export class PublishedReplication implements clocks.Disposable {
     readonly reader: readers.PublishedReader;
     readonly exchange: exchanges.PublishedExchange;
     readonly lag: viewLags.ViewLag;
+    readonly history: storeHistories.StoreHistory;
 
     constructor(options: PublishedReplicationOptions) {
         const { peers } = options;
@@ -34,6 +36,7 @@
             peerNames: () => peers.livePeers.map(peer => peer.instance),
         });
         this.exchange = new exchanges.PublishedExchange(options);
+        this.history = new storeHistories.StoreHistory(options);
         this.lag = new viewLags.ViewLag({
             clock: options.clock,
             position: () => options.view.position,
@@ -49,5 +52,6 @@
     dispose(): void {
         this.reader.dispose();
         this.exchange.dispose();
+        this.history.dispose();
     }
 }
--- a/src/process/published/VersionHistory.test.ts
+++ b/src/process/published/VersionHistory.test.ts
@@ -30,6 +30,8 @@
     const cases: readonly {
         readonly name: string;
         readonly listed: readonly routing.RoutedInstance[];
+        /** What the store's history says; undefined if it can't be read. */
+        readonly past?: versionHistories.PastVersions;
         readonly steps?: readonly Step[];
         readonly atMs: number;
         readonly expected: string | undefined;
@@ -71,25 +73,72 @@
             expected: undefined,
         },
         {
-            name: "is known to a process that has just started, when no instance has started for longer",
+            name: "is known to a process that has just started, when no instance has started or left for longer",
             listed: [old],
+            past: { versions: [], hasUnknown: false },
             atMs: 1,
             expected: "v1",
         },
+        {
+            name: "isn't known to a process that has just started and can't read the store's history",
+            listed: [old],
+            atMs: 1,
+            expected: undefined,
+        },
+        {
+            name: "isn't known when the last instance of another version left without a successor before the start",
+            listed: [old],
+            past: { versions: [{ service: "model", softwareVersion: "v2" }], hasUnknown: false },
+            atMs: 1,
+            expected: undefined,
+        },
+        {
+            name: "is known a minute after such an instance left",
+            listed: [old],
+            past: { versions: [{ service: "model", softwareVersion: "v2" }], hasUnknown: false },
+            atMs: MINUTE_MS + 1,
+            expected: "v1",
+        },
+        {
+            name: "isn't known when an instance of any service and version left before the start",
+            listed: [old],
+            past: { versions: [], hasUnknown: true },
+            atMs: 1,
+            expected: undefined,
+        },
+        {
+            name: "is known when instances of other services left before the start",
+            listed: [old],
+            past: { versions: [{ service: "encode", softwareVersion: "v9" }], hasUnknown: false },
+            atMs: 1,
+            expected: "v1",
+        },
+        {
+            name: "isn't known when another version left before the first instance that the process has seen",
+            listed: [],
+            past: { versions: [{ service: "model", softwareVersion: "v2" }], hasUnknown: false },
+            steps: [{ atMs: 100, to: instance("a", "v1", 100) }],
+            atMs: 200,
+            expected: undefined,
+        },
         {
             name: "is known when the process has seen the first instance of all",
             listed: [],
+            past: { versions: [], hasUnknown: false },
             steps: [{ atMs: 100, to: instance("a", "v1", 100) }],
             atMs: 200,
             expected: "v1",
         },
         { name: "isn't known without an instance", listed: [], atMs: 2 * MINUTE_MS, expected: undefined },
     ];
-    vitest.it.each(cases)("$name", ({ listed, steps = [], atMs, expected }) => {
+    vitest.it.each(cases)("$name", ({ listed, past, steps = [], atMs, expected }) => {
         const clock = new clocks.ManualClock(0);
         const history = new versionHistories.VersionHistory(clock);
         listed.forEach(other => history.change(undefined, other));
         history.markListed();
+        if (past !== undefined) {
+            history.completePast(past);
+        }
         for (const step of steps) {
             clock.advance(step.atMs - clock.now());
             history.change(step.from, step.to);
--- a/src/process/published/VersionHistory.ts
+++ b/src/process/published/VersionHistory.ts
@@ -11,6 +11,20 @@
 /** Tolerated difference between this process's time of day and that of an instance. */
 const WALL_TOLERANCE_MS = 5_000;
 
+/** A software version of a service. */
+export interface ServiceVersion {
+    readonly service: string;
+    readonly softwareVersion: string;
+}
+
+/** What is known of the time before the first listing. */
+export interface PastVersions {
+    /** Versions that instances had. */
+    readonly versions: readonly ServiceVersion[];
+    /** Whether an instance left whose service and version aren't known. */
+    readonly hasUnknown: boolean;
+}
+
 interface VersionRecord {
     /** Starts of the instances that have the version now, by their IDs. */
     readonly startedMsById: Map<string, number>;
@@ -23,6 +37,9 @@
     private readonly versionsByService = new Map<string, Map<string, VersionRecord>>();
     private readonly newVersionEmitter = new emitters.Emitter<string>();
     private listedAtMs: number | undefined;
+    /** Whether what was before the first listing has been learnt from the store. */
+    private isPastComplete = false;
+    private hasUnknownPast = false;
     /** Services that had instances when the history began. */
     private readonly listedServices = new Set<string>();
 
@@ -37,6 +54,21 @@
         this.versionsByService.forEach((_, service) => this.listedServices.add(service));
     }
 
+    /** Whether the versions before the first listing have been learnt, as far as they can be. */
+    get isPastKnown(): boolean {
+        return this.isPastComplete;
+    }
+
+    /** Records what was before the first listing. */
+    completePast({ versions, hasUnknown }: PastVersions): void {
+        this.isPastComplete = true;
+        this.hasUnknownPast = hasUnknown;
+        for (const { service, softwareVersion } of versions) {
+            const record = this.obtainRecord(service, softwareVersion);
+            record.goneAtMs = Math.max(record.goneAtMs, this.listedAtMs ?? -Infinity);
+        }
+    }
+
     /** Records that an instance was added, changed or removed. */
     change(previous: routing.RoutedInstance | undefined, next: routing.RoutedInstance | undefined): void {
         const isSameVersion = previous?.service === next?.service
@@ -49,6 +81,11 @@
         }
     }
 
+    /** Whether an answer about the time since `sinceMs` depends on what was before the first listing. */
+    reachesPast(sinceMs: number): boolean {
+        return this.listedAtMs === undefined || sinceMs < this.listedAtMs;
+    }
+
     /** The only version that instances of a service have had since `sinceMs`; undefined if that isn't known. */
     findOnlyVersion(service: string, sinceMs: number): string | undefined {
         const versions = [...this.versionsByService.get(service) ?? []]
@@ -66,7 +103,14 @@
         if (this.listedAtMs === undefined) {
             return false;
         }
-        if (sinceMs >= this.listedAtMs || !this.listedServices.has(service)) {
+        if (sinceMs >= this.listedAtMs) {
+            return true;
+        }
+        // The last instances of a version may have left without successors, which only the store's history shows.
+        if (!this.isPastComplete || this.hasUnknownPast) {
+            return false;
+        }
+        if (!this.listedServices.has(service)) {
             return true;
         }
         // A version is replaced by starting instances of the next one; none of the present instances is that young.
@@ -75,10 +119,7 @@
     }
 
     private add({ id, service, softwareVersion, startedMs }: routing.RoutedInstance): void {
-        const versions = this.versionsByService.get(service) ?? new Map<string, VersionRecord>();
-        this.versionsByService.set(service, versions);
-        const record = versions.get(softwareVersion) ?? { startedMsById: new Map(), goneAtMs: -Infinity };
-        versions.set(softwareVersion, record);
+        const record = this.obtainRecord(service, softwareVersion);
         const isNewVersion = record.startedMsById.size === 0;
         record.startedMsById.set(id, startedMs);
         if (isNewVersion) {
@@ -86,6 +127,14 @@
         }
     }
 
+    private obtainRecord(service: string, softwareVersion: string): VersionRecord {
+        const versions = this.versionsByService.get(service) ?? new Map<string, VersionRecord>();
+        this.versionsByService.set(service, versions);
+        const record = versions.get(softwareVersion) ?? { startedMsById: new Map(), goneAtMs: -Infinity };
+        versions.set(softwareVersion, record);
+        return record;
+    }
+
     private remove({ id, service, softwareVersion }: routing.RoutedInstance): void {
         const versions = this.versionsByService.get(service);
         const nowMs = this.clock.now();
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -175,6 +175,7 @@
                 view: this.view,
                 peers: this.peers,
                 unconfirmedMs: () => this.replication.reader.unconfirmedMs,
+                completePast: () => this.replication.history.complete(),
             }),
         );
         const { monitor: crashes } = this.disposables.add(new guards.CrashGuard({ ...shared, peers: this.peers }));
--- a/src/process/streams/StreamOriginExchange.test.ts
+++ b/src/process/streams/StreamOriginExchange.test.ts
@@ -30,6 +30,8 @@
     /** Versions of the instances of the service. */
     readonly versions: readonly string[];
     readonly unconfirmedMs?: number;
+    /** What the store's history says when it is read; "unreadable" if it can't be; undefined if it was read before. */
+    readonly past?: versionHistories.PastVersions | "unreadable";
     readonly failureDomain?: string;
     readonly peers?: readonly {
         readonly position?: positions.Position;
@@ -39,7 +41,11 @@
     }[];
 }
 
-function createScenario({ versions, unconfirmedMs = 0, failureDomain = "a", peers = [] }: Scenario) {
+const NOTHING_LEFT: versionHistories.PastVersions = { versions: [], hasUnknown: false };
+
+function createScenario(
+    { versions, unconfirmedMs = 0, past, failureDomain = "a", peers = [] }: Scenario,
+) {
     const clock = new clocks.ManualClock();
     const history = new versionHistories.VersionHistory(clock);
     history.markListed();
@@ -56,6 +62,9 @@
             coldLeftMs: 0,
         });
     versions.forEach(addVersion);
+    if (past === undefined) {
+        history.completePast(NOTHING_LEFT);
+    }
     const sent: messages.Message[] = [];
     const frames = new emitters.Emitter<entryPeers.PeerFrame>();
     const receivers: number[] = [];
@@ -79,6 +88,12 @@
             },
         } as unknown as entryPeers.EntryPeers,
         unconfirmedMs: () => unconfirmedMs,
+        completePast: () => {
+            if (past !== "unreadable" && past !== undefined) {
+                history.completePast(past);
+            }
+            return Promise.resolve();
+        },
         failureDomain,
     });
     /** Delivers a message from a peer. */
@@ -129,6 +144,24 @@
     const cases: readonly { readonly name: string; readonly scenario: Scenario; readonly decision: unknown }[] = [
         { name: "has the only version there has been", scenario: { versions: ["v1"] }, decision: BOUND },
         { name: "isn't guessed with two versions", scenario: { versions: ["v1", "v2"] }, decision: UNKNOWN },
+        {
+            name: "isn't guessed when another version left before all entries were killed",
+            scenario: {
+                versions: ["v2"],
+                past: { versions: [{ service: "model", softwareVersion: "v1" }], hasUnknown: false },
+            },
+            decision: UNKNOWN,
+        },
+        {
+            name: "has the only version there has been by the store's history",
+            scenario: { versions: ["v1"], past: NOTHING_LEFT },
+            decision: BOUND,
+        },
+        {
+            name: "isn't guessed while the store's history can't be read",
+            scenario: { versions: ["v2"], past: "unreadable" },
+            decision: UNKNOWN,
+        },
         {
             name: "isn't guessed while the store hasn't confirmed the view",
             scenario: { versions: ["v1"], unconfirmedMs: 4_000 },
@@ -211,6 +244,12 @@
         vitest.expect(sent).toEqual(Array(told).fill({ kind: "stream-origins", streams: [STREAM] }));
     });
 
+    vitest.it("is told while the versions before the start aren't known", () => {
+        const { exchange, sent } = createScenario({ versions: ["v1"], past: "unreadable", peers: [{}] });
+        exchange.recordFirstEvent(STREAM);
+        vitest.expect(sent).toEqual([{ kind: "stream-origins", streams: [STREAM] }]);
+    });
+
     vitest.it("is told when another version appears, with the rest of its lifetime", () => {
         const { clock, exchange, sent, addVersion } = createScenario({ versions: ["v1"], peers: [{}] });
         exchange.recordFirstEvent(STREAM);
--- a/src/process/streams/StreamOriginExchange.ts
+++ b/src/process/streams/StreamOriginExchange.ts
@@ -7,9 +7,9 @@
 import * as emitters from "../../common/Emitter";
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
-import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
 import * as rendezvous from "../../common/RendezvousHash";
+import * as peerConnections from "../../connection/PeerConnection";
 import * as entryPeers from "../peers/EntryPeers";
 import * as peerEntries from "../peers/PeerEntry";
 import * as views from "../published/PublishedView";
@@ -36,6 +36,8 @@
     readonly failureDomain: string;
     /** Time since the store last confirmed the view; undefined before the first time. */
     readonly unconfirmedMs: () => number | undefined;
+    /** Learns which versions there were before this process listed the store, as far as the store still knows. */
+    readonly completePast: () => Promise<void>;
 }
 
 /** A call that resumes a stream. */
@@ -92,6 +94,9 @@
         const { targets, service, lifetimeMs } = call;
         const attempt = (call.attempt?.length ?? Infinity) > MAX_ATTEMPT_LENGTH ? undefined : call.attempt;
         const known = attempt === undefined ? [] : this.memory.find(attempt, this.options.clock.now());
+        if (known.length === 0 && this.needsPast(lifetimeMs)) {
+            await this.options.completePast();
+        }
         const onlyVersion = this.findOnlyVersion(service, lifetimeMs);
         const decision = origins.decideResume({ origins: known, targets, service, onlyVersion });
         if (decision.kind !== "unknown") {
@@ -128,6 +133,12 @@
         return isCurrent ? view.versions.findOnlyVersion(service, clock.now() - lifetimeMs) : undefined;
     }
 
+    /** Whether the only version in `lifetimeMs` depends on the time before the first listing, of which nothing is known. */
+    private needsPast(lifetimeMs: number): boolean {
+        const { versions } = this.options.view;
+        return !versions.isPastKnown && versions.reachesPast(this.options.clock.now() - lifetimeMs);
+    }
+
     /** Tells the streams of a service that now has several versions. */
     private tellStreamsOf(service: string): void {
         if (this.findOnlyVersion(service, 0) !== undefined) {
@@ -217,22 +228,27 @@
             message.streams.forEach(stream => this.memory.add(stream, nowMs));
         }
         if (message.kind === "stream-origin-ask") {
-            frame.connection.send(this.createAnswer(message));
+            void this.answer(message, frame.connection);
         }
         if (message.kind === "stream-origin-answer") {
             this.handleAnswer(message, frame.peer.instance);
         }
     }
 
-    private createAnswer(question: entryMessages.StreamOriginAsk): messages.Message {
-        const { attempt } = question;
+    private async answer(
+        { question, attempt, service, lifetimeMs }: entryMessages.StreamOriginAsk,
+        connection: peerConnections.PeerConnection,
+    ): Promise<void> {
         const known = attempt === undefined ? [] : this.memory.find(attempt, this.options.clock.now());
-        return {
+        if (known.length === 0 && this.needsPast(lifetimeMs)) {
+            await this.options.completePast();
+        }
+        connection.send({
             kind: "stream-origin-answer",
-            question: question.question,
+            question,
             origins: [...known],
-            onlyVersion: this.findOnlyVersion(question.service, question.lifetimeMs),
-        };
+            onlyVersion: this.findOnlyVersion(service, lifetimeMs),
+        });
     }
 
     private handleAnswer(answer: entryMessages.StreamOriginAnswer, from: string): void {
--- a/tests/StreamVersions.test.ts
+++ b/tests/StreamVersions.test.ts
@@ -176,6 +176,53 @@
         vitest.expect(resumed.filter(isWhole)).toHaveLength(STREAM_COUNT);
     });
 
+    const lossCases: readonly {
+        readonly name: string;
+        readonly leavesBefore: boolean;
+    }[] = [
+        { name: "the last instance of its version had just left", leavesBefore: true },
+        { name: "it leaves before the new entries are asked", leavesBefore: false },
+    ];
+    vitest.it.each(lossCases)(
+        "isn't joined from two versions when all entries are lost and $name",
+        async ({ leavesBefore }) => {
+            await startFleet(["v1", "v2"], 2);
+            const streams = (await beginStreams()).filter(stream => eventsOf(stream)[0]?.version === "v1");
+            vitest.expect(streams.length).toBeGreaterThan(0);
+            const leave = (): void => fleet.store.delete("servers/model-1");
+            if (leavesBefore) {
+                leave();
+            }
+            fleet.entries.forEach(entry => entry.dispose());
+            const entries = [fleet.entries.length, fleet.entries.length + 1];
+            await startEntry();
+            await startEntry();
+            if (!leavesBefore) {
+                leave();
+                await fleet.waitUntil(async () => {
+                    fleet.engines[0]!.runs.splice(0);
+                    await Promise.all(streams.map(() => callNew(entries[1]!)));
+                    return fleet.engines[0]!.runs.length === 0;
+                });
+            }
+            const resumed = await Promise.all(
+                streams.map((stream, index) => resumeStream(stream, entries[index % entries.length]!)),
+            );
+            vitest.expect(mixedStreams(resumed)).toEqual([]);
+            vitest.expect(resumed.map(stream => stream.answers.at(-1)!.status)).toEqual(streams.map(() => 503));
+        },
+    );
+
+    vitest.it("is served after the loss of all entries when the service has had one version only", async () => {
+        await startFleet(["v1", "v1"], 2);
+        const streams = await beginStreams();
+        fleet.entries.forEach(entry => entry.dispose());
+        const entry = fleet.entries.length;
+        await startEntry();
+        const resumed = await Promise.all(streams.map(stream => resumeStream(stream, entry)));
+        vitest.expect(resumed.filter(isWhole)).toHaveLength(STREAM_COUNT);
+    });
+
     const rejectedCases: readonly {
         readonly name: string;
         readonly headers?: Record<string, string>;
@@ -239,6 +286,11 @@
     vitest.expect(engine!.rejectedCalls).toBe(1);
 });
 
+/** Calls an entry for a new stream. */
+function callNew(entry: number): Promise<fleets.Answer> {
+    return fleet.call("/notes/2", { entry, headers: fleets.PROMPT_HEADERS });
+}
+
 /** Result code of an attempt to resume at the second entry; undefined if it was served. */
 async function resumeCode(stream: CallerStream, headers: Record<string, string> | undefined): Promise<unknown> {
     const { answers } = await resumeStream(stream, 1, headers);
