Send calls by the speed that instances state and the cost that prompts had

Cause: engines of one pool run at 0.6, 1.0 and 1.6 and slow down for moments, and nothing told them apart: the fourth figure of their load was cut off, and slowness was measured on calls without a prompt only. Shared parts were spread evenly over fast and slow engines.

Change: InstanceSpeed learns what a machine is (median of its statements) and what it is now (last statement), SpeedExchange tells eight entries a second, CallCosts learns the time to the first event by size of the prompt, PromptAffinity gives a class slower a third of the shared parts. Only where instances state how long work takes there.

--- a/bench/Main.ts
+++ b/bench/Main.ts
@@ -2,6 +2,7 @@
  * Runs one or all experiments: `npm run bench -- NAME|all [--seed N]`. Each prints a JSON object as its last line.
  */
 import * as commander from "commander";
+import * as backlogs from "./Backlog";
 import * as configuration from "./Configuration";
 import * as deadlines from "./Deadlines";
 import * as trimming from "./DeltaTrimming";
@@ -34,6 +35,7 @@
     teams.teams,
     leaving.leaving,
     stages.stages,
+    backlogs.backlog,
 ];
 
 async function runExperiment(experiment: experiments.Experiment, seed: number): Promise<boolean> {
--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -222,6 +222,30 @@
     ).max(MAX_TOLD_LIMITS),
 });
 
+/** Largest logarithm of a statement of how long work takes at an instance. */
+export const MAX_LOG_SLOWDOWN = 4;
+/** Number of instances in a message about their speed. */
+export const MAX_TOLD_SPEEDS = 500;
+/** Number of statements of one instance in such a message. */
+const MAX_TOLD_STATEMENTS = 50;
+
+const toldSpeedSchema = z.object({
+    instance: name,
+    /** Start of the incarnation, as it published it. */
+    startedMs: z.number(),
+    /** Logarithms of its statements of how long work takes there, 0 being usual. */
+    logSlowdowns: z.array(z.number().min(-MAX_LOG_SLOWDOWN).max(MAX_LOG_SLOWDOWN)).max(MAX_TOLD_STATEMENTS),
+});
+
+/** What one incarnation stated in its answers to the sender. */
+export type ToldSpeed = z.infer<typeof toldSpeedSchema>;
+
+/** What instances stated of their speed, that the sender hasn't told of before. */
+export const instanceSpeedsSchema = z.object({
+    kind: z.literal("instance-speeds"),
+    samples: z.array(toldSpeedSchema).max(MAX_TOLD_SPEEDS),
+});
+
 /** Number of ends, and of answered parts, in one message. */
 export const MAX_TOLD_CRASHES = 16;
 export const MAX_TOLD_PARTS = 256;
--- a/src/common/Messages.ts
+++ b/src/common/Messages.ts
@@ -54,6 +54,8 @@
     knowsCrashes: z.boolean().optional(),
     /** The same for messages about limits of instances. */
     knowsLimits: z.boolean().optional(),
+    /** Whether the sender reads messages about the speed of instances. */
+    knowsSpeeds: z.boolean().optional(),
     /** Whether the sender has opened this connection since it hears nothing on the one before. */
     replacesSilent: z.boolean().optional(),
 });
@@ -186,6 +188,7 @@
     entryMessages.stagesReleaseSchema,
     entryMessages.instancesLeavingSchema,
     entryMessages.instancesLimitedSchema,
+    entryMessages.instanceSpeedsSchema,
 ]);
 
 /**
--- a/src/common/RendezvousHash.ts
+++ b/src/common/RendezvousHash.ts
@@ -20,12 +20,19 @@
     return -weight / Math.log(uniform);
 }
 
-/** The name that wins `key`, whatever the order of `names`; undefined if there are none. */
-export function pickWinner(key: string, names: readonly string[]): string | undefined {
+/**
+ * The name that wins `key`, whatever the order of `names`; undefined if there are none. `weightOf` states the share of
+ * keys that a name gets.
+ */
+export function pickWinner(
+    key: string,
+    names: readonly string[],
+    weightOf: (name: string, index: number) => number = () => 1,
+): string | undefined {
     let best: string | undefined;
     let bestScore = -Infinity;
-    for (const name of names) {
-        const candidateScore = score(key, name);
+    for (const [index, name] of names.entries()) {
+        const candidateScore = score(key, name, weightOf(name, index));
         if (best === undefined || candidateScore > bestScore || (candidateScore === bestScore && name < best)) {
             best = name;
             bestScore = candidateScore;
--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -75,6 +75,14 @@
     readonly bodyBytes: number | undefined;
 }
 
+/** The load that an instance states in its answers. */
+export interface InstanceLoad {
+    readonly running: number;
+    readonly waiting: number;
+    /** How long work takes there at the moment: 1 is usual, 2 is twice as long; undefined if not stated. */
+    readonly slowdown: number | undefined;
+}
+
 /** Metadata from the status and headers of an instance's answer. */
 export interface UpstreamAnswerMetadata {
     /** Whether the call ran. `not-run` only if the instance states it; `other-instance` if it reached another one. */
@@ -85,7 +93,7 @@
     readonly isInputLost: boolean;
     /** Whether the answer carries the instance's signature. */
     readonly isSigned: boolean;
-    readonly load: { readonly running: number; readonly waiting: number } | undefined;
+    readonly load: InstanceLoad | undefined;
     /** Whether the instance that answered is leaving. */
     readonly isLeaving: boolean;
     /** The instance that answered; undefined if not stated. */
--- a/src/process/instances/AnswerSigns.ts
+++ b/src/process/instances/AnswerSigns.ts
@@ -1,6 +1,7 @@
 /**
  * What instances say of themselves in their answers, whatever was asked: that they are leaving, and the limit that they
- * name. Each is kept by its own decision, and told to the other entries by its own exchange.
+ * name; and how long their answers take. Each is kept by its own decision, and told to the other entries by its own
+ * exchange.
  */
 import * as http from "node:http";
 import * as clocks from "../../common/Clock";
@@ -12,6 +13,7 @@
 import * as leavingExchanges from "./LeavingExchange";
 import * as leavingInstances from "./LeavingInstances";
 import * as limitExchanges from "./LimitExchange";
+import * as speedExchanges from "./SpeedExchange";
 
 /** The head of an answer. */
 export interface AnswerHead {
@@ -27,13 +29,14 @@
     readonly wire: Pick<routingPorts.RoutedCallWire, "readAnswer">;
     readonly peers: Pick<entryPeers.EntryPeers, "knownPeers" | "onFrame">;
     readonly leaving: leavingInstances.LeavingInstances;
-    readonly pool: Pick<pools.InstancePool, "limits" | "isInUse">;
+    readonly pool: Pick<pools.InstancePool, "limits" | "isInUse" | "speeds" | "findSpeed">;
 }
 
 /** Reads the signs of all answers. */
 export class AnswerSigns implements clocks.Disposable {
     private readonly leavingExchange: leavingExchanges.LeavingExchange;
     private readonly limitExchange: limitExchanges.LimitExchange;
+    private readonly speedExchange: speedExchanges.SpeedExchange;
 
     constructor(private readonly options: AnswerSignsOptions) {
         const { pool } = options;
@@ -43,6 +46,7 @@
             limits: pool.limits,
             isInUse: incarnation => pool.isInUse(incarnation),
         });
+        this.speedExchange = new speedExchanges.SpeedExchange(options);
     }
 
     /** Reads the answer of an instance to a request that was sent to it at `sentAtMs`. */
@@ -67,6 +71,7 @@
     }
 
     dispose(): void {
+        this.speedExchange.dispose();
         this.limitExchange.dispose();
         this.leavingExchange.dispose();
     }
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -8,14 +8,17 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as views from "../published/PublishedView";
+import * as callCosts from "./CallCosts";
+import * as candidateLists from "./CandidateList";
 import * as coldShares from "./ColdShare";
 import * as choices from "./InstanceChoice";
 import * as instanceHolds from "./InstanceHolds";
 import * as instanceLimits from "./InstanceLimits";
+import * as instanceSpeeds from "./InstanceSpeed";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
-import * as affinities from "./PromptAffinity";
 import * as promptReading from "./PromptReading";
+import * as speedExchanges from "./SpeedExchange";
 
 /**
  * Added to the published cold time, since this process learns of a start late, and since an instance may start some
@@ -25,11 +28,6 @@
 /** Share of the permitted cold rate that is used, since network delays vary and calls may arrive in bursts. */
 const COLD_RATE_SAFETY_FACTOR = 0.9;
 
-/** Fastest call time assumed while no instance has a measurement. */
-const UNMEASURED_CALL_MS = 60_000;
-/** Lower bound of call times in comparisons: differences below it don't count. */
-const MIN_CALL_MS = 5;
-
 /** Rate permitted at a cold instance, for all entries together: its published rate times `factor` plus `extra`. */
 export interface ColdRateLimit {
     readonly factor: number;
@@ -73,6 +71,8 @@
     readonly isCold: boolean;
     /** Tokens of the call's prompt that are probably not cached there. */
     readonly missingTokens: number;
+    /** Expected time of work there, relative to the other instances of the service. */
+    readonly slowness: number;
     /** Number of instances that could accept the call. */
     readonly candidateCount: number;
 }
@@ -90,6 +90,7 @@
     private readonly trafficByIncarnation = new Map<string, traffic.InstanceTraffic>();
     /** The same by the view's records, since a lookup by name costs more than most decisions that need it. */
     private readonly trafficByRecord = new WeakMap<routing.RoutedInstance, traffic.InstanceTraffic>();
+    private readonly costsByService = new Map<string, callCosts.CallCosts>();
     private readonly outOfServiceDomains = new Set<string>();
     /** When each failure domain last returned to service. */
     private readonly backInServiceMs = new Map<string, number>();
@@ -115,31 +116,54 @@
     trafficOf(instance: routing.RoutedInstance): traffic.InstanceTraffic {
         let counts = this.trafficByRecord.get(instance);
         if (counts === undefined) {
-            counts = this.obtainTraffic(routing.incarnationKey(instance));
+            counts = this.obtainTraffic(routing.incarnationKey(instance), instance.service);
             this.trafficByRecord.set(instance, counts);
         }
         return counts;
     }
 
-    private obtainTraffic(key: string): traffic.InstanceTraffic {
+    private obtainTraffic(key: string, service: string): traffic.InstanceTraffic {
         let counts = this.trafficByIncarnation.get(key);
         if (counts === undefined) {
             counts = new traffic.InstanceTraffic(
                 this.options.clock,
                 this.holds.obtain(key),
                 this.limits.obtainRate(key),
+                this.obtainCosts(service),
             );
             this.trafficByIncarnation.set(key, counts);
         }
         return counts;
     }
 
+    /** The speeds of the incarnations that this process sends to. */
+    *speeds(): Iterable<readonly [speedExchanges.Incarnation, instanceSpeeds.InstanceSpeed]> {
+        for (const { id, startedMs } of this.options.view.allInstances) {
+            const counts = this.trafficByIncarnation.get(routing.incarnationKey({ id, startedMs }));
+            if (counts !== undefined) {
+                yield [{ instance: id, startedMs }, counts.speed];
+            }
+        }
+    }
+
+    /** The speed of a listed incarnation. */
+    findSpeed({ instance: id, startedMs }: speedExchanges.Incarnation): instanceSpeeds.InstanceSpeed | undefined {
+        const instance = this.options.view.find(id);
+        return instance?.startedMs === startedMs ? this.trafficOf(instance).speed : undefined;
+    }
+
     /** Ids of the listed instances that have said that they are leaving. */
     get leavingIds(): string[] {
         const { view, leaving } = this.options;
         return view.allInstances.filter(instance => leaving.isLeaving(instance)).map(instance => instance.id);
     }
 
+    private obtainCosts(service: string): callCosts.CallCosts {
+        const costs = this.costsByService.get(service) ?? new callCosts.CallCosts(this.options.clock);
+        this.costsByService.set(service, costs);
+        return costs;
+    }
+
     /** Whether the published state allows new work at the instance. */
     private isInService(instance: routing.RoutedInstance): boolean {
         return instance.state === "ready" && !this.options.view.isOutOfService(instance.failureDomain);
@@ -194,6 +218,7 @@
             traffic: this.trafficOf(instance),
             isCold: this.isCold(instance),
             missingTokens: chosen.missingTokens,
+            slowness: chosen.slowness,
             candidateCount: candidates.length,
         };
     }
@@ -211,7 +236,7 @@
         parts: readonly routingPorts.PromptPart[],
     ): ExpectedPlacement {
         const instances = this.usableInstances(service);
-        const affinityId = affinities.pickAffinityId(instances, parts);
+        const affinityId = candidateLists.findPartHolder(instances, parts, instance => this.trafficOf(instance));
         if (affinityId === undefined) {
             return { failureDomain: undefined, missingTokens: promptTokens };
         }
@@ -262,15 +287,10 @@
 
     /** The instances that can accept a call now. */
     private findCandidates(requirements: CallRequirements): choices.Candidate[] {
-        const eligible = this.findEligible(requirements);
-        const affinityId = affinities.pickAffinityId(eligible, requirements.promptParts);
-        const fastestCallMs = Math.min(
-            UNMEASURED_CALL_MS,
-            ...eligible.map(other => this.trafficOf(other).recentCallMs ?? UNMEASURED_CALL_MS),
-        );
-        return eligible.map(instance =>
-            this.toCandidate(instance, requirements, instance.id === affinityId, Math.max(MIN_CALL_MS, fastestCallMs))
-        );
+        return candidateLists.listCandidates(this.findEligible(requirements), requirements, {
+            failureDomain: this.options.failureDomain,
+            trafficOf: instance => this.trafficOf(instance),
+        });
     }
 
     private findEligible(requirements: CallRequirements): views.KnownInstance[] {
@@ -290,26 +310,6 @@
         return triedIncarnations.size > 0 && triedIncarnations.has(routing.incarnationKey(instance));
     }
 
-    private toCandidate(
-        instance: views.KnownInstance,
-        requirements: CallRequirements,
-        hasAffinity: boolean,
-        fastestCallMs: number,
-    ): choices.Candidate {
-        const counts = this.trafficOf(instance);
-        const { promptTokens, promptParts } = requirements;
-        return {
-            id: instance.id,
-            isSameDomain: instance.failureDomain === this.options.failureDomain,
-            load: counts.load,
-            waitingTokens: counts.waitingTokens,
-            missingTokens: affinities.estimateMissingTokens(promptTokens, promptParts, counts, hasAffinity),
-            crossDomainInputBytes: crossDomainBytes(requirements.inputBytesByDomain, instance.failureDomain),
-            slots: instance.slots,
-            slowness: Math.max(fastestCallMs, counts.recentCallMs ?? 0) / fastestCallMs,
-        };
-    }
-
     private handleViewChange(): void {
         const { view, clock } = this.options;
         for (const domain of this.outOfServiceDomains) {
@@ -328,11 +328,3 @@
         this.holds.forgetUnused(key => this.trafficByIncarnation.has(key));
     }
 }
-
-function crossDomainBytes(inputBytes: ReadonlyMap<string, number>, domain: string): number {
-    let bytes = 0;
-    for (const [sourceDomain, size] of inputBytes) {
-        bytes += sourceDomain === domain ? 0 : size;
-    }
-    return bytes;
-}
--- a/src/process/instances/InstanceTraffic.ts
+++ b/src/process/instances/InstanceTraffic.ts
@@ -2,10 +2,12 @@
  * The calls that this process has sent to one incarnation of an instance, and their outcomes.
  */
 import * as clocks from "../../common/Clock";
+import * as routingPorts from "../../common/RoutingPorts";
+import * as callCosts from "./CallCosts";
 import * as coldShares from "./ColdShare";
 import * as holds from "./InstanceHold";
+import * as instanceSpeeds from "./InstanceSpeed";
 import * as limitedRates from "./LimitedRate";
-import * as promptReading from "./PromptReading";
 
 /** First pause of an instance after failures; doubles with each further pause until a call succeeds. */
 const MIN_PAUSE_MS = 500;
@@ -57,12 +59,16 @@
     private meanCallMs: number | undefined;
     private meanUpdatedMs = -Infinity;
     private readonly cachedParts = new Set<string>();
+    readonly speed: instanceSpeeds.InstanceSpeed;
 
     constructor(
         private readonly clock: clocks.Clock,
         readonly hold = new holds.InstanceHold(),
         readonly rate = new limitedRates.LimitedRate(),
-    ) {}
+        private readonly costs = new callCosts.CallCosts(clock),
+    ) {
+        this.speed = new instanceSpeeds.InstanceSpeed(clock);
+    }
 
     /** Whether the instance is paused after failures: it gets calls only if all others are paused too. */
     get isPaused(): boolean {
@@ -91,9 +97,12 @@
     }
 
     /** Records the load that an answer reported. */
-    recordLoadReport(running: number, waiting: number): void {
+    recordLoadReport({ running, waiting, slowdown }: routingPorts.InstanceLoad): void {
         this.reportedLoad = running + waiting;
         this.reportedAtMs = this.clock.now();
+        if (slowdown !== undefined) {
+            this.speed.state(slowdown);
+        }
     }
 
     /** Whether the prompt part is assumed to be cached there, since this process has recently sent it. */
@@ -101,8 +110,11 @@
         return this.cachedParts.has(id);
     }
 
-    /** Counts a call from its dispatch to its end. `missingTokens` are those of its prompt that aren't cached here. */
-    begin(missingTokens: number, parts: readonly string[]): Ticket {
+    /**
+     * Counts a call from its dispatch to its end. `missingTokens` are those of its prompt that aren't cached here;
+     * `isMeasured`: whether the time to its first event shows the speed of the machine.
+     */
+    begin(missingTokens: number, parts: readonly string[], isMeasured = false): Ticket {
         this.inFlight++;
         this.waitingTokens += missingTokens;
         this.arrivals.add(this.clock.now());
@@ -113,14 +125,19 @@
         let unreadTokens = missingTokens;
         let isStreaming = false;
         let hasEnded = false;
+        const tokens = this.waitingTokens;
+        const expectedFirstEventMs = this.costs.firstEventMs(tokens) * this.speed.currentSlowness;
         const recordRead = (): void => {
             this.waitingTokens -= unreadTokens;
             unreadTokens = 0;
         };
         return {
-            expectedFirstEventMs: promptReading.firstEventMs(this.waitingTokens),
+            expectedFirstEventMs,
             recordEvent: () => {
                 recordRead();
+                if (isMeasured && !isStreaming && this.speed.isStated) {
+                    this.recordFirstEvent(tokens, this.clock.now() - startedAtMs);
+                }
                 countedCall.accept();
                 this.openStreams += isStreaming || hasEnded ? 0 : 1;
                 isStreaming = true;
@@ -145,6 +162,12 @@
         };
     }
 
+    private recordFirstEvent(tokens: number, elapsedMs: number): void {
+        const usualMs = elapsedMs / this.speed.currentSlowness;
+        this.speed.record(this.costs.firstEventMs(tokens), usualMs);
+        this.costs.record(tokens, usualMs);
+    }
+
     private recordOutcome(outcome: CallOutcome): void {
         if (outcome === "cancelled") {
             return;
--- a/src/process/instances/PromptAffinity.ts
+++ b/src/process/instances/PromptAffinity.ts
@@ -6,13 +6,18 @@
 import * as views from "../published/PublishedView";
 import * as traffic from "./InstanceTraffic";
 
-/** The instance that all entries prefer for a prompt's shared parts, so that the parts are read only once. */
+/**
+ * The instance that all entries prefer for a prompt's shared parts, so that the parts are read only once. `weights` state
+ * the share of parts that each instance is preferred for; entries that agree on them agree on the instance.
+ */
 export function pickAffinityId(
     instances: readonly views.KnownInstance[],
     parts: readonly routingPorts.PromptPart[],
+    weights: readonly number[],
 ): string | undefined {
     const lastSharedPart = parts.at(-2);
-    return lastSharedPart && rendezvous.pickWinner(lastSharedPart.id, instances.map(instance => instance.id));
+    const ids = instances.map(instance => instance.id);
+    return lastSharedPart && rendezvous.pickWinner(lastSharedPart.id, ids, (_, index) => weights[index]!);
 }
 
 /**
--- a/src/process/peers/PeerEntry.ts
+++ b/src/process/peers/PeerEntry.ts
@@ -126,6 +126,7 @@
         knowsStreamOrigins: true,
         knowsCrashes: true,
         knowsLimits: true,
+        knowsSpeeds: true,
         ...(replacesSilent ? { replacesSilent } : {}),
     };
 }
--- a/src/request/routed/AnswerClassification.ts
+++ b/src/request/routed/AnswerClassification.ts
@@ -51,7 +51,7 @@
     }
     context.onAnswer(chosen.instance, metadata, sent.sentAtMs);
     if (metadata.load !== undefined) {
-        chosen.traffic.recordLoadReport(metadata.load.running, metadata.load.waiting);
+        chosen.traffic.recordLoadReport(metadata.load);
     }
     if (metadata.effect !== "ran") {
         answer.body.resume();
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -9,6 +9,18 @@
 import * as startChecks from "./StartCheck";
 import * as senders from "./UpstreamSender";
 
+const LOGGED_DIGITS = 2;
+
+/** The learned speed of an instance that states how long work takes there, and the number of statements. */
+function speedFields({ traffic, slowness }: pools.ChosenInstance): Record<string, number> {
+    return traffic.speed.isStated
+        ? {
+            slowness: Number(slowness.toFixed(LOGGED_DIGITS)),
+            statements: traffic.speed.statements,
+        }
+        : {};
+}
+
 /** Logs a call that is being sent. */
 export function logSend(
     context: senders.SenderContext,
@@ -31,6 +43,7 @@
         candidates: chosen.candidateCount,
         load: chosen.traffic.load,
         missingTokens: chosen.missingTokens,
+        ...speedFields(chosen),
         expectedMs: Math.round(expectedMs),
         cold: chosen.isCold,
         remainingMs: Math.round(remainingMs),
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -123,7 +123,8 @@
     }
     const { instance } = chosen;
     const partIds = call.metadata.promptParts.map(part => part.id);
-    const ticket = chosen.traffic.begin(chosen.missingTokens, partIds);
+    const isMeasured = !chosen.isCold && options.lastEventId === undefined;
+    const ticket = chosen.traffic.begin(chosen.missingTokens, partIds, isMeasured);
     history.openSends++;
     const unsent = await findUnsentOutcome(context, call, history, chosen, ticket, options.signal);
     if (unsent !== undefined) {
