Count bytes that complete no event as progress only at a least rate

Cause: any byte, and any comment, counted as a sign of life, so that a stream whose instance had stalled but sent a byte now and then was never moved; it ended at its caller's deadline.

--- a/src/request/routed/EventSplitter.test.ts
+++ b/src/request/routed/EventSplitter.test.ts
@@ -23,6 +23,15 @@
         }));
     });
 
+    vitest.it.each([
+        { text: ": alive\n\n", isComment: true },
+        { text: ":\r\n: alive\r\n\r\n", isComment: true },
+        { text: ": alive\ndata: a\n\n", isComment: false },
+        { text: "data: a\n\n", isComment: false },
+    ])("tells whether $text is a comment", ({ text, isComment }) => {
+        vitest.expect(split([Buffer.from(text)]).events.map(event => event.isComment)).toEqual([isComment]);
+    });
+
     vitest.it.each([
         { name: "an incomplete event", text: "id: 1\ndata: a\n\nid: 2\nda", events: 1, hasPartial: true },
         { name: "an event without an id", text: "data: a\n\n", events: 1, hasPartial: false },
--- a/src/request/routed/EventSplitter.ts
+++ b/src/request/routed/EventSplitter.ts
@@ -7,12 +7,15 @@
 export interface StreamEvent {
     /** Value of the event's `id` line; undefined if it has none or not a number. */
     readonly id: number | undefined;
+    /** Whether it holds nothing but comments, which an instance may send while it makes no progress. */
+    readonly isComment: boolean;
     /** All bytes, including the blank line that ends the event. */
     readonly bytes: Buffer;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 /** Largest incomplete event that is buffered; larger content is not treated as an event stream. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -34,7 +37,7 @@
         for (let index = Math.max(this.scannedTo, 0); index < this.buffered.length; index++) {
             if (this.buffered[index] === LINE_FEED && this.isBlankLine(start, index)) {
                 const bytes = this.buffered.subarray(start, index + 1);
-                events.push({ id: readId(bytes), bytes });
+                events.push({ id: readId(bytes), isComment: isComment(bytes), bytes });
                 start = index + 1;
             }
         }
@@ -53,6 +56,10 @@
     }
 }
 
+function isComment(event: Buffer): boolean {
+    return event[0] === COLON && event.toString("latin1").split("\n").every(line => /^(:|\r?$)/.test(line));
+}
+
 function readId(event: Buffer): number | undefined {
     const match = /(?:^|\n)id:[ \t]*(\d{1,15})\r?\n/.exec(event.toString("latin1"));
     return match ? Number(match[1]) : undefined;
--- /dev/null
+++ b/src/request/routed/SilenceWait.test.ts
@@ -0,0 +1,41 @@
+import * as vitest from "vitest";
+import * as clocks from "../../common/Clock";
+import * as calls from "./RoutedCall";
+import * as silenceWaits from "./SilenceWait";
+import * as senders from "./UpstreamSender";
+
+const STEP_MS = 250;
+const DURATION_MS = 10_000;
+const DEADLINE_MS = 60_000;
+
+/** Whether a stream that has begun is moved while bytes arrive in each step. */
+function isMoved(bytesPerStep: number, hasEvents: boolean): boolean {
+    const clock = new clocks.ManualClock(0);
+    const call = { hardDeadlineAtMs: DEADLINE_MS, route: { kind: "idempotent" } } as unknown as calls.RoutedCall;
+    const sent = {
+        sentAtMs: -1,
+        ticket: { expectedFirstEventMs: 100 },
+        traffic: { quietMs: 1_000 },
+        elsewhereMs: () => 100,
+    } as unknown as senders.SentCall;
+    const silence = new silenceWaits.SilenceWait(clock, call, () => true);
+    silence.recordBytes(1, true);
+    while (clock.now() < DURATION_MS) {
+        clock.advance(STEP_MS);
+        if (silence.nextBytesWaitMs(sent) === 0) {
+            return true;
+        }
+        silence.recordBytes(bytesPerStep, hasEvents);
+    }
+    return false;
+}
+
+vitest.describe("a stream that has begun", () => {
+    vitest.it.each([
+        { name: "stays while small events come slowly", bytes: 20, hasEvents: true, moved: false },
+        { name: "stays while a large event comes slowly", bytes: 500, hasEvents: false, moved: false },
+        { name: "is moved when only a byte comes now and then", bytes: 1, hasEvents: false, moved: true },
+    ])("$name", ({ bytes, hasEvents, moved }) => {
+        vitest.expect(isMoved(bytes, hasEvents)).toBe(moved);
+    });
+});
--- a/src/request/routed/SilenceWait.ts
+++ b/src/request/routed/SilenceWait.ts
@@ -14,10 +14,14 @@
 /** Pause after a stream couldn't be moved before that is tried again. */
 const MOVE_PAUSE_MS = 500;
 
+/** Least rate at which an instance sends an event; the links of the slowest entries bear many times as much. */
+const MIN_EVENT_BYTES_PER_SECOND = 1_000;
+const MS_PER_SECOND = 1_000;
+
 /** The silence of the instance that a call is at; used for one call. */
 export class SilenceWait {
-    /** When the current instance last sent anything, or when the call was sent to it. */
-    private lastBytesAtMs = 0;
+    /** When the current instance last made progress, or when the call was sent to it. */
+    private lastProgressAtMs = 0;
     /** No move is tried before this time. */
     private staysUntilMs = -Infinity;
 
@@ -32,19 +36,24 @@
         return this.clock.now() >= this.call.hardDeadlineAtMs;
     }
 
-    /** Time since the current instance last sent anything. */
+    /** Time since the current instance last made progress. */
     get silentMs(): number {
-        return this.clock.now() - this.lastBytesAtMs;
+        return this.clock.now() - this.lastProgressAtMs;
     }
 
     /** Called when the headers of an instance's answer have arrived, which don't count as a sign of progress. */
     recordAnswer(sent: senders.SentCall): void {
-        this.lastBytesAtMs = sent.sentAtMs;
+        this.lastProgressAtMs = sent.sentAtMs;
     }
 
-    /** Called for all further bytes of the current instance. */
-    recordBytes(): void {
-        this.lastBytesAtMs = this.clock.now();
+    /**
+     * Called for all further bytes of the current instance. Those that complete no event are progress at the rate at which
+     * an event is sent at least, so that an instance which only trickles counts as silent.
+     */
+    recordBytes(count: number, hasEvent: boolean): void {
+        const nowMs = this.clock.now();
+        const coveredMs = count / MIN_EVENT_BYTES_PER_SECOND * MS_PER_SECOND;
+        this.lastProgressAtMs = hasEvent ? nowMs : Math.min(nowMs, this.lastProgressAtMs + coveredMs);
     }
 
     /** Called when the move of the call to another instance has ended. */
@@ -59,10 +68,10 @@
 
     /** The same for the next bytes of an answer. */
     nextBytesWaitMs(sent: senders.SentCall): number {
-        return this.waitMs(sent, this.lastBytesAtMs);
+        return this.waitMs(sent, this.lastProgressAtMs);
     }
 
-    private waitMs(sent: senders.SentCall, lastBytesAtMs: number): number {
+    private waitMs(sent: senders.SentCall, lastProgressAtMs: number): number {
         const nowMs = this.clock.now();
         const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
         if (remainingMs === 0 && this.hasBegun()) {
@@ -76,13 +85,13 @@
             return Math.min(staysMs, remainingMs);
         }
         const silentCall = {
-            waitedMs: nowMs - lastBytesAtMs,
+            waitedMs: nowMs - lastProgressAtMs,
             expectedMs: sent.ticket.expectedFirstEventMs,
             quietMs: sent.traffic.quietMs,
             remainingMs,
             elsewhereMs: sent.elsewhereMs,
         };
-        const hasReadPrompt = lastBytesAtMs > sent.sentAtMs; // An instance that resumes a stream reads it again.
+        const hasReadPrompt = lastProgressAtMs > sent.sentAtMs; // An instance that resumes a stream reads it again.
         return hasReadPrompt
             ? silenceLimits.nextEventWaitMs(silentCall)
             : silenceLimits.firstEventWaitMs(silentCall);
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -175,9 +175,6 @@
         for (;;) {
             const waitMs = (): number => this.silence.nextBytesWaitMs(sent);
             const chunk = await chunks.readChunk(answered.answer.body, this.context.clock, waitMs);
-            if (chunk instanceof Buffer) {
-                this.silence.recordBytes();
-            }
             if (this.call.signal.aborted) {
                 answered.answer.cancel();
                 return { kind: "disconnected" };
@@ -204,7 +201,9 @@
                 answered.answer.cancel();
                 return { kind: "broken" };
             }
-            if (events.length > 0) {
+            const hasEvent = events.some(event => !event.isComment);
+            this.silence.recordBytes(chunk.length, hasEvent);
+            if (hasEvent) {
                 start.recordEvents();
             }
             if (!await this.forwardEvents(events, answered)) {
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -31,6 +31,15 @@
     readonly isLimited: boolean;
 }
 
+const TRICKLE_INTERVAL_MS = 300;
+
+/** A pause of streams. */
+export interface StreamPause {
+    readonly afterEvent: number;
+    readonly ms: number;
+    readonly trickle?: string; // Sent every 300 ms during the pause.
+}
+
 /** Faults; each stays in effect until it is cleared. */
 export interface EngineFaults {
     /** Rejects every call with the header `Not-Executed`. */
@@ -46,7 +55,7 @@
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
     /** Streams pause after the event with this ID; with 0, before their headers. */
-    pause?: { readonly afterEvent: number; readonly ms: number } | undefined;
+    pause?: StreamPause | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
     /** Whether answers to stage calls and releases have a head and nothing more. */
@@ -258,7 +267,7 @@
             response.writeHead(this.faults.status ?? 200, headers).end(answer.padEnd(this.options.answerBytes ?? 0));
             return;
         }
-        await this.pauseAfter(0);
+        await this.pauseAfter(0, response);
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         }
@@ -274,7 +283,7 @@
                 return;
             }
             response.write(`id: ${id}\ndata: ${`part ${id}${writer}`.padEnd(this.options.eventBytes ?? 0)}\n\n`);
-            await this.pauseAfter(id);
+            await this.pauseAfter(id, response);
             await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
         response.end();
@@ -289,9 +298,12 @@
         response.end(JSON.stringify({ Stage: "colocated", Busy: false, Seq: 1, born: this.bornMs }));
     }
 
-    private async pauseAfter(eventId: number): Promise<void> {
-        const pauseMs = this.faults.pause?.afterEvent === eventId ? this.faults.pause.ms : 0;
-        await new Promise(resolve => setTimeout(resolve, pauseMs));
+    private async pauseAfter(eventId: number, response: http.ServerResponse): Promise<void> {
+        const pause = this.faults.pause?.afterEvent === eventId ? this.faults.pause : undefined;
+        const text = pause?.trickle;
+        const timer = text === undefined ? undefined : setInterval(() => response.write(text), TRICKLE_INTERVAL_MS);
+        await new Promise(resolve => setTimeout(resolve, pause?.ms ?? 0));
+        clearInterval(timer);
     }
 
     private async handleStage(path: string, body: string, response: http.ServerResponse): Promise<void> {
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -137,11 +137,17 @@
         await fleet.waitUntil(() => first!.cancelledRuns === 1 && second!.cancelledRuns === 1);
     });
 
-    vitest.it("is resumed on another instance that accepts it, and ended at the silent one", async () => {
+    // Guards against stalled streams that never end, since a byte now and then counts as progress.
+    vitest.it.each([
+        { name: "a silent one", trickle: undefined },
+        { name: "one that sends a byte of an event now and then", trickle: "x" },
+        { name: "one that sends a comment now and then", trickle: ":\n\n" },
+    ])("is resumed on another instance that accepts it, and ended at $name", async ({ trickle }) => {
         const [first, second] = fleet.enginesOf("model");
-        first!.faults = { pause: { afterEvent: 3, ms: 30_000 } };
+        first!.faults = { pause: { afterEvent: 3, ms: 30_000, ...(trickle === undefined ? {} : { trickle }) } };
         const answer = await callFirstModel("/notes/1", PROMPT);
-        vitest.expect(answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
+        vitest.expect(answer).toMatchObject({ status: 200, isComplete: true });
+        vitest.expect(answer.body.replaceAll(":\n\n", "")).toBe(STREAM_BODY);
         vitest.expect(second!.runs.at(-1)!.headers["last-event-id"]).toBe("3");
         await fleet.waitUntil(() => first!.cancelledRuns === 1);
     });
