Count the instances that state their speed; random numbers of backlog by engine

backlog drew the slow periods of its engines by a hash of its own; it now uses the seeded generator.

--- a/bench/BacklogWorld.ts
+++ b/bench/BacklogWorld.ts
@@ -2,6 +2,7 @@
  * Engines of several speeds that read prompts one after the other, for the experiment `backlog`. Each shares its machine
  * with others, which slow it down for short times, and keeps the parts of prompts that it has read.
  */
+import * as randoms from "../src/common/Random";
 import * as routing from "../src/common/Routing";
 import * as routingPorts from "../src/common/RoutingPorts";
 
@@ -15,8 +16,8 @@
 const TOKENS_PER_MS = 40;
 /** Time from a call's arrival to its first event, excluding the reading of prompts. */
 const OVERHEAD_MS = 20;
-const RANDOM_MULTIPLIER = 2_654_435_761;
-const UINT32_RANGE = 2 ** 32;
+/** Seeds of the engines of one experiment. */
+const ENGINE_SEEDS = 1_000;
 
 /** One engine; times are those of the experiment's clock. */
 export class BacklogEngine {
@@ -24,8 +25,12 @@
     private readonly heldParts = new Set<string>();
     private busyUntilMs = 0;
     private running = 0;
+    private readonly random: randoms.Random;
+    /** One random number for each period. */
+    private readonly draws: number[] = [];
 
-    constructor(private readonly index: number, private readonly seed: number) {
+    constructor(private readonly index: number, seed: number) {
+        this.random = randoms.createRandom(seed * ENGINE_SEEDS + index);
         this.instance = {
             id: `engine-${index}`,
             startedMs: 1,
@@ -42,9 +47,11 @@
     /** How long work takes there at a time, 1 being usual. */
     slowdownAt(nowMs: number): number {
         const period = Math.floor(nowMs / SHARED_PERIOD_MS);
-        const mixed = Math.imul(Math.imul(this.index + 1, 73_856_093) ^ Math.imul(period + this.seed, 19_349_663), 1);
-        const uniform = (Math.imul(mixed ^ (mixed >>> 15), RANDOM_MULTIPLIER) >>> 0) / UINT32_RANGE;
-        return MACHINE_SLOWNESS[this.index % MACHINE_SLOWNESS.length]! * (uniform < SHARED_TIME ? SHARED_SLOWDOWN : 1);
+        while (this.draws.length <= period) {
+            this.draws.push(this.random());
+        }
+        return MACHINE_SLOWNESS[this.index % MACHINE_SLOWNESS.length]!
+            * (this.draws[period]! < SHARED_TIME ? SHARED_SLOWDOWN : 1);
     }
 
     /** When the first event of a prompt that arrives now would come. */
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -146,6 +146,11 @@
         }
     }
 
+    /** Number of instances that state how long work takes there. */
+    get statedCount(): number {
+        return [...this.speeds()].filter(([, speed]) => speed.isStated).length;
+    }
+
     /** The speed of a listed incarnation. */
     findSpeed({ instance: id, startedMs }: speedExchanges.Incarnation): instanceSpeeds.InstanceSpeed | undefined {
         const instance = this.options.view.find(id);
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -14,7 +14,7 @@
     readonly view: Pick<views.PublishedView, "position">;
     readonly replication: Pick<replications.PublishedReplication, "reader" | "exchange">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
-    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits">;
+    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "statedCount">;
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly server: Pick<servers.RouteServer, "active">;
     /** Number of log lines dropped since the start. */
@@ -34,6 +34,7 @@
     add("cumincrank_held_instances", "Instances that hold off", () => pool.holds.heldCount);
     add("cumincrank_instance_holds", "Rejections that asked for a hold", () => pool.holds.count);
     add("cumincrank_limited_instances", "Instances that name a limit", () => pool.limits.count);
+    add("cumincrank_stated_speeds", "Instances that state how long work takes there", () => pool.statedCount);
     add("cumincrank_held_parts", "Parts of prompts held back", () => crashes.suspectedCount);
     add("cumincrank_parts_rejections", "Checks that held a call back for its parts", () => crashes.heldCalls);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
