Pick the holder of shared parts in one place; weights as a list

listCandidates and findPartHolder each computed the weights and picked the holder; both now call pickHolder. pickWinner takes the weights themselves, and calls without shared parts no longer build a list of ids.

--- a/src/common/RendezvousHash.ts
+++ b/src/common/RendezvousHash.ts
@@ -21,18 +21,18 @@
 }
 
 /**
- * The name that wins `key`, whatever the order of `names`; undefined if there are none. `weightOf` states the share of
- * keys that a name gets.
+ * The name that wins `key`, whatever the order of `names`; undefined if there are none. `weights` state the shares of
+ * keys that the names get; without them all get the same.
  */
 export function pickWinner(
     key: string,
     names: readonly string[],
-    weightOf: (name: string, index: number) => number = () => 1,
+    weights?: readonly number[],
 ): string | undefined {
     let best: string | undefined;
     let bestScore = -Infinity;
     for (const [index, name] of names.entries()) {
-        const candidateScore = score(key, name, weightOf(name, index));
+        const candidateScore = score(key, name, weights?.[index]);
         if (best === undefined || candidateScore > bestScore || (candidateScore === bestScore && name < best)) {
             best = name;
             bestScore = candidateScore;
--- a/src/process/instances/CallCosts.ts
+++ b/src/process/instances/CallCosts.ts
@@ -1,6 +1,7 @@
 /**
  * Learns how long the first event of a service's streams takes at a machine of the usual speed, by the number of prompt
- * tokens that are read before it. Starts from a fixed estimate, and learns the factor by which it is wrong for prompts of each order of magnitude.
+ * tokens that are read before it. Starts from a fixed estimate, and learns the factor by which it is wrong for prompts of
+ * each order of magnitude.
  */
 import * as clocks from "../../common/Clock";
 import * as promptReading from "./PromptReading";
--- a/src/process/instances/CandidateList.ts
+++ b/src/process/instances/CandidateList.ts
@@ -45,8 +45,7 @@
     { failureDomain, trafficOf }: CandidateSources,
 ): choices.Candidate[] {
     const pace = findPace(instances.map(trafficOf));
-    const weights = partWeights(instances, trafficOf, pace.meanLogSlowness);
-    const affinityId = affinities.pickAffinityId(instances, requirements.promptParts, weights);
+    const affinityId = pickHolder(instances, requirements.promptParts, trafficOf, pace);
     return instances.map(instance => {
         const counts = trafficOf(instance);
         const { promptTokens, promptParts } = requirements;
@@ -70,19 +69,20 @@
     parts: readonly routingPorts.PromptPart[],
     trafficOf: CandidateSources["trafficOf"],
 ): string | undefined {
-    const { meanLogSlowness } = findPace(instances.map(trafficOf));
-    return affinities.pickAffinityId(instances, parts, partWeights(instances, trafficOf, meanLogSlowness));
+    return pickHolder(instances, parts, trafficOf, findPace(instances.map(trafficOf)));
 }
 
-/** Shares of shared parts, so that a fast machine reads and holds more of them than a slow one. */
-function partWeights(
+/** The same at a known pace; a fast machine reads and holds more of the parts than a slow one. */
+function pickHolder(
     instances: readonly views.KnownInstance[],
+    parts: readonly routingPorts.PromptPart[],
     trafficOf: CandidateSources["trafficOf"],
-    meanLogSlowness: number | undefined,
-): number[] {
-    return instances.map(instance =>
+    { meanLogSlowness }: ServicePace,
+): string | undefined {
+    const weights = instances.map(instance =>
         meanLogSlowness === undefined ? 1 : SLOWER_CLASS_SHARE ** trafficOf(instance).speed.classOf(meanLogSlowness)
     );
+    return affinities.pickAffinityId(instances, parts, weights);
 }
 
 function findPace(all: readonly traffic.InstanceTraffic[]): ServicePace {
--- a/src/process/instances/PromptAffinity.ts
+++ b/src/process/instances/PromptAffinity.ts
@@ -16,8 +16,8 @@
     weights: readonly number[],
 ): string | undefined {
     const lastSharedPart = parts.at(-2);
-    const ids = instances.map(instance => instance.id);
-    return lastSharedPart && rendezvous.pickWinner(lastSharedPart.id, ids, (_, index) => weights[index]!);
+    return lastSharedPart
+        && rendezvous.pickWinner(lastSharedPart.id, instances.map(instance => instance.id), weights);
 }
 
 /**
