--- a/review/lib/kit.mjs
+++ b/review/lib/kit.mjs
@@ -82,6 +82,8 @@
     events = [];
     revision = 100;
     waiting = new Set();
+    /** Answers of the watches that wait. */
+    watches = new Set();
 
     async start() {
         this.server = http.createServer((request, response) => void this.handle(request, response));
@@ -108,6 +110,13 @@
         this.change({ Key: key, Rev: ++this.revision, Deleted: true });
     }
 
+    /** Cuts the watches that wait: closes their connections without an answer. */
+    cutWatches() {
+        const cut = [...this.watches];
+        cut.forEach(response => response.socket.end());
+        return cut.length;
+    }
+
     change(event) {
         this.events.push(event);
         this.waiting.forEach(wake => wake());
@@ -128,15 +137,18 @@
         const afterRev = Number(searchParams.get("After"));
         const find = () => this.events.filter(event => event.Rev > afterRev && event.Key.startsWith(prefix));
         if (find().length === 0) {
+            this.watches.add(response);
             await new Promise(resolve => {
-                const timer = setTimeout(resolve, Number(searchParams.get("WaitMs")));
                 const wake = () => {
                     clearTimeout(timer);
+                    this.waiting.delete(wake);
                     resolve();
                 };
+                const timer = setTimeout(wake, Number(searchParams.get("WaitMs")));
                 this.waiting.add(wake);
                 response.on("close", wake);
             });
+            this.watches.delete(response);
         }
         this.answer(response, { events: find(), CurrentRev: this.revision });
     }
@@ -322,7 +334,7 @@
             console.log(`couldn't run: ${what} not reached`);
             process.exit(2);
         }
-        await sleep(100);
+        await sleep(50);
     }
 }
 
