--- a/review/lib/kit.mjs
+++ b/review/lib/kit.mjs
@@ -22,6 +22,15 @@
 export const HOST = "desk.example";
 const startedMs = performance.now();
 
+// A failure of the script itself, or its time-out, isn't a broken rule.
+process.on("uncaughtException", error => {
+    console.log(`couldn't run: ${error.stack}`);
+    process.exit(2);
+});
+for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.on(signal, () => process.exit(2));
+}
+
 export function sleep(ms) {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
@@ -55,16 +64,26 @@
     }
 }
 
+/** Ports below those that the system gives to outgoing connections, which would take them before the entries listen. */
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 16_000;
+
+/** Finds free ports for the entries. */
 export async function freePorts(count) {
-    const servers = [];
-    for (let index = 0; index < count; index++) {
+    const ports = new Set();
+    while (ports.size < count) {
+        const port = FIRST_PORT + crypto.randomInt(PORT_COUNT);
         const server = net.createServer();
-        await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
-        servers.push(server);
+        const isFree = await new Promise(resolve => {
+            server.on("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        if (isFree) {
+            ports.add(port);
+            await new Promise(resolve => server.close(resolve));
+        }
     }
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    return [...ports];
 }
 
 function listen(server) {
@@ -290,7 +309,11 @@
         process.exit(2);
     }
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
-    process.on("exit", () => fs.rmSync(folder, { recursive: true, force: true }));
+    const ended = [];
+    process.on("exit", () => {
+        ended.forEach(entry => entry.dispose());
+        fs.rmSync(folder, { recursive: true, force: true });
+    });
     const ports = await freePorts(zones.length * 4);
     const entries = zones.map((zone, index) => {
         const entry = new Entry(`front-${zone}-1`, zone);
@@ -299,6 +322,7 @@
         entry.settingsFile = path.join(folder, `${entry.name}.yaml`);
         return entry;
     });
+    ended.push(...entries);
     for (const entry of entries) {
         const text = fillTemplate({
             Node: entry.name,
