Forward streams in chunks, so that a killed entry leaves them incomplete

Cause: an answer without a length was forwarded without one, so that only the end of the connection ended it. The kernel closes the connections of a killed process with a FIN, as a complete answer does. Ruled out: a wrong judgement of the instance's end (its connection was open at the kill). Change: streams are always written in chunks; the last chunk follows only a clean end of the instance's answer after a whole event. The settings of entries as processes stand in one fixture (EntryProgram), which the soak uses too.

--- a/soak/SoakFleet.ts
+++ b/soak/SoakFleet.ts
@@ -8,6 +8,7 @@
 import * as clocks from "../src/common/Clock";
 import * as fleetProcesses from "../standins/FleetProcess";
 import * as freePorts from "../standins/FreePorts";
+import * as entryPrograms from "../standins/platform/EntryProgram";
 import * as engines from "../standins/platform/PlatformEngineStandIn";
 import * as stores from "../standins/platform/PlatformStoreStandIn";
 import * as routedFleets from "../standins/platform/RoutedFleet";
@@ -66,12 +67,15 @@
             }
         }
         fleet.publish();
-        const ports = await freePorts.findFreePorts(entryCount * 4);
+        const portSets: number[][] = [];
+        while (portSets.length < entryCount) {
+            portSets.push(await freePorts.findFreePorts(entryPrograms.PORT_COUNT));
+        }
         const peerLinks = await Promise.all(
-            Array.from({ length: entryCount }, (_, index) => relays.TcpRelay.listen(ports[index * 4]!)),
+            portSets.map(ports => relays.TcpRelay.listen(ports[entryPrograms.PEER_PORT_INDEX]!)),
         );
-        for (let index = 0; index < entryCount; index++) {
-            await fleet.addEntry(index, ports.slice(index * 4, index * 4 + 4), peerLinks);
+        for (const [index, ports] of portSets.entries()) {
+            await fleet.addEntry(index, ports, peerLinks);
         }
         fleet.supervision = clocks.every(clocks.systemClock, SUPERVISION_INTERVAL_MS, () => fleet.supervise());
         return fleet;
@@ -169,27 +173,19 @@
         ports: readonly number[],
         peerLinks: readonly relays.TcpRelay[],
     ): Promise<void> {
-        const [peerAddress, callerAddress, readyAddress, adminAddress] = ports.map(port => `127.0.0.1:${port}`);
+        const callerAddress = `127.0.0.1:${ports[0]}`;
         const store = await relays.TcpRelay.listen(portOf(this.store.address));
         const settingsFile = path.join(this.directory, `entry-${index}.yaml`);
-        const settings = {
-            role: "route-entry",
+        const settings = entryPrograms.createSettings({
             instance: `entry-${index}`,
-            failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
-            region: "here",
-            callerListen: callerAddress,
-            readyListen: readyAddress,
-            readyPath: "/ready",
-            peerListen: peerAddress,
+            failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+            ports,
             peerAddress: peerLinks[index]!.address,
-            adminListen: adminAddress,
             store: store.address,
             seeds: peerLinks.slice(0, 2).map(link => link.address),
             stopLimitSeconds: STOP_LIMIT_SECONDS,
-            repeats: { windowSeconds: 10, ratio: 0.2, slack: 50 },
-            coldRate: { factor: 1.5, extra: 5 },
-        };
-        fs.writeFileSync(settingsFile, JSON.stringify(settings)); // JSON is YAML.
+        });
+        fs.writeFileSync(settingsFile, JSON.stringify(settings));
         const process = new fleetProcesses.FleetProcess(
             [this.program, "entry", "--settings", settingsFile],
             this.logFile,
@@ -201,7 +197,7 @@
             process,
             startedMs,
             pendingRestarts: 0,
-            callerAddress: callerAddress!,
+            callerAddress,
             settingsFile,
             links,
         });
--- a/src/process/routing/CallerResponse.ts
+++ b/src/process/routing/CallerResponse.ts
@@ -4,6 +4,9 @@
 import * as http from "node:http";
 import * as codes from "../../common/Codes";
 
+/** Size up to which the kernel accepts an answer in a single write, so that no part of it is lost with this process. */
+const MAX_SINGLE_WRITE_BYTES = 8 * 1024;
+
 /** The answer to one request. */
 export class CallerResponse {
     constructor(private readonly response: http.ServerResponse) {}
@@ -14,13 +17,13 @@
     }
 
     /**
-     * Writes an instance's complete answer. A close-delimited one stays close-delimited: it may be truncated, only
-     * its reader can tell, and a Content-Length would claim that it is complete.
+     * Writes an instance's complete answer. Only its reader can tell whether a close-delimited one is truncated, so that
+     * a short one stays close-delimited. A longer one gets a length: if this process is killed while it writes the
+     * answer, the connection is closed with a FIN, which would end a close-delimited answer as if it were complete.
      */
     writeComplete(status: number, headers: readonly string[], body: Buffer, isFramed: boolean): void {
-        if (!isFramed) {
-            this.begin(status, headers, isFramed);
-            this.response.end(body);
+        if (!isFramed && body.length <= MAX_SINGLE_WRITE_BYTES) {
+            this.writeCloseDelimited(status, headers, body);
             return;
         }
         const hasNoBody = status === 204 || status === 304;
@@ -29,18 +32,11 @@
         this.response.end(hasNoBody ? undefined : body);
     }
 
-    /** Whether the answer is close-delimited: its body ends with the connection. */
-    get isCloseDelimited(): boolean {
-        return !this.response.useChunkedEncodingByDefault;
-    }
-
-    /** Starts a stream. If the instance's answer isn't framed, this one is close-delimited as well. */
-    begin(status: number, headers: readonly string[], isFramed: boolean): void {
-        if (!isFramed) {
-            this.response.shouldKeepAlive = false;
-            this.response.useChunkedEncodingByDefault = false;
-            this.response.removeHeader("transfer-encoding");
-        }
+    /**
+     * Starts a stream, in chunks whatever the framing of the instance's answer: without the last chunk, the caller sees
+     * that the stream is incomplete, also if this process is killed. Callers that speak HTTP/1.0 can't read chunks.
+     */
+    begin(status: number, headers: readonly string[]): void {
         this.response.socket?.setNoDelay(true);
         this.response.writeHead(status, [...headers]);
     }
@@ -68,11 +64,19 @@
 
     /** Aborts an answer, so that the caller sees it as incomplete: a close-delimited one is reset. */
     abort(): void {
-        if (this.isCloseDelimited) {
+        if (!this.response.useChunkedEncodingByDefault) {
             this.response.socket?.resetAndDestroy();
         }
         this.response.destroy();
     }
+
+    private writeCloseDelimited(status: number, headers: readonly string[], body: Buffer): void {
+        this.response.shouldKeepAlive = false;
+        this.response.useChunkedEncodingByDefault = false;
+        this.response.removeHeader("transfer-encoding");
+        this.response.writeHead(status, [...headers]);
+        this.response.end(body);
+    }
 }
 
 /**
--- a/src/request/routed/EventSink.ts
+++ b/src/request/routed/EventSink.ts
@@ -7,9 +7,7 @@
 export interface EventSink {
     /** Whether the headers have been written. */
     readonly hasBegun: boolean;
-    /** Whether the answer is close-delimited: its body ends with the connection. */
-    readonly isCloseDelimited: boolean;
-    begin(status: number, headers: readonly string[], isFramed: boolean): void;
+    begin(status: number, headers: readonly string[]): void;
     /** Resolves when further bytes can be written without unbounded buffering; undefined if they can be at once. */
     write(bytes: Buffer): Promise<void> | undefined;
     end(): void;
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -192,7 +192,7 @@
                 continue;
             }
             if (chunk === "end") {
-                const isComplete = this.isStreamComplete(answered) && !splitter.hasPartialEvent;
+                const isComplete = answered.answer.isComplete() && !splitter.hasPartialEvent;
                 start.recordEnd(isComplete);
                 return { kind: isComplete ? "complete" : "broken" };
             }
@@ -240,14 +240,6 @@
         return next;
     }
 
-    /**
-     * Whether the answer is known to be complete. A close-delimited one is accepted only if the caller's answer is
-     * close-delimited too: a framed answer would present a possibly truncated stream as complete.
-     */
-    private isStreamComplete(answered: AnsweredSend): boolean {
-        return answered.answer.isComplete() && (answered.answer.isFramed || this.options.sink.isCloseDelimited);
-    }
-
     /** Resolves to false if the caller hasn't read enough of them until its hard deadline. */
     private async forwardEvents(events: readonly splitters.StreamEvent[], answered: AnsweredSend): Promise<boolean> {
         const { sink } = this.options;
@@ -277,11 +269,7 @@
     /** Writes the headers of the instance's answer, unless those of an earlier one have been written. */
     private begin({ answer }: AnsweredSend): void {
         if (!this.options.sink.hasBegun) {
-            this.options.sink.begin(
-                answer.status,
-                this.context.wire.answerHeaders(answer.rawHeaders),
-                answer.isFramed,
-            );
+            this.options.sink.begin(answer.status, this.context.wire.answerHeaders(answer.rawHeaders));
         }
     }
 
--- /dev/null
+++ b/standins/platform/EntryProgram.ts
@@ -0,0 +1,73 @@
+/**
+ * An entry for routed calls as a process of its own, for tests that kill or stop it.
+ */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as fleetProcesses from "../FleetProcess";
+import * as freePorts from "../FreePorts";
+
+/** Number of ports that an entry listens on. */
+export const PORT_COUNT = 4;
+/** Index of the port for peers among them. */
+export const PEER_PORT_INDEX = 2;
+
+/** What the settings of entries differ in. */
+export interface EntryIdentity {
+    readonly instance: string;
+    readonly failureDomain: string;
+    /** `PORT_COUNT` free ports: of callers, readiness, peers and the admin server. */
+    readonly ports: readonly number[];
+    readonly store: string;
+    readonly seeds: readonly string[];
+    readonly stopLimitSeconds: number;
+    /** Address at which peers reach the entry, if it isn't the one on which it listens. */
+    readonly peerAddress?: string;
+}
+
+/** Creates the settings of an entry; every JSON text is a YAML file. */
+export function createSettings(identity: EntryIdentity): Record<string, unknown> {
+    const { ports, ...own } = identity;
+    const [callerListen, readyListen, peerListen, adminListen] = ports.map(port => `127.0.0.1:${port}`);
+    return {
+        ...own,
+        role: "route-entry",
+        region: "here",
+        callerListen,
+        readyListen,
+        readyPath: "/ready",
+        peerListen,
+        adminListen,
+        repeats: { windowSeconds: 10, ratio: 0.2, slack: 50 },
+        coldRate: { factor: 1.5, extra: 5 },
+    };
+}
+
+/** The built program as one entry of a store's fleet. */
+export class EntryProgram {
+    private constructor(
+        readonly process: fleetProcesses.FleetProcess,
+        private readonly directory: string,
+        readonly callerAddress: string,
+    ) {}
+
+    /** Starts the process, without waiting until it is ready. */
+    static async start(store: string): Promise<EntryProgram> {
+        const directory = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-entry-"));
+        const ports = await freePorts.findFreePorts(PORT_COUNT);
+        const identity = { instance: "entry-1", failureDomain: "zone-a", ports, store, seeds: [], stopLimitSeconds: 8 };
+        const file = path.join(directory, "entry.yaml");
+        fs.writeFileSync(file, JSON.stringify(createSettings(identity)));
+        const args = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
+        const child = new fleetProcesses.FleetProcess(args, path.join(directory, "entry.log"));
+        child.start();
+        return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`);
+    }
+
+    /** Kills the process, and removes its files once it has ended. */
+    async dispose(): Promise<void> {
+        this.process.kill();
+        await this.process.waitForExit();
+        fs.rmSync(this.directory, { recursive: true, force: true });
+    }
+}
