Don't take a single failed call of the store for an outage

Cause: a watch that is only cut counted as an outage of the store, after which deletions of instances wait 2 s for records that expired; the next call came 125 to 375 ms after the cut. Evidence: CutWatches.test.ts, 2,360, 2,380 and 2,190 ms from the deletion to the removal; the entry's log has "published store unreachable" at each cut. Change: StoreAvailability judges the ends of calls. After one failure the next call follows at once, and if it is answered, deletions wait 1 s; several failures in succession are an outage, with 2 s as before. Why it works: a store that was away long enough for records to expire fails more than one call; 1 s and the retry are less than the time for which instances serve on.

--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -10,6 +10,7 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as views from "./PublishedView";
+import * as availabilities from "./StoreAvailability";
 import * as paces from "./WatchPace";
 
 /** Wait of the first watch after a failure, which learns soon whether the store is in another era now. */
@@ -19,8 +20,6 @@
 const MAX_WATCH_DELAY_MS = 2_000;
 /** Mean delay between a failure and the next call. */
 const RETRY_DELAY_MS = 250;
-/** Deletions of instances are delayed until this long after an outage of the store, since they may register again. */
-const EXPIRY_GRACE_MS = 2_000;
 
 /** What the reader needs from its owner. */
 export interface PublishedReaderOptions {
@@ -38,8 +37,7 @@
 /** Keeps a view up to date from the store. */
 export class PublishedReader implements clocks.Disposable {
     private readonly stop = new AbortController();
-    private isStoreUnavailable = false;
-    private restoredAtMs = -Infinity;
+    private readonly availability = new availabilities.StoreAvailability();
     private confirmedAtMs: number | undefined;
     /** Whether others may begin a watch when this entry does. */
     private isInStep = true;
@@ -78,8 +76,10 @@
                 isListed = false;
                 continue;
             }
-            this.markUnavailable(failure);
-            await clocks.sleep(this.options.clock, RETRY_DELAY_MS * (0.5 + this.options.random()), this.stop.signal);
+            if (!this.recordFailure(failure)) {
+                const delayMs = RETRY_DELAY_MS * (0.5 + this.options.random());
+                await clocks.sleep(this.options.clock, delayMs, this.stop.signal);
+            }
         }
     }
 
@@ -103,7 +103,7 @@
             after = page.value.nextAfter;
         }
         while (after !== undefined);
-        this.markConfirmed();
+        this.recordAnswer();
         this.isInStep = true;
         this.options.view.apply({ items, ...position, isWhole: true }, "store", this.deletionGraceMs());
         return undefined;
@@ -127,12 +127,11 @@
         if (failure !== undefined) {
             return failure;
         }
-        const wasUnavailable = this.isStoreUnavailable;
-        this.markConfirmed();
+        const wasAvailable = this.recordAnswer() === "available";
         const { items } = changes.value;
         const position = positions.positionOf(changes.value);
         view.apply({ items, ...position, isWhole: false }, "store", this.deletionGraceMs());
-        this.isInStep = wasUnavailable || items.length > 0;
+        this.isInStep = !wasAvailable || items.length > 0;
         const delayMs = Math.min(MAX_WATCH_DELAY_MS, WATCH_DELAY_PER_ENTRY_MS * (this.options.peerNames().length + 1));
         await clocks.sleep(this.options.clock, delayMs, this.stop.signal);
         return undefined;
@@ -149,7 +148,7 @@
     }
 
     private watchWaitMs(): number {
-        if (this.isStoreUnavailable) {
+        if (this.availability.state !== "available") {
             return FIRST_WATCH_WAIT_MS;
         }
         const { instance, peerNames, view } = this.options;
@@ -158,29 +157,40 @@
     }
 
     private deletionGraceMs(): number {
-        return Math.max(0, this.restoredAtMs + EXPIRY_GRACE_MS - this.options.clock.now());
+        return this.availability.deletionGraceMs(this.options.clock.now());
     }
 
-    private markUnavailable(failure: codes.Failure): void {
-        if (!this.isStoreUnavailable && !this.stop.signal.aborted) {
-            this.isStoreUnavailable = true;
+    /** Returns whether the next call is due at once. */
+    private recordFailure(failure: codes.Failure): boolean {
+        if (this.stop.signal.aborted) {
+            return false;
+        }
+        const previous = this.availability.state;
+        const isPrompt = this.availability.recordFailure(this.options.clock.now());
+        const { state } = this.availability;
+        if (state !== previous) {
             const { name, code } = failure.code;
-            this.options.log.warn(
-                { dependency: "store", code, name, detail: failure.detail },
-                "published store unreachable",
-            );
+            const fields = { dependency: "store", state, code, name, detail: failure.detail };
+            if (state === "doubtful") {
+                this.options.log.info(fields, "call of the published store failed; trying again");
+            }
+            else {
+                this.options.log.warn(fields, "published store unreachable");
+            }
         }
+        return isPrompt;
     }
 
-    private markConfirmed(): void {
-        this.confirmedAtMs = this.options.clock.now();
-        if (this.isStoreUnavailable) {
-            this.isStoreUnavailable = false;
-            this.restoredAtMs = this.confirmedAtMs;
-            this.options.log.info(
-                { dependency: "store", ...this.options.view.position },
-                "published store reachable again",
-            );
+    /** Returns the state before the answer. */
+    private recordAnswer(): availabilities.StoreState {
+        const nowMs = this.options.clock.now();
+        this.confirmedAtMs = nowMs;
+        const previous = this.availability.recordAnswer(nowMs);
+        if (previous !== "available") {
+            const fields = { dependency: "store", state: "available", ...this.options.view.position };
+            const graceMs = this.availability.deletionGraceMs(nowMs);
+            this.options.log.info({ ...fields, previous, graceMs }, "published store reachable again");
         }
+        return previous;
     }
 }
