--- a/src/common/Routing.ts
+++ b/src/common/Routing.ts
@@ -66,6 +66,8 @@
 /** A service that serves routes or stages. */
 export interface RoutedService {
     readonly name: string;
+    /** Path at which each instance states its health; undefined if there is none. */
+    readonly healthPath?: string | undefined;
     /** Time for which an instance is cold after its start. */
     readonly coldMs: number;
     /** Calls per second that a cold instance sustains; 0 if instances of the service aren't cold after a start. */
--- a/src/process/published/PublishedView.ts
+++ b/src/process/published/PublishedView.ts
@@ -4,6 +4,7 @@
  */
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
+import * as lineLimits from "../../common/LineLimit";
 import * as logs from "../../common/Log";
 import * as positions from "../../common/Position";
 import * as routing from "../../common/Routing";
@@ -12,6 +13,10 @@
 import * as publishedKeys from "./PublishedKeys";
 import * as versionHistories from "./VersionHistory";
 
+/** Number of lines about unreadable records in an interval. */
+const MAX_UNREADABLE_LINES = 50;
+const UNREADABLE_INTERVAL_MS = 10_000;
+
 export type KnownInstance = instanceIndexes.KnownInstance;
 export type PublishedUpdate = publishedKeys.PublishedUpdate;
 
@@ -29,6 +34,9 @@
     private readonly outOfService = new Set<string>();
     private currentTable: tables.RouteTable | undefined;
     private readonly changeEmitter = new emitters.Emitter<void>();
+    private readonly unreadableLines: lineLimits.LineLimit;
+    /** Number of records that couldn't be read. */
+    unreadableRecords = 0;
 
     /** Fires after the view has changed. */
     readonly onChange = this.changeEmitter.event;
@@ -36,6 +44,7 @@
     readonly versions: versionHistories.VersionHistory;
 
     constructor(private readonly options: PublishedViewOptions) {
+        this.unreadableLines = new lineLimits.LineLimit(options.clock, MAX_UNREADABLE_LINES, UNREADABLE_INTERVAL_MS);
         this.versions = new versionHistories.VersionHistory(options.clock);
         this.instanceIndex = new instanceIndexes.InstanceIndex(options.clock, this.versions);
         this.keys = new publishedKeys.PublishedKeys({
@@ -148,13 +157,23 @@
                 );
                 return true;
             case "unreadable":
-                log.warn({ decision: "unreadable", ...keyFields, reason: record.reason }, "record can't be read");
+                this.logUnreadable(keyFields, record.reason);
                 return previous !== undefined;
             case "other":
                 return false;
         }
     }
 
+    private logUnreadable(keyFields: Record<string, unknown>, reason: string): void {
+        this.unreadableRecords++;
+        const omitted = this.unreadableLines.tryWrite();
+        if (omitted !== undefined) {
+            const omittedField = omitted === 0 ? {} : { omitted };
+            const fields = { decision: "unreadable", ...keyFields, reason, ...omittedField };
+            this.options.log.warn(fields, "record can't be read");
+        }
+    }
+
     private removeRecord(record: routing.PublishedRecord): boolean {
         if (record.kind === "instance") {
             this.instanceIndex.remove(record.instance.id);
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -11,7 +11,7 @@
 
 /** The parts of an entry whose state is exposed. */
 export interface GaugeSources {
-    readonly view: Pick<views.PublishedView, "position">;
+    readonly view: Pick<views.PublishedView, "position" | "unreadableRecords">;
     readonly replication: Pick<replications.PublishedReplication, "reader" | "exchange">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
     readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "statedCount">;
@@ -27,6 +27,7 @@
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
+    add("cumincrank_unreadable_records", "Records that couldn't be read", () => view.unreadableRecords);
     add("cumincrank_store_calls", "Calls on the published store", () => replication.reader.storeCalls);
     add("cumincrank_stage_calls", "Calls on stages' instances", () => host.startedCalls);
     add("cumincrank_peer_updates", "Updates taken from other entries", () => replication.exchange.appliedUpdates);
