--- a/src/process/stages/StageHost.ts
+++ b/src/process/stages/StageHost.ts
@@ -3,20 +3,13 @@
  */
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
-import * as logs from "../../common/Log";
-import * as routing from "../../common/Routing";
-import * as routingPorts from "../../common/RoutingPorts";
 import * as stageOrders from "../../common/StageOrder";
-import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as exchanges from "../../connection/UpstreamExchange";
-import * as pools from "../instances/InstancePool";
-import * as traffic from "../instances/InstanceTraffic";
 import * as leavingInstances from "../instances/LeavingInstances";
 import * as views from "../published/PublishedView";
 import * as handOvers from "./HostHandOver";
 import * as releasers from "./ResultReleaser";
 import * as batching from "./StageBatching";
-import * as jobs from "./StageJob";
+import * as stageCalls from "./StageCalls";
 import * as schedulers from "./StageScheduler";
 import * as workerStates from "./WorkerStates";
 
@@ -24,11 +17,8 @@
 const POLL_INTERVAL_MS = 50;
 /** Time after which a call on an otherwise idle instance has read its inputs. */
 export const INPUTS_READ_MS = 60;
-/** Time limit for the headers of a call's answer. */
-const ANSWER_TIMEOUT_MS = 10_000;
 /** Retry delay after an accepted order has failed. */
 const RETRY_AFTER_MS = 300;
-const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 /** Reason with which an order's signal aborts when another host continues the order from its results. */
 export const RESULTS_KEPT = "results kept";
@@ -53,17 +43,9 @@
 }
 
 /** Dependencies of the stage host. */
-export interface StageHostOptions {
-    readonly clock: clocks.Clock;
-    readonly log: logs.Log;
-    readonly wire: routingPorts.StageWire;
-    readonly connections: upstreamConnections.UpstreamConnections;
-    readonly pool: pools.InstancePool;
-    readonly view: views.PublishedView;
+export interface StageHostOptions extends stageCalls.StageCallsOptions {
     readonly leaving: leavingInstances.LeavingInstances;
     readonly releaser: releasers.ResultReleaser;
-    /** Called with the head of each answer to a stage call. */
-    readonly onAnswer: (instance: routing.RoutedInstance, answer: exchanges.OpenAnswer, sentAtMs: number) => void;
     /** Those of the usable instances of a service that this host schedules. */
     readonly ownInstances: (
         service: string,
@@ -77,6 +59,7 @@
     private readonly pendingOrders = new Map<number, PendingOrder>();
     private readonly timer: clocks.Disposable;
     private readonly subscription: clocks.Disposable;
+    private readonly calls: stageCalls.StageCalls;
     private readonly handOverState = new handOvers.HostHandOver();
     /** Number of calls started on instances. */
     startedCalls = 0;
@@ -91,6 +74,7 @@
             callWaitMs: id => workers.callWaitMs(id),
             callIntervalMs: id => workers.callIntervalMs(id),
         });
+        this.calls = new stageCalls.StageCalls(options);
         this.subscription = options.releaser.onReleased(handles => {
             this.scheduler.recordReleased(handles);
             this.dispatch();
@@ -218,7 +202,7 @@
             INPUTS_READ_MS,
             () => this.scheduler.recordInputsRead(batch),
         );
-        const pieceResults = await this.sendBatch(batch);
+        const pieceResults = await this.calls.send(batch);
         inputsReadTimer.dispose();
         if (pieceResults === "held") {
             this.scheduler.returnBatch(batch, this.options.clock.now());
@@ -229,64 +213,6 @@
         this.dispatch();
     }
 
-    /** Resolves to the outcomes of the pieces, `held` if the instance holds off, or undefined on failure. */
-    private async sendBatch(
-        batch: batching.StageBatch,
-    ): Promise<readonly routingPorts.StagePieceOutcome[] | "held" | undefined> {
-        const { clock, wire, view, pool: { holds } } = this.options;
-        const published = view.find(batch.instance.id);
-        if (published === undefined) {
-            return undefined;
-        }
-        const { address } = batch.instance;
-        const pieces = batch.pieces.map(piece => this.toStagePiece(piece));
-        const request = wire.runRequest(pieces);
-        const body = Buffer.from(request.body);
-        const ticket = this.options.pool.trafficOf(published).begin(0, []);
-        const response = await exchanges.openExchange(this.options.connections, clock, {
-            address,
-            method: "POST",
-            path: request.path,
-            headers: ["Host", address, ...wire.requestHeaders(published.id), "Content-Length", String(body.length)],
-            body,
-            isNewConnection: false,
-            answerTimeoutMs: ANSWER_TIMEOUT_MS,
-            isHeld: () => holds.remainingMs(published) > 0,
-        });
-        if (response.kind === "failed") {
-            const isHeld = response.reason === "held";
-            ticket.end(response.isStaleConnection || isHeld ? "cancelled" : "unreachable");
-            this.logCall(batch, response.reason);
-            return isHeld ? "held" : undefined;
-        }
-        const holdMs = wire.readHold(response.status, response.headers);
-        if (holdMs !== undefined) {
-            holds.start(address, published, holdMs, "stage-call");
-        }
-        this.options.onAnswer(published, response, batch.startedMs);
-        const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
-        const pieceResults = response.status === 200 && content !== undefined
-            ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
-            : undefined;
-        const failedOutcome = holdMs === undefined ? "failed" : traffic.rejectionOutcome(holdMs);
-        ticket.end(pieceResults === undefined ? failedOutcome : "ok");
-        this.logCall(batch, pieceResults === undefined ? `status ${response.status}` : describeResults(pieceResults));
-        return holdMs === undefined ? pieceResults : "held";
-    }
-
-    private toStagePiece(piece: jobs.JobPiece): routingPorts.StagePiece {
-        const { order } = piece.job;
-        const inputs = piece.job.inputHandles(piece.stage);
-        return {
-            attempt: order.attempt,
-            stage: piece.stage,
-            piece: piece.piece,
-            remainingMs: piece.job.hardDeadlineAtMs - this.options.clock.now(),
-            key: inputs === undefined ? order.pieceKey : undefined,
-            inputs,
-        };
-    }
-
     private reportOutcome(outcome: schedulers.JobOutcome): void {
         const { job } = outcome;
         this.options.log.info({
@@ -322,24 +248,4 @@
     private releaseUnneeded(): void {
         this.options.releaser.add(this.scheduler.takeReleasable());
     }
-
-    private logCall(batch: batching.StageBatch, end: string): void {
-        this.options.log.info({
-            decision: "stage-call",
-            service: batch.service,
-            instance: batch.instance.id,
-            pieces: batch.pieces.length,
-            ready: batch.readyCount,
-            roomKb: Math.round(batch.freeBytes / 1_000),
-            attempts: [...new Set(batch.pieces.map(piece => piece.job.order.attempt))],
-            elapsedMs: Math.round(this.options.clock.now() - batch.startedMs),
-            expectedMs: Math.round(batch.expectedMs),
-            end,
-        }, "stage call ended");
-    }
-}
-
-function describeResults(results: readonly routingPorts.StagePieceOutcome[]): string {
-    const failures = results.flatMap(result => "failure" in result ? [result.failure] : []);
-    return failures.length === 0 ? "made" : `${results.length - failures.length} made, ${failures.join(" ")}`;
 }
