Leave out instances that never answered, and don't let them spend the retry budget

Cause: an instance that never answered as its record says (another id at the address of a sound one, a refused connection, invalid answers) was paused for 4 s at most, at each entry by itself, and drew calls again as it had no load; each of these sends took from the retry budget. Ruled out: single odd fields (records without any do the same). Change: InstanceProofs decides which instances are doubtful, and an answer 421 settles all records at its address at once; InstanceProbes asks doubtful ones for their health at a bounded rate (new connections, the service's health path), so that no caller's call has to. A send that didn't reach its instance doesn't count in the retry budget; a call may have 8 of them. As long as no instance has failed without ever answering, choices are as before. The parts around the instance pool are connected in InstanceParts, since RouteEntry.ts had grown.

--- a/src/process/instances/AnswerSigns.ts
+++ b/src/process/instances/AnswerSigns.ts
@@ -29,7 +29,7 @@
     readonly wire: Pick<routingPorts.RoutedCallWire, "readAnswer">;
     readonly peers: Pick<entryPeers.EntryPeers, "knownPeers" | "onFrame">;
     readonly leaving: leavingInstances.LeavingInstances;
-    readonly pool: Pick<pools.InstancePool, "limits" | "isInUse" | "speeds" | "findSpeed">;
+    readonly pool: Pick<pools.InstancePool, "limits" | "isInUse" | "speeds" | "findSpeed" | "proofs">;
 }
 
 /** Reads the signs of all answers. */
@@ -56,6 +56,9 @@
         source: leavingExchanges.SignSource,
         sentAtMs: number,
     ): void {
+        if (source !== "release") { // A release names no instance, so that its answer proves nothing.
+            this.options.pool.proofs.recordAnswer(instance, answer);
+        }
         this.leavingExchange.observe(instance, answer, source);
         this.limitExchange.observe(instance, answer, sentAtMs);
     }
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -14,6 +14,7 @@
 import * as choices from "./InstanceChoice";
 import * as instanceHolds from "./InstanceHolds";
 import * as instanceLimits from "./InstanceLimits";
+import * as instanceProofs from "./InstanceProofs";
 import * as instanceSpeeds from "./InstanceSpeed";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
@@ -97,9 +98,11 @@
     private readonly subscription: clocks.Disposable;
     readonly holds: instanceHolds.InstanceHolds;
     readonly limits: instanceLimits.InstanceLimits;
+    readonly proofs: instanceProofs.InstanceProofs;
 
     constructor(private readonly options: InstancePoolOptions) {
         this.limits = new instanceLimits.InstanceLimits(options);
+        this.proofs = new instanceProofs.InstanceProofs(options);
         this.holds = new instanceHolds.InstanceHolds({
             ...options,
             isInService: instance => this.isInService(instance) && !options.leaving.isLeaving(instance),
@@ -204,13 +207,15 @@
 
     /**
      * Instances of a service, and of a software version if one is given, that are in service, not leaving, don't hold off
-     * and aren't paused after failures. If all of these are paused, they are used nevertheless; a hold is never overridden.
+     * and are neither paused after failures nor doubtful. If there is none, those that aren't paused are used, and if
+     * there is none of these either, all of them; a hold is never overridden.
      */
     usableInstances(service: string, softwareVersion?: string): views.KnownInstance[] {
         const allowed = this.instancesInService(service, softwareVersion)
             .filter(other => !this.options.leaving.isLeaving(other) && this.holds.remainingMs(other) === 0);
         const unpausedInstances = allowed.filter(instance => !this.trafficOf(instance).isPaused);
-        return unpausedInstances.length > 0 ? unpausedInstances : allowed;
+        const trustedInstances = unpausedInstances.filter(instance => !this.proofs.isDoubtful(instance));
+        return [trustedInstances, unpausedInstances].find(instances => instances.length > 0) ?? allowed;
     }
 
     /** Chooses an instance without counting the call yet; undefined when none can accept it now. */
@@ -330,6 +335,7 @@
                 this.trafficByIncarnation.delete(key);
             }
         }
+        this.proofs.handleViewChange();
         this.holds.forgetUnused(key => this.trafficByIncarnation.has(key));
     }
 }
--- /dev/null
+++ b/src/process/routing/InstanceParts.ts
@@ -0,0 +1,60 @@
+/**
+ * The parts of an entry that decide which instances get calls, connected to each other.
+ */
+import * as clocks from "../../common/Clock";
+import * as emitters from "../../common/Emitter";
+import * as logs from "../../common/Log";
+import * as routingPorts from "../../common/RoutingPorts";
+import * as settingsShapes from "../../common/Settings";
+import * as upstreamConnections from "../../connection/UpstreamConnections";
+import * as answerSigns from "../instances/AnswerSigns";
+import * as pools from "../instances/InstancePool";
+import * as instanceProbes from "../instances/InstanceProbes";
+import * as leavingInstances from "../instances/LeavingInstances";
+import * as entryPeers from "../peers/EntryPeers";
+import * as views from "../published/PublishedView";
+
+/** What the parts need from their process. */
+export interface InstancePartsOptions {
+    readonly clock: clocks.Clock;
+    readonly log: logs.Log;
+    readonly random: () => number;
+    readonly failureDomain: string;
+    /** Name of this entry. */
+    readonly self: string;
+    readonly wire: routingPorts.RoutedCallWire;
+    readonly connections: upstreamConnections.UpstreamConnections;
+    readonly view: views.PublishedView;
+    readonly peers: entryPeers.EntryPeers;
+    /** Least number of entries to assume. */
+    readonly minEntries: () => number;
+    readonly coldRateLimit: () => settingsShapes.RouteEntrySettings["coldRate"];
+}
+
+/** The pool, and what feeds it. */
+export class InstanceParts implements clocks.Disposable {
+    private readonly disposables = new emitters.DisposableStore();
+    readonly leaving: leavingInstances.LeavingInstances;
+    readonly pool: pools.InstancePool;
+    readonly signs: answerSigns.AnswerSigns;
+
+    constructor(options: InstancePartsOptions) {
+        this.leaving = new leavingInstances.LeavingInstances(options.clock);
+        this.pool = this.disposables.add(
+            new pools.InstancePool({
+                ...options,
+                leaving: this.leaving,
+                entryNames: () => options.peers.entryNames,
+            }),
+        );
+        const { proofs, limits } = this.pool;
+        this.signs = this.disposables.add(
+            new answerSigns.AnswerSigns({ ...options, leaving: this.leaving, pool: this.pool }),
+        );
+        this.disposables.add(new instanceProbes.InstanceProbes({ ...options, proofs, limits }));
+    }
+
+    dispose(): void {
+        this.disposables.dispose();
+    }
+}
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -8,9 +8,7 @@
 import * as settingsShapes from "../../common/Settings";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as guards from "../crashes/CrashGuard";
-import * as answerSigns from "../instances/AnswerSigns";
 import * as pools from "../instances/InstancePool";
-import * as leavingInstances from "../instances/LeavingInstances";
 import * as budgets from "../instances/RetryBudgets";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as metrics from "../metrics/RouteMetrics";
@@ -24,6 +22,7 @@
 import * as stageHosts from "../stages/StageHost";
 import * as streamExchanges from "../streams/StreamOriginExchange";
 import * as entryStatuses from "./EntryStatus";
+import * as instanceParts from "./InstanceParts";
 import * as gauges from "./RouteGauges";
 import * as servers from "./RouteServer";
 
@@ -100,27 +99,19 @@
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
             }),
         );
-        const leaving = new leavingInstances.LeavingInstances(clock);
-        this.pool = this.disposables.add(
-            new pools.InstancePool({
+        const { leaving, pool, signs } = this.disposables.add(
+            new instanceParts.InstanceParts({
                 ...shared,
+                wire: options.callWire,
+                connections,
                 view: this.view,
-                leaving,
+                peers: this.peers,
                 self: settings.instance,
-                entryNames: () => this.peers.entryNames,
                 minEntries: () => this.minEntries,
                 coldRateLimit: () => this.settings.coldRate,
             }),
         );
-        const signs = this.disposables.add(
-            new answerSigns.AnswerSigns({
-                ...shared,
-                wire: options.callWire,
-                peers: this.peers,
-                leaving,
-                pool: this.pool,
-            }),
-        );
+        this.pool = pool;
         const releaser = this.disposables.add(
             new releasers.ResultReleaser({
                 ...shared,
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -14,7 +14,7 @@
     readonly view: Pick<views.PublishedView, "position" | "unreadableRecords">;
     readonly replication: Pick<replications.PublishedReplication, "reader" | "exchange">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
-    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "statedCount">;
+    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "proofs" | "statedCount">;
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly server: Pick<servers.RouteServer, "active">;
     /** Number of log lines dropped since the start. */
@@ -32,6 +32,7 @@
     add("cumincrank_stage_calls", "Calls on stages' instances", () => host.startedCalls);
     add("cumincrank_peer_updates", "Updates taken from other entries", () => replication.exchange.appliedUpdates);
     add("cumincrank_leaving_instances", "Leaving instances", () => pool.leavingIds.length);
+    add("cumincrank_doubtful_instances", "Doubtful instances", () => pool.proofs.doubtfulCount);
     add("cumincrank_held_instances", "Instances that hold off", () => pool.holds.heldCount);
     add("cumincrank_instance_holds", "Rejections that asked for a hold", () => pool.holds.count);
     add("cumincrank_limited_instances", "Instances that name a limit", () => pool.limits.count);
--- a/src/process/stages/StageCalls.ts
+++ b/src/process/stages/StageCalls.ts
@@ -58,6 +58,9 @@
         if (response.kind === "failed") {
             const isHeld = response.reason === "held";
             ticket.end(response.isStaleConnection || isHeld ? "cancelled" : "unreachable");
+            if (!isHeld && !response.isStaleConnection) {
+                this.options.pool.proofs.recordFailure(published);
+            }
             this.logCall(batch, response.reason);
             return isHeld ? "held" : undefined;
         }
--- a/src/request/routed/CallHistory.ts
+++ b/src/request/routed/CallHistory.ts
@@ -5,7 +5,10 @@
 /** Sends of a call so far. */
 export interface CallHistory {
     readonly triedIncarnations: Set<string>;
+    /** Sends that may have reached an instance. */
     sends: number;
+    /** Sends that didn't reach their instance. */
+    unreached: number;
     /** Sends without an outcome so far. */
     openSends: number;
     /** Sends with the outcome `answer`, `unknown` or `cancelled`: the call may have run. */
@@ -25,6 +28,7 @@
     return {
         triedIncarnations: new Set(),
         sends: 0,
+        unreached: 0,
         openSends: 0,
         possibleRuns: 0,
         isBudgetSpent: false,
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -79,7 +79,7 @@
     }
     const code = history.isBudgetSpent
         ? codes.codes.retryBudgetSpent
-        : history.sends === 0
+        : history.sends + history.unreached === 0
         ? codes.codes.noInstance
         : codes.codes.overloaded;
     return { kind: "local-failure", failure: codes.failure(code, `${history.sends} sends`, DEFAULT_RETRY_AFTER_MS) };
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -28,6 +28,8 @@
 const MIN_REMAINING_MS = 20;
 /** Maximum sends of one call, including retries, resumptions and sends known not to have run. */
 const MAX_SENDS = 5;
+/** Maximum number of instances that a call doesn't reach. */
+const MAX_UNREACHED = 8;
 
 /** Dependencies for sending a call. */
 export interface SenderContext {
@@ -104,6 +106,7 @@
         && isAllowed
         && context.crashes.findHeld(requestDigests.observedCall(call)) === undefined
         && history.sends < MAX_SENDS
+        && history.unreached < MAX_UNREACHED
         && context.pool.expectedFirstEventMs(requirementsOf(context, call, history, [])) !== undefined;
 }
 
@@ -115,7 +118,7 @@
     options: SendOptions,
 ): Promise<SendOutcome> {
     const hasTime = call.hardDeadlineAtMs - context.clock.now() >= MIN_REMAINING_MS;
-    const chosen = hasTime && history.sends < MAX_SENDS
+    const chosen = hasTime && history.sends < MAX_SENDS && history.unreached < MAX_UNREACHED
         ? prepareSend(context, call, history, options.inputs)
         : undefined;
     if (chosen === undefined) {
@@ -164,8 +167,9 @@
         onDispatched: options.onDispatched,
         isHeld: () => context.pool.holds.remainingMs(instance) > 0,
     }, options.signal);
-    if (exchange.kind === "failed" && exchange.reason === "held") {
-        takeBackSend(context, call, history);
+    if (exchange.kind === "failed" && !exchange.isDispatched && exchange.reason !== "cancelled") {
+        takeBackSend(context, call, history); // Nothing arrived at the service.
+        history.unreached += exchange.reason === "held" ? 0 : 1;
     }
     if (exchange.kind === "failed" && exchange.reason === "reset" && exchange.isDispatched) {
         context.crashes.observeInterruption(instance, requestDigests.observedCall(call), sentAtMs);
@@ -178,10 +182,24 @@
     }
     history.openSends--;
     call.progress.mayHaveRun = history.possibleRuns + history.openSends > 0;
+    if (isEvidenceOfFailure(exchange, outcome)) {
+        context.pool.proofs.recordFailure(instance);
+    }
     sendLogs.logUnlessSuccessful(context, call, chosen, exchange, outcome);
     return outcome;
 }
 
+/** Whether a send shows that its instance isn't reached, or gives no valid answer. */
+function isEvidenceOfFailure(
+    exchange: exchanges.OpenAnswer | exchanges.FailedExchange,
+    outcome: SendOutcome,
+): boolean {
+    if (exchange.kind === "answer") {
+        return outcome.kind === "unknown";
+    }
+    return exchange.reason !== "cancelled" && exchange.reason !== "held" && !exchange.isStaleConnection;
+}
+
 /** Chooses an instance and counts the send in the retry budget; undefined if nothing may be sent. */
 function prepareSend(
     context: SenderContext,
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -205,6 +205,10 @@
             response.writeHead(421, { "Instance-Id": this.options.id }).end();
             return;
         }
+        if (request.url === "/health") {
+            response.writeHead(this.isLeaving ? 503 : 200, { "Instance-Id": this.options.id }).end();
+            return;
+        }
         const { shed, retryAfter } = this.faults;
         const attempt = request.headers["attempt-id"] as string | undefined;
         const atMs = clocks.systemClock.now();
