Recognize second answers of stage engines

Cause: answers of stage calls name no call, and the next answer on a pooled connection was taken for that to the latest call. After one second copy each answer there was taken for that to the call after its own. Ruled out: the scheduler (no mixed result without repeated answers). Change: StageAnswers remembers the handles of each connection; an answer with a known one is dropped and closes its connection, as does an answer without handles, of which a copy couldn't be recognized. Why it works: a handle is given out once, so that every earlier answer on a connection in use can be told from a new one. The stand-in's file had grown; its request readers moved to EngineRequest.

--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -49,6 +49,8 @@
     readonly headers: http.IncomingHttpHeaders;
     readonly rawHeaders: readonly string[];
     readonly body: http.IncomingMessage;
+    /** The connection on which the answer arrived. */
+    readonly connection: net.Socket;
     /**
      * Whether a body that has ended is complete. A close-delimited one is complete only if the connection was closed
      * with a FIN; Node.js reports a reset as the end of such a body too.
@@ -190,6 +192,7 @@
             headers: response.headers,
             rawHeaders: response.rawHeaders,
             body: response,
+            connection: response.socket,
             isComplete: () => response.complete && (isFramed || isCleanClose),
             isFramed,
             cancel: this.cancel,
--- a/src/process/stages/StageCalls.ts
+++ b/src/process/stages/StageCalls.ts
@@ -10,6 +10,7 @@
 import * as pools from "../instances/InstancePool";
 import * as traffic from "../instances/InstanceTraffic";
 import * as views from "../published/PublishedView";
+import * as stageAnswers from "./StageAnswers";
 import * as batching from "./StageBatching";
 import * as jobs from "./StageJob";
 
@@ -31,6 +32,8 @@
 
 /** The stage calls of one host. */
 export class StageCalls {
+    private readonly answers = new stageAnswers.StageAnswers();
+
     constructor(private readonly options: StageCallsOptions) {}
 
     /** Resolves to the outcomes of the pieces, `held` if the instance holds off, or undefined on failure. */
@@ -69,16 +72,38 @@
             holds.start(address, published, holdMs, "stage-call");
         }
         this.options.onAnswer(published, response, batch.startedMs);
-        const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
-        const pieceResults = response.status === 200 && content !== undefined
-            ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
-            : undefined;
+        const pieceResults = await this.readOutcomes(response, pieces);
         const failedOutcome = holdMs === undefined ? "failed" : traffic.rejectionOutcome(holdMs);
         ticket.end(pieceResults === undefined ? failedOutcome : "ok");
         this.logCall(batch, pieceResults === undefined ? `status ${response.status}` : describeResults(pieceResults));
         return holdMs === undefined ? pieceResults : "held";
     }
 
+    /** Reads the outcomes of the pieces; undefined if the answer holds none, or belongs to another call. */
+    private async readOutcomes(
+        response: exchanges.OpenAnswer,
+        pieces: readonly routingPorts.StagePiece[],
+    ): Promise<readonly routingPorts.StagePieceOutcome[] | undefined> {
+        const { clock, log, wire } = this.options;
+        const { connection, status } = response;
+        const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
+        const outcomes = status === 200 && content !== undefined
+            ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
+            : undefined;
+        const isAccepted = outcomes !== undefined && this.answers.accept(connection, outcomes);
+        if (!isAccepted || !stageAnswers.isRecognizable(outcomes)) {
+            connection.destroy();
+        }
+        if (outcomes !== undefined && !isAccepted) {
+            const attempts = [...new Set(pieces.map(piece => piece.attempt))];
+            log.warn(
+                { decision: "repeated-answer", attempts },
+                "an earlier answer came again; its connection is closed",
+            );
+        }
+        return isAccepted ? outcomes : undefined;
+    }
+
     private toStagePiece(piece: jobs.JobPiece): routingPorts.StagePiece {
         const { order } = piece.job;
         const inputs = piece.job.inputHandles(piece.stage);
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -6,6 +6,7 @@
 import * as net from "node:net";
 import * as clocks from "../../src/common/Clock";
 import * as listeners from "../../src/connection/Listener";
+import * as engineRequests from "./EngineRequest";
 
 /** A received call that the engine ran. */
 export interface EngineRun {
@@ -58,6 +59,8 @@
     pause?: StreamPause | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
     unframed?: boolean | undefined;
+    /** Whether each answer to a stage call is sent once more, when the next request arrives on its connection. */
+    repeatsStageAnswers?: boolean | undefined;
     /** Whether answers to stage calls and releases have a head and nothing more. */
     stalledBody?: boolean | undefined;
     /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
@@ -102,6 +105,8 @@
     /** The pieces of each received batch. */
     readonly batches: unknown[][] = [];
     readonly releasedHandles: string[] = [];
+    /** The attempt that each result was made for, by handle. */
+    readonly results = new Map<string, string>();
     /** Number of runs whose connection closed before the answer was complete. */
     cancelledRuns = 0;
     /** Number of calls that were meant for another engine. */
@@ -114,6 +119,8 @@
     private bornMs: number;
     private isDisposed = false;
     private readonly sockets = new Set<net.Socket>();
+    /** Answers that are sent once more on their connections. */
+    private readonly repeatedAnswers = new WeakMap<net.Socket, string>();
     private listener: listeners.Listener | undefined;
     /** Number of answers that have a head and nothing more, and whose callers still wait. */
     stalledAnswers = 0;
@@ -191,7 +198,9 @@
     }
 
     private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        const body = await readBody(request);
+        const body = await engineRequests.readBody(request);
+        request.socket.write(this.repeatedAnswers.get(request.socket) ?? "");
+        this.repeatedAnswers.delete(request.socket);
         if (this.isLeaving) {
             response.setHeader("Server-Leaving", "1");
         }
@@ -228,7 +237,7 @@
             await this.handleStage(request.url, body, response);
             return;
         }
-        if (hasPieces(request.headers) && request.headers["inputs"] === undefined) {
+        if (engineRequests.hasPieces(request.headers) && request.headers["inputs"] === undefined) {
             response.writeHead(400, { "Not-Executed": "1" }).end();
             return;
         }
@@ -275,7 +284,7 @@
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         }
-        if (this.crashPart !== undefined && hasPart(request.headers, this.crashPart)) {
+        if (this.crashPart !== undefined && engineRequests.hasPart(request.headers, this.crashPart)) {
             response.flushHeaders();
             this.crash(attemptId);
             return;
@@ -314,7 +323,7 @@
         if (this.faults.hang) {
             return;
         }
-        const content = JSON.parse(body) as { Items?: unknown[]; Handles?: string[] };
+        const content = JSON.parse(body) as { Items?: { Id: string }[]; Handles?: string[] };
         response.setHeader("content-type", "application/json");
         if (this.faults.stalledBody === true) {
             this.batches.push(content.Items ?? []);
@@ -330,25 +339,19 @@
         }
         this.batches.push(content.Items ?? []);
         await new Promise(resolve => setTimeout(resolve, this.options.stageMs ?? 0));
-        const items = (content.Items ?? []).map(() => ({ Handle: `${this.address}/${this.nextHandle++}` }));
-        response.end(JSON.stringify({ Items: items }));
+        const items = (content.Items ?? []).map(item => ({ Handle: this.addResult(item.Id) }));
+        const answer = JSON.stringify({ Items: items });
+        if (this.faults.repeatsStageAnswers === true) {
+            const head =
+                `HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${answer.length}\r\n\r\n`;
+            this.repeatedAnswers.set(response.socket!, head + answer);
+        }
+        response.end(answer);
     }
-}
-
-/** Whether a call has stages, so that it needs their results. */
-function hasPieces(headers: http.IncomingHttpHeaders): boolean {
-    return String(headers["pieces"] ?? "").split(",").some(count => Number(count) > 0);
-}
-
-/** Whether a call's prompt has a part. */
-function hasPart(headers: http.IncomingHttpHeaders, part: string): boolean {
-    return String(headers["prefix-hash"] ?? "").split(",").some(entry => entry.startsWith(`${part}:`));
-}
 
-async function readBody(request: http.IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) {
-        chunks.push(chunk as Buffer);
+    private addResult(attempt: string): string {
+        const handle = `${this.address}/${this.nextHandle++}`;
+        this.results.set(handle, attempt);
+        return handle;
     }
-    return Buffer.concat(chunks).toString("utf8");
 }
