Believe an unnamed refusal only on a connection of its own

A repeatable call or a resumable stream on a kept connection gets an engine's earlier refusal that names no attempt: its caller is told 503, try again, while the engine runs the call. Cause: a refusal without an attempt counted as the answer to the latest call on the connection. Change: on a reused connection such a refusal is an invalid answer; a hold begins only with an answer to the call.

--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -49,6 +49,8 @@
     readonly headers: http.IncomingHttpHeaders;
     readonly rawHeaders: readonly string[];
     readonly body: http.IncomingMessage;
+    /** Whether the connection had been used before, so that the answer may belong to an earlier request. */
+    readonly isReusedConnection: boolean;
     /** The connection on which the answer arrived. */
     readonly connection: net.Socket;
     /**
@@ -192,6 +194,7 @@
             headers: response.headers,
             rawHeaders: response.rawHeaders,
             body: response,
+            isReusedConnection: this.outgoing.reusedSocket,
             connection: response.socket,
             isComplete: () => response.complete && (isFramed || isCleanClose),
             isFramed,
--- a/src/request/routed/AnswerClassification.ts
+++ b/src/request/routed/AnswerClassification.ts
@@ -40,15 +40,14 @@
 ): senders.SendOutcome {
     const { ticket } = sent;
     const metadata = context.wire.readAnswer(answer.status, answer.headers);
-    if (metadata.holdMs !== undefined) {
-        context.pool.holds.start(chosen.instance.address, chosen.instance, metadata.holdMs, "call");
-    }
-    const isOtherAttempt = metadata.attempt !== undefined && metadata.attempt !== call.metadata.attempt;
-    if (isOtherAttempt || !isValidAnswer(answer, metadata)) {
+    if (!isAnswerTo(call, answer, metadata) || !isValidAnswer(answer, metadata)) {
         answer.cancel();
         ticket.end("failed");
         return { kind: "unknown", code: codes.codes.malformedAnswer };
     }
+    if (metadata.holdMs !== undefined) {
+        context.pool.holds.start(chosen.instance.address, chosen.instance, metadata.holdMs, "call");
+    }
     context.onAnswer(chosen.instance, metadata, sent.sentAtMs);
     if (metadata.load !== undefined) {
         chosen.traffic.recordLoadReport(metadata.load);
@@ -63,6 +62,21 @@
     return { kind: "answer", answer, metadata, sent, instance: id, softwareVersion };
 }
 
+/**
+ * Whether an answer belongs to the call. A refusal that names no attempt may be that of an earlier request on a reused
+ * connection, while the instance runs this call.
+ */
+function isAnswerTo(
+    call: calls.RoutedCall,
+    answer: exchanges.OpenAnswer,
+    metadata: routingPorts.UpstreamAnswerMetadata,
+): boolean {
+    if (metadata.attempt === undefined) {
+        return metadata.effect === "ran" || !answer.isReusedConnection;
+    }
+    return metadata.attempt === call.metadata.attempt;
+}
+
 /** Whether the content is unencoded and, if the status is a success, signed by the instance. */
 function isValidAnswer(answer: exchanges.OpenAnswer, metadata: routingPorts.UpstreamAnswerMetadata): boolean {
     const isSuccess = answer.status >= 200 && answer.status < 300;
--- a/standins/platform/EngineRequest.ts
+++ b/standins/platform/EngineRequest.ts
@@ -1,5 +1,5 @@
 /**
- * Reads requests to the stand-in of an engine.
+ * Reads requests to the stand-in of an engine, and writes refusals.
  */
 import * as http from "node:http";
 
@@ -21,3 +21,14 @@
     }
     return Buffer.concat(chunks).toString("utf8");
 }
+
+/** The header with which an engine names the attempt that it answers. */
+export function echoAttempt(attempt: string | undefined): Record<string, string> {
+    return attempt === undefined ? {} : { "Attempt-Id": attempt };
+}
+
+/** The bytes of a refusal of another attempt; `unnamed` for one that names none. */
+export function encodeRefusal(attempt: string): string {
+    const name = attempt === "unnamed" ? "" : `Attempt-Id: ${attempt}\r\n`;
+    return `HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n${name}Retry-After: 1\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -6,6 +6,7 @@
 import * as net from "node:net";
 import * as clocks from "../../src/common/Clock";
 import * as listeners from "../../src/connection/Listener";
+import * as engineFaults from "./EngineFaults";
 import * as engineRequests from "./EngineRequest";
 
 /** A received call that the engine ran. */
@@ -34,38 +35,7 @@
 
 const TRICKLE_INTERVAL_MS = 300;
 
-/** A pause of streams. */
-export interface StreamPause {
-    readonly afterEvent: number;
-    readonly ms: number;
-    readonly trickle?: string; // Sent every 300 ms during the pause.
-}
-
-/** Faults; each stays in effect until it is cleared. */
-export interface EngineFaults {
-    /** Rejects every call with the header `Not-Executed`. */
-    shed?: boolean | undefined;
-    /** Added to these rejections as `Retry-After`. */
-    retryAfter?: string | undefined;
-    /** Runs calls and resets the connection without an answer. */
-    reset?: boolean | undefined;
-    /** Answers with the attempt ID of another call. */
-    otherAttempt?: boolean | undefined;
-    /** Status of the answers to calls that were run, without events if it isn't 200; unframed answers have 200. */
-    status?: number | undefined;
-    /** ID of the event after which streams break, in the middle of the next event. */
-    breakAfterEvent?: number | undefined;
-    /** Streams pause after the event with this ID; with 0, before their headers. */
-    pause?: StreamPause | undefined;
-    /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
-    unframed?: boolean | undefined;
-    /** Whether each answer to a stage call is sent once more, when the next request arrives on its connection. */
-    repeatsStageAnswers?: boolean | undefined;
-    /** Whether answers to stage calls and releases have a head and nothing more. */
-    stalledBody?: boolean | undefined;
-    /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
-    hang?: boolean | "calls" | undefined;
-}
+export type EngineFaults = engineFaults.EngineFaults;
 
 /** Identity and timing of an engine. */
 export interface EngineOptions {
@@ -119,6 +89,8 @@
     private bornMs: number;
     private isDisposed = false;
     private readonly sockets = new Set<net.Socket>();
+    /** Connections on which a call has run. */
+    private readonly usedSockets = new WeakSet<net.Socket>();
     /** Answers that are sent once more on their connections. */
     private readonly repeatedAnswers = new WeakMap<net.Socket, string>();
     private listener: listeners.Listener | undefined;
@@ -226,7 +198,8 @@
         if (shed === true) {
             this.rejectedCalls++;
             const retryHeaders = retryAfter === undefined ? {} : { "Retry-After": retryAfter };
-            response.writeHead(503, { "Not-Executed": "1", ...retryHeaders }).end();
+            const headers = { "Not-Executed": "1", ...engineRequests.echoAttempt(attempt), ...retryHeaders };
+            response.writeHead(503, headers).end();
             return;
         }
         if (request.url === "/report") {
@@ -238,9 +211,13 @@
             return;
         }
         if (engineRequests.hasPieces(request.headers) && request.headers["inputs"] === undefined) {
-            response.writeHead(400, { "Not-Executed": "1" }).end();
+            response.writeHead(400, { "Not-Executed": "1", ...engineRequests.echoAttempt(attempt) }).end();
             return;
         }
+        if (this.faults.repeatsRefusals !== undefined && this.usedSockets.has(request.socket)) {
+            request.socket.write(engineRequests.encodeRefusal(this.faults.repeatsRefusals));
+        }
+        this.usedSockets.add(request.socket);
         const { method, url, headers } = request;
         const { isLeaving } = this;
         this.runs.push({ method: method!, path: url!, headers, body, atMs, isLeaving });
--- a/tests/RepeatedAnswers.test.ts
+++ b/tests/RepeatedAnswers.test.ts
@@ -69,3 +69,25 @@
         vitest.expect(findMixedAttempts()).toEqual([]);
     });
 });
+
+const refusalCases: readonly { readonly name: string; readonly path: string; readonly refused: string }[] = [
+    { name: "a call that may run once, a refusal without an attempt", path: "/book/1", refused: "unnamed" },
+    { name: "a call that may run once, the refusal of another attempt", path: "/book/1", refused: "another" },
+    { name: "a call that may be repeated, a refusal without an attempt", path: "/look/1", refused: "unnamed" },
+    { name: "a call that may be repeated, the refusal of another attempt", path: "/look/1", refused: "another" },
+    { name: "a stream, a refusal without an attempt", path: "/once/1", refused: "unnamed" },
+    { name: "a resumable stream, a refusal without an attempt", path: "/notes/1", refused: "unnamed" },
+];
+
+vitest.describe("an engine that has refused a call and sends that once more on a kept connection", () => {
+    // Guards against callers that are told that a call hasn't run, or calls that run again, while an engine runs them.
+    vitest.it.each(refusalCases)("doesn't make its caller believe so: $name", async ({ path, refused }) => {
+        const engine = fleet.enginesOf(path.startsWith("/b") || path.startsWith("/l") ? "desk" : "model")[0]!;
+        await fleet.call(path, { headers: fleets.PROMPT_HEADERS }); // Opens a connection.
+        engine.runs.splice(0);
+        engine.faults = { repeatsRefusals: refused };
+        const answer = await fleet.call(path, { headers: fleets.PROMPT_HEADERS });
+        vitest.expect(engine.runs).toHaveLength(1);
+        vitest.expect([429, 503]).not.toContain(answer.status);
+    });
+});
