Accept only answers of the same media type in the middle of a stream

A stream breaks off, the next engine answers 200 with the text of an error, and the text stands in the caller's stream, which ends as complete. Cause: the answer that continues a stream was judged by its status alone. Answers of ten other statuses held before; the case of 404 is now one row of their table. Change: an answer of another media type than the first one counts as a failure; and a buffered answer to a stream that has begun breaks it off by a rule of its own, where it relied on an exception of Node.js before.

--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -52,6 +52,8 @@
 /** Forwards one stream to its caller; used once. */
 export class StreamRun {
     private lastEventId: number | undefined;
+    /** Media type of the answer that began the stream. */
+    private mediaType: string | undefined;
     private readonly history = histories.createHistory();
     private readonly silence: silenceWaits.SilenceWait;
 
@@ -79,7 +81,7 @@
             }
             const step = await this.handleSendOutcome(sendOutcome, latestFailure);
             if (step.isFinal || (step.next === undefined && !this.canRetry())) {
-                return step.outcome;
+                return this.conclude(step.outcome);
             }
             latestFailure = step.outcome;
             sendOutcome = step.next ?? await this.send(this.call.signal);
@@ -131,9 +133,9 @@
     }
 
     private async handleAnswer(answered: AnsweredSend): Promise<Step> {
-        if (answered.answer.status !== 200) {
+        if (answered.answer.status !== 200 || !this.continuesStream(answered)) {
             const outcome = await plainRuns.readCompleteAnswer(this.context, this.call, answered);
-            const isRejected = outcome.kind === "buffered" && outcome.status < 500;
+            const isRejected = outcome.kind === "buffered" && outcome.status < 500 && answered.answer.status !== 200;
             return {
                 outcome: isRejected ? this.abortIfBegun(outcome) : this.abortUnlessRetryable(outcome),
                 isFinal: isRejected || outcome.kind === "disconnected",
@@ -166,6 +168,11 @@
         }
     }
 
+    /** Whether an answer has the type of the one that began the stream, if one did; otherwise its text is no event. */
+    private continuesStream({ answer }: AnsweredSend): boolean {
+        return !this.options.sink.hasBegun || mediaTypeOf(answer) === this.mediaType;
+    }
+
     /** Forwards the events of one answer until it ends. */
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
         const splitter = new splitters.EventSplitter();
@@ -269,6 +276,7 @@
     /** Writes the headers of the instance's answer, unless those of an earlier one have been written. */
     private begin({ answer }: AnsweredSend): void {
         if (!this.options.sink.hasBegun) {
+            this.mediaType = mediaTypeOf(answer);
             this.options.sink.begin(answer.status, this.context.wire.answerHeaders(answer.rawHeaders));
         }
     }
@@ -303,6 +311,12 @@
         return outcome;
     }
 
+    /** The outcome of the call; whatever ends a stream that has begun, none of its text reaches the caller. */
+    private conclude(outcome: plainRuns.RunOutcome): plainRuns.RunOutcome {
+        const isOwnAnswer = outcome.kind === "buffered" || outcome.kind === "local-failure";
+        return isOwnAnswer ? this.abortIfBegun(outcome) : outcome;
+    }
+
     private abortIfBegun(outcome: plainRuns.RunOutcome): plainRuns.RunOutcome {
         if (!this.options.sink.hasBegun) {
             return outcome;
@@ -311,3 +325,8 @@
         return { kind: "streamed", isComplete: false };
     }
 }
+
+/** The media type of an answer, without its parameters. */
+function mediaTypeOf({ headers }: AnsweredSend["answer"]): string | undefined {
+    return headers["content-type"]?.split(";")[0]!.trim().toLowerCase();
+}
--- a/standins/platform/EngineFaults.ts
+++ b/standins/platform/EngineFaults.ts
@@ -21,6 +21,8 @@
     otherAttempt?: boolean | undefined;
     /** Status of the answers to calls that were run, without events if it isn't 200; unframed answers have 200. */
     status?: number | undefined;
+    /** Text of successes that aren't streams, in place of the events. */
+    plainText?: string | undefined;
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
     /** Streams pause after the event with this ID; with 0, before their headers. */
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -257,6 +257,10 @@
             response.writeHead(this.faults.status ?? 200, headers).end(answer);
             return;
         }
+        if (this.faults.plainText !== undefined) {
+            response.writeHead(200, { ...headers, "Content-Type": "text/plain" }).end(this.faults.plainText);
+            return;
+        }
         await this.pauseAfter(0, response);
         if (this.faults.unframed !== true) {
             response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
--- a/tests/InterruptedStreams.test.ts
+++ b/tests/InterruptedStreams.test.ts
@@ -3,6 +3,7 @@
 import * as fleets from "../standins/platform/RoutedFleet";
 
 const STREAM_BODY = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
+const FIRST_EVENTS = [1, 2, 3].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
 /** The deadline of an instance is this long before that of its caller. */
 const ANSWER_MARGIN_MS = 25;
 const { PROMPT_HEADERS: PROMPT, STAGED_HEADERS: STAGED } = fleets;
@@ -65,13 +66,27 @@
         vitest.expect(await answer).toMatchObject({ status: 200, body: STREAM_BODY, isComplete: true });
     });
 
-    // Guards against a second head in the middle of an answer.
-    vitest.it("that gets an answer without events is broken off after a complete event", async () => {
+    // Guards against an error's text, or a second head, in the middle of a stream, and against its end as complete.
+    vitest.it.each([204, 206, 400, 404, 409, 422, 429, 500, 502, 503])(
+        "that gets an answer with status %i is broken off after a complete event",
+        async status => {
+            const [first, second] = fleet.enginesOf("model");
+            first!.faults = { breakAfterEvent: 3 };
+            second!.faults = { status };
+            const answer = await callFirstModel("/lists/1", PROMPT);
+            vitest.expect(answer).toMatchObject({ status: 200, isComplete: false });
+            vitest.expect(answer.body).toBe(FIRST_EVENTS);
+        },
+    );
+
+    // Guards against the text of an error with status 200 in the middle of a stream.
+    vitest.it("that gets a success of another type is broken off after a complete event", async () => {
         const [first, second] = fleet.enginesOf("model");
         first!.faults = { breakAfterEvent: 3 };
-        second!.faults = { status: 404 };
+        second!.faults = { plainText: "internal error\n\n" };
         const answer = await callFirstModel("/lists/1", PROMPT);
         vitest.expect(answer).toMatchObject({ status: 200, isComplete: false });
+        vitest.expect(answer.body).toBe(FIRST_EVENTS);
     });
 });
 
