--- a/src/process/crashes/CrashFleet.test.ts
+++ b/src/process/crashes/CrashFleet.test.ts
@@ -250,6 +250,14 @@
     const cases: readonly { readonly name: string; readonly load: Partial<Load>; readonly durationMs?: number }[] = [
         { name: "8 entries", load: {} },
         { name: "8 entries beside other crashes", load: { otherCrashRate: 0.5 } },
+        {
+            name: "4 entries and few engines, of which 3 in 100 prompts of one kind end one",
+            load: { entries: 4, engines: 8, crashRate: 0.25, soundRate: 20 },
+        },
+        {
+            name: "4 entries and few engines, of which 8 in 100 end one",
+            load: { entries: 4, engines: 6, crashRate: 1, soundRate: 12 },
+        },
         { name: "a third of the entries cut off for 20 s", load: { cutEntries: 3, cutUntilMs: 20_000 } },
         {
             name: "100 entries",
