Probe only instances that may be sent a request, and judge the added engine by what it serves

Found when the change was read again. Probes of doubtful instances asked those too that hold off, leave, are out of service or at their limit; they now follow the same rules as calls and count in the rates of limited and cold instances. The proofs of an answer cost one lookup in place of three, and the counts are kept up only while an instance has failed. It is replaced: once the other engines have left, the added one has to serve 0.99 of the calls beside 27 odd records.

--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -278,6 +278,12 @@
             && this.isWithinColdRate(instance);
     }
 
+    /** Whether an instance may be asked for its identity: as a call may be sent to it. */
+    mayProbe(instance: views.KnownInstance): boolean {
+        return this.isInService(instance) && !this.options.leaving.isLeaving(instance)
+            && this.holds.remainingMs(instance) === 0 && this.mayCall(instance);
+    }
+
     /** Whether the instance isn't cold, or this entry's share of its cold rate allows another call now. */
     private isWithinColdRate(instance: views.KnownInstance): boolean {
         if (!this.isCold(instance)) {
--- a/src/process/instances/InstanceProbes.ts
+++ b/src/process/instances/InstanceProbes.ts
@@ -4,13 +4,11 @@
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
-import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as views from "../published/PublishedView";
-import * as instanceLimits from "./InstanceLimits";
-import * as instanceProofs from "./InstanceProofs";
+import * as pools from "./InstancePool";
 
 /** Interval between two turns, in each of which a few instances of each service are asked. */
 const TURN_INTERVAL_MS = 200;
@@ -25,8 +23,7 @@
     readonly wire: Pick<routingPorts.RoutedCallWire, "stateRequest" | "readAnswer">;
     readonly connections: upstreamConnections.UpstreamConnections;
     readonly view: Pick<views.PublishedView, "table">;
-    readonly proofs: instanceProofs.InstanceProofs;
-    readonly limits: Pick<instanceLimits.InstanceLimits, "countRequest">;
+    readonly pool: Pick<pools.InstancePool, "proofs" | "mayProbe" | "limits" | "trafficOf">;
 }
 
 /** Sends the probes of one process. */
@@ -44,11 +41,12 @@
     }
 
     private probeAll(): void {
-        this.options.proofs.takeProbes().forEach(instance => void this.probe(instance));
+        const { pool } = this.options;
+        pool.proofs.takeProbes(instance => pool.mayProbe(instance)).forEach(instance => void this.probe(instance));
     }
 
     private async probe(instance: views.KnownInstance): Promise<void> {
-        const { log, proofs } = this.options;
+        const { log, pool: { proofs } } = this.options;
         const answer = await this.ask(instance);
         const isOther = answer?.effect === "other-instance";
         if (answer !== undefined && (isOther || answer.instance !== undefined)) {
@@ -70,9 +68,10 @@
     }
 
     /** Resolves to what the answer says of the instance; undefined without a complete answer. */
-    private async ask(instance: routing.RoutedInstance): Promise<routingPorts.UpstreamAnswerMetadata | undefined> {
-        const { clock, connections, limits, view, wire } = this.options;
-        limits.countRequest(instance);
+    private async ask(instance: views.KnownInstance): Promise<routingPorts.UpstreamAnswerMetadata | undefined> {
+        const { clock, connections, pool, view, wire } = this.options;
+        pool.limits.countRequest(instance);
+        pool.trafficOf(instance).arrivals.add(clock.now());
         const state = wire.stateRequest(instance.id);
         const exchange = await exchanges.openExchange(connections, clock, {
             address: instance.address,
--- a/src/process/instances/InstanceProofs.test.ts
+++ b/src/process/instances/InstanceProofs.test.ts
@@ -188,16 +188,23 @@
         [0, 1, 2, 3].forEach(index => scenario.fail(`odd-${index}`));
         scenario.clock.advance(1);
         scenario.put(instance("new", "10.2.0.0:80"));
-        const probed = scenario.proofs.takeProbes().map(({ id }) => id);
+        const probed = scenario.proofs.takeProbes(() => true).map(({ id }) => id);
         vitest.expect(probed[0]).toBe("new");
         vitest.expect(probed).toHaveLength(4);
     });
 
+    vitest.it("ask no instance that may not be sent a request", () => {
+        const scenario = new Scenario();
+        scenario.addRefusing(6);
+        [0, 1, 2, 3].forEach(index => scenario.fail(`odd-${index}`));
+        vitest.expect(scenario.proofs.takeProbes(({ id }) => id === "odd-5").map(({ id }) => id)).toEqual(["odd-5"]);
+    });
+
     vitest.it("ask many at a time while none has answered", () => {
         const scenario = new Scenario();
         scenario.addRefusing(60);
         [0, 1, 2, 3].forEach(index => scenario.fail(`odd-${index}`));
-        vitest.expect(scenario.proofs.takeProbes()).toHaveLength(32);
+        vitest.expect(scenario.proofs.takeProbes(() => true)).toHaveLength(32);
     });
 
     vitest.it("come less and less often while an instance fails", () => {
@@ -207,7 +214,7 @@
         const probedAtMs: number[] = [];
         while (scenario.clock.now() < 140 * SECOND_MS) {
             scenario.clock.advance(SECOND_MS);
-            for (const { id } of scenario.proofs.takeProbes()) {
+            for (const { id } of scenario.proofs.takeProbes(() => true)) {
                 probedAtMs.push(scenario.clock.now() / SECOND_MS);
                 scenario.fail(id);
             }
--- a/src/process/instances/InstanceProofs.ts
+++ b/src/process/instances/InstanceProofs.ts
@@ -45,10 +45,12 @@
     answered: number;
 }
 
-/** The instance that has answered at an address. */
+/** The incarnation that has answered at an address, and nothing has contradicted since. */
 interface AddressOwner {
     readonly id: string;
-    readonly atMs: number;
+    readonly startedMs: number;
+    /** Its latest answer. */
+    atMs: number;
 }
 
 /** What the decisions need from their process. */
@@ -62,6 +64,8 @@
     private readonly proofs = new Map<string, Proof>();
     private readonly owners = new Map<string, AddressOwner>();
     private readonly countsByService = new Map<string, ServiceCount>();
+    /** Whether the counts are those of the instances that are listed now; kept up to date only while any has failed. */
+    private isCountCurrent = true;
 
     constructor(private readonly options: InstanceProofsOptions) {}
 
@@ -108,14 +112,17 @@
             : proof?.state !== "answered" && isWide(count);
     }
 
-    /** Doubtful instances to ask for their identity now: those that appeared last, then those asked for longest ago. */
-    takeProbes(): views.KnownInstance[] {
+    /**
+     * Doubtful instances to ask for their identity now: those that appeared last, then those asked for longest ago.
+     * `isAllowed`: whether an instance may be sent a request.
+     */
+    takeProbes(isAllowed: (instance: views.KnownInstance) => boolean): views.KnownInstance[] {
         if (this.doubtfulServices.length === 0) {
             return [];
         }
         const nowMs = this.options.clock.now();
         const due = this.options.view.allInstances
-            .filter(instance => this.isProbeDue(instance, nowMs))
+            .filter(instance => this.isProbeDue(instance, nowMs) && isAllowed(instance))
             .sort((a, b) => this.probeDueMs(a) - this.probeDueMs(b) || b.knownSinceMs - a.knownSinceMs);
         const probes = this.doubtfulServices.flatMap(service => {
             const maxProbes = this.countsByService.get(service)!.answered === 0 ? MAX_URGENT_PROBES : MAX_PROBES;
@@ -132,17 +139,6 @@
             : this.options.view.allInstances.filter(instance => this.isDoubtful(instance)).length;
     }
 
-    private get doubtfulServices(): string[] {
-        return [...this.countsByService].flatMap(([service, { failed }]) => failed > 0 ? service : []);
-    }
-
-    private isProbeDue(instance: views.KnownInstance, nowMs: number): boolean {
-        return instance.state === "ready"
-            && this.probeDueMs(instance) <= nowMs
-            && this.isDoubtful(instance)
-            && !this.isMisplaced(instance);
-    }
-
     /** Forgets incarnations that are no longer listed, and failures of records that have changed since. */
     handleViewChange(): void {
         const { view } = this.options;
@@ -156,10 +152,22 @@
                 this.owners.delete(address);
             }
         }
-        this.countAgain();
+        this.isCountCurrent = false;
+        if (this.doubtfulServices.length > 0) {
+            this.countAgain();
+        }
+    }
+
+    private get doubtfulServices(): string[] {
+        return [...this.countsByService].flatMap(([service, { failed }]) => failed > 0 ? service : []);
+    }
+
+    private isProbeDue(instance: views.KnownInstance, nowMs: number): boolean {
+        return this.probeDueMs(instance) <= nowMs && this.isDoubtful(instance) && !this.isMisplaced(instance);
     }
 
     private countAgain(): void {
+        this.isCountCurrent = true;
         this.countsByService.clear();
         for (const instance of this.options.view.allInstances) {
             const proof = this.find(instance);
@@ -178,7 +186,14 @@
     }
 
     private prove(instance: routing.RoutedInstance): void {
-        this.owners.set(instance.address, { id: instance.id, atMs: this.options.clock.now() });
+        const { id, startedMs, address } = instance;
+        const atMs = this.options.clock.now();
+        const owner = this.owners.get(address);
+        if (owner?.id === id && owner.startedMs === startedMs) {
+            owner.atMs = atMs; // The usual case, for each answer.
+            return;
+        }
+        this.owners.set(address, { id, startedMs, atMs });
         const proof = this.obtain(instance);
         if (proof.state !== "answered") {
             this.setState(instance, proof, "answered");
@@ -188,6 +203,9 @@
     }
 
     private disprove(instance: routing.RoutedInstance): void {
+        if (!this.isCountCurrent) {
+            this.countAgain();
+        }
         const proof = this.obtain(instance);
         const delayMs = Math.min(MAX_PROBE_DELAY_MS, MIN_PROBE_DELAY_MS * 2 ** proof.failures);
         this.setState(instance, proof, "failed");
--- a/src/process/routing/InstanceParts.ts
+++ b/src/process/routing/InstanceParts.ts
@@ -47,11 +47,10 @@
                 entryNames: () => options.peers.entryNames,
             }),
         );
-        const { proofs, limits } = this.pool;
         this.signs = this.disposables.add(
             new answerSigns.AnswerSigns({ ...options, leaving: this.leaving, pool: this.pool }),
         );
-        this.disposables.add(new instanceProbes.InstanceProbes({ ...options, proofs, limits }));
+        this.disposables.add(new instanceProbes.InstanceProbes({ ...options, pool: this.pool }));
     }
 
     dispose(): void {
--- a/tests/OddRecords.test.ts
+++ b/tests/OddRecords.test.ts
@@ -112,17 +112,15 @@
         vitest.expect(await measureServedShare()).toBeGreaterThanOrEqual(MIN_SERVED_SHARE);
     });
 
-    vitest.it("reach an engine that is added", async () => {
+    vitest.it("are served by an engine that is added, once the others have left", async () => {
         await startFleet();
         await startEntries();
         addOddRecords(27, ["another id", "refused"]);
         await measureServedShare();
         await fleet.addEngine({ ...ENGINES[0]!, id: "desk-new" });
-        const runsBefore = fleet.enginesOf("desk").map(engine => engine.runs.length);
         await measureServedShare();
-        const runs = fleet.enginesOf("desk").map((engine, index) => engine.runs.length - runsBefore[index]!);
-        const total = runs.reduce((sum, count) => sum + count, 0);
-        vitest.expect(runs.at(-1)! / total).toBeGreaterThan(1 / (2 * runs.length));
+        ENGINES.forEach(({ id }) => fleet.store.delete(`servers/${id}`));
+        vitest.expect(await measureServedShare()).toBeGreaterThanOrEqual(MIN_SERVED_SHARE);
     });
 
     vitest.it("reach the instance of an odd record once it runs there", async () => {
