--- a/tests/OddRecords.test.ts
+++ b/tests/OddRecords.test.ts
@@ -26,9 +26,10 @@
     await fleet.start(ENGINES);
 }
 
-async function startEntries(): Promise<void> {
+/** Starts the entries, of which the last `cutOff` don't reach the store and learn its content from the others. */
+async function startEntries(cutOff = 0): Promise<void> {
     for (let index = 0; index < ENTRIES; index++) {
-        await fleet.addEntry();
+        await fleet.addEntry(index < ENTRIES - cutOff ? fleet.store.address : REFUSED_ADDRESS);
     }
     for (let index = 0; index < ENTRIES; index++) {
         await fleet.waitUntil(async () => await fleet.readyStatus(index) === 200);
@@ -112,6 +113,13 @@
         vitest.expect(await measureServedShare()).toBeGreaterThanOrEqual(MIN_SERVED_SHARE);
     });
 
+    vitest.it("are served by entries that learn the records from another one", async () => {
+        await startFleet();
+        await startEntries(ENTRIES - 1);
+        addOddRecords(60, ["another id", "refused", "invalid"]);
+        vitest.expect(await measureServedShare()).toBeGreaterThanOrEqual(MIN_SERVED_SHARE);
+    });
+
     vitest.it("are served by an engine that is added, once the others have left", async () => {
         await startFleet();
         await startEntries();
