--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -117,15 +117,12 @@
     ): Promise<Step> {
         switch (sendOutcome.kind) {
             case "none":
-                return {
-                    outcome: this.abortIfBegun(latestFailure ?? plainRuns.createFailure(this.history)),
-                    isFinal: true,
-                };
+                return { outcome: latestFailure ?? plainRuns.createFailure(this.history), isFinal: true };
             case "cancelled":
                 return { outcome: { kind: "disconnected" }, isFinal: true };
             case "unknown": {
                 const failure = codes.failure(sendOutcome.code, "no event");
-                return { outcome: this.abortUnlessRetryable({ kind: "local-failure", failure }), isFinal: false };
+                return { outcome: { kind: "local-failure", failure }, isFinal: false };
             }
             case "answer":
                 return this.handleAnswer(sendOutcome);
@@ -136,10 +133,7 @@
         if (answered.answer.status !== 200 || !this.continuesStream(answered)) {
             const outcome = await plainRuns.readCompleteAnswer(this.context, this.call, answered);
             const isRejected = outcome.kind === "buffered" && outcome.status < 500 && answered.answer.status !== 200;
-            return {
-                outcome: isRejected ? this.abortIfBegun(outcome) : this.abortUnlessRetryable(outcome),
-                isFinal: isRejected || outcome.kind === "disconnected",
-            };
+            return { outcome, isFinal: isRejected || outcome.kind === "disconnected" };
         }
         const forwarded = await this.forward(answered);
         if (forwarded.kind === "broken") {
@@ -155,11 +149,11 @@
                 return { outcome: { kind: "disconnected" }, isFinal: true };
             case "deadline": {
                 const failure = codes.failure(codes.codes.upstreamTimeout, "no whole stream in time");
-                return { outcome: this.abortIfBegun({ kind: "local-failure", failure }), isFinal: true };
+                return { outcome: { kind: "local-failure", failure }, isFinal: true };
             }
             case "broken": {
                 const failure = codes.failure(codes.codes.streamBroken, "broken");
-                return { outcome: this.abortUnlessRetryable({ kind: "local-failure", failure }), isFinal: false };
+                return { outcome: { kind: "local-failure", failure }, isFinal: false };
             }
             case "moved": {
                 const failure = codes.failure(codes.codes.streamBroken, "silent");
@@ -303,22 +297,10 @@
             && !this.silence.isLate;
     }
 
-    /** Aborts a stream that has begun and cannot be resumed; otherwise returns the outcome unchanged. */
-    private abortUnlessRetryable(outcome: plainRuns.RunOutcome): plainRuns.RunOutcome {
-        if (this.options.sink.hasBegun && !this.canRetry()) {
-            return this.abortIfBegun(outcome);
-        }
-        return outcome;
-    }
-
     /** The outcome of the call; whatever ends a stream that has begun, none of its text reaches the caller. */
     private conclude(outcome: plainRuns.RunOutcome): plainRuns.RunOutcome {
         const isOwnAnswer = outcome.kind === "buffered" || outcome.kind === "local-failure";
-        return isOwnAnswer ? this.abortIfBegun(outcome) : outcome;
-    }
-
-    private abortIfBegun(outcome: plainRuns.RunOutcome): plainRuns.RunOutcome {
-        if (!this.options.sink.hasBegun) {
+        if (!isOwnAnswer || !this.options.sink.hasBegun) {
             return outcome;
         }
         this.options.sink.abort();
