Ask an instance about itself in one piece of code

InstanceProbes wrote the exchange of StartCheck again: the same request, time limits and sizes. askInstance serves both. No change of behaviour; the tests of both pass.

--- a/src/process/instances/InstanceProbes.ts
+++ b/src/process/instances/InstanceProbes.ts
@@ -5,23 +5,16 @@
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as routingPorts from "../../common/RoutingPorts";
-import * as upstreamConnections from "../../connection/UpstreamConnections";
-import * as exchanges from "../../connection/UpstreamExchange";
 import * as views from "../published/PublishedView";
 import * as pools from "./InstancePool";
+import * as questions from "./InstanceQuestion";
 
 /** Interval between two turns, in each of which a few instances of each service are asked. */
 const TURN_INTERVAL_MS = 200;
-/** Time limit for the answer, including the connection. */
-const PROBE_TIMEOUT_MS = 400;
-const MAX_ANSWER_BYTES = 64 * 1024;
 
 /** What the probes need from their process. */
-export interface InstanceProbesOptions {
-    readonly clock: clocks.Clock;
+export interface InstanceProbesOptions extends questions.QuestionContext {
     readonly log: logs.Log;
-    readonly wire: Pick<routingPorts.RoutedCallWire, "stateRequest" | "readAnswer">;
-    readonly connections: upstreamConnections.UpstreamConnections;
     readonly view: Pick<views.PublishedView, "table">;
     readonly pool: Pick<pools.InstancePool, "proofs" | "mayProbe" | "limits" | "trafficOf">;
 }
@@ -69,25 +62,12 @@
 
     /** Resolves to what the answer says of the instance; undefined without a complete answer. */
     private async ask(instance: views.KnownInstance): Promise<routingPorts.UpstreamAnswerMetadata | undefined> {
-        const { clock, connections, pool, view, wire } = this.options;
+        const { clock, pool, view } = this.options;
         pool.limits.countRequest(instance);
         pool.trafficOf(instance).arrivals.add(clock.now());
-        const state = wire.stateRequest(instance.id);
-        const exchange = await exchanges.openExchange(connections, clock, {
-            address: instance.address,
-            method: "GET",
-            path: view.table?.findService(instance.service)?.healthPath ?? state.path,
-            headers: ["Host", instance.address, ...state.headers],
-            body: undefined,
-            isNewConnection: true,
-            answerTimeoutMs: PROBE_TIMEOUT_MS,
-        }, this.stop.signal);
-        if (exchange.kind === "failed") {
-            return undefined;
-        }
-        const timer = clock.schedule(PROBE_TIMEOUT_MS, exchange.cancel);
-        const body = await exchanges.readBody(exchange, MAX_ANSWER_BYTES);
-        timer.dispose();
-        return body && wire.readAnswer(exchange.status, exchange.headers);
+        const path = view.table?.findService(instance.service)?.healthPath;
+        const { signal } = this.stop;
+        const answer = await questions.askInstance(this.options, instance, { path, isNewConnection: true, signal });
+        return answer.kind === "answer" ? answer.metadata : undefined;
     }
 }
--- a/src/request/routed/StartCheck.ts
+++ b/src/request/routed/StartCheck.ts
@@ -3,17 +3,12 @@
  * restarts under its id may run another software version before its new record arrives, and answers to calls don't
  * state the start. A stream's later events may come from one version only, so that the instance is asked first.
  */
-import * as clocks from "../../common/Clock";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
-import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../connection/UpstreamExchange";
+import * as questions from "../../process/instances/InstanceQuestion";
 import * as traffic from "../../process/instances/InstanceTraffic";
 
-/** Time limit for the answer, including the connection. */
-const CHECK_TIMEOUT_MS = 400;
-const MAX_ANSWER_BYTES = 64 * 1024;
-
 /** What a missing answer says about the instance's health, by its reason. */
 export const ticketOutcomes: Readonly<Record<exchanges.FailedExchange["reason"], traffic.CallOutcome>> = {
     timeout: "failed",
@@ -26,10 +21,8 @@
 };
 
 /** Dependencies for asking an instance. */
-export interface StartCheckContext {
-    readonly clock: clocks.Clock;
+export interface StartCheckContext extends questions.QuestionContext {
     readonly wire: routingPorts.RoutedCallWire;
-    readonly connections: upstreamConnections.UpstreamConnections;
 }
 
 /**
@@ -59,31 +52,15 @@
     signal: AbortSignal,
     isNewConnection: boolean,
 ): Promise<StartCheckOutcome & { readonly isStaleConnection?: boolean }> {
-    const { path, headers } = context.wire.stateRequest(instance.id);
-    const exchange = await exchanges.openExchange(context.connections, context.clock, {
-        address: instance.address,
-        method: "GET",
-        path,
-        headers: ["Host", instance.address, ...headers],
-        body: undefined,
-        isNewConnection,
-        answerTimeoutMs: CHECK_TIMEOUT_MS,
-        isHeld,
-    }, signal);
-    if (exchange.kind === "failed") {
-        return { kind: "none", reason: exchange.reason, isStaleConnection: exchange.isStaleConnection };
-    }
-    const timer = context.clock.schedule(CHECK_TIMEOUT_MS, exchange.cancel);
-    const body = await exchanges.readBody(exchange, MAX_ANSWER_BYTES);
-    timer.dispose();
-    if (body === undefined) {
-        return { kind: "none", reason: signal.aborted ? "cancelled" : "reset" };
+    const answer = await questions.askInstance(context, instance, { isNewConnection, isHeld, signal });
+    if (answer.kind === "none") {
+        return answer;
     }
-    const metadata = context.wire.readAnswer(exchange.status, exchange.headers);
+    const { status, body, metadata } = answer;
     if (metadata.effect === "other-instance") {
         return { kind: "other", metadata };
     }
-    const startedMs = exchange.status === 200 ? context.wire.readStart(body.toString("utf8")) : undefined;
+    const startedMs = status === 200 ? context.wire.readStart(body.toString("utf8")) : undefined;
     if (startedMs === undefined) {
         return { kind: "unstated", metadata };
     }
