Read the id of an incarnation's key in one place; one loop in a test

InstanceProofs cut the id out of the key as InstancePool did; the function now stands beside the one that makes the key. No change of behaviour.

--- a/src/common/Routing.ts
+++ b/src/common/Routing.ts
@@ -128,6 +128,11 @@
     return `${id}@${startedMs}`;
 }
 
+/** The id in the key of an incarnation. */
+export function idOfIncarnation(key: string): string {
+    return key.slice(0, key.lastIndexOf("@"));
+}
+
 /** The decoded content of one key of the store; `unreadable` when it can't be decoded. */
 export type PublishedRecord =
     | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration }
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -336,8 +336,10 @@
         }
         view.outOfServiceDomains.forEach(domain => this.outOfServiceDomains.add(domain));
         for (const key of this.trafficByIncarnation.keys()) {
-            const id = key.slice(0, key.lastIndexOf("@"));
-            if (view.find(id) === undefined && this.trafficByIncarnation.get(key)!.inFlight === 0) {
+            if (
+                view.find(routing.idOfIncarnation(key)) === undefined
+                && this.trafficByIncarnation.get(key)!.inFlight === 0
+            ) {
                 this.trafficByIncarnation.delete(key);
             }
         }
--- a/src/process/instances/InstanceProofs.ts
+++ b/src/process/instances/InstanceProofs.ts
@@ -143,7 +143,7 @@
     handleViewChange(): void {
         const { view } = this.options;
         for (const key of this.proofs.keys()) {
-            if (view.find(key.slice(0, key.lastIndexOf("@"))) === undefined) {
+            if (view.find(routing.idOfIncarnation(key)) === undefined) {
                 this.proofs.delete(key);
             }
         }
--- a/src/process/published/StoreAvailability.test.ts
+++ b/src/process/published/StoreAvailability.test.ts
@@ -14,17 +14,21 @@
     return { atMs, isAnswered: false };
 }
 
-/** The delay of a deletion that arrives at `atMs`, after calls with these ends. */
-function graceMs(calls: readonly Call[], atMs: number): number {
-    const availability = new availabilities.StoreAvailability();
-    for (const call of calls) {
-        if (call.isAnswered) {
-            availability.recordAnswer(call.atMs);
+function recordCalls(availability: availabilities.StoreAvailability, calls: readonly Call[]): void {
+    for (const { atMs, isAnswered } of calls) {
+        if (isAnswered) {
+            availability.recordAnswer(atMs);
         }
         else {
-            availability.recordFailure(call.atMs);
+            availability.recordFailure(atMs);
         }
     }
+}
+
+/** The delay of a deletion that arrives at `atMs`, after calls with these ends. */
+function graceMs(calls: readonly Call[], atMs: number): number {
+    const availability = new availabilities.StoreAvailability();
+    recordCalls(availability, calls);
     return availability.deletionGraceMs(atMs);
 }
 
@@ -81,9 +85,7 @@
         { name: "is due at once if that was long before", calls: [failed(500), answered(510)], expected: true },
     ])("$name", ({ calls, expected }) => {
         const availability = new availabilities.StoreAvailability();
-        calls.forEach(call =>
-            call.isAnswered ? availability.recordAnswer(call.atMs) : availability.recordFailure(call.atMs)
-        );
+        recordCalls(availability, calls);
         vitest.expect(availability.recordFailure(2_000)).toBe(expected);
     });
 });
