--- a/src/process/instances/ServiceRetryBudget.ts
+++ b/src/process/instances/ServiceRetryBudget.ts
@@ -16,6 +16,16 @@
     readonly slack: number;
 }
 
+/** What a budget allows and has spent within its window, as it is logged. */
+export interface BudgetState {
+    /** Retries allowed to this process. */
+    readonly allowed: number;
+    readonly retries: number;
+    readonly firstCalls: number;
+    /** Entries among which the slack is divided. */
+    readonly entries: number;
+}
+
 /** Counts the first calls and retries of one service. */
 export class ServiceRetryBudget {
     private readonly firstCallTimesMs: number[] = [];
@@ -37,10 +47,18 @@
 
     /** Whether the budget allows a retry. */
     get canSpend(): boolean {
+        const { allowed, retries } = this.state;
+        return retries + 1 <= allowed;
+    }
+
+    /** What is allowed and spent now. */
+    get state(): BudgetState {
         this.dropExpired();
         const { ratio, slack } = this.bound();
-        const maxRetries = BOUND_SAFETY_FACTOR * (ratio * this.firstCallTimesMs.length + slack / this.entryCount());
-        return this.retryTimesMs.length + 1 <= maxRetries;
+        const entries = this.entryCount();
+        const firstCalls = this.firstCallTimesMs.length;
+        const allowed = BOUND_SAFETY_FACTOR * (ratio * firstCalls + slack / entries);
+        return { allowed, retries: this.retryTimesMs.length, firstCalls, entries };
     }
 
     /** Counts a retry if the budget allows it; false when the budget is spent. */
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -4,6 +4,7 @@
 import * as routing from "../../common/Routing";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as pools from "../../process/instances/InstancePool";
+import * as budgets from "../../process/instances/ServiceRetryBudget";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
 import * as startChecks from "./StartCheck";
@@ -40,6 +41,7 @@
         address: chosen.instance.address,
         softwareVersion: chosen.instance.softwareVersion,
         ...(lastEventId === undefined ? {} : { lastEventId, resumes: call.metadata.resumedAttempt }),
+        ...(history.sends > 1 ? { budget: budgetFields(context, call) } : {}),
         candidates: chosen.candidateCount,
         load: chosen.traffic.load,
         missingTokens: chosen.missingTokens,
@@ -51,6 +53,26 @@
     }, "call sent to instance");
 }
 
+/** Logs a retry that the budget of all entries denies. */
+export function logDeniedRetry(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    history: histories.CallHistory,
+): void {
+    context.log.info({
+        decision: "retry-denied",
+        attempt: call.metadata.attempt,
+        service: call.service,
+        sends: history.sends,
+        budget: budgetFields(context, call),
+    }, "no retry is left in the budget");
+}
+
+function budgetFields(context: senders.SenderContext, call: calls.RoutedCall): budgets.BudgetState {
+    const { allowed, ...counts } = context.budgetOf(call.service).state;
+    return { allowed: Number(allowed.toFixed(LOGGED_DIGITS)), ...counts };
+}
+
 /** Logs that no instance can accept a call that only one software version may get. */
 export function logUnlessAnyVersion(
     context: senders.SenderContext,
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -223,6 +223,7 @@
     }
     else if (!budget.trySpend()) {
         history.isBudgetSpent = true;
+        sendLogs.logDeniedRetry(context, call, history);
         return undefined;
     }
     history.sends++;
