--- /dev/null
+++ b/src/process/instances/RetryFleet.test.ts
@@ -0,0 +1,202 @@
+/**
+ * Replays the load of issue 46: a service rejects most calls, so that entries send them again, while entries are killed
+ * and started again in series, know the others late, or are cut off from them.
+ */
+import * as vitest from "vitest";
+import * as clocks from "../../common/Clock";
+import * as randoms from "../../common/Random";
+import * as retryBudgets from "./RetryBudgets";
+import * as budgets from "./ServiceRetryBudget";
+
+const STEP_MS = 20;
+const END_MS = 40_000;
+const BOUND = { windowSeconds: 10, ratio: 0.2, slack: 88 };
+const WINDOW_MS = BOUND.windowSeconds * 1_000;
+const MAX_SENDS = 5;
+const DOMAINS = 3;
+/** A killed entry is back after this time, and knows all others this long after its start at the latest. */
+const DOWN_MS = 300;
+const DISCOVERY_MS = 1_800;
+/** Until then, the entries have started and know each other. */
+const SETTLED_MS = 12_000;
+
+interface Load {
+    readonly entries: number;
+    readonly callsPerSecond: number;
+    readonly rejectedShare: number;
+    /** Times at which entries are killed, and which. */
+    readonly kills: readonly { readonly atMs: number; readonly isKilled: (entry: number) => boolean }[];
+    /** Whether entries reach each other at a time. */
+    readonly isCut?: (atMs: number, from: number, to: number) => boolean;
+    readonly seed: number;
+}
+
+/** One entry, whose memory ends with its process. */
+class Entry {
+    private readonly discoveryMs: number;
+    private readonly known = new Set<number>();
+    private readonly startedMs: number;
+    readonly budget: budgets.ServiceRetryBudget;
+
+    constructor(
+        readonly index: number,
+        clock: clocks.Clock,
+        random: () => number,
+    ) {
+        this.startedMs = clock.now();
+        this.discoveryMs = DISCOVERY_MS * (0.3 + 0.7 * random());
+        this.known.add(index);
+        this.budget = new retryBudgets.RetryBudgets(clock, () => BOUND, () => this.known.size).obtain("model");
+    }
+
+    /** Learns of the others that it reaches, of more of them the longer it runs. */
+    discover(nowMs: number, reachable: readonly number[]): void {
+        const share = Math.min(1, (nowMs - this.startedMs) / this.discoveryMs);
+        reachable.slice(0, Math.floor(share * share * reachable.length)).forEach(other => this.known.add(other));
+    }
+}
+
+/** Entries before one service, in virtual time. */
+class RetryFleet {
+    private readonly clock = new clocks.ManualClock(0);
+    private readonly random: randoms.Random;
+    private readonly entries: (Entry | undefined)[] = [];
+    private readonly requestsAtMs: number[] = [];
+    private readonly repeatsAtMs: number[] = [];
+
+    constructor(private readonly load: Load) {
+        this.random = randoms.createRandom(load.seed);
+        for (let index = 0; index < load.entries; index++) {
+            this.entries.push(new Entry(index, this.clock, this.random));
+        }
+    }
+
+    run(): void {
+        const backAtMs = new Map<number, number>();
+        for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
+            for (const { atMs, isKilled } of this.load.kills) {
+                if (atMs === nowMs) {
+                    this.entries.forEach((_, index) => isKilled(index) && backAtMs.set(index, nowMs + DOWN_MS));
+                }
+            }
+            for (const [index, atMs] of backAtMs) {
+                this.entries[index] = nowMs < atMs ? undefined : new Entry(index, this.clock, this.random);
+                if (nowMs >= atMs) {
+                    backAtMs.delete(index);
+                }
+            }
+            this.entries.forEach(entry => entry?.discover(nowMs, this.reachableFrom(entry.index, nowMs)));
+            let calls = nowMs < SETTLED_MS ? 0 : this.load.callsPerSecond * STEP_MS / 1_000;
+            for (; calls > 0 && this.random() < calls; calls--) {
+                this.call(this.entries[Math.floor(this.random() ** 1.5 * this.entries.length)]);
+            }
+            this.clock.advance(STEP_MS);
+        }
+    }
+
+    /** Most repeats beyond what the bound allows in any window; the page counts requests in three windows. */
+    get excess(): number {
+        let excess = -Infinity;
+        for (let startMs = SETTLED_MS - WINDOW_MS; startMs < END_MS; startMs += STEP_MS) {
+            const requests = [0, WINDOW_MS / 2, WINDOW_MS].map(earlierMs =>
+                countWithin(this.requestsAtMs, startMs - earlierMs)
+            );
+            const allowed = BOUND.ratio * Math.max(...requests) + BOUND.slack;
+            excess = Math.max(excess, countWithin(this.repeatsAtMs, startMs) - allowed);
+        }
+        return excess;
+    }
+
+    get repeats(): number {
+        return this.repeatsAtMs.length;
+    }
+
+    private reachableFrom(index: number, nowMs: number): number[] {
+        const { isCut } = this.load;
+        return [...this.entries.keys()].filter(other =>
+            this.entries[other] !== undefined && other !== index && isCut?.(nowMs, index, other) !== true
+        );
+    }
+
+    private call(entry: Entry | undefined): void {
+        if (entry === undefined) {
+            return;
+        }
+        entry.budget.countFirstCall();
+        this.requestsAtMs.push(this.clock.now());
+        for (let sends = 1; sends < MAX_SENDS && this.random() < this.load.rejectedShare; sends++) {
+            if (!entry.budget.trySpend()) {
+                return;
+            }
+            this.repeatsAtMs.push(this.clock.now());
+        }
+    }
+}
+
+/** Number of times, which ascend, in the window that begins at `startMs`. */
+function countWithin(times: readonly number[], startMs: number): number {
+    return findFirst(times, startMs + WINDOW_MS) - findFirst(times, startMs);
+}
+
+function findFirst(times: readonly number[], sinceMs: number): number {
+    let low = 0;
+    let high = times.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (times[middle]! < sinceMs) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+function killSeries(count: number, gapMs: number, isKilled: (entry: number) => boolean): Load["kills"] {
+    return Array.from({ length: count }, (_, kill) => ({ atMs: SETTLED_MS + 2_000 + kill * gapMs, isKilled }));
+}
+
+function rollingKills(entries: number): Load["kills"] {
+    return Array.from({ length: 2 * entries }, (_, turn) => ({
+        atMs: SETTLED_MS + 2_000 + STEP_MS * Math.floor(turn * 12_000 / entries / STEP_MS),
+        isKilled: entry => entry === turn % entries,
+    }));
+}
+
+const sizes = [3, 24, 100, 300].map(entries => ({ entries, callsPerSecond: 30 + 4 * entries, rejectedShare: 0.95 }));
+
+vitest.describe("repeats of all entries stay within their budget", { timeout: 120_000 }, () => {
+    vitest.describe.each(sizes)("with $entries entries", base => {
+        const { entries } = base;
+        const isInFirstDomain = (entry: number): boolean => entry % DOMAINS === 0;
+        const cases: readonly { readonly name: string; readonly load: Pick<Load, "kills" | "isCut"> }[] = [
+            { name: "none is killed", load: { kills: [] } },
+            { name: "one is killed again and again", load: { kills: killSeries(8, 1_500, entry => entry === 0) } },
+            { name: "a domain is killed again and again", load: { kills: killSeries(6, 2_500, isInFirstDomain) } },
+            { name: "all are killed four times", load: { kills: killSeries(4, 2_500, () => true) } },
+            {
+                name: "all are killed seven times, sooner than they know each other",
+                load: {
+                    kills: killSeries(7, 1_500, () => true),
+                },
+            },
+            { name: "each is killed in turn, twice", load: { kills: rollingKills(entries) } },
+            {
+                name: "the domains are cut off from each other while all are killed",
+                load: {
+                    kills: killSeries(2, 5_000, () => true),
+                    isCut: (atMs, from, to) => atMs > SETTLED_MS && atMs < 25_000 && from % DOMAINS !== to % DOMAINS,
+                },
+            },
+        ];
+        vitest.it.each(cases)("$name", ({ load }) => {
+            for (const seed of [1, 2, 3]) {
+                const fleet = new RetryFleet({ ...base, ...load, seed });
+                fleet.run();
+                vitest.expect(fleet.excess).toBeLessThanOrEqual(0);
+                vitest.expect(fleet.repeats).toBeGreaterThan(0);
+            }
+        });
+    });
+});
