Don't count a send whose caller left before its connection was established

What callers saw: nothing; the retry budget counted a first call or a retry that never arrived at the service, so that later calls had fewer retries, and a move that was given up before its connection counted as a possible run. Evidence: SendArrivals.test.ts compares, for 16 ends of a send, what the budget counts with what a stand-in instance counts; 2 of 32 cases failed before (a caller that has left), all pass.

--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -167,9 +167,10 @@
         onDispatched: options.onDispatched,
         isHeld: () => context.pool.holds.remainingMs(instance) > 0,
     }, options.signal);
-    if (exchange.kind === "failed" && !exchange.isDispatched && exchange.reason !== "cancelled") {
+    const isUnsent = exchange.kind === "failed" && !exchange.isDispatched;
+    if (isUnsent) {
         takeBackSend(context, call, history); // Nothing arrived at the service.
-        history.unreached += exchange.reason === "held" ? 0 : 1;
+        history.unreached += exchange.reason === "held" || exchange.reason === "cancelled" ? 0 : 1;
     }
     if (exchange.kind === "failed" && exchange.reason === "reset" && exchange.isDispatched) {
         context.crashes.observeInterruption(instance, requestDigests.observedCall(call), sentAtMs);
@@ -177,7 +178,7 @@
     const outcome = exchange.kind === "failed"
         ? classifications.classifyFailure(exchange, ticket)
         : classifications.classifyAnswer(context, call, exchange, sent, chosen);
-    if (outcome.kind !== "not-run") {
+    if (outcome.kind !== "not-run" && !isUnsent) {
         history.possibleRuns++;
     }
     history.openSends--;
