Ask others before an unknown stream goes on at the only version that an entry knows

An entry that didn't know a stream took the only version in its view for the stream's, if the store had confirmed the view within 3 s; in these 3 s a version can join, begin a stream through another entry and break it off. Change: it asks the homes of the stream, as it did with several versions, and infers a version only if enough have answered, nobody knows of several versions and nobody contradicts (docs/design/stream-versions.md). Answers say hasSeveral. Evidence: StreamOriginExchange.test.ts, six new cases failed before: bound to v1 without asking, or by the first answer. The case of a fleet that is cut off from the store expected the guess without a word from the others; now both of them answer, and its expectation is the same. Cost: one round trip for each resumed stream that an entry doesn't know.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -153,6 +153,8 @@
     origins: z.array(z.object(originFields)).max(100),
     /** The only version that instances of the service have had in that time; undefined if unknown. */
     onlyVersion: name.optional(),
+    /** Whether the sender knows of several versions in that time. */
+    hasSeveral: z.boolean().default(false),
 });
 
 /** The answer to a question about a stream's origin. */
--- a/src/process/published/VersionHistory.ts
+++ b/src/process/published/VersionHistory.ts
@@ -88,16 +88,25 @@
 
     /** The only version that instances of a service have had since `sinceMs`; undefined if that isn't known. */
     findOnlyVersion(service: string, sinceMs: number): string | undefined {
-        const versions = [...this.versionsByService.get(service) ?? []]
-            .filter(([, record]) => record.startedMsById.size > 0 || record.goneAtMs >= sinceMs);
+        const versions = this.versionsSince(service, sinceMs);
         const [only] = versions;
         return versions.length === 1 && this.isCovered(service, sinceMs, only![1]) ? only![0] : undefined;
     }
 
+    /** Whether instances of a service are known to have had several versions since `sinceMs`. */
+    hasSeveral(service: string, sinceMs: number): boolean {
+        return this.versionsSince(service, sinceMs).length > 1;
+    }
+
     dispose(): void {
         this.newVersionEmitter.dispose();
     }
 
+    private versionsSince(service: string, sinceMs: number): (readonly [string, VersionRecord])[] {
+        return [...this.versionsByService.get(service) ?? []]
+            .filter(([, record]) => record.startedMsById.size > 0 || record.goneAtMs >= sinceMs);
+    }
+
     /** Whether no instance of another version can have come and gone unseen since `sinceMs`. */
     private isCovered(service: string, sinceMs: number, only: VersionRecord): boolean {
         if (this.listedAtMs === undefined) {
--- a/src/process/streams/StreamOriginExchange.test.ts
+++ b/src/process/streams/StreamOriginExchange.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
+import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
@@ -141,7 +142,16 @@
 });
 
 vitest.describe("a resumed stream that this entry doesn't know", () => {
-    const cases: readonly { readonly name: string; readonly scenario: Scenario; readonly decision: unknown }[] = [
+    const agrees = { origins: [], onlyVersion: "v1" };
+    const doesNotKnow = { origins: [] };
+    const four = [{}, {}, {}, {}];
+    const cases: readonly {
+        readonly name: string;
+        readonly scenario: Scenario;
+        /** What the peers answer that are asked. */
+        readonly answers?: readonly Partial<entryMessages.StreamOriginAnswer>[];
+        readonly decision: unknown;
+    }[] = [
         { name: "has the only version there has been", scenario: { versions: ["v1"] }, decision: BOUND },
         { name: "isn't guessed with two versions", scenario: { versions: ["v1", "v2"] }, decision: UNKNOWN },
         {
@@ -175,6 +185,49 @@
         {
             name: "has the only version there has been while all entries are cut off from the store",
             scenario: { versions: ["v1"], unconfirmedMs: 4_000, peers: [{}, {}] },
+            answers: [agrees, agrees],
+            decision: BOUND,
+        },
+        // Guards against streams of a new version that go on at an old one, at an entry that is out of step.
+        {
+            name: "isn't guessed by an entry that may be out of step and reaches no other",
+            scenario: { versions: ["v1"], peers: four },
+            decision: UNKNOWN,
+        },
+        {
+            name: "isn't guessed by an entry that is out of step while another one knows of several versions",
+            scenario: { versions: ["v1"], peers: four },
+            answers: [agrees, { origins: [], hasSeveral: true }, agrees, agrees],
+            decision: UNKNOWN,
+        },
+        {
+            name: "is bound to the new version that another entry knows, by an entry that is out of step",
+            scenario: { versions: ["v1"], peers: four },
+            answers: [agrees, { origins: [{ service: "model", softwareVersion: "v2" }] }],
+            decision: { kind: "bound", origin: { service: "model", softwareVersion: "v2" } },
+        },
+        {
+            name: "isn't guessed when another entry has known another version only",
+            scenario: { versions: ["v1"], peers: four },
+            answers: [agrees, { origins: [], onlyVersion: "v2" }, agrees, agrees],
+            decision: UNKNOWN,
+        },
+        {
+            name: "has the only version when as many agree as are told of a stream",
+            scenario: { versions: ["v1"], peers: four },
+            answers: [agrees, doesNotKnow],
+            decision: BOUND,
+        },
+        {
+            name: "isn't guessed when fewer have answered",
+            scenario: { versions: ["v1"], peers: four },
+            answers: [agrees],
+            decision: UNKNOWN,
+        },
+        {
+            name: "has the only version that another entry knows",
+            scenario: { versions: ["v1"], past: "unreadable", peers: [{}, {}] },
+            answers: [doesNotKnow, agrees],
             decision: BOUND,
         },
         {
@@ -188,9 +241,14 @@
             decision: UNKNOWN,
         },
     ];
-    vitest.it.each(cases)("$name", async ({ scenario, decision }) => {
-        const { clock, exchange } = createScenario(scenario);
+    vitest.it.each(cases)("$name", async ({ scenario, answers = [], decision }) => {
+        const { clock, exchange, sent, receive } = createScenario(scenario);
         const resolving = exchange.resolve(CALL);
+        await vitest.vi.waitFor(() => vitest.expect(sent.length).toBeGreaterThanOrEqual(Math.min(1, answers.length)));
+        for (const answer of answers) {
+            const { question } = sent[0] as { readonly question: number };
+            receive({ kind: "stream-origin-answer", question, origins: [], hasSeveral: false, ...answer });
+        }
         clock.advance(250);
         vitest.expect((await resolving).decision).toEqual(decision);
     });
@@ -201,8 +259,9 @@
         vitest.expect(sent).toHaveLength(2);
         vitest.expect(sent[0]).toMatchObject({ kind: "stream-origin-ask", attempt: "a", service: "model" });
         const { question } = sent[0] as { readonly question: number };
-        receive({ kind: "stream-origin-answer", question, origins: [] });
-        receive({ kind: "stream-origin-answer", question, origins: [{ service: "model", softwareVersion: "v1" }] });
+        const answer = { kind: "stream-origin-answer" as const, question, hasSeveral: true };
+        receive({ ...answer, origins: [] });
+        receive({ ...answer, origins: [{ service: "model", softwareVersion: "v1" }] });
         vitest.expect(await resolving).toEqual({ decision: BOUND, learntFrom: "peer-0" });
         vitest.expect(await exchange.resolve(CALL)).toEqual({ decision: BOUND, learntFrom: "memory" });
     });
@@ -211,7 +270,7 @@
         const { exchange, sent, receive } = createScenario({ versions: ["v1", "v2"], peers: [{}] });
         const resolving = exchange.resolve(CALL);
         const { question } = sent[0] as { readonly question: number };
-        receive({ kind: "stream-origin-answer", question, origins: [] });
+        receive({ kind: "stream-origin-answer", question, origins: [], hasSeveral: true });
         vitest.expect((await resolving).decision).toEqual(UNKNOWN);
     });
 
@@ -265,6 +324,8 @@
         vitest.expect((await exchange.resolve(CALL)).decision).toEqual(BOUND);
         receive({ kind: "stream-origin-ask", question: 7, attempt: "a", service: "model", lifetimeMs: LIFETIME_MS });
         const known = [{ service: "model", softwareVersion: "v1" }];
-        vitest.expect(sent).toEqual([{ kind: "stream-origin-answer", question: 7, origins: known }]);
+        vitest.expect(sent).toEqual([
+            { kind: "stream-origin-answer", question: 7, origins: known, hasSeveral: true },
+        ]);
     });
 });
--- a/src/process/streams/StreamOriginExchange.ts
+++ b/src/process/streams/StreamOriginExchange.ts
@@ -58,11 +58,27 @@
 }
 
 interface Question {
-    unanswered: number;
-    readonly settle: (answer: OriginAnswer | undefined, from: string | undefined) => void;
+    readonly asked: number;
+    readonly answers: OriginAnswer[];
+    readonly settle: () => void;
 }
 
-type OriginAnswer = Pick<entryMessages.StreamOriginAnswer, "origins" | "onlyVersion">;
+/** What one entry knows of the versions that a service has had. */
+type KnownVersions = Pick<entryMessages.StreamOriginAnswer, "onlyVersion" | "hasSeveral">;
+
+/** What one entry knows of a stream and its service. */
+interface OriginAnswer extends KnownVersions {
+    readonly origins: readonly origins.StreamOrigin[];
+    /** The entry. */
+    readonly from: string;
+}
+
+/** What is known after asking. */
+interface LearntOrigin {
+    readonly origins: readonly origins.StreamOrigin[];
+    readonly onlyVersion: string | undefined;
+    readonly from: string | undefined;
+}
 
 /** Remembers the origins of streams, tells them to other entries and asks for them. */
 export class StreamOriginExchange implements clocks.Disposable {
@@ -89,32 +105,32 @@
         }
     }
 
-    /** Decides what a resumed call may be sent to; asks other entries if this one doesn't know. */
+    /**
+     * Decides what a resumed call may be sent to. An entry that doesn't know the stream asks others, even if it knows one
+     * version only: it may be out of step, while instances of another version have joined and begun the stream.
+     */
     async resolve(call: ResumedCall): Promise<ResumeOutcome> {
         const { targets, service, lifetimeMs } = call;
         const attempt = (call.attempt?.length ?? Infinity) > MAX_ATTEMPT_LENGTH ? undefined : call.attempt;
         const known = attempt === undefined ? [] : this.memory.find(attempt, this.options.clock.now());
-        if (known.length === 0 && this.needsPast(lifetimeMs)) {
-            await this.options.completePast();
+        if (known.length > 0) {
+            const decision = origins.decideResume({ origins: known, targets, service, onlyVersion: undefined });
+            return { decision, learntFrom: "memory" };
         }
-        const onlyVersion = this.findOnlyVersion(service, lifetimeMs);
-        const decision = origins.decideResume({ origins: known, targets, service, onlyVersion });
-        if (decision.kind !== "unknown") {
-            const learntFrom = known.length > 0 ? "memory" : onlyVersion === undefined ? undefined : "only-version";
-            return { decision, learntFrom };
+        if (this.needsPast(lifetimeMs)) {
+            await this.options.completePast();
         }
-        const { answer, from } = await this.ask(attempt, service, lifetimeMs);
+        const own = this.describeVersions(service, lifetimeMs);
+        const learnt = this.options.peers.knownPeers.length === 0
+            ? { origins: [], onlyVersion: own.onlyVersion, from: undefined }
+            : combineAnswers(own, await this.ask(attempt, service, lifetimeMs));
         if (attempt !== undefined) {
-            this.remember(attempt, answer?.origins ?? [], lifetimeMs);
+            this.remember(attempt, learnt.origins, lifetimeMs);
         }
+        const isOwn = learnt.origins.length === 0 && own.onlyVersion !== undefined;
         return {
-            decision: origins.decideResume({
-                origins: answer?.origins ?? [],
-                targets,
-                service,
-                onlyVersion: answer?.onlyVersion,
-            }),
-            learntFrom: from,
+            decision: origins.decideResume({ ...learnt, targets, service }),
+            learntFrom: isOwn ? "only-version" : learnt.from,
         };
     }
 
@@ -133,6 +149,14 @@
         return isCurrent ? view.versions.findOnlyVersion(service, clock.now() - lifetimeMs) : undefined;
     }
 
+    private describeVersions(service: string, lifetimeMs: number): KnownVersions {
+        const { view, clock } = this.options;
+        return {
+            onlyVersion: this.findOnlyVersion(service, lifetimeMs),
+            hasSeveral: view.versions.hasSeveral(service, clock.now() - lifetimeMs),
+        };
+    }
+
     /** Whether the only version in `lifetimeMs` depends on the time before the first listing, of which nothing is known. */
     private needsPast(lifetimeMs: number): boolean {
         const { versions } = this.options.view;
@@ -169,26 +193,28 @@
         }
     }
 
+    /** Resolves to the answers of those who answered in time, and the number of entries that were asked. */
     private ask(
         attempt: string | undefined,
         service: string,
         lifetimeMs: number,
-    ): Promise<{ readonly answer: OriginAnswer | undefined; readonly from: string | undefined }> {
+    ): Promise<{ readonly answers: readonly OriginAnswer[]; readonly asked: number }> {
         const question = this.nextQuestionId++;
         const message = { kind: "stream-origin-ask" as const, question, attempt, service, lifetimeMs };
-        const asked = this.rankPeers(attempt ?? "").slice(0, ASKED_COUNT);
-        const unanswered = asked.filter(peer => this.options.peers.send(peer, message)).length;
-        if (unanswered === 0) {
-            return Promise.resolve({ answer: undefined, from: undefined });
+        const receivers = this.rankPeers(attempt ?? "").slice(0, ASKED_COUNT);
+        const asked = receivers.filter(peer => this.options.peers.send(peer, message)).length;
+        const answers: OriginAnswer[] = [];
+        if (asked === 0) {
+            return Promise.resolve({ answers, asked });
         }
         return new Promise(resolve => {
-            const settle = (answer: OriginAnswer | undefined, from: string | undefined): void => {
+            const settle = (): void => {
                 timer.dispose();
                 this.questions.delete(question);
-                resolve({ answer, from });
+                resolve({ answers, asked });
             };
-            const timer = this.options.clock.schedule(ANSWER_TIMEOUT_MS, () => settle(undefined, undefined));
-            this.questions.set(question, { unanswered, settle });
+            const timer = this.options.clock.schedule(ANSWER_TIMEOUT_MS, settle);
+            this.questions.set(question, { asked, answers, settle });
         });
     }
 
@@ -247,7 +273,7 @@
             kind: "stream-origin-answer",
             question,
             origins: [...known],
-            onlyVersion: this.findOnlyVersion(service, lifetimeMs),
+            ...this.describeVersions(service, lifetimeMs),
         });
     }
 
@@ -256,12 +282,32 @@
         if (question === undefined) {
             return;
         }
-        question.unanswered--;
-        if (answer.origins.length > 0 || answer.onlyVersion !== undefined) {
-            question.settle(answer, from);
-        }
-        else if (question.unanswered === 0) {
-            question.settle(undefined, undefined);
+        question.answers.push({ ...answer, from });
+        if (answer.origins.length > 0 || question.answers.length === question.asked) {
+            question.settle();
         }
     }
 }
+
+/**
+ * Joins what this entry and others know. Without an origin, the only version counts if nobody knows of several and
+ * enough have answered: those that may have been told of the stream are among the ones that are asked.
+ */
+function combineAnswers(
+    own: KnownVersions,
+    { answers, asked }: { readonly answers: readonly OriginAnswer[]; readonly asked: number },
+): LearntOrigin {
+    const known = answers.find(answer => answer.origins.length > 0);
+    if (known !== undefined) {
+        return { origins: known.origins, onlyVersion: undefined, from: known.from };
+    }
+    const stated = [own, ...answers].filter(({ onlyVersion }) => onlyVersion !== undefined);
+    const isContradicted = [own, ...answers].some(({ hasSeveral }) => hasSeveral)
+        || new Set(stated.map(({ onlyVersion }) => onlyVersion)).size > 1;
+    const isEnough = answers.length > 0 && answers.length >= Math.min(HOME_COUNT, asked);
+    const onlyVersion = isEnough && !isContradicted ? stated[0]?.onlyVersion : undefined;
+    const from = onlyVersion === undefined
+        ? undefined
+        : answers.find(answer => answer.onlyVersion === onlyVersion)?.from;
+    return { origins: [], onlyVersion, from };
+}
