Show that answers broken off in their head are no success for callers

Can it happen here: no; the tests pass without a change of the product. At every position of four heads, with a FIN and a reset, on new and kept connections, no answer is read (BrokenHeads.test.ts beside UpstreamExchange, which calls, stage calls, releases and questions for an instance's state use). From a caller's view, at 15 positions of calls and streams and at 3 of streams with stages (tests/BrokenHeads.test.ts): none gets a success.

--- a/standins/platform/EngineFaults.ts
+++ b/standins/platform/EngineFaults.ts
@@ -9,6 +9,14 @@
     readonly trickle?: string; // Sent every 300 ms during the pause.
 }
 
+/** A head that is broken off. */
+export interface BrokenHead {
+    /** Bytes that are sent; counted from the end of the head if negative. */
+    readonly bytes: number;
+    /** Whether the head states the length of the body, as its last line. */
+    readonly hasLength: boolean;
+}
+
 /** Faults; each stays in effect until it is cleared. */
 export interface EngineFaults {
     /** Rejects every call with the header `Not-Executed`. */
@@ -35,6 +43,8 @@
     repeatsStageAnswers?: boolean | undefined;
     /** Whether answers to stage calls and releases have a head and nothing more. */
     stalledBody?: boolean | undefined;
+    /** Answers are broken off in the middle of their head, after so many bytes, with a close. */
+    brokenHead?: BrokenHead | undefined;
     /** Whether requests are never answered: all, or `"calls"` for those that aren't for the engine's own state. */
     hang?: boolean | "calls" | undefined;
 }
--- a/standins/platform/EngineRequest.ts
+++ b/standins/platform/EngineRequest.ts
@@ -2,6 +2,7 @@
  * Reads requests to the stand-in of an engine, and writes refusals.
  */
 import * as http from "node:http";
+import * as engineFaults from "./EngineFaults";
 
 /** Whether a call has stages, so that it needs their results. */
 export function hasPieces(headers: http.IncomingHttpHeaders): boolean {
@@ -27,6 +28,21 @@
     return attempt === undefined ? {} : { "Attempt-Id": attempt };
 }
 
+/** Answers a request with a part of the head of a success, if that is the engine's fault; returns whether it is. */
+export function breakHead(
+    { headers, socket }: http.IncomingMessage,
+    engine: string,
+    fault: engineFaults.BrokenHead | undefined,
+): boolean {
+    if (fault !== undefined) {
+        const length = fault.hasLength ? "Content-Length: 24\r\n" : "";
+        const attempt = String(headers["attempt-id"]);
+        const head = `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nRoute-Stamp: stamp-${engine}\r\n${length}\r\n`;
+        socket.end(head.slice(0, fault.bytes));
+    }
+    return fault !== undefined;
+}
+
 /** The bytes of a refusal of another attempt; `unnamed` for one that names none. */
 export function encodeRefusal(attempt: string): string {
     const name = attempt === "unnamed" ? "" : `Attempt-Id: ${attempt}\r\n`;
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -202,6 +202,9 @@
             response.writeHead(503, headers).end();
             return;
         }
+        if (engineRequests.breakHead(request, this.options.id, this.faults.brokenHead)) {
+            return;
+        }
         if (request.url === "/report") {
             this.report(response);
             return;
