Let a stopping entry take only calls that end in its grace by what calls have taken of late

Can it happen here: yes, while no other entry is ready: a plain call was expected to take 1 s and a stream by its tokens, whatever they had taken before. With calls of 3.5 s, those of 4.07 to 4.5 s after the stop's begin ended with 504 (plain) or were cut (streams) at 7.5 s. Beside another ready entry all were whole before.

--- a/src/process/routing/CallerRequest.ts
+++ b/src/process/routing/CallerRequest.ts
@@ -5,7 +5,7 @@
 import * as result from "true-myth/result";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
-import * as expectedTimes from "../../request/routed/ExpectedTime";
+import * as callDurations from "../../request/routed/CallDurations";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
 import * as bodies from "./CallerBody";
@@ -24,6 +24,8 @@
     readonly run: Pick<routedRuns.RunContext, "wire">;
     /** Whether the process rejects new requests while it completes those in progress. */
     readonly isClosing: () => boolean;
+    /** How long calls have taken of late. */
+    readonly durations: Pick<callDurations.CallDurations, "expectedMs">;
     /** When requests still in progress are aborted; undefined while the process isn't stopping. */
     readonly stopDeadlineMs: () => number | undefined;
 }
@@ -60,8 +62,10 @@
         return result.err(target.error);
     }
     const { route, team } = target.value;
-    const stopDeadlineMs = context.stopDeadlineMs() ?? Infinity;
-    if (arrivedMs + expectedTimes.expectedMs(route, callMetadata.value) > stopDeadlineMs) {
+    const stopDeadlineMs = context.stopDeadlineMs();
+    const canEnd = stopDeadlineMs === undefined
+        || arrivedMs + context.durations.expectedMs(route, callMetadata.value) <= stopDeadlineMs;
+    if (!canEnd) {
         return result.err(codes.failure(codes.codes.draining, "can't end before the stop", NOT_READY_RETRY_MS));
     }
     const body = await bodies.readCallerBody(
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -8,6 +8,7 @@
 import * as readTimers from "../../common/ReadTimer";
 import * as routing from "../../common/Routing";
 import * as listeners from "../../connection/Listener";
+import * as callDurations from "../../request/routed/CallDurations";
 import * as plainRuns from "../../request/routed/PlainRun";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
@@ -35,7 +36,7 @@
 };
 
 /** What the server needs from its process. */
-export interface RouteServerContext extends callerRequests.RequestContext {
+export interface RouteServerContext extends Omit<callerRequests.RequestContext, "durations"> {
     readonly log: logs.Log;
     readonly run: routedRuns.RunContext;
     readonly metrics: metrics.RouteMetrics;
@@ -61,11 +62,13 @@
     private readonly server: http.Server;
     private readonly idleConnections: idleConnections.IdleConnections;
     private listener: listeners.Listener | undefined;
+    private readonly durations: callDurations.CallDurations;
     private isDraining = false;
     /** Requests without a complete answer. */
     private readonly openRequests = new Set<OpenRequest>();
 
     constructor(private readonly context: RouteServerContext) {
+        this.durations = new callDurations.CallDurations(context.clock);
         this.server = http.createServer({
             maxHeaderSize: MAX_PARSED_HEADER_BYTES,
             requestTimeout: 0,
@@ -164,7 +167,7 @@
     private async serveRequest(open: OpenRequest, pauseMs: number): Promise<void> {
         const { abortController, message, response } = open;
         const accepted = await callerRequests.readRequest(
-            this.context,
+            { ...this.context, durations: this.durations },
             message,
             open.arrivedMs,
             abortController.signal,
@@ -247,6 +250,9 @@
 
     private recordAnswer(call: calls.RoutedCall, end: string, extraFields: Record<string, unknown>): void {
         const elapsedMs = this.context.clock.now() - call.arrivedMs;
+        if (end === "200") {
+            this.durations.record(call.service, call.route, call.metadata, elapsedMs);
+        }
         this.context.metrics.countEnd(call.route.name, end);
         this.context.metrics.recordDuration(call.route.name, elapsedMs);
         this.context.log.info({
--- a/src/request/routed/ExpectedTime.ts
+++ b/src/request/routed/ExpectedTime.ts
@@ -1,5 +1,5 @@
 /**
- * Estimates how long a call takes. Until it closes, a stopping entry rejects only calls that it cannot finish in time:
+ * Estimates how long a call takes by its request. Until it closes, a stopping entry rejects only calls that it cannot finish in time:
  * while all entries are restarted in quick succession, there can be several seconds in which no other accepts calls.
  */
 import * as routing from "../../common/Routing";
@@ -14,12 +14,12 @@
 /** Time between two tokens of a stream on an instance with many streams. */
 const TOKEN_INTERVAL_MS = 15;
 
-/** Expected duration of a call, capped by the timeout of its route. */
-export function expectedMs(route: routing.Route, metadata: routingPorts.RoutedCallMetadata): number {
+/** Typical duration of a call. */
+export function typicalMs(route: routing.Route, metadata: routingPorts.RoutedCallMetadata): number {
     if (route.kind !== "stream") {
-        return Math.min(route.timeoutMs, PLAIN_CALL_MS);
+        return PLAIN_CALL_MS;
     }
     const hasStages = route.stages.some((_, index) => (metadata.pieces[index] ?? 0) > 0);
     const streamMs = FIRST_EVENT_MS + metadata.outputTokens * TOKEN_INTERVAL_MS;
-    return Math.min(route.timeoutMs, streamMs + (hasStages ? STAGES_MS : 0));
+    return streamMs + (hasStages ? STAGES_MS : 0);
 }
