One fixture for the tests of sends; the server's request context once, not for each request

No change of behaviour: two tests built the same pool, budget and context; the server copied its context for each request; two tests outside platform/ used its header names; four comments were too long or named a parameter that isn't there. The tests keep their assertions.

--- a/src/connection/BrokenHeads.test.ts
+++ b/src/connection/BrokenHeads.test.ts
@@ -7,7 +7,7 @@
 import * as upstreamConnections from "./UpstreamConnections";
 import * as exchanges from "./UpstreamExchange";
 
-const STATUS_LINES = "HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nRoute-Stamp: 3e1b.07\r\n";
+const STATUS_LINES = "HTTP/1.1 200 OK\r\nX-Attempt: a-1\r\nX-Signature: 3e1b.07\r\n";
 const BODY = "whole answer";
 const FIRST_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
 const heads = [
--- a/src/process/instances/ServiceRetryBudget.ts
+++ b/src/process/instances/ServiceRetryBudget.ts
@@ -1,8 +1,8 @@
 /**
  * Limits the retries that a process sends to one service. The configured bound applies to all entries together in any
  * window, whatever each of them remembers: a process earns its retries, by its own first calls and over time, and begins
- * with none if it has a predecessor. What it may save is bounded, so that all that can be saved when a window begins and all that is earned in it
- * stay within the bound, also if each entry is killed and started again and again in between.
+ * with none if it has a predecessor. What it may save is bounded, so that all that can be saved when a window begins and
+ * all that is earned in it stay within the bound, also if each entry is killed and started again and again in between.
  */
 import * as clocks from "../../common/Clock";
 import * as shares from "../shares/FleetShare";
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -63,12 +63,14 @@
     private readonly idleConnections: idleConnections.IdleConnections;
     private listener: listeners.Listener | undefined;
     private readonly durations: callDurations.CallDurations;
+    private readonly requestContext: callerRequests.RequestContext;
     private isDraining = false;
     /** Requests without a complete answer. */
     private readonly openRequests = new Set<OpenRequest>();
 
     constructor(private readonly context: RouteServerContext) {
         this.durations = new callDurations.CallDurations(context.clock);
+        this.requestContext = { ...context, durations: this.durations };
         this.server = http.createServer({
             maxHeaderSize: MAX_PARSED_HEADER_BYTES,
             requestTimeout: 0,
@@ -167,7 +169,7 @@
     private async serveRequest(open: OpenRequest, pauseMs: number): Promise<void> {
         const { abortController, message, response } = open;
         const accepted = await callerRequests.readRequest(
-            { ...this.context, durations: this.durations },
+            this.requestContext,
             message,
             open.arrivedMs,
             abortController.signal,
--- a/src/process/shares/FleetShare.ts
+++ b/src/process/shares/FleetShare.ts
@@ -6,9 +6,9 @@
 import * as fleetSizes from "./FleetSize";
 
 /**
- * The whole number of units, such as requests, that this entry may use in any window of `windowMs`. The remainder of the
- * division goes to entries by rank, which differs from key to key. While a predecessor may have used them within the
- * window, an entry has none.
+ * The whole number of units, such as requests, that this entry may use in any window of the given length. The remainder
+ * of the division goes to entries by rank, which differs from key to key. While a predecessor may have used them within
+ * the window, an entry has none.
  */
 export function wholeShare(
     total: number,
--- a/src/request/routed/CallHistory.ts
+++ b/src/request/routed/CallHistory.ts
@@ -11,7 +11,7 @@
     unreached: number;
     /** Sends without an outcome so far. */
     openSends: number;
-    /** Sends with the outcome `answer` or `unknown`, or cancelled when the connection was established: the call may have run. */
+    /** Sends that ended as `answer` or `unknown`, or cancelled on an established connection: the call may have run. */
     possibleRuns: number;
     /** Whether the retry budget denied a retry. */
     isBudgetSpent: boolean;
--- a/src/request/routed/ExpectedTime.ts
+++ b/src/request/routed/ExpectedTime.ts
@@ -1,6 +1,7 @@
 /**
- * Estimates how long a call takes by its request. Until it closes, a stopping entry rejects only calls that it cannot finish in time:
- * while all entries are restarted in quick succession, there can be several seconds in which no other accepts calls.
+ * Estimates how long a call takes by its request. Until it closes, a stopping entry rejects only calls that it cannot
+ * finish in time: while all entries are restarted in quick succession, there can be several seconds in which no other
+ * accepts calls.
  */
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
--- a/src/request/routed/SendArrivals.test.ts
+++ b/src/request/routed/SendArrivals.test.ts
@@ -4,20 +4,15 @@
 import * as net from "node:net";
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
-import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as pools from "../../process/instances/InstancePool";
-import * as leavingInstances from "../../process/instances/LeavingInstances";
-import * as budgets from "../../process/instances/ServiceRetryBudget";
-import * as views from "../../process/published/PublishedView";
-import * as fleetFixtures from "../../process/shares/FleetFixture";
 import * as histories from "./CallHistory";
 import * as calls from "./RoutedCall";
+import * as fixtures from "./SenderFixture";
 import * as senders from "./UpstreamSender";
 
-const POSITION = { era: 0, revision: 1 };
 const BODY = Buffer.alloc(200_000, "x");
 const END_OF_HEAD = "\r\n\r\n";
 /** The stand-in's own start; the start check reads it from the body. */
@@ -80,41 +75,13 @@
     }
 }
 
-function createPool(address: string): pools.InstancePool {
-    const instance = {
-        id: "desk-1",
-        startedMs: STARTED_MS,
-        service: "desk",
-        softwareVersion: "v1",
-        address,
-        failureDomain: "a",
-        state: "ready",
-        slots: 8,
-        coldLeftMs: 0,
-    } as const;
-    const decode = (): routing.PublishedRecord => ({ kind: "instance", instance });
-    const view = new views.PublishedView({ clock: clocks.systemClock, log: logs.silentLog, decode });
-    const item = { key: "desk-1", ...POSITION, content: new Uint8Array() };
-    view.apply({ items: [item], ...POSITION, isWhole: true }, "test");
-    return new pools.InstancePool({
-        clock: clocks.systemClock,
-        log: logs.silentLog,
-        random: () => 0,
-        view,
-        leaving: new leavingInstances.LeavingInstances(clocks.systemClock),
-        failureDomain: "a",
-        fleet: fleetFixtures.knownFleet(["entry-1"]),
-        coldRateLimit: () => ({ factor: 1, extra: 0 }),
-    });
-}
-
 /** The wire of the stand-in: its answers are signed and state that they didn't run by header. */
 const wire = {
     forwardHeaders: () => ["Host", "desk", "Content-Length", String(BODY.length)],
     stateRequest: () => ({ path: "/state", headers: [] }),
     readStart: (body: string) => Number(body),
     readAnswer: (status: number, headers: Record<string, unknown>) => ({
-        effect: status === 421 ? "other-instance" : headers["not-executed"] === undefined ? "ran" : "not-run",
+        effect: status === 421 ? "other-instance" : headers["x-not-run"] === undefined ? "ran" : "not-run",
         attempt: undefined,
         isInputLost: status === 409,
         isSigned: true,
@@ -144,7 +111,7 @@
     readonly address: string;
 }
 
-const refuse = respond("503 Service Unavailable\r\nNot-Executed: 1");
+const refuse = respond("503 Service Unavailable\r\nX-Not-Run: 1");
 
 const endCases: readonly EndCase[] = [
     { name: "an answer", react: respond("200 OK", "done"), arrivals: 1 },
@@ -157,7 +124,7 @@
         },
     },
     { name: "a rejection", react: refuse, arrivals: 1 },
-    { name: "an input that is lost", react: respond("409 Conflict\r\nNot-Executed: 1"), arrivals: 1 },
+    { name: "an input that is lost", react: respond("409 Conflict\r\nX-Not-Run: 1"), arrivals: 1 },
     { name: "another instance at the address", react: respond("421 Misdirected Request"), arrivals: 1 },
     { name: "a failure", react: respond("500 Internal Server Error"), arrivals: 1 },
     { name: "a reset", react: socket => socket.resetAndDestroy(), arrivals: 1 },
@@ -174,7 +141,8 @@
     { name: "a refused connection", prepare: ({ standIn }) => standIn.close(), arrivals: 0 },
     {
         name: "a hold that begins before the connection is established",
-        meanwhile: ({ pool, address }) => pool.holds.start(address, pool.usableInstances("desk")[0], 1_000, "call"),
+        meanwhile: ({ pool, address }) =>
+            pool.holds.start(address, pool.usableInstances(fixtures.SERVICE)[0], 1_000, "call"),
         arrivals: 0,
     },
     {
@@ -190,32 +158,16 @@
 async function send(testCase: EndCase, earlierSends: number) {
     const standIn = new StandIn(testCase.react ?? refuse);
     const address = await standIn.listen();
-    const pool = createPool(address);
+    const pool = fixtures.createPool(address, STARTED_MS);
     const caller = new AbortController();
     const scenario = { standIn, pool, caller, address };
-    const bound = { windowMs: 60_000, ratio: 1, slack: 100 };
-    const budget = new budgets.ServiceRetryBudget(
-        clocks.systemClock,
-        "desk",
-        () => bound,
-        fleetFixtures.knownFleet(["entry-1"]),
-    );
+    const budget = fixtures.createBudget({ windowMs: 60_000, ratio: 1, slack: 100 });
     const connections = new upstreamConnections.UpstreamConnections();
-    const context = {
-        clock: clocks.systemClock,
-        log: logs.silentLog,
-        wire,
-        connections,
-        pool,
-        onAnswer: () => undefined,
-        crashes: { findHeld: () => undefined, observeInterruption: () => undefined },
-        budgetOf: () => budget,
-        position: () => POSITION,
-    } as unknown as senders.SenderContext;
+    const context = fixtures.createContext({ pool, budget, connections, wire });
     const call = {
         metadata: { attempt: "a-1", promptTokens: 0, promptParts: [], pieces: [] },
         route: { kind: "idempotent", attempts: 2 } as Partial<routing.Route>,
-        service: "desk",
+        service: fixtures.SERVICE,
         method: "POST",
         path: "/look/1",
         headers: [],
