Don't name a source in the log for a stream whose version stays unknown

The log line of a resumed stream said learntFrom only-version although the call was rejected as of unknown origin, when this entry knew one version and the others contradicted or too few had answered. Decisions are unchanged.

--- a/src/process/streams/StreamOriginExchange.test.ts
+++ b/src/process/streams/StreamOriginExchange.test.ts
@@ -250,7 +250,9 @@
             receive({ kind: "stream-origin-answer", question, origins: [], hasSeveral: false, ...answer });
         }
         clock.advance(250);
-        vitest.expect((await resolving).decision).toEqual(decision);
+        const outcome = await resolving;
+        vitest.expect(outcome.decision).toEqual(decision);
+        vitest.expect(outcome.learntFrom === undefined).toBe(decision === UNKNOWN);
     });
 
     vitest.it("is asked for, and bound by the first answer that knows it", async () => {
--- a/src/process/streams/StreamOriginExchange.ts
+++ b/src/process/streams/StreamOriginExchange.ts
@@ -127,7 +127,7 @@
         if (attempt !== undefined) {
             this.remember(attempt, learnt.origins, lifetimeMs);
         }
-        const isOwn = learnt.origins.length === 0 && own.onlyVersion !== undefined;
+        const isOwn = learnt.onlyVersion !== undefined && own.onlyVersion !== undefined;
         return {
             decision: origins.decideResume({ ...learnt, targets, service }),
             learntFrom: isOwn ? "only-version" : learnt.from,
