Show that a full log device or an address in use keeps a process from starting or ending

What callers see: nothing answers. With standard output on a full device the process never answers its readiness check and doesn't end on SIGTERM; with a pipe that nobody reads it doesn't end after a planned stop; with one of its four addresses in use for 1.5 s it ends with code 1 at once.

--- a/standins/platform/EntryProgram.ts
+++ b/standins/platform/EntryProgram.ts
@@ -43,25 +43,37 @@
     };
 }
 
+/** How an entry's process is started. */
+export interface EntryProgramOptions {
+    /** Its ports, as in `EntryIdentity`; free ones by default. */
+    readonly ports?: readonly number[];
+    /** File or device that gets its standard output; `unread`: a pipe that nobody reads. A file of its own by default. */
+    readonly output?: string | "unread";
+    readonly stopLimitSeconds?: number;
+}
+
 /** The built program as one entry of a store's fleet. */
 export class EntryProgram {
     private constructor(
         readonly process: fleetProcesses.FleetProcess,
         private readonly directory: string,
         readonly callerAddress: string,
+        readonly readyAddress: string,
     ) {}
 
     /** Starts the process, without waiting until it is ready. */
-    static async start(store: string): Promise<EntryProgram> {
+    static async start(store: string, options: EntryProgramOptions = {}): Promise<EntryProgram> {
         const directory = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-entry-"));
-        const ports = await freePorts.findFreePorts(PORT_COUNT);
-        const identity = { instance: "entry-1", failureDomain: "zone-a", ports, store, seeds: [], stopLimitSeconds: 8 };
+        const ports = options.ports ?? await freePorts.findFreePorts(PORT_COUNT);
+        const stopLimitSeconds = options.stopLimitSeconds ?? 8;
+        const identity = { instance: "entry-1", failureDomain: "zone-a", ports, store, seeds: [], stopLimitSeconds };
         const file = path.join(directory, "entry.yaml");
         fs.writeFileSync(file, JSON.stringify(createSettings(identity)));
         const args = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
-        const child = new fleetProcesses.FleetProcess(args, path.join(directory, "entry.log"));
+        const output = options.output ?? path.join(directory, "entry.log");
+        const child = new fleetProcesses.FleetProcess(args, output === "unread" ? undefined : output);
         child.start();
-        return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`);
+        return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`, `127.0.0.1:${ports[1]}`);
     }
 
     /** Kills the process, and removes its files once it has ended. */
