Write the log such that no state of its descriptor holds or ends a process

Cause: the log library's output emits an error without a listener for any error but a closed pipe, which ends the process; its exit hook then repeats the failing write without limit. Node.js itself waits at its end for a write that blocks. Change: LogOutput, an output of our own of about 100 lines, with one write under way, a bounded backlog and a bounded drain; all roles use it, also those of pipelines, which wrote synchronously before. A process that is held by a blocked write at its end ends itself. Evidence: the two cases of the log failed before and pass; LogOutput.test.ts in virtual time.

--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -14,6 +14,7 @@
 import * as entryProcesses from "../process/EntryProcess";
 import * as checks from "./Check";
 import * as exitCodes from "./Exits";
+import * as loggedProcesses from "./LoggedProcess";
 import * as routeCommands from "./ServeRoutes";
 import * as settingsFiles from "./SettingsFile";
 import * as signals from "./Signals";
@@ -33,26 +34,17 @@
     }
     const { value } = settings;
     if (value.role === "route-entry" && role === "entry") {
-        return routeCommands.serveRoutes(value, path);
+        return loggedProcesses.runLogged(value, running => routeCommands.serveRoutes(value, path, running));
     }
     if (value.role === "route-entry" || value.role !== role) {
         checks.writeProblems(path, [{ path: "role", value: value.role, expected: role }], console.error);
         return exitCodes.EXIT_INVALID;
     }
-    return runProcess(value);
+    return loggedProcesses.runLogged(value, ({ log }) => runProcess(value, log));
 }
 
-async function runProcess(settings: PipelineProcessSettings): Promise<number> {
-    const log = logs.createLog(settings.instance, settings.logLevel);
-    let running: signals.RunningProcess;
-    try {
-        running = await startProcess(settings, log);
-    }
-    catch (error) {
-        const { code } = codes.codes.addressUnavailable;
-        log.fatal({ code, detail: String(error) }, "can't start");
-        return exitCodes.EXIT_FAILED;
-    }
+async function runProcess(settings: PipelineProcessSettings, log: logs.Log): Promise<number> {
+    const running = await startProcess(settings, log);
     log.info({ peer: running.peerAddress, admin: running.adminAddress, role: settings.role }, "listening");
     return signals.waitForStop(running, log);
 }
--- a/src/commands/ServeRoutes.ts
+++ b/src/commands/ServeRoutes.ts
@@ -5,49 +5,44 @@
 import * as platformStages from "../../platform/PlatformStages";
 import * as platformStores from "../../platform/PlatformStore";
 import * as clocks from "../common/Clock";
-import * as codes from "../common/Codes";
-import * as logs from "../common/Log";
 import * as settingsShapes from "../common/Settings";
 import * as routeEntries from "../process/routing/RouteEntry";
-import * as exitCodes from "./Exits";
+import * as loggedProcesses from "./LoggedProcess";
 import * as settingsReloads from "./SettingsReload";
 import * as signals from "./Signals";
 
 /** Runs a route entry and reloads its settings when their file changes; resolves to the exit code. */
-export async function serveRoutes(settings: settingsShapes.RouteEntrySettings, path: string): Promise<number> {
-    let reload: clocks.Disposable | undefined;
-    const { log, dropped, flush } = logs.createBoundedLog(settings.instance, settings.logLevel);
+export async function serveRoutes(
+    settings: settingsShapes.RouteEntrySettings,
+    path: string,
+    { log, counters }: loggedProcesses.LoggedProcess,
+): Promise<number> {
+    const running = await routeEntries.RouteEntry.start(settings, {
+        clock: clocks.systemClock,
+        log,
+        random: Math.random,
+        store: platformStores.createPlatformStore(settings.store),
+        callWire: platformCalls.platformCalls,
+        stageWire: platformStages.platformStages,
+        counters,
+    });
+    const apply = (reloaded: settingsShapes.Settings): void => {
+        if (reloaded.role === "route-entry") {
+            running.reload(reloaded);
+        }
+    };
+    const reload = new settingsReloads.SettingsReload({
+        path,
+        clock: clocks.systemClock,
+        log,
+        initialSettings: settings,
+        apply,
+    });
+    log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
     try {
-        const running = await routeEntries.RouteEntry.start(settings, {
-            clock: clocks.systemClock,
-            log,
-            random: Math.random,
-            store: platformStores.createPlatformStore(settings.store),
-            callWire: platformCalls.platformCalls,
-            stageWire: platformStages.platformStages,
-            droppedLogLines: dropped,
-        });
-        const apply = (reloaded: settingsShapes.Settings): void => {
-            if (reloaded.role === "route-entry") {
-                running.reload(reloaded);
-            }
-        };
-        reload = new settingsReloads.SettingsReload({
-            path,
-            clock: clocks.systemClock,
-            log,
-            initialSettings: settings,
-            apply,
-        });
-        log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
         return await signals.waitForStop(running, log);
     }
-    catch (error) {
-        log.fatal({ code: codes.codes.addressUnavailable.code, detail: String(error) }, "can't start");
-        return exitCodes.EXIT_FAILED;
-    }
     finally {
-        reload?.dispose();
-        flush();
+        reload.dispose();
     }
 }
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -11,6 +11,7 @@
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
 import * as peerEntries from "../peers/PeerEntry";
@@ -49,8 +50,7 @@
     readonly store: routingPorts.PublishedStore;
     readonly callWire: routingPorts.RoutedCallWire;
     readonly stageWire: routingPorts.StageWire;
-    /** Number of log lines dropped since the start. */
-    readonly droppedLogLines: () => number;
+    readonly counters: processCounters.ProcessCounters;
 }
 
 /** One running entry process. */
@@ -212,7 +212,7 @@
             fleet,
             retryBudgets,
             server: this.server,
-            droppedLogLines: options.droppedLogLines,
+            counters: options.counters,
         });
     }
 
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -4,6 +4,7 @@
 import * as crashMonitors from "../crashes/CrashMonitor";
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
+import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as replications from "../peers/PublishedReplication";
 import * as views from "../published/PublishedView";
@@ -21,13 +22,12 @@
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left">;
     readonly server: Pick<servers.RouteServer, "active">;
-    /** Number of log lines dropped since the start. */
-    readonly droppedLogLines: () => number;
+    readonly counters: processCounters.ProcessCounters;
 }
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
-    const { view, replication, host, pool, crashes, fleet, retryBudgets, server, droppedLogLines } = sources;
+    const { view, replication, host, pool, crashes, fleet, retryBudgets, server, counters } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -48,5 +48,6 @@
     add("cumincrank_window_retries", "Retries sent in the window of their budget", () => retryBudgets.retries);
     add("cumincrank_retries_left", "Retries that may be sent now, of all services", () => retryBudgets.left);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
-    add("cumincrank_dropped_log_lines", "Log lines dropped", () => droppedLogLines());
+    add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
+    add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
 }
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -7,6 +7,7 @@
 import * as platformStores from "../../platform/PlatformStore";
 import * as clocks from "../../src/common/Clock";
 import * as logs from "../../src/common/Log";
+import * as processCounters from "../../src/process/metrics/ProcessCounters";
 import * as routeEntries from "../../src/process/routing/RouteEntry";
 import * as freePorts from "../FreePorts";
 import * as engines from "./PlatformEngineStandIn";
@@ -92,7 +93,7 @@
             store: platformStores.createPlatformStore(storeAddress),
             callWire: platformCalls.platformCalls,
             stageWire: platformStages.platformStages,
-            droppedLogLines: () => 0,
+            counters: processCounters.noCounters,
         });
         this.entries.push(entry);
         this.readyAddresses.push(`127.0.0.1:${readyPort}`);
