--- a/src/commands/Exits.ts
+++ b/src/commands/Exits.ts
@@ -10,3 +10,5 @@
 export const EXIT_INVALID = 2;
 /** A stop aborted work in progress. */
 export const EXIT_WORK_ABORTED = 3;
+/** An error that no part of the process handled ended it; its log has the cause. */
+export const EXIT_DEFECT = 4;
--- a/src/process/metrics/ProcessCounters.ts
+++ b/src/process/metrics/ProcessCounters.ts
@@ -6,10 +6,13 @@
     readonly droppedLogLines: () => number;
     /** Writes of the log that failed since the start. */
     readonly failedLogWrites: () => number;
+    /** Errors of the operating system since the start that no part of the process handled. */
+    readonly machineErrors: () => number;
 }
 
 /** The counters of a process in which nothing is counted. */
 export const noCounters: ProcessCounters = {
     droppedLogLines: () => 0,
     failedLogWrites: () => 0,
+    machineErrors: () => 0,
 };
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -50,4 +50,5 @@
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
     add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
     add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
+    add("cumincrank_machine_errors", "Errors of the operating system that nobody handled", counters.machineErrors);
 }
