Wait for an address that is in use, and go on when no connection can be accepted

Cause: a start gave up at its first failure. Beside it: the listener for errors of a server was removed with the first one, so that a second failure to accept a connection would have ended the process (read in the code). Change: Listener tries again every 100 ms for 30 s, with a line each second; errors after the start are logged and survived. A process isn't ready before it accepts callers. Evidence: the four cases failed before and pass; Listener.test.ts.

--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -137,7 +137,7 @@
                 isReady: () => agent.isReady,
                 status: () => agent.status(),
                 registry: agent.metrics.registry,
-            }),
+            }, options),
         );
         agent.placement.start();
         agent.upstreamWatch.start();
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -100,6 +100,7 @@
         this.callerServer = this.disposables.add(
             new callerServers.CallerServer({
                 clock,
+                log,
                 metrics: this.metrics,
                 pipeline: this.createPipelineContext(),
                 findRejection: () => this.findRejection(),
@@ -121,7 +122,7 @@
                 isReady: () => entry.isReady,
                 status: () => entry.status(),
                 registry: entry.metrics.registry,
-            }),
+            }, options),
         );
         await entry.callerServer.listen(settings.callerListen);
         return entry;
@@ -144,7 +145,7 @@
 
     /** Whether the balancer may send requests; false while no agent is connected, as after a pause of the process. */
     get isReady(): boolean {
-        return !this.isDraining && this.node.isReady && this.agentPool.all.length > 0;
+        return !this.isDraining && this.callerAddress !== "" && this.node.isReady && this.agentPool.all.length > 0;
     }
 
     /** Version of the configuration in force; 0 if there is none. */
--- a/src/process/membership/Node.ts
+++ b/src/process/membership/Node.ts
@@ -123,7 +123,7 @@
     /** Opens the peer listener and starts the mesh, the list reader and the configuration reader. */
     async start(): Promise<void> {
         const server = net.createServer(socket => void this.accept(socket));
-        this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen));
+        this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen, this.options));
         this.startedMs = this.options.clock.now();
         this.mesh.start();
         void this.startReaders();
--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -94,7 +94,7 @@
     /** Starts to accept and open connections; rejects when the address can't be used. */
     async start(): Promise<void> {
         const server = net.createServer(socket => void this.accept(socket));
-        this.listener = await listeners.listen(server, this.options.listen);
+        this.listener = await listeners.listen(server, this.options.listen, this.options);
         void this.keepPresent();
         this.timers.push(
             new replacements.PeerReplacement({
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -249,7 +249,7 @@
 
     /** Whether the balancer may route callers here. */
     get isReady(): boolean {
-        return this.view.table !== undefined && !this.isDraining;
+        return this.view.table !== undefined && !this.isDraining && this.callerAddress !== "";
     }
 
     /** Applies the settings that may change while the process runs; addresses and names stay until the next start. */
@@ -302,7 +302,7 @@
     }
 
     private async listen(): Promise<void> {
-        const { settings } = this;
+        const { options, settings } = this;
         const source: adminServers.AdminSource = {
             isReady: () => this.isReady,
             status: () =>
@@ -323,8 +323,8 @@
         };
         this.replication.start();
         await this.peers.start();
-        this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, settings.readyPath));
-        this.admin = await adminServers.listenAdmin(settings.adminListen, source);
+        this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, options, settings.readyPath));
+        this.admin = await adminServers.listenAdmin(settings.adminListen, source, options);
         await this.server.listen(settings.callerListen);
     }
 
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -92,7 +92,7 @@
 
     /** Starts to accept connections; rejects when the address can't be used. */
     async listen(address: string): Promise<void> {
-        this.listener = await listeners.listen(this.server, address);
+        this.listener = await listeners.listen(this.server, address, this.context);
     }
 
     /** Applies the time-outs of `limits`, to open connections too. */
--- a/src/process/serving/AdminServer.ts
+++ b/src/process/serving/AdminServer.ts
@@ -18,10 +18,11 @@
 export async function listenAdmin(
     address: string,
     source: AdminSource,
+    context: listeners.ListenContext,
     readyPath = "/readyz",
 ): Promise<listeners.Listener> {
     const server = http.createServer((request, response) => void handleRequest(source, readyPath, request, response));
-    return listeners.listen(server, address);
+    return listeners.listen(server, address, context);
 }
 
 async function handleRequest(
--- a/src/process/serving/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -7,6 +7,7 @@
 import * as codes from "../../common/Codes";
 import * as configurations from "../../common/Configuration";
 import * as deadlines from "../../common/Deadline";
+import * as logs from "../../common/Log";
 import * as listeners from "../../connection/Listener";
 import * as answers from "../../request/CallerAnswer";
 import * as callerRequests from "../../request/CallerRequest";
@@ -24,6 +25,7 @@
 /** Dependencies of the server. */
 export interface CallerServerContext {
     readonly clock: clocks.Clock;
+    readonly log: logs.Log;
     readonly metrics: entryMetrics.EntryMetrics;
     readonly pipeline: pipelineRuns.PipelineContext;
     /** Why no request is accepted now; undefined when requests are accepted. */
@@ -75,7 +77,7 @@
 
     /** Starts accepting connections; rejects if the server can't listen on `address`. */
     async listen(address: string): Promise<void> {
-        this.listener = await listeners.listen(this.server, address);
+        this.listener = await listeners.listen(this.server, address, this.context);
     }
 
     /** Stops accepting connections; resolves when all requests have ended and their answers were sent or dropped. */
