--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -11,6 +11,7 @@
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
 import * as peerEntries from "../peers/PeerEntry";
@@ -49,8 +50,7 @@
     readonly store: routingPorts.PublishedStore;
     readonly callWire: routingPorts.RoutedCallWire;
     readonly stageWire: routingPorts.StageWire;
-    /** Number of log lines dropped since the start. */
-    readonly droppedLogLines: () => number;
+    readonly counters: processCounters.ProcessCounters;
 }
 
 /** One running entry process. */
@@ -212,7 +212,7 @@
             fleet,
             retryBudgets,
             server: this.server,
-            droppedLogLines: options.droppedLogLines,
+            counters: options.counters,
         });
     }
 
@@ -249,7 +249,7 @@
 
     /** Whether the balancer may route callers here. */
     get isReady(): boolean {
-        return this.view.table !== undefined && !this.isDraining;
+        return this.view.table !== undefined && !this.isDraining && this.callerAddress !== "";
     }
 
     /** Applies the settings that may change while the process runs; addresses and names stay until the next start. */
@@ -302,7 +302,7 @@
     }
 
     private async listen(): Promise<void> {
-        const { settings } = this;
+        const { options, settings } = this;
         const source: adminServers.AdminSource = {
             isReady: () => this.isReady,
             status: () =>
@@ -323,8 +323,8 @@
         };
         this.replication.start();
         await this.peers.start();
-        this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, settings.readyPath));
-        this.admin = await adminServers.listenAdmin(settings.adminListen, source);
+        this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, options, settings.readyPath));
+        this.admin = await adminServers.listenAdmin(settings.adminListen, source, options);
         await this.server.listen(settings.callerListen);
     }
 
