Don't end by itself when another entry, or the settings, name an address that can't be connected to

What callers saw: an entry ended by itself. Another entry lists an address whose port is out of range or missing (a list of entries, or its own hello), or a reload brings such a seed; Node.js throws on the port, and the promise of the task that keeps the connection was rejected with nobody to handle it.

A connection is only opened to an IP address and a port in range; anything else is unreachable. EndpointProbe, which says that it never rejects, is the same.

--- a/src/connection/EndpointProbe.ts
+++ b/src/connection/EndpointProbe.ts
@@ -13,6 +13,9 @@
 /** Opens a connection and closes it at once. Never rejects. */
 export function probeEndpoint(address: string, clock: clocks.Clock): Promise<EndpointState> {
     const { host, port } = addresses.parseAddress(address);
+    if (!addresses.isConnectable({ host, port })) {
+        return Promise.resolve("unknown");
+    }
     return new Promise(resolve => {
         const socket = net.connect(port, host);
         const timer = clock.schedule(TIMEOUT_MS, () => finish("unknown"));
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -74,6 +74,9 @@
         context: PeerContext,
     ): Promise<result.Result<PeerConnection, codes.Failure>> {
         const { host, port } = addresses.parseAddress(address);
+        if (!addresses.isConnectable({ host, port })) {
+            return result.err(codes.failure(codes.codes.peerUnreachable, `${address}: not an IP address and a port`));
+        }
         const socket = net.connect(port, host);
         const problem = await waitForConnect(socket, context.clock);
         if (problem !== undefined) {
