--- a/src/common/StageOrder.ts
+++ b/src/common/StageOrder.ts
@@ -41,7 +41,9 @@
     attempt: callerTextSchema.min(1),
     /** Identifies the caller's input to stages without predecessors. */
     pieceKey: callerTextSchema,
-    stages: z.array(stageSchema).max(MAX_STAGES),
+    stages: z.array(stageSchema).max(MAX_STAGES)
+        .refine(hasOnlyKnownPredecessors, "a predecessor that doesn't exist")
+        .refine(stages => countPieces(stages) <= MAX_PIECES, "too many pieces"),
     /** 0 is the most urgent. */
     priority: z.number(),
     /** Target time: time left until the results are needed for the call to be in time. */
@@ -57,6 +59,17 @@
 /** The request to run the stages of one call. */
 export type StageOrder = z.infer<typeof stageOrderSchema>;
 
+/** Whether the predecessors of all stages are stages of the same order. */
+export function hasOnlyKnownPredecessors(stages: readonly { readonly after: readonly number[] }[]): boolean {
+    return stages.every(({ after }) =>
+        after.every(predecessor => Number.isInteger(predecessor) && predecessor >= 0 && predecessor < stages.length)
+    );
+}
+
+function countPieces(stages: readonly z.infer<typeof stageSchema>[]): number {
+    return stages.reduce((sum, { pieces }) => sum + pieces, 0);
+}
+
 /** Indexes of the stages whose results other stages read; the call itself reads the results of the rest. */
 export function findIntermediateStages(order: StageOrder): ReadonlySet<number> {
     return new Set(order.stages.flatMap(stage => stage.pieces > 0 ? stage.after : []));
