Let timers with a delay above 2^31-1 ms wait instead of calling back at once

What callers saw: nothing is known to set such a timer now. Node.js turns such a delay into 1 ms; a timer that is set again when it fires is then a loop that keeps the processor.

The clock limits the delay to what a timer can hold, almost 25 days.

--- a/src/common/Clock.test.ts
+++ b/src/common/Clock.test.ts
@@ -18,3 +18,14 @@
         vitest.expect(warnings).toEqual([]);
     });
 });
+
+vitest.describe("a timer", () => {
+    // Guards against a loop that keeps the processor: Node.js calls back at once after a delay of 2^31 ms and more.
+    vitest.it.each([2 ** 31, 1e12, Infinity])("with a delay of %d ms doesn't call back soon", async delayMs => {
+        let calls = 0;
+        const timer = clocks.systemClock.schedule(delayMs, () => calls++);
+        await clocks.sleep(clocks.systemClock, 50);
+        timer.dispose();
+        vitest.expect(calls).toBe(0);
+    });
+});
--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -14,7 +14,7 @@
     now(): number;
     /** Wall-clock time in milliseconds since 1970; for identities and keys, never for intervals. */
     wall(): number;
-    /** Calls `callback` once after `delayMs`. */
+    /** Calls `callback` once after `delayMs`, or after the longest delay of a timer if that is shorter. */
     schedule(delayMs: number, callback: () => void): Disposable;
     /** Calls `callback` once the event loop has read what has arrived by now, connections that ended among it. */
     afterReads(callback: () => void): Disposable;
@@ -26,12 +26,15 @@
  */
 const READ_TURNS = 4;
 
+/** Longest delay of a timer, almost 25 days; Node.js calls back at once after a longer one. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** The clock of the operating system. */
 export const systemClock: Clock = {
     now: () => performance.now(),
     wall: () => Date.now(),
     schedule(delayMs, callback) {
-        const timer = setTimeout(callback, Math.max(0, delayMs));
+        const timer = setTimeout(callback, Math.min(MAX_TIMER_MS, Math.max(0, delayMs)));
         return { dispose: () => clearTimeout(timer) };
     },
     afterReads(callback) {
