Don't end by itself when the settings file can't be reached while running

What callers saw: an entry ended by itself at the next check of its settings file, if that was a link to itself or below a folder that it may not read: only a missing file was expected, and the error was thrown in a timer.

Any such error counts as a changed file, whose reload logs the problem and keeps the settings.

SettingsReload.test.ts: the new case failed before with ELOOP, and passes now.

--- a/src/commands/SettingsReload.test.ts
+++ b/src/commands/SettingsReload.test.ts
@@ -75,6 +75,17 @@
         },
         expectedSeeds: [NEW_SEEDS],
     },
+    {
+        // Guards against the end of the process: an error other than a missing file was thrown in a timer.
+        name: "no file that can't be reached",
+        afterStart: clock => {
+            fs.rmSync(file);
+            fs.symlinkSync(file, file);
+            clock.advance(AFTER_POLL_MS);
+            fs.rmSync(file);
+        },
+        expectedSeeds: [],
+    },
     {
         name: "no invalid settings",
         afterStart: clock => {
--- a/src/commands/SettingsReload.ts
+++ b/src/commands/SettingsReload.ts
@@ -67,8 +67,13 @@
         log.info({ decision: "reload", cause, settings: settings.value }, "settings reloaded");
     }
 
-    /** The file's modification time; 0 if there is no file, which the next reload then logs. */
+    /** The file's modification time; 0 if it can't be read, which the next reload then logs. */
     private readModifiedMs(): number {
-        return fs.statSync(this.options.path, { throwIfNoEntry: false })?.mtimeMs ?? 0;
+        try {
+            return fs.statSync(this.options.path).mtimeMs;
+        }
+        catch {
+            return 0;
+        }
     }
 }
