Answer a request for parts with each part once

What callers saw: by reading. A request of another entry that names one part of 32 KB over and over, up to 262,144 times in a frame, was answered with as many copies: gigabytes, beyond the limit of the process.

Each part is sent once, and no more than a message holds.

PublishedExchange.test.ts: the new case failed before (10,000 copies), and passes now.

--- a/src/common/EntryMessages.ts
+++ b/src/common/EntryMessages.ts
@@ -101,11 +101,14 @@
 /** A request for parts of contents. */
 export type PartsFetch = z.infer<typeof partsFetchSchema>;
 
+/** Number of parts in one message. */
+export const MAX_SENT_PARTS = 1_000;
+
 /** The requested parts that the sender has. */
 export const partsSchema = z.object({
     kind: z.literal("parts"),
     request: z.int().min(0),
-    contents: z.array(z.instanceof(Uint8Array)).max(1_000),
+    contents: z.array(z.instanceof(Uint8Array)).max(MAX_SENT_PARTS),
 });
 
 /** Parts of contents. */
--- a/src/process/peers/PublishedExchange.test.ts
+++ b/src/process/peers/PublishedExchange.test.ts
@@ -1,5 +1,6 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
+import * as contentParts from "../../common/ContentParts";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
@@ -96,6 +97,29 @@
     return message.kind === "parts" ? message.contents.reduce((sum, content) => sum + content.length, 0) : 0;
 }
 
+vitest.describe("a request for parts", () => {
+    // Guards against the end of the process for lack of memory: each mention of a part was answered with its bytes.
+    vitest.it("is answered with each part once", () => {
+        const clock = new clocks.ManualClock();
+        const [asking, asked] = [new TestEntry("asking", clock), new TestEntry("asked", clock)];
+        const peer = asking.connect(asked);
+        asked.put(1, createContent(300));
+        peer.position = { era: 0, revision: 1 };
+        clock.advance(CHECK_MS);
+        clock.advance(CHECK_MS);
+        asking.exchangeWith(asked); // The update, which states the parts.
+        const [request] = asking.outbox;
+        if (request?.message.kind !== "parts-fetch") {
+            throw new Error("no parts were requested");
+        }
+        const [reference] = contentParts.decodeReferences(request.message.parts)!;
+        const parts = contentParts.encodeReferences(Array.from({ length: 10_000 }, () => reference!));
+        asking.outbox = [{ to: asked, message: { ...request.message, parts } }];
+        vitest.expect(asking.exchangeWith(asked)).toBe(reference!.bytes);
+        [asking, asked].forEach(entry => entry.dispose());
+    });
+});
+
 vitest.describe("an entry that is behind", () => {
     let clock: clocks.ManualClock;
     let entry: TestEntry;
--- a/src/process/peers/PublishedExchange.ts
+++ b/src/process/peers/PublishedExchange.ts
@@ -155,7 +155,8 @@
 
     private buildParts({ request, parts }: entryMessages.PartsFetch): messages.Message {
         const references = contentParts.decodeReferences(parts) ?? [];
-        const contents = references.flatMap(({ digest }) => this.index.find(digest) ?? []);
+        const digests = new Set(references.slice(0, entryMessages.MAX_SENT_PARTS).map(({ digest }) => digest));
+        const contents = [...digests].flatMap(digest => this.index.find(digest) ?? []);
         return { kind: "parts", request, contents: contents.map(content => new Uint8Array(content)) };
     }
 
