Reject frames with tags that no message has

What callers saw: a frame with a number of a megabyte, which other entries don't send but can, made a process hang: the decoder reads it in a time that grows with the square of its size. Other tags stand for patterns and references to themselves.

Frames are scanned before they are decoded; the only tag in messages is that of byte arrays.

--- a/src/connection/FrameCodec.test.ts
+++ b/src/connection/FrameCodec.test.ts
@@ -12,8 +12,17 @@
     { version: 0, message: { kind: "fetch", from: 3 } },
     { version: 7, message: { kind: "part", call: 1, offset: 40, tokens: ["gold", " leaf"] } },
     { version: 7, message: { kind: "cancel", call: 9 } },
+    { version: 7, era: 1, message: { kind: "parts", request: 1, contents: [new Uint8Array(300)] } },
 ];
 
+/** A frame with an integer of this size, whose decoding takes a time that grows with the square of it. */
+function encodeBigNumber(bytes: number): Buffer {
+    const head = Buffer.from([0, 0, 0, 0, 0xc2, 0x5a, 0, 0, 0, 0]);
+    head.writeUInt32BE(head.length - 4 + bytes, 0);
+    head.writeUInt32BE(bytes, head.length - 4);
+    return Buffer.concat([head, Buffer.alloc(bytes, 0xff)]);
+}
+
 describe("FrameDecoder", () => {
     it("decodes the same envelopes wherever the bytes are split", () => {
         const bytes = Buffer.concat(samples.map(frames.encodeFrame));
@@ -34,6 +43,7 @@
         ["an oversized frame", Buffer.from([0xff, 0, 0, 0]), codes.codes.frameTooLarge],
         ["bytes that are not CBOR", Buffer.from([0, 0, 0, 2, 0xff, 0xff]), codes.codes.frameMalformed],
         ["a value of the wrong shape", Buffer.from([0, 0, 0, 1, 0x01]), codes.codes.frameMalformed],
+        ["a number of a megabyte, within seconds", encodeBigNumber(1_000_000), codes.codes.frameMalformed],
     ];
     it.each(malformed)("rejects %s", (_name, bytes, code) => {
         const decoded = new frames.FrameDecoder().push(bytes);
--- a/src/connection/FrameCodec.ts
+++ b/src/connection/FrameCodec.ts
@@ -5,6 +5,7 @@
 import * as result from "true-myth/result";
 import * as codes from "../common/Codes";
 import * as messages from "../common/Messages";
+import * as cborTags from "./CborTags";
 
 const PREFIX_BYTES = 4;
 
@@ -80,6 +81,9 @@
 }
 
 function decodeContent(content: Buffer): result.Result<messages.Envelope, codes.Failure> {
+    if (!cborTags.hasOnlyTag(content, cborTags.BYTE_ARRAY_TAG)) {
+        return result.err(codes.failure(codes.codes.frameMalformed, "a tag that no message has"));
+    }
     let value: unknown;
     try {
         value = encoder.decode(content);
