Don't end by itself when a page of the store has more items than a call takes arguments

What callers saw: an entry ended by itself when the store listed well above 100,000 small records in a page: they were passed as the arguments of one call, whose error rejected the reader's task.

They are added one by one.

PublishedReader.test.ts: the new case (200,000 items) failed before, and passes now.

--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -135,6 +135,29 @@
     });
 });
 
+function startReader(
+    store: routingPorts.PublishedStore,
+    clock: clocks.Clock,
+): { readonly reader: readers.PublishedReader; readonly view: views.PublishedView } {
+    const view = new views.PublishedView({ clock, log: logs.silentLog, decode: store.decode });
+    const shared = { clock, log: logs.silentLog, store, view, random: () => 0 };
+    const reader = new readers.PublishedReader({ ...shared, instance: "self", peerNames: () => [] });
+    reader.start();
+    return { reader, view };
+}
+
+vitest.describe("a reader of an odd store", () => {
+    // Guards against the end of the process: a call took each item as an argument.
+    vitest.it("reads a page of very many items", async () => {
+        const items = Array.from({ length: 200_000 }, (_, index) => item(`other/${index}`, 1));
+        const { store, requests } = scriptedStore([{ ...onlyPage, items }], []);
+        const { reader, view } = startReader(store, clocks.systemClock);
+        await vitest.vi.waitUntil(() => requests.length > 1, { timeout: 30_000 });
+        vitest.expect(view.position.revision).toBe(onlyPage.revision);
+        reader.dispose();
+    });
+});
+
 vitest.describe("the wait of a watch", () => {
     const peers = Array.from({ length: 7 }, (_, index) => `peer-${index}`);
     vitest.it.each([
--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -99,7 +99,7 @@
             if (failure !== undefined) {
                 return failure;
             }
-            items.push(...page.value.items);
+            page.value.items.forEach(item => items.push(item)); // A page may have more items than a call takes arguments.
             after = page.value.nextAfter;
         }
         while (after !== undefined);
