Pause between listings of the store if listing again hasn't helped

If the store never has the history since its own listing (a restored store that states no era, or one odd revision), an entry lists and watches it in turn without a pause, which keeps its processor and the store's.

The first listing after a lost history is made at once, as before; the next ones after the pause of a failed call.

--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -156,6 +156,20 @@
         vitest.expect(view.position.revision).toBe(onlyPage.revision);
         reader.dispose();
     });
+
+    // Guards against a loop that keeps the processor, if the store never has the history since its own listing.
+    vitest.it("pauses when listing again hasn't helped", async () => {
+        const lost = Array.from({ length: 100 }, () => changes([], 5, true));
+        const { store, requests } = scriptedStore([onlyPage], lost);
+        const clock = new clocks.ManualClock();
+        const { reader } = startReader(store, clock);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        vitest.expect(requests).toEqual(["list -", "watch 5", "list -", "watch 5"]);
+        clock.advance(1_000);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        vitest.expect(requests).toHaveLength(6);
+        reader.dispose();
+    });
 });
 
 vitest.describe("the wait of a watch", () => {
--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -62,9 +62,11 @@
 
     private async runLoop(): Promise<void> {
         let isListed = false;
+        let isLost = false;
         while (!this.stop.signal.aborted) {
             const failure = isListed ? await this.watchOnce() : await this.listAll();
             if (failure === undefined) {
+                isLost &&= !isListed;
                 isListed = true;
                 continue;
             }
@@ -74,15 +76,23 @@
                     "store history lost; listing all keys again",
                 );
                 isListed = false;
+                if (isLost) {
+                    await this.sleepBeforeRetry(); // Listing again hasn't helped.
+                }
+                isLost = true;
                 continue;
             }
             if (!this.recordFailure(failure)) {
-                const delayMs = RETRY_DELAY_MS * (0.5 + this.options.random());
-                await clocks.sleep(this.options.clock, delayMs, this.stop.signal);
+                await this.sleepBeforeRetry();
             }
         }
     }
 
+    private sleepBeforeRetry(): Promise<void> {
+        const delayMs = RETRY_DELAY_MS * (0.5 + this.options.random());
+        return clocks.sleep(this.options.clock, delayMs, this.stop.signal);
+    }
+
     /** Reads all pages. The watch starts at the first page's revision, to get changes made in the meantime. */
     private async listAll(): Promise<codes.Failure | undefined> {
         const items: routing.PublishedItem[] = [];
