Read the published store on after an exception

What callers saw: an exception while an answer of the store was taken over, a defect of this program, rejected the reader's task and ended the process with all its requests; its successor would meet the same answer.

It is logged as an exception, and counts as a failed call, which is made again after a pause; what is known stays in force.

PublishedReader.test.ts: the new case failed before, and passes now.

--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -170,6 +170,21 @@
         vitest.expect(requests).toHaveLength(6);
         reader.dispose();
     });
+
+    // Guards against the end of the process by a record that its own code can't handle.
+    vitest.it("goes on after an exception", async () => {
+        const { store, requests } = scriptedStore([onlyPage], []);
+        let failures = 1;
+        const decode: typeof store.decode = found => {
+            if (failures-- > 0) {
+                throw new Error("test");
+            }
+            return store.decode(found);
+        };
+        const { reader } = startReader({ ...store, decode }, clocks.systemClock);
+        await vitest.vi.waitUntil(() => requests.includes("watch 5"), { timeout: 30_000 });
+        reader.dispose();
+    });
 });
 
 vitest.describe("the wait of a watch", () => {
--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -64,7 +64,7 @@
         let isListed = false;
         let isLost = false;
         while (!this.stop.signal.aborted) {
-            const failure = isListed ? await this.watchOnce() : await this.listAll();
+            const failure = await this.tryRead(isListed);
             if (failure === undefined) {
                 isLost &&= !isListed;
                 isListed = true;
@@ -93,6 +93,17 @@
         return clocks.sleep(this.options.clock, delayMs, this.stop.signal);
     }
 
+    /** Lists or watches; an exception, which is a defect of this program, doesn't end the reading. */
+    private async tryRead(isListed: boolean): Promise<codes.Failure | undefined> {
+        try {
+            return isListed ? await this.watchOnce() : await this.listAll();
+        }
+        catch (error) {
+            this.options.log.error({ decision: "exception", err: error }, "reading the published store failed");
+            return codes.failure(codes.codes.internalError, String(error));
+        }
+    }
+
     /** Reads all pages. The watch starts at the first page's revision, to get changes made in the meantime. */
     private async listAll(): Promise<codes.Failure | undefined> {
         const items: routing.PublishedItem[] = [];
