Don't end by itself when a message of another entry can't be handled

What callers saw: an exception in the handler of a message, a defect of this program, rejected the task that reads the connection, and ended the process with all its requests; the sender repeats the message to its successor, and to other entries.

It is logged as an exception with the sender and the kind of the message, and costs the message alone.

HandlerExceptions.test.ts failed before (the second message was not handled within 30 s), and passes now.

--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -284,7 +284,7 @@
             }
             peer.lastHeardMs = this.options.clock.now();
             peer.position = { era: envelope.era ?? 0, revision: envelope.version };
-            this.handleFrame({ peer, connection, message: envelope.message });
+            this.tryHandleFrame({ peer, connection, message: envelope.message });
         }
         if (peerEntries.endConnection(peer, connection, this.options.clock.now())) {
             this.options.log.warn({ dependency: "entry", peer: peer.instance }, "peer connection lost");
@@ -292,6 +292,22 @@
         this.disconnectEmitter.fire(connection);
     }
 
+    /** An exception in a handler, which is a defect of this program, costs the message alone. */
+    private tryHandleFrame(frame: PeerFrame): void {
+        try {
+            this.handleFrame(frame);
+        }
+        catch (error) {
+            const fields = {
+                decision: "exception",
+                peer: frame.peer.instance,
+                message: frame.message.kind,
+                err: error,
+            };
+            this.options.log.error(fields, "handling a message failed");
+        }
+    }
+
     private handleFrame(frame: PeerFrame): void {
         const { message, peer } = frame;
         if (message.kind === "entries") {
