Don't end by itself when the status or the metrics can't be read

An exception while a page of the admin server was made rejected a promise that nobody handles.

It is answered with status 500 and the error.

--- a/src/process/serving/AdminServer.ts
+++ b/src/process/serving/AdminServer.ts
@@ -20,7 +20,14 @@
     source: AdminSource,
     readyPath = "/readyz",
 ): Promise<listeners.Listener> {
-    const server = http.createServer((request, response) => void handleRequest(source, readyPath, request, response));
+    const server = http.createServer((request, response) => {
+        handleRequest(source, readyPath, request, response).catch((error: unknown) => {
+            // Whoever asked sees the cause; the work of the process doesn't depend on it.
+            if (!response.headersSent) {
+                send(response, 500, "text/plain", `${String(error)}\n`);
+            }
+        });
+    });
     return listeners.listen(server, address);
 }
 
