Don't end by itself when a task in the background fails

What callers saw: by reading; no input is known. Orders of other entries, stage calls, releases, answers about streams and examinations of crashes run in tasks that nobody waits for. An exception in one, a defect of this program, ended the process.

runInBackground logs it as an exception with the name of the task.

ServedOrders.test.ts passes the log that the class needs now.

--- a/src/process/crashes/CrashMonitor.ts
+++ b/src/process/crashes/CrashMonitor.ts
@@ -3,6 +3,7 @@
  * that crash instances, and those whose prompts have parts that do. A connection may also be lost while its instance serves on, so an
  * interruption counts only once the instance's address refuses connections.
  */
+import * as backgroundTasks from "../../common/BackgroundTask";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
@@ -90,7 +91,14 @@
         requestNames(call).forEach(request => possible.requests.set(request, sentAtMs));
         if (pending === undefined) {
             this.possibleEnds.set(key, possible);
-            void this.examine(instance, possible, call.attempt).finally(() => this.possibleEnds.delete(key));
+            backgroundTasks.runInBackground(this.options.log, "crash-examination", async () => {
+                try {
+                    await this.examine(instance, possible, call.attempt);
+                }
+                finally {
+                    this.possibleEnds.delete(key);
+                }
+            });
         }
     }
 
--- a/src/process/stages/ResultReleaser.ts
+++ b/src/process/stages/ResultReleaser.ts
@@ -1,6 +1,7 @@
 /**
  * Releases results of stages that are no longer needed, with one call per stage worker.
  */
+import * as backgroundTasks from "../../common/BackgroundTask";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
@@ -77,7 +78,8 @@
                 this.logFailure(worker, handles, "held", this.options.clock.now());
             }
             else {
-                void this.releaseFrom(worker, handles);
+                const release = (): Promise<void> => this.releaseFrom(worker, handles);
+                backgroundTasks.runInBackground(this.options.log, "release", release);
             }
         }
     }
--- a/src/process/stages/ServedOrders.test.ts
+++ b/src/process/stages/ServedOrders.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
+import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as servedOrders from "./ServedOrders";
 import * as fixtures from "./StageFixtures";
@@ -21,7 +22,7 @@
                     resolve({ kind: "failed", failure: codes.failure(codes.codes.cancelled, "aborted") }));
             }),
         releaseResults: handles => void released.push(...handles),
-    });
+    }, logs.silentLog);
     const connect = () => {
         const sent: messages.Message[] = [];
         return { sent, send: (message: messages.Message) => sent.push(message) > 0 };
--- a/src/process/stages/ServedOrders.ts
+++ b/src/process/stages/ServedOrders.ts
@@ -3,7 +3,9 @@
  * while: when connections of many entries are reset at once, their orders continue as soon as the entries are back,
  * rather than being computed again on another host beside this one.
  */
+import * as backgroundTasks from "../../common/BackgroundTask";
 import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as stageOrders from "../../common/StageOrder";
 import * as stageEndMessages from "./StageEndMessage";
@@ -43,14 +45,18 @@
     /** Orders whose connection is lost, by the call's attempt, which may have several of them: the oldest first. */
     private readonly unclaimed = new Map<string, readonly ServedOrder[]>();
 
-    constructor(private readonly clock: clocks.Clock, private readonly host: OrderHost) {}
+    constructor(
+        private readonly clock: clocks.Clock,
+        private readonly host: OrderHost,
+        private readonly log: logs.Log,
+    ) {}
 
     /** Runs an order, or continues one whose connection was lost. */
     serve(connection: OrderConnection, order: number, content: stageOrders.StageOrder): void {
         const sender = { connection, order };
         const claimed = this.unclaimed.get(content.attempt)?.[0];
         if (claimed === undefined) {
-            void this.start(sender, content);
+            backgroundTasks.runInBackground(this.log, "stage-order", () => this.start(sender, content));
             return;
         }
         claimed.claimTimer?.dispose();
--- a/src/process/stages/StageClient.ts
+++ b/src/process/stages/StageClient.ts
@@ -59,7 +59,7 @@
     private nextOrderId = 1;
 
     constructor(private readonly options: StageClientOptions) {
-        this.servedOrders = new servedOrders.ServedOrders(options.clock, options.host);
+        this.servedOrders = new servedOrders.ServedOrders(options.clock, options.host, options.log);
         this.subscriptions.add(options.peers.onFrame(frame => this.handleMessage(frame)));
         this.subscriptions.add(options.peers.onDisconnect(connection => this.handleLostConnection(connection)));
     }
--- a/src/process/stages/StageHost.ts
+++ b/src/process/stages/StageHost.ts
@@ -1,6 +1,7 @@
 /**
  * Runs the stages of calls for this entry and for others: carries out the decisions of the scheduler.
  */
+import * as backgroundTasks from "../../common/BackgroundTask";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as stageOrders from "../../common/StageOrder";
@@ -186,7 +187,7 @@
             if (batch === undefined) {
                 break;
             }
-            void this.runBatch(batch);
+            backgroundTasks.runInBackground(this.options.log, "stage-call", () => this.runBatch(batch));
         }
         this.scheduler.takeProgress().forEach((computed, id) => this.pendingOrders.get(id)?.onProgress(computed));
         this.scheduler.takeOutcomes().forEach(outcome => this.reportOutcome(outcome));
--- a/src/process/streams/StreamOriginExchange.ts
+++ b/src/process/streams/StreamOriginExchange.ts
@@ -3,6 +3,7 @@
  * has a few homes among the entries, chosen by its attempt; they are told when its first event is forwarded, but only
  * while its service may have instances of several versions. An entry that doesn't know a stream asks its homes.
  */
+import * as backgroundTasks from "../../common/BackgroundTask";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as entryMessages from "../../common/EntryMessages";
@@ -254,7 +255,8 @@
             message.streams.forEach(stream => this.memory.add(stream, nowMs));
         }
         if (message.kind === "stream-origin-ask") {
-            void this.answer(message, frame.connection);
+            const answer = (): Promise<void> => this.answer(message, frame.connection);
+            backgroundTasks.runInBackground(this.options.log, "stream-origin-answer", answer);
         }
         if (message.kind === "stream-origin-answer") {
             this.handleAnswer(message, frame.peer.instance);
