A fuzz of all that a process reads, against the shipped program

After each batch both entries must be the same processes, answer their ready address, serve valid calls of four kinds, be idle without work, keep to 350 MB, and have logged no exception. What other entries and the store can say by design (a newer position, a higher version) is left out.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -21,6 +21,7 @@
     },
     { entryPoints: ["bench/Main.ts"], outfile: "dist/bench.mjs", format: "esm", banner: { js: requireBanner } },
     { entryPoints: ["soak/Main.ts"], outfile: "dist/soak.mjs", format: "esm", banner: { js: requireBanner } },
+    { entryPoints: ["fuzz/Main.ts"], outfile: "dist/fuzz.mjs", format: "esm", banner: { js: requireBanner } },
     { entryPoints: ["standins/Main.ts"], outfile: "dist/standins.cjs", format: "cjs" },
     { entryPoints: ["standins/Bare.ts"], outfile: "dist/bare.cjs", format: "cjs" },
 ];
--- a/standins/FleetProcess.ts
+++ b/standins/FleetProcess.ts
@@ -5,6 +5,7 @@
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as readline from "node:readline";
+import * as stream from "node:stream";
 
 const runningChildren = new Set<childProcess.ChildProcess>();
 /** Command prefix that makes the kernel kill the child when the harness is killed; used if setpriv is installed. */
@@ -70,6 +71,16 @@
         return this.child !== undefined;
     }
 
+    /** Id of the running process; undefined if it isn't running. */
+    get pid(): number | undefined {
+        return this.child?.pid;
+    }
+
+    /** Standard output of the running process; undefined with a log file. */
+    get output(): stream.Readable | undefined {
+        return this.child?.stdout ?? undefined;
+    }
+
     /** Kills the process with SIGKILL. */
     kill(): void {
         const child = this.child;
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -220,7 +220,8 @@
     };
 }
 
-function sendRequest(
+/** Sends a request on a connection of its own; rejects if there is no answer. */
+export function sendRequest(
     address: string,
     method: string,
     path: string,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
             "standins/**/*.test.ts",
             "bench/**/*.test.ts",
             "soak/**/*.test.ts",
+            "fuzz/**/*.test.ts",
             "tests/**/*.test.ts",
         ],
         testTimeout: 60_000,
