--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -135,6 +135,58 @@
     });
 });
 
+function startReader(
+    store: routingPorts.PublishedStore,
+    clock: clocks.Clock,
+): { readonly reader: readers.PublishedReader; readonly view: views.PublishedView } {
+    const view = new views.PublishedView({ clock, log: logs.silentLog, decode: store.decode });
+    const shared = { clock, log: logs.silentLog, store, view, random: () => 0 };
+    const reader = new readers.PublishedReader({ ...shared, instance: "self", peerNames: () => [] });
+    reader.start();
+    return { reader, view };
+}
+
+vitest.describe("a reader of an odd store", () => {
+    // Guards against the end of the process: a call took each item as an argument.
+    vitest.it("reads a page of very many items", async () => {
+        const items = Array.from({ length: 200_000 }, (_, index) => item(`other/${index}`, 1));
+        const { store, requests } = scriptedStore([{ ...onlyPage, items }], []);
+        const { reader, view } = startReader(store, clocks.systemClock);
+        await vitest.vi.waitUntil(() => requests.length > 1, { timeout: 30_000 });
+        vitest.expect(view.position.revision).toBe(onlyPage.revision);
+        reader.dispose();
+    });
+
+    // Guards against a loop that keeps the processor, if the store never has the history since its own listing.
+    vitest.it("pauses when listing again hasn't helped", async () => {
+        const lost = Array.from({ length: 100 }, () => changes([], 5, true));
+        const { store, requests } = scriptedStore([onlyPage], lost);
+        const clock = new clocks.ManualClock();
+        const { reader } = startReader(store, clock);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        vitest.expect(requests).toEqual(["list -", "watch 5", "list -", "watch 5"]);
+        clock.advance(1_000);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        vitest.expect(requests).toHaveLength(6);
+        reader.dispose();
+    });
+
+    // Guards against the end of the process by a record that its own code can't handle.
+    vitest.it("goes on after an exception", async () => {
+        const { store, requests } = scriptedStore([onlyPage], []);
+        let failures = 1;
+        const decode: typeof store.decode = found => {
+            if (failures-- > 0) {
+                throw new Error("test");
+            }
+            return store.decode(found);
+        };
+        const { reader } = startReader({ ...store, decode }, clocks.systemClock);
+        await vitest.vi.waitUntil(() => requests.includes("watch 5"), { timeout: 30_000 });
+        reader.dispose();
+    });
+});
+
 vitest.describe("the wait of a watch", () => {
     const peers = Array.from({ length: 7 }, (_, index) => `peer-${index}`);
     vitest.it.each([
