No retry in a first start while the bound allows none

Callers saw nothing: found while choosing what a start does without known bounds. With `ratio` 0 and `slack` 0, an entry in a first start (`isFirstStart`) still made one retry for each service until it knew the other entries, since the retry that it may save before that didn't depend on the bound.

Change: what may be saved before the others are known is at most the slack.

--- a/src/process/instances/ServiceRetryBudget.test.ts
+++ b/src/process/instances/ServiceRetryBudget.test.ts
@@ -8,9 +8,9 @@
 /** Four entries may save 12 retries and earn 4 in a window by time; a first call earns 2/15 of a retry. */
 const BOUND: budgets.RetryBound = { windowMs: 10_000, ratio: 0.2, slack: 20 };
 
-function createBudget(clock: clocks.ManualClock, known: Partial<fleetSizes.Fleet>) {
+function createBudget(clock: clocks.ManualClock, known: Partial<fleetSizes.Fleet>, bound = BOUND) {
     const fleet = { ...fixtures.knownFleet(NAMES), ...known };
-    const budget = new budgets.ServiceRetryBudget(clock, "desk", () => BOUND, fleet);
+    const budget = new budgets.ServiceRetryBudget(clock, "desk", () => bound, fleet);
     const countFirstCalls = (count: number): void => {
         for (let call = 0; call < count; call++) {
             budget.countFirstCall();
@@ -23,6 +23,7 @@
 interface BudgetCase {
     readonly name: string;
     readonly known: (nowMs: number) => Partial<fleetSizes.Fleet>;
+    readonly bound?: budgets.RetryBound;
     readonly firstCalls: number;
     readonly laterMs?: number;
     readonly retries: number;
@@ -69,12 +70,32 @@
         firstCalls: 0,
         retries: 3,
     },
+    {
+        name: "one at the first start of all, while the others aren't known",
+        known: () => ({ precededUntilMs: -Infinity, settledAtMs: undefined }),
+        firstCalls: 0,
+        retries: 1,
+    },
+    {
+        name: "none at the first start of all, while the others aren't known, by a bound of none",
+        known: () => ({ precededUntilMs: -Infinity, settledAtMs: undefined }),
+        bound: { windowMs: 10_000, ratio: 0, slack: 0 },
+        firstCalls: 50,
+        retries: 0,
+    },
+    {
+        name: "none at the first start of all by a bound of none",
+        known: nowMs => ({ precededUntilMs: -Infinity, settledAtMs: nowMs }),
+        bound: { windowMs: 10_000, ratio: 0, slack: 0 },
+        firstCalls: 50,
+        retries: 0,
+    },
 ];
 
 vitest.describe("the retry budget of a service", () => {
-    vitest.it.each(cases)("allows $name", ({ known, firstCalls, laterMs = 0, retries }) => {
+    vitest.it.each(cases)("allows $name", ({ known, bound, firstCalls, laterMs = 0, retries }) => {
         const clock = new clocks.ManualClock();
-        const { countFirstCalls, spendAll } = createBudget(clock, known(clock.now()));
+        const { countFirstCalls, spendAll } = createBudget(clock, known(clock.now()), bound);
         countFirstCalls(firstCalls);
         clock.advance(laterMs);
         vitest.expect(spendAll()).toBe(retries);
--- a/src/process/instances/ServiceRetryBudget.ts
+++ b/src/process/instances/ServiceRetryBudget.ts
@@ -50,7 +50,7 @@
     private readonly retryTimesMs: number[] = [];
     private earned: number;
     /** Retries that may be saved beside those of the first calls. */
-    private stock = UNSETTLED_STOCK;
+    private stock: number;
     private stockUntilMs = -Infinity;
     private earnedUntilMs = -Infinity;
 
@@ -61,7 +61,8 @@
         private readonly bound: () => RetryBound,
         private readonly fleet: fleetSizes.Fleet,
     ) {
-        this.earned = this.hasNoPredecessor ? UNSETTLED_STOCK : 0;
+        this.stock = Math.min(UNSETTLED_STOCK, bound().slack);
+        this.earned = this.hasNoPredecessor ? this.stock : 0;
     }
 
     /** Counts the first time that a call is sent to the service. */
@@ -130,10 +131,11 @@
     private updateStock(nowMs: number): void {
         if (this.fleet.settledAtMs !== undefined && nowMs >= this.stockUntilMs) {
             const isFirst = this.stockUntilMs === -Infinity;
+            const unsettledStock = this.stock;
             this.stockUntilMs = nowMs + STOCK_LIFETIME_MS;
             const total = STOCK_SHARE * this.bound().slack;
             this.stock = shares.wholeShare(total, this.service, this.fleet, { lengthMs: 0, nowMs });
-            this.earned += isFirst && this.hasNoPredecessor ? this.stock - UNSETTLED_STOCK : 0;
+            this.earned += isFirst && this.hasNoPredecessor ? this.stock - unsettledStock : 0;
         }
     }
 
