A process starts without values of optional settings

What callers saw: a settings file in which a placeholder had no value, or in which any optional setting was invalid, ended each start with exit code 2, start after start.

Cause: null and an empty text were invalid for every setting; `region`, `seeds`, `stopLimitSeconds`, `repeats` and `coldRate` had no default; and one invalid value refused the whole file.

Change: null or an empty text counts as absent, in all roles. These settings have defaults that stay within unknown bounds: no retries without a window, nothing beyond the published rate for cold instances, unknown cores (0, which peers already take for "not known"; the former default of 1 would have made an entry that doesn't know its cores the only possible stage host). At a start, invalid optional and unknown settings are left out, and a warning names each. `check` and a reload stay as strict as before, but for empty settings. Addresses, names, domain and store are required as before.

--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -12,37 +12,36 @@
 import * as weightStores from "../process/adapters/WeightStoreService";
 import * as agentProcesses from "../process/AgentProcess";
 import * as entryProcesses from "../process/EntryProcess";
+import * as configurationChecks from "../version/ConfigurationCheck";
 import * as checks from "./Check";
 import * as exitCodes from "./Exits";
 import * as routeCommands from "./ServeRoutes";
-import * as settingsFiles from "./SettingsFile";
 import * as signals from "./Signals";
+import * as startSettings from "./StartSettings";
 
 type PipelineProcessSettings = settingsShapes.EntrySettings | settingsShapes.AgentSettings;
 
 /** Runs the process that the settings describe; resolves to the exit code. */
-export async function serve(role: "entry" | "agent", path: string): Promise<number> {
+export async function serve(role: startSettings.ServingCommand, path: string): Promise<number> {
     if (process.env["UV_USE_IO_URING"] === "1") {
         console.error(`${codes.codes.platformUnsupported.code} UV_USE_IO_URING=1 is set; io_uring isn't supported`);
         return exitCodes.EXIT_FAILED;
     }
-    const settings = settingsFiles.readSettings(path);
-    if (settings.isErr) {
-        checks.writeProblems(path, settings.error, console.error);
+    const start = startSettings.readFor(role, path);
+    if (start.isErr) {
+        checks.writeProblems(path, start.error, console.error);
         return exitCodes.EXIT_INVALID;
     }
-    const { value } = settings;
-    if (value.role === "route-entry" && role === "entry") {
-        return routeCommands.serveRoutes(value, path);
-    }
-    if (value.role === "route-entry" || value.role !== role) {
-        checks.writeProblems(path, [{ path: "role", value: value.role, expected: role }], console.error);
-        return exitCodes.EXIT_INVALID;
-    }
-    return runProcess(value);
+    const { settings, problems } = start.value;
+    return settings.role === "route-entry"
+        ? routeCommands.serveRoutes(settings, path, problems)
+        : runProcess(settings, problems);
 }
 
-async function runProcess(settings: PipelineProcessSettings): Promise<number> {
+async function runProcess(
+    settings: PipelineProcessSettings,
+    problems: readonly configurationChecks.Problem[],
+): Promise<number> {
     const log = logs.createLog(settings.instance, settings.logLevel);
     let running: signals.RunningProcess;
     try {
@@ -54,6 +53,7 @@
         return exitCodes.EXIT_FAILED;
     }
     log.info({ peer: running.peerAddress, admin: running.adminAddress, role: settings.role }, "listening");
+    startSettings.logProblems(log, problems);
     return signals.waitForStop(running, log);
 }
 
--- a/src/commands/ServeRoutes.ts
+++ b/src/commands/ServeRoutes.ts
@@ -9,12 +9,18 @@
 import * as logs from "../common/Log";
 import * as settingsShapes from "../common/Settings";
 import * as routeEntries from "../process/routing/RouteEntry";
+import * as checks from "../version/ConfigurationCheck";
 import * as exitCodes from "./Exits";
 import * as settingsReloads from "./SettingsReload";
 import * as signals from "./Signals";
+import * as startSettings from "./StartSettings";
 
 /** Runs a route entry and reloads its settings when their file changes; resolves to the exit code. */
-export async function serveRoutes(settings: settingsShapes.RouteEntrySettings, path: string): Promise<number> {
+export async function serveRoutes(
+    settings: settingsShapes.RouteEntrySettings,
+    path: string,
+    problems: readonly checks.Problem[],
+): Promise<number> {
     let reload: clocks.Disposable | undefined;
     const { log, dropped, flush } = logs.createBoundedLog(settings.instance, settings.logLevel);
     try {
@@ -40,6 +46,7 @@
             apply,
         });
         log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
+        startSettings.logProblems(log, problems);
         return await signals.waitForStop(running, log);
     }
     catch (error) {
--- a/src/commands/SettingsReload.ts
+++ b/src/commands/SettingsReload.ts
@@ -42,8 +42,9 @@
 
     /** Reloads the file if it has changed since the initial settings were read. */
     private reloadIfChangedDuringStart(): void {
-        const current = settingsFiles.readSettings(this.options.path);
-        if (current.isErr || JSON.stringify(current.value) !== JSON.stringify(this.options.initialSettings)) {
+        const { path, initialSettings } = this.options;
+        const current = settingsFiles.readStartSettings(path);
+        if (current.isErr || JSON.stringify(current.value.settings) !== JSON.stringify(initialSettings)) {
             this.reload("changed while starting");
         }
     }
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -10,6 +10,29 @@
     "an IPv4 address and a port, such as 10.0.0.1:7000",
 );
 
+/** Region of an entry whose region isn't stated. */
+const UNKNOWN_REGION = "unknown";
+/** An unknown number of CPU cores. */
+const UNKNOWN_CORES = 0;
+/** The time limit of a planned stop, if none is stated. */
+const DEFAULT_STOP_LIMIT_SECONDS = 5;
+/** Without a known window, no number of retries is within the bound. */
+const NO_RETRIES = { windowSeconds: 10, ratio: 0, slack: 0 };
+
+const repeatsSchema = z.strictObject({
+    windowSeconds: z.number().positive().optional(),
+    ratio: z.number().min(0).default(0),
+    slack: z.number().min(0).default(0),
+}).transform(({ windowSeconds, ratio, slack }) =>
+    windowSeconds === undefined ? NO_RETRIES : { windowSeconds, ratio, slack }
+).prefault({});
+
+/** While parts of the bound aren't known, a cold instance gets its published rate and nothing in addition. */
+const coldRateSchema = z.strictObject({
+    factor: z.number().min(0).default(1),
+    extra: z.number().min(0).default(0),
+}).prefault({});
+
 const commonShape = {
     instance: configurations.nameSchema,
     failureDomain: configurations.nameSchema,
@@ -53,7 +76,7 @@
     role: z.literal("route-entry"),
     instance: configurations.nameSchema,
     failureDomain: configurations.nameSchema,
-    region: configurations.nameSchema,
+    region: configurations.nameSchema.default(UNKNOWN_REGION),
     /** Listening address for callers. */
     callerListen: addressSchema,
     /** Listening address and path of the load balancer's readiness check. */
@@ -68,24 +91,20 @@
     /** The published store. */
     store: addressSchema,
     /** Peer addresses of some entries, used to find the others; some may be out of date. */
-    seeds: z.array(addressSchema).max(100),
+    seeds: z.array(addressSchema).max(100).default([]),
     /** Failure domains in which entries run; those without a known entry are assumed to have some. */
     failureDomains: z.array(configurations.nameSchema).max(1_000).default([]),
     logLevel: z.enum(["trace", "debug", "info", "warn", "error", "silent"]).default("info"),
     /** Whether all entries of the deployment are being started for the first time. */
     isFirstStart: z.boolean().default(false),
     /** CPU cores available to the process; entries with more of them are preferred as stage host. */
-    cores: z.number().positive().default(1),
+    cores: z.number().positive().default(UNKNOWN_CORES),
     /** Longest time that a planned stop may take. */
-    stopLimitSeconds: z.number().min(1),
+    stopLimitSeconds: z.number().min(1).default(DEFAULT_STOP_LIMIT_SECONDS),
     /** Limit on retries at a service, from all entries: `ratio` per first call in the window, plus `slack`. */
-    repeats: z.strictObject({
-        windowSeconds: z.number().positive(),
-        ratio: z.number().min(0),
-        slack: z.number().min(0),
-    }),
+    repeats: repeatsSchema,
     /** Calls per second to a cold instance, from all entries: `factor` times its published rate, plus `extra`. */
-    coldRate: z.strictObject({ factor: z.number().min(0), extra: z.number().min(0) }),
+    coldRate: coldRateSchema,
 });
 
 /** Settings of any role, discriminated by `role`. */
