A start waits up to 10 s for valid settings

What callers saw: a settings file that was missing, empty or half written for a second ended a start at once with exit code 2; its supervisor started it again into the same state.

Cause: the file was read once.

Change: the file is read every 100 ms until it can be started with; a log line a second names the problems. After 10 s the error and exit code 2 as before, with a last log line. SIGTERM and SIGINT end the wait at once with exit code 0. It holds for entries of both kinds and agents. The decision (`SettingsWait`) knows neither files nor signals and is tested in virtual time.

--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -27,15 +27,18 @@
         console.error(`${codes.codes.platformUnsupported.code} UV_USE_IO_URING=1 is set; io_uring isn't supported`);
         return exitCodes.EXIT_FAILED;
     }
-    const start = startSettings.readFor(role, path);
-    if (start.isErr) {
-        checks.writeProblems(path, start.error, console.error);
-        return exitCodes.EXIT_INVALID;
-    }
-    const { settings, problems } = start.value;
-    return settings.role === "route-entry"
-        ? routeCommands.serveRoutes(settings, path, problems)
-        : runProcess(settings, problems);
+    const end = await startSettings.waitForFile(role, path);
+    return pattern.match(end)
+        .with({ kind: "stopped" }, () => exitCodes.EXIT_SUCCESS)
+        .with({ kind: "invalid" }, ({ problems }) => {
+            checks.writeProblems(path, problems, console.error);
+            return exitCodes.EXIT_INVALID;
+        })
+        .with({ kind: "valid" }, ({ settings: { settings, problems } }) =>
+            settings.role === "route-entry"
+                ? routeCommands.serveRoutes(settings, path, problems)
+                : runProcess(settings, problems))
+        .exhaustive();
 }
 
 async function runProcess(
--- a/src/commands/StartSettings.ts
+++ b/src/commands/StartSettings.ts
@@ -1,20 +1,29 @@
 /**
- * The settings that a process starts with: read from its file.
+ * The settings that a process starts with: waits for its file, and logs what it waits for.
  */
 import * as result from "true-myth/result";
+import * as clocks from "../common/Clock";
 import * as codes from "../common/Codes";
 import * as logs from "../common/Log";
 import * as checks from "../version/ConfigurationCheck";
 import * as settingsFiles from "./SettingsFile";
+import * as settingsWaits from "./SettingsWait";
+
+const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+/** Name in the log of a process that hasn't read its name yet. */
+const UNNAMED_INSTANCE = "unnamed";
 
 /** The commands that run a process with settings. */
 export type ServingCommand = "entry" | "agent";
 
-type Start = result.Result<settingsFiles.StartSettings, readonly checks.Problem[]>;
+type Read = () => result.Result<settingsFiles.StartSettings, readonly checks.Problem[]>;
+type End = settingsWaits.SettingsWaitEnd<settingsFiles.StartSettings>;
 
-/** Reads the settings to start with for the command. */
-export function readFor(command: ServingCommand, path: string): Start {
-    return settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start));
+/** Waits until the file holds settings to start with for the command; SIGTERM and SIGINT end the wait. */
+export async function waitForFile(command: ServingCommand, path: string): Promise<End> {
+    const read: Read = () => settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start));
+    const first = read();
+    return first.isOk ? { kind: "valid", settings: first.value } : waitAndLog(read, path);
 }
 
 /** Logs what is wrong with optional settings, in place of which the process uses defaults. */
@@ -25,8 +34,39 @@
     }
 }
 
-function checkRole(command: ServingCommand, start: settingsFiles.StartSettings): Start {
+function checkRole(command: ServingCommand, start: settingsFiles.StartSettings): ReturnType<Read> {
     const { role } = start.settings;
     const isExpected = role === command || (role === "route-entry" && command === "entry");
     return isExpected ? result.ok(start) : result.err([{ path: "role", value: role, expected: command }]);
 }
+
+async function waitAndLog(read: Read, file: string): Promise<End> {
+    const { code } = codes.codes.settingsInvalid;
+    const { log, flush } = logs.createBoundedLog(UNNAMED_INSTANCE, "info");
+    const end = await waitUnlessStopped({
+        clock: clocks.systemClock,
+        read,
+        report: (problems, waitedMs) => log.warn({ code, file, problems, waitedMs }, "waiting for valid settings"),
+    });
+    if (end.kind === "stopped") {
+        log.info("stopped before the settings were valid");
+    }
+    else if (end.kind === "invalid") {
+        log.fatal({ code, file, problems: end.problems }, "can't start");
+    }
+    flush();
+    return end;
+}
+
+async function waitUnlessStopped(
+    options: Omit<settingsWaits.SettingsWaitOptions<settingsFiles.StartSettings>, "stop">,
+): Promise<End> {
+    const stop = new AbortController();
+    const onSignal = (): void => stop.abort();
+    STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
+    const end = await settingsWaits.waitForSettings({ ...options, stop: stop.signal });
+    // A signal that arrived while the file was read hasn't reached its handler yet.
+    await new Promise<void>(resolve => options.clock.afterReads(resolve));
+    STOP_SIGNALS.forEach(signal => process.off(signal, onSignal));
+    return stop.signal.aborted ? { kind: "stopped" } : end;
+}
--- a/standins/FleetProcess.ts
+++ b/standins/FleetProcess.ts
@@ -90,14 +90,14 @@
         this.child?.kill("SIGHUP");
     }
 
-    /** Requests a planned stop (SIGTERM). Resolves to the exit code, or to undefined if a signal ended the process. */
-    terminate(): Promise<number | undefined> {
-        this.child?.kill("SIGTERM");
+    /** Requests a planned stop. Resolves to the exit code, or to undefined if a signal ended the process. */
+    terminate(signal: "SIGTERM" | "SIGINT" = "SIGTERM"): Promise<number | undefined> {
+        this.child?.kill(signal);
         return this.exitCode;
     }
 
-    /** Resolves when the process started last has exited. */
-    async waitForExit(): Promise<void> {
-        await this.exitCode;
+    /** Resolves to the exit code of the process started last, or to undefined if a signal ended it. */
+    waitForExit(): Promise<number | undefined> {
+        return this.exitCode;
     }
 }
