--- a/src/commands/ServeRoutes.ts
+++ b/src/commands/ServeRoutes.ts
@@ -7,14 +7,17 @@
 import * as clocks from "../common/Clock";
 import * as settingsShapes from "../common/Settings";
 import * as routeEntries from "../process/routing/RouteEntry";
+import * as checks from "../version/ConfigurationCheck";
 import * as loggedProcesses from "./LoggedProcess";
 import * as settingsReloads from "./SettingsReload";
 import * as signals from "./Signals";
+import * as startSettings from "./StartSettings";
 
 /** Runs a route entry and reloads its settings when their file changes; resolves to the exit code. */
 export async function serveRoutes(
     settings: settingsShapes.RouteEntrySettings,
     path: string,
+    problems: readonly checks.Problem[],
     { log, counters }: loggedProcesses.LoggedProcess,
 ): Promise<number> {
     const running = await routeEntries.RouteEntry.start(settings, {
@@ -39,6 +42,7 @@
         apply,
     });
     log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
+    startSettings.logProblems(log, problems);
     try {
         return await signals.waitForStop(running, log);
     }
