Handle SIGHUP before the program is loaded

Cause: the handler was the first module of the bundle, but Node.js reads and parses all of a bundle, 2.1 MB, before it runs the first module.

The single binary is built from the same first module, in one file. The first module also ends with one line and exit code 1 on a Node.js older than the bundle's target, which was a syntax error in the middle of the bundle; the target now comes from package.json's `engines`.

What remains is the start of Node.js itself, which resets what it inherited for the signal.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,17 +1,30 @@
-// Bundles the programs into dist/; with --binary, also builds the single executable dist/cumincrank.
+// Bundles the programs into dist/; with --binary, also builds the single executable dist/cumincrank. With --target,
+// builds only the main program, into target/, from where a deployment takes it.
 import * as esbuild from "esbuild";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
+import * as path from "node:path";
 
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-const shared = { bundle: true, platform: "node", target: "node20", logLevel: "warning" };
+/** The file that starts the main program, and the one that it loads. */
+const START_FILE = "cumincrank.cjs";
+const MAIN_FILE = "cumincrank-main.cjs";
+
+const { engines } = JSON.parse(fs.readFileSync("package.json", "utf8"));
+const oldestNode = engines.node.replace(">=", "node");
+const shared = { bundle: true, platform: "node", target: oldestNode, logLevel: "warning" };
 /** Defines `require` for the CommonJS libraries in an ES module bundle. */
 const requireBanner = "import { createRequire as makeBundleRequire } from 'node:module';"
     + " const require = makeBundleRequire(import.meta.url);";
 
+/** Keeps the command line out of the bundle that imports it. */
+const mainInOwnFile = {
+    name: "main-in-own-file",
+    setup: build => build.onResolve({ filter: /^\.\/Main$/ }, () => ({ path: `./${MAIN_FILE}`, external: true })),
+};
+
 const bundles = [
-    { entryPoints: ["src/commands/Main.ts"], outfile: "dist/cumincrank.cjs", format: "cjs" },
     { entryPoints: ["src/Library.ts"], outfile: "dist/library.mjs", format: "esm", banner: { js: requireBanner } },
     {
         entryPoints: ["examples/EmbedTwoParts.ts"],
@@ -25,23 +38,47 @@
     { entryPoints: ["standins/Bare.ts"], outfile: "dist/bare.cjs", format: "cjs" },
 ];
 
-// --target builds only the main program, into target/, from where a deployment takes it.
-const isTarget = process.argv.includes("--target");
-const targetBundle = { ...bundles[0], outfile: "target/cumincrank.cjs" };
+/** Bundles the main program into two files in a folder. */
+async function buildProgram(folder) {
+    await esbuild.build({
+        ...shared,
+        entryPoints: ["src/commands/Main.ts"],
+        outfile: path.join(folder, MAIN_FILE),
+        format: "cjs",
+    });
+    await esbuild.build({
+        ...shared,
+        entryPoints: ["src/commands/Start.ts"],
+        outfile: path.join(folder, START_FILE),
+        format: "cjs",
+        // An older Node.js has to be able to parse the file that says so.
+        target: "es2015",
+        supported: { "dynamic-import": false },
+        plugins: [mainInOwnFile],
+    });
+}
+
+/** Builds the main program where a deployment takes it from. */
+async function buildTarget() {
+    fs.mkdirSync("target", { recursive: true });
+    await buildProgram("target");
+}
 
-fs.mkdirSync(isTarget ? "target" : "dist", { recursive: true });
-for (const bundle of isTarget ? [targetBundle] : bundles) {
-    if (fs.existsSync(bundle.entryPoints[0])) {
-        await esbuild.build({ ...shared, ...bundle });
+async function buildAll() {
+    fs.mkdirSync("dist", { recursive: true });
+    await buildProgram("dist");
+    for (const bundle of bundles) {
+        if (fs.existsSync(bundle.entryPoints[0])) {
+            await esbuild.build({ ...shared, ...bundle });
+        }
     }
 }
 
-if (process.argv.includes("--binary")) {
-    const sea = {
-        main: "dist/cumincrank.cjs",
-        output: "dist/cumincrank.blob",
-        disableExperimentalSEAWarning: true,
-    };
+/** Builds the single executable, which loads no other files. */
+async function buildBinary() {
+    const main = "dist/cumincrank-binary.cjs";
+    await esbuild.build({ ...shared, entryPoints: ["src/commands/Start.ts"], outfile: main, format: "cjs" });
+    const sea = { main, output: "dist/cumincrank.blob", disableExperimentalSEAWarning: true };
     fs.writeFileSync("dist/sea.json", JSON.stringify(sea));
     childProcess.execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "inherit" });
     fs.copyFileSync(process.execPath, "dist/cumincrank");
@@ -56,3 +93,13 @@
     ];
     childProcess.execFileSync("npx", postject, { stdio: "inherit" });
 }
+
+if (process.argv.includes("--target")) {
+    await buildTarget();
+}
+else {
+    await buildAll();
+}
+if (process.argv.includes("--binary")) {
+    await buildBinary();
+}
--- a/src/commands/Main.ts
+++ b/src/commands/Main.ts
@@ -1,7 +1,6 @@
 /**
  * The command line of the binary `cumincrank`, which contains all commands.
  */
-import "./EarlySignals";
 import * as commander from "commander";
 import * as checks from "./Check";
 import * as codesTables from "./CodesTable";
--- /dev/null
+++ b/tests/EarlyReload.test.ts
@@ -0,0 +1,129 @@
+/**
+ * Guards against reloads that end a process which is still starting, and against a Node.js that is too old.
+ */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as readline from "node:readline";
+import * as vitest from "vitest";
+import * as freePorts from "../standins/FreePorts";
+import * as entryPrograms from "../standins/platform/EntryProgram";
+
+const PROGRAM = path.resolve("dist/cumincrank.cjs");
+const ARGUMENTS = ["--max-old-space-size=160", "--max-semi-space-size=4"] as const;
+/** The bit of SIGHUP in the kernel's masks of signals. */
+const SIGHUP_BIT = 1n;
+const RELOAD_INTERVAL_MS = 5;
+
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-early-"));
+
+vitest.afterAll(() => fs.rmSync(folder, { recursive: true, force: true }));
+
+/** Whether the kernel's description of a process has a handler for SIGHUP. */
+function handlesReload(status: string): boolean {
+    const mask = status.match(/^SigCgt:\s*(\w+)$/m)?.[1] ?? "0";
+    return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
+}
+
+async function writeSettings(): Promise<string> {
+    const ports = await freePorts.findFreePorts(entryPrograms.PORT_COUNT + 1);
+    const settings = entryPrograms.createSettings({
+        instance: "entry-1",
+        failureDomain: "zone-a",
+        ports: ports.slice(1),
+        store: `127.0.0.1:${ports[0]}`,
+        seeds: [],
+        stopLimitSeconds: 8,
+    });
+    const file = path.join(folder, "entry.yaml");
+    fs.writeFileSync(file, JSON.stringify(settings));
+    return file;
+}
+
+/** Waits until a process has a handler for SIGHUP; rejects if it has ended. */
+async function waitForHandler(pid: number): Promise<void> {
+    while (!handlesReload(fs.readFileSync(`/proc/${pid}/status`, "utf8"))) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+vitest.it("reloads in series don't end a process that is starting", async () => {
+    const args = [...ARGUMENTS, PROGRAM, "entry", "--settings", await writeSettings()];
+    const child = childProcess.spawn(process.execPath, args, { stdio: ["ignore", "pipe", "inherit"] });
+    try {
+        const ended = new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
+        await waitForHandler(child.pid!);
+        const reloads = setInterval(() => child.kill("SIGHUP"), RELOAD_INTERVAL_MS);
+        child.kill("SIGHUP");
+        const lines: string[] = [];
+        for await (const line of readline.createInterface(child.stdout)) {
+            lines.push(line);
+            if (line.includes("\"listening\"")) {
+                break;
+            }
+        }
+        clearInterval(reloads);
+        vitest.expect(lines.at(-1)).toContain("\"listening\"");
+        child.kill("SIGTERM");
+        vitest.expect(await ended).toBe(0);
+    }
+    finally {
+        child.kill("SIGKILL");
+    }
+});
+
+interface OrderCase {
+    readonly command: string;
+    readonly isHandled: boolean;
+}
+
+const orderCases: readonly OrderCase[] = [
+    { command: "entry", isHandled: true },
+    { command: "agent", isHandled: true },
+    { command: "check", isHandled: false },
+];
+
+vitest.describe("before the rest of the program is loaded, SIGHUP is handled", () => {
+    vitest.it.each(orderCases)("by $command: $isHandled", ({ command, isHandled }) => {
+        const start = path.join(folder, "cumincrank.cjs");
+        fs.copyFileSync(PROGRAM, start);
+        const rest = "process.stdout.write(require(\"fs\").readFileSync(\"/proc/self/status\"));";
+        fs.writeFileSync(path.join(folder, "cumincrank-main.cjs"), rest);
+        const status = childProcess.execFileSync(process.execPath, [start, command], { encoding: "utf8" });
+        vitest.expect(handlesReload(status)).toBe(isHandled);
+    });
+});
+
+/** The oldest major version that the package names. */
+const OLDEST_MAJOR = Number(JSON.parse(fs.readFileSync("package.json", "utf8")).engines.node.match(/^>=(\d+)$/)[1]);
+
+interface VersionCase {
+    readonly version: string;
+    readonly isSupported: boolean;
+}
+
+const versionCases: readonly VersionCase[] = [
+    { version: "8.17.0", isSupported: false },
+    { version: `${OLDEST_MAJOR - 1}.9.0`, isSupported: false },
+    { version: `${OLDEST_MAJOR}.0.0`, isSupported: true },
+    { version: "100.0.0", isSupported: true },
+];
+
+vitest.describe("a Node.js that is too old ends with one line, and others run the program", () => {
+    vitest.it.each(versionCases)("$version", ({ version, isSupported }) => {
+        const versions = JSON.stringify({ ...process.versions, node: version });
+        const file = path.join(folder, "other-node.cjs");
+        const script = `Object.defineProperty(process, "versions", { value: ${versions} });`
+            + `require(${JSON.stringify(PROGRAM)});`;
+        fs.writeFileSync(file, script);
+        const { status, stdout, stderr } = childProcess.spawnSync(process.execPath, [file, "codes"], {
+            encoding: "utf8",
+        });
+        vitest.expect(status).toBe(isSupported ? 0 : 1);
+        vitest.expect(stdout === "").toBe(!isSupported);
+        vitest.expect(stderr).toBe(
+            isSupported ? "" : `cumincrank needs Node.js ${OLDEST_MAJOR} or later; this is Node.js ${version}\n`,
+        );
+    });
+});
