Build the program for a deployment completely or not at all

A missing first module was passed over with exit code 0, a program that ends with an error was left in target/, and the former one was overwritten in place.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -58,10 +58,20 @@
     });
 }
 
-/** Builds the main program where a deployment takes it from. */
+/** Replaces the program in target/ by one that has run; a process that starts meanwhile finds either one whole. */
 async function buildTarget() {
     fs.mkdirSync("target", { recursive: true });
-    await buildProgram("target");
+    const folder = fs.mkdtempSync("target/build-");
+    try {
+        await buildProgram(folder);
+        childProcess.execFileSync(process.execPath, [path.join(folder, START_FILE), "--version"], { stdio: "inherit" });
+        for (const file of [MAIN_FILE, START_FILE]) {
+            fs.renameSync(path.join(folder, file), path.join("target", file));
+        }
+    }
+    finally {
+        fs.rmSync(folder, { recursive: true });
+    }
 }
 
 async function buildAll() {
