--- a/fuzz/StoreInputs.ts
+++ b/fuzz/StoreInputs.ts
@@ -57,31 +57,34 @@
  * An odd configuration, one of whose routes or services is changed. Its version stays, so that it is in force if it can be
  * read; one that is too high to be followed would stay in force by design.
  */
-export function createConfiguration(random: randoms.Random, sound: Readonly<Record<string, unknown>>): unknown {
+export function createConfiguration(random: randoms.Random, sound: Readonly<Record<string, unknown>>): Buffer {
     const field = mutations.pick(random, ["Routes", "Routes", "Services", "Services", "Limits", "Tenants"]);
     const content = sound[field];
     if (!Array.isArray(content)) {
         const isAccepted = (changed: unknown): boolean => isReadable("op/config", { ...sound, [field]: changed });
-        return { ...sound, [field]: mutations.mutateAccepted(random, content, isAccepted) };
+        return encode({ ...sound, [field]: mutations.mutateAccepted(random, content, isAccepted) });
     }
     const index = mutations.pickInteger(random, 0, content.length - 1);
     const withChanged = (changed: unknown): Record<string, unknown> => ({
         ...sound,
         [field]: content.map((element: unknown, other) => other === index ? changed : element),
     });
-    return withChanged(
-        mutations.mutateAccepted(random, content[index], changed => isReadable("op/config", withChanged(changed))),
-    );
+    const isAccepted = (changed: unknown): boolean => isReadable("op/config", withChanged(changed));
+    return encode(withChanged(mutations.mutateAccepted(random, content[index], isAccepted)));
 }
 
 /** An odd record of an instance. */
-export function createRecord(random: randoms.Random, sound: Readonly<Record<string, unknown>>): unknown {
-    return mutations.mutateAccepted(random, sound, changed => isReadable("servers/changed", changed));
+export function createRecord(random: randoms.Random, sound: Readonly<Record<string, unknown>>): Buffer {
+    return encode(mutations.mutateAccepted(random, sound, changed => isReadable("servers/changed", changed)));
 }
 
 function isReadable(key: string, value: unknown): boolean {
-    const content = Buffer.from(JSON.stringify(value) ?? "");
-    return records.decode({ key, era: 0, revision: 1, content }).kind !== "unreadable";
+    return records.decode({ key, era: 0, revision: 1, content: encode(value) }).kind !== "unreadable";
+}
+
+/** Empty for a value that was left out. */
+function encode(value: unknown): Buffer {
+    return Buffer.from(JSON.stringify(value) ?? "");
 }
 
 function mutateBody(random: randoms.Random, body: Buffer): Buffer {
@@ -92,7 +95,7 @@
     catch {
         return mutations.mutateBytes(random, body);
     }
-    return Buffer.from(JSON.stringify(mutations.mutateDocument(random, document)) ?? "");
+    return encode(mutations.mutateDocument(random, document));
 }
 
 function createManyRecords(): Buffer {
