--- a/fuzz/Fuzz.ts
+++ b/fuzz/Fuzz.ts
@@ -48,6 +48,8 @@
     readonly inputs: number;
     /** Largest resident memory of an entry after a batch, in megabytes. */
     readonly maxResidentMb: number;
+    /** Number of decisions of each kind that the entry logged which got the odd inputs. */
+    readonly decisions: Readonly<Record<string, number>>;
     readonly violations: readonly Violation[];
 }
 
@@ -90,6 +92,7 @@
             batches: batch,
             inputs: this.inputs,
             maxResidentMb: Math.round(this.maxResidentBytes / 1_024 / 1_024),
+            decisions: Object.fromEntries(this.fleet.target.decisions),
             violations: this.violations,
         };
     }
--- a/fuzz/FuzzEntry.ts
+++ b/fuzz/FuzzEntry.ts
@@ -33,6 +33,8 @@
     readonly pid: number;
     /** Lines about exceptions, which are defects of the program; only the first ones are kept. */
     readonly exceptions: string[] = [];
+    /** Number of lines of each decision. */
+    readonly decisions = new Map<string, number>();
 
     private constructor(
         private readonly ports: readonly number[],
@@ -106,7 +108,11 @@
     }
 
     private readLine(line: string): void {
-        if (line.includes("\"decision\":\"exception\"") && this.exceptions.length < MAX_KEPT_EXCEPTIONS) {
+        const decision = /"decision":"([^"]+)"/.exec(line)?.[1];
+        if (decision !== undefined) {
+            this.decisions.set(decision, (this.decisions.get(decision) ?? 0) + 1);
+        }
+        if (decision === "exception" && this.exceptions.length < MAX_KEPT_EXCEPTIONS) {
             this.exceptions.push(line);
         }
     }
