Bound the bytes of bodies and answers that an entry holds at once

Seen: an entry with the options of the deploy file took 1,287 MB for 150 bodies of 4 MB that waited for a silent instance, and 965 MB for 60 answers of 15 MB whose callers read nothing (VmHWM, one run each).

Cause: each body and each answer has a limit, their sum had none, and an answer stayed in memory for as long as its caller kept the connection without reading.

Change: one account of these bytes for the process (BufferAccount), a fifth of the new setting `memoryMegabytes`. From half of it on, bodies above 16 KB are rejected at once (503 buffers-full, not run, Retry-After), and answers that their callers have had time to read are broken off; above it, large answers are read one at a time, the others' connections aren't read meanwhile. Small bodies cost an addition, as before nothing waits. Each decision has a log line; gauges state bytes held, limit, rejections and paused answers. The body of a call is no longer kept while its caller reads the answer.

Fixtures of calls and of the server got the new field; no check was changed.

--- a/src/common/Codes.ts
+++ b/src/common/Codes.ts
@@ -91,6 +91,7 @@
         503,
         "This call, or prompts with these parts, crashed several instances.",
     ),
+    buffersFull: row(225, "buffers-full", "not-run", 503, "The process has no room for the body at the moment."),
 
     connectionLost: row(300, "connection-lost", "unknown", 502, "The connection to the agent was lost after dispatch."),
     upstreamReset: row(
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -86,6 +86,8 @@
     }),
     /** Calls per second to a cold instance, from all entries: `factor` times its published rate, plus `extra`. */
     coldRate: z.strictObject({ factor: z.number().min(0), extra: z.number().min(0) }),
+    /** Memory available to the process; the bytes of bodies and answers that it holds at once follow from it. */
+    memoryMegabytes: z.number().positive().default(256),
 });
 
 /** Settings of any role, discriminated by `role`. */
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -229,8 +229,11 @@
     return error.syscall === "connect" ? "connect" : "reset";
 }
 
+/** Called with the size of each chunk; if it returns false, reading pauses until it calls `resume`. */
+export type ReadGate = (bytes: number, resume: () => void) => boolean;
+
 /** Reads a body to its end; undefined if it is truncated or longer than `maxBytes`. */
-export function readBody(answer: OpenAnswer, maxBytes: number): Promise<Buffer | undefined> {
+export function readBody(answer: OpenAnswer, maxBytes: number, gate?: ReadGate): Promise<Buffer | undefined> {
     const { body } = answer;
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
@@ -243,6 +246,9 @@
                 return;
             }
             chunks.push(chunk);
+            if (gate?.(chunk.length, () => body.resume()) === false) {
+                body.pause();
+            }
         });
         body.on("end", () => resolve(answer.isComplete() ? Buffer.concat(chunks, size) : undefined));
         body.on("close", () => resolve(undefined));
--- a/src/process/routing/CallerBody.ts
+++ b/src/process/routing/CallerBody.ts
@@ -5,9 +5,12 @@
 import * as result from "true-myth/result";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
+import * as bufferAccounts from "../buffers/BufferAccount";
 
 /** Longest time in which the rest of a body is read whose request has already been answered. */
 const DISCARD_LIMIT_MS = 2_000;
+/** Retry delay of a request for whose body there is no room. */
+const NO_ROOM_RETRY_MS = 500;
 
 /** Limits on a request body. */
 export interface BodyLimits {
@@ -16,15 +19,23 @@
     readonly idleMs: number;
 }
 
-/** Reads a complete body. Failures: `body-too-large`, `request-timeout`, and `cancelled` if the caller disconnected. */
+/**
+ * Reads a complete body, whose bytes `buffers` accounts for: those of a stated length before the first arrives. Failures:
+ * `body-too-large`, `request-timeout`, `buffers-full`, and `cancelled` if the caller disconnected.
+ */
 export function readCallerBody(
     message: http.IncomingMessage,
     limits: BodyLimits,
+    buffers: Pick<bufferAccounts.BufferHold, "tryAddBody">,
     clock: clocks.Clock,
 ): Promise<result.Result<Buffer, codes.Failure>> {
-    if (Number(message.headers["content-length"] ?? 0) > limits.maxBytes) {
+    const statedBytes = Number(message.headers["content-length"] ?? 0);
+    if (statedBytes > limits.maxBytes) {
         return Promise.resolve(result.err(codes.failure(codes.codes.bodyTooLarge, "content-length")));
     }
+    if (statedBytes > 0 && !buffers.tryAddBody(statedBytes)) {
+        return Promise.resolve(result.err(createNoRoomFailure(statedBytes)));
+    }
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let size = 0;
@@ -45,6 +56,9 @@
             if (size > limits.maxBytes) {
                 finish(result.err(codes.failure(codes.codes.bodyTooLarge, `${size} bytes`)));
             }
+            else if (statedBytes === 0 && !buffers.tryAddBody(chunk.length)) {
+                finish(result.err(createNoRoomFailure(size)));
+            }
         });
         message.on("end", () => finish(result.ok(Buffer.concat(chunks, size))));
         message.on("error", () => undefined); // The close event follows.
@@ -52,6 +66,10 @@
     });
 }
 
+function createNoRoomFailure(bytes: number): codes.Failure {
+    return codes.failure(codes.codes.buffersFull, `no room for ${bytes} bytes`, NO_ROOM_RETRY_MS);
+}
+
 /**
  * Reads the rest of a body and discards it; resolves at its end, when the caller disconnects, or at a time limit. A
  * connection that is closed with unread bytes is reset, and its caller may lose the answer.
--- a/src/process/routing/CallerRequest.ts
+++ b/src/process/routing/CallerRequest.ts
@@ -8,6 +8,7 @@
 import * as callDurations from "../../request/routed/CallDurations";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
+import * as bufferAccounts from "../buffers/BufferAccount";
 import * as bodies from "./CallerBody";
 import * as callTargets from "./CallTarget";
 import * as targets from "./TargetChoice";
@@ -35,6 +36,7 @@
     context: RequestContext,
     message: http.IncomingMessage,
     arrivedMs: number,
+    buffers: bufferAccounts.BufferHold,
     signal: AbortSignal,
 ): Promise<result.Result<calls.RoutedCall, codes.Failure>> {
     const table = context.table();
@@ -71,6 +73,7 @@
     const body = await bodies.readCallerBody(
         message,
         { maxBytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs },
+        buffers,
         context.clock,
     );
     if (body.isErr) {
@@ -87,6 +90,7 @@
         path,
         headers: message.rawHeaders,
         body: hasBody ? body.value : undefined,
+        buffers,
         arrivedMs,
         softDeadlineAtMs: arrivedMs + route.goalMs,
         hardDeadlineAtMs: arrivedMs + Math.min(callerWaitMs, route.timeoutMs),
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -181,6 +181,7 @@
             new servers.RouteServer({
                 ...shared,
                 pauses,
+                resources: settings,
                 metrics: this.metrics,
                 table: () => this.view.table,
                 catchUp: (maxMs, signal) => this.replication.lag.catchUp(maxMs, signal),
@@ -255,15 +256,7 @@
     /** Applies the settings that may change while the process runs; addresses and names stay until the next start. */
     reload(settings: settingsShapes.RouteEntrySettings): void {
         const { seeds, failureDomains, repeats, coldRate, stopLimitSeconds, logLevel } = settings;
-        this.settings = {
-            ...this.settings,
-            seeds,
-            failureDomains,
-            repeats,
-            coldRate,
-            stopLimitSeconds,
-            logLevel,
-        };
+        this.settings = { ...this.settings, seeds, failureDomains, repeats, coldRate, stopLimitSeconds, logLevel };
         this.options.log.level = logLevel;
     }
 
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -67,6 +67,7 @@
         log,
         random: () => 0,
         metrics: routeMetrics,
+        resources: { memoryMegabytes: 100 },
         table: () => table,
         catchUp: () => Promise.resolve(true),
         isClosing: () => false,
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -7,11 +7,13 @@
 import * as logs from "../../common/Log";
 import * as readTimers from "../../common/ReadTimer";
 import * as routing from "../../common/Routing";
+import * as settingsShapes from "../../common/Settings";
 import * as listeners from "../../connection/Listener";
 import * as callDurations from "../../request/routed/CallDurations";
 import * as plainRuns from "../../request/routed/PlainRun";
 import * as calls from "../../request/routed/RoutedCall";
 import * as routedRuns from "../../request/routed/RoutedRun";
+import * as bufferAccounts from "../buffers/BufferAccount";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as metrics from "../metrics/RouteMetrics";
 import * as callerWatches from "../serving/CallerWatch";
@@ -40,6 +42,8 @@
     readonly log: logs.Log;
     readonly run: routedRuns.RunContext;
     readonly metrics: metrics.RouteMetrics;
+    /** What the process may use. */
+    readonly resources: Pick<settingsShapes.RouteEntrySettings, "memoryMegabytes">;
     /** Detects late turns of the event loop, which may have left requests unread. */
     readonly pauses: pauseMonitors.PauseMonitor;
 }
@@ -51,7 +55,9 @@
     readonly arrivedMs: number;
     /** Aborts when the caller disconnects or the request is answered by the stop. */
     readonly abortController: AbortController;
-    /** Undefined while the request is read. */
+    /** Accounts for the bytes of its body and of its answer. */
+    readonly buffers: bufferAccounts.BufferHold;
+    /** Undefined while the request is read, and once its answer has been written or is known. */
     call: calls.RoutedCall | undefined;
     /** Whether this process has written the whole answer; the rest of the request may still be discarded. */
     isAnswered: boolean;
@@ -61,6 +67,8 @@
 export class RouteServer implements clocks.Disposable {
     private readonly server: http.Server;
     private readonly idleConnections: idleConnections.IdleConnections;
+    /** The bytes of bodies and answers held. */
+    readonly buffers: bufferAccounts.BufferAccount;
     private listener: listeners.Listener | undefined;
     private readonly durations: callDurations.CallDurations;
     private readonly requestContext: callerRequests.RequestContext;
@@ -77,6 +85,8 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
         this.idleConnections = new idleConnections.IdleConnections(this.server);
+        const limitBytes = bufferAccounts.bufferLimitBytes(context.resources.memoryMegabytes);
+        this.buffers = new bufferAccounts.BufferAccount({ ...context, limitBytes });
         this.applyCallerLimits(DEFAULT_LIMITS);
     }
 
@@ -133,6 +143,7 @@
 
     dispose(): void {
         this.listener?.dispose();
+        this.buffers.dispose();
     }
 
     private async handleRequest(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -140,17 +151,34 @@
         const pauseMs = this.context.pauses.recentPauseMs(PAUSE_WINDOW_MS);
         const arrivedMs = this.context.clock.now() - pauseMs;
         const abortController = callerWatches.watchCaller(response);
-        const open: OpenRequest = { message, response, arrivedMs, abortController, call: undefined, isAnswered: false };
+        const buffers = this.buffers.open(this.context.run.wire.readAttempt(message.headers));
+        const open: OpenRequest = {
+            message,
+            response,
+            arrivedMs,
+            abortController,
+            buffers,
+            call: undefined,
+            isAnswered: false,
+        };
         this.openRequests.add(open);
         response.shouldKeepAlive &&= !this.isDraining;
         response.on("error", () => response.destroy());
-        response.on("close", () => this.openRequests.delete(open));
+        response.on("close", () => {
+            this.openRequests.delete(open);
+            buffers.releaseAnswer();
+        });
         try {
             await this.serveRequest(open, pauseMs);
         }
         catch (error) {
             this.handleException(open, error);
         }
+        open.call = undefined; // Its body is no longer needed, while the caller may read the answer for long.
+        buffers.releaseBody();
+        if (response.closed) {
+            buffers.releaseAnswer();
+        }
     }
 
     /** Ends a request whose run failed with an exception, which is a defect of this program. */
@@ -172,6 +200,7 @@
             this.requestContext,
             message,
             open.arrivedMs,
+            open.buffers,
             abortController.signal,
         );
         if (pauseMs > 0) {
@@ -207,6 +236,7 @@
     ): void {
         switch (end.kind) {
             case "buffered":
+                open.buffers.beginWrite(() => sink.abort());
                 sink.writeComplete(end.status, end.headers, end.body, end.isFramed);
                 this.recordAnswer(call, String(end.status), { instance: end.instance });
                 return;
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -127,8 +127,10 @@
     answered: Extract<senders.SendOutcome, { kind: "answer" }>,
 ): Promise<RunOutcome> {
     const deadlineTimer = context.clock.schedule(call.hardDeadlineAtMs - context.clock.now(), answered.answer.cancel);
-    const body = await exchanges.readBody(answered.answer, MAX_ANSWER_BYTES);
+    const gate: exchanges.ReadGate = (bytes, resume) => call.buffers.addAnswer(bytes, resume);
+    const body = await exchanges.readBody(answered.answer, MAX_ANSWER_BYTES, gate);
     deadlineTimer.dispose();
+    call.buffers.endRead();
     if (call.signal.aborted) {
         answered.sent.ticket.end("cancelled");
         return { kind: "disconnected" };
--- a/src/request/routed/RoutedCall.ts
+++ b/src/request/routed/RoutedCall.ts
@@ -3,6 +3,7 @@
  */
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as bufferAccounts from "../../process/buffers/BufferAccount";
 
 /** A call as the caller sent it, with the matching route and team. */
 export interface RoutedCall {
@@ -17,6 +18,8 @@
     readonly headers: readonly string[];
     /** Undefined if the caller sent no body. */
     readonly body: Buffer | undefined;
+    /** Accounts for the bytes of the body and of the answers. */
+    readonly buffers: Pick<bufferAccounts.BufferHold, "addAnswer" | "endRead">;
     /** Arrival time on this process's clock. */
     readonly arrivedMs: number;
     /** Soft deadline: an answer, or the first event of a stream, counts as late after it. */
--- a/src/request/routed/SendArrivals.test.ts
+++ b/src/request/routed/SendArrivals.test.ts
@@ -173,6 +173,7 @@
         headers: [],
         body: BODY,
         hardDeadlineAtMs: clocks.systemClock.now() + DEADLINE_MS,
+        buffers: { addAnswer: () => true, endRead: () => undefined },
         progress: { mayHaveRun: false },
         signal: caller.signal,
     } as unknown as calls.RoutedCall;
--- a/src/request/routed/UpstreamSender.test.ts
+++ b/src/request/routed/UpstreamSender.test.ts
@@ -41,6 +41,7 @@
         path: "/look/1",
         headers: [],
         hardDeadlineAtMs: clocks.systemClock.now() + 4_000,
+        buffers: { addAnswer: () => true, endRead: () => undefined },
         progress: { mayHaveRun: false },
         signal: new AbortController().signal,
     };
--- a/standins/FleetProcess.ts
+++ b/standins/FleetProcess.ts
@@ -65,6 +65,11 @@
         return new Promise(resolve => readline.createInterface(output).once("line", resolve));
     }
 
+    /** ID of the running process; undefined if it isn't running. */
+    get pid(): number | undefined {
+        return this.child?.pid;
+    }
+
     /** Whether the process has been started and has neither exited nor been killed. */
     get isRunning(): boolean {
         return this.child !== undefined;
--- a/standins/platform/EntryProgram.ts
+++ b/standins/platform/EntryProgram.ts
@@ -9,6 +9,7 @@
 
 /** Number of ports that an entry listens on. */
 export const PORT_COUNT = 4;
+const KILOBYTES_PER_MEGABYTE = 1_024;
 /** Index of the port for peers among them. */
 export const PEER_PORT_INDEX = 2;
 
@@ -43,25 +44,47 @@
     };
 }
 
+/** How the process is run. */
+export interface ProgramOptions {
+    /** Options of Node.js. */
+    readonly nodeOptions?: readonly string[];
+    /** Settings beside those of its identity. */
+    readonly settings?: Record<string, unknown>;
+}
+
 /** The built program as one entry of a store's fleet. */
 export class EntryProgram {
     private constructor(
         readonly process: fleetProcesses.FleetProcess,
         private readonly directory: string,
         readonly callerAddress: string,
+        readonly adminAddress: string,
     ) {}
 
     /** Starts the process, without waiting until it is ready. */
-    static async start(store: string): Promise<EntryProgram> {
+    static async start(store: string, options: ProgramOptions = {}): Promise<EntryProgram> {
         const directory = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-entry-"));
         const ports = await freePorts.findFreePorts(PORT_COUNT);
         const identity = { instance: "entry-1", failureDomain: "zone-a", ports, store, seeds: [], stopLimitSeconds: 8 };
         const file = path.join(directory, "entry.yaml");
-        fs.writeFileSync(file, JSON.stringify(createSettings(identity)));
-        const args = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
+        fs.writeFileSync(file, JSON.stringify({ ...createSettings(identity), ...options.settings }));
+        const program = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
+        const args = [...options.nodeOptions ?? [], ...program];
         const child = new fleetProcesses.FleetProcess(args, path.join(directory, "entry.log"));
         child.start();
-        return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`);
+        return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`, `127.0.0.1:${ports[PORT_COUNT - 1]}`);
+    }
+
+    /** The lines that it has logged so far. */
+    readLog(): Record<string, unknown>[] {
+        const lines = fs.readFileSync(path.join(this.directory, "entry.log"), "utf8").split("\n");
+        return lines.filter(line => line.startsWith("{")).map(line => JSON.parse(line) as Record<string, unknown>);
+    }
+
+    /** Largest resident memory since its start, in megabytes. */
+    get peakMegabytes(): number {
+        const status = fs.readFileSync(`/proc/${this.process.pid!}/status`, "utf8");
+        return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)![1]) / KILOBYTES_PER_MEGABYTE;
     }
 
     /** Kills the process, and removes its files once it has ended. */
--- /dev/null
+++ b/tests/ProcessMemory.test.ts
@@ -0,0 +1,216 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as vitest from "vitest";
+import * as clocks from "../src/common/Clock";
+import * as listeners from "../src/connection/Listener";
+import * as entryPrograms from "../standins/platform/EntryProgram";
+import * as fleets from "../standins/platform/RoutedFleet";
+
+/** What a process may use on the machines of entries. */
+const MEMORY_MEGABYTES = 350;
+const NODE_OPTIONS = ["--max-old-space-size=160", "--max-semi-space-size=4"];
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** The operating system buffers answers of this size for callers that don't read. */
+const LARGE_BYTES = 3_000_000;
+/** It buffers only a part of these. */
+const HUGE_BYTES = 15_000_000;
+const HUGE_ANSWER = Buffer.alloc(HUGE_BYTES, "a");
+const ROUTES = 4_000;
+const DEADLINE_MS = 4_000;
+
+/** An engine with large answers, which reads bodies and forgets them. */
+class LargeEngine implements clocks.Disposable {
+    private listener: listeners.Listener | undefined;
+
+    get address(): string {
+        return this.listener!.address;
+    }
+
+    async listen(): Promise<void> {
+        const server = http.createServer((request, response) => void this.answer(request, response));
+        this.listener = await listeners.listen(server, "127.0.0.1:0");
+    }
+
+    dispose(): void {
+        this.listener?.dispose();
+    }
+
+    /** Paths that end in `silent` get no answer, those that end in a number an answer of so many bytes. */
+    private async answer(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        await new Promise(resolve => request.resume().once("end", resolve));
+        if (request.url!.endsWith("silent")) {
+            return;
+        }
+        response.writeHead(200, { "Attempt-Id": request.headers["attempt-id"], "Route-Stamp": "stamp" });
+        response.end(HUGE_ANSWER.subarray(0, Number(/\d+$/.exec(request.url!)?.[0] ?? 2)));
+    }
+}
+
+let fleet: fleets.RoutedFleet;
+let engine: LargeEngine;
+let entry: entryPrograms.EntryProgram;
+let sockets: net.Socket[];
+let attempts = 0;
+
+async function start(): Promise<void> {
+    const nodeOptions = NODE_OPTIONS;
+    entry = await entryPrograms.EntryProgram.start(fleet.store.address, {
+        nodeOptions,
+        settings: { memoryMegabytes: MEMORY_MEGABYTES },
+    });
+    await fleet.waitUntil(async () => await callStatus() === 200);
+}
+
+vitest.beforeEach(async () => {
+    sockets = [];
+    fleet = new fleets.RoutedFleet();
+    await fleet.start([]);
+    engine = new LargeEngine();
+    await engine.listen();
+    publish(1, []);
+    fleet.store.put("servers/desk-1", {
+        Service: "desk",
+        Address: engine.address,
+        Zone: "zone-a",
+        Version: "v1",
+        Slots: 8,
+        State: "ready",
+        ColdLeftMs: 0,
+        Seq: 1,
+        born: 1,
+    });
+});
+
+vitest.afterEach(async () => {
+    sockets.forEach(socket => socket.destroy());
+    await entry.dispose();
+    engine.dispose();
+    fleet.dispose();
+});
+
+/** Publishes a configuration with large bodies, and further routes. */
+function publish(version: number, extraRoutes: readonly unknown[]): void {
+    const configuration = fleets.createConfiguration(version) as { Routes: unknown[]; Limits: object };
+    fleet.publish(version, {
+        Routes: [...configuration.Routes, ...extraRoutes],
+        Limits: { ...configuration.Limits, MaxBodyBytes: MAX_BODY_BYTES },
+    });
+}
+
+function connect(): net.Socket {
+    const [host, port] = entry.callerAddress.split(":");
+    const socket = net.connect(Number(port), host);
+    socket.on("error", () => undefined);
+    sockets.push(socket);
+    return socket;
+}
+
+function encodeHead(path: string, bodyBytes: number): string {
+    const lines = [
+        `POST ${path} HTTP/1.1`,
+        "Host: desk.example",
+        `Attempt-Id: memory-${++attempts}`,
+        `Deadline-Ms: ${DEADLINE_MS}`,
+        `Authorization: Token ${fleets.TEAM_KEY}`,
+        `Content-Length: ${bodyBytes}`,
+    ];
+    return `${lines.join("\r\n")}\r\n\r\n`;
+}
+
+/** Makes a small call on a connection of its own; resolves to its status, 0 if the connection ends without one. */
+async function callStatus(path = "/look/ready"): Promise<number> {
+    const socket = connect();
+    socket.write(encodeHead(path, 0));
+    const received = await new Promise<string>(resolve => {
+        socket.once("data", chunk => resolve(chunk.toString("latin1")));
+        socket.once("close", () => resolve(""));
+    });
+    socket.destroy();
+    return Number(received.split(" ")[1] ?? 0);
+}
+
+/** Makes calls whose answers nobody reads. */
+function callUnread(count: number, path: string, body?: Buffer): net.Socket[] {
+    return Array.from({ length: count }, () => {
+        const socket = connect();
+        socket.write(encodeHead(path, body?.length ?? 0));
+        socket.write(body ?? "");
+        return socket;
+    });
+}
+
+/** Makes a call with a body of the largest size, and reads its answer; resolves to its status. */
+async function callWithBody(path: string, body: Buffer): Promise<number> {
+    const [socket] = callUnread(1, path, body);
+    const received = await new Promise<string>(resolve => {
+        let text = "";
+        socket!.on("data", chunk => {
+            text += chunk.toString("latin1");
+            resolve(text);
+        });
+        socket!.once("close", () => resolve(text));
+    });
+    socket!.resume();
+    return Number(received.split(" ")[1] ?? 0);
+}
+
+async function readMetric(name: string): Promise<number> {
+    const response = await fetch(`http://${entry.adminAddress}/metrics`);
+    return Number(new RegExp(`^${name} (\\S+)$`, "m").exec(await response.text())?.[1]);
+}
+
+/** Expects that the process runs, serves small calls and has stayed within its memory. */
+async function expectSound(name: string): Promise<void> {
+    vitest.expect(entry.process.isRunning).toBe(true);
+    vitest.expect(entry.peakMegabytes, name).toBeLessThan(MEMORY_MEGABYTES);
+    vitest.expect(await callStatus()).toBe(200);
+    vitest.expect(entry.readLog().filter(({ decision }) => decision === "exception")).toEqual([]);
+}
+
+vitest.describe("a process under load stays within its memory", () => {
+    // Guards against a process that is killed for the answers that its callers don't read.
+    vitest.it.each([
+        { count: 200, bytes: LARGE_BYTES },
+        { count: 60, bytes: HUGE_BYTES },
+    ])("with $count answers of $bytes bytes that callers don't read", async ({ count, bytes }) => {
+        await start();
+        callUnread(count, `/look/${bytes}`);
+        await clocks.sleep(clocks.systemClock, 3_000);
+        await expectSound("unread answers");
+        vitest.expect(await readMetric("cumincrank_buffered_bytes")).toBeLessThan(
+            await readMetric("cumincrank_buffer_limit_bytes") * 1.5,
+        );
+    });
+
+    // Guards against a process that is killed for the bodies of calls that wait for their instance.
+    vitest.it("with bodies of the largest size that arrive at once", async () => {
+        await start();
+        const body = Buffer.alloc(MAX_BODY_BYTES, "b");
+        const statuses = await Promise.all(
+            Array.from({ length: 150 }, () => callWithBody("/look/silent", body)),
+        );
+        const rejected = statuses.filter(status => status === 503).length;
+        await expectSound("bodies");
+        vitest.expect(rejected).toBeGreaterThan(0);
+        vitest.expect(rejected).toBe(await readMetric("cumincrank_buffer_rejections"));
+        await fleet.waitUntil(async () => await readMetric("cumincrank_buffered_bytes") === 0);
+        vitest.expect(await callWithBody("/look/a", body)).toBe(200);
+    });
+
+    vitest.it("with 4,000 routes and idle connections", async () => {
+        await start();
+        Array.from({ length: 950 }, connect).forEach(socket => socket.write(encodeHead("/look/a", 0)));
+        const route = { Host: "desk.example", TimeoutMs: 4_000, GoalMs: 1_500, Priority: 1, Public: true, Attempts: 2 };
+        for (let version = 2; version <= 6; version++) {
+            const extraRoutes = Array.from({ length: ROUTES }, (_, index) => {
+                const name = `route-${version}-${index}`;
+                return { ...route, Name: name, Prefix: `/${name}/`, Kind: "idempotent", Service: "desk" };
+            });
+            publish(version, extraRoutes);
+            await fleet.waitUntil(async () => await callStatus(`/route-${version}-${ROUTES - 1}/1`) === 200);
+        }
+        callUnread(100, `/look/${LARGE_BYTES}`);
+        await clocks.sleep(clocks.systemClock, 1_000);
+        await expectSound("routes");
+    });
+});
