Bound the unsent bytes to all other entries together

Cause: each connection to another entry could hold 64 MB of unsent frames, with no bound for their sum.

Change: 48 MB for all together, but at least two of the largest frames (8 MB) for each. Only connections of entries for routed calls; others keep 64 MB. PeerConnection.test.ts covers the bound of a connection, not the sum.

--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -34,6 +34,8 @@
     readonly silenceMs?: () => number;
     /** Time without another message after which a heartbeat is sent; undefined to send one each `HEARTBEAT_MS`. */
     readonly heartbeatIntervalMs?: () => number;
+    /** Size of the send buffer above which the connection is closed; undefined for `MAX_UNSENT_BYTES`. */
+    readonly maxUnsentBytes?: () => number;
 }
 
 /** An established connection, on which the peer's hello has arrived. */
@@ -151,7 +153,7 @@
         const envelope = { version: this.context.version(), ...(era === undefined ? {} : { era }), message };
         this.socket.write(frames.encodeFrame(envelope));
         this.lastSentMs = this.context.clock.now();
-        if (this.socket.writableLength > MAX_UNSENT_BYTES) {
+        if (this.socket.writableLength > (this.context.maxUnsentBytes?.() ?? MAX_UNSENT_BYTES)) {
             this.close(codes.failure(codes.codes.peerSlow, `${this.socket.writableLength} bytes unsent`));
         }
         return true;
--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -27,6 +27,9 @@
 const PEER_OPENS_MS = 120;
 const RECONNECT_POLL_INTERVAL_MS = 10;
 const MAX_RECONNECT_MS = 2_000;
+/** Bytes that may wait to be sent to all other entries together; for each of them, room for two of the largest frames. */
+const MAX_UNSENT_BYTES = 48 * 1024 * 1024;
+const MIN_UNSENT_BYTES = 2 * messages.MAX_FRAME_BYTES;
 /** Interval at which unreachable entries are removed and tasks for new addresses are started. */
 const RECONCILE_INTERVAL_MS = 500;
 
@@ -321,6 +324,7 @@
             heartbeat: () => ({ kind: "heartbeat" }),
             silenceMs: () => paces.connectionSilenceMs(this.ordinaryIntervalMs),
             heartbeatIntervalMs: () => this.ordinaryIntervalMs,
+            maxUnsentBytes: () => Math.max(MIN_UNSENT_BYTES, MAX_UNSENT_BYTES / Math.max(1, this.known.size)),
         };
     }
 }
