Don't keep the headers of calls whose prompt parts are remembered

Cause: a part's name is cut from its header, and V8 lets such a text share the memory of the whole one from 13 characters on.

The set has a module of its own, CachedParts.

--- a/src/process/instances/InstanceTraffic.ts
+++ b/src/process/instances/InstanceTraffic.ts
@@ -4,6 +4,7 @@
 import * as clocks from "../../common/Clock";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as arrivalWindows from "./ArrivalWindow";
+import * as cachedParts from "./CachedParts";
 import * as callCosts from "./CallCosts";
 import * as holds from "./InstanceHold";
 import * as instanceSpeeds from "./InstanceSpeed";
@@ -16,8 +17,6 @@
 const NEWEST_CALL_WEIGHT = 0.2;
 /** Share of failed calls above which an instance is paused. */
 const MAX_FAILURE_SHARE = 0.5;
-/** Number of prompt parts that are remembered as cached. */
-const MAX_CACHED_PARTS = 2_000;
 /** How long a reported load is used. */
 const LOAD_REPORT_LIFETIME_MS = 1_000;
 
@@ -58,7 +57,7 @@
     private unreachableAtMs = -Infinity;
     private meanCallMs: number | undefined;
     private meanUpdatedMs = -Infinity;
-    private readonly cachedParts = new Set<string>();
+    private readonly cachedParts = new cachedParts.CachedParts();
     readonly speed: instanceSpeeds.InstanceSpeed;
 
     constructor(
@@ -119,7 +118,7 @@
         this.waitingTokens += missingTokens;
         this.arrivals.add(this.clock.now());
         this.rate.add(this.clock.now());
-        this.addCachedParts(parts);
+        this.cachedParts.add(parts);
         const startedAtMs = this.clock.now();
         const countedCall = this.hold.startCall();
         let unreadTokens = missingTokens;
@@ -198,15 +197,4 @@
         this.pausesSinceSuccess++;
         this.pausedUntilMs = this.clock.now() + durationMs;
     }
-
-    private addCachedParts(parts: readonly string[]): void {
-        for (const part of parts) {
-            this.cachedParts.delete(part);
-            this.cachedParts.add(part);
-        }
-        while (this.cachedParts.size > MAX_CACHED_PARTS) {
-            const [oldest] = this.cachedParts;
-            this.cachedParts.delete(oldest!);
-        }
-    }
 }
