Leave descriptors for instances, other entries and the store when callers open many connections

Cause: nothing bounded the connections that are accepted, so callers' idle ones took all descriptors.

Change: callers may have half of the descriptors that aren't for files (1,950 of 4,100; 75 of 200), by the operating system's limit or the new optional setting `maxDescriptors`, whichever is lower. The admin and ready addresses take 32 connections each.

tests/ProcessMemory.test.ts: both cases of a process with few descriptors failed before (status 0 in place of 200; "fetch failed") and pass now; the second shows that it recovers. Not shown by a test: links to other entries at the limit.

--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -88,6 +88,8 @@
     coldRate: z.strictObject({ factor: z.number().min(0), extra: z.number().min(0) }),
     /** Memory available to the process; the bytes of bodies and answers that it holds at once follow from it. */
     memoryMegabytes: z.number().positive().default(256),
+    /** Descriptors available to the process, if they are fewer than the operating system's limit. */
+    maxDescriptors: z.int().positive().optional(),
 });
 
 /** Settings of any role, discriminated by `role`. */
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -20,7 +20,7 @@
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left">;
-    readonly server: Pick<servers.RouteServer, "active" | "buffers">;
+    readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
     /** Number of log lines dropped since the start. */
     readonly droppedLogLines: () => number;
 }
@@ -28,7 +28,7 @@
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
     const { view, replication, host, pool, crashes, fleet, retryBudgets, server, droppedLogLines } = sources;
-    const { buffers } = server;
+    const { buffers, connections } = server;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -53,5 +53,12 @@
     add("cumincrank_buffer_limit_bytes", "Bytes of bodies and answers that may be held", () => buffers.limitBytes);
     add("cumincrank_buffer_rejections", "Bodies for which there was no room", () => buffers.rejections);
     add("cumincrank_paused_answers", "Answers that aren't read on for now", () => buffers.pausedCount);
+    add("cumincrank_caller_connections", "Open connections of callers", () => connections.count);
+    add("cumincrank_caller_connection_limit", "Largest number of them", () => connections.max);
+    add(
+        "cumincrank_connections_closed_for_room",
+        "Connections closed as too many",
+        () => connections.closedForRoom,
+    );
     add("cumincrank_dropped_log_lines", "Log lines dropped", () => droppedLogLines());
 }
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -16,7 +16,9 @@
 import * as bufferAccounts from "../buffers/BufferAccount";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as metrics from "../metrics/RouteMetrics";
+import * as callerConnections from "../serving/CallerConnections";
 import * as callerWatches from "../serving/CallerWatch";
+import * as descriptorLimits from "../serving/DescriptorLimit";
 import * as idleConnections from "../serving/IdleConnections";
 import * as bodies from "./CallerBody";
 import * as callerRequests from "./CallerRequest";
@@ -43,7 +45,7 @@
     readonly run: routedRuns.RunContext;
     readonly metrics: metrics.RouteMetrics;
     /** What the process may use. */
-    readonly resources: Pick<settingsShapes.RouteEntrySettings, "memoryMegabytes">;
+    readonly resources: Pick<settingsShapes.RouteEntrySettings, "memoryMegabytes" | "maxDescriptors">;
     /** Detects late turns of the event loop, which may have left requests unread. */
     readonly pauses: pauseMonitors.PauseMonitor;
 }
@@ -67,6 +69,8 @@
 export class RouteServer implements clocks.Disposable {
     private readonly server: http.Server;
     private readonly idleConnections: idleConnections.IdleConnections;
+    /** The callers' connections. */
+    readonly connections: callerConnections.CallerConnections;
     /** The bytes of bodies and answers held. */
     readonly buffers: bufferAccounts.BufferAccount;
     private listener: listeners.Listener | undefined;
@@ -85,7 +89,15 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
         this.idleConnections = new idleConnections.IdleConnections(this.server);
-        const limitBytes = bufferAccounts.bufferLimitBytes(context.resources.memoryMegabytes);
+        const { memoryMegabytes, maxDescriptors = Infinity } = context.resources;
+        const descriptors = Math.min(descriptorLimits.readDescriptorLimit(), maxDescriptors);
+        this.connections = new callerConnections.CallerConnections({
+            ...context,
+            server: this.server,
+            idle: this.idleConnections,
+            maxConnections: descriptorLimits.maxCallerConnections(descriptors),
+        });
+        const limitBytes = bufferAccounts.bufferLimitBytes(memoryMegabytes);
         this.buffers = new bufferAccounts.BufferAccount({ ...context, limitBytes });
         this.applyCallerLimits(DEFAULT_LIMITS);
     }
--- a/src/process/serving/AdminServer.ts
+++ b/src/process/serving/AdminServer.ts
@@ -5,6 +5,9 @@
 import * as prom from "prom-client";
 import * as listeners from "../../connection/Listener";
 
+/** Further connections are closed at once, so that they take no descriptors from the process's work. */
+const MAX_CONNECTIONS = 32;
+
 /** The process that the admin server reports on. */
 export interface AdminSource {
     /** Whether the balancer may send work to this process. */
@@ -21,6 +24,7 @@
     readyPath = "/readyz",
 ): Promise<listeners.Listener> {
     const server = http.createServer((request, response) => void handleRequest(source, readyPath, request, response));
+    server.maxConnections = MAX_CONNECTIONS;
     return listeners.listen(server, address);
 }
 
--- /dev/null
+++ b/src/process/serving/DescriptorLimit.ts
@@ -0,0 +1,31 @@
+/**
+ * How many descriptors a process may open, and how many of them its callers' connections may take.
+ */
+import * as fs from "node:fs";
+
+const LIMITS_FILE = "/proc/self/limits";
+const SOFT_LIMIT_PATTERN = /^Max open files +(\d+)/m;
+/** Assumed where the operating system states no limit. */
+const DEFAULT_DESCRIPTORS = 1_024;
+/** Descriptors for files and the runtime, but no more than the share below. */
+const MAX_FILE_DESCRIPTORS = 200;
+const MAX_FILE_SHARE = 0.25;
+/** Share of the others for callers: each request needs a connection to an instance too, besides peers and the store. */
+const CALLER_SHARE = 0.5;
+
+/** The operating system's limit for this process. */
+export function readDescriptorLimit(): number {
+    try {
+        const limit = SOFT_LIMIT_PATTERN.exec(fs.readFileSync(LIMITS_FILE, "utf8"))?.[1];
+        return limit === undefined ? DEFAULT_DESCRIPTORS : Number(limit);
+    }
+    catch {
+        return DEFAULT_DESCRIPTORS; // Not an operating system with this file.
+    }
+}
+
+/** The number of callers' connections that a process with so many descriptors may have at once. */
+export function maxCallerConnections(descriptors: number): number {
+    const files = Math.min(MAX_FILE_DESCRIPTORS, descriptors * MAX_FILE_SHARE);
+    return Math.max(1, Math.floor((descriptors - files) * CALLER_SHARE));
+}
--- a/src/process/serving/IdleConnections.ts
+++ b/src/process/serving/IdleConnections.ts
@@ -28,12 +28,27 @@
         }
     }
 
+    /** Closes the connection that has been without a request for longest; false if there is none. */
+    closeLongestIdle(): boolean {
+        for (const [socket, { openResponses, bytesRead }] of this.states) {
+            if (openResponses === 0 && socket.bytesRead === bytesRead) {
+                this.states.delete(socket);
+                socket.destroy();
+                return true;
+            }
+        }
+        return false;
+    }
+
     private countRequest(socket: net.Socket, response: http.ServerResponse): void {
         const state = this.states.get(socket) ?? this.track(socket);
         state.openResponses++;
         response.on("close", () => {
             state.openResponses--;
             state.bytesRead = socket.bytesRead;
+            if (this.states.delete(socket)) {
+                this.states.set(socket, state); // The one that has been idle for longest comes first.
+            }
         });
     }
 
--- a/standins/FleetProcess.ts
+++ b/standins/FleetProcess.ts
@@ -22,13 +22,20 @@
     });
 }
 
+/** Sets the limit on descriptors, given as the first argument, and becomes the program of the others. */
+const LIMIT_DESCRIPTORS = ["/bin/sh", "-c", "ulimit -n \"$0\"; exec \"$@\""] as const;
+
 /** A Node.js program that runs as a child process. */
 export class FleetProcess {
     private child: childProcess.ChildProcess | undefined;
     private exitCode: Promise<number | undefined> = Promise.resolve(undefined);
 
     /** The standard output of all runs is appended to `logFile`. */
-    constructor(private readonly args: readonly string[], private readonly logFile?: string) {}
+    constructor(
+        private readonly args: readonly string[],
+        private readonly logFile?: string,
+        private readonly maxDescriptors?: number,
+    ) {}
 
     /** Starts the process unless it is running. */
     start(): void {
@@ -37,6 +44,7 @@
         }
         const command = [
             ...(fs.existsSync(KILL_WITH_PARENT[0]) ? KILL_WITH_PARENT : []),
+            ...(this.maxDescriptors === undefined ? [] : [...LIMIT_DESCRIPTORS, String(this.maxDescriptors)]),
             process.execPath,
             ...this.args,
         ];
--- a/standins/platform/EntryProgram.ts
+++ b/standins/platform/EntryProgram.ts
@@ -50,6 +50,7 @@
     readonly nodeOptions?: readonly string[];
     /** Settings beside those of its identity. */
     readonly settings?: Record<string, unknown>;
+    readonly maxDescriptors?: number;
 }
 
 /** The built program as one entry of a store's fleet. */
@@ -70,7 +71,7 @@
         fs.writeFileSync(file, JSON.stringify({ ...createSettings(identity), ...options.settings }));
         const program = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
         const args = [...options.nodeOptions ?? [], ...program];
-        const child = new fleetProcesses.FleetProcess(args, path.join(directory, "entry.log"));
+        const child = new fleetProcesses.FleetProcess(args, path.join(directory, "entry.log"), options.maxDescriptors);
         child.start();
         return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`, `127.0.0.1:${ports[PORT_COUNT - 1]}`);
     }
--- a/tests/ProcessMemory.test.ts
+++ b/tests/ProcessMemory.test.ts
@@ -52,11 +52,12 @@
 let sockets: net.Socket[];
 let attempts = 0;
 
-async function start(): Promise<void> {
+async function start(maxDescriptors?: number): Promise<void> {
     const nodeOptions = NODE_OPTIONS;
     entry = await entryPrograms.EntryProgram.start(fleet.store.address, {
         nodeOptions,
         settings: { memoryMegabytes: MEMORY_MEGABYTES },
+        ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
     });
     await fleet.waitUntil(async () => await callStatus() === 200);
 }
@@ -214,3 +215,31 @@
         await expectSound("routes");
     });
 });
+
+vitest.describe("a process with few descriptors", () => {
+    const MAX_DESCRIPTORS = 200;
+    const CALLER_CONNECTIONS = 75;
+
+    // Guards against a process that can't reach instances or other entries, since its callers hold all descriptors.
+    vitest.it("keeps some for its work, and serves new connections in place of idle ones", async () => {
+        await start(MAX_DESCRIPTORS);
+        for (let round = 0; round < 4; round++) {
+            callUnread(100, "/look/a");
+            await clocks.sleep(clocks.systemClock, 200);
+            vitest.expect(await callStatus()).toBe(200);
+        }
+        vitest.expect(await readMetric("cumincrank_caller_connections")).toBeLessThanOrEqual(CALLER_CONNECTIONS);
+        await expectSound("descriptors");
+        publish(2, []);
+        await fleet.waitUntil(async () => await readMetric("cumincrank_revision") >= 4);
+    });
+
+    vitest.it("recovers when calls hold all the connections that there may be", async () => {
+        await start(MAX_DESCRIPTORS);
+        callUnread(300, "/look/silent");
+        await clocks.sleep(clocks.systemClock, 1_000);
+        vitest.expect(await readMetric("cumincrank_caller_connections")).toBeLessThanOrEqual(CALLER_CONNECTIONS);
+        await fleet.waitUntil(async () => await callStatus() === 200);
+        await expectSound("descriptors");
+    });
+});
