List the store's keys again when the changes don't fit into an answer

Cause: an answer of the store is read up to 16 MB. Changes since the view's revision that take more were requested again and again; only when the store had lost its history were all keys listed.

Change: the failure has a code of its own, and the reader lists all keys then, as when the history is lost; a log line says so.

--- a/src/common/Codes.ts
+++ b/src/common/Codes.ts
@@ -111,6 +111,7 @@
     stillRunning: row(309, "still-running", "unknown", 504, "The call is still running; ask again with the same key."),
     keyTooOld: row(310, "key-too-old", "unknown", 409, "The key's home restarted; an earlier call may have run."),
     internalError: row(311, "internal-error", "unknown", 500, "The process failed to serve the request; see its log."),
+    answerTooLarge: row(312, "answer-too-large", "unknown", 502, "The answer exceeds the size limit."),
 
     frameTooLarge: row(400, "frame-too-large", undefined, 500, "A frame exceeds the size limit."),
     frameMalformed: row(401, "frame-malformed", undefined, 500, "A frame isn't valid CBOR or fails its schema."),
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -48,6 +48,8 @@
     /** Whether to use a new connection, outside the pool. */
     readonly usesFreshConnection?: boolean;
     readonly maxResponseBytes?: number;
+    /** Code of the failure if the response is larger; undefined for `malformed-answer`. */
+    readonly tooLargeCode?: codes.ResultCode;
     /** A request header that the response may repeat; a different value shows a response to another request. */
     readonly echoedHeader?: string;
     /** Maximum time between two chunks of a streamed response; replaces `timeoutMs` from the first chunk on. */
@@ -226,7 +228,8 @@
         this.receivedBytes += chunk.length;
         this.bodyTimeout?.receive(chunk.length);
         if (this.receivedBytes > (this.request.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)) {
-            this.fail(codes.codes.malformedAnswer, `more than ${this.receivedBytes} bytes`);
+            const { tooLargeCode = codes.codes.malformedAnswer } = this.request;
+            this.fail(tooLargeCode, `more than ${this.receivedBytes} bytes`);
             return;
         }
         this.chunks.push(chunk);
--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -85,6 +85,12 @@
         watches: [changes([], 5, true)],
         expectedRequests: ["list -", "watch 5", "list -", "watch 5"],
     },
+    {
+        name: "lists again when the changes don't fit into an answer",
+        pages: [onlyPage, { ...onlyPage, revision: 9 }],
+        watches: [result.err(codes.failure(codes.codes.answerTooLarge, "test"))],
+        expectedRequests: ["list -", "watch 5", "list -", "watch 9"],
+    },
     {
         name: "retries after a failure",
         pages: [onlyPage],
--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -76,6 +76,14 @@
                 isListed = false;
                 continue;
             }
+            if (isListed && failure.code === codes.codes.answerTooLarge) {
+                this.options.log.warn(
+                    { decision: "changes-too-large", ...this.options.view.position, detail: failure.detail },
+                    "the changes don't fit into an answer of the store; listing all keys again",
+                );
+                isListed = false;
+                continue;
+            }
             if (!this.recordFailure(failure)) {
                 const delayMs = RETRY_DELAY_MS * (0.5 + this.options.random());
                 await clocks.sleep(this.options.clock, delayMs, this.stop.signal);
