Give bodies and answers room of their own in the account of bytes

Seen in a trial (900 idle connections, ten configurations of 4,000 routes, 400 unread answers, 300 bodies of 4 MB in 10 s): answers that nobody reads kept the account above half, so that only 2 to 11 of the large bodies were accepted; the peak was 298 MB of 350 with a fifth of the memory. Second fault, shown by the replay of answers of 16 MB with less room: answers that were all read in part could leave the oldest less than its rest, and waited for each other until their deadlines.

Change: large bodies have half of the limit, answers the other half; the oldest answer may also exceed its share by what the others were read beyond it. The limit is 15% of the memory in place of 20%.

The bound of answers' bytes is stricter (half of the limit).

--- a/src/process/buffers/BufferAccount.ts
+++ b/src/process/buffers/BufferAccount.ts
@@ -1,18 +1,20 @@
 /**
- * Accounts for the bytes of bodies and answers that a process holds, so that they stay within its memory. While much is
- * held, large bodies are rejected; while the account is full, small ones are too, and large answers are read one at a
- * time. Answers that their callers don't read are broken off then.
+ * Accounts for the bytes of bodies and answers that a process holds, so that they stay within its memory. Bodies for which
+ * there is no room are rejected, large ones before small ones. While there is no room for answers, large ones are read one
+ * at a time, and those that their callers don't read are broken off. Neither takes the other's room.
  */
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 
 /** Bodies up to this size, and the beginnings of answers, are small. */
 export const SMALL_BYTES = 16 * 1024;
-/** Share of the limit above which large bodies are rejected, and unread answers are broken off. */
-const TIGHT_SHARE = 0.5;
-/** By how much the oldest answer that is being read may exceed the limit while the others pause. */
+/** Share of the limit above which large bodies are rejected. */
+const LARGE_BODY_SHARE = 0.5;
+/** Share of the limit above which large answers are read one at a time. */
+const ANSWER_SHARE = 0.5;
+/** By how much the oldest answer that is being read may exceed that share while the others pause. */
 const MAX_EXCESS_BYTES = 16 * 1024 * 1024;
-/** Paused answers receive about so much in a turn of the event loop. */
+/** Largest part of an answer that is read at once. */
 const READ_BYTES = 64 * 1024;
 /** A caller has this time to read an answer, and that of its size at the rate below, before it may be broken off. */
 const UNREAD_GRACE_MS = 2_000;
@@ -20,7 +22,7 @@
 const CHECK_INTERVAL_MS = 250;
 const MS_PER_SECOND = 1_000;
 /** Share of a process's memory for the bytes held; the rest is for the heap, and for bytes not collected or read yet. */
-const MEMORY_SHARE = 0.2;
+const MEMORY_SHARE = 0.15;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 
 /** What the account needs from its process. */
@@ -43,7 +45,8 @@
 
 /** The bytes that a process holds for all its requests. */
 export class BufferAccount implements clocks.Disposable {
-    private held = 0;
+    private bodyBytes = 0;
+    private answerBytes = 0;
     /** Requests whose answers are large and being read, the oldest first, with what resumes them if they are paused. */
     private readonly reading = new Map<BufferHold, (() => void) | undefined>();
     private readonly unread = new Map<BufferHold, UnreadAnswer>();
@@ -55,7 +58,7 @@
 
     /** Bytes held now. */
     get heldBytes(): number {
-        return this.held;
+        return this.bodyBytes + this.answerBytes;
     }
 
     get limitBytes(): number {
@@ -78,13 +81,18 @@
 
     /** Whether the account has room for further bytes of a body that is small, or isn't. */
     hasRoom(bytes: number, isSmall: boolean): boolean {
-        return this.held + bytes <= this.limitBytes * (isSmall ? 1 : TIGHT_SHARE);
+        return this.bodyBytes + bytes <= this.limitBytes * (isSmall ? 1 : LARGE_BODY_SHARE);
     }
 
-    /** Adds bytes, or takes them away if the number is negative. */
-    change(bytes: number): void {
-        this.held += bytes;
-        if (this.isTight) {
+    /** Adds bytes of a body, or takes them away if the number is negative. */
+    changeBodies(bytes: number): void {
+        this.bodyBytes += bytes;
+    }
+
+    /** Adds bytes of an answer, or takes them away if the number is negative. */
+    changeAnswers(bytes: number): void {
+        this.answerBytes += bytes;
+        if (this.roomForAnswers <= 0) {
             this.checkTimer ??= clocks.every(this.options.clock, CHECK_INTERVAL_MS, () => this.breakOffUnread());
         }
         else {
@@ -119,7 +127,7 @@
         }
     }
 
-    /** Notes that an answer is being written; `breakOff` is called if its caller doesn't read it while much is held. */
+    /** Notes that an answer is being written; `breakOff` is called if its caller doesn't read it and there is no room. */
     beginWrite(hold: BufferHold, breakOff: () => void): void {
         if (hold.answerBytes <= SMALL_BYTES) {
             return;
@@ -133,22 +141,25 @@
         this.unread.delete(hold);
     }
 
-    private get isTight(): boolean {
-        return this.held > this.limitBytes * TIGHT_SHARE;
+    /** Bytes of answers that may be added; negative beyond their share. */
+    private get roomForAnswers(): number {
+        return this.limitBytes * ANSWER_SHARE - this.answerBytes;
     }
 
     private get state(): { readonly heldBytes: number; readonly limitBytes: number } {
-        return { heldBytes: this.held, limitBytes: this.limitBytes };
+        return { heldBytes: this.heldBytes, limitBytes: this.limitBytes };
     }
 
+    /** The oldest may be read to its end even if each other one has gone beyond the share by what was read at once. */
     private mayRead(hold: BufferHold): boolean {
         const [oldest] = this.reading.keys();
-        return this.held < this.limitBytes + (hold === oldest ? MAX_EXCESS_BYTES : 0);
+        const excessBytes = hold === oldest ? MAX_EXCESS_BYTES + this.reading.size * READ_BYTES : 0;
+        return this.roomForAnswers + excessBytes > 0;
     }
 
     /** Resumes as many answers as there is room for, the oldest first. */
     private resumeReading(): void {
-        let room = Math.max(1, Math.floor((this.limitBytes - this.held) / READ_BYTES));
+        let room = Math.max(1, Math.floor(this.roomForAnswers / READ_BYTES));
         for (const [hold, resume] of this.reading) {
             if (room === 0) {
                 return;
@@ -193,14 +204,14 @@
             return false;
         }
         this.bodyBytes += bytes;
-        this.account.change(bytes);
+        this.account.changeBodies(bytes);
         return true;
     }
 
     /** Adds bytes that have arrived of an answer; false if it has to be read on only when `resume` is called. */
     addAnswer(bytes: number, resume: () => void): boolean {
         this.answerBytes += bytes;
-        this.account.change(bytes);
+        this.account.changeAnswers(bytes);
         const canRead = this.answerBytes <= SMALL_BYTES || this.account.tryRead(this, resume);
         this.hasPaused ||= !canRead;
         return canRead;
@@ -220,7 +231,7 @@
     releaseBody(): void {
         const { bodyBytes } = this;
         this.bodyBytes = 0;
-        this.account.change(-bodyBytes);
+        this.account.changeBodies(-bodyBytes);
     }
 
     /** Releases the answers. */
@@ -229,6 +240,6 @@
         this.answerBytes = 0;
         this.account.endRead(this);
         this.account.endWrite(this);
-        this.account.change(-answerBytes);
+        this.account.changeAnswers(-answerBytes);
     }
 }
