--- a/src/commands/SettingsFile.test.ts
+++ b/src/commands/SettingsFile.test.ts
@@ -29,6 +29,7 @@
     stopLimitSeconds: 5,
     repeats: { windowSeconds: 10, ratio: 0, slack: 0 },
     coldRate: { factor: 1, extra: 0 },
+    memoryMegabytes: 256,
 };
 
 const complete = {
@@ -43,6 +44,7 @@
     stopLimitSeconds: 8,
     repeats: { windowSeconds: 20, ratio: 0.2, slack: 50 },
     coldRate: { factor: 1.5, extra: 5 },
+    memoryMegabytes: 350,
 };
 
 interface EmptyCase {
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -16,6 +16,7 @@
 const UNKNOWN_CORES = 0;
 /** The time limit of a planned stop, if none is stated. */
 const DEFAULT_STOP_LIMIT_SECONDS = 5;
+const DEFAULT_MEMORY_MEGABYTES = 256;
 /** Without a known window, no number of retries is within the bound. */
 const NO_RETRIES = { windowSeconds: 10, ratio: 0, slack: 0 };
 
@@ -105,6 +106,10 @@
     repeats: repeatsSchema,
     /** Calls per second to a cold instance, from all entries: `factor` times its published rate, plus `extra`. */
     coldRate: coldRateSchema,
+    /** Memory available to the process; the bytes of bodies and answers that it holds at once follow from it. */
+    memoryMegabytes: z.number().positive().default(DEFAULT_MEMORY_MEGABYTES),
+    /** Descriptors available to the process, if they are fewer than the operating system's limit. */
+    maxDescriptors: z.int().positive().optional(),
 });
 
 /** Settings of any role, discriminated by `role`. */
--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -82,6 +82,14 @@
                 isLost = true;
                 continue;
             }
+            if (isListed && failure.code === codes.codes.answerTooLarge) {
+                this.options.log.warn(
+                    { decision: "changes-too-large", ...this.options.view.position, detail: failure.detail },
+                    "the changes don't fit into an answer of the store; listing all keys again",
+                );
+                isListed = false;
+                continue;
+            }
             if (!this.recordFailure(failure)) {
                 await this.sleepBeforeRetry();
             }
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -21,13 +21,14 @@
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left">;
-    readonly server: Pick<servers.RouteServer, "active">;
+    readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
     readonly counters: processCounters.ProcessCounters;
 }
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
     const { view, replication, host, pool, crashes, fleet, retryBudgets, server, counters } = sources;
+    const { buffers, connections } = server;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -48,6 +49,17 @@
     add("cumincrank_window_retries", "Retries sent in the window of their budget", () => retryBudgets.retries);
     add("cumincrank_retries_left", "Retries that may be sent now, of all services", () => retryBudgets.left);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
+    add("cumincrank_buffered_bytes", "Bytes of bodies and answers held", () => buffers.heldBytes);
+    add("cumincrank_buffer_limit_bytes", "Bytes of bodies and answers that may be held", () => buffers.limitBytes);
+    add("cumincrank_buffer_rejections", "Bodies for which there was no room", () => buffers.rejections);
+    add("cumincrank_paused_answers", "Answers that aren't read on for now", () => buffers.pausedCount);
+    add("cumincrank_caller_connections", "Open connections of callers", () => connections.count);
+    add("cumincrank_caller_connection_limit", "Largest number of them", () => connections.max);
+    add(
+        "cumincrank_connections_closed_for_room",
+        "Connections closed as too many",
+        () => connections.closedForRoom,
+    );
     add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
     add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
     add("cumincrank_machine_errors", "Errors of the operating system that nobody handled", counters.machineErrors);
--- a/standins/platform/EntryProgram.ts
+++ b/standins/platform/EntryProgram.ts
@@ -9,6 +9,7 @@
 
 /** Number of ports that an entry listens on. */
 export const PORT_COUNT = 4;
+const KILOBYTES_PER_MEGABYTE = 1_024;
 /** Index of the port for peers among them. */
 export const PEER_PORT_INDEX = 2;
 
@@ -50,6 +51,11 @@
     /** File or device that gets its standard output; `unread`: a pipe that nobody reads. A file of its own by default. */
     readonly output?: string | "unread";
     readonly stopLimitSeconds?: number;
+    /** Options of Node.js. */
+    readonly nodeOptions?: readonly string[];
+    /** Settings beside those of its identity. */
+    readonly settings?: Record<string, unknown>;
+    readonly maxDescriptors?: number;
 }
 
 /** The built program as one entry of a store's fleet. */
@@ -59,6 +65,7 @@
         private readonly directory: string,
         readonly callerAddress: string,
         readonly readyAddress: string,
+        readonly adminAddress: string,
     ) {}
 
     /** Starts the process, without waiting until it is ready. */
@@ -68,12 +75,27 @@
         const stopLimitSeconds = options.stopLimitSeconds ?? 8;
         const identity = { instance: "entry-1", failureDomain: "zone-a", ports, store, seeds: [], stopLimitSeconds };
         const file = path.join(directory, "entry.yaml");
-        fs.writeFileSync(file, JSON.stringify(createSettings(identity)));
-        const args = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
+        fs.writeFileSync(file, JSON.stringify({ ...createSettings(identity), ...options.settings }));
+        const program = [path.resolve("dist/cumincrank.cjs"), "entry", "--settings", file];
+        const args = [...options.nodeOptions ?? [], ...program];
         const output = options.output ?? path.join(directory, "entry.log");
-        const child = new fleetProcesses.FleetProcess(args, output === "unread" ? undefined : output);
+        const logFile = output === "unread" ? undefined : output;
+        const child = new fleetProcesses.FleetProcess(args, logFile, options.maxDescriptors);
         child.start();
-        return new EntryProgram(child, directory, `127.0.0.1:${ports[0]}`, `127.0.0.1:${ports[1]}`);
+        const [callers, readiness, , admin] = ports.map(port => `127.0.0.1:${port}`);
+        return new EntryProgram(child, directory, callers!, readiness!, admin!);
+    }
+
+    /** The lines that it has logged so far. */
+    readLog(): Record<string, unknown>[] {
+        const lines = fs.readFileSync(path.join(this.directory, "entry.log"), "utf8").split("\n");
+        return lines.filter(line => line.startsWith("{")).map(line => JSON.parse(line) as Record<string, unknown>);
+    }
+
+    /** Largest resident memory since its start, in megabytes. */
+    get peakMegabytes(): number {
+        const status = fs.readFileSync(`/proc/${this.process.pid!}/status`, "utf8");
+        return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)![1]) / KILOBYTES_PER_MEGABYTE;
     }
 
     /** Kills the process, and removes its files once it has ended. */
--- a/standins/platform/SettingsTemplate.ts
+++ b/standins/platform/SettingsTemplate.ts
@@ -6,7 +6,7 @@
 
 const TEMPLATE_FILE = path.resolve("platform/entry.yaml");
 const SECTION_PATTERN = /\{\{([#^])([\w.]+)\}\}([^]*?)\{\{\/\2\}\}/g;
-const PLACEHOLDER_PATTERN = /\{\{([\w.]+|@|,)\}\}/g;
+const PLACEHOLDER_PATTERN = /\{\{([\w.]+|@|,)(\|json)?\}\}/g;
 
 /** Values of the placeholders, as nested tables. */
 export type TemplateValues = Readonly<Record<string, unknown>>;
@@ -32,7 +32,7 @@
         InternalPorts: [admin, 1],
         Seeds: [`127.0.0.1:${control}`],
         Bootstrap: true,
-        Limits: { CpuShare: 0.5 },
+        Limits: { CpuShare: 0.5, MemoryMb: 350, MaxFds: 4100 },
         Bounds: { GraceS: 8, BudgetWindowS: 10, BudgetRatio: 0.2, BudgetSlack: 52, ColdOver: 1.5, ColdSlack: 4 },
         Platform: { Address: machine.store },
     };
@@ -47,7 +47,7 @@
 
 /** Lists the names of the values that the template refers to. */
 export function listPlaceholders(): string[] {
-    const names = [...readTemplate().matchAll(/\{\{#?(\w[\w.]*)\}\}/g)].map(([, name]) => name!);
+    const names = [...readTemplate().matchAll(/\{\{#?(\w[\w.]*)(?:\|json)?\}\}/g)].map(([, name]) => name!);
     return [...new Set(names)];
 }
 
@@ -69,7 +69,10 @@
         }
         return isAbsent ? "" : renderEntries(body, value, values);
     });
-    return rendered.replace(PLACEHOLDER_PATTERN, (_placeholder, name: string) => toText(lookUp(values, name)));
+    return rendered.replace(PLACEHOLDER_PATTERN, (_placeholder, name: string, json: string | undefined) => {
+        const value = lookUp(values, name);
+        return json === undefined ? toText(value) : JSON.stringify(value) ?? "";
+    });
 }
 
 /** Renders the body of a section once for each entry of a list or table, or once for any other value. */
--- a/tests/StartSettings.test.ts
+++ b/tests/StartSettings.test.ts
@@ -123,6 +123,8 @@
     "Zones",
     "Bootstrap",
     "Limits.CpuShare",
+    "Limits.MemoryMb",
+    "Limits.MaxFds",
     "Bounds.GraceS",
     "Bounds.BudgetWindowS",
     "Bounds.BudgetRatio",
