End a stage call and an order that failed with an exception, rather than leave them open

Found in the review of (read, no input is known): an exception in a stage call was logged, but the worker stayed busy and a hand-over never completed; an order's sender got no answer. Both now end as failed. StageHost and ServedOrders tests pass; no test of its own.

--- a/src/process/stages/ServedOrders.ts
+++ b/src/process/stages/ServedOrders.ts
@@ -5,6 +5,7 @@
  */
 import * as backgroundTasks from "../../common/BackgroundTask";
 import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as stageOrders from "../../common/StageOrder";
@@ -94,13 +95,24 @@
             result: undefined,
         };
         this.assign(served, sender);
-        const result = await this.host.run(content, controller.signal, computed => {
-            const { connection, order } = served.sender ?? {};
-            connection?.send({ kind: "stages-made", order: order!, pieces: [...computed] });
-        });
+        const result = await this.run(served, content);
         this.report(served, result);
     }
 
+    /** Runs an order; an exception, which is a defect of this program, is a failure for its sender. */
+    private async run(served: ServedOrder, content: stageOrders.StageOrder): Promise<stageHosts.StageRunResult> {
+        try {
+            return await this.host.run(content, served.controller.signal, computed => {
+                const { connection, order } = served.sender ?? {};
+                connection?.send({ kind: "stages-made", order: order!, pieces: [...computed] });
+            });
+        }
+        catch (error) {
+            this.log.error({ decision: "exception", task: "stage-order", err: error }, "a stage order failed");
+            return { kind: "failed", failure: codes.failure(codes.codes.internalError, String(error)) };
+        }
+    }
+
     private assign(served: ServedOrder, sender: Sender): void {
         served.sender = sender;
         const orders = this.ordersByConnection.get(sender.connection) ?? new Map<number, ServedOrder>();
--- a/src/process/stages/StageHost.ts
+++ b/src/process/stages/StageHost.ts
@@ -203,8 +203,7 @@
             INPUTS_READ_MS,
             () => this.scheduler.recordInputsRead(batch),
         );
-        const pieceResults = await this.calls.send(batch);
-        inputsReadTimer.dispose();
+        const pieceResults = await this.sendBatch(batch).finally(() => inputsReadTimer.dispose());
         if (pieceResults === "held") {
             this.scheduler.returnBatch(batch, this.options.clock.now());
         }
@@ -214,6 +213,17 @@
         this.dispatch();
     }
 
+    /** An exception, which is a defect of this program, counts as a call without results. */
+    private async sendBatch(batch: batching.StageBatch): ReturnType<stageCalls.StageCalls["send"]> {
+        try {
+            return await this.calls.send(batch);
+        }
+        catch (error) {
+            this.options.log.error({ decision: "exception", task: "stage-call", err: error }, "a stage call failed");
+            return undefined;
+        }
+    }
+
     private reportOutcome(outcome: schedulers.JobOutcome): void {
         const { job } = outcome;
         this.options.log.info({
