Count a task that an error of the operating system has ended as a defect; name the cause of an end

Found in the review (a rule of Node.js: a rejection nobody handles arrives with the origin unhandledRejection): a rejected task carries errno too, and a process that went on would miss that task for good. UncaughtErrors.test.ts: the new case failed before. An end that isn't for an address is no longer logged as address-unavailable, and has its stack.

--- a/src/commands/LoggedProcess.ts
+++ b/src/commands/LoggedProcess.ts
@@ -20,7 +20,7 @@
     readonly counters: processCounters.ProcessCounters;
 }
 
-/** Runs a process until it ends; resolves to its exit code. A rejection of `run` means that it can't start. */
+/** Runs a process until it ends; resolves to its exit code. A rejection of `run` is logged, and ends the process. */
 export async function runLogged(
     settings: { readonly instance: string; readonly logLevel: string },
     run: (process: LoggedProcess) => Promise<number>,
@@ -42,7 +42,7 @@
         return await run({ log, counters });
     }
     catch (error) {
-        log.fatal({ code: codes.codes.addressUnavailable.code, detail: String(error) }, "can't start");
+        log.fatal({ code: findCode(error).code, detail: String(error), err: error }, "the process ends");
         return exitCodes.EXIT_FAILED;
     }
     finally {
@@ -50,10 +50,17 @@
     }
 }
 
+/** An address that can't be used is the only end that isn't a defect of this program. */
+function findCode(error: unknown): codes.ResultCode {
+    const isAddress = (error as NodeJS.ErrnoException | undefined)?.syscall === "listen";
+    return isAddress ? codes.codes.addressUnavailable : codes.codes.internalError;
+}
+
 /** Writes the rest of the log. At its end, Node.js would wait without limit for a write that blocks. */
-async function closeLog(output: logOutputs.LogOutput): Promise<void> {
+export async function closeLog(output: logOutputs.LogOutput): Promise<void> {
     const isDone = await output.drain(LOG_DRAIN_LIMIT_MS);
     if (!isDone) {
         process.kill(process.pid, "SIGKILL");
     }
+    output.dispose();
 }
--- a/src/commands/StartSettings.ts
+++ b/src/commands/StartSettings.ts
@@ -6,13 +6,14 @@
 import * as codes from "../common/Codes";
 import * as logs from "../common/Log";
 import * as checks from "../version/ConfigurationCheck";
+import * as loggedProcesses from "./LoggedProcess";
 import * as settingsFiles from "./SettingsFile";
 import * as settingsWaits from "./SettingsWait";
 
 const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 /** Name in the log of a process that hasn't read its name yet. */
 const UNNAMED_INSTANCE = "unnamed";
-/** Longest time for which the end of the wait is held up until its lines are written. */
+/** Longest time for which a start is held up until the lines of the wait are written. */
 const LOG_DRAIN_LIMIT_MS = 500;
 
 /** The commands that run a process with settings. */
@@ -56,8 +57,13 @@
     else if (end.kind === "invalid") {
         log.fatal({ code, file, problems: end.problems }, "can't start");
     }
-    await output.drain(LOG_DRAIN_LIMIT_MS);
-    output.dispose();
+    if (end.kind === "valid") {
+        await output.drain(LOG_DRAIN_LIMIT_MS);
+        output.dispose();
+    }
+    else {
+        await loggedProcesses.closeLog(output);
+    }
     return end;
 }
 
--- a/src/commands/UncaughtErrors.test.ts
+++ b/src/commands/UncaughtErrors.test.ts
@@ -46,6 +46,12 @@
         expect(fixture.lines[0]!.error).toContain("ECONNREFUSED");
     });
 
+    it("of the operating system ends the process if it has ended a task", async () => {
+        const fixture = new Fixture();
+        fixture.errors.handle(await refusedConnection(), "unhandledRejection");
+        expect([fixture.ends, fixture.lines[0]!.level]).toEqual([1, LEVEL_FATAL]);
+    });
+
     it.each([
         { name: "an exception", error: new TypeError("x is undefined"), text: "x is undefined" },
         { name: "a rejection without an error", error: undefined, text: "undefined" },
--- a/src/commands/UncaughtErrors.ts
+++ b/src/commands/UncaughtErrors.ts
@@ -43,7 +43,7 @@
         }
         const { log, createId, end } = this.options;
         const fields = { decision: "uncaught-error", id: createId(), origin, ...describe(error) };
-        if (isMachineError(error) && this.countInWindow() <= MAX_MACHINE_ERRORS) {
+        if (origin === "uncaughtException" && isMachineError(error) && this.countInWindow() <= MAX_MACHINE_ERRORS) {
             this.machineErrorCount++;
             log.error(fields, "an error of the operating system that nobody handled; the process goes on");
             return;
@@ -63,7 +63,7 @@
     }
 }
 
-/** Whether a failed system call reported the error. */
+/** Whether a failed system call reported the error; a task that such an error has ended is a defect all the same. */
 function isMachineError(error: unknown): boolean {
     return error instanceof Error
         && typeof (error as NodeJS.ErrnoException).syscall === "string"
