--- a/src/commands/SettingsFile.test.ts
+++ b/src/commands/SettingsFile.test.ts
@@ -1,3 +1,6 @@
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
 import * as vitest from "vitest";
 import * as yaml from "yaml";
 import * as settingsFiles from "./SettingsFile";
@@ -184,3 +187,14 @@
         expect(start.isErr && start.error.map(({ path }) => path)).toContain(problemPath);
     });
 });
+
+describe("a settings file that contains itself", () => {
+    // Guards against the end of a process by a reload.
+    it.each(["x: &a [*a]", "repeats: &a { ratio: *a }"])("is rejected: %s", text => {
+        const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-settings-")), "entry.yaml");
+        fs.writeFileSync(file, text);
+        expect(settingsFiles.readSettings(file).isErr).toBe(true);
+        expect(settingsFiles.readStartSettings(file).isErr).toBe(true);
+        fs.rmSync(path.dirname(file), { recursive: true });
+    });
+});
--- a/src/commands/SettingsFile.ts
+++ b/src/commands/SettingsFile.ts
@@ -68,7 +68,9 @@
 
 function parseYaml(text: string): result.Result<unknown, readonly checks.Problem[]> {
     try {
-        return result.ok(yaml.parse(text));
+        const content: unknown = yaml.parse(text);
+        JSON.stringify(content); // Throws for a document that contains itself, through an alias.
+        return result.ok(content);
     }
     catch (error) {
         return fail(String(error).split("\n")[0]!, "a single YAML document");
