--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -131,7 +131,6 @@
     /** Starts an agent; rejects if it can't listen on one of its addresses. */
     static async start(settings: settingsFile.AgentSettings, options: AgentOptions): Promise<AgentProcess> {
         const agent = new AgentProcess(settings, options);
-        await agent.node.start();
         agent.adminListener = agent.disposables.add(
             await adminServers.listenAdmin(settings.adminListen, {
                 isReady: () => agent.isReady,
@@ -139,6 +138,7 @@
                 registry: agent.metrics.registry,
             }, options),
         );
+        await agent.node.start();
         agent.placement.start();
         agent.upstreamWatch.start();
         return agent;
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -91,7 +91,7 @@
                 incarnation: clock.wall(),
                 cores: settings.cores,
                 position: () => this.view.position,
-                isDraining: () => this.isDraining,
+                isDraining: () => !this.isServing,
                 hosting: () => this.roles.hosting,
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
                 knowsAll: () => fleet.settledAtMs !== undefined,
@@ -146,7 +146,7 @@
             new hostRoles.HostRoles({
                 ...shared,
                 instance: settings.instance,
-                isDraining: () => this.isDraining,
+                isDraining: () => !this.isServing,
                 peers: this.peers,
                 view: this.view,
                 openOrders: () => this.host.size,
@@ -250,7 +250,7 @@
 
     /** Whether the balancer may route callers here. */
     get isReady(): boolean {
-        return this.view.table !== undefined && !this.isDraining && this.callerAddress !== "";
+        return this.view.table !== undefined && this.isServing;
     }
 
     /** Applies the settings that may change while the process runs; addresses and names stay until the next start. */
@@ -290,6 +290,11 @@
         this.admin?.dispose();
     }
 
+    /** Whether the process accepts callers and isn't stopping. */
+    private get isServing(): boolean {
+        return this.callerAddress !== "" && !this.isDraining;
+    }
+
     private get isDraining(): boolean {
         return this.stopDeadlineMs !== undefined;
     }
@@ -319,6 +324,7 @@
         this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, options, settings.readyPath));
         this.admin = await adminServers.listenAdmin(settings.adminListen, source, options);
         await this.server.listen(settings.callerListen);
+        this.peers.broadcastPresence();
     }
 
     /** Whether another live entry accepts requests. */
