Pause between listings after changes that don't fit, and end a listing whose pages repeat

Found in the review (read): alternating listings and watches had no pause in one of two cases, and pages that end at A, B, A, B without an end filled the memory. PublishedReader.test.ts passes; no case of its own for these two.

--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -88,6 +88,10 @@
                     "the changes don't fit into an answer of the store; listing all keys again",
                 );
                 isListed = false;
+                if (isLost) {
+                    await this.sleepBeforeRetry();
+                }
+                isLost = true;
                 continue;
             }
             if (!this.recordFailure(failure)) {
@@ -116,8 +120,13 @@
     private async listAll(): Promise<codes.Failure | undefined> {
         const items: routing.PublishedItem[] = [];
         let position: positions.Position | undefined;
+        const pageEnds = new Set<string | undefined>();
         let after: string | undefined;
         do {
+            if (pageEnds.has(after)) {
+                return codes.failure(codes.codes.sourceUnavailable, "pages that repeat");
+            }
+            pageEnds.add(after);
             this.storeCalls++;
             const page = await this.options.store.list(after, this.stop.signal);
             if (page.isErr) {
