Handle the signals of a stop until the end

Found in the review (a rule of Node.js: without a listener the default action is back): a second SIGTERM right after the first one ended the process at once, with all its requests.

--- a/src/commands/Signals.ts
+++ b/src/commands/Signals.ts
@@ -16,9 +16,10 @@
 
 /** The first signal starts a planned stop, a second one stops the process at once. Resolves to the exit code. */
 export async function waitForStop(running: RunningProcess, log: logs.Log): Promise<number> {
-    await waitForSignal();
+    const signals = new StopSignals();
+    await signals.next();
     log.info("planned stop begins");
-    const cut = await Promise.race([running.stop(), waitForSignal().then(() => undefined)]);
+    const cut = await Promise.race([running.stop(), signals.next().then(() => undefined)]);
     if (cut === undefined) {
         log.warn({ code: codes.codes.stopLimit.code }, "second signal: aborting work in progress");
         running.dispose();
@@ -28,14 +29,33 @@
     return cut === 0 ? exitCodes.EXIT_SUCCESS : exitCodes.EXIT_WORK_ABORTED;
 }
 
-function waitForSignal(): Promise<void> {
-    return new Promise(resolve => {
+/** The signals that stop the process. They stay handled until its end: by default, each would end it at once. */
+class StopSignals {
+    private unread = 0;
+    private waiting: (() => void) | undefined;
+
+    constructor() {
         const onSignal = (): void => {
-            process.off("SIGTERM", onSignal);
-            process.off("SIGINT", onSignal);
-            resolve();
+            this.unread++;
+            this.wake();
         };
         process.on("SIGTERM", onSignal);
         process.on("SIGINT", onSignal);
-    });
+    }
+
+    /** Resolves at the next signal that hasn't been waited for. */
+    next(): Promise<void> {
+        return new Promise(resolve => {
+            this.waiting = resolve;
+            this.wake();
+        });
+    }
+
+    private wake(): void {
+        if (this.unread > 0 && this.waiting !== undefined) {
+            this.unread--;
+            this.waiting();
+            this.waiting = undefined;
+        }
+    }
 }
