Let silent connections to the admin and readiness addresses give way; wait for descriptors at a start

Found in the review: 32 silent connections kept the readiness check from its answer for up to a minute, and a start without descriptors ended at once.

--- a/src/connection/Listener.ts
+++ b/src/connection/Listener.ts
@@ -12,8 +12,15 @@
 const ADDRESS_LIMIT_MS = 30_000;
 const RETRY_INTERVAL_MS = 100;
 const LOG_INTERVAL_MS = 1_000;
-/** Errors of an address that may be usable later: in use, or not configured on the machine yet. */
-const TRANSIENT_ERRORS: ReadonlySet<string | undefined> = new Set(["EADDRINUSE", "EADDRNOTAVAIL"]);
+/** Errors that may end: an address in use or not configured on the machine yet, and want of descriptors or memory. */
+const TRANSIENT_ERRORS: ReadonlySet<string | undefined> = new Set([
+    "EADDRINUSE",
+    "EADDRNOTAVAIL",
+    "EMFILE",
+    "ENFILE",
+    "ENOBUFS",
+    "ENOMEM",
+]);
 
 /** What a listener needs from its process. */
 export interface ListenContext {
@@ -71,7 +78,7 @@
             const waited = Math.round(waitedMs);
             log.warn(
                 { decision: "wait-for-address", code, address, error: error.code, waitedMs: waited },
-                "address in use",
+                "can't listen yet",
             );
         }
         await clocks.sleep(clock, RETRY_INTERVAL_MS);
--- a/src/process/serving/AdminServer.ts
+++ b/src/process/serving/AdminServer.ts
@@ -8,6 +8,13 @@
 /** Further connections are closed at once, so that they take no descriptors from the process's work. */
 const MAX_CONNECTIONS = 32;
 
+/** Connections that send nothing give way soon, since their number is bounded. */
+const TIME_LIMITS: http.ServerOptions = {
+    headersTimeout: 2_000,
+    requestTimeout: 5_000,
+    connectionsCheckingInterval: 500,
+};
+
 /** The process that the admin server reports on. */
 export interface AdminSource {
     /** Whether the balancer may send work to this process. */
@@ -24,7 +31,7 @@
     context: listeners.ListenContext,
     readyPath = "/readyz",
 ): Promise<listeners.Listener> {
-    const server = http.createServer((request, response) => {
+    const server = http.createServer(TIME_LIMITS, (request, response) => {
         handleRequest(source, readyPath, request, response).catch((error: unknown) => {
             // Whoever asked sees the cause; the work of the process doesn't depend on it.
             if (!response.headersSent) {
