--- a/src/process/membership/Node.ts
+++ b/src/process/membership/Node.ts
@@ -233,7 +233,18 @@
         this.options.onConnected?.(connection);
     }
 
+    /** An exception in a handler, which is a defect of this program, costs the message alone. */
     private handleEnvelope(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
+        try {
+            this.dispatchEnvelope(connection, envelope);
+        }
+        catch (error) {
+            const fields = { peer: connection.remote.instance, message: envelope.message.kind, err: error };
+            this.options.log.error({ decision: "exception", ...fields }, "handling a message failed");
+        }
+    }
+
+    private dispatchEnvelope(connection: peerConnections.PeerConnection, envelope: messages.Envelope): void {
         const { message } = envelope;
         this.heardPeers.add(connection.remote.instance);
         if (message.kind === "heartbeat" && message.load !== undefined) {
--- a/src/process/serving/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -98,6 +98,11 @@
         try {
             await this.serveRequest(httpRequest, response);
         }
+        catch (error) {
+            // A defect of this program; whether the request ran isn't known.
+            this.context.log.error({ decision: "exception", err: error }, "serving a request failed");
+            response.destroy();
+        }
         finally {
             await waitUntilSent(response);
             this.activeCount--;
