Break off a large answer of which its caller reads nothing for the idle time

Seen: an answer of 15 MB to a caller that reads nothing stayed in progress, with its connection and its memory, for as long as the caller kept the connection (8 s in the test, with an idle time of 1 s published). With a bound on callers' connections, such callers could hold all of them.

Cause: streams end at their hard deadline; a buffered answer had no limit once it was written.

Change: answers above 16 KB are broken off when nothing of them has been read for the published idle time (Node.js's socket time-out, which counts progress of writes: after one to two idle times). The time-out is taken back when a pipelined request waits on the connection, as Node.js doesn't do that.

SlowCallers.test.ts: "is broken off after the idle time" failed before ("condition not met within 8 s"); "doesn't break off the call after it" fails without the part for pipelined requests. ProcessMemory.test.ts now has a second entry, whose connection lasts while callers hold all the connections they may.

--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -76,6 +76,7 @@
     private listener: listeners.Listener | undefined;
     private readonly durations: callDurations.CallDurations;
     private readonly requestContext: callerRequests.RequestContext;
+    private limits = DEFAULT_LIMITS;
     private isDraining = false;
     /** Requests without a complete answer. */
     private readonly openRequests = new Set<OpenRequest>();
@@ -119,6 +120,7 @@
 
     /** Applies the time-outs of `limits`, to open connections too. */
     applyCallerLimits(limits: routing.CallerLimits): void {
+        this.limits = limits;
         this.server.headersTimeout = limits.headerTimeoutMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
     }
@@ -249,6 +251,9 @@
         switch (end.kind) {
             case "buffered":
                 open.buffers.beginWrite(() => sink.abort());
+                if (end.body.length > bufferAccounts.SMALL_BYTES) {
+                    this.limitWriting(open.response, call, sink);
+                }
                 sink.writeComplete(end.status, end.headers, end.body, end.isFramed);
                 this.recordAnswer(call, String(end.status), { instance: end.instance });
                 return;
@@ -269,6 +274,25 @@
         }
     }
 
+    /** Aborts an answer of which its caller reads nothing for the idle time, so that it doesn't keep its connection. */
+    private limitWriting(response: http.ServerResponse, call: calls.RoutedCall, sink: responses.CallerResponse): void {
+        const { socket } = response;
+        const { idleTimeoutMs } = this.limits;
+        response.setTimeout(idleTimeoutMs, () => {
+            this.context.log.warn(
+                { decision: "answer-stalled", attempt: call.metadata.attempt, idleTimeoutMs },
+                "an answer of which its caller reads nothing is broken off",
+            );
+            sink.abort();
+        });
+        response.once("finish", () => {
+            // Node.js sets the connection's next time-out only if no pipelined request waits for its answer.
+            if (socket && this.idleConnections.hasOtherResponses(socket)) {
+                socket.setTimeout(0);
+            }
+        });
+    }
+
     private answerFailure(open: OpenRequest, failure: codes.Failure): void {
         const { arrivedMs, call, message, response } = open;
         const bodyEnd = message.complete ? undefined : bodies.discardCallerBody(message, this.context.clock);
--- a/src/process/serving/IdleConnections.ts
+++ b/src/process/serving/IdleConnections.ts
@@ -40,6 +40,11 @@
         return false;
     }
 
+    /** Whether a connection has requests without an answer beside the one that is being answered. */
+    hasOtherResponses(socket: net.Socket): boolean {
+        return (this.states.get(socket)?.openResponses ?? 0) > 1;
+    }
+
     private countRequest(socket: net.Socket, response: http.ServerResponse): void {
         const state = this.states.get(socket) ?? this.track(socket);
         state.openResponses++;
--- a/tests/ProcessMemory.test.ts
+++ b/tests/ProcessMemory.test.ts
@@ -52,11 +52,11 @@
 let sockets: net.Socket[];
 let attempts = 0;
 
-async function start(maxDescriptors?: number): Promise<void> {
+async function start(maxDescriptors?: number, seeds: readonly string[] = []): Promise<void> {
     const nodeOptions = NODE_OPTIONS;
     entry = await entryPrograms.EntryProgram.start(fleet.store.address, {
         nodeOptions,
-        settings: { memoryMegabytes: MEMORY_MEGABYTES },
+        settings: { instance: "limited", memoryMegabytes: MEMORY_MEGABYTES, seeds },
         ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
     });
     await fleet.waitUntil(async () => await callStatus() === 200);
@@ -160,6 +160,12 @@
     return Number(new RegExp(`^${name} (\\S+)$`, "m").exec(await response.text())?.[1]);
 }
 
+/** Whether the other entry, if there is one, has a connection to the process. */
+async function isConnectedToPeer(): Promise<boolean> {
+    const { entries } = await fleet.status(0) as { readonly entries: readonly { readonly connected: boolean }[] };
+    return entries.some(({ connected }) => connected);
+}
+
 /** Expects that the process runs, serves small calls and has stayed within its memory. */
 async function expectSound(name: string): Promise<void> {
     vitest.expect(entry.process.isRunning).toBe(true);
@@ -235,9 +241,12 @@
     });
 
     vitest.it("recovers when calls hold all the connections that there may be", async () => {
-        await start(MAX_DESCRIPTORS);
+        const peer = await fleet.addEntry();
+        await start(MAX_DESCRIPTORS, [peer.peerAddress]);
+        await fleet.waitUntil(isConnectedToPeer);
         callUnread(300, "/look/silent");
         await clocks.sleep(clocks.systemClock, 1_000);
+        vitest.expect(await isConnectedToPeer()).toBe(true);
         vitest.expect(await readMetric("cumincrank_caller_connections")).toBeLessThanOrEqual(CALLER_CONNECTIONS);
         await fleet.waitUntil(async () => await callStatus() === 200);
         await expectSound("descriptors");
--- a/tests/SlowCallers.test.ts
+++ b/tests/SlowCallers.test.ts
@@ -27,6 +27,11 @@
     const [host, port] = address.split(":");
     const socket = net.connect(Number(port), host);
     socket.on("error", () => undefined);
+    writeCall(socket, path, extraHeaders);
+    return socket;
+}
+
+function writeCall(socket: net.Socket, path: string, extraHeaders: Record<string, string>): void {
     const headers = {
         Host: "desk.example",
         "Attempt-Id": "slow",
@@ -35,7 +40,6 @@
     };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
     socket.write(`GET ${path} HTTP/1.1\r\n${lines.join("")}\r\n`);
-    return socket;
 }
 
 /** Sends a call and reads nothing of its answer until `reading` resolves; returns the number of bytes received. */
@@ -64,6 +68,49 @@
     });
 });
 
+vitest.describe("an answer to a caller that reads nothing", () => {
+    // Guards against callers that occupy their connections, and the memory of their answers, for ever.
+    vitest.it("is broken off after the idle time, and others aren't", async () => {
+        const limits = { HeaderBytes: 4_096, MaxBodyBytes: 10_000, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 1_000 };
+        fleet.publish(2, { Limits: limits });
+        const entry = await fleet.addEntry();
+        await fleet.waitUntil(async () => (await fleet.call("/look/ready")).status === 200);
+        const socket = sendCall(entry.callerAddress, "/look/1", {});
+        await fleet.waitUntil(() => fleet.enginesOf("desk")[0]!.runs.at(-1)?.path === "/look/1");
+        await fleet.waitUntil(async () => (await fleet.status(0))["active"] === 0);
+        socket.destroy();
+        const answer = await callSlowly(entry.callerAddress, clocks.sleep(clocks.systemClock, 500));
+        vitest.expect(answer).toBeGreaterThan(ANSWER_BYTES);
+    });
+
+    // Guards against a pipelined call that is broken off by the time-out of the answer before it.
+    vitest.it("doesn't break off the call after it on its connection", async () => {
+        const limits = { HeaderBytes: 4_096, MaxBodyBytes: 10_000, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 500 };
+        fleet.publish(2, { Limits: limits });
+        await fleet.addEngine({
+            id: "model-2",
+            service: "model",
+            failureDomain: "zone-a",
+            events: 2,
+            serviceMs: 2_000,
+        });
+        fleet.engines[1]!.isLeaving = true;
+        fleet.store.put("servers/model-1", fleet.engines[1]!.createStoreRecord("draining"));
+        const entry = await fleet.addEntry();
+        await fleet.waitUntil(async () => (await fleet.call("/look/ready")).status === 200);
+        const socket = sendCall(entry.callerAddress, "/look/1", {});
+        let received = "";
+        let size = 0;
+        socket.on("data", chunk => {
+            size += chunk.length;
+            received = (received + chunk.toString("latin1")).slice(-1_000);
+        });
+        writeCall(socket, "/notes/1", fleets.PROMPT_HEADERS);
+        await fleet.waitUntil(() => size > ANSWER_BYTES && received.includes("id: 2"));
+        socket.destroy();
+    });
+});
+
 vitest.describe("a stream to a caller that reads nothing", () => {
     // Guards against a caller that occupies an instance for as long as it keeps its connection.
     vitest.it("is ended at the instance, and broken off, at its hard deadline", async () => {
