Know the other entries sooner after a start, and share apart from domains that aren't reached

Change: an entry with a predecessor knows the others 1 s after the last new name if it is connected to all of them (2 s otherwise); it doesn't while it is connected to less than half of those it has met. Domains without a connected entry are assumed to have as many entries as the largest, and the ranking of the remainder leaves their names out: of a domain beyond a cut, each side may know another part. A predecessor may have used the share until this process has bound its addresses. In FleetSize.test.ts the entries now say whether they are connected; the expected times and counts of the former cases are unchanged. The new cases of FleetSize.test.ts fail before (one at 2,600 ms for 1,600; one settled while it is cut off).

--- a/src/process/instances/LimitFleet.test.ts
+++ b/src/process/instances/LimitFleet.test.ts
@@ -82,16 +82,19 @@
 
     /** The fleet as it becomes known: a few at first, all later. */
     private createFleet(): fleetSizes.Fleet {
-        return new fleetSizes.FleetSize({
+        const fleet = new fleetSizes.FleetSize({
             clock: this.clock,
             self: { name: this.name, failureDomain: "a" },
             others: () =>
-                this.knownNames.filter(name => name !== this.name).map(name => ({ name, failureDomain: "a" })),
+                this.knownNames.filter(name => name !== this.name)
+                    .map(name => ({ name, failureDomain: "a", isConnected: true })),
             failureDomains: () => [],
             hasOthers: () => true,
             hasCompleteList: () => this.knownNames.length === this.fleetNames.length,
             isFirstStart: false,
         });
+        fleet.recordListening();
+        return fleet;
     }
 
     private get knownNames(): readonly string[] {
--- a/src/process/instances/RetryFleet.test.ts
+++ b/src/process/instances/RetryFleet.test.ts
@@ -5,7 +5,8 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as randoms from "../../common/Random";
-import * as fleetSizes from "../shares/FleetSize";
+import * as arrivalCounts from "../shares/ArrivalCount";
+import * as simulations from "../shares/FleetSimulation";
 import * as retryBudgets from "./RetryBudgets";
 import * as budgets from "./ServiceRetryBudget";
 
@@ -18,7 +19,6 @@
 /** A killed entry is back after this time, and knows all others this long after its start at the latest. */
 const DOWN_MS = 300;
 const DISCOVERY_MS = 1_800;
-const DISCOVERY_STEP_MS = 100;
 /** Until then, the entries have started and know each other. */
 const SETTLED_MS = 12_000;
 
@@ -33,102 +33,39 @@
     /** When the first call comes. */
     readonly callsFromMs: number;
     /** Times at which entries are killed, and which. */
-    readonly kills: readonly { readonly atMs: number; readonly isKilled: (entry: number) => boolean }[];
+    readonly kills: readonly simulations.Kill[];
     /** Whether entries reach each other at a time. */
     readonly isCut?: (atMs: number, from: number, to: number) => boolean;
     readonly seed: number;
 }
 
-/** One entry, whose memory ends with its process. */
-class Entry {
-    private readonly discoveryMs: number;
-    private readonly known = new Map<number, fleetSizes.FleetEntry>();
-    private readonly fleet: fleetSizes.FleetSize;
-    private readonly startedMs: number;
-    private hasCompleteList = false;
-    readonly budget: budgets.ServiceRetryBudget;
-
-    constructor(readonly index: number, clock: clocks.Clock, random: () => number, slack: number) {
-        const bound = { windowSeconds: WINDOW_SECONDS, ratio: RATIO, slack };
-        this.startedMs = clock.now();
-        this.discoveryMs = DISCOVERY_MS * (0.3 + 0.7 * random());
-        this.fleet = new fleetSizes.FleetSize({
-            clock,
-            self: createFleetEntry(index),
-            others: () => [...this.known.values()],
-            failureDomains: () => [...Array(DOMAINS).keys()].map(String),
-            hasOthers: () => true,
-            hasCompleteList: () => this.hasCompleteList,
-            isFirstStart: clock.now() === 0,
-        });
-        this.budget = new retryBudgets.RetryBudgets(clock, () => bound, this.fleet).obtain("model");
-    }
-
-    /** Number of entries that it knows, including itself. */
-    get knownCount(): number {
-        return this.known.size + 1;
-    }
-
-    /** Learns of the others that it reaches, of more of them the longer it runs; those that know all list them. */
-    discover(nowMs: number, reachable: readonly Entry[]): void {
-        const share = Math.min(1, (nowMs - this.startedMs) / this.discoveryMs);
-        for (const other of reachable.slice(0, Math.floor(share * share * reachable.length))) {
-            this.add(other.index);
-            if (!this.hasCompleteList && other.fleet.settledAtMs !== undefined) {
-                other.known.forEach((_, index) => this.add(index));
-                this.hasCompleteList = true;
-            }
-        }
-    }
-
-    private add(index: number): void {
-        if (index !== this.index && !this.known.has(index)) {
-            this.known.set(index, createFleetEntry(index));
-        }
-    }
-}
-
-function createFleetEntry(index: number): fleetSizes.FleetEntry {
-    return { name: `entry-${index}`, failureDomain: String(index % DOMAINS) };
-}
-
 /** Entries before one service, in virtual time. */
 class RetryFleet {
     private readonly clock = new clocks.ManualClock(0);
     private readonly random: randoms.Random;
-    private readonly entries: (Entry | undefined)[] = [];
+    private readonly fleet: simulations.FleetSimulation<budgets.ServiceRetryBudget>;
     private readonly requestsAtMs: number[] = [];
     private readonly repeatsAtMs: number[] = [];
     private deniedCount = 0;
 
     constructor(private readonly load: Load) {
         this.random = randoms.createRandom(load.seed);
-        for (let index = 0; index < load.entries; index++) {
-            this.entries.push(this.start(index));
-        }
+        const bound = { windowSeconds: WINDOW_SECONDS, ratio: RATIO, slack: load.slack };
+        const plan = { ...load, failureDomains: DOMAINS, downMs: DOWN_MS, discoveryMs: DISCOVERY_MS };
+        this.fleet = new simulations.FleetSimulation(
+            plan,
+            this.clock,
+            this.random,
+            fleet => new retryBudgets.RetryBudgets(this.clock, () => bound, fleet).obtain("model"),
+        );
     }
 
     run(): void {
-        const backAtMs = new Map<number, number>();
         for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
-            for (const { atMs, isKilled } of this.load.kills) {
-                if (atMs === nowMs) {
-                    this.entries.forEach((_, index) => isKilled(index) && backAtMs.set(index, nowMs + DOWN_MS));
-                }
-            }
-            for (const [index, atMs] of backAtMs) {
-                this.entries[index] = nowMs < atMs ? undefined : this.start(index);
-                if (nowMs >= atMs) {
-                    backAtMs.delete(index);
-                }
-            }
-            if (nowMs % DISCOVERY_STEP_MS === 0) {
-                this.entries.filter(entry => entry !== undefined && entry.knownCount < this.entries.length)
-                    .forEach(entry => entry!.discover(nowMs, this.reachableFrom(entry!.index, nowMs)));
-            }
+            this.fleet.step();
             let calls = nowMs < this.load.callsFromMs ? 0 : this.load.callsPerSecond * STEP_MS / 1_000;
             for (; calls > 0 && this.random() < calls; calls--) {
-                this.call(this.entries[Math.floor(this.random() ** 1.5 * this.entries.length)]);
+                this.call(this.fleet.entries[Math.floor(this.random() ** 1.5 * this.load.entries)]);
             }
             this.clock.advance(STEP_MS);
         }
@@ -156,25 +93,15 @@
         return this.repeats / (this.repeats + this.deniedCount);
     }
 
-    private start(index: number): Entry {
-        return new Entry(index, this.clock, this.random, this.load.slack);
-    }
-
-    private reachableFrom(index: number, nowMs: number): Entry[] {
-        const { isCut } = this.load;
-        return this.entries.filter(other => other !== undefined)
-            .filter(other => other.index !== index && isCut?.(nowMs, index, other.index) !== true);
-    }
-
-    private call(entry: Entry | undefined): void {
+    private call(entry: simulations.SimulatedEntry<budgets.ServiceRetryBudget> | undefined): void {
         if (entry === undefined) {
             return;
         }
-        entry.budget.countFirstCall();
+        entry.memory.countFirstCall();
         this.requestsAtMs.push(this.clock.now());
         const { rejectedShare, maxRejections } = this.load;
         for (let sends = 1; sends <= maxRejections && this.random() < rejectedShare; sends++) {
-            if (!entry.budget.trySpend()) {
+            if (!entry.memory.trySpend()) {
                 this.deniedCount++;
                 return;
             }
@@ -183,35 +110,13 @@
     }
 }
 
-/** Number of times, which ascend, in the window that begins at `startMs`. */
+/** Number of times in the window that begins at `startMs`. */
 function countWithin(times: readonly number[], startMs: number): number {
-    return findFirst(times, startMs + WINDOW_MS) - findFirst(times, startMs);
-}
-
-function findFirst(times: readonly number[], sinceMs: number): number {
-    let low = 0;
-    let high = times.length;
-    while (low < high) {
-        const middle = (low + high) >> 1;
-        if (times[middle]! < sinceMs) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return low;
+    return arrivalCounts.countBetween(times, startMs, startMs + WINDOW_MS);
 }
 
 function killSeries(count: number, gapMs: number, isKilled: (entry: number) => boolean): Load["kills"] {
-    return Array.from({ length: count }, (_, kill) => ({ atMs: SETTLED_MS + 2_000 + kill * gapMs, isKilled }));
-}
-
-function rollingKills(entries: number): Load["kills"] {
-    return Array.from({ length: 2 * entries }, (_, turn) => ({
-        atMs: SETTLED_MS + 2_000 + STEP_MS * Math.floor(turn * 12_000 / entries / STEP_MS),
-        isKilled: entry => entry === turn % entries,
-    }));
+    return simulations.killSeries(SETTLED_MS + 2_000, count, gapMs, isKilled);
 }
 
 const sizes = [3, 24, 100, 300].map(entries => ({
@@ -238,7 +143,10 @@
                     kills: killSeries(7, 1_500, () => true),
                 },
             },
-            { name: "each is killed in turn, twice", load: { kills: rollingKills(entries) } },
+            {
+                name: "each is killed in turn, twice",
+                load: { kills: simulations.rollingKills(SETTLED_MS + 2_000, entries, 12_000, STEP_MS) },
+            },
             {
                 name: "the domains are cut off from each other while all are killed",
                 load: {
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -13,7 +13,6 @@
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
-import * as peerEntries from "../peers/PeerEntry";
 import * as replications from "../peers/PublishedReplication";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
@@ -23,6 +22,7 @@
 import * as stageClients from "../stages/StageClient";
 import * as stageHosts from "../stages/StageHost";
 import * as streamExchanges from "../streams/StreamOriginExchange";
+import * as entryFleets from "./EntryFleet";
 import * as entryStatuses from "./EntryStatus";
 import * as instanceParts from "./InstanceParts";
 import * as gauges from "./RouteGauges";
@@ -59,6 +59,7 @@
     private readonly view: views.PublishedView;
     private readonly replication: replications.PublishedReplication;
     private readonly peers: entryPeers.EntryPeers;
+    private readonly fleet: fleetSizes.FleetSize;
     private readonly pool: pools.InstancePool;
     private readonly host: stageHosts.StageHost;
     private readonly roles: hostRoles.HostRoles;
@@ -94,18 +95,11 @@
                 isDraining: () => this.isDraining,
                 hosting: () => this.roles.hosting,
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
-                knowsAll: () => fleet.settledAtMs !== undefined,
+                knowsAll: () => this.fleet.settledAtMs !== undefined,
             }),
         );
-        const fleet = new fleetSizes.FleetSize({
-            clock,
-            self: { name: settings.instance, failureDomain: settings.failureDomain },
-            others: () => this.peers.knownPeers.map(toFleetEntry),
-            failureDomains: () => this.settings.failureDomains,
-            hasOthers: () => this.peers.hasSeeds,
-            hasCompleteList: () => this.peers.hasCompleteList,
-            isFirstStart: settings.isFirstStart,
-        });
+        this.fleet = entryFleets.createFleet({ clock, settings: () => this.settings, peers: this.peers });
+        const { fleet } = this;
         const { leaving, pool, signs } = this.disposables.add(
             new instanceParts.InstanceParts({
                 ...shared,
@@ -326,6 +320,7 @@
         this.disposables.add(await adminServers.listenAdmin(settings.readyListen, source, settings.readyPath));
         this.admin = await adminServers.listenAdmin(settings.adminListen, source);
         await this.server.listen(settings.callerListen);
+        this.fleet.recordListening();
     }
 
     /** Whether another live entry accepts requests. */
@@ -344,7 +339,3 @@
         return this.view.findByAddress(address)?.failureDomain;
     }
 }
-
-function toFleetEntry({ instance, failureDomain }: peerEntries.PeerEntry): fleetSizes.FleetEntry {
-    return { name: instance, failureDomain };
-}
--- a/src/process/shares/FleetSize.test.ts
+++ b/src/process/shares/FleetSize.test.ts
@@ -4,20 +4,20 @@
 
 const SELF = { name: "entry-0", failureDomain: "a" };
 
-function entry(index: number, failureDomain: string): fleetSizes.FleetEntry {
-    return { name: `entry-${index}`, failureDomain };
+function entry(index: number, failureDomain: string, isConnected = false): fleetSizes.OtherEntry {
+    return { name: `entry-${index}`, failureDomain, isConnected };
 }
 
 interface Change {
     readonly atMs: number;
-    readonly others?: readonly fleetSizes.FleetEntry[];
+    readonly others?: readonly fleetSizes.OtherEntry[];
     readonly hasCompleteList?: boolean;
 }
 
 /** Plays what an entry learns; returns since when it knows the others. */
-function play(changes: readonly Change[], hasOthers = true) {
+function play(changes: readonly Change[], { hasOthers = true, isFirstStart = false } = {}) {
     const clock = new clocks.ManualClock(0);
-    let others: readonly fleetSizes.FleetEntry[] = [];
+    let others: readonly fleetSizes.OtherEntry[] = [];
     let hasCompleteList = false;
     const size = new fleetSizes.FleetSize({
         clock,
@@ -26,7 +26,7 @@
         failureDomains: () => ["a", "b", "c"],
         hasOthers: () => hasOthers,
         hasCompleteList: () => hasCompleteList,
-        isFirstStart: false,
+        isFirstStart,
     });
     for (let nowMs = 0; nowMs <= 20_000; nowMs += 100) {
         for (const change of changes.filter(({ atMs }) => atMs === nowMs)) {
@@ -40,14 +40,15 @@
 }
 
 vitest.describe("an entry knows the others", () => {
-    const two = [entry(1, "a"), entry(2, "b")];
+    const two = [entry(1, "a", true), entry(2, "b")];
+    const connected = [entry(1, "a", true), entry(2, "b", true)];
     vitest.it.each<{
         readonly name: string;
         readonly changes: readonly Change[];
-        readonly hasOthers?: boolean;
+        readonly options?: { readonly hasOthers?: boolean; readonly isFirstStart?: boolean };
         readonly settledAtMs: number | undefined;
     }>([
-        { name: "at once if it is meant to be alone", changes: [], hasOthers: false, settledAtMs: 0 },
+        { name: "at once if it is meant to be alone", changes: [], options: { hasOthers: false }, settledAtMs: 0 },
         { name: "never if it has met none", changes: [], settledAtMs: undefined },
         { name: "when no name is new for a while", changes: [{ atMs: 600, others: two }], settledAtMs: 2_600 },
         {
@@ -55,22 +56,69 @@
             changes: [{ atMs: 600, others: two }, { atMs: 2_400, others: [...two, entry(3, "c")] }],
             settledAtMs: 4_400,
         },
+        {
+            name: "never while it is cut off from most of those that it has met",
+            changes: [
+                { atMs: 600, others: [...two, entry(3, "c", true)] },
+                { atMs: 2_400, others: [entry(1, "a"), entry(2, "b"), entry(3, "c")] },
+            ],
+            settledAtMs: undefined,
+        },
+        {
+            name: "sooner after a new start if it is connected to all of them",
+            changes: [{ atMs: 600, others: connected }],
+            settledAtMs: 1_600,
+        },
+        {
+            name: "no sooner for that at the first start of all",
+            changes: [{ atMs: 600, others: connected }],
+            options: { isFirstStart: true },
+            settledAtMs: 2_600,
+        },
         {
             name: "when an entry that knows all has listed them",
             changes: [{ atMs: 400, others: two, hasCompleteList: true }],
             settledAtMs: 400,
         },
-    ])("$name", ({ changes, hasOthers, settledAtMs }) => {
-        vitest.expect(play(changes, hasOthers).settledAtMs).toBe(settledAtMs);
+    ])("$name", ({ changes, options, settledAtMs }) => {
+        vitest.expect(play(changes, options).settledAtMs).toBe(settledAtMs);
     });
 
     vitest.it.each([
-        { name: "those that it knows", others: [entry(1, "b"), entry(2, "c")], count: 3 },
-        { name: "as many in unknown domains as in the largest", others: [entry(1, "a"), entry(2, "b")], count: 5 },
-        { name: "domains that nobody has listed", others: [entry(1, "b"), entry(2, "c"), entry(3, "d")], count: 4 },
-    ])("and assumes $name", ({ others, count }) => {
+        { name: "those that it knows", others: [entry(1, "b", true), entry(2, "c", true)], count: 3 },
+        { name: "as many in unknown domains as in the largest", others: connected, count: 5 },
+        { name: "as many in domains of which it is connected to none", others: two, shared: 2, count: 6 },
+        {
+            name: "domains that nobody has listed",
+            others: [entry(1, "b", true), entry(2, "c", true), entry(3, "d", true)],
+            count: 4,
+        },
+    ])("and assumes $name", ({ others, shared, count }) => {
         const { names, count: assumed } = play([{ atMs: 0, others }]);
-        vitest.expect(names).toHaveLength(others.length + 1);
+        vitest.expect(names).toHaveLength(shared ?? others.length + 1);
         vitest.expect(assumed).toBe(count);
     });
 });
+
+vitest.describe("a predecessor may have used the shares", () => {
+    vitest.it.each([
+        { name: "until this process listens", isFirstStart: false, before: Infinity, after: 500 },
+        { name: "never, if all start for the first time", isFirstStart: true, before: -Infinity, after: -Infinity },
+    ])("$name", ({ isFirstStart, before, after }) => {
+        const clock = new clocks.ManualClock(0);
+        const size = new fleetSizes.FleetSize({
+            clock,
+            self: SELF,
+            others: () => [],
+            failureDomains: () => [],
+            hasOthers: () => false,
+            hasCompleteList: () => false,
+            isFirstStart,
+        });
+        vitest.expect(size.precededUntilMs).toBe(before);
+        clock.advance(500);
+        size.recordListening();
+        clock.advance(500);
+        vitest.expect(size.precededUntilMs).toBe(after);
+    });
+});
--- a/src/process/shares/FleetSize.ts
+++ b/src/process/shares/FleetSize.ts
@@ -8,6 +8,10 @@
 
 /** Without a list from an entry that knows all, the names are taken for complete when none is new for this time. */
 const SETTLE_MS = 2_000;
+/** The same for an entry that has a predecessor and is connected to all whose names it knows. */
+const CONNECTED_SETTLE_MS = 1_000;
+/** A process that is connected to a smaller share of the names that it knows doesn't take them for complete. */
+const MIN_CONNECTED_SHARE = 0.5;
 /** How long what was computed is used. */
 const STATE_LIFETIME_MS = 200;
 
@@ -17,17 +21,31 @@
     readonly failureDomain: string;
 }
 
+/** Another entry, as this process knows it. */
+export interface OtherEntry extends FleetEntry {
+    readonly isConnected: boolean;
+}
+
+/** Names of entries, and how many there are in all. */
+type KnownNames = Pick<Fleet, "names" | "count">;
+
 /** The entries that share the bounds, as one process knows them. */
 export interface Fleet {
     /** Name of this entry. */
     readonly self: string;
-    /** Names of the known entries, live or not, including this one. */
+    /**
+     * Names of the known entries, live or not, including this one, in the failure domains that this process reaches. Of
+     * other domains it may know a part, and those there may know a part of these; so they share apart.
+     */
     readonly names: readonly string[];
     /** Number of entries to assume; above the number of names while some are unknown. */
     readonly count: number;
     /** Since when this process has known the others; undefined while it may not know all. */
     readonly settledAtMs: number | undefined;
-    /** Until when a predecessor of this process may have used its shares; -Infinity if there was none. */
+    /**
+     * Until when a predecessor of this process may have used its shares; -Infinity if there was none, Infinity while it
+     * may still do so.
+     */
     readonly precededUntilMs: number;
 }
 
@@ -36,7 +54,7 @@
     readonly clock: clocks.Clock;
     readonly self: FleetEntry;
     /** The other known entries, live or not. */
-    readonly others: () => readonly FleetEntry[];
+    readonly others: () => readonly OtherEntry[];
     /** Failure domains in which entries run, whether known or not. */
     readonly failureDomains: () => readonly string[];
     /** Whether other entries may exist; false for an entry that is meant to be alone. */
@@ -49,16 +67,16 @@
 
 /** Knows how many entries share the bounds. */
 export class FleetSize implements Fleet {
-    readonly precededUntilMs: number;
+    private predecessorEndMs: number;
     private readonly seen = new Set<string>();
     private newNameAtMs: number;
     private settledSinceMs: number | undefined;
-    private current: { readonly names: readonly string[]; readonly count: number };
+    private current: KnownNames;
     private currentUntilMs = -Infinity;
 
     constructor(private readonly options: FleetSizeOptions) {
         this.newNameAtMs = options.clock.now();
-        this.precededUntilMs = options.isFirstStart ? -Infinity : this.newNameAtMs;
+        this.predecessorEndMs = options.isFirstStart ? -Infinity : Infinity;
         this.current = { names: [options.self.name], count: 1 };
     }
 
@@ -66,6 +84,15 @@
         return this.options.self.name;
     }
 
+    get precededUntilMs(): number {
+        return this.predecessorEndMs;
+    }
+
+    /** Records that this process has bound its addresses, so that its predecessor, if it has one, has ended. */
+    recordListening(): void {
+        this.predecessorEndMs = Math.min(this.predecessorEndMs, this.options.clock.now());
+    }
+
     get names(): readonly string[] {
         this.update();
         return this.current.names;
@@ -88,34 +115,43 @@
             return;
         }
         this.currentUntilMs = nowMs + STATE_LIFETIME_MS;
-        const entries = [self, ...others()];
+        const entries = [{ ...self, isConnected: true }, ...others()];
         if (this.settledSinceMs === undefined) {
             this.observeNames(entries, nowMs);
         }
-        this.current = { names: entries.map(({ name }) => name), count: this.countEntries(entries) };
+        this.current = this.countEntries(entries);
     }
 
-    private observeNames(entries: readonly FleetEntry[], nowMs: number): void {
-        const { hasOthers, hasCompleteList } = this.options;
+    private observeNames(entries: readonly OtherEntry[], nowMs: number): void {
+        const { hasOthers, hasCompleteList, isFirstStart } = this.options;
         const knownCount = this.seen.size;
         entries.forEach(({ name }) => this.seen.add(name));
         if (this.seen.size > knownCount) {
             this.newNameAtMs = nowMs;
         }
-        const isComplete = hasCompleteList() || (entries.length > 1 && nowMs - this.newNameAtMs >= SETTLE_MS);
+        const connected = entries.filter(({ isConnected }) => isConnected);
+        const settleMs = !isFirstStart && connected.length === entries.length ? CONNECTED_SETTLE_MS : SETTLE_MS;
+        const isQuiet = connected.length > 1 && nowMs - this.newNameAtMs >= settleMs;
+        const isCutOff = connected.length < MIN_CONNECTED_SHARE * entries.length;
+        const isComplete = hasCompleteList() || (isQuiet && !isCutOff);
         if (isComplete || !hasOthers()) {
             this.settledSinceMs = nowMs;
             this.seen.clear();
         }
     }
 
-    /** The known entries, and as many in each domain without a known one as in the largest. */
-    private countEntries(entries: readonly FleetEntry[]): number {
-        const countByDomain = new Map<string, number>();
+    /**
+     * The entries of the domains in which any is connected, and how many there are in all: a domain that isn't reached
+     * is assumed to have as many as the largest.
+     */
+    private countEntries(entries: readonly OtherEntry[]): KnownNames {
+        const countByDomain = new Map<string, number>(this.options.failureDomains().map(domain => [domain, 0]));
         for (const { failureDomain } of entries) {
             countByDomain.set(failureDomain, (countByDomain.get(failureDomain) ?? 0) + 1);
         }
-        const unknown = this.options.failureDomains().filter(domain => !countByDomain.has(domain));
-        return entries.length + unknown.length * Math.max(...countByDomain.values());
+        const largest = Math.max(...countByDomain.values());
+        const reached = new Set(entries.filter(({ isConnected }) => isConnected).map(entry => entry.failureDomain));
+        const names = entries.filter(entry => reached.has(entry.failureDomain)).map(({ name }) => name);
+        return { names, count: names.length + largest * (countByDomain.size - reached.size) };
     }
 }
