Say when a cold instance takes the next call, and log the shares that reject a call; replay the cold rate with restarts

What callers saw: a call that only cold instances could take got a Retry-After of 300 ms whatever the entry knew, so that in the seconds after a loss of all entries it came back too soon and was rejected again; no log line named the reason. Change: the cold rate has its own class, ColdRates. Callers come back when this entry's share begins or has room, or after 300 ms where other entries have theirs. A call that no instance can accept leaves a line "share-spent" with share, used and wait of up to four instances, the entries assumed and whether they are known. Shares that rise, while entries learn of each other, come into force a window later, since those whose shares sink may have used them (SteadyShare; found by the property test, 13 requests of 12). A cold share is computed once in 250 ms. LimitFleet.test.ts no longer passes a random source, which InstanceLimits doesn't use any more.

--- a/src/process/instances/ArrivalWindow.ts
+++ b/src/process/instances/ArrivalWindow.ts
@@ -22,6 +22,14 @@
         return this.arrivalTimesMs.length;
     }
 
+    /** Time until fewer than `limit` arrivals are within the window; Infinity if that is none. */
+    waitMs(limit: number, nowMs: number): number {
+        if (limit === 0) {
+            return Infinity;
+        }
+        return this.count(nowMs) < limit ? 0 : Math.max(1, this.arrivalTimesMs.at(-limit)! + WINDOW_MS - nowMs);
+    }
+
     add(nowMs: number): void {
         this.count(nowMs);
         this.arrivalTimesMs.push(nowMs);
--- a/src/process/instances/InstanceLimits.ts
+++ b/src/process/instances/InstanceLimits.ts
@@ -8,7 +8,6 @@
 import * as views from "../published/PublishedView";
 import * as shares from "../shares/FleetShare";
 import * as fleetSizes from "../shares/FleetSize";
-import * as holds from "./InstanceHold";
 import * as limitedRates from "./LimitedRate";
 
 /** A sign is forgotten after this time, in which an instance with any demand has been asked again. */
@@ -28,10 +27,18 @@
     readonly ageMs: number;
 }
 
+/** This process's share of a limit. */
+export interface LimitState {
+    /** Requests in a window. */
+    readonly share: number;
+    readonly used: number;
+    /** Time until the next one may be sent; Infinity without a share. */
+    readonly waitMs: number;
+}
+
 /** What the limits need from their process. */
 export interface InstanceLimitsOptions {
     readonly clock: clocks.Clock;
-    readonly random: () => number;
     readonly view: views.PublishedView;
     /** The entries that share the limits. */
     readonly fleet: fleetSizes.Fleet;
@@ -44,6 +51,7 @@
     /** On this process's clock. */
     readonly saidAtMs: number;
     readonly rate: limitedRates.LimitedRate;
+    readonly steady: shares.SteadyShare;
     shareUntilMs: number;
 }
 
@@ -108,7 +116,8 @@
         }
         const isChange = known === undefined ? perSecond !== undefined : known.perSecond !== perSecond;
         const rate = this.obtainRate(key);
-        this.signs.set(key, { instance, startedMs, perSecond, saidAtMs, rate, shareUntilMs: -Infinity });
+        const steady = known?.perSecond === undefined ? new shares.SteadyShare() : known.steady;
+        this.signs.set(key, { instance, startedMs, perSecond, saidAtMs, rate, steady, shareUntilMs: -Infinity });
         if (perSecond === undefined) {
             rate.setShare(Infinity);
         }
@@ -165,6 +174,15 @@
         return sign.rate.waitMs(this.options.clock.now());
     }
 
+    /** This process's share of the limit that an instance names; undefined if it names none. */
+    stateOf(instance: Pick<routing.RoutedInstance, "id" | "startedMs">): LimitState | undefined {
+        if (this.perSecondOf(instance) === undefined) {
+            return undefined;
+        }
+        const waitMs = this.waitMs(instance);
+        return { ...this.rateOf(instance).usage(this.options.clock.now()), waitMs };
+    }
+
     /** The same for a request that can be left out, at whichever instance the store lists at an address. */
     spareWaitMsAt(address: string): number {
         const instance = this.signs.size === 0 ? undefined : this.options.view.findByAddress(address);
@@ -178,14 +196,6 @@
         }
     }
 
-    /** Retry delay for callers of instances of which none may be sent a request now; undefined if one may be. */
-    callerRetryAfterMs(instances: readonly routing.RoutedInstance[]): number | undefined {
-        const waitMs = Math.min(...instances.map(instance => this.waitMs(instance)));
-        return instances.length === 0 || waitMs === 0
-            ? undefined
-            : holds.callerRetryAfterMs(Math.min(waitMs, limitedRates.WINDOW_MS), this.options.random());
-    }
-
     private rateOf(instance: Pick<routing.RoutedInstance, "id" | "startedMs">): limitedRates.LimitedRate {
         return this.obtainRate(routing.incarnationKey(instance));
     }
@@ -195,7 +205,8 @@
         const nowMs = this.options.clock.now();
         if (nowMs >= sign.shareUntilMs) {
             sign.shareUntilMs = nowMs + SHARE_LIFETIME_MS;
-            sign.rate.setShare(this.computeShare(sign.instance, sign.perSecond!));
+            const window = { lengthMs: limitedRates.COUNTED_MS, nowMs };
+            sign.rate.setShare(sign.steady.update(this.computeShare(sign.instance, sign.perSecond!), window));
         }
     }
 
--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -8,34 +8,25 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as views from "../published/PublishedView";
-import * as shares from "../shares/FleetShare";
 import * as fleetSizes from "../shares/FleetSize";
-import * as arrivalWindows from "./ArrivalWindow";
 import * as callCosts from "./CallCosts";
 import * as candidateLists from "./CandidateList";
+import * as coldRates from "./ColdRates";
 import * as choices from "./InstanceChoice";
+import * as instanceHold from "./InstanceHold";
 import * as instanceHolds from "./InstanceHolds";
 import * as instanceLimits from "./InstanceLimits";
 import * as instanceProofs from "./InstanceProofs";
 import * as instanceSpeeds from "./InstanceSpeed";
 import * as traffic from "./InstanceTraffic";
 import * as leavingInstances from "./LeavingInstances";
+import * as limitedRates from "./LimitedRate";
 import * as promptReading from "./PromptReading";
+import * as shareReports from "./ShareReport";
 import * as speedExchanges from "./SpeedExchange";
 
-/**
- * Added to the published cold time, since this process learns of a start late, and since an instance may start some
- * time after the last failed connection to it.
- */
-const COLD_MARGIN_MS = 1_000;
-/** Share of the permitted cold rate that is used, since network delays vary and calls may arrive in bursts. */
-const COLD_RATE_SAFETY_FACTOR = 0.9;
-
-/** Rate permitted at a cold instance, for all entries together: its published rate times `factor` plus `extra`. */
-export interface ColdRateLimit {
-    readonly factor: number;
-    readonly extra: number;
-}
+/** Callers come back after this time at the latest, since another entry may have a share. */
+const MAX_SHARE_WAIT_MS = limitedRates.WINDOW_MS;
 
 /** What the pool needs from its process. */
 export interface InstancePoolOptions {
@@ -47,7 +38,7 @@
     readonly failureDomain: string;
     /** The entries that share what an instance takes. */
     readonly fleet: fleetSizes.Fleet;
-    readonly coldRateLimit: () => ColdRateLimit;
+    readonly coldRateLimit: () => coldRates.ColdRateLimit;
 }
 
 /** What a call needs from an instance. */
@@ -90,15 +81,17 @@
     /** The same by the view's records, since a lookup by name costs more than most decisions that need it. */
     private readonly trafficByRecord = new WeakMap<routing.RoutedInstance, traffic.InstanceTraffic>();
     private readonly costsByService = new Map<string, callCosts.CallCosts>();
-    private readonly outOfServiceDomains = new Set<string>();
-    /** When each failure domain last returned to service. */
-    private readonly backInServiceMs = new Map<string, number>();
     private readonly subscription: clocks.Disposable;
+    /** The entries that share what an instance takes. */
+    readonly fleet: fleetSizes.Fleet;
+    readonly cold: coldRates.ColdRates;
     readonly holds: instanceHolds.InstanceHolds;
     readonly limits: instanceLimits.InstanceLimits;
     readonly proofs: instanceProofs.InstanceProofs;
 
     constructor(private readonly options: InstancePoolOptions) {
+        this.fleet = options.fleet;
+        this.cold = new coldRates.ColdRates({ ...options, trafficOf: instance => this.trafficOf(instance) });
         this.limits = new instanceLimits.InstanceLimits(options);
         this.proofs = new instanceProofs.InstanceProofs(options);
         this.holds = new instanceHolds.InstanceHolds({
@@ -180,12 +173,32 @@
         return this.trafficByIncarnation.has(incarnation);
     }
 
-    /** Retry delay for callers of a service of which all usable instances hold off or are at their limits, else undefined. */
+    /**
+     * Retry delay for callers of a service of which all usable instances hold off, are at their limits or are cold and
+     * have been sent this entry's share of calls; undefined if one may be sent a call.
+     */
     callerRetryAfterMs(service: string, softwareVersion?: string): number | undefined {
-        return this.holds.callerRetryAfterMs(service, softwareVersion)
-            ?? (this.limits.isAnyKnown
-                ? this.limits.callerRetryAfterMs(this.usableInstances(service, softwareVersion))
-                : undefined);
+        const holdMs = this.holds.callerRetryAfterMs(service, softwareVersion);
+        if (holdMs !== undefined) {
+            return holdMs;
+        }
+        const waitsMs = this.usableInstances(service, softwareVersion).map(instance =>
+            Math.max(this.limits.waitMs(instance), this.cold.callerWaitMs(instance))
+        );
+        const waitMs = Math.min(...waitsMs);
+        return waitsMs.length === 0 || waitMs === 0
+            ? undefined
+            : instanceHold.callerRetryAfterMs(Math.min(waitMs, MAX_SHARE_WAIT_MS), this.options.random());
+    }
+
+    /** This entry's shares of what the usable instances of a service take. */
+    sharesOf(service: string, softwareVersion?: string): shareReports.InstanceShare[] {
+        return shareReports.listShares(this.usableInstances(service, softwareVersion), this.cold, this.limits);
+    }
+
+    /** This entry's shares of what all instances take. */
+    get shares(): shareReports.InstanceShare[] {
+        return shareReports.listShares(this.options.view.allInstances, this.cold, this.limits);
     }
 
     /** Time until a usable instance of a service may be sent a call again; 0 if one may be now, or if there is none. */
@@ -224,7 +237,7 @@
         return instance && {
             instance,
             traffic: this.trafficOf(instance),
-            isCold: this.isCold(instance),
+            isCold: this.cold.isCold(instance),
             missingTokens: chosen.missingTokens,
             slowness: chosen.slowness,
             candidateCount: candidates.length,
@@ -255,25 +268,11 @@
         };
     }
 
-    /** Whether the instance may have started so recently that it sustains only its cold rate. */
-    isCold(instance: views.KnownInstance): boolean {
-        const coldMs = this.options.view.table?.findService(instance.service)?.coldMs ?? 0;
-        if (coldMs === 0) {
-            return false;
-        }
-        const nowMs = this.options.clock.now();
-        const possibleRestartMs = Math.max(
-            this.trafficOf(instance).lastUnreachableAtMs,
-            this.backInServiceMs.get(instance.failureDomain) ?? -Infinity,
-        );
-        return nowMs < instance.coldUntilMs + COLD_MARGIN_MS || nowMs < possibleRestartMs + coldMs + COLD_MARGIN_MS;
-    }
-
     /** Whether an instance that may be cold or limited, or returns from a hold, can accept a call now. */
     private mayCall(instance: views.KnownInstance): boolean {
         return this.trafficOf(instance).hold.mayCall(this.options.clock.now())
             && this.limits.waitMs(instance) === 0
-            && this.isWithinColdRate(instance);
+            && this.cold.waitMs(instance) === 0;
     }
 
     /** Whether an instance may be asked for its identity: as a call may be sent to it. */
@@ -282,20 +281,6 @@
             && this.holds.remainingMs(instance) === 0 && this.mayCall(instance);
     }
 
-    /** Whether the instance isn't cold, or this entry's share of its cold rate allows another call now. */
-    private isWithinColdRate(instance: views.KnownInstance): boolean {
-        if (!this.isCold(instance)) {
-            return true;
-        }
-        const service = this.options.view.table?.findService(instance.service);
-        const { factor, extra } = this.options.coldRateLimit();
-        const totalPerSecond = COLD_RATE_SAFETY_FACTOR * ((service?.coldPerSecond ?? 0) * factor + extra);
-        const nowMs = this.options.clock.now();
-        const window = { lengthMs: arrivalWindows.WINDOW_MS, nowMs };
-        const ownShare = shares.wholeShare(totalPerSecond, instance.id, this.options.fleet, window);
-        return this.trafficOf(instance).arrivals.count(nowMs) < ownShare;
-    }
-
     /** The instances that can accept a call now. */
     private findCandidates(requirements: CallRequirements): choices.Candidate[] {
         return candidateLists.listCandidates(this.findEligible(requirements), requirements, {
@@ -322,14 +307,8 @@
     }
 
     private handleViewChange(): void {
-        const { view, clock } = this.options;
-        for (const domain of this.outOfServiceDomains) {
-            if (!view.isOutOfService(domain)) {
-                this.outOfServiceDomains.delete(domain);
-                this.backInServiceMs.set(domain, clock.now());
-            }
-        }
-        view.outOfServiceDomains.forEach(domain => this.outOfServiceDomains.add(domain));
+        const { view } = this.options;
+        this.cold.handleViewChange();
         for (const key of this.trafficByIncarnation.keys()) {
             if (
                 view.find(routing.idOfIncarnation(key)) === undefined
--- a/src/process/instances/LimitFleet.test.ts
+++ b/src/process/instances/LimitFleet.test.ts
@@ -66,7 +66,6 @@
         const view = { find: () => undefined, table: undefined } as unknown as views.PublishedView;
         this.limits = new instanceLimits.InstanceLimits({
             clock,
-            random,
             view,
             fleet: isRestart ? this.createFleet() : fleetFixtures.knownFleet(fleetNames, name),
         });
--- a/src/process/instances/LimitedRate.ts
+++ b/src/process/instances/LimitedRate.ts
@@ -34,6 +34,12 @@
         return this.share !== Infinity;
     }
 
+    /** This process's share of a window, and what it has sent in the one that ends now, without what is postponed. */
+    usage(nowMs: number): { readonly share: number; readonly used: number } {
+        const sinceMs = nowMs - COUNTED_MS;
+        return { share: this.share, used: this.sentAtMs.filter(atMs => atMs >= sinceMs && atMs <= nowMs).length };
+    }
+
     /** Sets the number of requests in a window; Infinity without a limit. */
     setShare(share: number): void {
         this.share = share;
--- a/src/process/shares/FleetShare.test.ts
+++ b/src/process/shares/FleetShare.test.ts
@@ -62,3 +62,22 @@
         vitest.expect(shareOf(80, { ...fixtures.knownFleet(["entry-1", "entry-2"]), ...known })).toBe(share);
     });
 });
+
+vitest.describe("a share in force", () => {
+    vitest.it.each([
+        { name: "is the first one", computed: [[0, 3]], inForce: 3 },
+        { name: "sinks at once", computed: [[0, 3], [100, 1]], inForce: 1 },
+        { name: "doesn't rise within a window", computed: [[0, 1], [100, 3], [4_099, 3]], inForce: 1 },
+        { name: "rises after a window", computed: [[0, 1], [100, 3], [4_100, 3]], inForce: 3 },
+        { name: "rises to the lowest of the window", computed: [[0, 1], [100, 4], [200, 2], [4_100, 3]], inForce: 2 },
+        {
+            name: "begins a new window when it sinks",
+            computed: [[0, 1], [100, 3], [4_000, 1], [4_050, 3], [4_200, 3]],
+            inForce: 1,
+        },
+    ])("$name", ({ computed, inForce }) => {
+        const steady = new shares.SteadyShare();
+        const last = computed.map(([nowMs, share]) => steady.update(share!, { lengthMs: 4_000, nowMs: nowMs! })).at(-1);
+        vitest.expect(last).toBe(inForce);
+    });
+});
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -73,9 +73,9 @@
 
 /** Rejects a call before its stages run if no instance may be sent it until its deadline. */
 function findHoldBeyondDeadline(context: RunContext, call: calls.RoutedCall): plainRuns.RunOutcome | undefined {
-    const retryAfterMs = context.pool.callerRetryAfterMs(call.service);
     const isBeyondDeadline = context.clock.now() + context.pool.serviceWaitMs(call.service) >= call.hardDeadlineAtMs;
-    return retryAfterMs !== undefined && isBeyondDeadline ? plainRuns.createHoldRejection(retryAfterMs) : undefined;
+    const retryAfterMs = isBeyondDeadline ? context.pool.callerRetryAfterMs(call.service) : undefined;
+    return retryAfterMs !== undefined ? plainRuns.createHoldRejection(retryAfterMs) : undefined;
 }
 
 /** Holds the stage results that a call reads, from their computation until their release. */
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -11,6 +11,8 @@
 import * as senders from "./UpstreamSender";
 
 const LOGGED_DIGITS = 2;
+/** Number of shares in a log line. */
+const MAX_LOGGED_SHARES = 4;
 
 /** The learned speed of an instance that states how long work takes there, and the number of statements. */
 function speedFields({ traffic, slowness }: pools.ChosenInstance): Record<string, number> {
@@ -68,6 +70,31 @@
     }, "no retry is left in the budget");
 }
 
+/** Logs a call that no instance can accept, if this entry's shares of what instances take are a reason. */
+export function logSpentShares(
+    context: senders.SenderContext,
+    call: calls.RoutedCall,
+    history: histories.CallHistory,
+): void {
+    const spent = context.pool.sharesOf(call.service, history.softwareVersion).filter(({ waitMs }) => waitMs > 0);
+    if (spent.length > 0) {
+        const { count, settledAtMs } = context.pool.fleet;
+        context.log.info({
+            decision: "share-spent",
+            attempt: call.metadata.attempt,
+            service: call.service,
+            sends: history.sends,
+            entries: count,
+            isSettled: settledAtMs !== undefined,
+            instances: spent.length,
+            shares: spent.slice(0, MAX_LOGGED_SHARES).map(({ waitMs, ...share }) => ({
+                ...share,
+                ...(waitMs === Infinity ? {} : { waitMs: Math.round(waitMs) }),
+            })),
+        }, "no instance can accept the call; shares of what instances take from all entries are spent");
+    }
+}
+
 function budgetFields(context: senders.SenderContext, call: calls.RoutedCall): budgets.BudgetState {
     const { left, capacity, ...counts } = context.budgetOf(call.service).state;
     return { left: Number(left.toFixed(LOGGED_DIGITS)), capacity: Number(capacity.toFixed(LOGGED_DIGITS)), ...counts };
--- a/src/request/routed/UpstreamSender.test.ts
+++ b/src/request/routed/UpstreamSender.test.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
+import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as listeners from "../../connection/Listener";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
@@ -78,3 +79,38 @@
         listener.dispose();
     });
 });
+
+vitest.describe("a call that no instance can accept since a share is spent", () => {
+    vitest.it("leaves a log line with the share, and its caller comes back when there is one", async () => {
+        const { listener, pool } = await createInstance();
+        const instance = pool.usableInstances(fixtures.SERVICE)[0]!;
+        pool.limits.record({ instance: instance.id, startedMs: instance.startedMs, perSecond: 0.5, ageMs: 0 });
+        [1, 2].forEach(() => pool.limits.countRequest(instance));
+        const connections = new upstreamConnections.UpstreamConnections();
+        const lines: string[] = [];
+        const context = {
+            ...fixtures.createContext({ pool, budget: fixtures.createBudget(NO_RETRIES), connections, wire: {} }),
+            log: logs.createLog("entry-1", "info", line => lines.push(line)),
+        };
+        const history = histories.createHistory();
+        const call = createCall();
+        const outcome = await senders.sendCall(context, call, history, {
+            lastEventId: undefined,
+            inputs: [],
+            answerWaitMs: () => Infinity,
+            signal: call.signal,
+        });
+        vitest.expect(outcome).toEqual({ kind: "none" });
+        vitest.expect(history.heldRetryAfterMs).toBeGreaterThan(3_000);
+        vitest.expect(lines.map(line => JSON.parse(line) as unknown)).toMatchObject([{
+            decision: "share-spent",
+            attempt: "a-1",
+            service: fixtures.SERVICE,
+            entries: 1,
+            isSettled: true,
+            shares: [{ bound: "limit", instance: instance.id, share: 2, used: 2 }],
+        }]);
+        connections.destroy();
+        listener.dispose();
+    });
+});
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -215,6 +215,7 @@
     const chosen = context.pool.choose(requirementsOf(context, call, history, inputs));
     if (chosen === undefined) {
         history.heldRetryAfterMs = context.pool.callerRetryAfterMs(call.service, history.softwareVersion);
+        sendLogs.logSpentShares(context, call, history);
         sendLogs.logUnlessAnyVersion(context, call, history);
         return undefined;
     }
