Divide probes and reads of the store among all entries; a gauge for each bound

Change: FleetPace earns units over time, an equal part for each entry, as one of 300 while the others aren't known. Probes: 500 a second of all entries for each service, 4,000 while none of its instances has answered; up to 24 entries probe as before. Reads to list and to watch: 0.4 of the allowed calls a second, as much may be saved (storeReadsPerSecond, filled in by the template). Gauges: share and used of cold instances, limits, probes and reads; what may be saved of retries. InstanceProofs.test.ts states its fleet; no expectation is changed.

--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -86,6 +86,8 @@
     }),
     /** Calls per second to a cold instance, from all entries: `factor` times its published rate, plus `extra`. */
     coldRate: z.strictObject({ factor: z.number().min(0), extra: z.number().min(0) }),
+    /** Reading calls per second that the store allows all entries. */
+    storeReadsPerSecond: z.number().positive().default(2_000),
 });
 
 /** Settings of any role, discriminated by `role`. */
--- a/src/process/instances/InstanceProofs.test.ts
+++ b/src/process/instances/InstanceProofs.test.ts
@@ -1,6 +1,7 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
 import * as views from "../published/PublishedView";
+import * as fleetFixtures from "../shares/FleetFixture";
 import * as instanceProofs from "./InstanceProofs";
 
 const SOUND_COUNT = 3;
@@ -33,6 +34,7 @@
         const { listed } = this;
         this.proofs = new instanceProofs.InstanceProofs({
             clock: this.clock,
+            fleet: fleetFixtures.knownFleet(["entry-1"]),
             view: {
                 find: id => listed.get(id),
                 get allInstances() {
--- a/src/process/instances/InstanceProofs.ts
+++ b/src/process/instances/InstanceProofs.ts
@@ -7,6 +7,8 @@
 import * as clocks from "../../common/Clock";
 import * as routing from "../../common/Routing";
 import * as views from "../published/PublishedView";
+import * as paces from "../shares/FleetPace";
+import * as fleetSizes from "../shares/FleetSize";
 
 /** First time after which an instance that failed without an answer is probed; doubles with each failure. */
 const MIN_PROBE_DELAY_MS = 1_000;
@@ -16,10 +18,19 @@
 /** The same as a share of all that were tried. */
 const MIN_FAILED_SHARE = 1 / 3;
 
-/** Number of instances of a service that are probed at a time. */
-const MAX_PROBES = 4;
+/** Limits on the probes of one service. */
+interface ProbeLimit {
+    /** Probes that one entry sends at a time. */
+    readonly atOnce: number;
+    /** Probes a second of all entries together. */
+    readonly perSecond: number;
+}
+
+const PROBE_LIMIT: ProbeLimit = { atOnce: 4, perSecond: 500 };
 /** The same while no instance of the service has answered, so that calls have to be sent to doubtful ones. */
-const MAX_URGENT_PROBES = 32;
+const URGENT_PROBE_LIMIT: ProbeLimit = { atOnce: 32, perSecond: 4_000 };
+/** Time in which the probes are earned that may be sent at once. */
+const SAVED_PROBES_MS = 200;
 
 /** The answer of an instance, as far as it shows who gave it. */
 export interface IdentityAnswer {
@@ -57,6 +68,8 @@
 export interface InstanceProofsOptions {
     readonly clock: clocks.Clock;
     readonly view: Pick<views.PublishedView, "find" | "allInstances">;
+    /** The entries that share the rate of probes. */
+    readonly fleet: fleetSizes.Fleet;
 }
 
 /** The proofs of all listed instances. */
@@ -64,6 +77,7 @@
     private readonly proofs = new Map<string, Proof>();
     private readonly owners = new Map<string, AddressOwner>();
     private readonly countsByService = new Map<string, ServiceCount>();
+    private readonly pacesByService = new Map<string, paces.FleetPace>();
     /** Whether the counts are those of the instances that are listed now; kept up to date only while any has failed. */
     private isCountCurrent = true;
 
@@ -125,13 +139,36 @@
             .filter(instance => this.isProbeDue(instance, nowMs) && isAllowed(instance))
             .sort((a, b) => this.probeDueMs(a) - this.probeDueMs(b) || b.knownSinceMs - a.knownSinceMs);
         const probes = this.doubtfulServices.flatMap(service => {
-            const maxProbes = this.countsByService.get(service)!.answered === 0 ? MAX_URGENT_PROBES : MAX_PROBES;
-            return due.filter(instance => instance.service === service).slice(0, maxProbes);
+            const pace = this.obtainPace(service);
+            const maxProbes = Math.min(this.probeLimit(service).atOnce, pace.left);
+            const taken = due.filter(instance => instance.service === service).slice(0, maxProbes);
+            pace.take(taken.length);
+            return taken;
         });
         probes.forEach(instance => this.obtain(instance).probeDueMs = nowMs + MIN_PROBE_DELAY_MS);
         return probes;
     }
 
+    /** The probes of all services. */
+    get paces(): readonly paces.FleetPace[] {
+        return [...this.pacesByService.values()];
+    }
+
+    private probeLimit(service: string): ProbeLimit {
+        return this.countsByService.get(service)?.answered === 0 ? URGENT_PROBE_LIMIT : PROBE_LIMIT;
+    }
+
+    private obtainPace(service: string): paces.FleetPace {
+        let pace = this.pacesByService.get(service);
+        if (pace === undefined) {
+            const { clock, fleet } = this.options;
+            const perSecond = (): number => this.probeLimit(service).perSecond;
+            pace = new paces.FleetPace({ clock, fleet, perSecond, savedMs: SAVED_PROBES_MS });
+            this.pacesByService.set(service, pace);
+        }
+        return pace;
+    }
+
     /** Number of doubtful instances. */
     get doubtfulCount(): number {
         return this.doubtfulServices.length === 0
--- a/src/process/instances/RetryBudgets.ts
+++ b/src/process/instances/RetryBudgets.ts
@@ -29,6 +29,11 @@
         return this.sum(({ left }) => left);
     }
 
+    /** Retries that may be saved now, of all services. */
+    get capacity(): number {
+        return this.sum(({ capacity }) => capacity);
+    }
+
     /** Finds or creates the budget of a service. */
     obtain(service: string): budgets.ServiceRetryBudget {
         let budget = this.byService.get(service);
--- a/src/process/peers/PublishedReplication.ts
+++ b/src/process/peers/PublishedReplication.ts
@@ -4,9 +4,11 @@
 import * as clocks from "../../common/Clock";
 import * as logs from "../../common/Log";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as pacedStores from "../published/PacedStore";
 import * as readers from "../published/PublishedReader";
 import * as views from "../published/PublishedView";
 import * as storeHistories from "../published/StoreHistory";
+import * as paces from "../shares/FleetPace";
 import * as exchanges from "./PublishedExchange";
 import * as viewLags from "./ViewLag";
 
@@ -20,6 +22,8 @@
     /** Name of this entry. */
     readonly instance: string;
     readonly peers: exchanges.ExchangePeers;
+    /** This entry's part of the calls that the store allows all entries. */
+    readonly pace: paces.FleetPace;
 }
 
 /** The reader of the store and of its history, and the exchange with the other entries. */
@@ -33,6 +37,7 @@
         const { peers } = options;
         this.reader = new readers.PublishedReader({
             ...options,
+            store: pacedStores.paceStore(options),
             peerNames: () => peers.livePeers.map(peer => peer.instance),
         });
         this.exchange = new exchanges.PublishedExchange(options);
--- a/src/process/peers/StoreSimulation.ts
+++ b/src/process/peers/StoreSimulation.ts
@@ -12,7 +12,10 @@
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as frames from "../../connection/FrameCodec";
+import * as pacedStores from "../published/PacedStore";
 import * as views from "../published/PublishedView";
+import * as fleetFixtures from "../shares/FleetFixture";
+import * as fleetPaces from "../shares/FleetPace";
 import * as peers from "./EntryPeers";
 import * as links from "./LinkSimulation";
 import * as peerEntries from "./PeerEntry";
@@ -25,6 +28,8 @@
 /** Time beyond its wait after which a watch counts as lost. */
 const WATCH_MARGIN_MS = 600;
 const GIVE_UP_MS = 60_000;
+/** Calls that the store allows all entries. */
+const STORE_CALLS_PER_SECOND = 2_000;
 
 /** A time in which the store loses answers or rejects calls. */
 export interface StoreFault {
@@ -191,12 +196,19 @@
             view,
             instance: String(index),
             peers: mesh,
+            pace: this.createPace(index),
         });
         const { linkBytesPerMs } = this.options;
         const link = linkBytesPerMs && new links.SimulatedLink(clock, linkBytesPerMs(index));
         return { view, replication, mesh, link };
     }
 
+    private createPace(index: number): fleetPaces.FleetPace {
+        const names = Array.from({ length: this.options.entries }, (_, other) => String(other));
+        const fleet = fleetFixtures.knownFleet(names, String(index));
+        return pacedStores.createPace(this.clock, fleet, () => STORE_CALLS_PER_SECOND);
+    }
+
     /** Connects an entry to all others, to which it states its position at the interval of presence messages. */
     private connect({ mesh }: SimulatedEntry, index: number): void {
         const others = this.entries.map((_, other) => other).filter(other => other !== index);
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -14,6 +14,7 @@
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
 import * as replications from "../peers/PublishedReplication";
+import * as pacedStores from "../published/PacedStore";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
 import * as fleetSizes from "../shares/FleetSize";
@@ -100,6 +101,7 @@
         );
         this.fleet = entryFleets.createFleet({ clock, settings: () => this.settings, peers: this.peers });
         const { fleet } = this;
+        const storePace = pacedStores.createPace(clock, fleet, () => this.settings.storeReadsPerSecond);
         const { leaving, pool, signs } = this.disposables.add(
             new instanceParts.InstanceParts({
                 ...shared,
@@ -155,6 +157,7 @@
             new replications.PublishedReplication({
                 ...shared,
                 store,
+                pace: storePace,
                 view: this.view,
                 instance: settings.instance,
                 peers: this.peers,
@@ -205,6 +208,7 @@
             crashes,
             fleet,
             retryBudgets,
+            storePace,
             server: this.server,
             droppedLogLines: options.droppedLogLines,
         });
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -4,9 +4,11 @@
 import * as crashMonitors from "../crashes/CrashMonitor";
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
+import * as shareReports from "../instances/ShareReport";
 import * as metrics from "../metrics/RouteMetrics";
 import * as replications from "../peers/PublishedReplication";
 import * as views from "../published/PublishedView";
+import * as paces from "../shares/FleetPace";
 import * as fleetSizes from "../shares/FleetSize";
 import * as stageHosts from "../stages/StageHost";
 import * as servers from "./RouteServer";
@@ -16,10 +18,12 @@
     readonly view: Pick<views.PublishedView, "position" | "unreadableRecords">;
     readonly replication: Pick<replications.PublishedReplication, "reader" | "exchange">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
-    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "proofs" | "statedCount">;
+    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "proofs" | "shares" | "statedCount">;
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
-    readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left">;
+    readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left" | "capacity">;
+    /** This entry's part of the calls on the store. */
+    readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active">;
     /** Number of log lines dropped since the start. */
     readonly droppedLogLines: () => number;
@@ -27,7 +31,7 @@
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
-    const { view, replication, host, pool, crashes, fleet, retryBudgets, server, droppedLogLines } = sources;
+    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, droppedLogLines } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -45,6 +49,27 @@
     add("cumincrank_parts_rejections", "Checks that held a call back for its parts", () => crashes.heldCalls);
     add("cumincrank_assumed_entries", "Entries among which bounds of all are divided", () => fleet.count);
     add("cumincrank_knows_entries", "1 if the other entries are known", () => fleet.settledAtMs === undefined ? 0 : 1);
+    const sumOf = (bound: shareReports.InstanceShare["bound"]): shareReports.ShareTotal =>
+        shareReports.sumShares(pool.shares, bound);
+    add("cumincrank_cold_share", "Calls to cold instances that are this entry's share", () => sumOf("cold-rate").share);
+    add("cumincrank_cold_used", "Calls sent to cold instances in the window", () => sumOf("cold-rate").used);
+    add("cumincrank_limit_share", "Requests to limited instances, this entry's share", () => sumOf("limit").share);
+    add("cumincrank_limit_used", "Requests sent to limited instances in the window", () => sumOf("limit").used);
+    const probes = (): paces.PaceState[] => pool.proofs.paces.map(({ state }) => state);
+    const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+    add(
+        "cumincrank_probes_share",
+        "Probes that may be saved, of all services",
+        () => sum(probes().map(({ share }) => share)),
+    );
+    add(
+        "cumincrank_probes_used",
+        "Probes of doubtful instances since the start",
+        () => sum(probes().map(({ used }) => used)),
+    );
+    add("cumincrank_store_reads_share", "Calls on the store that may be saved", () => storePace.state.share);
+    add("cumincrank_store_reads_used", "Calls on the store since the start", () => storePace.state.used);
+    add("cumincrank_retries_share", "Retries that may be saved, of all services", () => retryBudgets.capacity);
     add("cumincrank_window_retries", "Retries sent in the window of their budget", () => retryBudgets.retries);
     add("cumincrank_retries_left", "Retries that may be sent now, of all services", () => retryBudgets.left);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -85,6 +85,7 @@
             stopLimitSeconds,
             repeats: { windowSeconds: 10, ratio: 0.2, slack: 50 },
             coldRate: { factor: 1.5, extra: 5 },
+            storeReadsPerSecond: 2_000,
         }, {
             clock: clocks.systemClock,
             log: logs.silentLog,
