--- a/src/commands/SettingsFile.test.ts
+++ b/src/commands/SettingsFile.test.ts
@@ -33,6 +33,7 @@
     repeats: { windowSeconds: 10, ratio: 0, slack: 0 },
     coldRate: { factor: 1, extra: 0 },
     memoryMegabytes: 256,
+    storeReadsPerSecond: 2_000,
 };
 
 const complete = {
@@ -48,6 +49,7 @@
     repeats: { windowSeconds: 20, ratio: 0.2, slack: 50 },
     coldRate: { factor: 1.5, extra: 5 },
     memoryMegabytes: 350,
+    storeReadsPerSecond: 1_000,
 };
 
 interface EmptyCase {
--- a/src/common/Settings.ts
+++ b/src/common/Settings.ts
@@ -17,6 +17,7 @@
 /** The time limit of a planned stop, if none is stated. */
 const DEFAULT_STOP_LIMIT_SECONDS = 5;
 const DEFAULT_MEMORY_MEGABYTES = 256;
+const DEFAULT_STORE_READS_PER_SECOND = 2_000;
 /** Without a known window, no number of retries is within the bound. */
 const NO_RETRIES = { windowSeconds: 10, ratio: 0, slack: 0 };
 
@@ -110,6 +111,8 @@
     memoryMegabytes: z.number().positive().default(DEFAULT_MEMORY_MEGABYTES),
     /** Descriptors available to the process, if they are fewer than the operating system's limit. */
     maxDescriptors: z.int().positive().optional(),
+    /** Reading calls per second that the store allows all entries. */
+    storeReadsPerSecond: z.number().positive().default(DEFAULT_STORE_READS_PER_SECOND),
 });
 
 /** Settings of any role, discriminated by `role`. */
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -14,8 +14,8 @@
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
-import * as peerEntries from "../peers/PeerEntry";
 import * as replications from "../peers/PublishedReplication";
+import * as pacedStores from "../published/PacedStore";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
 import * as fleetSizes from "../shares/FleetSize";
@@ -24,6 +24,7 @@
 import * as stageClients from "../stages/StageClient";
 import * as stageHosts from "../stages/StageHost";
 import * as streamExchanges from "../streams/StreamOriginExchange";
+import * as entryFleets from "./EntryFleet";
 import * as entryStatuses from "./EntryStatus";
 import * as instanceParts from "./InstanceParts";
 import * as gauges from "./RouteGauges";
@@ -59,6 +60,7 @@
     private readonly view: views.PublishedView;
     private readonly replication: replications.PublishedReplication;
     private readonly peers: entryPeers.EntryPeers;
+    private readonly fleet: fleetSizes.FleetSize;
     private readonly pool: pools.InstancePool;
     private readonly host: stageHosts.StageHost;
     private readonly roles: hostRoles.HostRoles;
@@ -94,18 +96,12 @@
                 isDraining: () => !this.isServing,
                 hosting: () => this.roles.hosting,
                 isPresenceUrgent: () => this.roles.isPresenceUrgent,
-                knowsAll: () => fleet.settledAtMs !== undefined,
+                knowsAll: () => this.fleet.settledAtMs !== undefined,
             }),
         );
-        const fleet = new fleetSizes.FleetSize({
-            clock,
-            self: { name: settings.instance, failureDomain: settings.failureDomain },
-            others: () => this.peers.knownPeers.map(toFleetEntry),
-            failureDomains: () => this.settings.failureDomains,
-            hasOthers: () => this.peers.hasSeeds,
-            hasCompleteList: () => this.peers.hasCompleteList,
-            isFirstStart: settings.isFirstStart,
-        });
+        this.fleet = entryFleets.createFleet({ clock, settings: () => this.settings, peers: this.peers });
+        const { fleet } = this;
+        const storePace = pacedStores.createPace(clock, fleet, () => this.settings.storeReadsPerSecond);
         const { leaving, pool, signs } = this.disposables.add(
             new instanceParts.InstanceParts({
                 ...shared,
@@ -161,6 +157,7 @@
             new replications.PublishedReplication({
                 ...shared,
                 store,
+                pace: storePace,
                 view: this.view,
                 instance: settings.instance,
                 peers: this.peers,
@@ -212,6 +209,7 @@
             crashes,
             fleet,
             retryBudgets,
+            storePace,
             server: this.server,
             counters: options.counters,
         });
@@ -325,6 +323,7 @@
         this.admin = await adminServers.listenAdmin(settings.adminListen, source, options);
         await this.server.listen(settings.callerListen);
         this.peers.broadcastPresence();
+        this.fleet.recordListening();
     }
 
     /** Whether another live entry accepts requests. */
@@ -343,7 +342,3 @@
         return this.view.findByAddress(address)?.failureDomain;
     }
 }
-
-function toFleetEntry({ instance, failureDomain }: peerEntries.PeerEntry): fleetSizes.FleetEntry {
-    return { name: instance, failureDomain };
-}
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -87,6 +87,7 @@
             repeats: { windowSeconds: 10, ratio: 0.2, slack: 50 },
             coldRate: { factor: 1.5, extra: 5 },
             memoryMegabytes: 350,
+            storeReadsPerSecond: 2_000,
         }, {
             clock: clocks.systemClock,
             log: logs.silentLog,
