Reject frames with more maps and arrays than any message has

What callers saw: a frame of 3 MB that holds 3 million empty maps, which other entries don't send but can, takes more memory once it is decoded than the process has (a decoder with the deployed limits of 160 MB ended with "heap out of memory").

The scan before the decoding counts maps and arrays as well as tags.

--- a/src/connection/CborTags.ts
+++ b/src/connection/CborCheck.ts
@@ -1,10 +1,12 @@
 /**
- * Finds the tags in CBOR data without decoding it. Decoders give many tags a meaning, such as big numbers, patterns and
- * references, whose cost isn't bounded by the size of the data.
+ * Checks CBOR data without decoding it. Decoders give many tags a meaning, such as big numbers, patterns and references,
+ * whose cost isn't bounded by the size of the data; and an empty map takes one byte there, and many times that in memory.
  */
 
 /** Tag of a byte string that holds unsigned 8-bit integers. */
-export const BYTE_ARRAY_TAG = 64;
+const BYTE_ARRAY_TAG = 64;
+/** Number of maps and arrays, more than any message has. */
+const MAX_CONTAINERS = 300_000;
 
 const MAJOR_TYPE_SHIFT = 5;
 const ARGUMENT_MASK = 0x1f;
@@ -14,12 +16,15 @@
 
 const BYTE_STRING = 2;
 const TEXT_STRING = 3;
+const ARRAY = 4;
+const MAP = 5;
 const TAG = 6;
 
-/** Whether all tags in the data are `allowed`. Malformed data is left to the decoder. */
-export function hasOnlyTag(data: Uint8Array, allowed: number): boolean {
+/** Whether the cost of decoding the data is bounded. Malformed data is left to the decoder. */
+export function isDecodable(data: Uint8Array): boolean {
     const view = new DataView(data.buffer, data.byteOffset, data.byteLength);
     let offset = 0;
+    let containers = 0;
     while (offset < data.length) {
         const majorType = data[offset]! >> MAJOR_TYPE_SHIFT;
         const code = data[offset]! & ARGUMENT_MASK;
@@ -30,7 +35,8 @@
         }
         const argument = size === 0 ? code : readArgument(view, offset, size);
         offset += size;
-        if (majorType === TAG && argument !== allowed) {
+        containers += majorType === ARRAY || majorType === MAP ? 1 : 0;
+        if (containers > MAX_CONTAINERS || (majorType === TAG && argument !== BYTE_ARRAY_TAG)) {
             return false;
         }
         if (majorType === BYTE_STRING || majorType === TEXT_STRING) {
--- a/src/connection/FrameCodec.ts
+++ b/src/connection/FrameCodec.ts
@@ -5,7 +5,7 @@
 import * as result from "true-myth/result";
 import * as codes from "../common/Codes";
 import * as messages from "../common/Messages";
-import * as cborTags from "./CborTags";
+import * as cborChecks from "./CborCheck";
 
 const PREFIX_BYTES = 4;
 
@@ -81,8 +81,8 @@
 }
 
 function decodeContent(content: Buffer): result.Result<messages.Envelope, codes.Failure> {
-    if (!cborTags.hasOnlyTag(content, cborTags.BYTE_ARRAY_TAG)) {
-        return result.err(codes.failure(codes.codes.frameMalformed, "a tag that no message has"));
+    if (!cborChecks.isDecodable(content)) {
+        return result.err(codes.failure(codes.codes.frameMalformed, "a tag or a size that no message has"));
     }
     let value: unknown;
     try {
