--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -9,6 +9,7 @@
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
 import * as emitters from "../../common/Emitter";
+import * as jsonSizes from "../../common/JsonSize";
 import * as ports from "../../common/Ports";
 import * as readTimers from "../../common/ReadTimer";
 import * as transferLimits from "../../common/TransferLimit";
@@ -333,6 +334,9 @@
     if (body.length === 0) {
         return result.ok(undefined);
     }
+    if (!jsonSizes.isParsable(body)) {
+        return result.err(codes.failure(codes.codes.malformedAnswer, "too many objects and arrays"));
+    }
     try {
         return result.ok(JSON.parse(body.toString("utf8")));
     }
--- a/src/process/stages/StageCalls.ts
+++ b/src/process/stages/StageCalls.ts
@@ -2,6 +2,7 @@
  * Sends stage calls to the instances of their services and reads the answers.
  */
 import * as clocks from "../../common/Clock";
+import * as jsonSizes from "../../common/JsonSize";
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
@@ -87,7 +88,7 @@
         const { clock, log, wire } = this.options;
         const { connection, status } = response;
         const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
-        const outcomes = status === 200 && content !== undefined
+        const outcomes = status === 200 && content !== undefined && jsonSizes.isParsable(content)
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
             : undefined;
         const isAccepted = outcomes !== undefined && this.answers.accept(connection, outcomes);
