--- a/fuzz/Batches.ts
+++ b/fuzz/Batches.ts
@@ -24,6 +24,9 @@
 const SETTINGS_ROUNDS = 15;
 const SIGNALS = 40;
 const OUTPUT_CALLS = 40;
+/** Share of the rounds with a configuration of this many wrong routes. */
+const LARGE_SHARE = 0.1;
+const LARGE_ROUTES = 2_000_000;
 const ROUND_MS = 150;
 const CALL_TIMEOUT_MS = 20_000;
 /** Signals that don't end a program by default, or that the program handles. */
@@ -98,6 +101,10 @@
     for (let round = 0; round < STORE_ROUNDS; round++) {
         fleet.store.put("op/config", storeInputs.createConfiguration(random, fleet.createConfiguration()));
         fleet.store.put(`servers/changed-${round}`, storeInputs.createRecord(random, fleet.createRecord(round)));
+        if (random() < LARGE_SHARE) {
+            const Routes = new Array<number>(LARGE_ROUTES).fill(1);
+            fleet.store.put("op/config", { ...fleet.createConfiguration(), Routes });
+        }
         fleet.store.put("op/evacuate/zone-x", mutations.createOddValue(random));
         await clocks.sleep(clocks.systemClock, ROUND_MS);
         await Promise.all(
--- a/fuzz/EngineInputs.ts
+++ b/fuzz/EngineInputs.ts
@@ -101,6 +101,8 @@
     `{"Items":${"[".repeat(30_000)}${"]".repeat(30_000)}}`,
     `{"born":1e999}`,
     `{"Items":[${"{},".repeat(50_000)}{}]}`,
+    `{"Items":[${"{},".repeat(1_300_000)}{}]}`,
+    `{"Items":[${"1,".repeat(1_900_000)}1]}`,
 ];
 
 /** Creates the answer to a request. */
--- a/fuzz/FuzzFleet.ts
+++ b/fuzz/FuzzFleet.ts
@@ -16,6 +16,8 @@
 /** Above all odd versions, since a configuration is replaced by one with a higher version only. */
 const FIRST_VERSION = 2 ** 40;
 const ODD_SERVICES = ["oddplain", "oddmodel", "oddstage"];
+/** Odd engines of each service, since those with odd answers are avoided. */
+const ODD_ENGINES = 5;
 const SOUND_ENGINES: readonly engines.EngineOptions[] = [
     { id: "desk-1", service: "desk", failureDomain: "zone-a" },
     { id: "desk-2", service: "desk", failureDomain: "zone-b" },
@@ -116,7 +118,7 @@
 
     /** Adds new odd engines in place of the earlier ones. */
     async addOddEngines(random: randoms.Random): Promise<void> {
-        for (const service of ODD_SERVICES) {
+        for (const service of ODD_SERVICES.flatMap(name => Array.from({ length: ODD_ENGINES }, () => name))) {
             const engine = new oddEngines.OddEngine(`odd-${this.nextNumber++}`, service, random);
             await engine.listen();
             this.oddEngines.push(engine);
--- a/fuzz/PeerInputs.ts
+++ b/fuzz/PeerInputs.ts
@@ -16,8 +16,8 @@
 const MAX_CUTS = 4;
 const MAX_NAMES = 8;
 const PREFIX_BYTES = 4;
-/** Size of a number whose decoding takes minutes in a decoder that reads it. */
-const BIG_NUMBER_BYTES = 3_000_000;
+/** Size of a number whose decoding takes minutes, and of a list of empty maps that takes all memory. */
+const LARGE_CONTENT_BYTES = 3_000_000;
 
 const encoder = new cbor.Encoder({ useRecords: false, mapsAsObjects: true });
 const fact = { instance: "odd-1", startedMs: 1_700_000_000_000, ageMs: 10 };
@@ -170,10 +170,12 @@
         [0xd8, 0x1b, 0x82, 0x66, 0x52, 0x65, 0x67, 0x45, 0x78, 0x70, 0x61, 0x28],
         [0x9f, 0x9f, 0x9f],
         Array.from({ length: 100_000 }, () => 0x81),
-        [0xc2, 0x5a, ...toBytes(BIG_NUMBER_BYTES)],
+        [0xc2, 0x5a, ...toBytes(LARGE_CONTENT_BYTES)],
+        [0x9a, ...toBytes(LARGE_CONTENT_BYTES)],
     ]);
-    const isBigNumber = content[0] === 0xc2;
-    const body = Buffer.concat([Buffer.from(content), Buffer.alloc(isBigNumber ? BIG_NUMBER_BYTES : 0, 0xff)]);
+    const isLarge = content.slice(-4).join() === toBytes(LARGE_CONTENT_BYTES).join();
+    const fill = content[0] === 0x9a ? 0xa0 : 0xff; // Empty maps, or digits.
+    const body = Buffer.concat([Buffer.from(content), Buffer.alloc(isLarge ? LARGE_CONTENT_BYTES : 0, fill)]);
     const prefix = Buffer.alloc(PREFIX_BYTES);
     prefix.writeUInt32BE(random() < 0.1 ? 0xffff_ffff : body.length);
     return Buffer.concat([prefix, body]);
--- a/fuzz/StoreInputs.ts
+++ b/fuzz/StoreInputs.ts
@@ -29,6 +29,8 @@
     "{\"Items\":[{\"Key\":\"a\",\"Rev\":1}],\"CurrentRev\":1,\"Truncated\":true}",
     "{\"events\":[{\"Key\":\"servers/x\",\"Rev\":1,\"Value\":\"!!!!\"}],\"CurrentRev\":2}",
     "{\"events\":[{\"Key\":\"op/config\",\"Rev\":9007199254740991,\"Value\":\"AAAA\"}],\"CurrentRev\":2}",
+    `{"Items":[${"{},".repeat(4_000_000)}{}],"CurrentRev":1}`,
+    `{"Items":[${"1,".repeat(4_000_000)}1],"CurrentRev":1}`,
     `{"Items":${"[".repeat(100_000)}`,
     `{"events":[],"CurrentRev":3,"Extra":${"[".repeat(100_000)}${"]".repeat(100_000)}}`,
 ];
