--- a/src/commands/LoggedProcess.ts
+++ b/src/commands/LoggedProcess.ts
@@ -42,18 +42,22 @@
         return await run({ log, counters });
     }
     catch (error) {
-        log.fatal({ code: findCode(error).code, detail: String(error), err: error }, "the process ends");
-        return exitCodes.EXIT_FAILED;
+        return logFailure(log, error);
     }
     finally {
         await closeLog(output);
     }
 }
 
-/** An address that can't be used is the only end that isn't a defect of this program. */
-function findCode(error: unknown): codes.ResultCode {
-    const isAddress = (error as NodeJS.ErrnoException | undefined)?.syscall === "listen";
-    return isAddress ? codes.codes.addressUnavailable : codes.codes.internalError;
+/** Logs why a process ends, and returns its exit code. All but an address that can't be used is a defect of this program. */
+function logFailure(log: logs.Log, error: unknown): number {
+    const detail = String(error);
+    if ((error as NodeJS.ErrnoException | undefined)?.syscall === "listen") {
+        log.fatal({ code: codes.codes.addressUnavailable.code, detail }, "can't start");
+        return exitCodes.EXIT_FAILED;
+    }
+    log.fatal({ code: codes.codes.internalError.code, detail, err: error }, "an error ends the process");
+    return exitCodes.EXIT_DEFECT;
 }
 
 /** Writes the rest of the log. At its end, Node.js would wait without limit for a write that blocks. */
