Take the descriptors that the settings state where the operating system states none

Found on reading the change again: where /proc/self/limits can't be read, callers got 412 connections whatever the settings allow (1,950 of 4,100).

--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -90,8 +90,9 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
         this.idleConnections = new idleConnections.IdleConnections(this.server);
-        const { memoryMegabytes, maxDescriptors = Infinity } = context.resources;
-        const descriptors = Math.min(descriptorLimits.readDescriptorLimit(), maxDescriptors);
+        const { memoryMegabytes, maxDescriptors } = context.resources;
+        const systemLimit = descriptorLimits.readDescriptorLimit();
+        const descriptors = descriptorLimits.findDescriptorLimit(systemLimit, maxDescriptors);
         this.connections = new callerConnections.CallerConnections({
             ...context,
             server: this.server,
--- a/src/process/serving/DescriptorLimit.ts
+++ b/src/process/serving/DescriptorLimit.ts
@@ -5,7 +5,7 @@
 
 const LIMITS_FILE = "/proc/self/limits";
 const SOFT_LIMIT_PATTERN = /^Max open files +(\d+)/m;
-/** Assumed where the operating system states no limit. */
+/** Assumed where neither the operating system nor the settings state a limit. */
 const DEFAULT_DESCRIPTORS = 1_024;
 /** Descriptors for files and the runtime, but no more than the share below. */
 const MAX_FILE_DESCRIPTORS = 200;
@@ -13,14 +13,20 @@
 /** Share of the others for callers: each request needs a connection to an instance too, besides peers and the store. */
 const CALLER_SHARE = 0.5;
 
-/** The operating system's limit for this process. */
-export function readDescriptorLimit(): number {
+/** The limit of the operating system or of the settings, the lower of the two that are stated. */
+export function findDescriptorLimit(systemLimit: number | undefined, settingsLimit: number | undefined): number {
+    const limits = [systemLimit, settingsLimit].filter(limit => limit !== undefined);
+    return limits.length === 0 ? DEFAULT_DESCRIPTORS : Math.min(...limits);
+}
+
+/** The operating system's limit for this process; undefined if it states none. */
+export function readDescriptorLimit(): number | undefined {
     try {
         const limit = SOFT_LIMIT_PATTERN.exec(fs.readFileSync(LIMITS_FILE, "utf8"))?.[1];
-        return limit === undefined ? DEFAULT_DESCRIPTORS : Number(limit);
+        return limit === undefined ? undefined : Number(limit);
     }
     catch {
-        return DEFAULT_DESCRIPTORS; // Not an operating system with this file.
+        return undefined; // Not an operating system with this file.
     }
 }
 
