Decide in one place when the store's keys are listed again

Found on reading the change again: the two reasons had branches of the same form. Decisions and log lines are unchanged; 160 tests of the published store pass (LargeChanges.test.ts among them), types and linter clean.

--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -70,11 +70,10 @@
                 isListed = true;
                 continue;
             }
-            if (failure.code === codes.codes.configurationGap) {
-                this.options.log.warn(
-                    { decision: "history-lost", ...this.options.view.position, detail: failure.detail },
-                    "store history lost; listing all keys again",
-                );
+            const relisting = findRelisting(failure, isListed);
+            if (relisting !== undefined) {
+                const { decision, text } = relisting;
+                this.options.log.warn({ decision, ...this.options.view.position, detail: failure.detail }, text);
                 isListed = false;
                 if (isLost) {
                     await this.sleepBeforeRetry(); // Listing again hasn't helped.
@@ -82,18 +81,6 @@
                 isLost = true;
                 continue;
             }
-            if (isListed && failure.code === codes.codes.answerTooLarge) {
-                this.options.log.warn(
-                    { decision: "changes-too-large", ...this.options.view.position, detail: failure.detail },
-                    "the changes don't fit into an answer of the store; listing all keys again",
-                );
-                isListed = false;
-                if (isLost) {
-                    await this.sleepBeforeRetry();
-                }
-                isLost = true;
-                continue;
-            }
             if (!this.recordFailure(failure)) {
                 await this.sleepBeforeRetry();
             }
@@ -232,3 +219,19 @@
         return previous;
     }
 }
+
+/** Why all keys have to be listed again after a failure, as it is logged; undefined if the same call can be repeated. */
+function findRelisting(
+    failure: codes.Failure,
+    isListed: boolean,
+): { readonly decision: string; readonly text: string } | undefined {
+    if (failure.code === codes.codes.configurationGap) {
+        return { decision: "history-lost", text: "store history lost; listing all keys again" };
+    }
+    return isListed && failure.code === codes.codes.answerTooLarge
+        ? {
+            decision: "changes-too-large",
+            text: "the changes don't fit into an answer of the store; listing all keys again",
+        }
+        : undefined;
+}
