--- a/src/commands/LoggedProcess.ts
+++ b/src/commands/LoggedProcess.ts
@@ -10,8 +10,8 @@
 import * as exitCodes from "./Exits";
 import * as uncaughtErrors from "./UncaughtErrors";
 
-/** Longest time for which the end of a process waits until its log is written. */
-const LOG_DRAIN_LIMIT_MS = 500;
+/** Longest time for which the end of a process, or of its wait for settings, is held up until its log is written. */
+export const LOG_DRAIN_LIMIT_MS = 500;
 const ERROR_ID_BYTES = 6;
 
 /** What a running process gets. */
--- a/src/commands/StartSettings.ts
+++ b/src/commands/StartSettings.ts
@@ -13,8 +13,6 @@
 const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 /** Name in the log of a process that hasn't read its name yet. */
 const UNNAMED_INSTANCE = "unnamed";
-/** Longest time for which a start is held up until the lines of the wait are written. */
-const LOG_DRAIN_LIMIT_MS = 500;
 
 /** The commands that run a process with settings. */
 export type ServingCommand = "entry" | "agent";
@@ -58,7 +56,7 @@
         log.fatal({ code, file, problems: end.problems }, "can't start");
     }
     if (end.kind === "valid") {
-        await output.drain(LOG_DRAIN_LIMIT_MS);
+        await output.drain(loggedProcesses.LOG_DRAIN_LIMIT_MS);
         output.dispose();
     }
     else {
