Read connections in pieces that the event loop can spare

What callers saw: with one peer that always has bytes ready (chunks of one byte, pipelined requests, informational heads), sound calls on the same process hung or got 503, since a read of 64 KB is parsed in one turn of the event loop, whatever it holds, and a connection's requests were all parsed before the first was answered.

Each socket of the process (instances, store, callers, admin and ready addresses, other entries) now passes its reads on in pieces whose size follows what they cost. A connection of a caller has at most 8 requests in progress, one of the admin and ready addresses 2; the next ones wait unread. A line names the costliest peer when the event loop was late, or when a peer takes most of the time; metrics show the delay, the largest share, and what waits.

--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -11,6 +11,7 @@
 import * as emitters from "../common/Emitter";
 import * as messages from "../common/Messages";
 import * as frames from "./FrameCodec";
+import * as pacedSockets from "./PacedSocket";
 
 /** Size of the send buffer above which the peer is too slow and the connection is closed. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
@@ -80,6 +81,7 @@
             return result.err(codes.failure(codes.codes.peerUnreachable, `${address}: not an IP address and a port`));
         }
         const socket = net.connect(port, host);
+        pacedSockets.paceOpened(socket, { kind: "entry", address });
         const problem = await waitForConnect(socket, context.clock);
         if (problem !== undefined) {
             socket.destroy();
@@ -93,6 +95,7 @@
         socket: net.Socket,
         context: PeerContext,
     ): Promise<result.Result<PeerConnection, codes.Failure>> {
+        pacedSockets.paceAccepted(socket, "entry");
         return PeerConnection.handshake(socket, context, false);
     }
 
--- /dev/null
+++ b/src/connection/RequestLimit.ts
@@ -0,0 +1,77 @@
+/**
+ * Bounds the requests of one connection that a server has in progress. Further ones wait unread until an answer has
+ * been sent. So that each is read by itself, pieces end where a head or a body ends, or may end.
+ */
+import * as http from "node:http";
+import * as net from "node:net";
+import * as pacedSockets from "./PacedSocket";
+import * as accounts from "./ReadAccount";
+import * as readTurns from "./ReadTurns";
+
+/** The end of a head, or of a body in chunks, with the end of the line before. */
+const BLANK_LINE = "\n\r\n";
+
+/** Paces the connections of `server`, each with at most `maxRequests` in progress before the next one is read. */
+export function limitRequests(
+    server: http.Server,
+    kind: accounts.PeerKind,
+    maxRequests: number,
+    turns = readTurns.processTurns,
+): void {
+    const connections = new WeakMap<net.Socket, ConnectionRequests>();
+    server.on("connection", (socket: net.Socket) => {
+        connections.set(socket, new ConnectionRequests(socket, kind, maxRequests, turns));
+    });
+    server.on("request", (request, response) => connections.get(request.socket)?.add(request, response));
+}
+
+/** The requests of one connection. */
+class ConnectionRequests {
+    private readonly paced: pacedSockets.PacedSocket;
+    private openCount = 0;
+    private last: http.IncomingMessage | undefined;
+    /** Bytes to come that belong to a body of a stated length. */
+    private bodyBytes = 0;
+
+    constructor(
+        socket: net.Socket,
+        kind: accounts.PeerKind,
+        private readonly maxRequests: number,
+        turns: readTurns.ReadTurns,
+    ) {
+        this.paced = pacedSockets.paceAccepted(socket, kind, {
+            isBusy: () => this.openCount >= this.maxRequests && this.last?.complete === true,
+            findPieceBytes: (bytes, maxBytes) => this.findPieceBytes(bytes, maxBytes),
+            onPiece: bytes => this.countPiece(bytes),
+        }, turns);
+        // The HTTP server reads the socket's descriptor itself, past the socket, until the socket has another reader.
+        socket.on("data", ignore);
+        socket.removeListener("data", ignore);
+    }
+
+    /** Counts a request until it is answered. */
+    add(request: http.IncomingMessage, response: http.ServerResponse): void {
+        this.openCount++;
+        this.last = request;
+        this.bodyBytes = Number(request.headers["content-length"] ?? 0);
+        response.once("close", () => {
+            this.openCount--;
+            this.paced.resume();
+        });
+    }
+
+    private findPieceBytes(bytes: Buffer, maxBytes: number): number {
+        if (this.bodyBytes > 0) {
+            return Math.min(bytes.length, maxBytes, this.bodyBytes);
+        }
+        const piece = bytes.subarray(0, maxBytes);
+        const index = piece.indexOf(BLANK_LINE, 0, "latin1");
+        return index < 0 ? piece.length : index + BLANK_LINE.length;
+    }
+
+    private countPiece(bytes: number): void {
+        this.bodyBytes = Math.max(0, this.bodyBytes - bytes);
+    }
+}
+
+function ignore(): void {}
--- a/src/connection/UpstreamConnections.ts
+++ b/src/connection/UpstreamConnections.ts
@@ -1,24 +1,31 @@
 /**
- * Keep-alive connections to upstream instances. An idle connection on which bytes arrive is closed: they belong to
+ * Keep-alive connections to upstream instances and other systems. An idle connection on which bytes arrive is closed: they belong to
  * no request, and the next request would read them as its answer.
  */
 import * as http from "node:http";
 import * as stream from "node:stream";
+import * as pacedSockets from "./PacedSocket";
 
-/** Idle time after which a connection is closed; shorter than the usual idle timeout of upstreams. */
-const IDLE_TIMEOUT_MS = 4_000;
-/** Maximum number of idle connections to each upstream instance. */
-const MAX_IDLE_PER_INSTANCE = 16;
+/** Idle connections that are kept. */
+export interface IdleLimits {
+    /** Idle time after which a connection is closed. */
+    readonly timeoutMs: number;
+    /** Maximum number of idle connections to each address. */
+    readonly maxPerAddress: number;
+}
+
+/** The time is shorter than the usual idle timeout of upstreams. */
+const INSTANCE_LIMITS: IdleLimits = { timeoutMs: 4_000, maxPerAddress: 16 };
 
 const idleDataListeners = new WeakMap<stream.Duplex, () => void>();
 
 /** The connection pool of one process. */
 export class UpstreamConnections extends http.Agent {
-    constructor() {
+    constructor({ timeoutMs, maxPerAddress } = INSTANCE_LIMITS) {
         super({
             keepAlive: true,
-            timeout: IDLE_TIMEOUT_MS,
-            maxFreeSockets: MAX_IDLE_PER_INSTANCE,
+            timeout: timeoutMs,
+            maxFreeSockets: maxPerAddress,
             scheduling: "lifo",
         });
     }
@@ -26,9 +33,10 @@
     /** Called by Node.js before a connection becomes idle; false closes it. */
     override keepSocketAlive(socket: stream.Duplex): boolean {
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-        if (!isKept || socket.readableLength > 0) {
+        if (!isKept || socket.readableLength > 0 || pacedSockets.hasUnreadPieces(socket)) {
             return false;
         }
+        pacedSockets.setIdle(socket, true);
         const closeOnData = (): void => void socket.destroy();
         idleDataListeners.set(socket, closeOnData);
         socket.on("data", closeOnData);
@@ -37,6 +45,7 @@
 
     /** Called by Node.js before an idle connection is reused for a request. */
     override reuseSocket(socket: stream.Duplex, request: http.ClientRequest): void {
+        pacedSockets.setIdle(socket, false);
         const closeOnData = idleDataListeners.get(socket);
         if (closeOnData !== undefined) {
             idleDataListeners.delete(socket);
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -9,6 +9,7 @@
 import * as readTimers from "../common/ReadTimer";
 import * as transferLimits from "../common/TransferLimit";
 import * as bodyTimeouts from "./BodyTimeout";
+import * as pacedSockets from "./PacedSocket";
 import * as upstreamConnections from "./UpstreamConnections";
 
 /** Time limit for establishing a new connection. */
@@ -148,6 +149,7 @@
 
     private watchConnect(socket: net.Socket): void {
         socket.setNoDelay(true);
+        pacedSockets.paceOpened(socket, { kind: "instance", address: this.request.address });
         if (!socket.connecting) {
             this.dispatch();
             return;
--- a/src/process/adapters/EngineUpstream.ts
+++ b/src/process/adapters/EngineUpstream.ts
@@ -37,7 +37,7 @@
 
 /** Creates a client of the engine at `address`, an IP address and a port. */
 export function createModelEngine(address: string): ports.ModelEngine {
-    const client = httpRequests.createClient(address);
+    const client = httpRequests.createClient(address, "instance");
     return {
         onDisconnect: client.onDisconnect,
         call: (call, signal) => plainUpstreams.callUpstream(client, call, signal),
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -14,12 +14,13 @@
 import * as readTimers from "../../common/ReadTimer";
 import * as transferLimits from "../../common/TransferLimit";
 import * as bodyTimeouts from "../../connection/BodyTimeout";
+import * as pacedSockets from "../../connection/PacedSocket";
+import * as accounts from "../../connection/ReadAccount";
+import * as upstreamConnections from "../../connection/UpstreamConnections";
 
 /** Time to establish a new connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Idle time after which a pooled connection is closed. */
-const IDLE_SOCKET_TIMEOUT_MS = 15_000;
-const MAX_IDLE_SOCKETS = 64;
+const IDLE_LIMITS: upstreamConnections.IdleLimits = { timeoutMs: 15_000, maxPerAddress: 64 };
 /** Maximum size of a response body if the request doesn't specify one. */
 const DEFAULT_MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -28,6 +29,8 @@
 export interface Client {
     readonly host: string;
     readonly port: number;
+    /** The external system as its cost is accounted for. */
+    readonly peer: accounts.Peer;
     readonly agent: http.Agent;
     /** Fires when a pooled connection, idle or in use, fails or is closed by the external system. */
     readonly onDisconnect: emitters.Event<void>;
@@ -68,19 +71,15 @@
 }
 
 /** Creates a client for `address`, an IP address and a port. */
-export function createClient(address: string): Client {
+export function createClient(address: string, kind: accounts.PeerKind = "store"): Client {
     const { host, port } = addresses.parseAddress(address);
-    const agent = new http.Agent({
-        keepAlive: true,
-        timeout: IDLE_SOCKET_TIMEOUT_MS,
-        maxFreeSockets: MAX_IDLE_SOCKETS,
-        scheduling: "lifo",
-    });
+    const agent = new upstreamConnections.UpstreamConnections(IDLE_LIMITS);
     const disconnectEmitter = new emitters.Emitter<void>();
     const watchedSockets = new WeakSet<net.Socket>();
     return {
         host,
         port,
+        peer: { kind, address },
         agent,
         onDisconnect: disconnectEmitter.event,
         watchSocket(socket) {
@@ -176,6 +175,7 @@
     }
 
     private watchConnecting(socket: net.Socket): void {
+        pacedSockets.paceOpened(socket, this.client.peer);
         if (!socket.connecting) {
             this.isDispatched = true;
             this.watchIfPooled(socket);
--- a/src/process/adapters/PlainUpstream.ts
+++ b/src/process/adapters/PlainUpstream.ts
@@ -20,7 +20,7 @@
 
 /** Creates a client of the upstream at `address`, an IP address and a port. */
 export function createPlainService(address: string): ports.PlainService {
-    const client = httpRequests.createClient(address);
+    const client = httpRequests.createClient(address, "instance");
     return {
         onDisconnect: client.onDisconnect,
         call: (call, signal) => callUpstream(client, call, signal),
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -6,11 +6,13 @@
 import * as logs from "../../common/Log";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as settingsShapes from "../../common/Settings";
+import * as readTurns from "../../connection/ReadTurns";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as guards from "../crashes/CrashGuard";
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as loopWatches from "../metrics/LoopWatch";
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
@@ -79,6 +81,9 @@
         const { clock, log, random, store } = options;
         const shared = { clock, log, random, failureDomain: settings.failureDomain };
         const pauses = this.disposables.add(new pauseMonitors.PauseMonitor({ clock, thresholdMs: PAUSE_THRESHOLD_MS }));
+        const loop = this.disposables.add(
+            new loopWatches.LoopWatch({ clock, log, onPause: pauses.onPause, turns: readTurns.processTurns }),
+        );
         const connections = new upstreamConnections.UpstreamConnections();
         this.disposables.add({ dispose: () => connections.destroy() });
         this.view = this.disposables.add(new views.PublishedView({ clock, log, decode: item => store.decode(item) }));
@@ -211,6 +216,7 @@
             retryBudgets,
             storePace,
             server: this.server,
+            loop,
             counters: options.counters,
         });
     }
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -5,6 +5,7 @@
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as shareReports from "../instances/ShareReport";
+import * as loopWatches from "../metrics/LoopWatch";
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as replications from "../peers/PublishedReplication";
@@ -26,12 +27,13 @@
     /** This entry's part of the calls on the store. */
     readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
+    readonly loop: loopWatches.LoopWatch;
     readonly counters: processCounters.ProcessCounters;
 }
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
-    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, counters } = sources;
+    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, loop, counters } = sources;
     const { buffers, connections } = server;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
@@ -85,6 +87,11 @@
         "Connections closed as too many",
         () => connections.closedForRoom,
     );
+    add("cumincrank_loop_delay_seconds", "Longest delay of the event loop", () => loop.takeDelaySeconds());
+    add("cumincrank_costliest_peer_share", "Share of the time for the costliest peer", () => loop.largestShare);
+    add("cumincrank_delayed_pieces", "Pieces of reads that waited for a later turn", () => loop.delayedPieces);
+    add("cumincrank_unread_bytes", "Bytes of reads that wait for a later turn", () => loop.heldBytes);
+    add("cumincrank_unread_closed", "Connections closed as too many bytes waited", () => loop.closedConnections);
     add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
     add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
     add("cumincrank_machine_errors", "Errors of the operating system that nobody handled", counters.machineErrors);
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -9,6 +9,7 @@
 import * as routing from "../../common/Routing";
 import * as settingsShapes from "../../common/Settings";
 import * as listeners from "../../connection/Listener";
+import * as requestLimits from "../../connection/RequestLimit";
 import * as callDurations from "../../request/routed/CallDurations";
 import * as plainRuns from "../../request/routed/PlainRun";
 import * as calls from "../../request/routed/RoutedCall";
@@ -28,6 +29,8 @@
 const MAX_PARSED_HEADER_BYTES = 64 * 1024;
 /** Added to the published idle time, so that the caller closes an idle connection first. */
 const KEEP_ALIVE_MARGIN_MS = 1_500;
+/** Requests in progress on a connection, beyond which its next one isn't read. */
+const MAX_PIPELINED_REQUESTS = 8;
 /** Time between two checks for connections whose headers time out. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Requests that are read within this time of a late turn may have arrived during it. */
@@ -89,6 +92,7 @@
             requestTimeout: 0,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         }, (request, response) => void this.handleRequest(request, response));
+        requestLimits.limitRequests(this.server, "caller", MAX_PIPELINED_REQUESTS);
         this.idleConnections = new idleConnections.IdleConnections(this.server);
         const { memoryMegabytes, maxDescriptors } = context.resources;
         const systemLimit = descriptorLimits.readDescriptorLimit();
--- a/src/process/serving/AdminServer.ts
+++ b/src/process/serving/AdminServer.ts
@@ -4,9 +4,13 @@
 import * as http from "node:http";
 import * as prom from "prom-client";
 import * as listeners from "../../connection/Listener";
+import * as requestLimits from "../../connection/RequestLimit";
+import * as renderings from "./SharedRendering";
 
 /** Further connections are closed at once, so that they take no descriptors from the process's work. */
 const MAX_CONNECTIONS = 32;
+/** Requests in progress on a connection, beyond which its next one isn't read. */
+const MAX_PIPELINED_REQUESTS = 2;
 
 /** Connections that send nothing give way soon, since their number is bounded. */
 const TIME_LIMITS: http.ServerOptions = {
@@ -31,21 +35,34 @@
     context: listeners.ListenContext,
     readyPath = "/readyz",
 ): Promise<listeners.Listener> {
+    const metrics = new renderings.SharedRendering(context.clock, () => source.registry.metrics());
+    const status = new renderings.SharedRendering(
+        context.clock,
+        () => Promise.resolve(JSON.stringify(source.status(), undefined, 2) + "\n"),
+    );
     const server = http.createServer(TIME_LIMITS, (request, response) => {
-        handleRequest(source, readyPath, request, response).catch((error: unknown) => {
+        handleRequest({ source, metrics, status, readyPath }, request, response).catch((error: unknown) => {
             // Whoever asked sees the cause; the work of the process doesn't depend on it.
             if (!response.headersSent) {
                 send(response, 500, "text/plain", `${String(error)}\n`);
             }
         });
     });
+    requestLimits.limitRequests(server, "admin", MAX_PIPELINED_REQUESTS);
     server.maxConnections = MAX_CONNECTIONS;
     return listeners.listen(server, address, context);
 }
 
+/** What the server answers with. */
+interface AdminContents {
+    readonly source: AdminSource;
+    readonly metrics: renderings.SharedRendering;
+    readonly status: renderings.SharedRendering;
+    readonly readyPath: string;
+}
+
 async function handleRequest(
-    source: AdminSource,
-    readyPath: string,
+    { source, metrics, status, readyPath }: AdminContents,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): Promise<void> {
@@ -58,9 +75,9 @@
                 ? send(response, 200, "text/plain", "ready\n")
                 : send(response, 503, "text/plain", "not ready\n");
         case "/metrics":
-            return send(response, 200, source.registry.contentType, await source.registry.metrics());
+            return send(response, 200, source.registry.contentType, await metrics.next());
         case "/status":
-            return send(response, 200, "application/json", JSON.stringify(source.status(), undefined, 2) + "\n");
+            return send(response, 200, "application/json", await status.next());
         default:
             return send(response, 404, "text/plain", "not found\n");
     }
--- a/src/process/serving/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -9,6 +9,7 @@
 import * as deadlines from "../../common/Deadline";
 import * as logs from "../../common/Log";
 import * as listeners from "../../connection/Listener";
+import * as requestLimits from "../../connection/RequestLimit";
 import * as answers from "../../request/CallerAnswer";
 import * as callerRequests from "../../request/CallerRequest";
 import * as pipelineRuns from "../../request/PipelineRun";
@@ -18,6 +19,8 @@
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16_384;
+/** Requests in progress on a connection, beyond which its next one isn't read. */
+const MAX_PIPELINED_REQUESTS = 8;
 /** Time after which an answer is dropped if the caller reads no byte of it. */
 const UNREAD_ANSWER_TIMEOUT_MS = 30_000;
 const DEFAULT_OPERATION_DEADLINE_MS = 4_000;
@@ -63,6 +66,7 @@
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
         }, (request, response) => void this.serve(request, response));
+        requestLimits.limitRequests(this.server, "caller", MAX_PIPELINED_REQUESTS);
     }
 
     /** Number of requests in progress. */
--- a/src/process/serving/IdleConnections.ts
+++ b/src/process/serving/IdleConnections.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
+import * as pacedSockets from "../../connection/PacedSocket";
 
 interface ConnectionState {
     openResponses: number;
@@ -21,8 +22,8 @@
 
     /** Closes the connections without a request. */
     close(): void {
-        for (const [socket, { openResponses, bytesRead }] of this.states) {
-            if (openResponses === 0 && socket.bytesRead === bytesRead) {
+        for (const [socket, state] of this.states) {
+            if (isIdle(socket, state)) {
                 socket.destroy();
             }
         }
@@ -30,8 +31,8 @@
 
     /** Closes the connection that has been without a request for longest; false if there is none. */
     closeLongestIdle(): boolean {
-        for (const [socket, { openResponses, bytesRead }] of this.states) {
-            if (openResponses === 0 && socket.bytesRead === bytesRead) {
+        for (const [socket, state] of this.states) {
+            if (isIdle(socket, state)) {
                 this.states.delete(socket);
                 socket.destroy();
                 return true;
@@ -64,3 +65,7 @@
         return state;
     }
 }
+
+function isIdle(socket: net.Socket, { openResponses, bytesRead }: ConnectionState): boolean {
+    return openResponses === 0 && socket.bytesRead === bytesRead && !pacedSockets.hasUnreadPieces(socket);
+}
