Pass cheap reads on as a whole, and let a piece follow the last one at once while both are cheap

A connection's first reads were split into pieces of 16 KB, one a turn, also when they cost next to nothing. Pieces now follow each other at once until they have taken 1 ms together, unless what they caused later was costly.

The test that other reads come between pieces holds for costly ones; for cheap ones Node.js's own order applies, in which 3 MB may be read before another socket.

--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -194,7 +194,14 @@
         this.turns.begin(this, leftBytes);
         let rest: Buffer | undefined = bytes;
         this.isWanted = true;
-        while (rest !== undefined && leftBytes > 0 && this.isWanted && !this.limits.isBusy()) {
+        while (rest !== undefined && this.isWanted && !this.limits.isBusy()) {
+            if (leftBytes <= 0) {
+                if (!this.turns.mayContinue(this)) {
+                    break;
+                }
+                leftBytes = Math.min(rest.length, this.account.limitBytes);
+                this.turns.extend(leftBytes);
+            }
             const piece: Buffer = rest;
             const pieceBytes = this.limits.findPieceBytes(piece, leftBytes);
             leftBytes -= pieceBytes;
--- a/src/connection/ReadTurns.ts
+++ b/src/connection/ReadTurns.ts
@@ -7,6 +7,7 @@
 import * as emitters from "../common/Emitter";
 import * as peerCosts from "./PeerCosts";
 import * as accounts from "./ReadAccount";
+import * as paces from "./ReadPace";
 
 /** Time that costly pieces may take in one turn of the event loop, all together. */
 const TURN_BUDGET_MS = 4;
@@ -20,6 +21,8 @@
 const BACKLOG_HANDICAP_MS = 300;
 /** and within the time that they have cost in the last second, up to this limit. */
 const MAX_COST_HANDICAP_MS = 500;
+/** Pieces that have taken less together follow each other at once. */
+const CONTINUATION_MS = 1;
 /** Largest number of pieces that waited and are processed in one turn. */
 const MAX_PIECES_PER_TURN = 64;
 /** Bytes that may be held for later turns, of all connections. */
@@ -50,7 +53,7 @@
 
 interface RunningPiece {
     readonly account: accounts.ReadAccount;
-    readonly bytes: number;
+    bytes: number;
     readonly startedMs: number;
 }
 
@@ -118,6 +121,18 @@
         return this.spentMs + runningMs < TURN_BUDGET_MS || account.recentMs(nowMs) < CHEAP_MS_PER_SECOND;
     }
 
+    /** Whether a piece that was begun and has been passed on has taken so little that more may follow at once. */
+    mayContinue({ account, lastBegunMs }: PieceSource): boolean {
+        return account.limitBytes >= paces.FIRST_PIECE_BYTES && this.clock.now() - lastBegunMs < CONTINUATION_MS;
+    }
+
+    /** Adds bytes to the piece that is measured. */
+    extend(bytes: number): void {
+        if (this.running !== undefined) {
+            this.running.bytes += bytes;
+        }
+    }
+
     /** Measures a piece from now until the next one or the next turn. */
     begin(source: PieceSource, bytes: number): void {
         this.settle();
--- a/src/connection/RequestLimit.ts
+++ b/src/connection/RequestLimit.ts
@@ -9,7 +9,7 @@
 import * as readTurns from "./ReadTurns";
 
 /** The end of a head, or of a body in chunks, with the end of the line before. */
-const BLANK_LINE = "\n\r\n";
+const BLANK_LINE = Buffer.from("\n\r\n");
 
 /** Paces the connections of `server`, each with at most `maxRequests` in progress before the next one is read. */
 export function limitRequests(
@@ -65,7 +65,7 @@
             return Math.min(bytes.length, maxBytes, this.bodyBytes);
         }
         const piece = bytes.subarray(0, maxBytes);
-        const index = piece.indexOf(BLANK_LINE, 0, "latin1");
+        const index = piece.indexOf(BLANK_LINE);
         return index < 0 ? piece.length : index + BLANK_LINE.length;
     }
 
