A pipeline stream whose parts bring no tokens is ended

Seen by callers: a model engine that sends parts without tokens, without end, keeps its stream and takes the event loop of the agent that parses them. Cause: each such part is valid, and nothing bounds how many follow each other. Change: after 1,000 in a row the stream is broken (`stream-broken`), as one without its last line is. Before: 2,000 of them and an end, outcome ok. After: `stream-broken` (src/process/adapters/EngineUpstream.test.ts).

--- a/src/process/adapters/EngineUpstream.test.ts
+++ b/src/process/adapters/EngineUpstream.test.ts
@@ -98,6 +98,17 @@
             codes.codes.malformedAnswer,
             0,
         ],
+        [
+            // Guards against streams that take the event loop for as long as an engine sends parts that bring nothing.
+            "parts without tokens",
+            {
+                rawBase64: encodeResponse(
+                    "{\"offset\":0,\"tokens\":[]}\n".repeat(2_000) + "{\"end\":true,\"tokens\":0}\n",
+                ),
+            },
+            codes.codes.streamBroken,
+            0,
+        ],
     ];
     it.each(faultCases)("maps a stream with %s to its result code", async (_name, fault, code, tokens) => {
         const [standIn, engine] = await openEngine();
--- a/src/process/adapters/TokenStreamParser.ts
+++ b/src/process/adapters/TokenStreamParser.ts
@@ -9,6 +9,8 @@
 
 const MAX_LINE_BYTES = 256 * 1024;
 const MAX_TOKENS_PER_PART = 10_000;
+/** Number of parts in a row that may have no tokens. */
+const MAX_EMPTY_PARTS = 1_000;
 const NEWLINE_BYTE = 0x0a;
 
 const partSchema = z.object({ offset: z.int().min(0), tokens: z.array(z.string()).max(MAX_TOKENS_PER_PART) });
@@ -23,6 +25,7 @@
 export class TokenStreamParser {
     private chunks: Buffer[] = [];
     private bufferedBytes = 0;
+    private emptyParts = 0;
     private endLine: StreamEnd | undefined;
 
     /** `nextOffset` is the offset of the first token expected; `onPart` receives each part. */
@@ -81,6 +84,10 @@
         if (part.offset !== this.nextOffset) {
             return malformed(`offset ${part.offset} in place of ${this.nextOffset}`);
         }
+        this.emptyParts = part.tokens.length === 0 ? this.emptyParts + 1 : 0;
+        if (this.emptyParts > MAX_EMPTY_PARTS) {
+            return codes.failure(codes.codes.streamBroken, `${this.emptyParts} parts without tokens in a row`);
+        }
         this.nextOffset += part.tokens.length;
         this.onPart(part);
         return undefined;
