Events of streams are found one at a time, and many at once leave the event loop to others

Seen by callers: while an instance sends streams of comments, blank lines or small events without end, sound calls to other services take many seconds. Cause: all events of a chunk were found, turned into text three times and written one by one within one turn of the event loop, for each stream; and an incomplete event was copied with each chunk that was added to it. Change: EventSplitter examines each byte once and copies it a few times at most, and gives one event after the other. EventForward takes them in slices of 1 ms; a stream that needs more waits for its next slice in StreamTurns, which gives four slices a turn to those that wait, in turn. Events that follow each other in a chunk are written at once, the same bytes in the same order. A stream with few events in a chunk doesn't wait.

--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -24,6 +24,7 @@
 import * as stageClients from "../stages/StageClient";
 import * as stageHosts from "../stages/StageHost";
 import * as streamExchanges from "../streams/StreamOriginExchange";
+import * as turns from "../streams/StreamTurns";
 import * as entryFleets from "./EntryFleet";
 import * as entryStatuses from "./EntryStatus";
 import * as instanceParts from "./InstanceParts";
@@ -173,6 +174,7 @@
             }),
         );
         const { monitor: crashes } = this.disposables.add(new guards.CrashGuard({ ...shared, peers: this.peers }));
+        const streamTurns = this.disposables.add(new turns.StreamTurns(clock));
         const retryBudgets = new budgets.RetryBudgets(clock, () => this.settings.repeats, fleet);
         this.server = this.disposables.add(
             new servers.RouteServer({
@@ -190,6 +192,7 @@
                     connections,
                     pool: this.pool,
                     streamOrigins,
+                    streamTurns,
                     crashes,
                     onAnswer: (instance, answer, atMs) => signs.observe(instance, answer, "call", atMs),
                     budgetOf: service => retryBudgets.obtain(service),
@@ -209,6 +212,7 @@
             crashes,
             fleet,
             retryBudgets,
+            streamTurns,
             storePace,
             server: this.server,
             counters: options.counters,
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -12,6 +12,7 @@
 import * as paces from "../shares/FleetPace";
 import * as fleetSizes from "../shares/FleetSize";
 import * as stageHosts from "../stages/StageHost";
+import * as turns from "../streams/StreamTurns";
 import * as servers from "./RouteServer";
 
 /** The parts of an entry whose state is exposed. */
@@ -23,6 +24,7 @@
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left" | "capacity">;
+    readonly streamTurns: Pick<turns.StreamTurns, "waitingCount">;
     /** This entry's part of the calls on the store. */
     readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
@@ -33,6 +35,7 @@
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
     const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, counters } = sources;
     const { buffers, connections } = server;
+    const { streamTurns } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -74,6 +77,7 @@
     add("cumincrank_window_retries", "Retries sent in the window of their budget", () => retryBudgets.retries);
     add("cumincrank_retries_left", "Retries that may be sent now, of all services", () => retryBudgets.left);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
+    add("cumincrank_waiting_streams", "Streams that wait for their turn", () => streamTurns.waitingCount);
     add("cumincrank_buffered_bytes", "Bytes of bodies and answers held", () => buffers.heldBytes);
     add("cumincrank_buffer_limit_bytes", "Bytes of bodies and answers that may be held", () => buffers.limitBytes);
     add("cumincrank_buffer_rejections", "Bodies for which there was no room", () => buffers.rejections);
--- /dev/null
+++ b/src/request/routed/EventForward.ts
@@ -0,0 +1,113 @@
+/**
+ * Forwards the events of one answer to the caller, byte for byte and in order. Events that follow each other in a chunk
+ * are written at once; a chunk of many is handled in slices, between which other work gets the event loop.
+ */
+import * as clocks from "../../common/Clock";
+import * as streamTurns from "../../process/streams/StreamTurns";
+import * as progresses from "./EventProgress";
+import * as sinks from "./EventSink";
+import * as splitters from "./EventSplitter";
+
+/** Events after which the time is read. */
+const EVENTS_PER_CHECK = 16;
+
+/**
+ * How the forwarding of a chunk ended. `unread`: the caller doesn't read; `too-long`: the content is no event stream.
+ */
+export type ChunkOutcome = "forwarded" | "unread" | "too-long";
+
+/** What forwarding needs. */
+export interface ForwardOptions {
+    readonly clock: clocks.Clock;
+    readonly sink: sinks.EventSink;
+    readonly progress: progresses.EventProgress;
+    readonly slices: streamTurns.StreamSlices;
+    /** Called when events have shown that the instance makes progress. */
+    readonly onProgress: () => void;
+    /** Called before events are written. */
+    readonly onEvents: () => void;
+    /** Called when events have been written. */
+    readonly onWritten: () => void;
+    /** Time that the caller has to read what was written. */
+    readonly readLimitMs: () => number;
+}
+
+/** Events that are written at once, from one position of the chunk to another one. */
+interface Run {
+    readonly start: number;
+    readonly end: number;
+    readonly hasProgress: boolean;
+    /** Whether no further event is complete. */
+    readonly isLast: boolean;
+}
+
+/** Forwards the events of one answer. */
+export class EventForward {
+    private readonly splitter = new splitters.EventSplitter();
+
+    constructor(private readonly options: ForwardOptions) {}
+
+    /** Whether the answer, if it ended now, would end in the middle of an event. */
+    get hasPartialEvent(): boolean {
+        return this.splitter.hasPartialEvent;
+    }
+
+    /** Forwards the events that the chunk completes. */
+    async forward(chunk: Buffer): Promise<ChunkOutcome> {
+        const { clock, slices } = this.options;
+        const begin = slices.begin();
+        if (begin !== undefined) {
+            await begin;
+        }
+        this.splitter.push(chunk);
+        for (;;) {
+            const run = this.takeRun();
+            if (run.hasProgress) {
+                this.options.onProgress();
+            }
+            const room = run.end > run.start ? this.write(run) : undefined;
+            if (room !== undefined && !await sinks.waitForRoom(clock, room, this.options.readLimitMs())) {
+                return "unread";
+            }
+            if (run.isLast) {
+                break;
+            }
+            if (slices.checkSpent()) {
+                await slices.next();
+            }
+        }
+        return this.splitter.isTooLong ? "too-long" : "forwarded";
+    }
+
+    /** Takes events up to one that isn't forwarded, or to the end of the slice. */
+    private takeRun(): Run {
+        const { progress, slices } = this.options;
+        let start = 0;
+        let end = 0;
+        let hasProgress = false;
+        for (let count = 1;; count++) {
+            const event = this.splitter.next();
+            if (event === undefined) {
+                return { start, end, hasProgress, isLast: true };
+            }
+            hasProgress = progress.hasProgress(event) || hasProgress;
+            const isForwarded = progress.tryForward(event);
+            if (isForwarded) {
+                start = end === 0 ? event.start : start;
+                end = event.end;
+            }
+            const isInterrupted = !isForwarded && end > 0;
+            if (isInterrupted || (count % EVENTS_PER_CHECK === 0 && slices.checkSpent())) {
+                return { start, end, hasProgress, isLast: false };
+            }
+        }
+    }
+
+    /** Resolves when the caller has read enough; undefined if it has. */
+    private write({ start, end }: Run): Promise<void> | undefined {
+        this.options.onEvents();
+        const room = this.options.sink.write(this.splitter.bytes(start, end));
+        this.options.onWritten();
+        return room;
+    }
+}
--- a/src/request/routed/EventSink.ts
+++ b/src/request/routed/EventSink.ts
@@ -15,17 +15,8 @@
     abort(): void;
 }
 
-/** Writes bytes; resolves to false if further ones couldn't be written within `limitMs`, since the reader is too slow. */
-export async function writeWithin(
-    clock: clocks.Clock,
-    sink: EventSink,
-    bytes: Buffer,
-    limitMs: number,
-): Promise<boolean> {
-    const room = sink.write(bytes);
-    if (room === undefined) {
-        return true;
-    }
+/** Waits until a reader has made room for further bytes; resolves to false if that takes longer than `limitMs`. */
+export async function waitForRoom(clock: clocks.Clock, room: Promise<void>, limitMs: number): Promise<boolean> {
     let timer: clocks.Disposable | undefined;
     const limit = new Promise<false>(resolve => timer = clock.schedule(limitMs, () => resolve(false)));
     const hasRoom = await Promise.race([room.then(() => true), limit]);
--- a/src/request/routed/RoutedRun.ts
+++ b/src/request/routed/RoutedRun.ts
@@ -6,6 +6,7 @@
 import * as stageOrders from "../../common/StageOrder";
 import * as promptReading from "../../process/instances/PromptReading";
 import * as stageHosts from "../../process/stages/StageHost";
+import * as streamTurns from "../../process/streams/StreamTurns";
 import * as sinks from "./EventSink";
 import * as plainRuns from "./PlainRun";
 import * as requestDigests from "./RequestDigest";
@@ -20,6 +21,8 @@
     readonly runStages: (order: stageOrders.StageOrder, signal: AbortSignal) => Promise<stageHosts.StageRunResult>;
     /** Releases results of stages on the workers that hold them. */
     readonly releaseResults: (handles: readonly string[]) => void;
+    /** Shares the event loop between streams. */
+    readonly streamTurns: streamTurns.StreamTurns;
 }
 
 /** Runs a call until its outcome is known; writes events of a stream to `sink`. */
@@ -64,6 +67,7 @@
             softwareVersion,
             onFirstEvent: version => streamResumes.recordFirstEvent(context, call, version),
             sink,
+            turns: context.streamTurns,
         }).run();
     }
     finally {
--- a/src/request/routed/SilenceWait.test.ts
+++ b/src/request/routed/SilenceWait.test.ts
@@ -19,13 +19,16 @@
         elsewhereMs: () => 100,
     } as unknown as senders.SentCall;
     const silence = new silenceWaits.SilenceWait(clock, call, () => true);
-    silence.recordBytes(1, true);
+    silence.recordEvents();
     while (clock.now() < DURATION_MS) {
         clock.advance(STEP_MS);
         if (silence.nextBytesWaitMs(sent) === 0) {
             return true;
         }
-        silence.recordBytes(bytesPerStep, hasEvents);
+        silence.recordBytes(bytesPerStep);
+        if (hasEvents) {
+            silence.recordEvents();
+        }
     }
     return false;
 }
--- a/src/request/routed/SilenceWait.ts
+++ b/src/request/routed/SilenceWait.ts
@@ -47,13 +47,17 @@
     }
 
     /**
-     * Called for all further bytes of the current instance. Those that complete no event are progress at the rate at which
-     * an event is sent at least, so that an instance which only trickles counts as silent.
+     * Called for all further bytes of the current instance. They are progress at the rate at which an event is sent at
+     * least, so that an instance which only trickles counts as silent.
      */
-    recordBytes(count: number, hasEvent: boolean): void {
-        const nowMs = this.clock.now();
+    recordBytes(count: number): void {
         const coveredMs = count / MIN_EVENT_BYTES_PER_SECOND * MS_PER_SECOND;
-        this.lastProgressAtMs = hasEvent ? nowMs : Math.min(nowMs, this.lastProgressAtMs + coveredMs);
+        this.lastProgressAtMs = Math.min(this.clock.now(), this.lastProgressAtMs + coveredMs);
+    }
+
+    /** Called when bytes of the current instance have completed events that show progress. */
+    recordEvents(): void {
+        this.lastProgressAtMs = this.clock.now();
     }
 
     /** Called when the move of the call to another instance has ended. */
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -4,11 +4,13 @@
  */
 import * as codes from "../../common/Codes";
 import * as chunks from "../../connection/ChunkReader";
+import * as streamTurns from "../../process/streams/StreamTurns";
 import * as answerStarts from "./AnswerStart";
 import * as answerWaits from "./AnswerWait";
 import * as histories from "./CallHistory";
+import * as forwards from "./EventForward";
+import * as progresses from "./EventProgress";
 import * as sinks from "./EventSink";
-import * as splitters from "./EventSplitter";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
 import * as silenceWaits from "./SilenceWait";
@@ -28,6 +30,8 @@
     /** Called before the first event of this answer is forwarded, with the version of the instance that sent it. */
     readonly onFirstEvent: (softwareVersion: string) => void;
     readonly sink: sinks.EventSink;
+    /** Shares the event loop with other streams. */
+    readonly turns: streamTurns.StreamTurns;
 }
 
 /** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
@@ -51,7 +55,7 @@
 
 /** Forwards one stream to its caller; used once. */
 export class StreamRun {
-    private lastEventId: number | undefined;
+    private readonly progress: progresses.EventProgress;
     /** Media type of the answer that began the stream. */
     private mediaType: string | undefined;
     private readonly history = histories.createHistory();
@@ -62,7 +66,7 @@
         private readonly call: calls.RoutedCall,
         private readonly options: StreamOptions,
     ) {
-        this.lastEventId = call.metadata.lastEventId;
+        this.progress = new progresses.EventProgress(call.metadata.lastEventId);
         this.silence = new silenceWaits.SilenceWait(context.clock, call, () => options.sink.hasBegun);
         this.history.softwareVersion = options.softwareVersion;
     }
@@ -98,7 +102,7 @@
         return answerWaits.sendUntilAnswered({
             send: (sendSignal, answerWaitMs) =>
                 senders.sendCall(this.context, this.call, this.history, {
-                    lastEventId: this.lastEventId,
+                    lastEventId: this.progress.lastEventId,
                     inputs: this.options.inputs() ?? [],
                     answerWaitMs,
                     signal: sendSignal,
@@ -169,12 +173,12 @@
 
     /** Forwards the events of one answer until it ends. */
     private async forward(answered: AnsweredSend): Promise<ForwardOutcome> {
-        const splitter = new splitters.EventSplitter();
         const { sent } = answered;
         const start = new answerStarts.AnswerStart(this.context.clock, this.context.crashes, this.call, sent);
+        const events = this.createForward(answered, start);
         this.silence.recordAnswer(sent);
         for (;;) {
-            const waitMs = (): number => this.silence.nextBytesWaitMs(sent);
+            const waitMs = (): number => this.silence.nextBytesWaitMs(answered.sent);
             const chunk = await chunks.readChunk(answered.answer.body, this.context.clock, waitMs);
             if (this.call.signal.aborted) {
                 answered.answer.cancel();
@@ -193,26 +197,40 @@
                 continue;
             }
             if (chunk === "end") {
-                const isComplete = answered.answer.isComplete() && !splitter.hasPartialEvent;
+                const isComplete = answered.answer.isComplete() && !events.hasPartialEvent;
                 start.recordEnd(isComplete);
                 return { kind: isComplete ? "complete" : "broken" };
             }
-            const events = splitter.push(chunk);
-            if (events === undefined) {
+            this.silence.recordBytes(chunk.length);
+            const outcome = await events.forward(chunk);
+            if (outcome === "unread") {
+                return this.endAtDeadline(answered, "unread");
+            }
+            if (outcome !== "forwarded") {
                 answered.answer.cancel();
                 return { kind: "broken" };
             }
-            const hasEvent = events.some(event => !event.isComment);
-            this.silence.recordBytes(chunk.length, hasEvent);
-            if (hasEvent) {
-                start.recordEvents();
-            }
-            if (!await this.forwardEvents(events, answered)) {
-                return this.endAtDeadline(answered, "unread");
-            }
         }
     }
 
+    private createForward(answered: AnsweredSend, start: answerStarts.AnswerStart): forwards.EventForward {
+        const { sink, turns } = this.options;
+        const { clock } = this.context;
+        return new forwards.EventForward({
+            clock,
+            sink,
+            progress: this.progress,
+            slices: turns.open(),
+            onProgress: () => {
+                this.silence.recordEvents();
+                start.recordEvents();
+            },
+            onEvents: () => this.recordEvents(answered),
+            onWritten: () => this.options.releaseInputs(),
+            readLimitMs: () => this.call.hardDeadlineAtMs - clock.now(),
+        });
+    }
+
     private endAtDeadline(answered: AnsweredSend, reason: string): ForwardOutcome {
         this.logInterruption(answered, reason);
         answered.answer.cancel();
@@ -241,30 +259,15 @@
         return next;
     }
 
-    /** Resolves to false if the caller hasn't read enough of them until its hard deadline. */
-    private async forwardEvents(events: readonly splitters.StreamEvent[], answered: AnsweredSend): Promise<boolean> {
-        const { sink } = this.options;
-        const { clock } = this.context;
-        for (const event of events) {
-            if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
-                continue;
-            }
-            if (!sink.hasBegun) {
-                this.options.onFirstEvent(answered.softwareVersion);
-                this.begin(answered);
-            }
-            this.lastEventId = event.id ?? this.lastEventId;
-            this.history.softwareVersion ??= answered.softwareVersion;
-            this.call.progress.firstEventMs ??= clock.now() - this.call.arrivedMs;
-            answered.sent.ticket.recordEvent();
-            const limitMs = this.call.hardDeadlineAtMs - clock.now();
-            const isInTime = await sinks.writeWithin(clock, sink, event.bytes, limitMs);
-            this.options.releaseInputs();
-            if (!isInTime) {
-                return false;
-            }
+    /** Records events that are about to be written. */
+    private recordEvents(answered: AnsweredSend): void {
+        if (!this.options.sink.hasBegun) {
+            this.options.onFirstEvent(answered.softwareVersion);
+            this.begin(answered);
         }
-        return true;
+        this.history.softwareVersion ??= answered.softwareVersion;
+        this.call.progress.firstEventMs ??= this.context.clock.now() - this.call.arrivedMs;
+        answered.sent.ticket.recordEvent();
     }
 
     /** Writes the headers of the instance's answer, unless those of an earlier one have been written. */
@@ -283,7 +286,7 @@
             instance: answered.instance,
             reason,
             begun: this.options.sink.hasBegun,
-            lastEventId: this.lastEventId,
+            lastEventId: this.progress.lastEventId,
             silentMs: Math.round(this.silence.silentMs),
             quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
             inputs: this.options.inputs()?.length,
