Disconnect peers that send without end: closed connections, first frames, incomplete frames of all together

What callers would see: a process that grows until it is killed (RSS, not heap), and with it all its calls. Cause: close() waited for unsent messages without a limit, and what arrived meanwhile went on to the decoder, which keeps all that follows a malformed frame; each accepted connection could hold 4 MB of a first frame, and nothing bounded their sum. Change: a closed connection discards what arrives, and ends after 2 s, or at once if its peer was too slow; a first frame has at most 64 KB; incomplete frames of all connections together have 32 MB, beyond which the connection with the most is closed.

--- a/src/connection/FrameCodec.ts
+++ b/src/connection/FrameCodec.ts
@@ -25,7 +25,13 @@
     private chunks: Buffer[] = [];
     private receivedBytes = 0;
 
-    constructor(private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES) {}
+    private hasFrame = false;
+
+    /** Longer frames are malformed; the first one may have a limit of its own. */
+    constructor(
+        private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES,
+        private readonly maxFirstFrameBytes: number = maxFrameBytes,
+    ) {}
 
     /** Number of bytes received of frames that aren't complete. */
     get bufferedBytes(): number {
@@ -39,7 +45,7 @@
         const envelopes: messages.Envelope[] = [];
         while (this.receivedBytes >= PREFIX_BYTES) {
             const length = this.peekLength();
-            if (length > this.maxFrameBytes) {
+            if (length > (this.hasFrame ? this.maxFrameBytes : this.maxFirstFrameBytes)) {
                 return result.err(codes.failure(codes.codes.frameTooLarge, `${length} bytes`));
             }
             if (this.receivedBytes < PREFIX_BYTES + length) {
@@ -49,11 +55,18 @@
             if (decoded.isErr) {
                 return result.err(decoded.error);
             }
+            this.hasFrame = true;
             envelopes.push(decoded.value);
         }
         return result.ok(envelopes);
     }
 
+    /** Forgets what has been received. */
+    clear(): void {
+        this.chunks = [];
+        this.receivedBytes = 0;
+    }
+
     private peekLength(): number {
         const first = this.chunks[0];
         if (first === undefined || first.length < PREFIX_BYTES) {
--- a/src/connection/PeerConnection.ts
+++ b/src/connection/PeerConnection.ts
@@ -11,11 +11,16 @@
 import * as emitters from "../common/Emitter";
 import * as messages from "../common/Messages";
 import * as frames from "./FrameCodec";
+import * as partialFrames from "./PartialFrames";
 
 /** Size of the send buffer above which the peer is too slow and the connection is closed. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
 /** Timeout for connecting and again for the peer's hello. */
 const HANDSHAKE_TIMEOUT_MS = 3_000;
+/** Longest hello; a connection that has sent none holds no more. */
+const MAX_HELLO_BYTES = 64 * 1024;
+/** Time in which a closed connection may write what it has sent; what arrives meanwhile is discarded. */
+const CLOSE_TIMEOUT_MS = 2_000;
 /** Number of received but unprocessed frames at which the socket is paused. */
 const MAX_UNREAD_FRAMES = 1_000;
 
@@ -36,11 +41,13 @@
     readonly heartbeatIntervalMs?: () => number;
     /** Size of the send buffer above which the connection is closed; undefined for `MAX_UNSENT_BYTES`. */
     readonly maxUnsentBytes?: () => number;
+    /** The account of incomplete frames of all connections; undefined to bound each connection alone. */
+    readonly partialFrames?: partialFrames.PartialFrames;
 }
 
 /** An established connection, on which the peer's hello has arrived. */
 export class PeerConnection implements clocks.Disposable {
-    private readonly decoder = new frames.FrameDecoder();
+    private readonly decoder = new frames.FrameDecoder(messages.MAX_FRAME_BYTES, MAX_HELLO_BYTES);
     private unreadEnvelopes: messages.Envelope[] = [];
     private wakeReader: (() => void) | undefined;
     private closeReason: codes.Failure | undefined;
@@ -50,6 +57,7 @@
     private isCorked = false;
     private readonly timer: clocks.Disposable;
     private readonly closeEmitter = new emitters.Emitter<codes.Failure>();
+    private readonly receiveChunk = (chunk: Buffer): void => this.receive(chunk);
 
     /** Fires once, when the connection closes. */
     readonly onClose = this.closeEmitter.event;
@@ -63,7 +71,7 @@
         this.lastReceivedMs = context.clock.now();
         this.lastSentMs = this.lastReceivedMs;
         socket.setNoDelay(true);
-        socket.on("data", chunk => this.receive(chunk));
+        socket.on("data", this.receiveChunk);
         socket.on("error", error => this.close(codes.failure(codes.codes.peerClosed, error.message)));
         socket.on("close", () => this.close(codes.failure(codes.codes.peerClosed, "closed")));
         this.timer = clocks.every(context.clock, messages.HEARTBEAT_MS, () => this.onHeartbeatTimer());
@@ -188,6 +196,11 @@
         this.dispose();
     }
 
+    /** Closes the connection, since all connections together hold too much of incomplete frames. */
+    giveUpFrame(heldBytes: number): void {
+        this.close(codes.failure(codes.codes.frameTooLarge, `${heldBytes} bytes of an incomplete frame`));
+    }
+
     private receive(chunk: Buffer): void {
         this.lastReceivedMs = this.context.clock.now();
         const decoded = this.decoder.push(chunk);
@@ -195,6 +208,10 @@
             this.close(decoded.error);
             return;
         }
+        this.context.partialFrames?.set(this, this.decoder.bufferedBytes);
+        if (this.isClosed) {
+            return;
+        }
         for (const envelope of decoded.value) {
             this.unreadEnvelopes.push(envelope);
         }
@@ -243,12 +260,34 @@
         }
         this.closeReason = reason;
         this.timer.dispose();
-        this.socket.uncork();
-        this.socket.destroySoon();
+        this.stopReading();
+        this.endSocket(reason);
         this.wake();
         this.closeEmitter.fire(reason);
         this.closeEmitter.dispose();
     }
+
+    /** Discards what the peer sends from now on. */
+    private stopReading(): void {
+        this.socket.off("data", this.receiveChunk);
+        this.decoder.clear();
+        this.context.partialFrames?.set(this, 0);
+        this.socket.resume();
+    }
+
+    /** Ends the socket once all sent messages are written, or after a time limit; at once if its peer doesn't read them. */
+    private endSocket(reason: codes.Failure): void {
+        if (reason.code === codes.codes.peerSlow) {
+            this.socket.destroy();
+            return;
+        }
+        this.socket.uncork();
+        this.socket.destroySoon();
+        if (!this.socket.destroyed) {
+            const timeout = this.context.clock.schedule(CLOSE_TIMEOUT_MS, () => this.socket.destroy());
+            this.socket.once("close", () => timeout.dispose());
+        }
+    }
 }
 
 function checkHello(message: messages.Message): codes.Failure | undefined {
--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -10,6 +10,7 @@
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
 import * as listeners from "../../connection/Listener";
+import * as partialFrames from "../../connection/PartialFrames";
 import * as peerConnections from "../../connection/PeerConnection";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as knownEntries from "./KnownEntries";
@@ -76,6 +77,7 @@
     private readonly stop = clocks.createStop();
     private readonly timers: clocks.Disposable[] = [];
     private readonly presence: presences.PeerPresence;
+    private readonly partialFrames = new partialFrames.PartialFrames();
     private listener: listeners.Listener | undefined;
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
@@ -341,6 +343,7 @@
             silenceMs: () => paces.connectionSilenceMs(this.ordinaryIntervalMs),
             heartbeatIntervalMs: () => this.ordinaryIntervalMs,
             maxUnsentBytes: () => Math.max(MIN_UNSENT_BYTES, MAX_UNSENT_BYTES / Math.max(1, this.known.size)),
+            partialFrames: this.partialFrames,
         };
     }
 }
