A reload keeps the former value of each invalid setting, and a start waits for its seeds

While one optional setting stayed invalid, no other setting was reloaded, new bounds on retries and cold calls among them. A list of seeds without any valid address counted as an empty one: the entry took itself for the only one, and with it the whole of each bound that all entries share, at once.

Now an optional setting that is invalid keeps its former value as a whole, with a line that names it, and the others are reloaded; a missing or invalid required setting, or another role, still changes nothing. Seeds of which none is valid are waited for at a start like a required setting, up to the same 10 s. Then the entry starts all the same, since it can serve and others may know it from before, but it isn't settled until one has told it of the others: it takes only what its own calls earn.

SettingsWait.test.ts keeps its cases and gets two. StartSettings.test.ts has the invalid seeds in cases of their own.

--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -37,11 +37,13 @@
         })
         .with(
             { kind: "valid" },
-            ({ settings: { settings, problems } }) =>
-                loggedProcesses.runLogged(settings, running =>
+            ({ settings: initial }) => {
+                const { settings, problems } = initial;
+                return loggedProcesses.runLogged(settings, running =>
                     settings.role === "route-entry"
-                        ? routeCommands.serveRoutes(settings, path, problems, running)
-                        : runProcess(settings, problems, running.log)),
+                        ? routeCommands.serveRoutes(settings, path, initial, running)
+                        : runProcess(settings, problems, running.log));
+            },
         )
         .exhaustive();
 }
--- a/src/commands/ServeRoutes.ts
+++ b/src/commands/ServeRoutes.ts
@@ -7,8 +7,8 @@
 import * as clocks from "../common/Clock";
 import * as settingsShapes from "../common/Settings";
 import * as routeEntries from "../process/routing/RouteEntry";
-import * as checks from "../version/ConfigurationCheck";
 import * as loggedProcesses from "./LoggedProcess";
+import * as settingsFiles from "./SettingsFile";
 import * as settingsReloads from "./SettingsReload";
 import * as signals from "./Signals";
 import * as startSettings from "./StartSettings";
@@ -17,9 +17,10 @@
 export async function serveRoutes(
     settings: settingsShapes.RouteEntrySettings,
     path: string,
-    problems: readonly checks.Problem[],
+    initial: settingsFiles.UsableSettings,
     { log, counters }: loggedProcesses.LoggedProcess,
 ): Promise<number> {
+    let { lacksSeeds } = initial;
     const running = await routeEntries.RouteEntry.start(settings, {
         clock: clocks.systemClock,
         log,
@@ -28,8 +29,10 @@
         callWire: platformCalls.platformCalls,
         stageWire: platformStages.platformStages,
         counters,
+        lacksSeeds: () => lacksSeeds,
     });
-    const apply = (reloaded: settingsShapes.Settings): void => {
+    const apply = (reloaded: settingsShapes.Settings, lacksReloadedSeeds: boolean): void => {
+        lacksSeeds = lacksReloadedSeeds;
         if (reloaded.role === "route-entry") {
             running.reload(reloaded);
         }
@@ -38,11 +41,11 @@
         path,
         clock: clocks.systemClock,
         log,
-        initialSettings: settings,
+        initial,
         apply,
     });
     log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
-    startSettings.logProblems(log, problems);
+    startSettings.logProblems(log, initial.problems);
     try {
         return await signals.waitForStop(running, log);
     }
--- a/src/commands/SettingsDefaults.ts
+++ b/src/commands/SettingsDefaults.ts
@@ -14,6 +14,24 @@
     return copyExcept(content, [], path => invalidPaths.has(toKey(path)));
 }
 
+/**
+ * Lists the settings of the content of which a failed schema validation leaves nothing as it is stated: those with an
+ * invalid value or part, but not lists with some valid members, and not settings that are unknown.
+ */
+export function listInvalid(content: unknown, error: z.ZodError): ReadonlySet<string> {
+    const paths = error.issues.flatMap(issue => issue.code === "unrecognized_keys" ? [] : [issue.path]);
+    const names = new Set(paths.flatMap(([name]) => name === undefined ? [] : [String(name)]));
+    return new Set([...names].filter(name => !hasValidMembers(content, name, paths)));
+}
+
+/** Whether the setting is a list of which the paths of invalid values name some members, but not all. */
+function hasValidMembers(content: unknown, name: string, invalidPaths: readonly Path[]): boolean {
+    const value = (content as Record<string, unknown> | undefined)?.[name];
+    const own = invalidPaths.filter(([first]) => first === name);
+    const invalidMembers = new Set(own.map(([, member]) => member));
+    return Array.isArray(value) && !invalidMembers.has(undefined) && invalidMembers.size < value.length;
+}
+
 type Path = readonly PropertyKey[];
 
 function listPaths(issue: z.core.$ZodIssue): Path[] {
--- a/src/commands/SettingsFile.test.ts
+++ b/src/commands/SettingsFile.test.ts
@@ -123,6 +123,43 @@
     { content: { colour: "red" }, expected: {}, problemPaths: ["colour"] },
 ];
 
+/** Settings that differ from `complete`, which is the file that is read anew. */
+const former = {
+    ...required,
+    region: "there",
+    readyPath: "/up",
+    seeds: ["127.0.0.1:8"],
+    failureDomains: ["zone-c"],
+    logLevel: "error",
+    isFirstStart: false,
+    cores: 2,
+    stopLimitSeconds: 3,
+    repeats: { windowSeconds: 5, ratio: 0.1, slack: 7 },
+    coldRate: { factor: 3, extra: 2 },
+    memoryMegabytes: 100,
+    maxDescriptors: 900,
+    storeReadsPerSecond: 500,
+};
+
+/** Invalid values of optional settings, and what a reload makes of them beside the others, which it takes. */
+const changedCases: readonly EmptyCase[] = [
+    ...["region", "readyPath", "logLevel", "isFirstStart", "cores", "stopLimitSeconds", "repeats", "coldRate"].map(
+        name => ({ content: { [name]: [] }, expected: { [name]: former[name as keyof typeof former] } }),
+    ),
+    { content: { maxDescriptors: -1 }, expected: { maxDescriptors: 900 } },
+    { content: { peerAddress: "nowhere" }, expected: {} },
+    { content: { seeds: "none" }, expected: { seeds: former.seeds } },
+    { content: { seeds: ["nowhere"] }, expected: { seeds: former.seeds } },
+    { content: { seeds: ["nowhere", 7] }, expected: { seeds: former.seeds } },
+    { content: { seeds: Array(101).fill("127.0.0.1:9") }, expected: { seeds: former.seeds } },
+    { content: { seeds: ["nowhere", "127.0.0.1:9"] }, expected: { seeds: ["127.0.0.1:9"] } },
+    { content: { seeds: [] }, expected: { seeds: [] } },
+    { content: { failureDomains: ["a b"] }, expected: { failureDomains: former.failureDomains } },
+    { content: { repeats: { windowSeconds: 9, ratio: -1, slack: 1 } }, expected: { repeats: former.repeats } },
+    { content: { coldRate: { factor: 4, extra: 1, less: 1 } }, expected: { coldRate: { factor: 4, extra: 1 } } },
+    { content: { colour: "red" }, expected: {} },
+];
+
 const agent = {
     role: "agent",
     instance: "slot-1",
@@ -156,6 +193,13 @@
     },
 ];
 
+/** The settings that a process uses which starts with the content. */
+function use(content: unknown): settingsFiles.UsableSettings {
+    return settingsFiles.checkStartSettings(content).unwrapOrElse(problems => {
+        throw new Error(JSON.stringify(problems));
+    });
+}
+
 describe("settings of a process", () => {
     it("take the defaults of all settings that are absent", () => {
         expect(settingsFiles.checkSettings(required).unwrapOr(undefined)).toEqual({ ...required, ...defaults });
@@ -171,13 +215,41 @@
         const document = { ...complete, ...content };
         const strict = settingsFiles.checkSettings(document);
         expect(strict.isErr && strict.error.map(({ path }) => path)).toEqual(problemPaths);
-        const start = settingsFiles.checkStartSettings(document).unwrapOrElse(problems => {
-            throw new Error(JSON.stringify(problems));
-        });
+        const start = use(document);
         expect(start.settings).toEqual({ ...complete, ...expected });
         expect(start.problems.map(({ path }) => path)).toEqual(problemPaths);
     });
 
+    // Nothing at all was reloaded.
+    it.each(changedCases)("keep the former values of the invalid ones, with $content", ({ content, expected }) => {
+        const before = use(former);
+        const changed = settingsFiles.checkChangedSettings({ ...complete, ...content }, before);
+        expect(changed.isOk && changed.value.settings).toEqual({ ...complete, ...expected });
+        expect(changed.isOk && changed.value.problems).toEqual(use({ ...complete, ...content }).problems);
+    });
+
+    it.each(refusedCases)("keep all former values with $name", ({ content, problemPath }) => {
+        const changed = settingsFiles.checkChangedSettings(content, use(former));
+        expect(changed.isErr && changed.error.map(({ path }) => path)).toContain(problemPath);
+    });
+
+    it("keep all former values with another role", () => {
+        const changed = settingsFiles.checkChangedSettings(agent, use(former));
+        expect(changed.isErr && changed.error.map(({ path }) => path)).toEqual(["role"]);
+    });
+
+    it.each([
+        { seeds: ["nowhere"], formerSeeds: ["nowhere"], isLacking: true },
+        { seeds: [], formerSeeds: ["nowhere"], isLacking: false },
+        { seeds: ["127.0.0.1:9", "nowhere"], formerSeeds: ["nowhere"], isLacking: false },
+        { seeds: ["nowhere"], formerSeeds: ["127.0.0.1:9"], isLacking: false },
+        { seeds: ["nowhere"], formerSeeds: [], isLacking: false },
+    ])("lack seeds with $seeds after $formerSeeds: $isLacking", ({ seeds, formerSeeds, isLacking }) => {
+        const before = use({ ...complete, seeds: formerSeeds });
+        const changed = settingsFiles.checkChangedSettings({ ...complete, seeds }, before);
+        expect(changed.isOk && changed.value.lacksSeeds).toBe(isLacking);
+    });
+
     it("allow a start of an agent with an invalid optional setting", () => {
         const start = settingsFiles.checkStartSettings({ ...agent, ledgerCapacity: 0, weightStore: "" });
         expect(start.isOk && start.value.settings).toMatchObject({ ledgerCapacity: 100_000 });
@@ -195,8 +267,8 @@
     it.each(["x: &a [*a]", "repeats: &a { ratio: *a }"])("is rejected: %s", text => {
         const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-settings-")), "entry.yaml");
         fs.writeFileSync(file, text);
-        expect(settingsFiles.readSettings(file).isErr).toBe(true);
         expect(settingsFiles.readStartSettings(file).isErr).toBe(true);
+        expect(settingsFiles.readChangedSettings(file, use(former)).isErr).toBe(true);
         fs.rmSync(path.dirname(file), { recursive: true });
     });
 });
--- a/src/commands/SettingsReload.ts
+++ b/src/commands/SettingsReload.ts
@@ -17,18 +17,23 @@
     readonly clock: clocks.Clock;
     readonly log: logs.Log;
     /** The settings that the process started with; the file may have changed since they were read. */
-    readonly initialSettings: settingsShapes.Settings;
-    /** Applies reloaded settings; called with valid ones only. */
-    readonly apply: (settings: settingsShapes.Settings) => void;
+    readonly initial: settingsFiles.UsableSettings;
+    /** Applies reloaded settings; called with valid ones only. `lacksSeeds`: there are seeds that aren't known. */
+    readonly apply: (settings: settingsShapes.Settings, lacksSeeds: boolean) => void;
 }
 
-/** Watches one settings file until disposed. Invalid content is logged and otherwise ignored. */
+/**
+ * Watches one settings file until disposed. Invalid optional settings are logged and keep their former values; a file
+ * without a valid value for each required setting is logged and changes nothing.
+ */
 export class SettingsReload implements clocks.Disposable {
+    private current: settingsFiles.UsableSettings;
     private modifiedMs: number;
     private readonly timer: clocks.Disposable;
     private readonly onSignal = (): void => this.reload("signal");
 
     constructor(private readonly options: SettingsReloadOptions) {
+        this.current = options.initial;
         this.modifiedMs = this.readModifiedMs();
         this.timer = clocks.every(options.clock, POLL_INTERVAL_MS, () => this.reloadIfModified());
         process.on("SIGHUP", this.onSignal);
@@ -42,9 +47,8 @@
 
     /** Reloads the file if it has changed since the initial settings were read. */
     private reloadIfChangedDuringStart(): void {
-        const { path, initialSettings } = this.options;
-        const current = settingsFiles.readStartSettings(path);
-        if (current.isErr || JSON.stringify(current.value.settings) !== JSON.stringify(initialSettings)) {
+        const changed = settingsFiles.readChangedSettings(this.options.path, this.current);
+        if (changed.isErr || JSON.stringify(changed.value) !== JSON.stringify(this.current)) {
             this.reload("changed while starting");
         }
     }
@@ -57,15 +61,20 @@
 
     private reload(cause: string): void {
         const { path, log, apply } = this.options;
+        const { code } = codes.codes.settingsInvalid;
         this.modifiedMs = this.readModifiedMs();
-        const settings = settingsFiles.readSettings(path);
-        if (settings.isErr) {
-            const { code } = codes.codes.settingsInvalid;
-            log.warn({ decision: "reload", cause, code, problems: settings.error }, "invalid settings ignored");
+        const changed = settingsFiles.readChangedSettings(path, this.current);
+        if (changed.isErr) {
+            log.warn({ decision: "reload", cause, code, problems: changed.error }, "invalid settings ignored");
             return;
         }
-        apply(settings.value);
-        log.info({ decision: "reload", cause, settings: settings.value }, "settings reloaded");
+        this.current = changed.value;
+        const { settings, problems, lacksSeeds } = changed.value;
+        if (problems.length > 0) {
+            log.warn({ decision: "reload", cause, code, problems }, "invalid optional settings, former values kept");
+        }
+        apply(settings, lacksSeeds);
+        log.info({ decision: "reload", cause, settings }, "settings reloaded");
     }
 
     /** The file's modification time; 0 if it can't be read, which the next reload then logs. */
--- a/src/commands/SettingsWait.test.ts
+++ b/src/commands/SettingsWait.test.ts
@@ -1,4 +1,3 @@
-import * as result from "true-myth/result";
 import * as vitest from "vitest";
 import * as clocks from "../common/Clock";
 import * as checks from "../version/ConfigurationCheck";
@@ -13,6 +12,8 @@
     readonly name: string;
     /** When the settings become valid. */
     readonly validAtMs: number;
+    /** Whether a process can start with them before. */
+    readonly isUsable?: boolean;
     /** When the wait is stopped. */
     readonly stopAtMs?: number;
     readonly expectedEnd: string;
@@ -43,6 +44,22 @@
         expectedEndMs: 10_000,
         expectedReportsMs: [0, 1_000, 2_000, 3_000, 4_000, 5_000, 6_000, 7_000, 8_000, 9_000],
     },
+    {
+        name: "settings to start with that become valid",
+        validAtMs: 450,
+        isUsable: true,
+        expectedEnd: "valid",
+        expectedEndMs: 500,
+        expectedReportsMs: [0],
+    },
+    {
+        name: "settings to start with that stay invalid",
+        validAtMs: Infinity,
+        isUsable: true,
+        expectedEnd: "valid",
+        expectedEndMs: 10_000,
+        expectedReportsMs: [0, 1_000, 2_000, 3_000, 4_000, 5_000, 6_000, 7_000, 8_000, 9_000],
+    },
     {
         name: "a stop between two attempts",
         validAtMs: Infinity,
@@ -60,7 +77,7 @@
 
 describe("waiting for settings at a start", () => {
     it.each(cases)("ends for $name", async options => {
-        const { validAtMs, stopAtMs, expectedEnd, expectedEndMs, expectedReportsMs } = options;
+        const { validAtMs, isUsable, stopAtMs, expectedEnd, expectedEndMs, expectedReportsMs } = options;
         const clock = new clocks.ManualClock(0);
         const stop = new AbortController();
         const reportsMs: number[] = [];
@@ -69,7 +86,13 @@
         let endMs = -1;
         void waits.waitForSettings({
             clock,
-            read: () => clock.now() >= validAtMs ? result.ok("settings") : result.err([problem]),
+            read: () => {
+                const isValid = clock.now() >= validAtMs;
+                return {
+                    settings: isValid || isUsable === true ? "settings" : undefined,
+                    problems: isValid ? [] : [problem],
+                };
+            },
             report: (problems, waitedMs) => {
                 expect(problems).toEqual([problem]);
                 reportsMs.push(waitedMs);
--- a/src/commands/StartSettings.ts
+++ b/src/commands/StartSettings.ts
@@ -17,14 +17,28 @@
 /** The commands that run a process with settings. */
 export type ServingCommand = "entry" | "agent";
 
-type Read = () => result.Result<settingsFiles.StartSettings, readonly checks.Problem[]>;
-type End = settingsWaits.SettingsWaitEnd<settingsFiles.StartSettings>;
+type Checked = result.Result<settingsFiles.UsableSettings, readonly checks.Problem[]>;
+type Read = () => settingsWaits.SettingsAttempt<settingsFiles.UsableSettings>;
+type End = settingsWaits.SettingsWaitEnd<settingsFiles.UsableSettings>;
 
 /** Waits until the file holds settings to start with for the command; SIGTERM and SIGINT end the wait. */
 export async function waitForFile(command: ServingCommand, path: string): Promise<End> {
-    const read: Read = () => settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start));
-    const first = read();
-    return first.isOk ? { kind: "valid", settings: first.value } : waitAndLog(read, path);
+    const read: Read = () =>
+        toAttempt(settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start)));
+    const { settings, problems } = read();
+    return settings !== undefined && problems.length === 0
+        ? { kind: "valid", settings }
+        : waitAndLog(read, path);
+}
+
+/**
+ * Seeds that aren't known are waited for like a required setting, since an entry without any takes itself for the only
+ * one. At the time limit it starts all the same: it serves, and the others may connect to it.
+ */
+function toAttempt(checked: Checked): ReturnType<Read> {
+    return checked.isErr
+        ? { settings: undefined, problems: checked.error }
+        : { settings: checked.value, problems: checked.value.lacksSeeds ? checked.value.problems : [] };
 }
 
 /** Logs what is wrong with optional settings, in place of which the process uses defaults. */
@@ -35,7 +49,7 @@
     }
 }
 
-function checkRole(command: ServingCommand, start: settingsFiles.StartSettings): ReturnType<Read> {
+function checkRole(command: ServingCommand, start: settingsFiles.UsableSettings): Checked {
     const { role } = start.settings;
     const isExpected = role === command || (role === "route-entry" && command === "entry");
     return isExpected ? result.ok(start) : result.err([{ path: "role", value: role, expected: command }]);
@@ -66,7 +80,7 @@
 }
 
 async function waitUnlessStopped(
-    options: Omit<settingsWaits.SettingsWaitOptions<settingsFiles.StartSettings>, "stop">,
+    options: Omit<settingsWaits.SettingsWaitOptions<settingsFiles.UsableSettings>, "stop">,
 ): Promise<End> {
     const stop = new AbortController();
     const onSignal = (): void => stop.abort();
--- a/src/process/routing/EntryFleet.ts
+++ b/src/process/routing/EntryFleet.ts
@@ -11,11 +11,13 @@
     readonly clock: clocks.Clock;
     /** Read at each use, since settings may change. */
     readonly settings: () => settingsShapes.RouteEntrySettings;
+    /** Whether there are seeds that aren't known. */
+    readonly lacksSeeds: () => boolean;
     readonly peers: Pick<entryPeers.EntryPeers, "knownPeers" | "hasSeeds" | "hasCompleteList">;
 }
 
 /** Creates the fleet of an entry that is starting. */
-export function createFleet({ clock, settings, peers }: EntryFleetSources): fleetSizes.FleetSize {
+export function createFleet({ clock, settings, lacksSeeds, peers }: EntryFleetSources): fleetSizes.FleetSize {
     const { instance, failureDomain, isFirstStart } = settings();
     return new fleetSizes.FleetSize({
         clock,
@@ -27,7 +29,7 @@
                 isConnected: connection !== undefined,
             })),
         failureDomains: () => settings().failureDomains,
-        hasOthers: () => peers.hasSeeds,
+        hasOthers: () => peers.hasSeeds || lacksSeeds(),
         hasCompleteList: () => peers.hasCompleteList,
         isFirstStart,
     });
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -52,6 +52,8 @@
     readonly callWire: routingPorts.RoutedCallWire;
     readonly stageWire: routingPorts.StageWire;
     readonly counters: processCounters.ProcessCounters;
+    /** Whether there are seeds that aren't known, so that other entries may exist. */
+    readonly lacksSeeds: () => boolean;
 }
 
 /** One running entry process. */
@@ -99,7 +101,7 @@
                 knowsAll: () => this.fleet.settledAtMs !== undefined,
             }),
         );
-        this.fleet = entryFleets.createFleet({ clock, settings: () => this.settings, peers: this.peers });
+        this.fleet = entryFleets.createFleet({ ...options, settings: () => this.settings, peers: this.peers });
         const { fleet } = this;
         const storePace = pacedStores.createPace(clock, fleet, () => this.settings.storeReadsPerSecond);
         const { leaving, pool, signs } = this.disposables.add(
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -96,6 +96,7 @@
             callWire: platformCalls.platformCalls,
             stageWire: platformStages.platformStages,
             counters: processCounters.noCounters,
+            lacksSeeds: () => false,
         });
         this.entries.push(entry);
         this.readyAddresses.push(`127.0.0.1:${readyPort}`);
--- a/tests/StartSettings.test.ts
+++ b/tests/StartSettings.test.ts
@@ -17,6 +17,7 @@
 const LATE_MS = 1_000;
 const REPORT_INTERVAL_MS = 1_000;
 const WAIT_LIMIT_MS = 10_000;
+const DEFAULTS_USED = "invalid optional settings, defaults used";
 const WAITING = "waiting for valid settings";
 
 /** The fields used here of a log line. */
@@ -196,12 +197,40 @@
         expect(await waitUntilReady()).toBe(true);
     });
 
-    it("are invalid starts, and names them in its log", async () => {
-        const invalid = { ...values, Seeds: ["nowhere"], Bounds: { GraceS: "8 s", BudgetRatio: -1 } };
+    const invalidBounds = { GraceS: "8 s", BudgetRatio: -1 };
+
+    it("are invalid starts at once, and names them in its log", async () => {
+        const [seed] = values["Seeds"] as string[];
+        const invalid = { ...values, Seeds: ["nowhere", seed], Bounds: invalidBounds };
+        fs.writeFileSync(settingsFile, templates.renderSettings(invalid));
+        start("entry");
+        expect(await waitUntilReady()).toBe(true);
+        const line = await waitForLine(DEFAULTS_USED);
+        expect(line?.problems?.map(problem => problem.path)).toEqual(["seeds.0", "stopLimitSeconds", "repeats.ratio"]);
+        expect(readLog().some(({ msg }) => msg === WAITING)).toBe(false);
+    });
+
+    // It took itself for the only entry at once, and every share of the whole fleet with it.
+    it("state seeds of which none is valid waits for them, then starts without knowing the others", async () => {
+        const invalid = { ...values, Seeds: ["nowhere"], Bounds: invalidBounds };
         fs.writeFileSync(settingsFile, templates.renderSettings(invalid));
         start("entry");
+        expect((await waitForLine(WAITING))?.problems?.map(problem => problem.path)).toContain("seeds.0");
         expect(await waitUntilReady()).toBe(true);
-        const line = await waitForLine("invalid optional settings, defaults used");
+        const line = await waitForLine(DEFAULTS_USED);
         expect(line?.problems?.map(problem => problem.path)).toEqual(["seeds.0", "stopLimitSeconds", "repeats.ratio"]);
+        const waitedMs = readLog().flatMap(({ msg, waitedMs: ms }) => msg === WAITING ? [ms!] : []);
+        expect(Math.max(...waitedMs)).toBeGreaterThanOrEqual(WAIT_LIMIT_MS - 2 * REPORT_INTERVAL_MS);
+        const metrics = await (await fetch(`http://127.0.0.1:${ports[3]}/metrics`)).text();
+        expect(metrics).toContain("cumincrank_knows_entries 0");
+    });
+
+    it("state seeds that become valid starts with them", async () => {
+        fs.writeFileSync(settingsFile, templates.renderSettings({ ...values, Seeds: ["nowhere"] }));
+        start("entry");
+        await waitForLine(WAITING);
+        fs.writeFileSync(settingsFile, templates.renderSettings(values));
+        expect(await waitUntilReady()).toBe(true);
+        expect(readLog().some(({ msg }) => msg === DEFAULTS_USED)).toBe(false);
     });
 });
