A process that is stopped before it listens says so and ends with code 0

What an operator saw: SIGTERM or SIGINT between the start and "listening" ended the process by the signal, without a line, also in the 30 s in which it may wait for an address.

The first module handles both signals, besides SIGHUP, and the command counts them from before it reads its settings. Signals that arrive while the program is loaded reach their handler only in the first turn of the event loop, but a start without waits binds all addresses within that turn; so the start waits for what has arrived first. While Node.js itself starts, the signals still end the process.

Its check of the kernel's mask is unchanged for SIGHUP; for the other two the mask says nothing, since Node.js handles them itself, so their listeners are counted.

--- a/src/commands/Serve.ts
+++ b/src/commands/Serve.ts
@@ -28,7 +28,8 @@
         console.error(`${codes.codes.platformUnsupported.code} UV_USE_IO_URING=1 is set; io_uring isn't supported`);
         return exitCodes.EXIT_FAILED;
     }
-    const end = await startSettings.waitForFile(role, path);
+    const stops = new signals.StopSignals();
+    const end = await startSettings.waitForFile(role, path, stops.begun);
     return pattern.match(end)
         .with({ kind: "stopped" }, () => exitCodes.EXIT_SUCCESS)
         .with({ kind: "invalid" }, ({ problems }) => {
@@ -41,8 +42,8 @@
                 const { settings, problems } = initial;
                 return loggedProcesses.runLogged(settings, running =>
                     settings.role === "route-entry"
-                        ? routeCommands.serveRoutes(settings, path, initial, running)
-                        : runProcess(settings, problems, running.log));
+                        ? routeCommands.serveRoutes(settings, { path, initial, stops }, running)
+                        : runProcess(settings, problems, stops, running.log));
             },
         )
         .exhaustive();
@@ -51,12 +52,16 @@
 async function runProcess(
     settings: PipelineProcessSettings,
     problems: readonly configurationChecks.Problem[],
+    stops: signals.StopSignals,
     log: logs.Log,
 ): Promise<number> {
-    const running = await startProcess(settings, log);
+    const running = await signals.startUnlessStopped(() => startProcess(settings, log), stops, log);
+    if (running === undefined) {
+        return exitCodes.EXIT_SUCCESS;
+    }
     log.info({ peer: running.peerAddress, admin: running.adminAddress, role: settings.role }, "listening");
     startSettings.logProblems(log, problems);
-    return signals.waitForStop(running, log);
+    return signals.waitForStop(running, stops, log);
 }
 
 function startProcess(settings: PipelineProcessSettings, log: logs.Log): Promise<signals.RunningProcess> {
--- a/src/commands/ServeRoutes.ts
+++ b/src/commands/ServeRoutes.ts
@@ -7,21 +7,28 @@
 import * as clocks from "../common/Clock";
 import * as settingsShapes from "../common/Settings";
 import * as routeEntries from "../process/routing/RouteEntry";
+import * as exitCodes from "./Exits";
 import * as loggedProcesses from "./LoggedProcess";
 import * as settingsFiles from "./SettingsFile";
 import * as settingsReloads from "./SettingsReload";
 import * as signals from "./Signals";
 import * as startSettings from "./StartSettings";
 
+/** Where the settings of an entry come from, and what stops it. */
+export interface RouteStart {
+    readonly path: string;
+    readonly initial: settingsFiles.UsableSettings;
+    readonly stops: signals.StopSignals;
+}
+
 /** Runs a route entry and reloads its settings when their file changes; resolves to the exit code. */
 export async function serveRoutes(
     settings: settingsShapes.RouteEntrySettings,
-    path: string,
-    initial: settingsFiles.UsableSettings,
+    { path, initial, stops }: RouteStart,
     { log, counters }: loggedProcesses.LoggedProcess,
 ): Promise<number> {
     let { lacksSeeds } = initial;
-    const running = await routeEntries.RouteEntry.start(settings, {
+    const options: routeEntries.RouteEntryOptions = {
         clock: clocks.systemClock,
         log,
         random: Math.random,
@@ -30,7 +37,12 @@
         stageWire: platformStages.platformStages,
         counters,
         lacksSeeds: () => lacksSeeds,
-    });
+    };
+    const start = (): Promise<routeEntries.RouteEntry> => routeEntries.RouteEntry.start(settings, options);
+    const running = await signals.startUnlessStopped(start, stops, log);
+    if (running === undefined) {
+        return exitCodes.EXIT_SUCCESS;
+    }
     const apply = (reloaded: settingsShapes.Settings, lacksReloadedSeeds: boolean): void => {
         lacksSeeds = lacksReloadedSeeds;
         if (reloaded.role === "route-entry") {
@@ -47,7 +59,7 @@
     log.info({ callers: running.callerAddress, peer: running.peerAddress, settings }, "listening");
     startSettings.logProblems(log, initial.problems);
     try {
-        return await signals.waitForStop(running, log);
+        return await signals.waitForStop(running, stops, log);
     }
     finally {
         reload.dispose();
--- a/src/commands/StartSettings.ts
+++ b/src/commands/StartSettings.ts
@@ -10,7 +10,6 @@
 import * as settingsFiles from "./SettingsFile";
 import * as settingsWaits from "./SettingsWait";
 
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 /** Name in the log of a process that hasn't read its name yet. */
 const UNNAMED_INSTANCE = "unnamed";
 
@@ -21,14 +20,14 @@
 type Read = () => settingsWaits.SettingsAttempt<settingsFiles.UsableSettings>;
 type End = settingsWaits.SettingsWaitEnd<settingsFiles.UsableSettings>;
 
-/** Waits until the file holds settings to start with for the command; SIGTERM and SIGINT end the wait. */
-export async function waitForFile(command: ServingCommand, path: string): Promise<End> {
+/** Waits until the file holds settings to start with for the command; a signal to stop ends the wait. */
+export async function waitForFile(command: ServingCommand, path: string, stop: AbortSignal): Promise<End> {
     const read: Read = () =>
         toAttempt(settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start)));
     const { settings, problems } = read();
     return settings !== undefined && problems.length === 0
         ? { kind: "valid", settings }
-        : waitAndLog(read, path);
+        : waitAndLog(read, path, stop);
 }
 
 /**
@@ -55,13 +54,14 @@
     return isExpected ? result.ok(start) : result.err([{ path: "role", value: role, expected: command }]);
 }
 
-async function waitAndLog(read: Read, file: string): Promise<End> {
+async function waitAndLog(read: Read, file: string, stop: AbortSignal): Promise<End> {
     const { code } = codes.codes.settingsInvalid;
     const { log, output } = logs.createProcessLog(UNNAMED_INSTANCE, "info", clocks.systemClock);
     const end = await waitUnlessStopped({
         clock: clocks.systemClock,
         read,
         report: (problems, waitedMs) => log.warn({ code, file, problems, waitedMs }, "waiting for valid settings"),
+        stop,
     });
     if (end.kind === "stopped") {
         log.info("stopped before the settings were valid");
@@ -80,14 +80,10 @@
 }
 
 async function waitUnlessStopped(
-    options: Omit<settingsWaits.SettingsWaitOptions<settingsFiles.UsableSettings>, "stop">,
+    options: settingsWaits.SettingsWaitOptions<settingsFiles.UsableSettings>,
 ): Promise<End> {
-    const stop = new AbortController();
-    const onSignal = (): void => stop.abort();
-    STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
-    const end = await settingsWaits.waitForSettings({ ...options, stop: stop.signal });
+    const end = await settingsWaits.waitForSettings(options);
     // A signal that arrived while the file was read hasn't reached its handler yet.
     await new Promise<void>(resolve => options.clock.afterReads(resolve));
-    STOP_SIGNALS.forEach(signal => process.off(signal, onSignal));
-    return stop.signal.aborted ? { kind: "stopped" } : end;
+    return options.stop.aborted ? { kind: "stopped" } : end;
 }
--- a/tests/EarlyReload.test.ts
+++ b/tests/EarlyReload.test.ts
@@ -1,5 +1,5 @@
 /**
- * Guards against reloads that end a process which is still starting, and against a Node.js that is too old.
+ * Guards against signals that end a process which is still starting without a word, and against a Node.js that is too old.
  */
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
@@ -10,23 +10,16 @@
 import * as vitest from "vitest";
 import * as freePorts from "../standins/FreePorts";
 import * as entryPrograms from "../standins/platform/EntryProgram";
+import * as reloadHandlers from "../standins/ReloadHandler";
 
 const PROGRAM = path.resolve("dist/cumincrank.cjs");
 const ARGUMENTS = ["--max-old-space-size=160", "--max-semi-space-size=4"] as const;
-/** The bit of SIGHUP in the kernel's masks of signals. */
-const SIGHUP_BIT = 1n;
 const RELOAD_INTERVAL_MS = 5;
 
 const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cumincrank-early-"));
 
 vitest.afterAll(() => fs.rmSync(folder, { recursive: true, force: true }));
 
-/** Whether the kernel's description of a process has a handler for SIGHUP. */
-function handlesReload(status: string): boolean {
-    const mask = status.match(/^SigCgt:\s*(\w+)$/m)?.[1] ?? "0";
-    return (BigInt(`0x${mask}`) & SIGHUP_BIT) !== 0n;
-}
-
 async function writeSettings(): Promise<string> {
     const ports = await freePorts.findFreePorts(entryPrograms.PORT_COUNT + 1);
     const settings = entryPrograms.createSettings({
@@ -42,13 +35,6 @@
     return file;
 }
 
-/** Waits until a process has a handler for SIGHUP; rejects if it has ended. */
-async function waitForHandler(pid: number): Promise<void> {
-    while (!handlesReload(fs.readFileSync(`/proc/${pid}/status`, "utf8"))) {
-        await new Promise(resolve => setImmediate(resolve));
-    }
-}
-
 /** Resolves to the log line "listening", or to the last line of a log that ends without it. */
 async function readUntilListening(log: stream.Readable): Promise<string> {
     let last = "";
@@ -68,7 +54,7 @@
     const child = childProcess.spawn(process.execPath, args, { stdio: ["ignore", "pipe", "inherit"] });
     try {
         const ended = new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal)));
-        await waitForHandler(child.pid!);
+        await reloadHandlers.waitForHandler(child.pid!);
         child.kill("SIGHUP");
         const reloads = setInterval(() => child.kill("SIGHUP"), RELOAD_INTERVAL_MS);
         vitest.expect(await readUntilListening(child.stdout)).toContain("\"listening\"");
@@ -92,14 +78,23 @@
     { command: "check", isHandled: false },
 ];
 
-vitest.describe("before the rest of the program is loaded, SIGHUP is handled", () => {
-    vitest.it.each(orderCases)("by $command: $isHandled", ({ command, isHandled }) => {
-        const start = path.join(folder, "cumincrank.cjs");
-        fs.copyFileSync(PROGRAM, start);
-        const rest = "process.stdout.write(require(\"fs\").readFileSync(\"/proc/self/status\"));";
-        fs.writeFileSync(path.join(folder, "cumincrank-main.cjs"), rest);
-        const status = childProcess.execFileSync(process.execPath, [start, command], { encoding: "utf8" });
-        vitest.expect(handlesReload(status)).toBe(isHandled);
+/** Runs a command of which only the first file is the program's own; resolves to what `rest` prints. */
+function runWithRest(command: string, rest: string): string {
+    const start = path.join(folder, "cumincrank.cjs");
+    fs.copyFileSync(PROGRAM, start);
+    fs.writeFileSync(path.join(folder, "cumincrank-main.cjs"), `process.stdout.write(${rest});`);
+    return childProcess.execFileSync(process.execPath, [start, command], { encoding: "utf8" });
+}
+
+vitest.describe("before the rest of the program is loaded", () => {
+    vitest.it.each(orderCases)("SIGHUP is handled by $command: $isHandled", ({ command, isHandled }) => {
+        const status = runWithRest(command, "require(\"fs\").readFileSync(\"/proc/self/status\")");
+        vitest.expect(reloadHandlers.handlesReload(status)).toBe(isHandled);
+    });
+
+    vitest.it.each(orderCases)("signals to stop are handled by $command: $isHandled", ({ command, isHandled }) => {
+        const counts = "[\"SIGTERM\", \"SIGINT\"].map(signal => process.listenerCount(signal)).join()";
+        vitest.expect(runWithRest(command, counts)).toBe(isHandled ? "1,1" : "0,0");
     });
 });
 
