Bound the connections that other processes open

What callers would see: connections at the peers' address had no bound, so that anything that opens many there could take all descriptors, and calls, other entries and the store would get none.

PeerListener accepts them for entries of routed calls and for the processes of pipelines: three eighths of the descriptors that aren't for files (1,462 of 4,100; 309 of 1,024, enough for 300 entries, which need one connection each). At the bound the connection that has waited for longest without a hello makes room; if all have sent theirs, the new one is closed. Line `peer-connection-closed`, at most five a second; gauges of the number, the bound and the closed ones.

--- a/src/process/AgentProcess.ts
+++ b/src/process/AgentProcess.ts
@@ -22,9 +22,11 @@
 import * as ledgers from "./keys/Ledger";
 import * as incarnations from "./membership/Incarnation";
 import * as nodes from "./membership/Node";
+import * as acceptedPeers from "./metrics/AcceptedPeers";
 import * as agentMetrics from "./metrics/AgentMetrics";
 import * as agentPlacements from "./placement/AgentPlacement";
 import * as adminServers from "./serving/AdminServer";
+import * as descriptorLimits from "./serving/DescriptorLimit";
 
 const MAX_REMEMBERED_ATTEMPTS = 100_000;
 /** Maximum number of agents of its service that an agent connects to; they report which models they hold. */
@@ -126,6 +128,7 @@
         this.disposables.add(this.node.listReader.onList(() => this.announceLeavingChange()));
         this.disposables.add(this.upstreamWatch.onLeavingChange(() => this.announceLeavingChange()));
         this.metrics = this.createMetrics();
+        acceptedPeers.addGauges(this.metrics.registry, this.node.accepted);
     }
 
     /** Starts an agent; rejects if it can't listen on one of its addresses. */
@@ -237,6 +240,7 @@
                 incarnation: this.incarnation,
                 service: settings.service,
             },
+            maxPeerConnections: descriptorLimits.readMaxPeerConnections(),
             load: () => this.describeLoad(),
             slotsVersion: () => this.keyOwnership.slotsVersion,
             findWantedServices: () => [settings.service],
--- a/src/process/EntryProcess.ts
+++ b/src/process/EntryProcess.ts
@@ -20,9 +20,11 @@
 import * as choices from "./choice/UpstreamChoice";
 import * as incarnations from "./membership/Incarnation";
 import * as nodes from "./membership/Node";
+import * as acceptedPeers from "./metrics/AcceptedPeers";
 import * as entryMetrics from "./metrics/EntryMetrics";
 import * as adminServers from "./serving/AdminServer";
 import * as callerServers from "./serving/CallerServer";
+import * as descriptorLimits from "./serving/DescriptorLimit";
 
 const NOT_READY_RETRY_MS = 1_000;
 const SHED_RETRY_MS = 1_000;
@@ -90,6 +92,7 @@
                     failureDomain: settings.failureDomain,
                     incarnation: incarnations.createIncarnation(clock, random),
                 },
+                maxPeerConnections: descriptorLimits.readMaxPeerConnections(),
                 load: () => undefined,
                 findWantedServices: () => Object.keys(this.configuration?.services ?? {}),
                 onConnected: connection => this.agentPool.add(connection),
@@ -319,6 +322,7 @@
             "Time since the version was confirmed",
             () => (node.replica.unconfirmedMs ?? Infinity) / 1_000,
         );
+        acceptedPeers.addGauges(metrics.registry, node.accepted);
         metrics.addGauge("cumincrank_connected_agents", "Connected agents", () => this.agentPool.all.length);
     }
 }
--- a/src/process/membership/Node.test.ts
+++ b/src/process/membership/Node.test.ts
@@ -41,6 +41,7 @@
         source,
         instanceList: { read: () => list },
         hello: { kind: "hello", protocol: 1, role: "entry", ...identity, incarnation: 1 },
+        maxPeerConnections: 10,
         load: () => undefined,
         findWantedServices: () => [],
         isBusy: () => false,
--- a/src/process/membership/Node.ts
+++ b/src/process/membership/Node.ts
@@ -2,14 +2,14 @@
  * The parts that entries and agents share: the peer listener and mesh, the configuration replica and its reader,
  * the membership view, and the detection of process pauses.
  */
-import * as net from "node:net";
 import * as clocks from "../../common/Clock";
+import * as codes from "../../common/Codes";
 import * as emitters from "../../common/Emitter";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as ports from "../../common/Ports";
-import * as listeners from "../../connection/Listener";
 import * as peerConnections from "../../connection/PeerConnection";
+import * as peerListeners from "../../connection/PeerListener";
 import * as readers from "../configuration/ConfigurationReader";
 import * as replicas from "../configuration/ConfigurationReplica";
 import * as instanceListReaders from "./InstanceListReader";
@@ -46,6 +46,8 @@
     readonly source: ports.ConfigurationSource;
     readonly instanceList: ports.InstanceList;
     readonly hello: messages.Hello;
+    /** Connections that others may have opened to this process. */
+    readonly maxPeerConnections: number;
     readonly load: () => messages.Load | undefined;
     /** Version since which the slots of this agent's service are unchanged; undefined if there is none. */
     readonly slotsVersion?: () => number | undefined;
@@ -68,7 +70,8 @@
     readonly listReader: instanceListReaders.InstanceListReader;
     private readonly configurationReader: readers.ConfigurationReader;
     private readonly store = new emitters.DisposableStore();
-    private listener: listeners.Listener | undefined;
+    /** The connections that others have opened. */
+    readonly accepted: peerListeners.PeerListener;
     private startedMs = 0;
     private confirmToken = 0;
     /** Names of the peers that have sent a frame. */
@@ -117,13 +120,22 @@
                 log,
             }),
         );
+        this.accepted = this.store.add(
+            new peerListeners.PeerListener({
+                clock,
+                log,
+                maxConnections: options.maxPeerConnections,
+                context: () => this.createPeerContext(),
+                onConnection: connection => this.mesh.accept(connection),
+                onFailure: failure => this.logFailure(failure),
+            }),
+        );
         this.store.add(this.pauseMonitor.onPause(pausedMs => this.refresh(pausedMs)));
     }
 
     /** Opens the peer listener and starts the mesh, the list reader and the configuration reader. */
     async start(): Promise<void> {
-        const server = net.createServer(socket => void this.accept(socket));
-        this.listener = this.store.add(await listeners.listen(server, this.options.settings.peerListen, this.options));
+        await this.accepted.listen(this.options.settings.peerListen);
         this.startedMs = this.options.clock.now();
         this.mesh.start();
         void this.startReaders();
@@ -131,7 +143,7 @@
 
     /** IP address and port of the peer listener; empty before the start. */
     get peerAddress(): string {
-        return this.listener?.address ?? "";
+        return this.accepted.address;
     }
 
     /**
@@ -216,16 +228,8 @@
         };
     }
 
-    private async accept(socket: net.Socket): Promise<void> {
-        const accepted = await peerConnections.PeerConnection.accept(socket, this.createPeerContext());
-        if (accepted.isErr) {
-            this.options.log.warn(
-                { code: accepted.error.code.code, detail: accepted.error.detail },
-                "handshake with a connecting peer failed",
-            );
-            return;
-        }
-        this.mesh.accept(accepted.value);
+    private logFailure({ code: { code }, detail }: codes.Failure): void {
+        this.options.log.warn({ code, detail }, "handshake with a connecting peer failed");
     }
 
     private handleConnected(connection: peerConnections.PeerConnection): void {
--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -2,15 +2,14 @@
  * Connections to the other entries, which are discovered through seed addresses and through each other. One task
  * for each known address connects, reads frames and reconnects.
  */
-import * as net from "node:net";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
-import * as listeners from "../../connection/Listener";
 import * as peerConnections from "../../connection/PeerConnection";
+import * as peerListeners from "../../connection/PeerListener";
 import * as pauseMonitors from "../membership/PauseMonitor";
 import * as knownEntries from "./KnownEntries";
 import * as peerEntries from "./PeerEntry";
@@ -51,6 +50,8 @@
     readonly failureDomain: string;
     /** Listening address of this process. */
     readonly listen: string;
+    /** Connections that others may have opened to this process. */
+    readonly maxConnections: number;
     /** Address that other entries connect to. */
     readonly address: string;
     /** Addresses of some entries; may be stale. */
@@ -76,10 +77,12 @@
     private readonly stop = clocks.createStop();
     private readonly timers: clocks.Disposable[] = [];
     private readonly presence: presences.PeerPresence;
-    private listener: listeners.Listener | undefined;
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
 
+    /** The connections that others have opened. */
+    readonly accepted: peerListeners.PeerListener;
+
     /** Fires for each frame other than presence and lists of entries. */
     readonly onFrame = this.frameEmitter.event;
     /** Fires when a connection has ended. */
@@ -91,13 +94,17 @@
     constructor(private readonly options: EntryPeersOptions) {
         this.startedMs = options.clock.now();
         this.known = new knownEntries.KnownEntries(options);
+        this.accepted = new peerListeners.PeerListener({
+            ...options,
+            context: () => this.connectionContext(),
+            onConnection: connection => void this.readFrames(connection),
+        });
         this.presence = new presences.PeerPresence(options.clock, options.pauses);
     }
 
     /** Starts to accept and open connections; rejects when the address can't be used. */
     async start(): Promise<void> {
-        const server = net.createServer(socket => void this.accept(socket));
-        this.listener = await listeners.listen(server, this.options.listen, this.options);
+        await this.accepted.listen(this.options.listen);
         void this.keepPresent();
         this.timers.push(
             new replacements.PeerReplacement({
@@ -170,7 +177,7 @@
         this.stop.abort();
         this.timers.forEach(timer => timer.dispose());
         this.known.all.forEach(peer => peer.connection?.dispose());
-        this.listener?.dispose();
+        this.accepted.dispose();
         this.frameEmitter.dispose();
         this.disconnectEmitter.dispose();
     }
@@ -252,13 +259,6 @@
         return peer !== undefined && peer.instance < this.options.instance;
     }
 
-    private async accept(socket: net.Socket): Promise<void> {
-        const accepted = await peerConnections.PeerConnection.accept(socket, this.connectionContext());
-        if (accepted.isOk) {
-            await this.readFrames(accepted.value);
-        }
-    }
-
     /** Reads frames from one connection until it ends. */
     private async readFrames(connection: peerConnections.PeerConnection): Promise<void> {
         const { remote } = connection;
--- a/src/process/peers/HandlerExceptions.test.ts
+++ b/src/process/peers/HandlerExceptions.test.ts
@@ -33,6 +33,7 @@
                     instance,
                     failureDomain: "zone",
                     listen: addresses[index]!,
+                    maxConnections: 10,
                     address: addresses[index]!,
                     seeds: () => addresses,
                     incarnation: 1,
--- a/src/process/peers/SilentLinks.test.ts
+++ b/src/process/peers/SilentLinks.test.ts
@@ -39,6 +39,7 @@
             instance,
             failureDomain: "zone",
             listen: `127.0.0.1:${ports[index]}`,
+            maxConnections: 10,
             address: relayed[index]!.address,
             seeds: () => relayed.map(relay => relay.address),
             incarnation: 1,
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -18,6 +18,7 @@
 import * as pacedStores from "../published/PacedStore";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
+import * as descriptorLimits from "../serving/DescriptorLimit";
 import * as fleetSizes from "../shares/FleetSize";
 import * as hostRoles from "../stages/HostRoles";
 import * as releasers from "../stages/ResultReleaser";
@@ -90,6 +91,7 @@
                 pauses,
                 instance: settings.instance,
                 listen: settings.peerListen,
+                maxConnections: descriptorLimits.readMaxPeerConnections(settings.maxDescriptors),
                 address: settings.peerAddress ?? settings.peerListen,
                 seeds: () => this.settings.seeds,
                 incarnation: clock.wall(),
@@ -213,6 +215,7 @@
             retryBudgets,
             storePace,
             server: this.server,
+            acceptedPeers: this.peers.accepted,
             counters: options.counters,
         });
     }
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -5,6 +5,7 @@
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as shareReports from "../instances/ShareReport";
+import * as acceptedGauges from "../metrics/AcceptedPeers";
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as replications from "../peers/PublishedReplication";
@@ -26,12 +27,15 @@
     /** This entry's part of the calls on the store. */
     readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
+    /** The connections that other entries have opened. */
+    readonly acceptedPeers: acceptedGauges.AcceptedPeers;
     readonly counters: processCounters.ProcessCounters;
 }
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
-    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, counters } = sources;
+    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, counters, acceptedPeers } =
+        sources;
     const { buffers, connections } = server;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
@@ -85,6 +89,7 @@
         "Connections closed as too many",
         () => connections.closedForRoom,
     );
+    acceptedGauges.addGauges(routeMetrics.registry, acceptedPeers);
     add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
     add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
     add("cumincrank_machine_errors", "Errors of the operating system that nobody handled", counters.machineErrors);
--- a/src/process/serving/DescriptorLimit.test.ts
+++ b/src/process/serving/DescriptorLimit.test.ts
@@ -3,13 +3,17 @@
 
 vitest.describe("callers' connections", () => {
     vitest.it.each([
-        { descriptors: 4_100, connections: 1_950 },
-        { descriptors: 1_024, connections: 412 },
-        { descriptors: 200, connections: 75 },
-        { descriptors: 1, connections: 1 },
-    ])("with $descriptors descriptors are at most $connections", ({ descriptors, connections }) => {
-        vitest.expect(descriptorLimits.maxCallerConnections(descriptors)).toBe(connections);
-    });
+        { descriptors: 4_100, callers: 1_950, peers: 1_462 },
+        { descriptors: 1_024, callers: 412, peers: 309 },
+        { descriptors: 200, callers: 75, peers: 56 },
+        { descriptors: 1, callers: 1, peers: 1 },
+    ])(
+        "with $descriptors descriptors are at most $callers, those of peers $peers",
+        ({ descriptors, callers, peers }) => {
+            vitest.expect(descriptorLimits.maxCallerConnections(descriptors)).toBe(callers);
+            vitest.expect(descriptorLimits.maxPeerConnections(descriptors)).toBe(peers);
+        },
+    );
 
     vitest.it("follow from a limit of the operating system", () => {
         vitest.expect(descriptorLimits.readDescriptorLimit()).toBeGreaterThan(0);
--- a/standins/platform/EntryProgram.ts
+++ b/standins/platform/EntryProgram.ts
@@ -66,6 +66,7 @@
         readonly callerAddress: string,
         readonly readyAddress: string,
         readonly adminAddress: string,
+        readonly peerAddress: string,
     ) {}
 
     /** Starts the process, without waiting until it is ready. */
@@ -82,8 +83,8 @@
         const logFile = output === "unread" ? undefined : output;
         const child = new fleetProcesses.FleetProcess(args, logFile, options.maxDescriptors);
         child.start();
-        const [callers, readiness, , admin] = ports.map(port => `127.0.0.1:${port}`);
-        return new EntryProgram(child, directory, callers!, readiness!, admin!);
+        const [callers, readiness, peers, admin] = ports.map(port => `127.0.0.1:${port}`);
+        return new EntryProgram(child, directory, callers!, readiness!, admin!, peers!);
     }
 
     /** The lines that it has logged so far. */
--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -63,8 +63,12 @@
         this.store.put("op/config", { ...createConfiguration(version), ...change });
     }
 
-    /** Starts an entry that reads the store at `storeAddress`, by default that of the fleet. */
-    async addEntry(storeAddress = this.store.address, stopLimitSeconds = 8): Promise<routeEntries.RouteEntry> {
+    /** Starts an entry that reads the store at `storeAddress`, by default that of the fleet; its seeds are the other entries. */
+    async addEntry(
+        storeAddress = this.store.address,
+        stopLimitSeconds = 8,
+        seeds: readonly string[] = this.entries.map(other => other.peerAddress),
+    ): Promise<routeEntries.RouteEntry> {
         const [peerPort, adminPort, readyPort] = await freePorts.findFreePorts(3);
         const name = `entry-${this.entries.length + 1}`;
         const entry = await routeEntries.RouteEntry.start({
@@ -78,7 +82,7 @@
             peerListen: `127.0.0.1:${peerPort}`,
             adminListen: `127.0.0.1:${adminPort}`,
             store: storeAddress,
-            seeds: this.entries.map(other => other.peerAddress),
+            seeds: [...seeds],
             failureDomains: ["zone-a"],
             isFirstStart: true,
             logLevel: "silent",
--- a/tests/ProcessMemory.test.ts
+++ b/tests/ProcessMemory.test.ts
@@ -225,6 +225,7 @@
 vitest.describe("a process with few descriptors", () => {
     const MAX_DESCRIPTORS = 200;
     const CALLER_CONNECTIONS = 75;
+    const PEER_CONNECTIONS = 56;
 
     // Guards against a process that can't reach instances or other entries, since its callers hold all descriptors.
     vitest.it("keeps some for its work, and serves new connections in place of idle ones", async () => {
@@ -240,6 +241,25 @@
         await fleet.waitUntil(async () => await readMetric("cumincrank_revision") >= 4);
     });
 
+    // Guards against a process that can't serve, since connections that nobody uses hold all descriptors.
+    vitest.it("keeps some while others open connections at its address for peers", async () => {
+        await start(MAX_DESCRIPTORS);
+        const [host, port] = entry.peerAddress.split(":");
+        for (let opened = 0; opened < 600; opened++) {
+            const socket = net.connect(Number(port), host);
+            socket.on("error", () => undefined);
+            sockets.push(socket);
+        }
+        await fleet.addEntry(fleet.store.address, 8, [entry.peerAddress]);
+        await fleet.waitUntil(isConnectedToPeer);
+        vitest.expect(await callStatus()).toBe(200);
+        vitest.expect(await readMetric("cumincrank_accepted_peer_connections")).toBeLessThanOrEqual(PEER_CONNECTIONS);
+        vitest.expect(await readMetric("cumincrank_accepted_peers_closed_for_room")).toBeGreaterThan(0);
+        vitest.expect(entry.readLog().some(({ decision }) => decision === "peer-connection-closed")).toBe(true);
+        vitest.expect(entry.readLog().some(({ decision }) => decision === "accept-failed")).toBe(false);
+        await expectSound("descriptors");
+    });
+
     vitest.it("recovers when calls hold all the connections that there may be", async () => {
         const peer = await fleet.addEntry();
         await start(MAX_DESCRIPTORS, [peer.peerAddress]);
