A stream that always has bytes ready ends at its deadline

Seen by callers: a stream of comments without end went on after the call's deadline for as long as its caller read. Cause: the deadline was checked only by the wait for further bytes, and by that for a caller that doesn't read. Bytes that are ready need no wait; with slices between which others run, they always are. Change: while bytes are ready, a stream ends 100 ms after it was first seen to go on beyond its end (50 ms after the deadline), so that a process that was late still passes on what had arrived. The decision is in SilenceWait, with a table of cases.

--- a/src/request/routed/SilenceWait.test.ts
+++ b/src/request/routed/SilenceWait.test.ts
@@ -42,3 +42,22 @@
         vitest.expect(isMoved(bytes, hasEvents)).toBe(moved);
     });
 });
+
+vitest.describe("a stream that always has bytes ready", () => {
+    // Guards against streams that never end, since nobody waits for their next bytes when the deadline passes.
+    vitest.it.each([
+        { name: "before the deadline", checksMs: [DEADLINE_MS - 1], isEnded: false },
+        { name: "as soon as the deadline has passed", checksMs: [DEADLINE_MS + 49], isEnded: false },
+        { name: "read late by this process", checksMs: [DEADLINE_MS + 5_000, DEADLINE_MS + 5_050], isEnded: false },
+        { name: "for a while after it", checksMs: [DEADLINE_MS + 60, DEADLINE_MS + 160], isEnded: true },
+    ])("$name: ended $isEnded", ({ checksMs, isEnded }) => {
+        const clock = new clocks.ManualClock(0);
+        const call = { hardDeadlineAtMs: DEADLINE_MS } as unknown as calls.RoutedCall;
+        const silence = new silenceWaits.SilenceWait(clock, call, () => true);
+        const checks = checksMs.map(atMs => {
+            clock.skip(atMs - clock.now());
+            return silence.checkOverrun();
+        });
+        vitest.expect(checks.at(-1)).toBe(isEnded);
+    });
+});
--- a/src/request/routed/SilenceWait.ts
+++ b/src/request/routed/SilenceWait.ts
@@ -11,6 +11,8 @@
  * needs none, and breaking it off before its caller stops waiting would only take its last events away.
  */
 const BEGUN_STREAM_EXTENSION_MS = 50;
+/** Time after that in which a process that was late may still pass on what had arrived. */
+const READY_EVENTS_MS = 100;
 /** Pause after a stream couldn't be moved before that is tried again. */
 const MOVE_PAUSE_MS = 500;
 
@@ -24,6 +26,8 @@
     private lastProgressAtMs = 0;
     /** No move is tried before this time. */
     private staysUntilMs = -Infinity;
+    /** When the stream was first seen to go on after its end. */
+    private overrunSinceMs: number | undefined;
 
     constructor(
         private readonly clock: clocks.Clock,
@@ -36,6 +40,16 @@
         return this.clock.now() >= this.call.hardDeadlineAtMs;
     }
 
+    /** Called while bytes are ready: whether they have come for so long after the deadline that the stream is ended. */
+    checkOverrun(): boolean {
+        const nowMs = this.clock.now();
+        if (nowMs < this.call.hardDeadlineAtMs + BEGUN_STREAM_EXTENSION_MS) {
+            return false;
+        }
+        this.overrunSinceMs ??= nowMs;
+        return nowMs - this.overrunSinceMs >= READY_EVENTS_MS;
+    }
+
     /** Time since the current instance last made progress. */
     get silentMs(): number {
         return this.clock.now() - this.lastProgressAtMs;
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -210,6 +210,9 @@
                 answered.answer.cancel();
                 return { kind: "broken" };
             }
+            if (this.silence.checkOverrun()) {
+                return this.endAtDeadline(answered, "deadline");
+            }
         }
     }
 
