A stream that brings nothing new is given up, and goes on elsewhere

Seen by callers: a stream at an instance that sends comments, blank lines or the same event without end never went on; it was broken off at its deadline, also where another instance could have served it. Cause: any event that isn't a comment counted as progress, and comments at their bytes, so that the instance never counted as silent. Change: EventProgress counts the events in a row that bring nothing: comments, blank lines, and events with an id that isn't above those before it in the answer. More than 1,000 beyond one in 10 ms end the answer as broken (`stream-interrupted`, reason `nothing-new`, `cumincrank_stuck_streams`), after what was written has left the process; comments every few seconds, or 100 a second for as long as the call lasts, don't. Slower repetitions no longer count as progress, so that the stream is moved as from a silent instance. Events that the caller has and that the instance sends again in order are progress. Before, tests/EndlessEvents.test.ts: 4 of 6 failed (comments, blank lines of one and of two bytes, the same event: broken off at the deadline in place of complete). After: all pass.

--- a/src/request/routed/EventForward.ts
+++ b/src/request/routed/EventForward.ts
@@ -12,9 +12,10 @@
 const EVENTS_PER_CHECK = 16;
 
 /**
- * How the forwarding of a chunk ended. `unread`: the caller doesn't read; `too-long`: the content is no event stream.
+ * How the forwarding of a chunk ended. `unread`: the caller doesn't read; `nothing-new`: too many events bring nothing;
+ * `too-long`: the content is no event stream.
  */
-export type ChunkOutcome = "forwarded" | "unread" | "too-long";
+export type ChunkOutcome = "forwarded" | "unread" | "nothing-new" | "too-long";
 
 /** What forwarding needs. */
 export interface ForwardOptions {
@@ -54,7 +55,7 @@
 
     /** Forwards the events that the chunk completes. */
     async forward(chunk: Buffer): Promise<ChunkOutcome> {
-        const { clock, slices } = this.options;
+        const { clock, progress, slices } = this.options;
         const begin = slices.begin();
         if (begin !== undefined) {
             await begin;
@@ -69,6 +70,9 @@
             if (room !== undefined && !await sinks.waitForRoom(clock, room, this.options.readLimitMs())) {
                 return "unread";
             }
+            if (progress.isStuck) {
+                return this.giveUp("nothing-new");
+            }
             if (run.isLast) {
                 break;
             }
@@ -76,7 +80,13 @@
                 await slices.next();
             }
         }
-        return this.splitter.isTooLong ? "too-long" : "forwarded";
+        return this.splitter.isTooLong ? this.giveUp("too-long") : "forwarded";
+    }
+
+    /** Waits until what was written has left the process, since the caller's answer may be aborted now. */
+    private async giveUp(outcome: ChunkOutcome): Promise<ChunkOutcome> {
+        await this.options.slices.next();
+        return outcome;
     }
 
     /** Takes events up to one that isn't forwarded, or to the end of the slice. */
@@ -90,14 +100,14 @@
             if (event === undefined) {
                 return { start, end, hasProgress, isLast: true };
             }
-            hasProgress = progress.hasProgress(event) || hasProgress;
+            hasProgress = progress.record(event) || hasProgress;
             const isForwarded = progress.tryForward(event);
             if (isForwarded) {
                 start = end === 0 ? event.start : start;
                 end = event.end;
             }
             const isInterrupted = !isForwarded && end > 0;
-            if (isInterrupted || (count % EVENTS_PER_CHECK === 0 && slices.checkSpent())) {
+            if (isInterrupted || progress.isStuck || (count % EVENTS_PER_CHECK === 0 && slices.checkSpent())) {
                 return { start, end, hasProgress, isLast: false };
             }
         }
--- a/src/request/routed/EventProgress.ts
+++ b/src/request/routed/EventProgress.ts
@@ -1,21 +1,58 @@
 /**
- * Decides which events of an answer are forwarded: those that the caller doesn't have.
+ * Decides which events of an answer are forwarded, and when an answer that brings nothing new is given up. Designed for
+ * faulty instances that send comments, blank lines or the same event without end, beside sound ones that send a comment
+ * every few seconds while they work on a long prompt.
  */
+import * as clocks from "../../common/Clock";
 import * as splitters from "./EventSplitter";
 
+/** Number of events in a row that may bring nothing, however fast they come. */
+const MAX_IDLE_EVENTS = 1_000;
+/** Time that allows a further one. */
+const IDLE_EVENT_INTERVAL_MS = 10;
+
 /** The events of one call's stream, from one answer to the next. */
 export class EventProgress {
+    /** Largest id in the present answer. */
+    private answeredId = -Infinity;
+    private idleEvents = 0;
+    private idleSinceMs = 0;
+
     /** `lastEventId`: the last event that the caller has, from an earlier attempt; undefined if it has none. */
-    constructor(private lastId: number | undefined) {}
+    constructor(private readonly clock: clocks.Clock, private lastId: number | undefined) {}
 
     /** Id of the last event that was forwarded. */
     get lastEventId(): number | undefined {
         return this.lastId;
     }
 
-    /** Whether the event shows that the instance makes progress, also if the caller has it. */
-    hasProgress({ isEmpty }: splitters.StreamEvent): boolean {
-        return !isEmpty;
+    /** Whether more events in a row have brought nothing than a sound instance sends. */
+    get isStuck(): boolean {
+        if (this.idleEvents <= MAX_IDLE_EVENTS) {
+            return false;
+        }
+        const elapsedMs = this.clock.now() - this.idleSinceMs;
+        return this.idleEvents > MAX_IDLE_EVENTS + elapsedMs / IDLE_EVENT_INTERVAL_MS;
+    }
+
+    /** Called before the first event of an answer. */
+    beginAnswer(): void {
+        this.answeredId = -Infinity;
+        this.idleEvents = 0;
+    }
+
+    /** Records an event of the answer; returns whether the instance makes progress, also if the caller has the event. */
+    record({ id, isEmpty }: splitters.StreamEvent): boolean {
+        const hasProgress = !isEmpty && (id === undefined || id > this.answeredId);
+        if (hasProgress) {
+            this.answeredId = id ?? this.answeredId;
+            this.idleEvents = 0;
+        }
+        else {
+            this.idleSinceMs = this.idleEvents === 0 ? this.clock.now() : this.idleSinceMs;
+            this.idleEvents++;
+        }
+        return hasProgress;
     }
 
     /** Whether the event is forwarded, after which it is the last one; false for one that the caller has. */
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -36,7 +36,8 @@
 
 /** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
 type ForwardOutcome =
-    | { readonly kind: "complete" | "broken" | "disconnected" | "deadline" }
+    | { readonly kind: "complete" | "disconnected" | "deadline" }
+    | { readonly kind: "broken"; readonly reason: "broken" | "nothing-new" }
     | { readonly kind: "moved"; readonly next: senders.SendOutcome };
 /** Result of one send; `next` is the outcome of a further one that has already been made. */
 interface Step {
@@ -66,7 +67,7 @@
         private readonly call: calls.RoutedCall,
         private readonly options: StreamOptions,
     ) {
-        this.progress = new progresses.EventProgress(call.metadata.lastEventId);
+        this.progress = new progresses.EventProgress(context.clock, call.metadata.lastEventId);
         this.silence = new silenceWaits.SilenceWait(context.clock, call, () => options.sink.hasBegun);
         this.history.softwareVersion = options.softwareVersion;
     }
@@ -141,7 +142,7 @@
         }
         const forwarded = await this.forward(answered);
         if (forwarded.kind === "broken") {
-            this.logInterruption(answered, "broken");
+            this.logInterruption(answered, forwarded.reason);
         }
         answered.sent.ticket.end(ticketOutcomes[forwarded.kind]);
         switch (forwarded.kind) {
@@ -177,6 +178,7 @@
         const start = new answerStarts.AnswerStart(this.context.clock, this.context.crashes, this.call, sent);
         const events = this.createForward(answered, start);
         this.silence.recordAnswer(sent);
+        this.progress.beginAnswer();
         for (;;) {
             const waitMs = (): number => this.silence.nextBytesWaitMs(answered.sent);
             const chunk = await chunks.readChunk(answered.answer.body, this.context.clock, waitMs);
@@ -199,7 +201,7 @@
             if (chunk === "end") {
                 const isComplete = answered.answer.isComplete() && !events.hasPartialEvent;
                 start.recordEnd(isComplete);
-                return { kind: isComplete ? "complete" : "broken" };
+                return isComplete ? { kind: "complete" } : { kind: "broken", reason: "broken" };
             }
             this.silence.recordBytes(chunk.length);
             const outcome = await events.forward(chunk);
@@ -208,7 +210,8 @@
             }
             if (outcome !== "forwarded") {
                 answered.answer.cancel();
-                return { kind: "broken" };
+                this.options.turns.stuckCount += outcome === "nothing-new" ? 1 : 0;
+                return { kind: "broken", reason: outcome === "too-long" ? "broken" : outcome };
             }
             if (this.silence.checkOverrun()) {
                 return this.endAtDeadline(answered, "deadline");
