Incomplete events of streams are in the account of bytes

Seen by callers: an instance that sends the beginning of a large event on each of many streams fills the memory of the entry, with which all other calls end. Cause: an incomplete event may have 1 MB, and nothing bounded their sum. Change: BufferAccount counts them. Those above 16 KB may take a quarter of the limit; beyond it a stream whose event grows is broken off (`stream-interrupted`, reason `buffers-full`) and goes on elsewhere where it may. Small ones are always held.

--- a/src/process/buffers/BufferAccount.test.ts
+++ b/src/process/buffers/BufferAccount.test.ts
@@ -185,3 +185,23 @@
         account.dispose();
     });
 });
+
+vitest.describe("incomplete events of streams", () => {
+    vitest.it.each([
+        { name: "large, nothing held", streams: 0, bytes: MEGABYTE, hasRoom: true },
+        { name: "large, up to the share", streams: 16, bytes: MEGABYTE, hasRoom: true },
+        { name: "large, beyond the share", streams: 18, bytes: MEGABYTE, hasRoom: false },
+        { name: "small, beyond the share", streams: 18, bytes: 16 * 1024, hasRoom: true },
+    ])("$name: room $hasRoom", ({ streams, bytes, hasRoom }) => {
+        const { account } = createAccount();
+        const earlier = Array.from({ length: streams }, (_, index) => account.open(String(index)));
+        earlier.forEach(hold => hold.holdEvent(MEGABYTE));
+        const hold = account.open("1");
+        vitest.expect(hold.holdEvent(bytes)).toBe(hasRoom);
+        vitest.expect(account.heldBytes).toBe(streams * MEGABYTE + bytes);
+        vitest.expect(hold.holdEvent(bytes)).toBe(true); // It hasn't grown.
+        [hold, ...earlier].forEach(each => each.holdEvent(0));
+        vitest.expect(account.heldBytes).toBe(0);
+        account.dispose();
+    });
+});
--- a/src/process/buffers/BufferAccount.ts
+++ b/src/process/buffers/BufferAccount.ts
@@ -12,6 +12,8 @@
 const LARGE_BODY_SHARE = 0.5;
 /** Share of the limit above which large answers are read one at a time. */
 const ANSWER_SHARE = 0.5;
+/** Share of the limit up to which large incomplete events are held. */
+const EVENT_SHARE = 0.25;
 /** By how much the oldest answer that is being read may exceed that share while the others pause. */
 const MAX_EXCESS_BYTES = 16 * 1024 * 1024;
 /** Largest part of an answer that is read at once. */
@@ -47,6 +49,7 @@
 export class BufferAccount implements clocks.Disposable {
     private bodyBytes = 0;
     private answerBytes = 0;
+    private eventBytes = 0;
     /** Requests whose answers are large and being read, the oldest first, with what resumes them if they are paused. */
     private readonly reading = new Map<BufferHold, (() => void) | undefined>();
     private readonly unread = new Map<BufferHold, UnreadAnswer>();
@@ -58,7 +61,7 @@
 
     /** Bytes held now. */
     get heldBytes(): number {
-        return this.bodyBytes + this.answerBytes;
+        return this.bodyBytes + this.answerBytes + this.eventBytes;
     }
 
     get limitBytes(): number {
@@ -104,6 +107,16 @@
         }
     }
 
+    /** Whether there is room for large incomplete events. */
+    get hasRoomForEvents(): boolean {
+        return this.eventBytes <= this.limitBytes * EVENT_SHARE;
+    }
+
+    /** Adds bytes of incomplete events, or takes them away if the number is negative. */
+    changeEvents(bytes: number): void {
+        this.eventBytes += bytes;
+    }
+
     /** Notes that a large answer is being read; false if it has to wait for a call of `resume`. */
     tryRead(hold: BufferHold, resume: () => void): boolean {
         this.reading.set(hold, undefined);
@@ -192,6 +205,8 @@
     private bodyBytes = 0;
     /** Bytes of the answers, the one that is being written among them. */
     answerBytes = 0;
+    /** Bytes of an incomplete event of its stream. */
+    private eventBytes = 0;
     /** Whether reading its answer has paused before. */
     hasPaused = false;
 
@@ -217,6 +232,14 @@
         return canRead;
     }
 
+    /** Sets how many bytes of an incomplete event are held; false if it has grown large and there is no room for it. */
+    holdEvent(bytes: number): boolean {
+        const addedBytes = bytes - this.eventBytes;
+        this.eventBytes = bytes;
+        this.account.changeEvents(addedBytes);
+        return addedBytes <= 0 || bytes <= SMALL_BYTES || this.account.hasRoomForEvents;
+    }
+
     /** Ends the reading of an answer, whose bytes stay held. */
     endRead(): void {
         this.account.endRead(this);
--- a/src/request/routed/EventForward.test.ts
+++ b/src/request/routed/EventForward.test.ts
@@ -44,17 +44,21 @@
     readonly forward: forwards.EventForward;
     /** The number of calls by which progress was reported. */
     readonly progressCount: () => number;
+    /** The last size of the incomplete event. */
+    readonly heldBytes: () => number;
 }
 
 interface ForwardCase {
     readonly lastEventId?: number;
     readonly reads?: boolean;
+    readonly hasRoom?: boolean;
 }
 
-function createForward({ lastEventId, reads = true }: ForwardCase): Forwarding {
+function createForward({ lastEventId, reads = true, hasRoom = true }: ForwardCase): Forwarding {
     const clock = new clocks.ManualClock();
     const reader = new Reader(reads);
     let progressCount = 0;
+    let heldBytes = 0;
     const progress = new progresses.EventProgress(clock, lastEventId);
     progress.beginAnswer();
     const forward = new forwards.EventForward({
@@ -62,12 +66,18 @@
         sink: reader,
         progress,
         slices: new streamTurns.StreamTurns(clock).open(),
+        buffers: {
+            holdEvent: bytes => {
+                heldBytes = bytes;
+                return hasRoom;
+            },
+        },
         onProgress: () => progressCount++,
         onEvents: () => undefined,
         onWritten: () => undefined,
         readLimitMs: () => READ_LIMIT_MS,
     });
-    return { clock, reader, forward, progressCount: () => progressCount };
+    return { clock, reader, forward, progressCount: () => progressCount, heldBytes: () => heldBytes };
 }
 
 function events(...ids: readonly number[]): string {
@@ -135,6 +145,7 @@
         { name: "of the same event", chunk: repeat("id: 7\ndata: a\n\n"), outcome: "nothing-new" },
         { name: "of comments in one event", chunk: repeat(": c\n"), outcome: "forwarded" },
         { name: "of an event that is too long", chunk: repeat("x", 1024 * 1024 + 1), outcome: "too-long" },
+        { name: "that doesn't fit", chunk: repeat("x"), hasRoom: false, outcome: "buffers-full" },
         { name: "that the caller doesn't read", chunk: events(8), reads: false, outcome: "unread" },
     ])("$name: $outcome", async ({ chunk, outcome, ...forwardCase }) => {
         const { clock, forward } = createForward({ lastEventId: 6, ...forwardCase });
@@ -145,14 +156,16 @@
     });
 
     vitest.it.each([
-        { name: "a comment", chunk: ": c\n\n", progress: 0 },
-        { name: "an event", chunk: events(1), progress: 1 },
-        { name: "an event that the caller has, again", chunk: "id: 1\n\nid: 1\n\n", progress: 1 },
-        { name: "the beginning of one", chunk: "data: ", progress: 0 },
-    ])("reports progress: $name", async ({ chunk, progress }) => {
-        const { forward, progressCount } = createForward({});
+        { name: "a comment", chunk: ": c\n\n", progress: 0, held: 0 },
+        { name: "an event", chunk: events(1), progress: 1, held: 0 },
+        { name: "an event that the caller has, again", chunk: "id: 1\n\nid: 1\n\n", progress: 1, held: 0 },
+        { name: "the beginning of one", chunk: "data: ", progress: 0, held: 6 },
+    ])("reports progress and what is held: $name", async ({ chunk, progress, held }) => {
+        const { forward, progressCount, heldBytes } = createForward({});
         await forward.forward(Buffer.from(chunk));
-        vitest.expect(progressCount()).toBe(progress);
+        vitest.expect([progressCount(), heldBytes()]).toEqual([progress, held]);
+        forward.dispose();
+        vitest.expect(heldBytes()).toBe(0);
     });
 });
 
--- a/src/request/routed/EventForward.ts
+++ b/src/request/routed/EventForward.ts
@@ -3,6 +3,7 @@
  * are written at once; a chunk of many is handled in slices, between which other work gets the event loop.
  */
 import * as clocks from "../../common/Clock";
+import * as bufferAccounts from "../../process/buffers/BufferAccount";
 import * as streamTurns from "../../process/streams/StreamTurns";
 import * as progresses from "./EventProgress";
 import * as sinks from "./EventSink";
@@ -13,9 +14,9 @@
 
 /**
  * How the forwarding of a chunk ended. `unread`: the caller doesn't read; `nothing-new`: too many events bring nothing;
- * `too-long`: the content is no event stream.
+ * `too-long`: the content is no event stream; `buffers-full`: there is no room for a large incomplete event.
  */
-export type ChunkOutcome = "forwarded" | "unread" | "nothing-new" | "too-long";
+export type ChunkOutcome = "forwarded" | "unread" | "nothing-new" | "too-long" | "buffers-full";
 
 /** What forwarding needs. */
 export interface ForwardOptions {
@@ -23,6 +24,7 @@
     readonly sink: sinks.EventSink;
     readonly progress: progresses.EventProgress;
     readonly slices: streamTurns.StreamSlices;
+    readonly buffers: Pick<bufferAccounts.BufferHold, "holdEvent">;
     /** Called when events have shown that the instance makes progress. */
     readonly onProgress: () => void;
     /** Called before events are written. */
@@ -43,7 +45,7 @@
 }
 
 /** Forwards the events of one answer. */
-export class EventForward {
+export class EventForward implements clocks.Disposable {
     private readonly splitter = new splitters.EventSplitter();
 
     constructor(private readonly options: ForwardOptions) {}
@@ -55,7 +57,7 @@
 
     /** Forwards the events that the chunk completes. */
     async forward(chunk: Buffer): Promise<ChunkOutcome> {
-        const { clock, progress, slices } = this.options;
+        const { buffers, clock, progress, slices } = this.options;
         const begin = slices.begin();
         if (begin !== undefined) {
             await begin;
@@ -80,7 +82,15 @@
                 await slices.next();
             }
         }
-        return this.splitter.isTooLong ? this.giveUp("too-long") : "forwarded";
+        if (this.splitter.isTooLong) {
+            return this.giveUp("too-long");
+        }
+        return buffers.holdEvent(this.splitter.partialBytes) ? "forwarded" : this.giveUp("buffers-full");
+    }
+
+    /** Releases the incomplete event. */
+    dispose(): void {
+        this.options.buffers.holdEvent(0);
     }
 
     /** Waits until what was written has left the process, since the caller's answer may be aborted now. */
--- a/src/request/routed/RoutedCall.ts
+++ b/src/request/routed/RoutedCall.ts
@@ -19,7 +19,7 @@
     /** Undefined if the caller sent no body. */
     readonly body: Buffer | undefined;
     /** Accounts for the bytes of the body and of the answers. */
-    readonly buffers: Pick<bufferAccounts.BufferHold, "addAnswer" | "endRead">;
+    readonly buffers: Pick<bufferAccounts.BufferHold, "addAnswer" | "endRead" | "holdEvent">;
     /** Arrival time on this process's clock. */
     readonly arrivedMs: number;
     /** Soft deadline: an answer, or the first event of a stream, counts as late after it. */
--- a/src/request/routed/SendArrivals.test.ts
+++ b/src/request/routed/SendArrivals.test.ts
@@ -173,7 +173,7 @@
         headers: [],
         body: BODY,
         hardDeadlineAtMs: clocks.systemClock.now() + DEADLINE_MS,
-        buffers: { addAnswer: () => true, endRead: () => undefined },
+        buffers: { addAnswer: () => true, endRead: () => undefined, holdEvent: () => true },
         progress: { mayHaveRun: false },
         signal: caller.signal,
     } as unknown as calls.RoutedCall;
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -37,7 +37,7 @@
 /** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
 type ForwardOutcome =
     | { readonly kind: "complete" | "disconnected" | "deadline" }
-    | { readonly kind: "broken"; readonly reason: "broken" | "nothing-new" }
+    | { readonly kind: "broken"; readonly reason: "broken" | "nothing-new" | "buffers-full" }
     | { readonly kind: "moved"; readonly next: senders.SendOutcome };
 /** Result of one send; `next` is the outcome of a further one that has already been made. */
 interface Step {
@@ -179,6 +179,19 @@
         const events = this.createForward(answered, start);
         this.silence.recordAnswer(sent);
         this.progress.beginAnswer();
+        try {
+            return await this.forwardChunks(answered, start, events);
+        }
+        finally {
+            events.dispose();
+        }
+    }
+
+    private async forwardChunks(
+        answered: AnsweredSend,
+        start: answerStarts.AnswerStart,
+        events: forwards.EventForward,
+    ): Promise<ForwardOutcome> {
         for (;;) {
             const waitMs = (): number => this.silence.nextBytesWaitMs(answered.sent);
             const chunk = await chunks.readChunk(answered.answer.body, this.context.clock, waitMs);
@@ -227,6 +240,7 @@
             sink,
             progress: this.progress,
             slices: turns.open(),
+            buffers: this.call.buffers,
             onProgress: () => {
                 this.silence.recordEvents();
                 start.recordEvents();
--- a/src/request/routed/UpstreamSender.test.ts
+++ b/src/request/routed/UpstreamSender.test.ts
@@ -42,7 +42,7 @@
         path: "/look/1",
         headers: [],
         hardDeadlineAtMs: clocks.systemClock.now() + 4_000,
-        buffers: { addAnswer: () => true, endRead: () => undefined },
+        buffers: { addAnswer: () => true, endRead: () => undefined, holdEvent: () => true },
         progress: { mayHaveRun: false },
         signal: new AbortController().signal,
     };
