--- a/src/request/routed/EventForward.ts
+++ b/src/request/routed/EventForward.ts
@@ -3,6 +3,7 @@
  * are written at once; a chunk of many is handled in slices, between which other work gets the event loop.
  */
 import * as clocks from "../../common/Clock";
+import * as bufferAccounts from "../../process/buffers/BufferAccount";
 import * as streamTurns from "../../process/streams/StreamTurns";
 import * as progresses from "./EventProgress";
 import * as sinks from "./EventSink";
@@ -12,9 +13,10 @@
 const EVENTS_PER_CHECK = 16;
 
 /**
- * How the forwarding of a chunk ended. `unread`: the caller doesn't read; `too-long`: the content is no event stream.
+ * How the forwarding of a chunk ended. `unread`: the caller doesn't read; `nothing-new`: too many events bring nothing;
+ * `too-long`: the content is no event stream; `buffers-full`: there is no room for a large incomplete event.
  */
-export type ChunkOutcome = "forwarded" | "unread" | "too-long";
+export type ChunkOutcome = "forwarded" | "unread" | "nothing-new" | "too-long" | "buffers-full";
 
 /** What forwarding needs. */
 export interface ForwardOptions {
@@ -22,6 +24,7 @@
     readonly sink: sinks.EventSink;
     readonly progress: progresses.EventProgress;
     readonly slices: streamTurns.StreamSlices;
+    readonly buffers: Pick<bufferAccounts.BufferHold, "holdEvent">;
     /** Called when events have shown that the instance makes progress. */
     readonly onProgress: () => void;
     /** Called before events are written. */
@@ -42,7 +45,7 @@
 }
 
 /** Forwards the events of one answer. */
-export class EventForward {
+export class EventForward implements clocks.Disposable {
     private readonly splitter = new splitters.EventSplitter();
 
     constructor(private readonly options: ForwardOptions) {}
@@ -54,7 +57,7 @@
 
     /** Forwards the events that the chunk completes. */
     async forward(chunk: Buffer): Promise<ChunkOutcome> {
-        const { clock, slices } = this.options;
+        const { buffers, clock, progress, slices } = this.options;
         const begin = slices.begin();
         if (begin !== undefined) {
             await begin;
@@ -69,6 +72,9 @@
             if (room !== undefined && !await sinks.waitForRoom(clock, room, this.options.readLimitMs())) {
                 return "unread";
             }
+            if (progress.isStuck) {
+                return this.giveUp("nothing-new");
+            }
             if (run.isLast) {
                 break;
             }
@@ -76,7 +82,21 @@
                 await slices.next();
             }
         }
-        return this.splitter.isTooLong ? "too-long" : "forwarded";
+        if (this.splitter.isTooLong) {
+            return this.giveUp("too-long");
+        }
+        return buffers.holdEvent(this.splitter.partialBytes) ? "forwarded" : this.giveUp("buffers-full");
+    }
+
+    /** Releases the incomplete event. */
+    dispose(): void {
+        this.options.buffers.holdEvent(0);
+    }
+
+    /** Waits until what was written has left the process, since the caller's answer may be aborted now. */
+    private async giveUp(outcome: ChunkOutcome): Promise<ChunkOutcome> {
+        await this.options.slices.next();
+        return outcome;
     }
 
     /** Takes events up to one that isn't forwarded, or to the end of the slice. */
@@ -90,14 +110,14 @@
             if (event === undefined) {
                 return { start, end, hasProgress, isLast: true };
             }
-            hasProgress = progress.hasProgress(event) || hasProgress;
+            hasProgress = progress.record(event) || hasProgress;
             const isForwarded = progress.tryForward(event);
             if (isForwarded) {
                 start = end === 0 ? event.start : start;
                 end = event.end;
             }
             const isInterrupted = !isForwarded && end > 0;
-            if (isInterrupted || (count % EVENTS_PER_CHECK === 0 && slices.checkSpent())) {
+            if (isInterrupted || progress.isStuck || (count % EVENTS_PER_CHECK === 0 && slices.checkSpent())) {
                 return { start, end, hasProgress, isLast: false };
             }
         }
