Send the list of entries to those that lack it, not to an eighth of all in each round

Cause: each presence round sent the whole list, 6 KB with 68 entries, to an eighth of the others, changed or not. The target allows 7 KB a second for control. Change: EntryLists sends a list to those whose connection hasn't got this version of it, at the former rate, and repeats an unchanged one to one entry at about 1 KB a second, for those that have forgotten an entry which others reach.

--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -12,14 +12,13 @@
 import * as peerConnections from "../../connection/PeerConnection";
 import * as peerListeners from "../../connection/PeerListener";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as entryLists from "./EntryLists";
 import * as knownEntries from "./KnownEntries";
 import * as peerEntries from "./PeerEntry";
 import * as presences from "./PeerPresence";
 import * as replacements from "./PeerReplacement";
 import * as paces from "./PresencePace";
 
-/** Share of the peers that get the list of entries with each presence message, picked at random. */
-const ENTRY_LIST_SHARE = 1 / 8;
 const MIN_RECONNECT_MS = 300;
 /** Mean delay of the first attempt after a connection has ended: many are reset while their peer is alive. */
 const FIRST_RECONNECT_MS = 20;
@@ -78,6 +77,7 @@
     private readonly stop = clocks.createStop();
     private readonly timers: clocks.Disposable[] = [];
     private readonly presence: presences.PeerPresence;
+    private readonly lists: entryLists.EntryLists<peerConnections.PeerConnection>;
     private readonly partialFrames = new partialFrames.PartialFrames();
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
@@ -96,6 +96,13 @@
     constructor(private readonly options: EntryPeersOptions) {
         this.startedMs = options.clock.now();
         this.known = new knownEntries.KnownEntries(options);
+        this.lists = new entryLists.EntryLists({
+            ...options,
+            connections: () => this.knownPeers.flatMap(peer => peer.connection ?? []),
+            size: () => this.known.size + 1,
+            version: () => `${this.known.changes} ${options.knowsAll()}`,
+            send: connection => connection.send(this.known.buildList(options.knowsAll())),
+        });
         this.accepted = new peerListeners.PeerListener({
             ...options,
             context: () => this.connectionContext(),
@@ -188,19 +195,11 @@
     private async keepPresent(): Promise<void> {
         while (!this.stop.signal.aborted) {
             this.broadcastPresence();
-            this.sendEntryLists();
+            this.lists.sendRound();
             await clocks.sleep(this.options.clock, this.presenceIntervalMs, this.stop.signal);
         }
     }
 
-    private sendEntryLists(): void {
-        const connected = this.knownPeers.filter(peer => peer.connection !== undefined);
-        const list = this.known.buildList(this.options.knowsAll());
-        for (let count = Math.ceil(connected.length * ENTRY_LIST_SHARE); count > 0; count--) {
-            connected[Math.floor(this.options.random() * connected.length)]!.connection?.send(list);
-        }
-    }
-
     private get presenceIntervalMs(): number {
         return this.options.isPresenceUrgent() ? entryMessages.MIN_PRESENCE_INTERVAL_MS : this.ordinaryIntervalMs;
     }
@@ -280,7 +279,7 @@
         connection.send(this.buildPresence());
         if (peer.incarnation !== remote.incarnation) {
             peer.incarnation = remote.incarnation;
-            connection.send(this.known.buildList(this.options.knowsAll()));
+            this.lists.send(connection);
         }
         for (;;) {
             const envelope = await connection.next();
--- a/src/process/peers/KnownEntries.ts
+++ b/src/process/peers/KnownEntries.ts
@@ -22,6 +22,8 @@
 export class KnownEntries {
     private readonly byInstance = new Map<string, peerEntries.PeerEntry>();
     private isListComplete = false;
+    /** Number of entries that were added or removed since the start. */
+    changes = 0;
 
     constructor(private readonly options: KnownEntriesOptions) {}
 
@@ -52,6 +54,7 @@
         }
         const peer = peerEntries.createPeerEntry(instance, address, failureDomain, this.options.clock.now());
         this.byInstance.set(instance, peer);
+        this.changes++;
         return peer;
     }
 
@@ -82,6 +85,7 @@
         for (const peer of this.byInstance.values()) {
             if (peer.connection === undefined && clock.now() - peer.lastHeardMs > FORGET_AFTER_MS) {
                 this.byInstance.delete(peer.instance);
+                this.changes++;
                 log.info({ decision: "entry-forgotten", peer: peer.instance }, "unreachable entry removed");
             }
         }
