Bound what a body costs in objects, and heads with a 1xx status

What callers saw: a body in chunks of one byte without end, from an instance, a caller or the store, ended the process ("heap out of memory"); 100 Continue or 103 without end kept its event loop busy, so that sound calls got 503 or hung.

Cause: the limits count bytes. Each chunk of a body was kept as a buffer of its own, which costs some hundred bytes beside its content, and its sender decides how small chunks are. No limit counted informational heads; the time limit of the answer is a timer, which waits while they are being parsed.

Change: `ByteCollector` copies small chunks into blocks that grow, and keeps large ones as they are; what is held is at most twice the bytes and a small constant. Used for answers of instances, stage workers and the store, callers' bodies, frames of other entries and the command `status`. The account of bytes gets what is held in place of what was sent. An answer of an instance, a stage worker or the store fails as malformed, and its connection is closed, after 16,384 chunks beyond one for each 16 bytes (a large body before them doesn't help), and after 16 informational heads. A caller's body isn't refused for its framing, since it is a proper request; it is bounded by its size and idle time, and read as long as it flows. Its idle time is one timer that is checked, in place of one for each chunk; the same for streams of engines.

--- a/src/commands/Status.ts
+++ b/src/commands/Status.ts
@@ -2,6 +2,7 @@
  * The command `status`: prints the status that a process reports on its admin address.
  */
 import * as http from "node:http";
+import * as byteCollectors from "../connection/ByteCollector";
 import * as exitCodes from "./Exits";
 
 const STATUS_TIMEOUT_MS = 5_000;
@@ -21,9 +22,9 @@
 function fetchText(url: string): Promise<string> {
     return new Promise((resolve, reject) => {
         const request = http.get(url, { timeout: STATUS_TIMEOUT_MS }, response => {
-            const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
-            response.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
+            const collector = new byteCollectors.ByteCollector();
+            response.on("data", (chunk: Buffer) => collector.add(chunk));
+            response.on("end", () => resolve(collector.take().toString("utf8")));
         });
         request.on("timeout", () => request.destroy(new Error("timeout")));
         request.on("error", reject);
--- a/src/common/TransferLimit.ts
+++ b/src/common/TransferLimit.ts
@@ -8,7 +8,7 @@
 export interface TransferLimits {
     /** Time without a byte. */
     readonly silenceMs: number;
-    /** Mean rate below which it is given up. */
+    /** Mean rate below which it is given up; 0 for none. */
     readonly minBytesPerSecond: number;
 }
 
@@ -26,6 +26,9 @@
 /** Time in which the next byte must arrive; 0 or less if the transfer is to be given up. */
 export function remainingMs(limits: TransferLimits, state: TransferState, nowMs: number): number {
     const silentAtMs = state.receivedAtMs + limits.silenceMs;
+    if (limits.minBytesPerSecond === 0) {
+        return silentAtMs - nowMs;
+    }
     const coveredMs = state.receivedBytes / limits.minBytesPerSecond * 1_000;
     const slowAtMs = state.startedAtMs + limits.silenceMs + coveredMs;
     return Math.min(silentAtMs, slowAtMs) - nowMs;
--- a/src/connection/FrameCodec.test.ts
+++ b/src/connection/FrameCodec.test.ts
@@ -1,6 +1,7 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
 import * as codes from "../common/Codes";
+import * as heapFixtures from "../common/HeapFixture";
 import * as messages from "../common/Messages";
 import * as frames from "./FrameCodec";
 
@@ -39,6 +40,27 @@
         );
     });
 
+    // Guards against a frame that takes a hundred times its bytes until it's complete.
+    it("keeps little more than the bytes of a frame that arrives byte by byte", () => {
+        const bytes = 300_000;
+        const frame = frames.encodeFrame({
+            version: 7,
+            era: 1,
+            message: { kind: "parts", request: 1, contents: [new Uint8Array(bytes)] },
+        });
+        const decoder = new frames.FrameDecoder();
+        const before = heapFixtures.usedBytes();
+        for (let index = 0; index < bytes; index++) {
+            const chunk = Buffer.allocUnsafeSlow(1);
+            chunk[0] = frame[index]!;
+            expect(decoder.push(chunk).isOk).toBe(true);
+        }
+        expect(heapFixtures.usedBytes() - before).toBeLessThan(2 * bytes + 1024 * 1024);
+        expect(decoder.bufferedBytes).toBe(bytes);
+        expect(decoder.push(frame.subarray(bytes)).unwrapOr([])).toHaveLength(1);
+        expect(decoder.bufferedBytes).toBe(0);
+    });
+
     const malformed: [string, Buffer, codes.ResultCode][] = [
         ["an oversized frame", Buffer.from([0xff, 0, 0, 0]), codes.codes.frameTooLarge],
         ["bytes that are not CBOR", Buffer.from([0, 0, 0, 2, 0xff, 0xff]), codes.codes.frameMalformed],
--- a/src/connection/FrameCodec.ts
+++ b/src/connection/FrameCodec.ts
@@ -5,6 +5,7 @@
 import * as result from "true-myth/result";
 import * as codes from "../common/Codes";
 import * as messages from "../common/Messages";
+import * as byteCollectors from "./ByteCollector";
 import * as cborChecks from "./CborCheck";
 
 const PREFIX_BYTES = 4;
@@ -22,62 +23,47 @@
 
 /** Decodes a byte stream into validated envelopes. After a failure the rest of the stream can't be trusted. */
 export class FrameDecoder {
-    private chunks: Buffer[] = [];
-    private receivedBytes = 0;
+    private readonly pending = new byteCollectors.ByteCollector();
+    /** Bytes of the first pending frame, its prefix included; the prefix alone until it has arrived. */
+    private neededBytes = PREFIX_BYTES;
 
     constructor(private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES) {}
 
     /** Number of bytes received of frames that aren't complete. */
     get bufferedBytes(): number {
-        return this.receivedBytes;
+        return this.pending.size;
     }
 
     /** Appends received bytes and returns the envelopes that they complete. */
     push(chunk: Buffer): result.Result<messages.Envelope[], codes.Failure> {
-        this.chunks.push(chunk);
-        this.receivedBytes += chunk.length;
+        this.pending.add(chunk);
+        return this.pending.size < this.neededBytes ? result.ok([]) : this.decodePending();
+    }
+
+    private decodePending(): result.Result<messages.Envelope[], codes.Failure> {
         const envelopes: messages.Envelope[] = [];
-        while (this.receivedBytes >= PREFIX_BYTES) {
-            const length = this.peekLength();
+        let rest = this.pending.take();
+        this.neededBytes = PREFIX_BYTES;
+        while (rest.length >= PREFIX_BYTES) {
+            const length = rest.readUInt32BE(0);
             if (length > this.maxFrameBytes) {
                 return result.err(codes.failure(codes.codes.frameTooLarge, `${length} bytes`));
             }
-            if (this.receivedBytes < PREFIX_BYTES + length) {
+            this.neededBytes = PREFIX_BYTES + length;
+            if (rest.length < this.neededBytes) {
                 break;
             }
-            const decoded = decodeContent(this.consume(PREFIX_BYTES + length).subarray(PREFIX_BYTES));
+            const decoded = decodeContent(rest.subarray(PREFIX_BYTES, this.neededBytes));
             if (decoded.isErr) {
                 return result.err(decoded.error);
             }
             envelopes.push(decoded.value);
+            rest = rest.subarray(this.neededBytes);
+            this.neededBytes = PREFIX_BYTES;
         }
+        this.pending.add(rest);
         return result.ok(envelopes);
     }
-
-    private peekLength(): number {
-        const first = this.chunks[0];
-        if (first === undefined || first.length < PREFIX_BYTES) {
-            this.chunks = [Buffer.concat(this.chunks)];
-        }
-        return this.chunks[0]!.readUInt32BE(0);
-    }
-
-    private consume(length: number): Buffer {
-        const first = this.chunks[0]!;
-        const joined = first.length >= length ? first : Buffer.concat(this.chunks);
-        if (joined !== first) {
-            this.chunks = [joined];
-        }
-        const rest = joined.subarray(length);
-        if (rest.length === 0) {
-            this.chunks.shift();
-        }
-        else {
-            this.chunks[0] = rest;
-        }
-        this.receivedBytes -= length;
-        return joined.subarray(0, length);
-    }
 }
 
 function decodeContent(content: Buffer): result.Result<messages.Envelope, codes.Failure> {
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -4,11 +4,14 @@
  */
 import * as http from "node:http";
 import * as net from "node:net";
+import * as result from "true-myth/result";
 import * as addresses from "../common/Address";
 import * as clocks from "../common/Clock";
 import * as readTimers from "../common/ReadTimer";
 import * as transferLimits from "../common/TransferLimit";
+import * as answerLimits from "./AnswerLimits";
 import * as bodyTimeouts from "./BodyTimeout";
+import * as byteCollectors from "./ByteCollector";
 import * as upstreamConnections from "./UpstreamConnections";
 
 /** Time limit for establishing a new connection. */
@@ -73,6 +76,8 @@
     readonly isStaleConnection: boolean;
     /** `invalid`: the request can't be made, since its address or a header is malformed. */
     readonly reason: "timeout" | "connect" | "reset" | "malformed" | "cancelled" | "held" | "invalid";
+    /** Set if the reason is `malformed`. */
+    readonly fault?: answerLimits.AnswerFault;
 }
 
 /** Sends a request and waits for the headers of the answer; `signal` aborts the exchange. Never rejects. */
@@ -100,6 +105,7 @@
     private readonly outgoing: http.ClientRequest;
     private isDispatched = false;
     private isSettled = false;
+    private readonly informationalCount = new answerLimits.InformationalCount();
     private answerTimer: clocks.Disposable | undefined;
     private connectTimer: clocks.Disposable | undefined;
     private readonly failAsCancelled = (): void => this.fail("cancelled");
@@ -129,6 +135,7 @@
         this.outgoing.on("socket", socket => this.watchConnect(socket));
         this.outgoing.on("error", error => this.fail(findFailureReason(error)));
         this.outgoing.on("close", () => this.fail("reset"));
+        this.outgoing.on("information", () => this.countInformational());
         this.outgoing.on("response", response => this.handleResponse(response));
         this.scheduleTimeout(this.request.answerTimeoutMs);
         this.outgoing.end(this.request.body);
@@ -167,6 +174,12 @@
         this.request.onDispatched?.();
     }
 
+    private countInformational(): void {
+        if (!this.informationalCount.add()) {
+            this.fail("malformed", "informational");
+        }
+    }
+
     private handleResponse(response: http.IncomingMessage): void {
         if (this.isSettled) {
             return;
@@ -204,14 +217,20 @@
 
     private readonly cancel = (): void => void this.outgoing.destroy();
 
-    private fail(reason: FailedExchange["reason"]): void {
+    private fail(reason: FailedExchange["reason"], fault: answerLimits.AnswerFault = "malformed"): void {
         if (this.isSettled) {
             return;
         }
         this.settle();
         this.outgoing.destroy();
         const isStaleConnection = reason === "reset" && this.outgoing.reusedSocket;
-        this.resolve({ kind: "failed", isDispatched: this.isDispatched, isStaleConnection, reason });
+        this.resolve({
+            kind: "failed",
+            isDispatched: this.isDispatched,
+            isStaleConnection,
+            reason,
+            ...(reason === "malformed" ? { fault } : {}),
+        });
     }
 
     private settle(): void {
@@ -229,43 +248,71 @@
     return error.syscall === "connect" ? "connect" : "reset";
 }
 
-/** Called with the size of each chunk; if it returns false, reading pauses until it calls `resume`. */
+/** Called with the bytes that a chunk adds to those held; if it returns false, reading pauses until it calls `resume`. */
 export type ReadGate = (bytes: number, resume: () => void) => boolean;
 
-/** Reads a body to its end; undefined if it is truncated or longer than `maxBytes`. */
-export function readBody(answer: OpenAnswer, maxBytes: number, gate?: ReadGate): Promise<Buffer | undefined> {
+/** Why a body couldn't be read; `incomplete` also if reading it was given up. */
+export type BodyFailure = "incomplete" | answerLimits.AnswerFault;
+
+/** Reads a body of at most `maxBytes` to its end. */
+export function readWholeBody(
+    answer: OpenAnswer,
+    maxBytes: number,
+    gate?: ReadGate,
+): Promise<result.Result<Buffer, BodyFailure>> {
     const { body } = answer;
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const collector = new byteCollectors.ByteCollector(statedBytes(answer.headers));
+        const chunkCount = new answerLimits.ChunkCount();
+        const giveUp = (fault: answerLimits.AnswerFault): void => {
+            resolve(result.err(fault));
+            body.destroy();
+        };
         body.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > maxBytes) {
-                resolve(undefined);
-                body.destroy();
+            if (body.destroyed) {
+                return; // What has been parsed with the last chunk still arrives.
+            }
+            if (collector.size + chunk.length > maxBytes) {
+                giveUp("too-large");
+                return;
+            }
+            if (!chunkCount.add(chunk.length)) {
+                giveUp("framing");
                 return;
             }
-            chunks.push(chunk);
-            if (gate?.(chunk.length, () => body.resume()) === false) {
+            const heldBytes = collector.heldBytes;
+            collector.add(chunk);
+            const addedBytes = collector.heldBytes - heldBytes;
+            if (addedBytes > 0 && gate?.(addedBytes, () => body.resume()) === false) {
                 body.pause();
             }
         });
-        body.on("end", () => resolve(answer.isComplete() ? Buffer.concat(chunks, size) : undefined));
-        body.on("close", () => resolve(undefined));
+        body.on("end", () => resolve(answer.isComplete() ? result.ok(collector.take()) : result.err("incomplete")));
+        body.on("close", () => resolve(result.err("incomplete")));
     });
 }
 
-/** Reads a short body to its end; undefined also if it stops or trickles. */
+function statedBytes(headers: http.IncomingHttpHeaders): number {
+    const bytes = Number(headers["content-length"] ?? Infinity);
+    return bytes >= 0 ? bytes : Infinity;
+}
+
+/** Reads a body to its end; undefined if it is truncated, mostly framing or longer than `maxBytes`. */
+export async function readBody(answer: OpenAnswer, maxBytes: number, gate?: ReadGate): Promise<Buffer | undefined> {
+    return (await readWholeBody(answer, maxBytes, gate)).unwrapOr(undefined);
+}
+
+/** Reads a short body to its end; it fails also if it stops or trickles. */
 export async function readShortBody(
     answer: OpenAnswer,
     maxBytes: number,
     clock: clocks.Clock,
-): Promise<Buffer | undefined> {
+): Promise<result.Result<Buffer, BodyFailure>> {
     const { body } = answer;
     const limits = transferLimits.BODY_LIMITS;
     const timeout = new bodyTimeouts.BodyTimeout({ clock, limits, onTimeout: () => body.destroy() });
     body.on("data", (chunk: Buffer) => timeout.receive(chunk.length));
-    const content = await readBody(answer, maxBytes);
+    const content = await readWholeBody(answer, maxBytes);
     timeout.dispose();
     return content;
 }
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -13,15 +13,15 @@
 import * as ports from "../../common/Ports";
 import * as readTimers from "../../common/ReadTimer";
 import * as transferLimits from "../../common/TransferLimit";
+import * as answerLimits from "../../connection/AnswerLimits";
 import * as bodyTimeouts from "../../connection/BodyTimeout";
+import * as responseBodies from "./ResponseBody";
 
 /** Time to establish a new connection. */
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle time after which a pooled connection is closed. */
 const IDLE_SOCKET_TIMEOUT_MS = 15_000;
 const MAX_IDLE_SOCKETS = 64;
-/** Maximum size of a response body if the request doesn't specify one. */
-const DEFAULT_MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 const MAX_HEADER_BYTES = 16 * 1024;
 
 /** The address of an external system and a pool of keep-alive connections to it. */
@@ -36,7 +36,7 @@
 }
 
 /** An HTTP request with its limits. */
-export interface Request {
+export interface Request extends responseBodies.ResponseBodyLimits {
     readonly method: "GET" | "POST" | "PUT";
     readonly path: string;
     readonly headers?: Record<string, string>;
@@ -48,9 +48,6 @@
     readonly bodyLimits?: transferLimits.TransferLimits;
     /** Whether to use a new connection, outside the pool. */
     readonly usesFreshConnection?: boolean;
-    readonly maxResponseBytes?: number;
-    /** Code of the failure if the response is larger; undefined for `malformed-answer`. */
-    readonly tooLargeCode?: codes.ResultCode;
     /** A request header that the response may repeat; a different value shows a response to another request. */
     readonly echoedHeader?: string;
     /** Maximum time between two chunks of a streamed response; replaces `timeoutMs` from the first chunk on. */
@@ -132,8 +129,8 @@
     private readonly clientRequest: http.ClientRequest;
     private readonly requestBody: Buffer;
     private readonly timers = new Set<clocks.Disposable>();
-    private readonly chunks: Buffer[] = [];
-    private receivedBytes = 0;
+    private readonly body: responseBodies.ResponseBody;
+    private readonly informationalCount = new answerLimits.InformationalCount();
     private isDispatched = false;
     private isSettled = false;
     private hasResponseStarted = false;
@@ -148,6 +145,7 @@
         private readonly resolve: Resolve,
     ) {
         this.requestBody = encodeBody(request.body);
+        this.body = new responseBodies.ResponseBody(request);
         this.clientRequest = http.request({
             host: client.host,
             port: client.port,
@@ -169,9 +167,13 @@
         this.signal.addEventListener("abort", this.onAbort, { once: true });
         this.clientRequest.on("socket", socket => this.watchConnecting(socket));
         this.clientRequest.on("error", error => this.fail(mapErrorCode(error), error.message));
+        this.clientRequest.on("information", () => this.countInformational());
         this.clientRequest.on("response", response => this.receiveResponse(response));
         this.clientRequest.on("close", () => this.fail(codes.codes.upstreamReset, "closed"));
-        this.restartTimeout(timeoutMs);
+        this.exchangeTimeout = this.schedule(
+            timeoutMs,
+            () => this.fail(codes.codes.upstreamTimeout, `silent for ${timeoutMs} ms`),
+        );
         this.clientRequest.end(this.requestBody);
     }
 
@@ -195,13 +197,21 @@
         }
     }
 
+    private countInformational(): void {
+        if (!this.informationalCount.add()) {
+            this.fail(codes.codes.malformedAnswer, "too many informational heads");
+        }
+    }
+
     private receiveResponse(response: http.IncomingMessage): void {
         this.hasResponseStarted = true;
         if (!this.hasMatchingEcho(response)) {
             this.fail(codes.codes.malformedAnswer, "an answer to another request");
             return;
         }
-        this.startBodyTimeout();
+        if (this.request.bodyLimits !== undefined) {
+            this.startBodyTimeout(this.request.bodyLimits);
+        }
         response.on("data", (chunk: Buffer) => this.receiveChunk(response, chunk));
         response.on("error", error => this.fail(mapErrorCode(error), error.message));
         response.on("end", () => this.completeResponse(response));
@@ -218,30 +228,20 @@
         if (this.isSettled) {
             return;
         }
-        if (this.request.onChunk !== undefined && isSuccess(response.statusCode ?? 0)) {
-            this.restartTimeout(this.request.progressTimeoutMs);
-            const failure = this.request.onChunk(chunk);
-            if (failure !== undefined) {
-                this.fail(failure.code, failure.detail);
-            }
-            return;
+        const onChunk = isSuccess(response.statusCode ?? 0) ? this.request.onChunk : undefined;
+        const { progressTimeoutMs } = this.request;
+        if (onChunk !== undefined && progressTimeoutMs !== undefined && this.bodyTimeout === undefined) {
+            this.startBodyTimeout({ silenceMs: progressTimeoutMs, minBytesPerSecond: 0 });
         }
-        this.receivedBytes += chunk.length;
         this.bodyTimeout?.receive(chunk.length);
-        if (this.receivedBytes > (this.request.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)) {
-            const { tooLargeCode = codes.codes.malformedAnswer } = this.request;
-            this.fail(tooLargeCode, `more than ${this.receivedBytes} bytes`);
-            return;
+        const failure = this.body.count(chunk) ?? (onChunk === undefined ? this.body.add(chunk) : onChunk(chunk));
+        if (failure !== undefined) {
+            this.fail(failure.code, failure.detail);
         }
-        this.chunks.push(chunk);
     }
 
-    /** Replaces the time-out of the exchange by the limits of its body, if there are any. */
-    private startBodyTimeout(): void {
-        const limits = this.request.bodyLimits;
-        if (limits === undefined) {
-            return;
-        }
+    /** Replaces the time-out of the exchange by the limits of its body. */
+    private startBodyTimeout(limits: transferLimits.TransferLimits): void {
         this.exchangeTimeout?.dispose();
         this.bodyTimeout = new bodyTimeouts.BodyTimeout({
             clock: clocks.systemClock,
@@ -260,7 +260,7 @@
         this.settle(result.ok({
             status: response.statusCode ?? 0,
             headers: response.headers,
-            body: Buffer.concat(this.chunks),
+            body: this.body.take(),
         }));
     }
 
@@ -294,20 +294,6 @@
         this.resolve(reply);
     }
 
-    /** Replaces the time-out of the exchange; undefined keeps the current one. */
-    private restartTimeout(timeoutMs: number | undefined): void {
-        if (timeoutMs !== undefined && !this.isSettled) {
-            if (this.exchangeTimeout !== undefined) {
-                this.exchangeTimeout.dispose();
-                this.timers.delete(this.exchangeTimeout);
-            }
-            this.exchangeTimeout = this.schedule(
-                timeoutMs,
-                () => this.fail(codes.codes.upstreamTimeout, `silent for ${timeoutMs} ms`),
-            );
-        }
-    }
-
     private schedule(delayMs: number, callback: () => void): clocks.Disposable {
         const timer = readTimers.scheduleAfterReads(clocks.systemClock, delayMs, callback);
         this.timers.add(timer);
--- a/src/process/routing/CallerBody.ts
+++ b/src/process/routing/CallerBody.ts
@@ -5,6 +5,8 @@
 import * as result from "true-myth/result";
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
+import * as bodyTimeouts from "../../connection/BodyTimeout";
+import * as byteCollectors from "../../connection/ByteCollector";
 import * as bufferAccounts from "../buffers/BufferAccount";
 
 /** Longest time in which the rest of a body is read whose request has already been answered. */
@@ -20,8 +22,8 @@
 }
 
 /**
- * Reads a complete body, whose bytes `buffers` accounts for: those of a stated length before the first arrives. Failures:
- * `body-too-large`, `request-timeout`, `buffers-full`, and `cancelled` if the caller disconnected.
+ * Reads a complete body, whose bytes `buffers` accounts for: those of a stated length before the first arrives, otherwise
+ * those that are held. However a proper caller cuts its body, it is read as long as it flows. Failures: `body-too-large`, `request-timeout`, `buffers-full`, and `cancelled` if the caller disconnected.
  */
 export function readCallerBody(
     message: http.IncomingMessage,
@@ -37,30 +39,34 @@
         return Promise.resolve(result.err(createNoRoomFailure(statedBytes)));
     }
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        let timer = clock.schedule(limits.idleMs, handleIdleTimeout);
+        const collector = new byteCollectors.ByteCollector(statedBytes > 0 ? statedBytes : limits.maxBytes);
+        let accountedBytes = statedBytes;
+        const timeout = new bodyTimeouts.BodyTimeout({
+            clock,
+            limits: { silenceMs: limits.idleMs, minBytesPerSecond: 0 },
+            onTimeout: () =>
+                finish(result.err(codes.failure(codes.codes.requestTimeout, `idle for ${limits.idleMs} ms`))),
+        });
         const finish = (outcome: result.Result<Buffer, codes.Failure>): void => {
-            timer.dispose();
+            timeout.dispose();
             message.removeAllListeners("data");
             resolve(outcome);
         };
-        function handleIdleTimeout(): void {
-            finish(result.err(codes.failure(codes.codes.requestTimeout, `idle for ${limits.idleMs} ms`)));
-        }
         message.on("data", (chunk: Buffer) => {
-            timer.dispose();
-            timer = clock.schedule(limits.idleMs, handleIdleTimeout);
-            size += chunk.length;
-            chunks.push(chunk);
-            if (size > limits.maxBytes) {
-                finish(result.err(codes.failure(codes.codes.bodyTooLarge, `${size} bytes`)));
+            timeout.receive(chunk.length);
+            collector.add(chunk);
+            const addedBytes = collector.heldBytes - accountedBytes;
+            if (collector.size > limits.maxBytes) {
+                finish(result.err(codes.failure(codes.codes.bodyTooLarge, `${collector.size} bytes`)));
+            }
+            else if (addedBytes > 0 && !buffers.tryAddBody(addedBytes)) {
+                finish(result.err(createNoRoomFailure(collector.size)));
             }
-            else if (statedBytes === 0 && !buffers.tryAddBody(chunk.length)) {
-                finish(result.err(createNoRoomFailure(size)));
+            else {
+                accountedBytes += Math.max(0, addedBytes);
             }
         });
-        message.on("end", () => finish(result.ok(Buffer.concat(chunks, size))));
+        message.on("end", () => finish(result.ok(collector.take())));
         message.on("error", () => undefined); // The close event follows.
         message.on("close", () => finish(result.err(codes.failure(codes.codes.cancelled, "the caller left"))));
     });
--- a/src/process/stages/StageCalls.ts
+++ b/src/process/stages/StageCalls.ts
@@ -87,7 +87,7 @@
     ): Promise<readonly routingPorts.StagePieceOutcome[] | undefined> {
         const { clock, log, wire } = this.options;
         const { connection, status } = response;
-        const content = await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock);
+        const content = (await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock)).unwrapOr(undefined);
         const outcomes = status === 200 && content !== undefined && jsonSizes.isParsable(content)
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
             : undefined;
--- a/src/request/CallerRequest.ts
+++ b/src/request/CallerRequest.ts
@@ -7,6 +7,7 @@
 import * as z from "zod";
 import * as codes from "../common/Codes";
 import * as configurations from "../common/Configuration";
+import * as byteCollectors from "../connection/ByteCollector";
 
 const DEFAULT_PRIORITY = 5;
 const MAX_DEADLINE_MS = 600_000;
@@ -98,21 +99,19 @@
     message: http.IncomingMessage,
     maxBodyBytes: number,
 ): Promise<result.Result<unknown, codes.Failure>> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = new byteCollectors.ByteCollector(maxBodyBytes);
     try {
         for await (const chunk of message as AsyncIterable<Buffer>) {
-            bytes += chunk.length;
-            if (bytes > maxBodyBytes) {
+            collector.add(chunk);
+            if (collector.size > maxBodyBytes) {
                 return result.err(codes.failure(codes.codes.bodyTooLarge, `more than ${maxBodyBytes} bytes`));
             }
-            chunks.push(chunk);
         }
     }
     catch (error) {
         return result.err(codes.failure(codes.codes.requestTimeout, String(error)));
     }
-    return parseJson(Buffer.concat(chunks).toString("utf8"));
+    return parseJson(collector.take().toString("utf8"));
 }
 
 function parseJson(text: string): result.Result<unknown, codes.Failure> {
