Close the connection of a rejection whose body is long or slow

What callers saw: beside an instance whose rejection (503, not run) had a body without end, sound calls took up to 6.4 s; 840 MB were taken on one connection.

Cause: the body of an answer that states that the call hasn't run was read to its end, so that its connection can be used again, with no limit.

Change: of a body that isn't used, 64 KB are read, for a second at most; then its connection is closed. The rejection stays one.

--- a/src/connection/EndlessAnswers.test.ts
+++ b/src/connection/EndlessAnswers.test.ts
@@ -94,6 +94,43 @@
     });
 });
 
+vitest.describe("a body that isn't used", () => {
+    vitest.it.each([
+        { name: "of 1 KB", body: "a".repeat(1_000), isEndless: false, connections: 1 },
+        { name: "that never ends", body: "a".repeat(1_000), isEndless: true, connections: 2 },
+        { name: "that stops", body: "", isEndless: false, connections: 2 },
+    ])("$name is read: $connections connections for two requests", async ({ body, isEndless, connections }) => {
+        let sentBytes = 0;
+        const served = await serve((socket, count) => {
+            if (count > 1) {
+                socket.write(`${STATUS_LINE}Content-Length: 2\r\n\r\nok`);
+                return;
+            }
+            socket.write(`HTTP/1.1 503 Busy\r\nContent-Length: ${isEndless ? 1e9 : 1_000}\r\n\r\n${body}`);
+            const pump = (error?: Error | null): void => {
+                if (isEndless && !error && !socket.destroyed) {
+                    sentBytes += MEGABYTE;
+                    socket.write(Buffer.alloc(MEGABYTE), pump);
+                }
+            };
+            pump();
+        });
+        const pool = new upstreamConnections.UpstreamConnections();
+        const first = await exchanges.openExchange(pool, clocks.systemClock, request(served.address));
+        const isClosed = new Promise(resolve => (first as exchanges.OpenAnswer).body.once("close", resolve));
+        exchanges.discardBody(first as exchanges.OpenAnswer, clocks.systemClock);
+        await isClosed;
+        await new Promise<void>(resolve => clocks.systemClock.afterReads(resolve));
+        const second = await exchanges.openExchange(pool, clocks.systemClock, request(served.address));
+        const read = await exchanges.readBody(second as exchanges.OpenAnswer, 1_000);
+        vitest.expect(read?.toString()).toBe("ok");
+        vitest.expect(served.connections).toBe(connections);
+        vitest.expect(sentBytes).toBeLessThan(32 * MEGABYTE); // The buffers of both sides.
+        pool.destroy();
+        served.server.close();
+    });
+});
+
 /** Writes a text again and again, as fast as the other side reads it. */
 function repeat(socket: net.Socket, text: string): void {
     const pump = (error?: Error | null): void => {
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -17,6 +17,10 @@
 /** Time limit for establishing a new connection. */
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Longest body that is read though it isn't used. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+/** Longest time in which such a body is read. */
+const DISCARD_LIMIT_MS = 1_000;
 /** Statuses of answers without a body. */
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Lower statuses aren't those of an answer. */
@@ -316,3 +320,19 @@
     timeout.dispose();
     return content;
 }
+
+/**
+ * Reads a body that isn't used, so that its connection can be used again; closes the connection if the body is long or
+ * slow.
+ */
+export function discardBody({ body }: OpenAnswer, clock: clocks.Clock): void {
+    let size = 0;
+    const timer = clock.schedule(DISCARD_LIMIT_MS, () => body.destroy());
+    body.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > MAX_DISCARDED_BYTES) {
+            body.destroy();
+        }
+    });
+    body.on("close", () => timer.dispose());
+}
--- a/src/request/routed/AnswerClassification.ts
+++ b/src/request/routed/AnswerClassification.ts
@@ -53,7 +53,7 @@
         chosen.traffic.recordLoadReport(metadata.load);
     }
     if (metadata.effect !== "ran") {
-        answer.body.resume();
+        exchanges.discardBody(answer, context.clock);
         const isOther = metadata.effect === "other-instance";
         ticket.end(isOther ? "unreachable" : traffic.rejectionOutcome(metadata.holdMs));
         return { kind: "not-run", isInputLost: metadata.isInputLost };
