--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -2,24 +2,23 @@
  * Connections to the other entries, which are discovered through seed addresses and through each other. One task
  * for each known address connects, reads frames and reconnects.
  */
-import * as net from "node:net";
 import * as clocks from "../../common/Clock";
 import * as emitters from "../../common/Emitter";
 import * as entryMessages from "../../common/EntryMessages";
 import * as logs from "../../common/Log";
 import * as messages from "../../common/Messages";
 import * as positions from "../../common/Position";
-import * as listeners from "../../connection/Listener";
+import * as partialFrames from "../../connection/PartialFrames";
 import * as peerConnections from "../../connection/PeerConnection";
+import * as peerListeners from "../../connection/PeerListener";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as entryLists from "./EntryLists";
 import * as knownEntries from "./KnownEntries";
 import * as peerEntries from "./PeerEntry";
 import * as presences from "./PeerPresence";
 import * as replacements from "./PeerReplacement";
 import * as paces from "./PresencePace";
 
-/** Share of the peers that get the list of entries with each presence message, picked at random. */
-const ENTRY_LIST_SHARE = 1 / 8;
 const MIN_RECONNECT_MS = 300;
 /** Mean delay of the first attempt after a connection has ended: many are reset while their peer is alive. */
 const FIRST_RECONNECT_MS = 20;
@@ -51,6 +50,8 @@
     readonly failureDomain: string;
     /** Listening address of this process. */
     readonly listen: string;
+    /** Connections that others may have opened to this process. */
+    readonly maxConnections: number;
     /** Address that other entries connect to. */
     readonly address: string;
     /** Addresses of some entries; may be stale. */
@@ -76,10 +77,14 @@
     private readonly stop = clocks.createStop();
     private readonly timers: clocks.Disposable[] = [];
     private readonly presence: presences.PeerPresence;
-    private listener: listeners.Listener | undefined;
+    private readonly lists: entryLists.EntryLists<peerConnections.PeerConnection>;
+    private readonly partialFrames = new partialFrames.PartialFrames();
     private readonly frameEmitter = new emitters.Emitter<PeerFrame>();
     private readonly disconnectEmitter = new emitters.Emitter<peerConnections.PeerConnection>();
 
+    /** The connections that others have opened. */
+    readonly accepted: peerListeners.PeerListener;
+
     /** Fires for each frame other than presence and lists of entries. */
     readonly onFrame = this.frameEmitter.event;
     /** Fires when a connection has ended. */
@@ -91,13 +96,24 @@
     constructor(private readonly options: EntryPeersOptions) {
         this.startedMs = options.clock.now();
         this.known = new knownEntries.KnownEntries(options);
+        this.lists = new entryLists.EntryLists({
+            ...options,
+            connections: () => this.knownPeers.flatMap(peer => peer.connection ?? []),
+            size: () => this.known.size + 1,
+            version: () => `${this.known.changes} ${options.knowsAll()}`,
+            send: connection => connection.send(this.known.buildList(options.knowsAll())),
+        });
+        this.accepted = new peerListeners.PeerListener({
+            ...options,
+            context: () => this.connectionContext(),
+            onConnection: connection => void this.readFrames(connection),
+        });
         this.presence = new presences.PeerPresence(options.clock, options.pauses);
     }
 
     /** Starts to accept and open connections; rejects when the address can't be used. */
     async start(): Promise<void> {
-        const server = net.createServer(socket => void this.accept(socket));
-        this.listener = await listeners.listen(server, this.options.listen, this.options);
+        await this.accepted.listen(this.options.listen);
         void this.keepPresent();
         this.timers.push(
             new replacements.PeerReplacement({
@@ -170,7 +186,7 @@
         this.stop.abort();
         this.timers.forEach(timer => timer.dispose());
         this.known.all.forEach(peer => peer.connection?.dispose());
-        this.listener?.dispose();
+        this.accepted.dispose();
         this.frameEmitter.dispose();
         this.disconnectEmitter.dispose();
     }
@@ -179,19 +195,11 @@
     private async keepPresent(): Promise<void> {
         while (!this.stop.signal.aborted) {
             this.broadcastPresence();
-            this.sendEntryLists();
+            this.lists.sendRound();
             await clocks.sleep(this.options.clock, this.presenceIntervalMs, this.stop.signal);
         }
     }
 
-    private sendEntryLists(): void {
-        const connected = this.knownPeers.filter(peer => peer.connection !== undefined);
-        const list = this.known.buildList(this.options.knowsAll());
-        for (let count = Math.ceil(connected.length * ENTRY_LIST_SHARE); count > 0; count--) {
-            connected[Math.floor(this.options.random() * connected.length)]!.connection?.send(list);
-        }
-    }
-
     private get presenceIntervalMs(): number {
         return this.options.isPresenceUrgent() ? entryMessages.MIN_PRESENCE_INTERVAL_MS : this.ordinaryIntervalMs;
     }
@@ -252,13 +260,6 @@
         return peer !== undefined && peer.instance < this.options.instance;
     }
 
-    private async accept(socket: net.Socket): Promise<void> {
-        const accepted = await peerConnections.PeerConnection.accept(socket, this.connectionContext());
-        if (accepted.isOk) {
-            await this.readFrames(accepted.value);
-        }
-    }
-
     /** Reads frames from one connection until it ends. */
     private async readFrames(connection: peerConnections.PeerConnection): Promise<void> {
         const { remote } = connection;
@@ -278,7 +279,7 @@
         connection.send(this.buildPresence());
         if (peer.incarnation !== remote.incarnation) {
             peer.incarnation = remote.incarnation;
-            connection.send(this.known.buildList(this.options.knowsAll()));
+            this.lists.send(connection);
         }
         for (;;) {
             const envelope = await connection.next();
@@ -341,6 +342,7 @@
             silenceMs: () => paces.connectionSilenceMs(this.ordinaryIntervalMs),
             heartbeatIntervalMs: () => this.ordinaryIntervalMs,
             maxUnsentBytes: () => Math.max(MIN_UNSENT_BYTES, MAX_UNSENT_BYTES / Math.max(1, this.known.size)),
+            partialFrames: this.partialFrames,
         };
     }
 }
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -5,6 +5,7 @@
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as shareReports from "../instances/ShareReport";
+import * as acceptedGauges from "../metrics/AcceptedPeers";
 import * as loopWatches from "../metrics/LoopWatch";
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
@@ -13,6 +14,7 @@
 import * as paces from "../shares/FleetPace";
 import * as fleetSizes from "../shares/FleetSize";
 import * as stageHosts from "../stages/StageHost";
+import * as turns from "../streams/StreamTurns";
 import * as servers from "./RouteServer";
 
 /** The parts of an entry whose state is exposed. */
@@ -24,17 +26,22 @@
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left" | "capacity">;
+    readonly streamTurns: Pick<turns.StreamTurns, "waitingCount" | "stuckCount">;
     /** This entry's part of the calls on the store. */
     readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
     readonly loop: loopWatches.LoopWatch;
+    /** The connections that other entries have opened. */
+    readonly acceptedPeers: acceptedGauges.AcceptedPeers;
     readonly counters: processCounters.ProcessCounters;
 }
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
     const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, loop, counters } = sources;
+    const { acceptedPeers } = sources;
     const { buffers, connections } = server;
+    const { streamTurns } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
     add("cumincrank_era", "Era of the published store", () => view.position.era);
     add("cumincrank_revision", "Revision of the published store", () => view.position.revision);
@@ -76,6 +83,8 @@
     add("cumincrank_window_retries", "Retries sent in the window of their budget", () => retryBudgets.retries);
     add("cumincrank_retries_left", "Retries that may be sent now, of all services", () => retryBudgets.left);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
+    add("cumincrank_waiting_streams", "Streams that wait for their turn", () => streamTurns.waitingCount);
+    add("cumincrank_stuck_streams", "Streams given up as nothing new came", () => streamTurns.stuckCount);
     add("cumincrank_buffered_bytes", "Bytes of bodies and answers held", () => buffers.heldBytes);
     add("cumincrank_buffer_limit_bytes", "Bytes of bodies and answers that may be held", () => buffers.limitBytes);
     add("cumincrank_buffer_rejections", "Bodies for which there was no room", () => buffers.rejections);
@@ -92,6 +101,7 @@
     add("cumincrank_delayed_pieces", "Pieces of reads that waited for a later turn", () => loop.delayedPieces);
     add("cumincrank_unread_bytes", "Bytes of reads that wait for a later turn", () => loop.heldBytes);
     add("cumincrank_unread_closed", "Connections closed as too many bytes waited", () => loop.closedConnections);
+    acceptedGauges.addGauges(routeMetrics.registry, acceptedPeers);
     add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
     add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
     add("cumincrank_machine_errors", "Errors of the operating system that nobody handled", counters.machineErrors);
