Measure small reads without a turn of their own

Each read asked for a further pass of the event loop to measure what it had caused, also an answer of a few hundred bytes. Reads up to 4 KB are now measured until they have been passed on, and costs below 1 ms are accounted for together.

--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -158,6 +158,7 @@
         this.isWanted = true;
         if (this.canPass && this.turns.mayReadNow(this.account, chunk.length)) {
             this.pass(chunk, this.account.limitBytes);
+            this.turns.end();
         }
         else {
             this.keep(chunk);
--- a/src/connection/ReadTurns.ts
+++ b/src/connection/ReadTurns.ts
@@ -139,7 +139,16 @@
         const startedMs = this.clock.now();
         source.lastBegunMs = startedMs;
         this.running = { account: source.account, bytes, startedMs };
-        this.queueSteps(1);
+        if (bytes > SMALL_READ_BYTES) {
+            this.queueSteps(1);
+        }
+    }
+
+    /** Ends the measurement of a piece that was passed on; one of a small read lasts no longer. */
+    end(): void {
+        if (this.running !== undefined && this.running.bytes <= SMALL_READ_BYTES) {
+            this.settle();
+        }
     }
 
     /** Lets a connection process its next piece in a later turn. */
@@ -195,8 +204,10 @@
         const nowMs = this.clock.now();
         const tookMs = nowMs - startedMs;
         this.spentMs += tookMs;
-        account.record(nowMs, bytes, tookMs);
-        this.costs.record(account.peer, nowMs, tookMs);
+        const costMs = account.record(nowMs, bytes, tookMs);
+        if (costMs > 0) {
+            this.costs.record(account.peer, nowMs, costMs);
+        }
     }
 
     /** Each piece has a step of its own, so that what it causes is done and measured before the next; the last one settles. */
