Take the processor time of a piece as its cost

On a busy machine the time in which the process waited for a processor counted as the cost of a piece, so that the pieces of sound connections shrank.

--- a/src/connection/ReadTurns.ts
+++ b/src/connection/ReadTurns.ts
@@ -21,6 +21,7 @@
 const BACKLOG_HANDICAP_MS = 300;
 /** and within the time that they have cost in the last second, up to this limit. */
 const MAX_COST_HANDICAP_MS = 500;
+const MICROSECONDS_PER_MS = 1_000;
 /** Pieces that have taken less together follow each other at once. */
 const CONTINUATION_MS = 1;
 /** Largest number of pieces that waited and are processed in one turn. */
@@ -55,6 +56,8 @@
     readonly account: accounts.ReadAccount;
     bytes: number;
     readonly startedMs: number;
+    /** Processor time of the process at the start; undefined for a small read. */
+    readonly processorMs: number | undefined;
 }
 
 /** The turns of one process. */
@@ -91,6 +94,8 @@
         private readonly clock: Pick<clocks.Clock, "now">,
         /** Calls back in the next turn, in the order of the calls, with all that a callback causes before the next one. */
         private readonly defer: (callback: () => void) => void = setImmediate,
+        /** Processor time that the process has used, without that in which it waited for a processor. */
+        private readonly readProcessorMs: () => number = () => clock.now(),
     ) {}
 
     /** Number of connections that wait for a turn. */
@@ -117,13 +122,12 @@
             return true;
         }
         const nowMs = this.clock.now();
-        const runningMs = this.running === undefined ? 0 : nowMs - this.running.startedMs;
-        return this.spentMs + runningMs < TURN_BUDGET_MS || account.recentMs(nowMs) < CHEAP_MS_PER_SECOND;
+        return this.spentMs + this.runningMs < TURN_BUDGET_MS || account.recentMs(nowMs) < CHEAP_MS_PER_SECOND;
     }
 
     /** Whether a piece that was begun and has been passed on has taken so little that more may follow at once. */
-    mayContinue({ account, lastBegunMs }: PieceSource): boolean {
-        return account.limitBytes >= paces.FIRST_PIECE_BYTES && this.clock.now() - lastBegunMs < CONTINUATION_MS;
+    mayContinue({ account }: PieceSource): boolean {
+        return account.limitBytes >= paces.FIRST_PIECE_BYTES && this.runningMs < CONTINUATION_MS;
     }
 
     /** Adds bytes to the piece that is measured. */
@@ -138,7 +142,8 @@
         this.settle();
         const startedMs = this.clock.now();
         source.lastBegunMs = startedMs;
-        this.running = { account: source.account, bytes, startedMs };
+        const processorMs = bytes > SMALL_READ_BYTES ? this.readProcessorMs() : undefined;
+        this.running = { account: source.account, bytes, startedMs, processorMs };
         if (bytes > SMALL_READ_BYTES) {
             this.queueSteps(1);
         }
@@ -195,14 +200,24 @@
         }
     }
 
+    /** What the running piece has taken so far; a process that waits for a processor isn't at work on it. */
+    private get runningMs(): number {
+        if (this.running === undefined) {
+            return 0;
+        }
+        const { startedMs, processorMs } = this.running;
+        const elapsedMs = this.clock.now() - startedMs;
+        return processorMs === undefined ? elapsedMs : Math.min(elapsedMs, this.readProcessorMs() - processorMs);
+    }
+
     private settle(): void {
         if (this.running === undefined) {
             return;
         }
-        const { account, bytes, startedMs } = this.running;
-        this.running = undefined;
+        const { account, bytes } = this.running;
+        const tookMs = this.runningMs;
         const nowMs = this.clock.now();
-        const tookMs = nowMs - startedMs;
+        this.running = undefined;
         this.spentMs += tookMs;
         const costMs = account.record(nowMs, bytes, tookMs);
         if (costMs > 0) {
@@ -265,4 +280,7 @@
 }
 
 /** The turns of this process, which has one event loop. */
-export const processTurns = new ReadTurns(clocks.systemClock);
+export const processTurns = new ReadTurns(clocks.systemClock, setImmediate, () => {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / MICROSECONDS_PER_MS;
+});
