--- a/src/connection/ReadAccount.ts
+++ b/src/connection/ReadAccount.ts
@@ -7,6 +7,10 @@
 const DECAY_MS = 1_000;
 /** Smaller costs are accounted for together. */
 const MIN_COST_MS = 1;
+/** Time from which on a piece is slow, */
+const SLOW_MS = 1;
+/** and for which that is remembered. */
+const SLOW_MEMORY_MS = 100;
 
 /** What kind of process the other side is. */
 export type PeerKind = "instance" | "store" | "caller" | "admin" | "entry";
@@ -40,6 +44,7 @@
     private readonly cost = new RecentCost();
     /** Costs that are accounted for together with the next ones. */
     private unaccountedMs = 0;
+    private slowAtMs = -Infinity;
     /** Size limit of the next piece. */
     limitBytes = paces.FIRST_PIECE_BYTES;
 
@@ -48,6 +53,9 @@
     /** Records that a piece took `tookMs` until `nowMs`; returns the cost to account for now, with that of earlier pieces. */
     record(nowMs: number, bytes: number, tookMs: number): number {
         this.limitBytes = paces.nextLimitBytes(this.limitBytes, bytes, tookMs);
+        if (tookMs > SLOW_MS) {
+            this.slowAtMs = nowMs;
+        }
         this.unaccountedMs += tookMs;
         if (this.unaccountedMs < MIN_COST_MS) {
             return 0;
@@ -58,6 +66,11 @@
         return costMs;
     }
 
+    /** Whether a piece has been slow of late. */
+    wasSlow(nowMs: number): boolean {
+        return nowMs - this.slowAtMs < SLOW_MEMORY_MS;
+    }
+
     /** The cost of about the last second. */
     recentMs(nowMs: number): number {
         return this.cost.at(nowMs);
--- a/src/connection/ReadTurns.ts
+++ b/src/connection/ReadTurns.ts
@@ -56,7 +56,7 @@
     readonly account: accounts.ReadAccount;
     bytes: number;
     readonly startedMs: number;
-    /** Processor time of the process at the start; undefined for a small read. */
+    /** Processor time of the process at the start; undefined if the peer's pieces haven't been slow of late. */
     readonly processorMs: number | undefined;
 }
 
@@ -142,7 +142,8 @@
         this.settle();
         const startedMs = this.clock.now();
         source.lastBegunMs = startedMs;
-        const processorMs = bytes > SMALL_READ_BYTES ? this.readProcessorMs() : undefined;
+        // Reading it costs more than most pieces do.
+        const processorMs = source.account.wasSlow(startedMs) ? this.readProcessorMs() : undefined;
         this.running = { account: source.account, bytes, startedMs, processorMs };
         if (bytes > SMALL_READ_BYTES) {
             this.queueSteps(1);
