A stream that is given up isn't read on while its last write leaves the process

Seen by callers: sound calls beside an instance that sends comments, each in a chunk of its own, at 17 streams a second. Cause: the connection to the instance was closed only after some turns of the event loop, in which its next bytes were parsed. Change: the answer is cancelled first; then the write is waited for. Measured: tests/EndlessEvents.test.ts as before (6 of 6).

--- a/src/request/routed/EventForward.ts
+++ b/src/request/routed/EventForward.ts
@@ -73,7 +73,7 @@
                 return "unread";
             }
             if (progress.isStuck) {
-                return this.giveUp("nothing-new");
+                return "nothing-new";
             }
             if (run.isLast) {
                 break;
@@ -83,9 +83,9 @@
             }
         }
         if (this.splitter.isTooLong) {
-            return this.giveUp("too-long");
+            return "too-long";
         }
-        return buffers.holdEvent(this.splitter.partialBytes) ? "forwarded" : this.giveUp("buffers-full");
+        return buffers.holdEvent(this.splitter.partialBytes) ? "forwarded" : "buffers-full";
     }
 
     /** Releases the incomplete event. */
@@ -93,10 +93,9 @@
         this.options.buffers.holdEvent(0);
     }
 
-    /** Waits until what was written has left the process, since the caller's answer may be aborted now. */
-    private async giveUp(outcome: ChunkOutcome): Promise<ChunkOutcome> {
+    /** Waits until what was written has left the process, before the caller's answer may be aborted. */
+    async flush(): Promise<void> {
         await this.options.slices.next();
-        return outcome;
     }
 
     /** Takes events up to one that isn't forwarded, or to the end of the slice. */
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -223,6 +223,7 @@
             }
             if (outcome !== "forwarded") {
                 answered.answer.cancel();
+                await events.flush();
                 this.options.turns.stuckCount += outcome === "nothing-new" ? 1 : 0;
                 return { kind: "broken", reason: outcome === "too-long" ? "broken" : outcome };
             }
