--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -5,6 +5,8 @@
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as shareReports from "../instances/ShareReport";
+import * as acceptedGauges from "../metrics/AcceptedPeers";
+import * as loopWatches from "../metrics/LoopWatch";
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as replications from "../peers/PublishedReplication";
@@ -28,12 +30,16 @@
     /** This entry's part of the calls on the store. */
     readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
+    readonly loop: loopWatches.LoopWatch;
+    /** The connections that other entries have opened. */
+    readonly acceptedPeers: acceptedGauges.AcceptedPeers;
     readonly counters: processCounters.ProcessCounters;
 }
 
 /** Adds the gauges to the metrics of the process. */
 export function registerGauges(routeMetrics: metrics.RouteMetrics, sources: GaugeSources): void {
-    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, counters } = sources;
+    const { view, replication, host, pool, crashes, fleet, retryBudgets, storePace, server, loop, counters } = sources;
+    const { acceptedPeers } = sources;
     const { buffers, connections } = server;
     const { streamTurns } = sources;
     const add = routeMetrics.addGauge.bind(routeMetrics);
@@ -90,6 +96,12 @@
         "Connections closed as too many",
         () => connections.closedForRoom,
     );
+    add("cumincrank_loop_delay_seconds", "Longest delay of the event loop", () => loop.takeDelaySeconds());
+    add("cumincrank_costliest_peer_share", "Share of the time for the costliest peer", () => loop.largestShare);
+    add("cumincrank_delayed_pieces", "Pieces of reads that waited for a later turn", () => loop.delayedPieces);
+    add("cumincrank_unread_bytes", "Bytes of reads that wait for a later turn", () => loop.heldBytes);
+    add("cumincrank_unread_closed", "Connections closed as too many bytes waited", () => loop.closedConnections);
+    acceptedGauges.addGauges(routeMetrics.registry, acceptedPeers);
     add("cumincrank_dropped_log_lines", "Log lines dropped", counters.droppedLogLines);
     add("cumincrank_failed_log_writes", "Writes of the log that failed", counters.failedLogWrites);
     add("cumincrank_machine_errors", "Errors of the operating system that nobody handled", counters.machineErrors);
