Copy the first chunk of a body unless it is most of what was read

What callers would see: many connections, each with a first byte of a body, keep 64 KB each, which no account counts. Cause: the first chunk was kept as it is, and with it the buffer of the whole read. Measured: two of four new cases of ByteCollector.test.ts failed before; all pass.

--- a/src/connection/ByteCollector.test.ts
+++ b/src/connection/ByteCollector.test.ts
@@ -48,6 +48,21 @@
         }
     });
 
+    // Guards against a byte that keeps the 64 KB with which it was read.
+    vitest.it.each([
+        { first: 1, readBytes: 65_536, isKept: false },
+        { first: 1_000, readBytes: 65_536, isKept: false },
+        { first: 800, readBytes: 1_200, isKept: true },
+        { first: 60_000, readBytes: 65_536, isKept: true },
+    ])("keep a first chunk of $first bytes of a read of $readBytes: $isKept", ({ first, readBytes, isKept }) => {
+        const read = Buffer.alloc(readBytes);
+        const collector = new byteCollectors.ByteCollector();
+        collector.add(read.subarray(0, first));
+        const content = collector.take();
+        vitest.expect(content.length).toBe(first);
+        vitest.expect(content.buffer === read.buffer).toBe(isKept);
+    });
+
     vitest.it.each([{ sizes: [1] }, { sizes: [16] }, { sizes: [4_096, 1] }])(
         "take no more of the heap than is stated, in chunks of $sizes bytes",
         ({ sizes }) => {
--- a/src/connection/ByteCollector.ts
+++ b/src/connection/ByteCollector.ts
@@ -34,7 +34,7 @@
     /** Adds a chunk, which must not be changed afterwards. */
     add(chunk: Buffer): void {
         // A single chunk is the usual content.
-        if (chunk.length >= LARGE_CHUNK_BYTES || this.collectedBytes === 0) {
+        if (chunk.length >= LARGE_CHUNK_BYTES || (this.collectedBytes === 0 && isMostOfItsBuffer(chunk))) {
             this.closeBlock();
             this.keep(chunk);
         }
@@ -89,3 +89,8 @@
         }
     }
 }
+
+/** Whether keeping a chunk keeps little else: it may be a small part of what was read at once. */
+function isMostOfItsBuffer(chunk: Buffer): boolean {
+    return chunk.buffer.byteLength <= 2 * chunk.length + LARGE_CHUNK_BYTES;
+}
