Give up an instance whose answers aren't answers in the protocol

What callers saw: an instance that sent malformed heads, informational heads, bodies that are mostly framing or bodies without end kept getting calls, each of which failed or cost a retry, and each of which cost this process more than a sound one.

Cause: such an answer counted like a failed call: four in a row pause an instance for 0.5 s, and each further one for up to 4 s. After each pause all calls went there until the first had failed, which takes long if its answer does. A body that is too large was even examined as a possible crash, though this process had cut it.

Change: `FaultPause` gives an instance up after three faulty answers without a sound one between, for 5 s; then one call tries it while others wait for its outcome, and each further pause is longer, up to 20 s. Calls that were sent before the pause don't prolong it. Meanwhile it gets calls only if its service has no other instance, and no retries. Failures (5xx), silence, resets, rejections and answers that are cut short don't count, so that slow, busy and restarting instances are treated as before; a sound answer ends the pause. Each faulty answer leaves the log line `faulty-answer` with its instance, and counts in `cumincrank_faulty_answers` by instance. Bodies of failed stage calls are read up to 64 KB.

--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -12,6 +12,7 @@
 import * as callCosts from "./CallCosts";
 import * as candidateLists from "./CandidateList";
 import * as coldRates from "./ColdRates";
+import * as faultyAnswers from "./FaultyAnswers";
 import * as choices from "./InstanceChoice";
 import * as instanceHold from "./InstanceHold";
 import * as instanceHolds from "./InstanceHolds";
@@ -88,12 +89,14 @@
     readonly holds: instanceHolds.InstanceHolds;
     readonly limits: instanceLimits.InstanceLimits;
     readonly proofs: instanceProofs.InstanceProofs;
+    readonly faults: faultyAnswers.FaultyAnswers;
 
     constructor(private readonly options: InstancePoolOptions) {
         this.fleet = options.fleet;
         this.cold = new coldRates.ColdRates({ ...options, trafficOf: instance => this.trafficOf(instance) });
         this.limits = new instanceLimits.InstanceLimits(options);
         this.proofs = new instanceProofs.InstanceProofs(options);
+        this.faults = new faultyAnswers.FaultyAnswers({ ...options, trafficOf: instance => this.trafficOf(instance) });
         this.holds = new instanceHolds.InstanceHolds({
             ...options,
             isInService: instance => this.isInService(instance) && !options.leaving.isLeaving(instance),
@@ -218,15 +221,20 @@
 
     /**
      * Instances of a service, and of a software version if one is given, that are in service, not leaving, don't hold off
-     * and are neither paused after failures nor doubtful. If there is none, those that aren't paused are used, and if
-     * there is none of these either, all of them; a hold is never overridden.
+     * and are neither paused after failures nor doubtful. If there is none, those that aren't paused are used; if there is
+     * none of these either, those that aren't given up for faulty answers; and at last all of them. A hold is never
+     * overridden.
      */
     usableInstances(service: string, softwareVersion?: string): views.KnownInstance[] {
         const allowed = this.instancesInService(service, softwareVersion)
             .filter(other => !this.options.leaving.isLeaving(other) && this.holds.remainingMs(other) === 0);
         const unpausedInstances = allowed.filter(instance => !this.trafficOf(instance).isPaused);
         const trustedInstances = unpausedInstances.filter(instance => !this.proofs.isDoubtful(instance));
-        return [trustedInstances, unpausedInstances].find(instances => instances.length > 0) ?? allowed;
+        if (unpausedInstances.length > 0) {
+            return trustedInstances.length > 0 ? trustedInstances : unpausedInstances;
+        }
+        const keptInstances = allowed.filter(instance => !this.trafficOf(instance).isGivenUp);
+        return keptInstances.length > 0 ? keptInstances : allowed;
     }
 
     /** Chooses an instance without counting the call yet; undefined when none can accept it now. */
@@ -291,7 +299,7 @@
 
     private findEligible(requirements: CallRequirements): views.KnownInstance[] {
         const canAccept = (instance: views.KnownInstance): boolean =>
-            !this.wasTried(instance, requirements) && this.mayCall(instance);
+            this.isAllowedRetry(instance, requirements) && this.mayCall(instance);
         const { service, softwareVersion } = requirements;
         const eligible = this.usableInstances(service, softwareVersion).filter(canAccept);
         if (eligible.length > 0 || requirements.promptTokens > 0) {
@@ -301,9 +309,10 @@
             .filter(instance => this.options.leaving.isLastResort(instance) && canAccept(instance));
     }
 
-    private wasTried(instance: views.KnownInstance, requirements: CallRequirements): boolean {
-        const { triedIncarnations } = requirements;
-        return triedIncarnations.size > 0 && triedIncarnations.has(routing.incarnationKey(instance));
+    /** Whether a call that has been sent to these incarnations before may go to an instance; true if it hasn't been sent. */
+    private isAllowedRetry(instance: views.KnownInstance, { triedIncarnations }: CallRequirements): boolean {
+        return triedIncarnations.size === 0
+            || (!triedIncarnations.has(routing.incarnationKey(instance)) && !this.trafficOf(instance).isGivenUp);
     }
 
     private handleViewChange(): void {
--- a/src/process/instances/InstanceTraffic.ts
+++ b/src/process/instances/InstanceTraffic.ts
@@ -6,6 +6,7 @@
 import * as arrivalWindows from "./ArrivalWindow";
 import * as cachedParts from "./CachedParts";
 import * as callCosts from "./CallCosts";
+import * as faultPauses from "./FaultPause";
 import * as holds from "./InstanceHold";
 import * as instanceSpeeds from "./InstanceSpeed";
 import * as limitedRates from "./LimitedRate";
@@ -57,6 +58,7 @@
     private unreachableAtMs = -Infinity;
     private meanCallMs: number | undefined;
     private meanUpdatedMs = -Infinity;
+    readonly faultPause = new faultPauses.FaultPause();
     private readonly cachedParts = new cachedParts.CachedParts();
     readonly speed: instanceSpeeds.InstanceSpeed;
 
@@ -71,7 +73,12 @@
 
     /** Whether the instance is paused after failures: it gets calls only if all others are paused too. */
     get isPaused(): boolean {
-        return this.clock.now() < this.pausedUntilMs;
+        return this.clock.now() < this.pausedUntilMs || this.isGivenUp;
+    }
+
+    /** Whether its answers were faulty, so that it gets calls only if there is no other instance, and no retries. */
+    get isGivenUp(): boolean {
+        return this.faultPause.isActive(this.clock.now());
     }
 
     /** When a connection to it was last refused or lost; the instance may have restarted since then. */
@@ -118,6 +125,7 @@
         this.waitingTokens += missingTokens;
         this.arrivals.add(this.clock.now());
         this.rate.add(this.clock.now());
+        this.faultPause.recordSend(this.clock.now());
         this.cachedParts.add(parts);
         const startedAtMs = this.clock.now();
         const countedCall = this.hold.startCall();
@@ -174,6 +182,7 @@
         if (outcome === "ok") {
             this.failureShare *= 1 - NEWEST_CALL_WEIGHT;
             this.pausesSinceSuccess = 0;
+            this.faultPause.recordSuccess();
             return;
         }
         this.failureShare += (1 - this.failureShare) * NEWEST_CALL_WEIGHT;
--- a/src/process/metrics/Gauge.ts
+++ b/src/process/metrics/Gauge.ts
@@ -14,3 +14,22 @@
         },
     });
 }
+
+/** Adds counts to the registry, each with its label; `readCounts` is called at each scrape. */
+export function addCounts(
+    registry: prom.Registry,
+    name: string,
+    help: string,
+    label: string,
+    readCounts: () => ReadonlyMap<string, number>,
+): void {
+    new prom.Gauge({
+        name,
+        help,
+        labelNames: [label],
+        registers: [registry],
+        collect() {
+            readCounts().forEach((count, value) => this.set({ [label]: value }, count));
+        },
+    });
+}
--- a/src/process/metrics/RouteMetrics.ts
+++ b/src/process/metrics/RouteMetrics.ts
@@ -45,6 +45,11 @@
         return this.routes.has(route) ? route : OTHER_ROUTES;
     }
 
+    /** Adds counts by a label, read at each scrape. */
+    addCounts(name: string, help: string, label: string, read: () => ReadonlyMap<string, number>): void {
+        gauges.addCounts(this.registry, name, help, label, read);
+    }
+
     /** Adds a gauge whose value is read at each scrape. */
     addGauge(name: string, help: string, read: () => number): void {
         gauges.addGauge(this.registry, name, help, read);
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -19,7 +19,10 @@
     readonly view: Pick<views.PublishedView, "position" | "unreadableRecords">;
     readonly replication: Pick<replications.PublishedReplication, "reader" | "exchange">;
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
-    readonly pool: Pick<pools.InstancePool, "leavingIds" | "holds" | "limits" | "proofs" | "shares" | "statedCount">;
+    readonly pool: Pick<
+        pools.InstancePool,
+        "leavingIds" | "holds" | "limits" | "proofs" | "faults" | "shares" | "statedCount"
+    >;
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left" | "capacity">;
@@ -42,6 +45,12 @@
     add("cumincrank_peer_updates", "Updates taken from other entries", () => replication.exchange.appliedUpdates);
     add("cumincrank_leaving_instances", "Leaving instances", () => pool.leavingIds.length);
     add("cumincrank_doubtful_instances", "Doubtful instances", () => pool.proofs.doubtfulCount);
+    routeMetrics.addCounts(
+        "cumincrank_faulty_answers",
+        "Answers that weren't answers in the protocol, by instance",
+        "instance",
+        () => pool.faults.counts,
+    );
     add("cumincrank_held_instances", "Instances that hold off", () => pool.holds.heldCount);
     add("cumincrank_instance_holds", "Rejections that asked for a hold", () => pool.holds.count);
     add("cumincrank_limited_instances", "Instances that name a limit", () => pool.limits.count);
--- a/src/process/stages/StageCalls.ts
+++ b/src/process/stages/StageCalls.ts
@@ -6,6 +6,7 @@
 import * as logs from "../../common/Log";
 import * as routing from "../../common/Routing";
 import * as routingPorts from "../../common/RoutingPorts";
+import * as answerLimits from "../../connection/AnswerLimits";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as pools from "../instances/InstancePool";
@@ -18,6 +19,8 @@
 /** Time limit for the headers of a call's answer. */
 const ANSWER_TIMEOUT_MS = 10_000;
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+/** The same of an answer that holds no results. */
+const MAX_FAILURE_BYTES = 64 * 1024;
 
 /** What the calls need from their process. */
 export interface StageCallsOptions {
@@ -59,7 +62,12 @@
             answerTimeoutMs: ANSWER_TIMEOUT_MS,
             isHeld: () => holds.remainingMs(published) > 0,
         });
+        const recordFault = (fault: answerLimits.AnswerFault): void =>
+            this.options.pool.faults.record(published, fault, attemptsOf(pieces));
         if (response.kind === "failed") {
+            if (response.fault !== undefined) {
+                recordFault(response.fault);
+            }
             const isHeld = response.reason === "held";
             ticket.end(response.isStaleConnection || isHeld ? "cancelled" : "unreachable");
             if (!isHeld && !response.isStaleConnection) {
@@ -73,7 +81,7 @@
             holds.start(address, published, holdMs, "stage-call");
         }
         this.options.onAnswer(published, response, batch.startedMs);
-        const pieceResults = await this.readOutcomes(response, pieces);
+        const pieceResults = await this.readOutcomes(response, pieces, recordFault);
         const failedOutcome = holdMs === undefined ? "failed" : traffic.rejectionOutcome(holdMs);
         ticket.end(pieceResults === undefined ? failedOutcome : "ok");
         this.logCall(batch, pieceResults === undefined ? `status ${response.status}` : describeResults(pieceResults));
@@ -84,10 +92,16 @@
     private async readOutcomes(
         response: exchanges.OpenAnswer,
         pieces: readonly routingPorts.StagePiece[],
+        recordFault: (fault: answerLimits.AnswerFault) => void,
     ): Promise<readonly routingPorts.StagePieceOutcome[] | undefined> {
         const { clock, log, wire } = this.options;
         const { connection, status } = response;
-        const content = (await exchanges.readShortBody(response, MAX_RESPONSE_BYTES, clock)).unwrapOr(undefined);
+        const maxBytes = status === 200 ? MAX_RESPONSE_BYTES : MAX_FAILURE_BYTES;
+        const body = await exchanges.readShortBody(response, maxBytes, clock);
+        if (body.isErr && body.error !== "incomplete") {
+            recordFault(body.error);
+        }
+        const content = body.unwrapOr(undefined);
         const outcomes = status === 200 && content !== undefined && jsonSizes.isParsable(content)
             ? wire.readRunAnswer(content.toString("utf8"), pieces).unwrapOr(undefined)
             : undefined;
@@ -96,9 +110,8 @@
             connection.destroy();
         }
         if (outcomes !== undefined && !isAccepted) {
-            const attempts = [...new Set(pieces.map(piece => piece.attempt))];
             log.warn(
-                { decision: "repeated-answer", attempts },
+                { decision: "repeated-answer", attempts: attemptsOf(pieces) },
                 "an earlier answer came again; its connection is closed",
             );
         }
@@ -126,7 +139,7 @@
             pieces: batch.pieces.length,
             ready: batch.readyCount,
             roomKb: Math.round(batch.freeBytes / 1_000),
-            attempts: [...new Set(batch.pieces.map(piece => piece.job.order.attempt))],
+            attempts: attemptsOf(batch.pieces.map(piece => piece.job.order)),
             elapsedMs: Math.round(this.options.clock.now() - batch.startedMs),
             expectedMs: Math.round(batch.expectedMs),
             end,
@@ -134,6 +147,11 @@
     }
 }
 
+/** The attempts that pieces belong to, each once. */
+function attemptsOf(pieces: readonly { readonly attempt: string }[]): string[] {
+    return [...new Set(pieces.map(({ attempt }) => attempt))];
+}
+
 function describeResults(results: readonly routingPorts.StagePieceOutcome[]): string {
     const failures = results.flatMap(result => "failure" in result ? [result.failure] : []);
     return failures.length === 0 ? "made" : `${results.length - failures.length} made, ${failures.join(" ")}`;
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -128,7 +128,8 @@
 ): Promise<RunOutcome> {
     const deadlineTimer = context.clock.schedule(call.hardDeadlineAtMs - context.clock.now(), answered.answer.cancel);
     const gate: exchanges.ReadGate = (bytes, resume) => call.buffers.addAnswer(bytes, resume);
-    const body = await exchanges.readBody(answered.answer, MAX_ANSWER_BYTES, gate);
+    const read = await exchanges.readWholeBody(answered.answer, MAX_ANSWER_BYTES, gate);
+    const body = read.unwrapOr(undefined);
     deadlineTimer.dispose();
     call.buffers.endRead();
     if (call.signal.aborted) {
@@ -137,8 +138,13 @@
     }
     const { status, rawHeaders } = answered.answer;
     answered.sent.ticket.end(body !== undefined && status < 500 ? "ok" : "failed");
+    const fault = read.isErr && read.error !== "incomplete" ? read.error : undefined;
     const isLate = context.clock.now() >= call.hardDeadlineAtMs;
-    observeEnd(context, call, answered.sent, body !== undefined, isLate);
+    observeEnd(context, call, answered.sent, body !== undefined, isLate || fault !== undefined);
+    if (fault !== undefined) {
+        context.pool.faults.record(answered.sent.instance, fault, [call.metadata.attempt]);
+        return { kind: "local-failure", failure: codes.failure(codes.codes.malformedAnswer, fault) };
+    }
     if (body === undefined) {
         const code = isLate ? codes.codes.upstreamTimeout : codes.codes.upstreamReset;
         return { kind: "local-failure", failure: codes.failure(code, "answer cut short") };
@@ -159,13 +165,13 @@
     call: calls.RoutedCall,
     { instance, sentAtMs }: senders.SentCall,
     isComplete: boolean,
-    isLate: boolean,
+    isCut: boolean,
 ): void {
     const observed = requestDigests.observedCall(call);
     if (isComplete) {
         context.crashes.observeAnswer(observed);
     }
-    else if (!isLate) {
+    else if (!isCut) {
         context.crashes.observeInterruption(instance, observed, sentAtMs);
     }
 }
--- a/src/request/routed/SenderFixture.ts
+++ b/src/request/routed/SenderFixture.ts
@@ -66,7 +66,11 @@
         clock: clocks.systemClock,
         log: logs.silentLog,
         onAnswer: () => undefined,
-        crashes: { findHeld: () => undefined, observeInterruption: () => undefined },
+        crashes: {
+            findHeld: () => undefined,
+            observeAnswer: () => undefined,
+            observeInterruption: () => undefined,
+        },
         budgetOf: () => budget,
         position: () => POSITION,
     } as unknown as senders.SenderContext;
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -186,6 +186,9 @@
     if (isEvidenceOfFailure(exchange, outcome)) {
         context.pool.proofs.recordFailure(instance);
     }
+    if (exchange.kind === "failed" && exchange.fault !== undefined) {
+        context.pool.faults.record(instance, exchange.fault, [call.metadata.attempt]);
+    }
     sendLogs.logUnlessSuccessful(context, call, chosen, exchange, outcome);
     return outcome;
 }
