--- a/src/connection/FrameCodec.ts
+++ b/src/connection/FrameCodec.ts
@@ -26,8 +26,13 @@
     private readonly pending = new byteCollectors.ByteCollector();
     /** Bytes of the first pending frame, its prefix included; the prefix alone until it has arrived. */
     private neededBytes = PREFIX_BYTES;
+    private hasFrame = false;
 
-    constructor(private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES) {}
+    /** Longer frames are malformed; the first one may have a limit of its own. */
+    constructor(
+        private readonly maxFrameBytes: number = messages.MAX_FRAME_BYTES,
+        private readonly maxFirstFrameBytes: number = maxFrameBytes,
+    ) {}
 
     /** Number of bytes received of frames that aren't complete. */
     get bufferedBytes(): number {
@@ -46,7 +51,7 @@
         this.neededBytes = PREFIX_BYTES;
         while (rest.length >= PREFIX_BYTES) {
             const length = rest.readUInt32BE(0);
-            if (length > this.maxFrameBytes) {
+            if (length > (this.hasFrame ? this.maxFrameBytes : this.maxFirstFrameBytes)) {
                 return result.err(codes.failure(codes.codes.frameTooLarge, `${length} bytes`));
             }
             this.neededBytes = PREFIX_BYTES + length;
@@ -57,6 +62,7 @@
             if (decoded.isErr) {
                 return result.err(decoded.error);
             }
+            this.hasFrame = true;
             envelopes.push(decoded.value);
             rest = rest.subarray(this.neededBytes);
             this.neededBytes = PREFIX_BYTES;
@@ -64,6 +70,11 @@
         this.pending.add(rest);
         return result.ok(envelopes);
     }
+
+    /** Forgets what has been received. */
+    clear(): void {
+        this.pending.take();
+    }
 }
 
 function decodeContent(content: Buffer): result.Result<messages.Envelope, codes.Failure> {
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -12,6 +12,7 @@
 import * as answerLimits from "./AnswerLimits";
 import * as bodyTimeouts from "./BodyTimeout";
 import * as byteCollectors from "./ByteCollector";
+import * as pacedSockets from "./PacedSocket";
 import * as upstreamConnections from "./UpstreamConnections";
 
 /** Time limit for establishing a new connection. */
@@ -159,6 +160,7 @@
 
     private watchConnect(socket: net.Socket): void {
         socket.setNoDelay(true);
+        pacedSockets.paceOpened(socket, { kind: "instance", address: this.request.address });
         if (!socket.connecting) {
             this.dispatch();
             return;
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -6,11 +6,13 @@
 import * as logs from "../../common/Log";
 import * as routingPorts from "../../common/RoutingPorts";
 import * as settingsShapes from "../../common/Settings";
+import * as readTurns from "../../connection/ReadTurns";
 import * as upstreamConnections from "../../connection/UpstreamConnections";
 import * as guards from "../crashes/CrashGuard";
 import * as pools from "../instances/InstancePool";
 import * as budgets from "../instances/RetryBudgets";
 import * as pauseMonitors from "../membership/PauseMonitor";
+import * as loopWatches from "../metrics/LoopWatch";
 import * as processCounters from "../metrics/ProcessCounters";
 import * as metrics from "../metrics/RouteMetrics";
 import * as entryPeers from "../peers/EntryPeers";
@@ -18,17 +20,19 @@
 import * as pacedStores from "../published/PacedStore";
 import * as views from "../published/PublishedView";
 import * as adminServers from "../serving/AdminServer";
+import * as descriptorLimits from "../serving/DescriptorLimit";
 import * as fleetSizes from "../shares/FleetSize";
 import * as hostRoles from "../stages/HostRoles";
-import * as releasers from "../stages/ResultReleaser";
 import * as stageClients from "../stages/StageClient";
 import * as stageHosts from "../stages/StageHost";
 import * as streamExchanges from "../streams/StreamOriginExchange";
+import * as turns from "../streams/StreamTurns";
 import * as entryFleets from "./EntryFleet";
 import * as entryStatuses from "./EntryStatus";
 import * as instanceParts from "./InstanceParts";
 import * as gauges from "./RouteGauges";
 import * as servers from "./RouteServer";
+import * as stageParts from "./StageParts";
 
 const MS_PER_SECOND = 1_000;
 /** A turn of the event loop that was late by more than this may have left requests and messages unread for as long. */
@@ -52,6 +56,8 @@
     readonly callWire: routingPorts.RoutedCallWire;
     readonly stageWire: routingPorts.StageWire;
     readonly counters: processCounters.ProcessCounters;
+    /** Whether there are seeds that aren't known, so that other entries may exist. */
+    readonly lacksSeeds: () => boolean;
 }
 
 /** One running entry process. */
@@ -79,6 +85,9 @@
         const { clock, log, random, store } = options;
         const shared = { clock, log, random, failureDomain: settings.failureDomain };
         const pauses = this.disposables.add(new pauseMonitors.PauseMonitor({ clock, thresholdMs: PAUSE_THRESHOLD_MS }));
+        const loop = this.disposables.add(
+            new loopWatches.LoopWatch({ clock, log, onPause: pauses.onPause, turns: readTurns.processTurns }),
+        );
         const connections = new upstreamConnections.UpstreamConnections();
         this.disposables.add({ dispose: () => connections.destroy() });
         this.view = this.disposables.add(new views.PublishedView({ clock, log, decode: item => store.decode(item) }));
@@ -88,6 +97,7 @@
                 pauses,
                 instance: settings.instance,
                 listen: settings.peerListen,
+                maxConnections: descriptorLimits.readMaxPeerConnections(settings.maxDescriptors),
                 address: settings.peerAddress ?? settings.peerListen,
                 seeds: () => this.settings.seeds,
                 incarnation: clock.wall(),
@@ -99,7 +109,7 @@
                 knowsAll: () => this.fleet.settledAtMs !== undefined,
             }),
         );
-        this.fleet = entryFleets.createFleet({ clock, settings: () => this.settings, peers: this.peers });
+        this.fleet = entryFleets.createFleet({ ...options, settings: () => this.settings, peers: this.peers });
         const { fleet } = this;
         const storePace = pacedStores.createPace(clock, fleet, () => this.settings.storeReadsPerSecond);
         const { leaving, pool, signs } = this.disposables.add(
@@ -114,45 +124,23 @@
             }),
         );
         this.pool = pool;
-        const releaser = this.disposables.add(
-            new releasers.ResultReleaser({
-                ...shared,
-                wire: options.stageWire,
-                connections,
-                holds: this.pool.holds,
-                limits: this.pool.limits,
-                findInstance: address => this.view.findByAddress(address),
-                onAnswer: (instance, head, atMs) => signs.observeHead(instance, head, "release", atMs),
-            }),
-        );
-        this.host = this.disposables.add(
-            new stageHosts.StageHost({
+        const parts = this.disposables.add(
+            new stageParts.StageParts({
                 ...shared,
+                instance: settings.instance,
                 wire: options.stageWire,
                 connections,
-                pool: this.pool,
+                pool,
                 view: this.view,
+                peers: this.peers,
                 leaving,
-                releaser,
-                onAnswer: (instance, head, atMs) => signs.observeHead(instance, head, "stage-call", atMs),
-                ownInstances: (service, usable) => this.roles.ownInstances(service, usable),
-            }),
-        );
-        this.roles = this.disposables.add(
-            new hostRoles.HostRoles({
-                ...shared,
-                instance: settings.instance,
+                signs,
                 isDraining: () => !this.isServing,
-                peers: this.peers,
-                view: this.view,
-                openOrders: () => this.host.size,
-                backlogMs: () => this.host.backlogMs,
-                handOver: () => this.host.handOver(),
             }),
         );
-        this.stages = this.disposables.add(
-            new stageClients.StageClient({ ...shared, peers: this.peers, roles: this.roles, host: this.host }),
-        );
+        this.host = parts.host;
+        this.roles = parts.roles;
+        this.stages = parts.stages;
         this.replication = this.disposables.add(
             new replications.PublishedReplication({
                 ...shared,
@@ -173,6 +161,7 @@
             }),
         );
         const { monitor: crashes } = this.disposables.add(new guards.CrashGuard({ ...shared, peers: this.peers }));
+        const streamTurns = this.disposables.add(new turns.StreamTurns(clock));
         const retryBudgets = new budgets.RetryBudgets(clock, () => this.settings.repeats, fleet);
         this.server = this.disposables.add(
             new servers.RouteServer({
@@ -190,6 +179,7 @@
                     connections,
                     pool: this.pool,
                     streamOrigins,
+                    streamTurns,
                     crashes,
                     onAnswer: (instance, answer, atMs) => signs.observe(instance, answer, "call", atMs),
                     budgetOf: service => retryBudgets.obtain(service),
@@ -209,8 +199,11 @@
             crashes,
             fleet,
             retryBudgets,
+            streamTurns,
             storePace,
             server: this.server,
+            loop,
+            acceptedPeers: this.peers.accepted,
             counters: options.counters,
         });
     }
--- a/src/request/routed/SilenceWait.test.ts
+++ b/src/request/routed/SilenceWait.test.ts
@@ -19,13 +19,16 @@
         elsewhereMs: () => 100,
     } as unknown as senders.SentCall;
     const silence = new silenceWaits.SilenceWait(clock, call, () => true);
-    silence.recordBytes(1, true);
+    silence.recordEvents();
     while (clock.now() < DURATION_MS) {
         clock.advance(STEP_MS);
         if (silence.nextBytesWaitMs(sent) === 0) {
             return true;
         }
-        silence.recordBytes(bytesPerStep, hasEvents);
+        silence.recordBytes(bytesPerStep);
+        if (hasEvents) {
+            silence.recordEvents();
+        }
     }
     return false;
 }
@@ -39,3 +42,22 @@
         vitest.expect(isMoved(bytes, hasEvents)).toBe(moved);
     });
 });
+
+vitest.describe("a stream that always has bytes ready", () => {
+    // Guards against streams that never end, since nobody waits for their next bytes when the deadline passes.
+    vitest.it.each([
+        { name: "before the deadline", checksMs: [DEADLINE_MS - 1], isEnded: false },
+        { name: "as soon as the deadline has passed", checksMs: [DEADLINE_MS + 49], isEnded: false },
+        { name: "read late by this process", checksMs: [DEADLINE_MS + 5_000, DEADLINE_MS + 5_050], isEnded: false },
+        { name: "for a while after it", checksMs: [DEADLINE_MS + 60, DEADLINE_MS + 160], isEnded: true },
+    ])("$name: ended $isEnded", ({ checksMs, isEnded }) => {
+        const clock = new clocks.ManualClock(0);
+        const call = { hardDeadlineAtMs: DEADLINE_MS } as unknown as calls.RoutedCall;
+        const silence = new silenceWaits.SilenceWait(clock, call, () => true);
+        const checks = checksMs.map(atMs => {
+            clock.skip(atMs - clock.now());
+            return silence.checkOverrun();
+        });
+        vitest.expect(checks.at(-1)).toBe(isEnded);
+    });
+});
