--- a/src/request/routed/SendArrivals.test.ts
+++ b/src/request/routed/SendArrivals.test.ts
@@ -101,6 +101,8 @@
     /** What happens as soon as the send has begun. */
     readonly meanwhile?: (scenario: Scenario) => void;
     readonly softwareVersion?: string;
+    /** The event after which a stream goes on that was moved from another instance. */
+    readonly lastEventId?: number;
     readonly arrivals: number;
 }
 
@@ -111,6 +113,7 @@
     readonly address: string;
 }
 
+const STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 const refuse = respond("503 Service Unavailable\r\nX-Not-Run: 1");
 
 const endCases: readonly EndCase[] = [
@@ -151,6 +154,18 @@
         prepare: ({ standIn }) => standIn.startedMs++,
         arrivals: 0,
     },
+    {
+        name: "a stream that is moved away while the instance sends it",
+        react: socket => void socket.write(`${STREAM_HEAD}1c\r\nid: 1\ndata: first part\n\n\r\n`),
+        arrivals: 1,
+    },
+    {
+        name: "the rest of a stream that was moved from another instance",
+        react: socket => void socket.write(`${STREAM_HEAD}0\r\n\r\n`),
+        lastEventId: 3,
+        arrivals: 1,
+    },
+    { name: "the rejection of such a rest", react: refuse, lastEventId: 3, arrivals: 1 },
     { name: "an answer after a start check", react: respond("200 OK", "done"), softwareVersion: "v1", arrivals: 1 },
 ];
 
@@ -180,7 +195,7 @@
     testCase.prepare?.(scenario);
     const history = { ...histories.createHistory(), sends: earlierSends, softwareVersion: testCase.softwareVersion };
     const pending = senders.sendCall(context, call, history, {
-        lastEventId: undefined,
+        lastEventId: testCase.lastEventId,
         inputs: [],
         answerWaitMs: () => Infinity,
         signal: caller.signal,
