A stream that is given up counts as a faulty answer of its instance

Seen by callers: calls go on to an instance whose streams bring nothing new, or never end their first event, and are made again elsewhere after it each time. Cause: such a stream ended as broken off, like that of an instance that restarts; only the pauses after failures acted. StreamOptions has a file of its own. Measured: tests/EndlessEvents.test.ts "nothing new is counted as faulty answers of that instance" failed without the record (no such count in /metrics), passes with it.

--- a/src/connection/AnswerLimits.ts
+++ b/src/connection/AnswerLimits.ts
@@ -11,9 +11,10 @@
 
 /**
  * Why an answer isn't one in the protocol, whatever its sender's load or state: `malformed`: its head can't be parsed;
- * `informational`: too many heads with a 1xx status; `framing`: chunks that carry next to nothing; `too-large`.
+ * `informational`: too many heads with a 1xx status; `framing`: chunks that carry next to nothing; `too-large`;
+ * `nothing-new`: a stream of which too many events in a row bring nothing.
  */
-export type AnswerFault = "malformed" | "informational" | "framing" | "too-large";
+export type AnswerFault = "malformed" | "informational" | "framing" | "too-large" | "nothing-new";
 
 /** Counts the heads with a 1xx status before one answer: no time limit acts while they are being parsed. */
 export class InformationalCount {
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -29,7 +29,7 @@
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
     readonly retryBudgets: Pick<budgets.RetryBudgets, "retries" | "left" | "capacity">;
-    readonly streamTurns: Pick<turns.StreamTurns, "waitingCount" | "stuckCount">;
+    readonly streamTurns: Pick<turns.StreamTurns, "waitingCount">;
     /** This entry's part of the calls on the store. */
     readonly storePace: paces.FleetPace;
     readonly server: Pick<servers.RouteServer, "active" | "buffers" | "connections">;
@@ -93,7 +93,6 @@
     add("cumincrank_retries_left", "Retries that may be sent now, of all services", () => retryBudgets.left);
     add("cumincrank_active_calls", "Routed calls under way", () => server.active);
     add("cumincrank_waiting_streams", "Streams that wait for their turn", () => streamTurns.waitingCount);
-    add("cumincrank_stuck_streams", "Streams given up as nothing new came", () => streamTurns.stuckCount);
     add("cumincrank_buffered_bytes", "Bytes of bodies and answers held", () => buffers.heldBytes);
     add("cumincrank_buffer_limit_bytes", "Bytes of bodies and answers that may be held", () => buffers.limitBytes);
     add("cumincrank_buffer_rejections", "Bodies for which there was no room", () => buffers.rejections);
--- a/src/process/streams/StreamTurns.ts
+++ b/src/process/streams/StreamTurns.ts
@@ -15,8 +15,6 @@
 export class StreamTurns implements clocks.Disposable {
     private readonly waiting = new Set<() => void>();
     private turn: clocks.Disposable | undefined;
-    /** Number of streams given up since the start, as their instances sent nothing new. */
-    stuckCount = 0;
 
     constructor(private readonly clock: clocks.Clock) {}
 
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -4,36 +4,18 @@
  */
 import * as codes from "../../common/Codes";
 import * as chunks from "../../connection/ChunkReader";
-import * as streamTurns from "../../process/streams/StreamTurns";
 import * as answerStarts from "./AnswerStart";
 import * as answerWaits from "./AnswerWait";
 import * as histories from "./CallHistory";
 import * as forwards from "./EventForward";
 import * as progresses from "./EventProgress";
-import * as sinks from "./EventSink";
 import * as plainRuns from "./PlainRun";
 import * as calls from "./RoutedCall";
 import * as silenceWaits from "./SilenceWait";
 import * as moves from "./StreamMove";
+import * as streamOptions from "./StreamOptions";
 import * as senders from "./UpstreamSender";
 
-/** What a stream needs in addition to the sender's context. */
-export interface StreamOptions {
-    /** The inputs that are held; undefined if they have to be computed before the next send. */
-    readonly inputs: () => readonly senders.CallInput[] | undefined;
-    /** Computes the inputs again; resolves to false on failure. */
-    readonly computeInputs: (signal: AbortSignal) => Promise<boolean>;
-    /** Releases the inputs: one of them is lost, or the instance has read them. */
-    readonly releaseInputs: () => void;
-    /** The version of the software that began the stream in an earlier attempt; undefined if any will do. */
-    readonly softwareVersion: string | undefined;
-    /** Called before the first event of this answer is forwarded, with the version of the instance that sent it. */
-    readonly onFirstEvent: (softwareVersion: string) => void;
-    readonly sink: sinks.EventSink;
-    /** Shares the event loop with other streams. */
-    readonly turns: streamTurns.StreamTurns;
-}
-
 /** How the forwarding of one answer ended. `moved`: the call was sent to another instance, with the outcome `next`. */
 type ForwardOutcome =
     | { readonly kind: "complete" | "disconnected" | "deadline" }
@@ -65,7 +47,7 @@
     constructor(
         private readonly context: senders.SenderContext,
         private readonly call: calls.RoutedCall,
-        private readonly options: StreamOptions,
+        private readonly options: streamOptions.StreamOptions,
     ) {
         this.progress = new progresses.EventProgress(context.clock, call.metadata.lastEventId);
         this.silence = new silenceWaits.SilenceWait(context.clock, call, () => options.sink.hasBegun);
@@ -222,10 +204,7 @@
                 return this.endAtDeadline(answered, "unread");
             }
             if (outcome !== "forwarded") {
-                answered.answer.cancel();
-                await events.flush();
-                this.options.turns.stuckCount += outcome === "nothing-new" ? 1 : 0;
-                return { kind: "broken", reason: outcome === "too-long" ? "broken" : outcome };
+                return this.giveUp(answered, events, outcome);
             }
             if (this.silence.checkOverrun()) {
                 return this.endAtDeadline(answered, "deadline");
@@ -233,6 +212,21 @@
         }
     }
 
+    /** Gives up an answer that doesn't go on as a stream of events, or for which there is no room. */
+    private async giveUp(
+        { answer, sent }: AnsweredSend,
+        events: forwards.EventForward,
+        outcome: "nothing-new" | "too-long" | "buffers-full",
+    ): Promise<ForwardOutcome> {
+        answer.cancel();
+        await events.flush();
+        if (outcome !== "buffers-full") {
+            const fault = outcome === "too-long" ? "too-large" : outcome;
+            this.context.pool.faults.record(sent.instance, fault, [this.call.metadata.attempt]);
+        }
+        return { kind: "broken", reason: outcome === "too-long" ? "broken" : outcome };
+    }
+
     private createForward(answered: AnsweredSend, start: answerStarts.AnswerStart): forwards.EventForward {
         const { sink, turns } = this.options;
         const { clock } = this.context;
--- a/tests/EndlessEvents.test.ts
+++ b/tests/EndlessEvents.test.ts
@@ -81,14 +81,14 @@
     await fleet.waitUntil(async () => (await fleet.readyStatus()) === 200);
 }
 
-/** Calls until a call has reached the faulty engine, and returns the answer to that call. */
-async function callFaulty(path: string): Promise<fleets.Answer> {
+/** Calls until so many calls have reached the faulty engine, and returns the answer to the last one. */
+async function callFaulty(path: string, arrivals = 1): Promise<fleets.Answer> {
     for (let call = 0; call < MAX_CALLS; call++) {
         const answer = await fleet.call(path, {
-            headers: { ...PROMPT, "Prefix-Hash": `${call}:1460`, "Deadline-Ms": String(DEADLINE_MS) },
+            headers: { ...PROMPT, "Prefix-Hash": `${arrivals}${call}:1460`, "Deadline-Ms": String(DEADLINE_MS) },
             signal: AbortSignal.timeout(CALLER_WAIT_MS),
         });
-        if (endless.arrivals > 0) {
+        if (endless.arrivals >= arrivals) {
             return answer;
         }
     }
@@ -123,6 +123,16 @@
         await fleet.waitUntil(() => endless.openConnections === 0);
     });
 
+    vitest.it("nothing new is counted as faulty answers of that instance", async () => {
+        await startFleet(": alive\n\n");
+        for (let faults = 1; faults <= 3; faults++) {
+            await callFaulty("/notes/1", faults);
+        }
+        const { adminAddress } = fleet.entries[0]!;
+        const { body } = await fleets.sendRequest(adminAddress, "GET", "/metrics", {}, undefined);
+        vitest.expect(body).toContain("cumincrank_faulty_answers{instance=\"bad\"} 3");
+    });
+
     vitest.it.each([
         { name: "nothing new", unit: ": alive\n\n" },
         { name: "events without ids, until the deadline", unit: "data: x\n\n" },
