Tests of peers that repeat a unit without an end, which fail on this code

Real processes of the shipped program, with the options of the deploy file and held to half a core, beside peers in processes of their own that write without pauses: instances, stage workers, the store, callers, other entries, and clients of the admin and ready addresses; in pairs, and during a reload, a start and a planned stop. Sound calls to another service, 17 a second, must all be served within 1 s.

The fuzz has a kind of inputs of its own for it, repetition, which draws the peer, the unit, the size of a write and the number of connections.

--- a/fuzz/Batches.ts
+++ b/fuzz/Batches.ts
@@ -10,6 +10,7 @@
 import * as mutations from "./Mutation";
 import * as oddConnections from "./OddConnection";
 import * as peerInputs from "./PeerInputs";
+import * as repetitions from "./Repetitions";
 import * as storeInputs from "./StoreInputs";
 
 /** Sends one batch; resolves to the number of inputs. */
@@ -24,6 +25,7 @@
 const SETTINGS_ROUNDS = 15;
 const SIGNALS = 40;
 const OUTPUT_CALLS = 40;
+const REPETITION_ROUNDS = 3;
 /** Share of the rounds with a configuration of this many wrong routes. */
 const LARGE_SHARE = 0.1;
 const LARGE_ROUTES = 2_000_000;
@@ -44,6 +46,7 @@
     signals: sendSignals,
     connections: openManyConnections,
     output: holdOutput,
+    repetition: sendRepetitions,
 } satisfies Record<string, Batch>;
 
 /** The kind of a batch. */
@@ -171,6 +174,14 @@
     return OUTPUT_CALLS;
 }
 
+/** Has peers send units without an end while sound calls are made. */
+async function sendRepetitions(fleet: fuzzFleets.FuzzFleet, random: randoms.Random): Promise<number> {
+    for (let round = 0; round < REPETITION_ROUNDS; round++) {
+        await repetitions.sendRepetition(fleet, random);
+    }
+    return REPETITION_ROUNDS;
+}
+
 /** Sends a call; resolves to its status, to 0 without an answer, and to `hung` if it doesn't end. */
 export async function call(address: string, path: string, headers: Record<string, string>): Promise<number | "hung"> {
     const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
--- a/fuzz/Fuzz.ts
+++ b/fuzz/Fuzz.ts
@@ -21,7 +21,8 @@
 const IDLE_PERIODS = 30;
 /** Distance between the seeds of the batches of consecutive runs. */
 const SEED_STEP = 10_000;
-const KINDS = Object.keys(batches.BATCHES) as batches.BatchKind[];
+/** All kinds of batches. */
+export const KINDS = Object.keys(batches.BATCHES) as batches.BatchKind[];
 
 /** What a run is made of. */
 export interface FuzzOptions {
@@ -30,6 +31,8 @@
     readonly program: string;
     /** Whether another batch follows; there is one of each kind at least. */
     readonly isOver: (batchCount: number) => boolean;
+    /** The kinds of batches; all by default. */
+    readonly kinds?: readonly batches.BatchKind[];
 }
 
 /** A check that failed after a batch. */
@@ -73,12 +76,12 @@
     constructor(private readonly fleet: fuzzFleets.FuzzFleet, private readonly options: FuzzOptions) {}
 
     async run(): Promise<FuzzReport> {
-        const { seed, isOver } = this.options;
+        const { seed, isOver, kinds = KINDS } = this.options;
         let batch = 0;
         await this.check(batch, "start");
-        while (this.violations.length === 0 && (batch < KINDS.length || !isOver(batch))) {
+        while (this.violations.length === 0 && (batch < kinds.length || !isOver(batch))) {
             const random = randoms.createRandom(seed * SEED_STEP + batch);
-            const kind = batch < KINDS.length ? KINDS[batch]! : mutations.pick(random, KINDS);
+            const kind = batch < kinds.length ? kinds[batch]! : mutations.pick(random, kinds);
             this.inputs += await batches.BATCHES[kind](this.fleet, random);
             await this.check(batch, kind);
             batch++;
@@ -98,6 +101,15 @@
     }
 
     private async check(batch: number, kind: Violation["kind"]): Promise<void> {
+        this.violations.push(
+            ...this.fleet.unserved.splice(0).map(detail => ({
+                batch,
+                kind,
+                entry: "entry-1",
+                check: "calls beside endless input are served",
+                detail,
+            })),
+        );
         await Promise.all(this.fleet.entries.map(async (entry, index) => {
             const failure = await this.findFailure(entry);
             this.maxResidentBytes = Math.max(this.maxResidentBytes, entry.residentBytes);
--- a/fuzz/FuzzFleet.ts
+++ b/fuzz/FuzzFleet.ts
@@ -6,6 +6,7 @@
 import * as path from "node:path";
 import * as clocks from "../src/common/Clock";
 import * as randoms from "../src/common/Random";
+import * as endlessPeers from "../standins/EndlessPeerProcess";
 import * as engines from "../standins/platform/PlatformEngineStandIn";
 import * as stores from "../standins/platform/PlatformStoreStandIn";
 import * as routedFleets from "../standins/platform/RoutedFleet";
@@ -45,6 +46,9 @@
     private readonly soundEngines: engines.PlatformEngineStandIn[] = [];
     private oddEngines: oddEngines.OddEngine[] = [];
     private oddStore: oddStores.OddStore | undefined;
+    private storeRelay: endlessPeers.EndlessPeerProcess | undefined;
+    /** What was wrong with calls that were made during a batch. */
+    readonly unserved: string[] = [];
     private version = FIRST_VERSION;
     private nextNumber = 1;
 
@@ -54,13 +58,21 @@
         await fleet.store.listen();
         fleet.oddStore = new oddStores.OddStore(fleet.store.address);
         await fleet.oddStore.listen();
+        const relay = fleet.oddStore.address;
+        fleet.storeRelay = await endlessPeers.EndlessPeerProcess.start({
+            kind: "server",
+            relay,
+            start: "",
+            unit: "",
+            writeBytes: 0,
+        });
         for (const options of SOUND_ENGINES) {
             const engine = new engines.PlatformEngineStandIn(options);
             await engine.listen();
             fleet.soundEngines.push(engine);
         }
         fleet.publishSound();
-        for (const store of [fleet.oddStore.address, fleet.store.address]) {
+        for (const store of [fleet.storeRelay.address, fleet.store.address]) {
             const { directory, entries } = fleet;
             const seeds = entries.map(entry => entry.peerAddress);
             const name = `entry-${entries.length + 1}`;
@@ -139,6 +151,11 @@
         this.oddStore!.random = random;
     }
 
+    /** The relay between the target and the store. */
+    get relay(): endlessPeers.EndlessPeerProcess {
+        return this.storeRelay!;
+    }
+
     /** Starts a new era of the store, in which nothing odd is known. */
     restoreStore(): void {
         this.store.restore(this.store.backUp());
@@ -149,6 +166,7 @@
         this.entries.forEach(entry => entry.dispose());
         this.soundEngines.forEach(engine => engine.dispose());
         this.oddEngines.forEach(engine => engine.dispose());
+        this.storeRelay?.dispose();
         this.oddStore?.dispose();
         this.store.dispose();
         fs.rmSync(this.directory, { recursive: true, force: true });
--- a/fuzz/PeerInputs.ts
+++ b/fuzz/PeerInputs.ts
@@ -25,23 +25,28 @@
 const load = { limit: 1, active: 0, queued: 0, cold: false, draining: false, expectedMs: 1, models: ["m"] };
 const stage = { service: "archive", after: [], pieces: 1, resultBytes: 1_000 };
 
+/** A valid message that says that an entry is there. */
+export const PRESENCE = {
+    kind: "presence",
+    isDraining: false,
+    uptimeMs: 5,
+    cores: 1,
+    hostingMs: 9,
+    hostingGroup: 0,
+    backlogMs: 1,
+    intervalMs: 300,
+};
+/** A valid message that asks for all that is known of the store. */
+export const CONTENT_REQUEST = { kind: "published-fetch", era: 0, revision: 0, acceptsParts: true };
+
 /** A valid message of each kind, and of the same kind with other contents. */
 const MESSAGES: readonly Record<string, unknown>[] = [
     {
         kind: "entries",
         entries: [{ instance: "fuzz-9", address: "127.0.0.1:9", failureDomain: "zone-a", silentMs: 0 }],
     },
-    {
-        kind: "presence",
-        isDraining: false,
-        uptimeMs: 5,
-        cores: 1,
-        hostingMs: 9,
-        hostingGroup: 0,
-        backlogMs: 1,
-        intervalMs: 300,
-    },
-    { kind: "published-fetch", era: 0, revision: 0, acceptsParts: true },
+    PRESENCE,
+    CONTENT_REQUEST,
     {
         kind: "published-update",
         era: 0,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -37,6 +37,8 @@
     { entryPoints: ["fuzz/Main.ts"], outfile: "dist/fuzz.mjs", format: "esm", banner: { js: requireBanner } },
     { entryPoints: ["standins/Main.ts"], outfile: "dist/standins.cjs", format: "cjs" },
     { entryPoints: ["standins/Bare.ts"], outfile: "dist/bare.cjs", format: "cjs" },
+    { entryPoints: ["standins/EndlessPeer.ts"], outfile: "dist/endless-peer.cjs", format: "cjs" },
+    { entryPoints: ["standins/ProcessorQuota.ts"], outfile: "dist/processor-quota.cjs", format: "cjs" },
 ];
 
 /** Bundles the main program into two files in a folder. */
