--- a/src/commands/StartSettings.ts
+++ b/src/commands/StartSettings.ts
@@ -10,21 +10,34 @@
 import * as settingsFiles from "./SettingsFile";
 import * as settingsWaits from "./SettingsWait";
 
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 /** Name in the log of a process that hasn't read its name yet. */
 const UNNAMED_INSTANCE = "unnamed";
 
 /** The commands that run a process with settings. */
 export type ServingCommand = "entry" | "agent";
 
-type Read = () => result.Result<settingsFiles.StartSettings, readonly checks.Problem[]>;
-type End = settingsWaits.SettingsWaitEnd<settingsFiles.StartSettings>;
+type Checked = result.Result<settingsFiles.UsableSettings, readonly checks.Problem[]>;
+type Read = () => settingsWaits.SettingsAttempt<settingsFiles.UsableSettings>;
+type End = settingsWaits.SettingsWaitEnd<settingsFiles.UsableSettings>;
 
-/** Waits until the file holds settings to start with for the command; SIGTERM and SIGINT end the wait. */
-export async function waitForFile(command: ServingCommand, path: string): Promise<End> {
-    const read: Read = () => settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start));
-    const first = read();
-    return first.isOk ? { kind: "valid", settings: first.value } : waitAndLog(read, path);
+/** Waits until the file holds settings to start with for the command; a signal to stop ends the wait. */
+export async function waitForFile(command: ServingCommand, path: string, stop: AbortSignal): Promise<End> {
+    const read: Read = () =>
+        toAttempt(settingsFiles.readStartSettings(path).andThen(start => checkRole(command, start)));
+    const { settings, problems } = read();
+    return settings !== undefined && problems.length === 0
+        ? { kind: "valid", settings }
+        : waitAndLog(read, path, stop);
+}
+
+/**
+ * Seeds that aren't known are waited for like a required setting, since an entry without any takes itself for the only
+ * one. At the time limit it starts all the same: it serves, and the others may connect to it.
+ */
+function toAttempt(checked: Checked): ReturnType<Read> {
+    return checked.isErr
+        ? { settings: undefined, problems: checked.error }
+        : { settings: checked.value, problems: checked.value.lacksSeeds ? checked.value.problems : [] };
 }
 
 /** Logs what is wrong with optional settings, in place of which the process uses defaults. */
@@ -35,19 +48,20 @@
     }
 }
 
-function checkRole(command: ServingCommand, start: settingsFiles.StartSettings): ReturnType<Read> {
+function checkRole(command: ServingCommand, start: settingsFiles.UsableSettings): Checked {
     const { role } = start.settings;
     const isExpected = role === command || (role === "route-entry" && command === "entry");
     return isExpected ? result.ok(start) : result.err([{ path: "role", value: role, expected: command }]);
 }
 
-async function waitAndLog(read: Read, file: string): Promise<End> {
+async function waitAndLog(read: Read, file: string, stop: AbortSignal): Promise<End> {
     const { code } = codes.codes.settingsInvalid;
     const { log, output } = logs.createProcessLog(UNNAMED_INSTANCE, "info", clocks.systemClock);
     const end = await waitUnlessStopped({
         clock: clocks.systemClock,
         read,
         report: (problems, waitedMs) => log.warn({ code, file, problems, waitedMs }, "waiting for valid settings"),
+        stop,
     });
     if (end.kind === "stopped") {
         log.info("stopped before the settings were valid");
@@ -66,14 +80,10 @@
 }
 
 async function waitUnlessStopped(
-    options: Omit<settingsWaits.SettingsWaitOptions<settingsFiles.StartSettings>, "stop">,
+    options: settingsWaits.SettingsWaitOptions<settingsFiles.UsableSettings>,
 ): Promise<End> {
-    const stop = new AbortController();
-    const onSignal = (): void => stop.abort();
-    STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
-    const end = await settingsWaits.waitForSettings({ ...options, stop: stop.signal });
+    const end = await settingsWaits.waitForSettings(options);
     // A signal that arrived while the file was read hasn't reached its handler yet.
     await new Promise<void>(resolve => options.clock.afterReads(resolve));
-    STOP_SIGNALS.forEach(signal => process.off(signal, onSignal));
-    return stop.signal.aborted ? { kind: "stopped" } : end;
+    return options.stop.aborted ? { kind: "stopped" } : end;
 }
