--- a/standins/platform/EndlessTrial.ts
+++ b/standins/platform/EndlessTrial.ts
@@ -3,6 +3,7 @@
  */
 import * as childProcess from "node:child_process";
 import * as path from "node:path";
+import * as exits from "../../src/commands/Exits";
 import * as clocks from "../../src/common/Clock";
 import * as endlessPeers from "../EndlessPeerProcess";
 import * as endlessPlans from "../EndlessPlan";
@@ -30,6 +31,8 @@
 const STOP_CALLS_MS = 1_000;
 /** Time from the last of them to the stop, so that it has arrived. */
 const STOP_DELAY_MS = 100;
+const STOP_LIMIT_SECONDS = 4;
+const MS_PER_SECOND = 1_000;
 const SOUND_PATH = "/fine/1";
 
 /** A service whose only instance is faulty, and what is called to reach it. */
@@ -72,6 +75,7 @@
     readonly isAlive: boolean;
     /** Largest resident memory; 0 if the process has ended. */
     readonly peakMegabytes: number;
+    readonly coresUsed: number;
     readonly sound: soundCalls.SoundReport;
     readonly ready: soundCalls.SoundReport;
     readonly exceptions: number;
@@ -82,7 +86,9 @@
 /** What became of a planned stop. */
 export interface StopReport {
     readonly failures: soundCalls.SoundReport["failures"];
+    /** Undefined if the process was ended by a signal. */
     readonly exitCode: number | undefined;
+    readonly stopMs: number;
 }
 
 /** One process and its peers. */
@@ -108,11 +114,15 @@
 
     /** Makes sound calls and asks for readiness beside the peers; resolves when all calls have ended. */
     async run(): Promise<TrialReport> {
+        const startedMs = clocks.systemClock.now();
+        const usedMs = this.program.processorMs;
         const [sound, ready] = await Promise.all([this.callSound(), this.pollReadiness()]);
+        const elapsedMs = clocks.systemClock.now() - startedMs;
         const peakMegabytes = this.readPeakMegabytes();
         return {
             isAlive: this.program.process.isRunning && peakMegabytes > 0,
             peakMegabytes,
+            coresUsed: (this.program.processorMs - usedMs) / elapsedMs,
             sound,
             ready,
             exceptions: this.program.readLog().filter(({ decision }) => decision === "exception").length,
@@ -136,8 +146,12 @@
     async stop(): Promise<StopReport> {
         const calls = this.callSound(STOP_CALLS_MS);
         await clocks.sleep(clocks.systemClock, STOP_CALLS_MS + STOP_DELAY_MS);
-        const [{ failures }, exitCode] = await Promise.all([calls, this.program.process.terminate()]);
-        return { failures, exitCode };
+        const startedMs = clocks.systemClock.now();
+        const stopped = this.program.process.terminate().then(exitCode => ({
+            exitCode,
+            stopMs: Math.round(clocks.systemClock.now() - startedMs),
+        }));
+        return { failures: (await calls).failures, ...await stopped };
     }
 
     async dispose(): Promise<void> {
@@ -160,6 +174,7 @@
             ports: this.ports,
             nodeOptions: NODE_OPTIONS,
             settings: { instance: "limited", memoryMegabytes: MEMORY_MEGABYTES },
+            stopLimitSeconds: STOP_LIMIT_SECONDS,
         });
         if (options.beginsEarly === true) {
             begin();
@@ -319,6 +334,19 @@
     return `POST ${target} HTTP/1.1\r\n${lines.join("")}\r\n`;
 }
 
+/**
+ * What is wrong with a planned stop; empty if the process ends in time, and serves what has begun. Calls that a faulty
+ * peer keeps from ending may be aborted.
+ */
+export function findStopViolations({ failures, exitCode, stopMs }: StopReport): string[] {
+    const checks: readonly (readonly [string, boolean])[] = [
+        [`exit code ${exitCode}`, exitCode === exits.EXIT_SUCCESS || exitCode === exits.EXIT_WORK_ABORTED],
+        [`${stopMs} ms for a stop`, stopMs <= STOP_LIMIT_SECONDS * MS_PER_SECOND],
+        [`calls in progress are served: ${JSON.stringify(failures)}`, Object.keys(failures).length === 0],
+    ];
+    return checks.filter(([, holds]) => !holds).map(([name]) => name);
+}
+
 /** What is wrong in a report; empty if the process lives, is ready, stays in its memory, and serves all in time. */
 export function findViolations({ isAlive, peakMegabytes, sound, ready, exceptions, peers }: TrialReport): string[] {
     const checks: readonly (readonly [string, boolean])[] = [
