--- a/standins/platform/SoundCalls.ts
+++ b/standins/platform/SoundCalls.ts
@@ -28,8 +28,8 @@
     readonly slowestMs: number;
 }
 
-/** The outcome of one call: the status of a complete answer, or what happened in its place. */
-type Outcome = number | "cut short" | "hung" | "no answer";
+/** The status of a complete answer; otherwise `hung`, `cut short`, or the error of the connection. */
+type Outcome = number | string;
 
 /** Makes calls for `durationMs`, every other one on a kept connection; resolves when all have ended. */
 export async function makeSoundCalls(options: SoundCallOptions): Promise<SoundReport> {
@@ -78,7 +78,10 @@
                 response.on("close", () => resolve(response.complete ? response.statusCode ?? 0 : "cut short"));
             },
         );
-        request.on("error", () => resolve(signal.aborted ? "hung" : "no answer"));
+        request.on(
+            "error",
+            (error: NodeJS.ErrnoException) => resolve(signal.aborted ? "hung" : error.code ?? "no answer"),
+        );
         request.end("body");
     });
 }
