--- a/standins/platform/EntryProgram.ts
+++ b/standins/platform/EntryProgram.ts
@@ -10,6 +10,11 @@
 /** Number of ports that an entry listens on. */
 export const PORT_COUNT = 4;
 const KILOBYTES_PER_MEGABYTE = 1_024;
+/** Clock ticks of /proc. */
+const TICK_MS = 10;
+/** Fields of /proc/PID/stat, counted from the one after the name. */
+const USER_TIME_FIELD = 11;
+const SYSTEM_TIME_FIELD = 12;
 /** Index of the port for peers among them. */
 export const PEER_PORT_INDEX = 2;
 
@@ -99,6 +104,13 @@
         return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)![1]) / KILOBYTES_PER_MEGABYTE;
     }
 
+    /** Processor time since its start; 0 once it has ended. */
+    get processorMs(): number {
+        const file = `/proc/${this.process.pid ?? 0}/stat`;
+        const fields = fs.existsSync(file) ? fs.readFileSync(file, "utf8").split(") ")[1]!.split(" ") : [];
+        return (Number(fields[USER_TIME_FIELD] ?? 0) + Number(fields[SYSTEM_TIME_FIELD] ?? 0)) * TICK_MS;
+    }
+
     /** Kills the process, and removes its files once it has ended. */
     async dispose(): Promise<void> {
         this.process.kill();
