Bound pipelined requests whatever ends their heads, four a connection

Callers saw: 150 connections with heads that end with CR LF LF kept sound calls waiting for over 5 s, since Node.js takes that for the end of a head and RequestLimit didn't: 630 requests of one connection were in progress in place of 8. A body in chunks that holds blank lines was cut at each of them: 4 MB took 4.0 s of processor time. Change: pieces end after both ends of a head; a body in chunks is read in pieces of at least 64 bytes, where no more than three heads can follow; 4 requests of a caller's connection are in progress.

--- a/src/connection/RequestLimit.test.ts
+++ b/src/connection/RequestLimit.test.ts
@@ -56,6 +56,11 @@
 
 const shapes = [
     { name: "without a body", create: (i: number) => `GET /${i} HTTP/1.1\r\nhost: test\r\n\r\n`, body: "" },
+    {
+        name: "that end with another blank line",
+        create: (i: number) => `GET /${i} HTTP/1.1\r\nhost: t\r\n\n`,
+        body: "",
+    },
     { name: "with one byte", create: (i: number) => createPost(i, "a"), body: "a" },
     { name: "with one chunk", create: (i: number) => inChunks(i, ["a"]), body: "a" },
     { name: "with blank lines", create: (i: number) => createPost(i, "\r\n\r\n\r\n\r\n"), body: "\r\n\r\n\r\n\r\n" },
@@ -106,6 +111,20 @@
     });
 });
 
+// Guards against a turn of the event loop for each blank line of a body.
+vitest.it("a body in chunks of blank lines is read in pieces of some size", async () => {
+    const holding = new HoldingServer();
+    const socket = await holding.connect();
+    let pieces = 0;
+    holding.server.on("request", (request: http.IncomingMessage) => request.on("data", () => pieces++));
+    const blankLines = "\r\n".repeat(25_000);
+    socket.write(inChunks(0, Array.from({ length: 8 }, () => blankLines)));
+    await vitest.vi.waitUntil(() => holding.bodies.length === 1, { timeout: 10_000 });
+    vitest.expect(holding.bodies[0]).toHaveLength(400_000);
+    vitest.expect(pieces).toBeLessThan(10_000);
+    holding.close();
+});
+
 vitest.it("the rest of a body is read while there are as many requests as allowed", async () => {
     const holding = new HoldingServer();
     const socket = await holding.connect();
--- a/src/connection/RequestLimit.ts
+++ b/src/connection/RequestLimit.ts
@@ -8,8 +8,14 @@
 import * as accounts from "./ReadAccount";
 import * as readTurns from "./ReadTurns";
 
-/** The end of a head, or of a body in chunks, with the end of the line before. */
-const BLANK_LINE = Buffer.from("\n\r\n");
+/** The ends of a head, or of a body in chunks, with the end of the line before; Node.js accepts both. */
+const BLANK_LINES = [Buffer.from("\n\r\n"), Buffer.from("\n\n")];
+/**
+ * Smallest piece of a body in chunks, which may hold any number of blank lines; so short that few heads can follow the
+ * body's end in it.
+ */
+const MIN_BODY_PIECE_BYTES = 64;
+const MAX_HEADS_IN_PIECE = 3;
 
 /** Paces the connections of `server`, each with at most `maxRequests` in progress before the next one is read. */
 export function limitRequests(
@@ -65,8 +71,8 @@
             return Math.min(bytes.length, maxBytes, this.bodyBytes);
         }
         const piece = bytes.subarray(0, maxBytes);
-        const index = piece.indexOf(BLANK_LINE);
-        return index < 0 ? piece.length : index + BLANK_LINE.length;
+        const isBody = this.last?.complete === false && this.openCount + MAX_HEADS_IN_PIECE <= this.maxRequests;
+        return findBlankLineEnd(piece, isBody ? MIN_BODY_PIECE_BYTES : 0);
     }
 
     private countPiece(bytes: number): void {
@@ -74,4 +80,14 @@
     }
 }
 
+/** The end of the first blank line that ends after `minBytes`, or of all bytes. */
+function findBlankLineEnd(bytes: Buffer, minBytes: number): number {
+    let end = bytes.length;
+    for (const blankLine of BLANK_LINES) {
+        const index = bytes.subarray(0, end).indexOf(blankLine, Math.max(0, minBytes - blankLine.length));
+        end = index < 0 ? end : index + blankLine.length;
+    }
+    return end;
+}
+
 function ignore(): void {}
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -30,7 +30,7 @@
 /** Added to the published idle time, so that the caller closes an idle connection first. */
 const KEEP_ALIVE_MARGIN_MS = 1_500;
 /** Requests in progress on a connection, beyond which its next one isn't read. */
-const MAX_PIPELINED_REQUESTS = 8;
+const MAX_PIPELINED_REQUESTS = 4;
 /** Time between two checks for connections whose headers time out. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Requests that are read within this time of a late turn may have arrived during it. */
--- a/src/process/serving/CallerServer.ts
+++ b/src/process/serving/CallerServer.ts
@@ -20,7 +20,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16_384;
 /** Requests in progress on a connection, beyond which its next one isn't read. */
-const MAX_PIPELINED_REQUESTS = 8;
+const MAX_PIPELINED_REQUESTS = 4;
 /** Time after which an answer is dropped if the caller reads no byte of it. */
 const UNREAD_ANSWER_TIMEOUT_MS = 30_000;
 const DEFAULT_OPERATION_DEADLINE_MS = 4_000;
