Let Node.js hold less of a body that isn't read

Callers saw: a faulty instance that goes on in chunks of one byte, while answers wait for room, ended the process (heap out of memory): Node.js holds up to 16 KB of a body that isn't read, as 16,800 buffers of some hundred bytes each. Change: connections to instances give their bodies a limit of 1 KB, beyond which what arrives stays unparsed. Measured: ProcessMemory.test.ts 'lives and serves while 200 of them go on in chunks of one byte': heap out of memory before; passes.

--- a/src/connection/UpstreamConnections.ts
+++ b/src/connection/UpstreamConnections.ts
@@ -17,6 +17,12 @@
 /** The time is shorter than the usual idle timeout of upstreams. */
 const INSTANCE_LIMITS: IdleLimits = { timeoutMs: 4_000, maxPerAddress: 16 };
 
+/**
+ * Options of each connection. Node.js gives a body the limit of its connection, and holds a body that isn't read as the
+ * chunks in which it came, each of which costs far more than its bytes.
+ */
+export const SOCKET_OPTIONS = { readableHighWaterMark: 1_024 };
+
 const idleDataListeners = new WeakMap<stream.Duplex, () => void>();
 
 /** The connection pool of one process. */
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -132,6 +132,7 @@
             setHost: false,
             agent: request.isNewConnection ? false : connections,
             maxHeaderSize: MAX_HEADER_BYTES,
+            ...upstreamConnections.SOCKET_OPTIONS,
         });
     }
 
--- a/tests/ProcessMemory.test.ts
+++ b/tests/ProcessMemory.test.ts
@@ -15,8 +15,15 @@
 /** It buffers only a part of these. */
 const HUGE_BYTES = 15_000_000;
 const HUGE_ANSWER = Buffer.alloc(HUGE_BYTES, "a");
+/** Eight parts of this size take the share of answers in the account of bytes. */
+const STALLED_BYTES = 6_000_000;
+/** Above the size from which an answer has to wait for room. */
+const PAUSED_BYTES = 20_000;
+const FRAGMENTS = "1\r\na\r\n".repeat(30_000);
 const ROUTES = 4_000;
 const DEADLINE_MS = 4_000;
+/** Of the route of calls below `/long/`. */
+const LONG_DEADLINE_MS = 20_000;
 
 /** An engine with large answers, which reads bodies and forgets them. */
 class LargeEngine implements clocks.Disposable {
@@ -35,13 +42,28 @@
         this.listener?.dispose();
     }
 
-    /** Paths that end in `silent` get no answer, those that end in a number an answer of so many bytes. */
+    /**
+     * Paths that end in `silent` get no answer, in `stalled` a part of a large one, in `fragmented` a body that goes on in
+     * chunks of one byte and doesn't end; those that end in a number an answer of so many bytes.
+     */
     private async answer(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         await new Promise(resolve => request.resume().once("end", resolve));
         if (request.url!.endsWith("silent")) {
             return;
         }
-        response.writeHead(200, { "Attempt-Id": request.headers["attempt-id"], "Route-Stamp": "stamp" });
+        const headers = { "Attempt-Id": request.headers["attempt-id"], "Route-Stamp": "stamp" };
+        if (request.url!.endsWith("stalled")) {
+            response.writeHead(200, { ...headers, "Content-Length": HUGE_BYTES });
+            response.write(HUGE_ANSWER.subarray(0, STALLED_BYTES));
+            return;
+        }
+        if (request.url!.endsWith("fragmented")) {
+            response.writeHead(200, headers);
+            response.write(HUGE_ANSWER.subarray(0, PAUSED_BYTES));
+            request.socket.write(FRAGMENTS);
+            return;
+        }
+        response.writeHead(200, headers);
         response.end(HUGE_ANSWER.subarray(0, Number(/\d+$/.exec(request.url!)?.[0] ?? 2)));
     }
 }
@@ -111,7 +133,7 @@
         `POST ${path} HTTP/1.1`,
         "Host: desk.example",
         `Attempt-Id: memory-${++attempts}`,
-        `Deadline-Ms: ${DEADLINE_MS}`,
+        `Deadline-Ms: ${path.startsWith("/long/") ? LONG_DEADLINE_MS : DEADLINE_MS}`,
         `Authorization: Token ${fleets.TEAM_KEY}`,
         `Content-Length: ${bodyBytes}`,
     ];
@@ -272,3 +294,28 @@
         await expectSound("descriptors");
     });
 });
+
+vitest.describe("a process whose answers have to wait for room", { timeout: 60_000 }, () => {
+    // Guards against chunks that Node.js holds for each body that isn't read, and that no account counts.
+    vitest.it("lives and serves while 200 of them go on in chunks of one byte", async () => {
+        await start();
+        publish(2, [{
+            Name: "long",
+            Host: "desk.example",
+            Prefix: "/long/",
+            Kind: "idempotent",
+            Service: "desk",
+            Public: true,
+            Priority: 1,
+            Attempts: 1,
+            GoalMs: 1_500,
+            TimeoutMs: LONG_DEADLINE_MS,
+        }]);
+        await fleet.waitUntil(async () => await callStatus("/long/1") === 200);
+        callUnread(8, "/long/stalled");
+        await clocks.sleep(clocks.systemClock, 700);
+        callUnread(200, "/long/fragmented");
+        await clocks.sleep(clocks.systemClock, 6_000);
+        await expectSound("paused answers");
+    });
+});
