Bound the entries that are known from lists alone, and don't tell others of them

Callers saw: one message of 10,000 made-up entries to the address for entries made sound calls hang (2 of 3 unanswered in 8 s), since each was tried, each try scanned all known ones, and none was forgotten while less than half were connected. Change: 1,000 entries that were never connected are known at most; they are forgotten after a minute whatever else is connected, and left out of the lists for others; entries are found by address.

--- a/src/process/peers/EntryPeers.ts
+++ b/src/process/peers/EntryPeers.ts
@@ -100,7 +100,7 @@
             ...options,
             connections: () => this.knownPeers.flatMap(peer => peer.connection ?? []),
             size: () => this.known.size + 1,
-            version: () => `${this.known.changes} ${options.knowsAll()}`,
+            version: () => `${this.known.listVersion} ${options.knowsAll()}`,
             send: connection => connection.send(this.known.buildList(options.knowsAll())),
         });
         this.accepted = new peerListeners.PeerListener({
@@ -247,16 +247,16 @@
     }
 
     private isWanted(address: string): boolean {
-        return this.options.seeds().includes(address) || this.knownPeers.some(peer => peer.address === address);
+        return this.options.seeds().includes(address) || this.known.at(address).length > 0;
     }
 
     private isConnected(address: string): boolean {
-        return this.knownPeers.some(peer => peer.address === address && peer.connection !== undefined);
+        return this.known.at(address).some(peer => peer.connection !== undefined);
     }
 
     /** Whether the entry at the address opens the connection: of two entries, the one with the lower name does so. */
     private isOpenedByPeer(address: string): boolean {
-        const peer = this.knownPeers.find(other => other.address === address);
+        const [peer] = this.known.at(address);
         return peer !== undefined && peer.instance < this.options.instance;
     }
 
--- a/src/process/peers/KnownEntries.ts
+++ b/src/process/peers/KnownEntries.ts
@@ -11,6 +11,8 @@
 const FORGET_AFTER_MS = 60_000;
 /** Nothing is forgotten while a smaller share of the known entries is connected. */
 const MIN_CONNECTED_SHARE = 0.5;
+/** Entries that are only listed, none of which was ever connected; further ones wait for a later list. */
+const MAX_UNMET_ENTRIES = 1_000;
 
 /** What the known entries need from their process. */
 export interface KnownEntriesOptions extends peerEntries.Identity {
@@ -21,9 +23,10 @@
 /** Keeps the other entries by name. */
 export class KnownEntries {
     private readonly byInstance = new Map<string, peerEntries.PeerEntry>();
+    private readonly byAddress = new Map<string, Set<peerEntries.PeerEntry>>();
     private isListComplete = false;
     /** Number of entries that were added or removed since the start. */
-    changes = 0;
+    private changes = 0;
 
     constructor(private readonly options: KnownEntriesOptions) {}
 
@@ -36,6 +39,16 @@
         return this.byInstance.size;
     }
 
+    /** Changes with the entries that are listed for others. */
+    get listVersion(): string {
+        return `${this.changes} ${this.met.length}`;
+    }
+
+    /** The entries at an address: several if one has taken the place of another. */
+    at(address: string): readonly peerEntries.PeerEntry[] {
+        return [...this.byAddress.get(address) ?? []];
+    }
+
     /** Names of all known entries, live or not, including this one. */
     get names(): string[] {
         return [this.options.instance, ...this.byInstance.keys()];
@@ -52,17 +65,22 @@
         if (found !== undefined && found.address === address) {
             return found;
         }
+        if (found !== undefined) {
+            this.remove(found);
+        }
         const peer = peerEntries.createPeerEntry(instance, address, failureDomain, this.options.clock.now());
         this.byInstance.set(instance, peer);
+        this.byAddress.set(address, new Set([...this.at(address), peer]));
         this.changes++;
         return peer;
     }
 
     /** Adds the entries that another one lists; returns whether any is new. */
     addListed({ entries, isComplete }: entryMessages.Entries): boolean {
+        const room = MAX_UNMET_ENTRIES - (this.size - this.met.length);
         const added = entries.filter(({ instance, silentMs }) =>
             silentMs <= FORGET_AFTER_MS && instance !== this.options.instance && !this.byInstance.has(instance)
-        );
+        ).slice(0, Math.max(0, room));
         for (const { instance, address, failureDomain, silentMs } of added) {
             this.obtain(instance, address, failureDomain).lastHeardMs -= silentMs;
         }
@@ -70,24 +88,43 @@
         return added.length > 0;
     }
 
-    /** The list for others; `isComplete` if this process knows all. */
+    /** The list for others, of those that were connected to this process; `isComplete` if it knows all. */
     buildList(isComplete: boolean): entryMessages.Entries {
-        return peerEntries.buildEntryList(this.options, this.all, this.options.clock.now(), isComplete);
+        return peerEntries.buildEntryList(this.options, this.met, this.options.clock.now(), isComplete);
     }
 
-    /** Removes entries that have been silent for long, unless this process is cut off: then they exist all the same. */
+    /**
+     * Removes entries that have been silent for long. Those that were connected before stay while this process is cut off:
+     * then they exist all the same.
+     */
     forgetSilent(): void {
         const { clock, log } = this.options;
-        const connected = this.all.filter(peer => peer.connection !== undefined);
-        if (connected.length < MIN_CONNECTED_SHARE * this.size) {
-            return;
-        }
-        for (const peer of this.byInstance.values()) {
-            if (peer.connection === undefined && clock.now() - peer.lastHeardMs > FORGET_AFTER_MS) {
-                this.byInstance.delete(peer.instance);
-                this.changes++;
+        const { met } = this;
+        const connected = met.filter(peer => peer.connection !== undefined);
+        const isCutOff = connected.length < MIN_CONNECTED_SHARE * met.length;
+        for (const peer of this.all) {
+            const isSilent = peer.connection === undefined && clock.now() - peer.lastHeardMs > FORGET_AFTER_MS;
+            if (isSilent && !(isCutOff && peerEntries.wasConnected(peer))) {
+                this.remove(peer);
                 log.info({ decision: "entry-forgotten", peer: peer.instance }, "unreachable entry removed");
             }
         }
     }
+
+    /** The entries that are or were connected to this process. */
+    private get met(): peerEntries.PeerEntry[] {
+        return this.all.filter(peer => peerEntries.wasConnected(peer));
+    }
+
+    private remove(peer: peerEntries.PeerEntry): void {
+        this.changes++;
+        this.byInstance.delete(peer.instance);
+        const others = this.at(peer.address).filter(other => other !== peer);
+        if (others.length === 0) {
+            this.byAddress.delete(peer.address);
+        }
+        else {
+            this.byAddress.set(peer.address, new Set(others));
+        }
+    }
 }
--- a/src/process/peers/PeerEntry.ts
+++ b/src/process/peers/PeerEntry.ts
@@ -154,6 +154,11 @@
     };
 }
 
+/** Whether an entry is or was connected to this process, so that it isn't known from lists alone. */
+export function wasConnected({ connection, lostAtMs }: PeerEntry): boolean {
+    return connection !== undefined || lostAtMs > -Infinity;
+}
+
 /** Builds the list of this entry and its peers, connected or not. */
 export function buildEntryList(
     self: Identity,
