--- a/tests/EndlessAnswers.test.ts
+++ b/tests/EndlessAnswers.test.ts
@@ -7,7 +7,7 @@
 
 const { PROMPT_HEADERS: PROMPT, STAGED_HEADERS: STAGED } = fleets;
 const CHUNK = "x".repeat(16 * 1024);
-const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nRoute-Stamp: stamp-bad\r\n";
+const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nRoute-Stamp: stamp-bad\r\n";
 /** Time after which a caller must have its answer: that of its request and a margin. */
 const CALLER_WAIT_MS = 5_000;
 const MAX_ELAPSED_MS = CALLER_WAIT_MS + 500;
@@ -44,9 +44,10 @@
         this.sockets.add(socket);
         socket.on("error", () => socket.destroy());
         socket.on("close", () => this.sockets.delete(socket));
-        socket.once("data", () => {
+        socket.once("data", (request: Buffer) => {
             this.arrivals++;
-            socket.write(this.start);
+            const [, attempt] = /^attempt-id: (\S+)/im.exec(request.toString("latin1")) ?? [];
+            socket.write(this.start.replace("{attempt}", attempt ?? ""));
             this.writeOn(socket);
         });
     }
