Lists of entries: read their version once a round, and keep the entries at an address in a list

Found on reading the change again. Each list sent in a round computed its version again, which counts all known entries; the entries at an address were kept in sets that were only ever copied.

--- a/src/connection/UpstreamConnections.ts
+++ b/src/connection/UpstreamConnections.ts
@@ -1,6 +1,6 @@
 /**
- * Keep-alive connections to upstream instances and other systems. An idle connection on which bytes arrive is closed: they belong to
- * no request, and the next request would read them as its answer.
+ * Keep-alive connections to upstream instances and other systems. An idle connection on which bytes arrive is closed:
+ * they belong to no request, and the next request would read them as its answer.
  */
 import * as http from "node:http";
 import * as stream from "node:stream";
--- a/src/process/peers/EntryLists.ts
+++ b/src/process/peers/EntryLists.ts
@@ -35,8 +35,7 @@
 
     /** Sends the list to one entry at once. */
     send(connection: Connection): void {
-        this.sentVersions.set(connection, this.options.version());
-        this.options.send(connection);
+        this.sendVersion(connection, this.options.version());
     }
 
     /** Sends the list to some of the entries that lack it, or repeats it to one; called in regular rounds. */
@@ -45,22 +44,27 @@
         const version = this.options.version();
         const lacking = connections.filter(connection => this.sentVersions.get(connection) !== version);
         for (let left = Math.ceil(connections.length * ROUND_SHARE); left > 0 && lacking.length > 0; left--) {
-            this.send(lacking.splice(this.pick(lacking.length), 1)[0]!);
+            this.sendVersion(lacking.splice(this.pick(lacking.length), 1)[0]!, version);
         }
         if (connections.length > 0 && lacking.length === 0) {
-            this.repeat(connections);
+            this.repeat(connections, version);
         }
     }
 
-    private repeat(connections: readonly Connection[]): void {
+    private repeat(connections: readonly Connection[], version: string): void {
         const nowMs = this.options.clock.now();
         if (nowMs >= this.repeatDueMs) {
             this.repeatDueMs = nowMs
                 + this.options.size() * ENTRY_BYTES / REPEATED_BYTES_PER_SECOND * MS_PER_SECOND;
-            this.send(connections[this.pick(connections.length)]!);
+            this.sendVersion(connections[this.pick(connections.length)]!, version);
         }
     }
 
+    private sendVersion(connection: Connection, version: string): void {
+        this.sentVersions.set(connection, version);
+        this.options.send(connection);
+    }
+
     private pick(count: number): number {
         return Math.floor(this.options.random() * count);
     }
--- a/src/process/peers/KnownEntries.ts
+++ b/src/process/peers/KnownEntries.ts
@@ -23,7 +23,7 @@
 /** Keeps the other entries by name. */
 export class KnownEntries {
     private readonly byInstance = new Map<string, peerEntries.PeerEntry>();
-    private readonly byAddress = new Map<string, Set<peerEntries.PeerEntry>>();
+    private readonly byAddress = new Map<string, readonly peerEntries.PeerEntry[]>();
     private isListComplete = false;
     /** Number of entries that were added or removed since the start. */
     private changes = 0;
@@ -46,7 +46,7 @@
 
     /** The entries at an address: several if one has taken the place of another. */
     at(address: string): readonly peerEntries.PeerEntry[] {
-        return [...this.byAddress.get(address) ?? []];
+        return this.byAddress.get(address) ?? [];
     }
 
     /** Names of all known entries, live or not, including this one. */
@@ -70,7 +70,7 @@
         }
         const peer = peerEntries.createPeerEntry(instance, address, failureDomain, this.options.clock.now());
         this.byInstance.set(instance, peer);
-        this.byAddress.set(address, new Set([...this.at(address), peer]));
+        this.byAddress.set(address, [...this.at(address), peer]);
         this.changes++;
         return peer;
     }
@@ -124,7 +124,7 @@
             this.byAddress.delete(peer.address);
         }
         else {
-            this.byAddress.set(peer.address, new Set(others));
+            this.byAddress.set(peer.address, others);
         }
     }
 }
--- a/src/process/routing/CallerBody.ts
+++ b/src/process/routing/CallerBody.ts
@@ -23,7 +23,8 @@
 
 /**
  * Reads a complete body, whose bytes `buffers` accounts for: those of a stated length before the first arrives, otherwise
- * those that are held. However a proper caller cuts its body, it is read as long as it flows. Failures: `body-too-large`, `request-timeout`, `buffers-full`, and `cancelled` if the caller disconnected.
+ * those that are held. However a proper caller cuts its body, it is read as long as it flows. Failures:
+ * `body-too-large`, `request-timeout`, `buffers-full`, and `cancelled` if the caller disconnected.
  */
 export function readCallerBody(
     message: http.IncomingMessage,
