One stand-in for engines whose answers don't end

EndlessEvents.test.ts and EndlessAnswers.test.ts each had a copy; they differ in the pause between writes, which is now passed in.

--- a/tests/EndlessAnswers.test.ts
+++ b/tests/EndlessAnswers.test.ts
@@ -1,7 +1,6 @@
-import * as net from "node:net";
 import * as vitest from "vitest";
 import * as clocks from "../src/common/Clock";
-import * as listeners from "../src/connection/Listener";
+import * as endlessEngines from "../standins/platform/EndlessEngine";
 import * as engines from "../standins/platform/PlatformEngineStandIn";
 import * as fleets from "../standins/platform/RoutedFleet";
 
@@ -14,58 +13,6 @@
 /** Bytes that a process may take of an answer that never ends. */
 const MAX_TAKEN_BYTES = 20 * 1024 * 1024;
 
-/** An engine that answers with bytes that never end, until its caller closes the connection. */
-class EndlessEngine implements clocks.Disposable {
-    private readonly sockets = new Set<net.Socket>();
-    private listener: listeners.Listener | undefined;
-    takenBytes = 0;
-    arrivals = 0;
-
-    constructor(private readonly start: string, private readonly filler: string) {}
-
-    get address(): string {
-        return this.listener!.address;
-    }
-
-    get openConnections(): number {
-        return this.sockets.size;
-    }
-
-    async listen(): Promise<void> {
-        this.listener = await listeners.listen(net.createServer(socket => this.accept(socket)), "127.0.0.1:0");
-    }
-
-    dispose(): void {
-        this.sockets.forEach(socket => socket.destroy());
-        this.listener?.dispose();
-    }
-
-    private accept(socket: net.Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => socket.destroy());
-        socket.on("close", () => this.sockets.delete(socket));
-        socket.once("data", (request: Buffer) => {
-            this.arrivals++;
-            const [, attempt] = /^attempt-id: (\S+)/im.exec(request.toString("latin1")) ?? [];
-            socket.write(this.start.replace("{attempt}", attempt ?? ""));
-            this.writeOn(socket);
-        });
-    }
-
-    private writeOn(socket: net.Socket): void {
-        if (socket.destroyed) {
-            return;
-        }
-        this.takenBytes += this.filler.length;
-        if (socket.write(this.filler)) {
-            setTimeout(() => this.writeOn(socket), 1);
-        }
-        else {
-            socket.once("drain", () => this.writeOn(socket));
-        }
-    }
-}
-
 const ENGINES: readonly engines.EngineOptions[] = [
     { id: "desk-1", service: "desk", failureDomain: "zone-a" },
     { id: "model-1", service: "model", failureDomain: "zone-a", events: 6 },
@@ -74,12 +21,12 @@
 ];
 
 let fleet: fleets.RoutedFleet;
-let endless: EndlessEngine;
+let endless: endlessEngines.EndlessEngine;
 
 async function startFleet(service: string, start: string, filler: string): Promise<void> {
     fleet = new fleets.RoutedFleet();
     await fleet.start(ENGINES.filter(options => options.service !== service));
-    endless = new EndlessEngine(start, filler);
+    endless = new endlessEngines.EndlessEngine(start, filler);
     await endless.listen();
     const engine = new engines.PlatformEngineStandIn({ id: "bad", service, failureDomain: "zone-a" });
     fleet.store.put("servers/bad", engine.createStoreRecord("ready", endless.address));
@@ -181,7 +128,7 @@
     // Such stage calls were never ended: their connections stayed open for as long as the engine did.
     vitest.it("is made again elsewhere in time, and ended", async () => {
         fleet = new fleets.RoutedFleet();
-        endless = new EndlessEngine("", "");
+        endless = new endlessEngines.EndlessEngine("", "");
         await endless.listen();
         await fleet.start([...ENGINES, { id: "archive-2", service: "archive", failureDomain: "zone-a" }]);
         await fleet.addEntry();
--- a/tests/EndlessEvents.test.ts
+++ b/tests/EndlessEvents.test.ts
@@ -1,71 +1,25 @@
-import * as net from "node:net";
 import * as vitest from "vitest";
-import * as clocks from "../src/common/Clock";
-import * as listeners from "../src/connection/Listener";
+import * as endlessEngines from "../standins/platform/EndlessEngine";
 import * as engines from "../standins/platform/PlatformEngineStandIn";
 import * as fleets from "../standins/platform/RoutedFleet";
 
 const { PROMPT_HEADERS: PROMPT } = fleets;
 const STREAM_BODY = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: part ${id}\n\n`).join("");
-const HEAD = "HTTP/1.1 200 OK\r\nRoute-Stamp: stamp-bad\r\nContent-Type: text/event-stream\r\n";
+const HEAD = [
+    "HTTP/1.1 200 OK",
+    "Route-Stamp: stamp-bad",
+    "Content-Type: text/event-stream",
+    "Attempt-Id: {attempt}",
+    "\r\n",
+].join("\r\n");
 const CHUNK_BYTES = 256 * 1024;
 const DEADLINE_MS = 1_500;
 /** Time after which a caller that has no end of its answer leaves. */
 const CALLER_WAIT_MS = 4_000;
 const MAX_CALLS = 50;
 
-/** An engine that sends the same text without end, as fast as its caller reads, but leaves the event loop to others. */
-class EndlessStream implements clocks.Disposable {
-    private readonly sockets = new Set<net.Socket>();
-    private listener: listeners.Listener | undefined;
-    arrivals = 0;
-
-    constructor(private readonly unit: string) {}
-
-    get address(): string {
-        return this.listener!.address;
-    }
-
-    get openConnections(): number {
-        return this.sockets.size;
-    }
-
-    async listen(): Promise<void> {
-        this.listener = await listeners.listen(net.createServer(socket => this.accept(socket)), "127.0.0.1:0");
-    }
-
-    dispose(): void {
-        this.sockets.forEach(socket => socket.destroy());
-        this.listener?.dispose();
-    }
-
-    private accept(socket: net.Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => socket.destroy());
-        socket.on("close", () => this.sockets.delete(socket));
-        socket.once("data", head => {
-            this.arrivals++;
-            const attempt = /^attempt-id: *(.*)\r\n/im.exec(head.toString())![1]!;
-            socket.write(`${HEAD}Attempt-Id: ${attempt}\r\n\r\n`);
-            this.writeOn(socket);
-        });
-    }
-
-    private writeOn(socket: net.Socket): void {
-        if (socket.destroyed) {
-            return;
-        }
-        if (socket.write(this.unit.repeat(CHUNK_BYTES / this.unit.length))) {
-            setImmediate(() => this.writeOn(socket));
-        }
-        else {
-            socket.once("drain", () => this.writeOn(socket));
-        }
-    }
-}
-
 let fleet: fleets.RoutedFleet;
-let endless: EndlessStream;
+let endless: endlessEngines.EndlessEngine;
 
 async function startFleet(unit: string): Promise<void> {
     fleet = new fleets.RoutedFleet();
@@ -73,7 +27,11 @@
         { id: "desk-1", service: "desk", failureDomain: "zone-a" },
         { id: "model-1", service: "model", failureDomain: "zone-a", events: 6 },
     ]);
-    endless = new EndlessStream(unit);
+    endless = new endlessEngines.EndlessEngine(
+        HEAD,
+        unit.repeat(CHUNK_BYTES / unit.length),
+        setImmediate,
+    );
     await endless.listen();
     const engine = new engines.PlatformEngineStandIn({ id: "bad", service: "model", failureDomain: "zone-a" });
     fleet.store.put("servers/bad", engine.createStoreRecord("ready", endless.address));
