Hold back the connection of an answer that has to wait, in place of pausing its body

Cause: a body is paused in the middle of a piece, and Node.js holds the chunks of its rest, each as a buffer of its own. Change: the socket passes on no further piece, while the body goes on, so that the rest of the piece is collected.

--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -58,6 +58,11 @@
     }
 }
 
+/** Holds back what arrives on a socket, from the next piece on, or passes it on again. */
+export function setHeld(socket: stream.Duplex, isHeld: boolean): void {
+    pacedSockets.get(socket)?.setHeld(isHeld);
+}
+
 /** The part of a socket's handle that tells whether the operating system still knows the other side. */
 interface Handle {
     readonly getpeername?: (out: object) => number;
@@ -88,6 +93,8 @@
     private isWanted = false;
     /** Whether reading from the socket has paused. */
     private hasPaused = false;
+    /** Whether what arrives is held back. */
+    private isHeld = false;
     lastBegunMs = -Infinity;
     /** Whether the connection is idle. */
     isIdle = false;
@@ -125,6 +132,18 @@
         }
     }
 
+    /** Holds back what arrives, or passes it on again. */
+    setHeld(isHeld: boolean): void {
+        const isReleased = this.isHeld && !isHeld;
+        this.isHeld = isHeld;
+        if (isReleased && this.hasUnread) {
+            this.resume();
+        }
+        else if (isReleased && this.isWanted) {
+            this.readSocket(0);
+        }
+    }
+
     /** Passes on what one turn allows. */
     readPiece(): void {
         const { unread } = this;
@@ -164,7 +183,8 @@
             this.keep(chunk);
         }
         this.resume();
-        return this.isWanted && !this.isPaused; // Reading goes on: the rest has mostly been passed on before the next read.
+        // Reading goes on: the rest has mostly been passed on before the next read.
+        return this.isWanted && !this.isPaused && !this.isHeld;
     }
 
     private receiveEnd(passEnd: () => boolean): boolean {
@@ -196,7 +216,7 @@
 
     /** Whether the reader can take a piece now. What a paused one got would be processed later, in no turn. */
     private get canPass(): boolean {
-        return this.isWanted && !this.isPaused && !this.limits.isBusy();
+        return this.isWanted && !this.isPaused && !this.isHeld && !this.limits.isBusy();
     }
 
     private get isPaused(): boolean {
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -267,7 +267,7 @@
     maxBytes: number,
     gate?: ReadGate,
 ): Promise<result.Result<Buffer, BodyFailure>> {
-    const { body } = answer;
+    const { body, connection } = answer;
     return new Promise(resolve => {
         const collector = new byteCollectors.ByteCollector(statedBytes(answer.headers));
         const chunkCount = new answerLimits.ChunkCount();
@@ -290,11 +290,16 @@
             const heldBytes = collector.heldBytes;
             collector.add(chunk);
             const addedBytes = collector.heldBytes - heldBytes;
-            if (addedBytes > 0 && gate?.(addedBytes, () => body.resume()) === false) {
-                body.pause();
+            if (addedBytes > 0 && gate !== undefined) {
+                // A paused body would hold the chunks that are being parsed, each as a buffer of its own.
+                const canRead = gate(addedBytes, () => pacedSockets.setHeld(connection, false));
+                pacedSockets.setHeld(connection, !canRead);
             }
         });
-        body.on("end", () => resolve(answer.isComplete() ? result.ok(collector.take()) : result.err("incomplete")));
+        body.on("end", () => {
+            pacedSockets.setHeld(connection, false); // It may be used again.
+            resolve(answer.isComplete() ? result.ok(collector.take()) : result.err("incomplete"));
+        });
         body.on("close", () => resolve(result.err("incomplete")));
     });
 }
