--- a/review/lib2/kit.mjs
+++ b/review/lib2/kit.mjs
@@ -68,6 +68,12 @@
     items = new Map();
     events = [];
     waiters = new Set();
+    /** Items on a page of a list. */
+    pageItems = 500;
+    /** Time that an answer takes. */
+    answerMs = 4;
+    /** Number of pages that were asked for. */
+    lists = 0;
 
     async start() {
         this.server = http.createServer((request, response) => void this.handle(request, response));
@@ -95,15 +101,19 @@
         [...this.waiters].forEach(wake => wake());
     }
 
+    /** Reads at once and answers after `answerMs`. */
     async handle(request, response) {
         const { pathname, searchParams } = new URL(request.url, "http://store");
         const prefix = searchParams.get("Prefix") ?? "";
         const after = searchParams.get("After") ?? "";
         if (pathname === "/kv-range") {
+            this.lists++;
             const found = [...this.items.values()].filter(item => item.Key.startsWith(prefix) && item.Key > after)
                 .sort((a, b) => a.Key < b.Key ? -1 : 1);
-            const Items = found.slice(0, 500);
-            sendJson(response, { Items, Truncated: found.length > Items.length, CurrentRev: this.revision });
+            const Items = found.slice(0, this.pageItems);
+            const body = { Items, Truncated: found.length > Items.length, CurrentRev: this.revision };
+            await sleep(this.answerMs);
+            sendJson(response, body);
             return;
         }
         if (pathname !== "/kv-watch") {
@@ -114,7 +124,9 @@
         if (find().length === 0) {
             await this.waitForChange(Math.min(30_000, Number(searchParams.get("WaitMs"))), response);
         }
-        sendJson(response, { events: find(), CurrentRev: this.revision });
+        const body = { events: find(), CurrentRev: this.revision };
+        await sleep(this.answerMs);
+        sendJson(response, body);
     }
 
     waitForChange(waitMs, response) {
@@ -137,6 +149,50 @@
     response.end(content);
 }
 
+/** A link to a server, as a proxy; it may lose a packet, which is sent again later. */
+export class Link {
+    constructor(target) {
+        this.target = target;
+    }
+
+    async start() {
+        const server = net.createServer(socket => this.connect(socket));
+        this.address = await listen(server);
+    }
+
+    /** Delays the answer to the request with this number among those for `path` from now on. */
+    loseAnswerTo(path, number, resendMs) {
+        this.loss = { start: `GET ${path}`, number, resendMs };
+    }
+
+    connect(near) {
+        const [host, port] = this.target.split(":");
+        const far = net.connect(Number(port), host);
+        let delayMs = 0;
+        near.on("data", bytes => {
+            if (
+                this.loss !== undefined && bytes.toString("latin1").startsWith(this.loss.start)
+                && --this.loss.number === 0
+            ) {
+                delayMs = this.loss.resendMs;
+                record(`a packet of an answer is lost, and sent again ${delayMs} ms later`);
+            }
+            far.write(bytes);
+        });
+        let sent = Promise.resolve();
+        far.on("data", bytes => {
+            const ms = delayMs;
+            delayMs = 0;
+            sent = sent.then(() => ms === 0 ? undefined : sleep(ms)).then(() => near.destroyed || near.write(bytes));
+        });
+        const end = () => {
+            near.destroy();
+            far.destroy();
+        };
+        [near, far].forEach(socket => socket.setNoDelay(true).on("error", end).on("close", end));
+    }
+}
+
 /** An engine of the platform; subclasses answer the requests. */
 export class Engine {
     /** What was run: attempt, times and how it ended. */
@@ -152,8 +208,7 @@
         this.server.keepAliveTimeout = 20_000;
         this.server.on("connection", socket => socket.setNoDelay(true));
         this.address = await listen(this.server);
-        this.publish();
-        this.beat = setInterval(() => this.publish(), 1_200);
+        this.publish(); // Its entry changes only when more than `Seq` does.
     }
 
     publish() {
@@ -429,6 +484,20 @@
         record(`${this.name} starts again`);
     }
 
+    /** Lets the process run for one part in `factor` of the time only, as on a machine that has turned slow. */
+    async slowDown(factor, forMs, periodMs = 40) {
+        const { child } = this;
+        record(`${this.name} runs ${factor} times slower for ${forMs / 1_000} s`);
+        const untilMs = performance.now() + forMs;
+        while (performance.now() < untilMs && child.exitCode === null) {
+            child.kill("SIGSTOP");
+            await sleep(periodMs * (factor - 1) / factor);
+            child.kill("SIGCONT");
+            await sleep(periodMs / factor);
+        }
+        record(`${this.name} runs as fast as before`);
+    }
+
     async isReady() {
         try {
             return (await request({ address: this.readyAddress, method: "GET", path: "/ready", headers: {} })).status
@@ -440,13 +509,20 @@
     }
 }
 
-/** Starts entries, one in each zone, and waits until all are ready and know each other. */
-export async function startEntries(count, store) {
+/** Starts entries, one in each zone, with other addresses of the store for some, and waits until all are ready and know each other. */
+export async function startEntries(count, store, storeAddresses = {}) {
     const zones = Array.from({ length: count }, (_, index) => `zone-${"abcdefgh"[index]}`);
     const ports = await findFreePorts(count * 4);
     const seeds = zones.slice(0, 3).map((_, index) => `127.0.0.1:${ports[index * 4 + 2]}`);
     const entries = zones.map((zone, index) =>
-        new Entry(`front-${zone}-1`, zone, ports.slice(index * 4, index * 4 + 4), zones, store.address, seeds)
+        new Entry(
+            `front-${zone}-1`,
+            zone,
+            ports.slice(index * 4, index * 4 + 4),
+            zones,
+            storeAddresses[index] ?? store.address,
+            seeds,
+        )
     );
     entries.forEach(entry => entry.start());
     await waitUntil(
