--- a/review/lib2/kit.mjs
+++ b/review/lib2/kit.mjs
@@ -41,16 +41,26 @@
     }
 }
 
+/** Ports below those that the system gives to outgoing connections, which could take one between two starts. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 31_000;
+
 /** Free ports, found by listening on them. */
 export async function findFreePorts(count) {
-    const servers = [];
-    for (let index = 0; index < count; index++) {
+    const ports = [];
+    while (ports.length < count) {
+        const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
         const server = net.createServer();
-        await new Promise((resolve, reject) => server.once("error", reject).listen(0, "127.0.0.1", resolve));
-        servers.push(server);
+        const isFree = await new Promise(resolve =>
+            server.once("error", () => resolve(false)).listen(port, "127.0.0.1", () => resolve(true))
+        );
+        if (isFree) {
+            await new Promise(resolve => server.close(resolve));
+        }
+        if (isFree && !ports.includes(port)) {
+            ports.push(port);
+        }
     }
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
 
@@ -484,20 +494,6 @@
         record(`${this.name} starts again`);
     }
 
-    /** Lets the process run for one part in `factor` of the time only, as on a machine that has turned slow. */
-    async slowDown(factor, forMs, periodMs = 40) {
-        const { child } = this;
-        record(`${this.name} runs ${factor} times slower for ${forMs / 1_000} s`);
-        const untilMs = performance.now() + forMs;
-        while (performance.now() < untilMs && child.exitCode === null) {
-            child.kill("SIGSTOP");
-            await sleep(periodMs * (factor - 1) / factor);
-            child.kill("SIGCONT");
-            await sleep(periodMs / factor);
-        }
-        record(`${this.name} runs as fast as before`);
-    }
-
     async isReady() {
         try {
             return (await request({ address: this.readyAddress, method: "GET", path: "/ready", headers: {} })).status
@@ -588,7 +584,7 @@
         Authorization: `Token ${KEY}`,
         ...headers,
     };
-    const seen = { attempt, target, entry: entry.name, sentS };
+    const seen = { attempt, target, entry: entry.name, sentS, deadlineMs };
     try {
         const answer = await request({
             address: entry.callerAddress,
@@ -611,6 +607,7 @@
 /** Runs a script, writes its record beside it and ends all processes that it started; exits with 0, 1 or 2. */
 export async function runScript(folder, main) {
     let code = 2;
+    ["SIGTERM", "SIGINT"].forEach(name => process.once(name, () => finish(folder, 2)));
     const limit = setTimeout(() => {
         record("the script took too long");
         finish(folder, 2);
