Don't apply items that were deleted before the view's position

Cause: a list of the store is applied at the position of its first page. If another entry's later, whole state has been applied meanwhile, in which the instances are missing, the list's items of unknown keys were taken for new ones; the deletions are before the position from which the watch goes on, so that nothing removed them again. The same by the answer of a watch and by an update whose parts arrive late, and for failure domains out of service.

Change: a view at a position knows all keys up to it, so that older items of keys that it doesn't know aren't applied. One line `outdated-items` an update.

--- a/src/process/peers/PublishedExchange.test.ts
+++ b/src/process/peers/PublishedExchange.test.ts
@@ -198,6 +198,22 @@
         vitest.expect(latest.equals(entry.view.findContent(KEY)!)).toBe(true);
     });
 
+    // Guards against keys that come back after their deletion (review/7): a list of the store overtakes the parts.
+    vitest.it("doesn't get back what was deleted while its parts were fetched", () => {
+        const restarted = new TestEntry("restarted", clock);
+        first.put(2, Buffer.from("x"), "left");
+        restarted.connect(first).position = first.view.position;
+        clock.advance(CHECK_MS);
+        clock.advance(CHECK_MS);
+        restarted.exchangeWith(first); // The references.
+        const listed = [{ key: KEY, era: 0, revision: 1, content: createContent(300) }];
+        restarted.view.apply({ items: listed, era: 0, revision: 5, isWhole: true }, "store");
+        restarted.exchangeAll(first);
+        vitest.expect(restarted.view.findContent(KEY)).toBeDefined();
+        vitest.expect(restarted.view.findContent("left")).toBeUndefined();
+        restarted.dispose();
+    });
+
     vitest.it("isn't asked for again while it arrives", () => {
         const connection = { partialFrameBytes: 100_000 } as unknown as peerEntries.PeerEntry["connection"];
         Object.values(peersByName).forEach(peer => peer.connection = connection);
--- a/src/process/published/PublishedKeys.ts
+++ b/src/process/published/PublishedKeys.ts
@@ -7,6 +7,7 @@
 import * as positions from "../../common/Position";
 import * as routing from "../../common/Routing";
 import * as heldItems from "./HeldItems";
+import * as overtakenItems from "./OvertakenItems";
 import * as storeEras from "./StoreEra";
 import * as tombstones from "./Tombstones";
 
@@ -104,9 +105,11 @@
             this.enterEra(update, source);
         }
         const origin = { source, graceMs, isFirst: revision === 0, isMissingInEra: false };
+        const overtaken = overtakenItems.findOvertaken(update.items, this.currentPosition, key => this.isKnown(key));
+        overtakenItems.logOvertaken(this.options.log, overtaken, this.currentPosition, update, source);
         let hasChanged = false;
         for (const item of update.items) {
-            hasChanged = this.applyItem(item, origin) || hasChanged;
+            hasChanged = (!overtaken.has(item) && this.applyItem(item, origin)) || hasChanged;
         }
         if (update.isWhole) {
             hasChanged = this.removeMissing(update, { ...origin, isMissingInEra: isEntering }) || hasChanged;
@@ -166,6 +169,11 @@
         }
     }
 
+    private isKnown(key: string): boolean {
+        return this.entriesByKey.has(key) || this.deletedKeys.get(key) !== undefined
+            || this.held.get(key) !== undefined;
+    }
+
     private applyItem(item: routing.PublishedItem, origin: ItemOrigin): boolean {
         const known = this.knownKey(item.key);
         if (known.record?.kind !== "configuration" && !positions.isAfter(item, known.position)) {
--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -152,6 +152,36 @@
     return { reader, view };
 }
 
+// Guards against keys that come back after their deletion (review/7): another entry's later state overtakes the answer.
+vitest.describe("an answer of the store that a later state overtakes", () => {
+    vitest.it.each([
+        { name: "the second page of a list", pages: [firstPage, lastPage], watches: [], calls: 2 },
+        { name: "a watch", pages: [onlyPage], watches: [changes([item("b", 7)], 7)], calls: 2 },
+    ])("doesn't restore what was deleted: $name", async ({ pages, watches, calls }) => {
+        const script = scriptedStore(pages, watches);
+        let view: views.PublishedView | undefined;
+        let calledTimes = 0;
+        /** Delays an answer until another entry's later state has been applied, in which only `a` is left. */
+        const overtake = async <T>(answer: Promise<T>): Promise<T> => {
+            if (++calledTimes === calls) {
+                view!.apply({ items: [item("a", 2)], era: 0, revision: 20, isWhole: true }, "peer");
+            }
+            return answer;
+        };
+        const store: routingPorts.PublishedStore = {
+            ...script.store,
+            list: (after, signal) => overtake(script.store.list(after, signal)),
+            watch: (revision, waitMs, signal) => overtake(script.store.watch(revision, waitMs, signal)),
+        };
+        const started = startReader(store, clocks.systemClock);
+        view = started.view;
+        await vitest.vi.waitUntil(() => script.requests.includes("watch 20"), { timeout: 30_000 });
+        vitest.expect(view.findContent("a")).toBeDefined();
+        vitest.expect(view.findContent("b")).toBeUndefined();
+        started.reader.dispose();
+    });
+});
+
 vitest.describe("a reader of an odd store", () => {
     // Guards against the end of the process: a call took each item as an argument.
     vitest.it("reads a page of very many items", async () => {
--- a/src/process/published/PublishedView.test.ts
+++ b/src/process/published/PublishedView.test.ts
@@ -125,6 +125,49 @@
     });
 });
 
+// Guards against instances that have left for good and are in use again (review/7), since no deletion follows.
+vitest.describe("an update that is older than the view", () => {
+    const later = { items: [storedItem("instance/b", 3)], era: 0, revision: 100, isWhole: true };
+    vitest.it.each([
+        { name: "a list", isWhole: true, items: [storedItem("instance/a", 50), storedItem("instance/b", 3)] },
+        { name: "the changes of a watch or of another entry", isWhole: false, items: [storedItem("instance/a", 50)] },
+        { name: "one with an item at the view's position", isWhole: false, items: [storedItem("instance/a", 100)] },
+    ])("doesn't restore an instance that has left meanwhile: $name", ({ isWhole, items }) => {
+        const view = newView();
+        view.apply(later, "peer");
+        view.apply({ items, era: 0, revision: 60, isWhole }, "store");
+        vitest.expect(instanceIds(view)).toEqual(["b"]);
+        vitest.expect(view.position.revision).toBe(100);
+    });
+
+    vitest.it("doesn't take a failure domain out of service again", () => {
+        const view = newView();
+        view.apply(later, "peer");
+        view.apply({ items: [storedItem("out/a", 40)], era: 0, revision: 60, isWhole: true }, "store");
+        vitest.expect(view.isOutOfService("a")).toBe(false);
+    });
+
+    vitest.it("adds what was written after the view's position, as the later pages of a list may have it", () => {
+        const view = newView();
+        view.apply(later, "peer");
+        const items = [storedItem("instance/b", 3), storedItem("instance/c", 101)];
+        view.apply({ items, era: 0, revision: 60, isWhole: true }, "store");
+        vitest.expect(instanceIds(view)).toEqual(["b", "c"]);
+    });
+
+    vitest.it("is logged in one line", () => {
+        const lines: Record<string, unknown>[] = [];
+        const log = logs.createLog("entry", "info", line => void lines.push(JSON.parse(line)));
+        const view = new views.PublishedView({ clock: new clocks.ManualClock(), log, decode });
+        view.apply(later, "peer");
+        const items = ["a", "d", "e"].map(name => storedItem(`instance/${name}`, 50));
+        view.apply({ items, era: 0, revision: 60, isWhole: false }, "store");
+        vitest.expect(lines.filter(line => line.decision === "outdated-items")).toEqual([
+            vitest.expect.objectContaining({ items: 3, key: "instance/a", fromRevision: 60, revision: 100 }),
+        ]);
+    });
+});
+
 vitest.describe("a deletion during the grace time", () => {
     vitest.it.each([
         { name: "takes effect at its end", isRestored: false, expected: [] },
