--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -159,12 +159,12 @@
         { name: "a watch", pages: [onlyPage], watches: [changes([item("b", 7)], 7)], calls: 2 },
     ])("doesn't restore what was deleted: $name", async ({ pages, watches, calls }) => {
         const script = scriptedStore(pages, watches);
-        let view: views.PublishedView | undefined;
+        const started: { view?: views.PublishedView } = {};
         let calledTimes = 0;
         /** Delays an answer until another entry's later state has been applied, in which only `a` is left. */
         const overtake = async <T>(answer: Promise<T>): Promise<T> => {
             if (++calledTimes === calls) {
-                view!.apply({ items: [item("a", 2)], era: 0, revision: 20, isWhole: true }, "peer");
+                started.view!.apply({ items: [item("a", 2)], era: 0, revision: 20, isWhole: true }, "peer");
             }
             return answer;
         };
@@ -173,12 +173,12 @@
             list: (after, signal) => overtake(script.store.list(after, signal)),
             watch: (revision, waitMs, signal) => overtake(script.store.watch(revision, waitMs, signal)),
         };
-        const started = startReader(store, clocks.systemClock);
-        view = started.view;
+        const { reader, view } = startReader(store, clocks.systemClock);
+        started.view = view;
         await vitest.vi.waitUntil(() => script.requests.includes("watch 20"), { timeout: 30_000 });
         vitest.expect(view.findContent("a")).toBeDefined();
         vitest.expect(view.findContent("b")).toBeUndefined();
-        started.reader.dispose();
+        reader.dispose();
     });
 });
 
