Decide in one module how an answer is delimited and whether it is whole

The client of the store and of the product's own upstreams took statuses 000 to 199 for answers, and any end for a whole one.

Cause: the two readers (`UpstreamExchange`, `HttpRequest`) each decided by the presence of headers and by `response.complete`, which Node.js sets at a reset too.

Change: `AnswerFraming` has the rows of RFC 9112, section 6.3, and what makes a head that of an answer; both readers use it.

--- a/src/connection/EndlessAnswers.test.ts
+++ b/src/connection/EndlessAnswers.test.ts
@@ -52,7 +52,7 @@
             body.emit("close");
         },
     });
-    const answer = { headers: {}, body, isComplete: () => true };
+    const answer = { headers: {}, body, end: { isWhole: true, bodyBytes: 0 } };
     return { answer: answer as unknown as exchanges.OpenAnswer, body, calls };
 }
 
--- a/src/connection/UpstreamExchange.ts
+++ b/src/connection/UpstreamExchange.ts
@@ -9,6 +9,7 @@
 import * as clocks from "../common/Clock";
 import * as readTimers from "../common/ReadTimer";
 import * as transferLimits from "../common/TransferLimit";
+import * as answerFramings from "./AnswerFraming";
 import * as answerLimits from "./AnswerLimits";
 import * as bodyTimeouts from "./BodyTimeout";
 import * as byteCollectors from "./ByteCollector";
@@ -22,10 +23,6 @@
 const MAX_DISCARDED_BYTES = 64 * 1024;
 /** Longest time in which such a body is read. */
 const DISCARD_LIMIT_MS = 1_000;
-/** Statuses of answers without a body. */
-const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-/** Lower statuses aren't those of an answer. */
-const MIN_FINAL_STATUS = 200;
 
 /** The request to send. */
 export interface ExchangeRequest {
@@ -61,13 +58,8 @@
     readonly isReusedConnection: boolean;
     /** The connection on which the answer arrived. */
     readonly connection: net.Socket;
-    /**
-     * Whether a body that has ended is complete. A close-delimited one is complete only if the connection was closed
-     * with a FIN; Node.js reports a reset as the end of such a body too.
-     */
-    readonly isComplete: () => boolean;
-    /** Whether a length or chunked encoding delimits the body, or there is none; otherwise it is close-delimited. */
-    readonly isFramed: boolean;
+    /** How the body is delimited, and once it has ended, whether it is whole. */
+    readonly end: Pick<answerFramings.AnswerEnd, "framing" | "isWhole" | "connectionEnd" | "bodyBytes">;
     /** Aborts the exchange and closes its connection. */
     readonly cancel: () => void;
 }
@@ -191,33 +183,24 @@
         if (this.isSettled) {
             return;
         }
-        const status = response.statusCode ?? 0;
-        if (status < MIN_FINAL_STATUS) {
-            this.fail("malformed"); // Node.js parses such a status, but refuses to write it.
+        const end = answerFramings.openEnd(this.request.method, response);
+        if (end === undefined) {
+            this.fail("malformed");
             return;
         }
         this.settle();
-        const isFramed = response.headers["content-length"] !== undefined
-            || response.headers["transfer-encoding"] !== undefined
-            || NO_BODY_STATUSES.has(status)
-            || this.request.method === "HEAD";
-        let isCleanClose = false;
-        if (!isFramed) {
-            response.socket.once("end", () => isCleanClose = true);
-        }
-        response.on("error", () => undefined); // Code that reads the body checks `isComplete`.
+        response.on("error", () => undefined); // Code that reads the body checks `end`.
         this.signal?.addEventListener("abort", this.cancel, { once: true });
         response.once("close", () => this.signal?.removeEventListener("abort", this.cancel));
         this.resolve({
             kind: "answer",
-            status,
+            status: response.statusCode!,
             headers: response.headers,
             rawHeaders: response.rawHeaders,
             body: response,
             isReusedConnection: this.outgoing.reusedSocket,
             connection: response.socket,
-            isComplete: () => response.complete && (isFramed || isCleanClose),
-            isFramed,
+            end,
             cancel: this.cancel,
         });
     }
@@ -289,6 +272,7 @@
             }
             const heldBytes = collector.heldBytes;
             collector.add(chunk);
+            answer.end.bodyBytes = collector.size;
             const addedBytes = collector.heldBytes - heldBytes;
             if (addedBytes > 0 && gate !== undefined) {
                 // A paused body would hold the chunks that are being parsed, each as a buffer of its own.
@@ -298,7 +282,7 @@
         });
         body.on("end", () => {
             pacedSockets.setHeld(connection, false); // It may be used again.
-            resolve(answer.isComplete() ? result.ok(collector.take()) : result.err("incomplete"));
+            resolve(answer.end.isWhole ? result.ok(collector.take()) : result.err("incomplete"));
         });
         body.on("close", () => resolve(result.err("incomplete")));
     });
--- a/src/process/adapters/HttpRequest.ts
+++ b/src/process/adapters/HttpRequest.ts
@@ -13,6 +13,7 @@
 import * as ports from "../../common/Ports";
 import * as readTimers from "../../common/ReadTimer";
 import * as transferLimits from "../../common/TransferLimit";
+import * as answerFramings from "../../connection/AnswerFraming";
 import * as answerLimits from "../../connection/AnswerLimits";
 import * as bodyTimeouts from "../../connection/BodyTimeout";
 import * as pacedSockets from "../../connection/PacedSocket";
@@ -205,6 +206,11 @@
 
     private receiveResponse(response: http.IncomingMessage): void {
         this.hasResponseStarted = true;
+        const end = answerFramings.openEnd(this.request.method, response);
+        if (end === undefined) {
+            this.fail(codes.codes.malformedAnswer, "the head isn't that of an answer");
+            return;
+        }
         if (!this.hasMatchingEcho(response)) {
             this.fail(codes.codes.malformedAnswer, "an answer to another request");
             return;
@@ -214,7 +220,7 @@
         }
         response.on("data", (chunk: Buffer) => this.receiveChunk(response, chunk));
         response.on("error", error => this.fail(mapErrorCode(error), error.message));
-        response.on("end", () => this.completeResponse(response));
+        response.on("end", () => this.completeResponse(response, end));
     }
 
     /** Whether the response repeats the value of `echoedHeader`, or omits the header. */
@@ -252,9 +258,9 @@
         this.timers.add(this.bodyTimeout);
     }
 
-    private completeResponse(response: http.IncomingMessage): void {
-        if (!response.complete) {
-            this.fail(codes.codes.upstreamReset, "answer cut short");
+    private completeResponse(response: http.IncomingMessage, end: answerFramings.AnswerEnd): void {
+        if (!end.isWhole) {
+            this.fail(codes.codes.upstreamReset, `answer cut short (${end.framing}, ${end.connectionEnd})`);
             return;
         }
         this.settle(result.ok({
--- a/src/process/routing/CallerResponse.ts
+++ b/src/process/routing/CallerResponse.ts
@@ -3,6 +3,7 @@
  */
 import * as http from "node:http";
 import * as codes from "../../common/Codes";
+import * as answerFramings from "../../connection/AnswerFraming";
 
 /** Size up to which the kernel accepts an answer in a single write, so that no part of it is lost with this process. */
 const MAX_SINGLE_WRITE_BYTES = 8 * 1024;
@@ -21,8 +22,8 @@
      * a short one stays close-delimited. A longer one gets a length: if this process is killed while it writes the
      * answer, the connection is closed with a FIN, which would end a close-delimited answer as if it were complete.
      */
-    writeComplete(status: number, headers: readonly string[], body: Buffer, isFramed: boolean): void {
-        if (!isFramed && body.length <= MAX_SINGLE_WRITE_BYTES) {
+    writeComplete(status: number, headers: readonly string[], body: Buffer, framing: answerFramings.Framing): void {
+        if (framing === "connection" && body.length <= MAX_SINGLE_WRITE_BYTES) {
             this.writeCloseDelimited(status, headers, body);
             return;
         }
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -259,7 +259,7 @@
                 if (end.body.length > bufferAccounts.SMALL_BYTES) {
                     this.limitWriting(open.response, call, sink);
                 }
-                sink.writeComplete(end.status, end.headers, end.body, end.isFramed);
+                sink.writeComplete(end.status, end.headers, end.body, end.framing);
                 this.recordAnswer(call, String(end.status), { instance: end.instance });
                 return;
             case "streamed":
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -2,6 +2,7 @@
  * Runs a call whose answer is buffered and forwarded only once it is complete.
  */
 import * as codes from "../../common/Codes";
+import * as answerFramings from "../../connection/AnswerFraming";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as histories from "./CallHistory";
 import * as requestDigests from "./RequestDigest";
@@ -25,8 +26,7 @@
     readonly status: number;
     readonly headers: readonly string[];
     readonly body: Buffer;
-    /** Whether the body was framed by a length or chunked encoding rather than by the end of the connection. */
-    readonly isFramed: boolean;
+    readonly framing: answerFramings.Framing;
     readonly instance: string;
 }
 
@@ -156,7 +156,14 @@
         };
     }
     const headers = context.wire.answerHeaders(rawHeaders);
-    return { kind: "buffered", status, headers, body, isFramed: answered.answer.isFramed, instance: answered.instance };
+    return {
+        kind: "buffered",
+        status,
+        headers,
+        body,
+        framing: answered.answer.end.framing,
+        instance: answered.instance,
+    };
 }
 
 /** Records whether an instance has answered a call, unless this process has cut the answer. */
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -194,10 +194,11 @@
                 continue;
             }
             if (chunk === "end") {
-                const isComplete = answered.answer.isComplete() && !events.hasPartialEvent;
+                const isComplete = answered.answer.end.isWhole && !events.hasPartialEvent;
                 start.recordEnd(isComplete);
                 return isComplete ? { kind: "complete" } : { kind: "broken", reason: "broken" };
             }
+            answered.answer.end.bodyBytes += chunk.length;
             this.silence.recordBytes(chunk.length);
             const outcome = await events.forward(chunk);
             if (outcome === "unread") {
