Tell a reset from an end by the connection on every socket, not only on those that had paused

Cause: after a reset, Node.js reports an end in place of an error if bytes and the reset arrive in one poll (libuv answers the hang-up of a partial read with an end), or if a failing write has taken the socket's error. `PacedSocket` asks the operating system whether the other side is still known, which tells the two apart, but only on sockets whose reading had paused; a body without framing is whole after an end.

Change: each end is checked. One that is closed and then reset before it is read can't be told from one that was only reset, and isn't whole.

--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -69,8 +69,8 @@
 }
 
 /**
- * Whether a socket that seems to have ended was reset. Node.js reports an end if bytes arrived with a reset while it
- * didn't read. A socket that has ended on both sides can't be told from one that was reset.
+ * Whether a socket that seems to have ended was reset. Node.js reports an end if bytes arrived together with a reset, or if
+ * a failing write has taken the error. A socket that has ended on both sides can't be told from one that was reset.
  */
 function isReset(socket: net.Socket): boolean {
     const { _handle: handle } = socket as unknown as { readonly _handle?: Handle };
@@ -91,8 +91,6 @@
     private passEnd: (() => void) | undefined;
     /** Whether the reader takes more. */
     private isWanted = false;
-    /** Whether reading from the socket has paused. */
-    private hasPaused = false;
     /** Whether what arrives is held back. */
     private isHeld = false;
     lastBegunMs = -Infinity;
@@ -168,7 +166,6 @@
         }
         if (this.unread !== undefined) {
             this.keep(Buffer.concat([this.unread, chunk]));
-            this.hasPaused = true;
             return false;
         }
         if (this.isIdle) {
@@ -188,7 +185,7 @@
     }
 
     private receiveEnd(passEnd: () => boolean): boolean {
-        if (this.hasPaused && isReset(this.socket)) {
+        if (isReset(this.socket)) {
             this.socket.destroy(createResetError());
             return false;
         }
