Log and count the answers that end before they are whole

Nothing told a reset from a FIN, or one framing from another, in the log of an entry whose callers got parts of answers: a stream had 'broken', a plain call 'answer cut short'.

--- a/src/process/instances/InstancePool.ts
+++ b/src/process/instances/InstancePool.ts
@@ -12,6 +12,7 @@
 import * as callCosts from "./CallCosts";
 import * as candidateLists from "./CandidateList";
 import * as coldRates from "./ColdRates";
+import * as cutAnswers from "./CutAnswers";
 import * as faultyAnswers from "./FaultyAnswers";
 import * as choices from "./InstanceChoice";
 import * as instanceHold from "./InstanceHold";
@@ -90,8 +91,10 @@
     readonly limits: instanceLimits.InstanceLimits;
     readonly proofs: instanceProofs.InstanceProofs;
     readonly faults: faultyAnswers.FaultyAnswers;
+    readonly cuts: cutAnswers.CutAnswers;
 
     constructor(private readonly options: InstancePoolOptions) {
+        this.cuts = new cutAnswers.CutAnswers(options.log);
         this.fleet = options.fleet;
         this.cold = new coldRates.ColdRates({ ...options, trafficOf: instance => this.trafficOf(instance) });
         this.limits = new instanceLimits.InstanceLimits(options);
--- a/src/process/routing/RouteGauges.ts
+++ b/src/process/routing/RouteGauges.ts
@@ -24,7 +24,7 @@
     readonly host: Pick<stageHosts.StageHost, "startedCalls">;
     readonly pool: Pick<
         pools.InstancePool,
-        "leavingIds" | "holds" | "limits" | "proofs" | "faults" | "shares" | "statedCount"
+        "leavingIds" | "holds" | "limits" | "proofs" | "faults" | "cuts" | "shares" | "statedCount"
     >;
     readonly crashes: Pick<crashMonitors.CrashMonitor, "suspectedCount" | "heldCalls">;
     readonly fleet: fleetSizes.Fleet;
@@ -60,6 +60,12 @@
         "instance",
         () => pool.faults.counts,
     );
+    routeMetrics.addCounts(
+        "cumincrank_cut_answers",
+        "Answers that ended before they were whole, by their framing and the end of their connection",
+        "cause",
+        () => pool.cuts.counts,
+    );
     add("cumincrank_held_instances", "Instances that hold off", () => pool.holds.heldCount);
     add("cumincrank_instance_holds", "Rejections that asked for a hold", () => pool.holds.count);
     add("cumincrank_limited_instances", "Instances that name a limit", () => pool.limits.count);
--- a/src/process/stages/StageCalls.ts
+++ b/src/process/stages/StageCalls.ts
@@ -81,7 +81,8 @@
             holds.start(address, published, holdMs, "stage-call");
         }
         this.options.onAnswer(published, response, batch.startedMs);
-        const pieceResults = await this.readOutcomes(response, pieces, recordFault);
+        const recordCut = (): void => this.options.pool.cuts.record(published, response.end, attemptsOf(pieces));
+        const pieceResults = await this.readOutcomes(response, pieces, recordFault, recordCut);
         const failedOutcome = holdMs === undefined ? "failed" : traffic.rejectionOutcome(holdMs);
         ticket.end(pieceResults === undefined ? failedOutcome : "ok");
         this.logCall(batch, pieceResults === undefined ? `status ${response.status}` : describeResults(pieceResults));
@@ -93,13 +94,18 @@
         response: exchanges.OpenAnswer,
         pieces: readonly routingPorts.StagePiece[],
         recordFault: (fault: answerLimits.AnswerFault) => void,
+        recordCut: () => void,
     ): Promise<readonly routingPorts.StagePieceOutcome[] | undefined> {
         const { clock, log, wire } = this.options;
         const { connection, status } = response;
         const maxBytes = status === 200 ? MAX_RESPONSE_BYTES : MAX_FAILURE_BYTES;
         const body = await exchanges.readShortBody(response, maxBytes, clock);
-        if (body.isErr && body.error !== "incomplete") {
-            recordFault(body.error);
+        const failure = body.isErr ? body.error : undefined;
+        if (failure === "incomplete") {
+            recordCut();
+        }
+        else if (failure !== undefined) {
+            recordFault(failure);
         }
         const content = body.unwrapOr(undefined);
         const outcomes = status === 200 && content !== undefined && jsonSizes.isParsable(content)
--- a/src/request/routed/PlainRun.ts
+++ b/src/request/routed/PlainRun.ts
@@ -147,6 +147,7 @@
     }
     if (body === undefined) {
         const code = isLate ? codes.codes.upstreamTimeout : codes.codes.upstreamReset;
+        context.pool.cuts.record(answered.sent.instance, answered.answer.end, [call.metadata.attempt]);
         return { kind: "local-failure", failure: codes.failure(code, "answer cut short") };
     }
     if (NOT_RUN_STATUSES.has(status)) {
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -196,6 +196,9 @@
             if (chunk === "end") {
                 const isComplete = answered.answer.end.isWhole && !events.hasPartialEvent;
                 start.recordEnd(isComplete);
+                if (!isComplete) {
+                    this.recordCut(answered);
+                }
                 return isComplete ? { kind: "complete" } : { kind: "broken", reason: "broken" };
             }
             answered.answer.end.bodyBytes += chunk.length;
@@ -294,6 +297,10 @@
         }
     }
 
+    private recordCut({ answer, sent }: AnsweredSend): void {
+        this.context.pool.cuts.record(sent.instance, answer.end, [this.call.metadata.attempt]);
+    }
+
     private logInterruption(answered: AnsweredSend, reason: string): void {
         const { quietMs } = answered.sent.traffic;
         this.context.log.info({
