A stopping entry takes streams on an expectation only in its first 3 s

Cause: an entry without a successor takes calls until 4.5 s after its SIGTERM, each that is expected to end before the stop. The expectation comes from streams that have ended; in the burst the first event takes 3 s in place of 0.1 s. A plain call that doesn't end gets a whole answer (504), a stream that has begun can only be cut.

Change: after the first 3 s, a stream is taken only if its own deadline (the caller's, or its route's timeout) ends it before the stop does; others are rejected as not run, with the time to return. Plain calls as before. A call whose deadline is before the end of the stop is now taken whatever is expected.

--- a/src/process/routing/CallerRequest.ts
+++ b/src/process/routing/CallerRequest.ts
@@ -11,6 +11,7 @@
 import * as bufferAccounts from "../buffers/BufferAccount";
 import * as bodies from "./CallerBody";
 import * as callTargets from "./CallTarget";
+import * as stopAdmissions from "./StopAdmission";
 import * as targets from "./TargetChoice";
 
 /** The hard deadline is at least this long before the caller stops waiting, so that the answer still arrives. */
@@ -27,8 +28,8 @@
     readonly isClosing: () => boolean;
     /** How long calls have taken of late. */
     readonly durations: Pick<callDurations.CallDurations, "expectedMs">;
-    /** When requests still in progress are aborted; undefined while the process isn't stopping. */
-    readonly stopDeadlineMs: () => number | undefined;
+    /** Undefined while the process isn't stopping. */
+    readonly plannedStop: () => stopAdmissions.PlannedStop | undefined;
 }
 
 /** Reads a request and finds its route, team and service in the published configuration. */
@@ -64,10 +65,16 @@
         return result.err(target.error);
     }
     const { route, team } = target.value;
-    const stopDeadlineMs = context.stopDeadlineMs();
-    const canEnd = stopDeadlineMs === undefined
-        || arrivedMs + context.durations.expectedMs(route, callMetadata.value) <= stopDeadlineMs;
-    if (!canEnd) {
+    const callerWaitMs = (callMetadata.value.remainingMs ?? Infinity) - ANSWER_MARGIN_MS;
+    const hardDeadlineAtMs = arrivedMs + Math.min(callerWaitMs, route.timeoutMs);
+    const stop = context.plannedStop();
+    const arrived: stopAdmissions.ArrivedCall = {
+        arrivedMs,
+        expectedMs: () => context.durations.expectedMs(route, callMetadata.value),
+        hardDeadlineAtMs,
+        isStream: route.kind === "stream",
+    };
+    if (stop !== undefined && !stopAdmissions.isTaken(stop, arrived)) {
         return result.err(codes.failure(codes.codes.draining, "can't end before the stop", NOT_READY_RETRY_MS));
     }
     const body = await bodies.readCallerBody(
@@ -80,7 +87,6 @@
         return result.err(body.error);
     }
     const hasBody = body.value.length > 0 || message.headers["content-length"] !== undefined;
-    const callerWaitMs = (callMetadata.value.remainingMs ?? Infinity) - ANSWER_MARGIN_MS;
     return result.ok({
         metadata: callMetadata.value,
         route,
@@ -93,7 +99,7 @@
         buffers,
         arrivedMs,
         softDeadlineAtMs: arrivedMs + route.goalMs,
-        hardDeadlineAtMs: arrivedMs + Math.min(callerWaitMs, route.timeoutMs),
+        hardDeadlineAtMs,
         progress: { mayHaveRun: false },
         signal,
     });
--- a/src/process/routing/RouteEntry.ts
+++ b/src/process/routing/RouteEntry.ts
@@ -33,6 +33,7 @@
 import * as gauges from "./RouteGauges";
 import * as servers from "./RouteServer";
 import * as stageParts from "./StageParts";
+import * as stopAdmissions from "./StopAdmission";
 
 const MS_PER_SECOND = 1_000;
 /** A turn of the event loop that was late by more than this may have left requests and messages unread for as long. */
@@ -74,8 +75,8 @@
     private readonly server: servers.RouteServer;
     private readonly metrics = new metrics.RouteMetrics();
     private isClosing = false;
-    /** When requests still in progress are aborted; undefined while the process isn't stopping. */
-    private stopDeadlineMs: number | undefined;
+    /** Undefined while the process isn't stopping. */
+    private plannedStop: stopAdmissions.PlannedStop | undefined;
     private admin: clocks.Disposable & { readonly address: string } | undefined;
 
     private constructor(
@@ -172,7 +173,7 @@
                 table: () => this.view.table,
                 catchUp: (maxMs, signal) => this.replication.lag.catchUp(maxMs, signal),
                 isClosing: () => this.isClosing,
-                stopDeadlineMs: () => this.stopDeadlineMs,
+                plannedStop: () => this.plannedStop,
                 run: {
                     ...shared,
                     wire: options.callWire,
@@ -256,7 +257,7 @@
         const { clock } = this.options;
         const startedMs = clock.now();
         const stopDeadlineMs = startedMs + this.settings.stopLimitSeconds * MS_PER_SECOND - STOP_MARGIN_MS;
-        this.stopDeadlineMs = stopDeadlineMs;
+        this.plannedStop = { startedMs, deadlineMs: stopDeadlineMs };
         this.peers.broadcastPresence();
         this.roles.resign();
         this.server.beginDrain();
@@ -287,7 +288,7 @@
     }
 
     private get isDraining(): boolean {
-        return this.stopDeadlineMs !== undefined;
+        return this.plannedStop !== undefined;
     }
 
     private async listen(): Promise<void> {
--- a/src/process/routing/RouteServer.test.ts
+++ b/src/process/routing/RouteServer.test.ts
@@ -72,7 +72,7 @@
         catchUp: () => Promise.resolve(true),
         isClosing: () => false,
         pauses,
-        stopDeadlineMs: () => undefined,
+        plannedStop: () => undefined,
         run: {
             clock: clocks.systemClock,
             log,
