--- a/src/connection/AnswerEnds.test.ts
+++ b/src/connection/AnswerEnds.test.ts
@@ -4,10 +4,7 @@
  */
 import * as net from "node:net";
 import * as vitest from "vitest";
-import * as clocks from "../common/Clock";
-import * as httpRequests from "../process/adapters/HttpRequest";
-import * as upstreamConnections from "./UpstreamConnections";
-import * as exchanges from "./UpstreamExchange";
+import * as answerReaders from "../../standins/AnswerReaders";
 
 /** Valid JSON, and so are its beginnings. */
 const BODY = "12345";
@@ -15,51 +12,12 @@
 const UPLOAD = "x".repeat(6_000_000);
 const RESETS = 100;
 
-type Read = (address: string, upload: string | undefined) => Promise<string | undefined>;
-
-/** The two readers; each resolves to the body of a whole answer, and to undefined without one. */
-const readers: readonly { readonly reader: string; readonly read: Read }[] = [
-    {
-        reader: "UpstreamExchange",
-        read: async (address, upload) => {
-            const connections = new upstreamConnections.UpstreamConnections();
-            const body = upload === undefined ? undefined : Buffer.from(upload);
-            const length = body === undefined ? [] : ["Content-Length", String(body.length)];
-            const answer = await exchanges.openExchange(connections, clocks.systemClock, {
-                address,
-                method: "POST",
-                path: "/",
-                headers: ["Host", address, ...length],
-                body,
-                isNewConnection: true,
-                answerTimeoutMs: 5_000,
-            });
-            const whole = answer.kind === "answer" ? await exchanges.readBody(answer, 100_000) : undefined;
-            connections.destroy();
-            return whole?.toString();
-        },
-    },
-    {
-        reader: "HttpRequest",
-        read: async (address, upload) => {
-            const request = { method: "POST", path: "/", timeoutMs: 5_000, body: upload, usesFreshConnection: true };
-            const client = httpRequests.createClient(address);
-            const reply = await httpRequests.send(client, { ...request, method: "POST" }, new AbortController().signal);
-            return reply.isOk ? reply.value.body.toString() : undefined;
-        },
-    },
-];
-
-let server: net.Server;
+let server: answerReaders.RawServer;
 
 /** Calls `answer` when the first bytes of a request have arrived. */
 async function serve(answer: (socket: net.Socket) => void): Promise<string> {
-    server = net.createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () => answer(socket));
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    server = await answerReaders.serve(answer);
+    return server.address;
 }
 
 vitest.afterEach(() => server.close());
@@ -99,7 +57,7 @@
     { name: "of HTTP/2.0", bytes: `HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\n${BODY}`, wholeAfter: [] },
 ];
 const ends: readonly End[] = ["fin", "reset"];
-const endings = readers.flatMap(reader =>
+const endings = answerReaders.READERS.flatMap(reader =>
     answers.flatMap(answer =>
         ends.map(end => ({ ...reader, ...answer, end, isWhole: answer.wholeAfter.includes(end) }))
     )
@@ -114,7 +72,7 @@
         vitest.expect(await read(address, undefined)).toBe(isWhole ? BODY : undefined);
     });
 
-    vitest.it.each(readers.flatMap(reader => answers.map(answer => ({ ...reader, ...answer }))))(
+    vitest.it.each(answerReaders.READERS.flatMap(reader => answers.map(answer => ({ ...reader, ...answer }))))(
         "$reader, $name, on an open connection",
         async ({ read, bytes, wholeAfter }) => {
             const address = await serve(socket => {
@@ -126,7 +84,7 @@
     );
 });
 
-const resets = readers.flatMap(reader =>
+const resets = answerReaders.READERS.flatMap(reader =>
     [undefined, UPLOAD].flatMap(upload =>
         [
             { moment: "at once", delay: (reset: () => void) => reset() },
@@ -191,7 +149,7 @@
 ];
 
 vitest.describe("a head that isn't that of an answer", () => {
-    vitest.it.each(readers.flatMap(reader => oddHeads.map(head => ({ ...reader, ...head }))))(
+    vitest.it.each(answerReaders.READERS.flatMap(reader => oddHeads.map(head => ({ ...reader, ...head }))))(
         "is none to $reader: $name",
         async ({ read, head }) => {
             const address = await serve(socket => socket.end(`${head}\r\n${BODY}`));
--- a/standins/platform/EngineFaults.ts
+++ b/standins/platform/EngineFaults.ts
@@ -33,6 +33,8 @@
     plainText?: string | undefined;
     /** ID of the event after which streams break, in the middle of the next event. */
     breakAfterEvent?: number | undefined;
+    /** ID of the event with which streams are reset, so that the event and the reset can arrive at once. */
+    resetAfterEvent?: number | undefined;
     /** Streams pause after the event with this ID; with 0, before their headers. */
     pause?: StreamPause | undefined;
     /** Answers without a length or chunked encoding, so that the end of the connection ends the answer. */
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -280,6 +280,10 @@
                 return;
             }
             response.write(`id: ${id}\ndata: ${`part ${id}${writer}`.padEnd(this.options.eventBytes ?? 0)}\n\n`);
+            if (this.faults.resetAfterEvent === id) {
+                process.nextTick(() => request.socket.resetAndDestroy()); // Node.js has written the event by then.
+                return;
+            }
             await this.pauseAfter(id, response);
             await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
