--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -19,6 +19,7 @@
     "other-attempt",
     "break",
     "unframed",
+    "unframed-reset",
     "hang",
     "leave",
     "link-hold",
@@ -109,5 +110,6 @@
     "other-attempt": { otherAttempt: true },
     break: { breakAfterEvent: BREAK_AFTER_EVENTS },
     unframed: { unframed: true },
+    "unframed-reset": { unframed: true, resetAfterEvent: BREAK_AFTER_EVENTS },
     hang: { hang: true },
 };
