--- a/standins/platform/EndlessEngine.ts
+++ b/standins/platform/EndlessEngine.ts
@@ -3,12 +3,11 @@
  */
 import * as net from "node:net";
 import * as clocks from "../../src/common/Clock";
-import * as listeners from "../../src/connection/Listener";
+import * as rawServers from "./RawServer";
 
 /** An engine that answers with bytes that never end, until its caller closes the connection. */
 export class EndlessEngine implements clocks.Disposable {
-    private readonly sockets = new Set<net.Socket>();
-    private listener: listeners.Listener | undefined;
+    private readonly server = new rawServers.RawServer((socket, request) => this.answer(socket, request));
     takenBytes = 0;
     arrivals = 0;
 
@@ -20,32 +19,25 @@
     ) {}
 
     get address(): string {
-        return this.listener!.address;
+        return this.server.address;
     }
 
     get openConnections(): number {
-        return this.sockets.size;
+        return this.server.openConnections;
     }
 
-    async listen(): Promise<void> {
-        this.listener = await listeners.listen(net.createServer(socket => this.accept(socket)), "127.0.0.1:0");
+    listen(): Promise<void> {
+        return this.server.listen();
     }
 
     dispose(): void {
-        this.sockets.forEach(socket => socket.destroy());
-        this.listener?.dispose();
+        this.server.dispose();
     }
 
-    private accept(socket: net.Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => socket.destroy());
-        socket.on("close", () => this.sockets.delete(socket));
-        socket.once("data", (request: Buffer) => {
-            this.arrivals++;
-            const [, attempt] = /^attempt-id: (\S+)/im.exec(request.toString("latin1")) ?? [];
-            socket.write(this.start.replace("{attempt}", attempt ?? ""));
-            this.writeOn(socket);
-        });
+    private answer(socket: net.Socket, request: string): void {
+        this.arrivals++;
+        socket.write(this.start.replace("{attempt}", rawServers.readAttempt(request)));
+        this.writeOn(socket);
     }
 
     private writeOn(socket: net.Socket): void {
--- a/standins/platform/HalfAnswerEngine.ts
+++ b/standins/platform/HalfAnswerEngine.ts
@@ -3,7 +3,7 @@
  */
 import * as net from "node:net";
 import * as clocks from "../../src/common/Clock";
-import * as listeners from "../../src/connection/Listener";
+import * as rawServers from "./RawServer";
 
 /** The answers of the engine. */
 export interface HalfAnswer {
@@ -15,8 +15,7 @@
 
 /** Answers each request when its first bytes have arrived, and reads no more of it. */
 export class HalfAnswerEngine implements clocks.Disposable {
-    private listener: listeners.Listener | undefined;
-    private readonly sockets = new Set<net.Socket>();
+    private readonly server = new rawServers.RawServer((socket, request) => this.respond(socket, request));
     /** Number of calls that were answered; requests for the engine's own state aren't. */
     calls = 0;
 
@@ -26,7 +25,7 @@
     get storeRecord(): unknown {
         return {
             Service: this.service,
-            Address: this.listener!.address,
+            Address: this.server.address,
             Zone: "zone-a",
             Version: "v1",
             Slots: 64,
@@ -37,30 +36,22 @@
         };
     }
 
-    async listen(): Promise<void> {
-        this.listener = await listeners.listen(net.createServer(socket => this.accept(socket)), "127.0.0.1:0");
+    listen(): Promise<void> {
+        return this.server.listen();
     }
 
     dispose(): void {
-        this.sockets.forEach(socket => socket.destroy());
-        this.listener?.dispose();
+        this.server.dispose();
     }
 
-    private accept(socket: net.Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => socket.destroy());
-        socket.on("close", () => this.sockets.delete(socket));
-        socket.once("data", (request: Buffer) => {
-            socket.pause();
-            const head = request.toString("latin1");
-            if (head.startsWith("GET /report")) {
-                socket.destroy();
-                return;
-            }
-            this.calls++;
-            const [, attempt] = /^attempt-id: (\S+)/im.exec(head) ?? [];
-            socket.write(this.answer.write(head).replace("{attempt}", attempt ?? ""));
-            this.answer.end(socket);
-        });
+    private respond(socket: net.Socket, request: string): void {
+        socket.pause();
+        if (request.startsWith("GET /report")) {
+            socket.destroy();
+            return;
+        }
+        this.calls++;
+        socket.write(this.answer.write(request).replace("{attempt}", rawServers.readAttempt(request)));
+        this.answer.end(socket);
     }
 }
