Tests of answer ends: one raw server for all, in place of three copies

AnswerReaders, Status.test.ts and the stand-ins of engines each had a server that answers with given bytes.

--- a/src/commands/Status.test.ts
+++ b/src/commands/Status.test.ts
@@ -1,11 +1,12 @@
 import * as net from "node:net";
 import * as vitest from "vitest";
+import * as rawServers from "../../standins/platform/RawServer";
 import * as statuses from "./Status";
 
 const HEAD = "HTTP/1.1 200 OK\r\n";
 const STATUS = "{\"version\":7}";
 
-let server: net.Server;
+let server: rawServers.RawServer;
 let printed: string;
 
 vitest.beforeEach(() => {
@@ -19,19 +20,16 @@
 
 vitest.afterEach(() => {
     vitest.vi.restoreAllMocks();
-    server.close();
+    server.dispose();
 });
 
 async function serve(bytes: string, close: (socket: net.Socket) => void): Promise<string> {
-    server = net.createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () => {
-            socket.write(bytes);
-            close(socket);
-        });
+    server = new rawServers.RawServer(socket => {
+        socket.write(bytes);
+        close(socket);
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    await server.listen();
+    return server.address;
 }
 
 const fin = (socket: net.Socket): void => void socket.end();
--- a/src/connection/AnswerEnds.test.ts
+++ b/src/connection/AnswerEnds.test.ts
@@ -5,6 +5,7 @@
 import * as net from "node:net";
 import * as vitest from "vitest";
 import * as answerReaders from "../../standins/AnswerReaders";
+import * as rawServers from "../../standins/platform/RawServer";
 
 /** Valid JSON, and so are its beginnings. */
 const BODY = "12345";
@@ -12,7 +13,7 @@
 const UPLOAD = "x".repeat(6_000_000);
 const RESETS = 100;
 
-let server: answerReaders.RawServer;
+let server: rawServers.RawServer;
 
 /** Calls `answer` when the first bytes of a request have arrived. */
 async function serve(answer: (socket: net.Socket) => void): Promise<string> {
@@ -20,7 +21,7 @@
     return server.address;
 }
 
-vitest.afterEach(() => server.close());
+vitest.afterEach(() => server.dispose());
 
 type End = "fin" | "reset" | "open";
 
--- a/src/connection/RandomEnds.test.ts
+++ b/src/connection/RandomEnds.test.ts
@@ -101,7 +101,7 @@
             const answer = createAnswer(random);
             const server = await answerReaders.serve(socket => send(socket, answer));
             const body = await read(server.address, answer.upload);
-            server.close();
+            server.dispose();
             if (body !== undefined || !answer.mayBeLost) {
                 const { whole, ...sent } = answer;
                 const described = { ...sent, upload: sent.upload?.length, bytes: sent.bytes.slice(0, 100), count };
--- a/standins/AnswerReaders.ts
+++ b/standins/AnswerReaders.ts
@@ -1,11 +1,11 @@
 /**
  * The readers of answers, and a server that answers with given bytes, for tests of both.
  */
-import * as net from "node:net";
 import * as clocks from "../src/common/Clock";
 import * as upstreamConnections from "../src/connection/UpstreamConnections";
 import * as exchanges from "../src/connection/UpstreamExchange";
 import * as httpRequests from "../src/process/adapters/HttpRequest";
+import * as rawServers from "./platform/RawServer";
 
 /** Sends a request with this body; resolves to the body of a whole answer, and to undefined without one. */
 export type Read = (address: string, upload: string | undefined) => Promise<string | undefined>;
@@ -35,27 +35,23 @@
     {
         reader: "HttpRequest",
         read: async (address, upload) => {
-            const request = { method: "POST", path: "/", timeoutMs: 5_000, body: upload, usesFreshConnection: true };
+            const request: httpRequests.Request = {
+                method: "POST",
+                path: "/",
+                timeoutMs: 5_000,
+                body: upload,
+                usesFreshConnection: true,
+            };
             const client = httpRequests.createClient(address);
-            const reply = await httpRequests.send(client, { ...request, method: "POST" }, new AbortController().signal);
+            const reply = await httpRequests.send(client, request, new AbortController().signal);
             return reply.isOk ? reply.value.body.toString() : undefined;
         },
     },
 ];
 
-/** A server on a loopback address. */
-export interface RawServer {
-    readonly address: string;
-    close(): void;
-}
-
 /** Calls `answer` when the first bytes of a request have arrived; what follows is read and dropped. */
-export async function serve(answer: (socket: net.Socket) => void): Promise<RawServer> {
-    const server = net.createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () => answer(socket));
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as net.AddressInfo;
-    return { address: `127.0.0.1:${port}`, close: () => void server.close() };
+export async function serve(answer: rawServers.RawAnswer): Promise<rawServers.RawServer> {
+    const server = new rawServers.RawServer(answer);
+    await server.listen();
+    return server;
 }
