--- a/review/lib3/kit.mjs
+++ b/review/lib3/kit.mjs
@@ -42,12 +42,28 @@
     });
 }
 
-/** Finds free ports. */
+/** Finds free ports, below those that the system gives to outgoing connections. */
 export async function findPorts(count) {
-    const servers = Array.from({ length: count }, () => net.createServer());
-    const addresses = await Promise.all(servers.map(server => listen(server)));
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return addresses.map(address => Number(address.split(":")[1]));
+    const ports = [];
+    while (ports.length < count) {
+        const port = 10_000 + Math.floor(Math.random() * 20_000);
+        if (!ports.includes(port) && await isFree(port)) {
+            ports.push(port);
+        }
+    }
+    return ports;
+}
+
+async function isFree(port) {
+    const server = net.createServer();
+    try {
+        await listen(server, port);
+    }
+    catch {
+        return false;
+    }
+    await new Promise(resolve => server.close(resolve));
+    return true;
 }
 
 /** The platform's metadata store, as far as the system reads it. */
@@ -273,18 +289,26 @@
 export async function runCase(directory, run) {
     const record = new Record();
     const cleanups = [];
-    let code = 2;
+    const finish = async code => {
+        for (const cleanup of cleanups.splice(0).reverse()) {
+            await cleanup();
+        }
+        record.add(code === 0 ? "the rule held" : code === 1 ? "THE RULE WAS BROKEN" : "no result");
+        record.write(path.join(directory, "record.txt"));
+        process.stdout.write(`${record.lines.slice(-6).join("\n")}\n`);
+        process.exit(code);
+    };
+    const giveUp = reason => {
+        record.add(`the case couldn't run: ${reason instanceof Error ? reason.stack : reason}`);
+        return finish(2);
+    };
+    for (const event of ["SIGTERM", "SIGINT", "uncaughtException", "unhandledRejection"]) {
+        process.on(event, reason => void giveUp(reason));
+    }
     try {
-        code = await run(record, cleanup => cleanups.push(cleanup)) ? 0 : 1;
+        await finish(await run(record, cleanup => cleanups.push(cleanup)) ? 0 : 1);
     }
     catch (error) {
-        record.add(`the case couldn't run: ${error instanceof Error ? error.stack : error}`);
-    }
-    for (const cleanup of cleanups.reverse()) {
-        await cleanup();
+        await giveUp(error);
     }
-    record.add(code === 0 ? "the rule held" : code === 1 ? "THE RULE WAS BROKEN" : "no result");
-    record.write(path.join(directory, "record.txt"));
-    process.stdout.write(`${record.lines.slice(-6).join("\n")}\n`);
-    process.exit(code);
 }
