--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -20,7 +20,7 @@
 const STABLE_MS = 3_300;
 /** The engine goes on serving for that long after its report: "at times many seconds". */
 const SERVES_MS = 6_000;
-const REQUEST_INTERVAL_MS = 8;
+const REQUEST_INTERVAL_MS = 20;
 const DEADLINE_MS = 2_000;
 const WORK_MS = 60;
 
@@ -70,7 +70,7 @@
 }
 
 await kit.runCase(directory, async (record, onEnd) => {
-    const { store, entries } = await clients.startDeployment(2, onEnd);
+    const { store, engines, entries } = await clients.startDeployment(2, onEnd);
     record.add(`two entries ready; ${hasTrouble ? "one write of each engine is done late" : "no write is late"}`);
     const sent = [];
     let isOver = false;
@@ -82,6 +82,7 @@
         const engine = new clients.Engine(`i-${round + 3}`, "desk");
         await engine.start();
         onEnd(() => engine.stop());
+        engines.push(engine);
         const heart = new Heart(store, engine, record);
         onEnd(() => clearInterval(heart.timer));
         await kit.sleep(LOSING_MS);
@@ -108,5 +109,6 @@
     await kit.sleep(DEADLINE_MS);
     const failed = sent.filter(({ status }) => status !== 200).length;
     record.add(`requests: ${sent.length}, of these not answered with 200: ${failed}`);
+    clients.recordRequests(record, sent, engines);
     return lateCount === 0;
 });
--- a/review/lib3/clients.mjs
+++ b/review/lib3/clients.mjs
@@ -126,6 +126,21 @@
     }
 }
 
+/** Adds a line for each request: when it was sent, what its client got, and what its engine did. Times are in ms. */
+export function recordRequests(record, requests, engines) {
+    record.add("requests: attempt, sent at; what the client got, at; engine, run from, to, how it ended");
+    for (const { id, sentAt, status, answeredAt, endedAt } of requests) {
+        const engine = engines.find(({ runs }) => runs.has(id));
+        const run = engine?.runs.get(id);
+        const seen = status ?? (endedAt === undefined ? "nothing" : "closed");
+        const seenAt = answeredAt ?? endedAt;
+        const times = [sentAt, seenAt, run?.startedAt, run?.endedAt].map(ms => ms === undefined ? "-" : Math.round(ms));
+        record.lines.push(
+            `${id} ${times[0]}; ${seen} ${times[1]}; ${engine?.id ?? "-"} ${times[2]} ${times[3]} ${run?.end ?? "-"}`,
+        );
+    }
+}
+
 /** Starts a store, two engines of one service and entries for it. */
 export async function startDeployment(entryCount, onEnd) {
     const store = new kit.Store();
--- a/review/lib3/kit.mjs
+++ b/review/lib3/kit.mjs
@@ -295,7 +295,7 @@
         }
         record.add(code === 0 ? "the rule held" : code === 1 ? "THE RULE WAS BROKEN" : "no result");
         record.write(path.join(directory, "record.txt"));
-        process.stdout.write(`${record.lines.slice(-6).join("\n")}\n`);
+        process.stdout.write(`${record.lines.filter(line => line.includes(" s  ")).slice(-8).join("\n")}\n`);
         process.exit(code);
     };
     const giveUp = reason => {
