Review case 13: the engines' ports are below those of outgoing connections

Cause: an engine that starts again could have found its port taken. Change: review/13/run.mjs; its text says how connections end.

--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -29,15 +29,15 @@
     runs = [];
     service = "pool";
 
-    constructor(id, record) {
+    constructor(id, port, record) {
         this.id = id;
+        this.port = port;
         this.record = record;
     }
 
     async start() {
         this.server = http.createServer((request, response) => this.answer(request, response));
-        const port = this.address === undefined ? 0 : Number(this.address.split(":")[1]);
-        this.address = await kit.listen(this.server, port);
+        this.address = await kit.listen(this.server, this.port);
     }
 
     stop() {
@@ -115,7 +115,9 @@
     const store = new kit.Store();
     await store.start();
     onEnd(() => store.stop());
-    const engines = Array.from({ length: ENGINES }, (_, index) => new ModelEngine(`i-${index + 1}`, record));
+    // All ports are below those that the system gives to outgoing connections, so that an engine can start again on its own.
+    const ports = await kit.findPorts(8 + ENGINES);
+    const engines = ports.slice(8).map((port, index) => new ModelEngine(`i-${index + 1}`, port, record));
     for (const engine of engines) {
         await engine.start();
         onEnd(() => engine.stop());
@@ -126,10 +128,9 @@
     const engine = { Engine: { Slots: 64, KvTokens: 317304 } };
     const routes = [{ ...route, ...times, Sticky: true, Resumable: true, Public: true }];
     store.put("op/config", kit.createConfiguration(1, routes, [{ ...service, ...engine }]));
-    for (const { id } of engines) {
-        store.put(`servers/${id}`, kit.engineRecord(engines.find(other => other.id === id)));
+    for (const modelEngine of engines) {
+        store.put(`servers/${modelEngine.id}`, kit.engineRecord(modelEngine));
     }
-    const ports = await kit.findPorts(8);
     const seeds = [`${kit.HOST}:${ports[2]}`, `${kit.HOST}:${ports[6]}`];
     const entries = [0, 4].map((first, index) => {
         const own = ports.slice(first, first + 4);
@@ -143,7 +144,7 @@
     return { engines, entries };
 }
 
-/** Crashes the engine that sends the most streams: its connections are reset, and its port refuses for a while. */
+/** Crashes the engine that sends the most streams: its connections are closed, and its port refuses for a while. */
 async function crash(engines, attempts, record) {
     const countOf = engine => engine.runs.filter(run => attempts.includes(run.attempt)).length;
     const [engine] = [...engines].sort((left, right) => countOf(right) - countOf(left));
