Ids of events may have more than 15 digits: a stream is resumed after them

A caller that came back with such a Last-Event-Id got its events once more.

Cause: ids were numbers of up to 15 digits, which a number holds exactly; longer ones counted as none, both those of events (EventSplitter) and the one that a caller states (PlatformCalls).

Change: EventId, a number or, above 15 digits, a bigint; the two compare with each other. The same reader serves events and callers. In the table of EventSplitter.test.ts, 16 digits were none; its model reads up to 1,000 now.

The stand-in of an engine can give its events any ids (StreamEvents).

--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import * as result from "true-myth/result";
 import * as codes from "./Codes";
+import * as eventIds from "./EventId";
 import * as ports from "./Ports";
 import * as positions from "./Position";
 import * as routing from "./Routing";
@@ -53,7 +54,7 @@
     /** Maximum number of output tokens. */
     readonly outputTokens: number;
     /** The last event of a stream that the caller received; undefined to start at the first. */
-    readonly lastEventId: number | undefined;
+    readonly lastEventId: eventIds.EventId | undefined;
     /** The caller's attempt that brought the first event of the stream to resume; undefined if not stated. */
     readonly resumedAttempt: string | undefined;
     /** Number of pieces (work items) of each stage, by stage index; a stage with 0 is skipped. */
@@ -67,7 +68,7 @@
     readonly instance: string;
     readonly remainingMs: number;
     readonly team: string | undefined;
-    readonly lastEventId: number | undefined;
+    readonly lastEventId: eventIds.EventId | undefined;
     /** Handles of the stage results that the call reads. */
     readonly inputs: readonly string[];
     /** 0 is the most urgent; undefined leaves the scheduling to the instance. */
--- a/src/request/routed/EventProgress.test.ts
+++ b/src/request/routed/EventProgress.test.ts
@@ -1,19 +1,28 @@
 import * as vitest from "vitest";
 import * as clocks from "../../common/Clock";
+import * as eventIds from "../../common/EventId";
 import * as progresses from "./EventProgress";
 import * as splitters from "./EventSplitter";
 
 interface SentEvent {
-    readonly id?: number;
+    readonly id?: eventIds.EventId;
     readonly isEmpty?: boolean;
 }
 
+interface ProgressCase {
+    readonly name: string;
+    readonly lastId: eventIds.EventId | undefined;
+    readonly sent: readonly SentEvent[];
+    readonly forwarded: readonly boolean[];
+    readonly progress: readonly boolean[];
+}
+
 function event({ id, isEmpty = false }: SentEvent): splitters.StreamEvent {
     return { id, isEmpty, start: 0, end: 1 };
 }
 
 vitest.describe("an event", () => {
-    vitest.it.each([
+    vitest.it.each<ProgressCase>([
         { name: "is forwarded", lastId: undefined, sent: [{ id: 1 }], forwarded: [true], progress: [true] },
         { name: "without an id", lastId: 3, sent: [{}, {}], forwarded: [true, true], progress: [true, true] },
         { name: "that the caller has", lastId: 3, sent: [{ id: 3 }], forwarded: [false], progress: [true] },
@@ -32,6 +41,20 @@
             forwarded: [false, false],
             progress: [true, true],
         },
+        {
+            name: "with a long id that the caller has, or not",
+            lastId: 9_007_199_254_740_992n,
+            sent: [{ id: 7 }, { id: 9_007_199_254_740_992n }, { id: 9_007_199_254_740_993n }],
+            forwarded: [false, false, true],
+            progress: [true, true, true],
+        },
+        {
+            name: "with a long id after one with a short one",
+            lastId: 999_999_999_999_999,
+            sent: [{ id: 1_000_000_000_000_000n }],
+            forwarded: [true],
+            progress: [true],
+        },
         { name: "that is empty", lastId: 3, sent: [{ isEmpty: true }], forwarded: [true], progress: [false] },
     ])("$name", ({ lastId, sent, forwarded, progress }) => {
         const events = new progresses.EventProgress(new clocks.ManualClock(), lastId);
--- a/src/request/routed/EventProgress.ts
+++ b/src/request/routed/EventProgress.ts
@@ -4,6 +4,7 @@
  * every few seconds while they work on a long prompt.
  */
 import * as clocks from "../../common/Clock";
+import * as eventIds from "../../common/EventId";
 import * as splitters from "./EventSplitter";
 
 /** Number of events in a row that may bring nothing, however fast they come. */
@@ -14,15 +15,15 @@
 /** The events of one call's stream, from one answer to the next. */
 export class EventProgress {
     /** Largest id in the present answer. */
-    private answeredId = -Infinity;
+    private answeredId: eventIds.EventId = -Infinity;
     private idleEvents = 0;
     private idleSinceMs = 0;
 
     /** `lastEventId`: the last event that the caller has, from an earlier attempt; undefined if it has none. */
-    constructor(private readonly clock: clocks.Clock, private lastId: number | undefined) {}
+    constructor(private readonly clock: clocks.Clock, private lastId: eventIds.EventId | undefined) {}
 
     /** Id of the last event that was forwarded. */
-    get lastEventId(): number | undefined {
+    get lastEventId(): eventIds.EventId | undefined {
         return this.lastId;
     }
 
--- a/src/request/routed/EventSplitter.test.ts
+++ b/src/request/routed/EventSplitter.test.ts
@@ -1,5 +1,6 @@
 import * as fc from "fast-check";
 import * as vitest from "vitest";
+import * as eventIds from "../../common/EventId";
 import * as splitters from "./EventSplitter";
 
 const STREAM = "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n";
@@ -9,7 +10,7 @@
 const MAX_COPIES = 4;
 
 interface SplitEvent {
-    readonly id: number | undefined;
+    readonly id: eventIds.EventId | undefined;
     readonly isEmpty: boolean;
     readonly text: string;
 }
@@ -48,9 +49,9 @@
         const isEnd = lines !== "" && /^\r?\n$/.test(line);
         lines += line;
         if (isEnd) {
-            const id = /(?:^|\n)id:[ \t]*(\d{1,15})\r?\n/.exec(lines)?.[1];
+            const id = /(?:^|\n)id:[ \t]*(\d{1,1000})\r?\n/.exec(lines)?.[1];
             const isEmpty = lines.split("\n").every(each => /^(:|\r?$)/.test(each));
-            events.push({ id: id === undefined ? undefined : Number(id), isEmpty, text: lines });
+            events.push({ id: eventIds.parse(id ?? ""), isEmpty, text: lines });
             lines = "";
         }
     }
--- a/src/request/routed/EventSplitter.ts
+++ b/src/request/routed/EventSplitter.ts
@@ -3,11 +3,12 @@
  * nothing of it is forwarded if the stream breaks in the middle. Events are found one at a time, so that a chunk of many
  * can be handled in parts; each byte is examined once, however it arrives.
  */
+import * as eventIds from "../../common/EventId";
 
 /** A complete event; its position is valid until the next chunk is pushed. */
 export interface StreamEvent {
-    /** Value of the event's `id` line; undefined if it has none or not a number. */
-    readonly id: number | undefined;
+    /** Value of the event's `id` line; undefined if it has none, or one that can't be read. */
+    readonly id: eventIds.EventId | undefined;
     /** Whether it holds only comments and blank lines, which an instance may send while it makes no progress. */
     readonly isEmpty: boolean;
     /** Position of its first byte. */
@@ -21,13 +22,9 @@
 const COLON = 0x3a;
 const SPACE = 0x20;
 const TAB = 0x09;
-const DIGIT_0 = 0x30;
-const DIGIT_9 = 0x39;
 const LETTER_I = 0x69;
 const LETTER_D = 0x64;
 const ID_PREFIX_LENGTH = "id:".length;
-/** Longer ids aren't exact as numbers. */
-const MAX_ID_DIGITS = 15;
 /** Largest incomplete event that is held; larger content is not treated as an event stream. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MIN_HELD_BYTES = 256;
@@ -42,7 +39,7 @@
     private eventStart = 0;
     private lineStart = 0;
     private scannedTo = 0;
-    private id: number | undefined;
+    private id: eventIds.EventId | undefined;
     private isEmpty = true;
 
     /** Whether bytes of an incomplete event are held. */
@@ -146,8 +143,8 @@
     }
 }
 
-/** The number in an `id` line that ends with a line feed; undefined if it isn't such a line. */
-function readId(content: Buffer, lineStart: number, lineFeed: number): number | undefined {
+/** The id in an `id` line that ends with a line feed; undefined if it isn't such a line. */
+function readId(content: Buffer, lineStart: number, lineFeed: number): eventIds.EventId | undefined {
     if (content[lineStart + 1] !== LETTER_D || content[lineStart + 2] !== COLON) {
         return undefined;
     }
@@ -156,17 +153,5 @@
         index++;
     }
     const end = content[lineFeed - 1] === CARRIAGE_RETURN ? lineFeed - 1 : lineFeed;
-    const digits = end - index;
-    if (digits < 1 || digits > MAX_ID_DIGITS) {
-        return undefined;
-    }
-    let id = 0;
-    for (; index < end; index++) {
-        const byte = content[index]!;
-        if (byte < DIGIT_0 || byte > DIGIT_9) {
-            return undefined;
-        }
-        id = id * 10 + byte - DIGIT_0;
-    }
-    return id;
+    return eventIds.parseBytes(content, index, end);
 }
--- a/src/request/routed/SendLog.ts
+++ b/src/request/routed/SendLog.ts
@@ -1,6 +1,7 @@
 /**
  * The log lines about the sends of a call.
  */
+import * as eventIds from "../../common/EventId";
 import * as routing from "../../common/Routing";
 import * as exchanges from "../../connection/UpstreamExchange";
 import * as pools from "../../process/instances/InstancePool";
@@ -32,7 +33,7 @@
     chosen: pools.ChosenInstance,
     expectedMs: number,
     remainingMs: number,
-    lastEventId: number | undefined,
+    lastEventId: eventIds.EventId | undefined,
 ): void {
     context.log.info({
         decision: "send",
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -5,6 +5,7 @@
  */
 import * as clocks from "../../common/Clock";
 import * as codes from "../../common/Codes";
+import * as eventIds from "../../common/EventId";
 import * as logs from "../../common/Log";
 import * as positions from "../../common/Position";
 import * as routing from "../../common/Routing";
@@ -88,7 +89,7 @@
 
 /** Options that differ between the sends of a call. */
 export interface SendOptions {
-    readonly lastEventId: number | undefined;
+    readonly lastEventId: eventIds.EventId | undefined;
     readonly inputs: readonly CallInput[];
     /** How long to wait for the headers of the answer before asking again; 0 to give up. */
     readonly answerWaitMs: (sent: SentCall) => number;
--- a/standins/platform/PlatformEngineStandIn.ts
+++ b/standins/platform/PlatformEngineStandIn.ts
@@ -8,6 +8,7 @@
 import * as listeners from "../../src/connection/Listener";
 import * as engineFaults from "./EngineFaults";
 import * as engineRequests from "./EngineRequest";
+import * as streams from "./StreamEvents";
 
 /** A received call that the engine ran. */
 export interface EngineRun {
@@ -38,7 +39,7 @@
 export type EngineFaults = engineFaults.EngineFaults;
 
 /** Identity and timing of an engine. */
-export interface EngineOptions {
+export interface EngineOptions extends streams.StreamEvents {
     readonly id: string;
     readonly service: string;
     readonly failureDomain: string;
@@ -46,10 +47,6 @@
     readonly softwareVersion?: string;
     /** Start, in milliseconds since 1970. */
     readonly startedMs?: number;
-    /** Number of events of each stream; undefined for an engine that doesn't stream. */
-    readonly events?: number;
-    /** Least size of the data of each event. */
-    readonly eventBytes?: number;
     /** Time between events. */
     readonly eventIntervalMs?: number;
     /** Time between the arrival of a call and the start of its answer. */
@@ -273,18 +270,18 @@
             this.crash(attemptId);
             return;
         }
-        for (let id = Number(request.headers["last-event-id"] ?? 0) + 1; id <= eventCount; id++) {
-            if (this.faults.breakAfterEvent !== undefined && id > this.faults.breakAfterEvent) {
-                response.write(`id: ${id}\nda`);
+        for (let event = streams.findLastEvent(request.headers, this.options) + 1; event <= eventCount; event++) {
+            if (this.faults.breakAfterEvent !== undefined && event > this.faults.breakAfterEvent) {
+                response.write(`${streams.encodeId(event, this.options)}da`);
                 setTimeout(() => request.socket.destroy(), 5);
                 return;
             }
-            response.write(`id: ${id}\ndata: ${`part ${id}${writer}`.padEnd(this.options.eventBytes ?? 0)}\n\n`);
-            if (this.faults.resetAfterEvent === id) {
+            response.write(streams.encodeEvent(event, writer, this.options));
+            if (this.faults.resetAfterEvent === event) {
                 process.nextTick(() => request.socket.resetAndDestroy()); // Node.js has written the event by then.
                 return;
             }
-            await this.pauseAfter(id, response);
+            await this.pauseAfter(event, response);
             await new Promise(resolve => setTimeout(resolve, this.options.eventIntervalMs ?? 1));
         }
         response.end();
