A stream whose last event has no readable id is broken off, not begun anew in its answer

Cause: whether a stream that has begun may be sent once more was decided by the route alone (StreamRun.canRetry, and the waits of SilenceWait before a move). Nothing asked whether the last event that was forwarded is the one that the next send names.

Change: EventProgress knows whether the latest event that isn't empty had an id; without one, neither a retry nor a move follows, the stream ends as incomplete and its caller may come back. The line stream-interrupted says so (continuable).

--- a/src/request/routed/EventProgress.test.ts
+++ b/src/request/routed/EventProgress.test.ts
@@ -64,6 +64,26 @@
     });
 });
 
+vitest.describe("a stream can go on in another answer", () => {
+    const COMMENT = { isEmpty: true };
+    // Guards against streams that begin anew in the middle of their answer.
+    vitest.it.each<{ readonly name: string; readonly sent: readonly SentEvent[]; readonly expected: boolean }>([
+        { name: "before its first event", sent: [], expected: true },
+        { name: "after comments", sent: [COMMENT, COMMENT], expected: true },
+        { name: "after an event with an id", sent: [{ id: 1 }], expected: true },
+        { name: "after an event with an id and a comment", sent: [{ id: 1 }, COMMENT], expected: true },
+        { name: "not after an event without an id", sent: [{}], expected: false },
+        { name: "not after such an event and a comment", sent: [{}, COMMENT], expected: false },
+        { name: "not after such an event behind one with an id", sent: [{ id: 1 }, {}], expected: false },
+        { name: "after an event with an id behind such a one", sent: [{}, { id: 2 }], expected: true },
+    ])("$name", ({ sent, expected }) => {
+        const events = new progresses.EventProgress(new clocks.ManualClock(), undefined);
+        events.beginAnswer();
+        sent.forEach(each => events.tryForward(event(each)));
+        vitest.expect(events.canContinue).toBe(expected);
+    });
+});
+
 vitest.describe("an answer", () => {
     const COMMENT = { isEmpty: true };
     const BRIEF_MS = 1;
--- a/src/request/routed/EventProgress.ts
+++ b/src/request/routed/EventProgress.ts
@@ -1,7 +1,8 @@
 /**
- * Decides which events of an answer are forwarded, and when an answer that brings nothing new is given up. Designed for
- * faulty instances that send comments, blank lines or the same event without end, beside sound ones that send a comment
- * every few seconds while they work on a long prompt.
+ * Decides which events of an answer are forwarded, when an answer that brings nothing new is given up, and whether a
+ * further answer can go on where it ends. Designed for faulty instances that send comments, blank lines or the same event
+ * without end, beside sound ones that send a comment every few seconds while they work on a long prompt; and for
+ * instances whose events have no ids, or none that tells what follows them.
  */
 import * as clocks from "../../common/Clock";
 import * as eventIds from "../../common/EventId";
@@ -16,6 +17,8 @@
 export class EventProgress {
     /** Largest id in the present answer. */
     private answeredId: eventIds.EventId = -Infinity;
+    /** Whether the latest event that was forwarded and isn't empty had an id, if there was one. */
+    private isPositionKnown = true;
     private idleEvents = 0;
     private idleSinceMs = 0;
 
@@ -27,6 +30,11 @@
         return this.lastId;
     }
 
+    /** Whether an answer that begins after the last id has all that the caller lacks, and nothing that it has. */
+    get canContinue(): boolean {
+        return this.isPositionKnown;
+    }
+
     /** Whether more events in a row have brought nothing than a sound instance sends. */
     get isStuck(): boolean {
         if (this.idleEvents <= MAX_IDLE_EVENTS) {
@@ -57,11 +65,12 @@
     }
 
     /** Whether the event is forwarded, after which it is the last one; false for one that the caller has. */
-    tryForward({ id }: splitters.StreamEvent): boolean {
+    tryForward({ id, isEmpty }: splitters.StreamEvent): boolean {
         if (id !== undefined && this.lastId !== undefined && id <= this.lastId) {
             return false;
         }
         this.lastId = id ?? this.lastId;
+        this.isPositionKnown = isEmpty ? this.isPositionKnown : id !== undefined;
         return true;
     }
 }
--- a/src/request/routed/SilenceWait.test.ts
+++ b/src/request/routed/SilenceWait.test.ts
@@ -7,6 +7,7 @@
 const STEP_MS = 250;
 const DURATION_MS = 10_000;
 const DEADLINE_MS = 60_000;
+const STATE: silenceWaits.WaitState = { hasBegun: () => true, canMove: () => true };
 
 /** Whether a stream that has begun is moved while bytes arrive in each step. */
 function isMoved(bytesPerStep: number, hasEvents: boolean): boolean {
@@ -18,7 +19,7 @@
         traffic: { quietMs: 1_000 },
         elsewhereMs: () => 100,
     } as unknown as senders.SentCall;
-    const silence = new silenceWaits.SilenceWait(clock, call, () => true);
+    const silence = new silenceWaits.SilenceWait(clock, call, STATE);
     silence.recordEvents();
     while (clock.now() < DURATION_MS) {
         clock.advance(STEP_MS);
@@ -53,7 +54,7 @@
     ])("$name: ended $isEnded", ({ checksMs, isEnded }) => {
         const clock = new clocks.ManualClock(0);
         const call = { hardDeadlineAtMs: DEADLINE_MS } as unknown as calls.RoutedCall;
-        const silence = new silenceWaits.SilenceWait(clock, call, () => true);
+        const silence = new silenceWaits.SilenceWait(clock, call, STATE);
         const checks = checksMs.map(atMs => {
             clock.skip(atMs - clock.now());
             return silence.checkOverrun();
--- a/src/request/routed/SilenceWait.ts
+++ b/src/request/routed/SilenceWait.ts
@@ -20,6 +20,13 @@
 const MIN_EVENT_BYTES_PER_SECOND = 1_000;
 const MS_PER_SECOND = 1_000;
 
+/** What the waiting depends on; it changes while the stream is forwarded. */
+export interface WaitState {
+    readonly hasBegun: () => boolean;
+    /** Whether the call may be moved to another instance. */
+    readonly canMove: () => boolean;
+}
+
 /** The silence of the instance that a call is at; used for one call. */
 export class SilenceWait {
     /** When the current instance last made progress, or when the call was sent to it. */
@@ -32,7 +39,7 @@
     constructor(
         private readonly clock: clocks.Clock,
         private readonly call: calls.RoutedCall,
-        private readonly hasBegun: () => boolean,
+        private readonly state: WaitState,
     ) {}
 
     /** Whether the call's hard deadline has passed. */
@@ -92,10 +99,10 @@
     private waitMs(sent: senders.SentCall, lastProgressAtMs: number): number {
         const nowMs = this.clock.now();
         const remainingMs = Math.max(0, this.call.hardDeadlineAtMs - nowMs);
-        if (remainingMs === 0 && this.hasBegun()) {
+        if (remainingMs === 0 && this.state.hasBegun()) {
             return this.call.hardDeadlineAtMs + BEGUN_STREAM_EXTENSION_MS - nowMs;
         }
-        if (!calls.isRetryable(this.call.route)) {
+        if (!this.state.canMove()) {
             return remainingMs;
         }
         const staysMs = this.staysUntilMs - nowMs;
--- a/src/request/routed/StreamRun.ts
+++ b/src/request/routed/StreamRun.ts
@@ -50,7 +50,10 @@
         private readonly options: streamOptions.StreamOptions,
     ) {
         this.progress = new progresses.EventProgress(context.clock, call.metadata.lastEventId);
-        this.silence = new silenceWaits.SilenceWait(context.clock, call, () => options.sink.hasBegun);
+        this.silence = new silenceWaits.SilenceWait(context.clock, call, {
+            hasBegun: () => options.sink.hasBegun,
+            canMove: () => this.canSendAgain,
+        });
         this.history.softwareVersion = options.softwareVersion;
     }
 
@@ -310,6 +313,7 @@
             reason,
             begun: this.options.sink.hasBegun,
             lastEventId: this.progress.lastEventId,
+            continuable: this.progress.canContinue,
             silentMs: Math.round(this.silence.silentMs),
             quietMs: quietMs === undefined ? undefined : Math.round(quietMs),
             inputs: this.options.inputs()?.length,
@@ -318,11 +322,16 @@
     }
 
     private canRetry(): boolean {
-        return calls.isRetryable(this.call.route)
+        return this.canSendAgain
             && this.history.possibleRuns < this.call.route.attempts
             && !this.silence.isLate;
     }
 
+    /** Whether the route allows another instance to run the call, and that one's answer can go on where this one ends. */
+    private get canSendAgain(): boolean {
+        return calls.isRetryable(this.call.route) && this.progress.canContinue;
+    }
+
     /** The outcome of the call; whatever ends a stream that has begun, none of its text reaches the caller. */
     private conclude(outcome: plainRuns.RunOutcome): plainRuns.RunOutcome {
         const isOwnAnswer = outcome.kind === "buffered" || outcome.kind === "local-failure";
