A caller's Last-Event-Id that can't be read is passed on, and its stream stays with its version

What callers saw: a caller that came back after an event whose id isn't decimal digits got the stream from its first event on, from any software version.

The binding to the version that began the stream (StreamResume) asked for the id as well.

Change: the caller's header stays as it is until the system has a later event's id; isResumption says that the caller resumes a stream, whatever its id.

--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -53,7 +53,9 @@
     readonly promptTokens: number;
     /** Maximum number of output tokens. */
     readonly outputTokens: number;
-    /** The last event of a stream that the caller received; undefined to start at the first. */
+    /** Whether the caller states the last event of a stream that it received, readable or not. */
+    readonly isResumption: boolean;
+    /** That event's id; undefined if it states none, or one that can't be read. */
     readonly lastEventId: eventIds.EventId | undefined;
     /** The caller's attempt that brought the first event of the stream to resume; undefined if not stated. */
     readonly resumedAttempt: string | undefined;
@@ -68,6 +70,7 @@
     readonly instance: string;
     readonly remainingMs: number;
     readonly team: string | undefined;
+    /** The event after which a stream goes on; undefined for what the caller's headers say. */
     readonly lastEventId: eventIds.EventId | undefined;
     /** Handles of the stage results that the call reads. */
     readonly inputs: readonly string[];
--- a/src/request/routed/ExpectedTime.test.ts
+++ b/src/request/routed/ExpectedTime.test.ts
@@ -25,6 +25,7 @@
     promptParts: [],
     promptTokens: 600,
     outputTokens: 280,
+    isResumption: false,
     lastEventId: undefined,
     resumedAttempt: undefined,
     pieces: [3],
--- a/src/request/routed/StreamResume.ts
+++ b/src/request/routed/StreamResume.ts
@@ -32,8 +32,8 @@
     context: ResumeContext,
     call: calls.RoutedCall,
 ): Promise<result.Result<BoundStream, codes.Failure>> {
-    const { lastEventId, resumedAttempt } = call.metadata;
-    if (lastEventId === undefined) {
+    const { isResumption, resumedAttempt } = call.metadata;
+    if (!isResumption) {
         return result.ok({ call, softwareVersion: undefined });
     }
     const outcome = await context.streamOrigins.resolve({
@@ -67,8 +67,8 @@
 
 /** Records which version sent the first event of an answer, if its caller may come back to the stream. */
 export function recordFirstEvent(context: ResumeContext, call: calls.RoutedCall, softwareVersion: string): void {
-    const { attempt, lastEventId, resumedAttempt } = call.metadata;
-    const firstAttempt = lastEventId === undefined ? attempt : resumedAttempt;
+    const { attempt, isResumption, resumedAttempt } = call.metadata;
+    const firstAttempt = isResumption ? resumedAttempt : attempt;
     if (call.route.isResumable && firstAttempt !== undefined) {
         context.streamOrigins.recordFirstEvent({
             attempt: firstAttempt,
--- a/src/request/routed/UpstreamSender.ts
+++ b/src/request/routed/UpstreamSender.ts
@@ -127,7 +127,8 @@
     }
     const { instance } = chosen;
     const partIds = call.metadata.promptParts.map(part => part.id);
-    const isMeasured = !chosen.isCold && options.lastEventId === undefined;
+    const isWhole = options.lastEventId === undefined && !call.metadata.isResumption;
+    const isMeasured = !chosen.isCold && isWhole;
     const ticket = chosen.traffic.begin(chosen.missingTokens, partIds, isMeasured);
     history.openSends++;
     const unsent = await findUnsentOutcome(context, call, history, chosen, ticket, options.signal);
--- a/tests/UnreadableEventIds.test.ts
+++ b/tests/UnreadableEventIds.test.ts
@@ -66,6 +66,16 @@
         vitest.expect(readEvents(answer)).toEqual([1, 2, 3]);
     });
 
+    // Guards against a caller that gets events once more which it has already.
+    vitest.it("ids that aren't numbers, goes on after the one that its caller states", async () => {
+        const eventIdOf = (event: number): string => `part-${event}`;
+        setEventIds(eventIdOf);
+        const headers = { ...fleets.PROMPT_HEADERS, "Last-Event-Id": eventIdOf(BREAK_AFTER_EVENT) };
+        const answer = await fleet.call("/notes/1", { headers });
+        vitest.expect(answer).toMatchObject({ status: 200, isComplete: true });
+        vitest.expect(readEvents(answer)).toEqual([4, 5, 6]);
+    });
+
     vitest.it.each(cases)("$name, is sent to another instance that answers before its first event", async testCase => {
         setEventIds(testCase.eventIdOf);
         fleet.enginesOf("model")[0]!.faults = { breakAfterEvent: 0 };
