Cut watches alone are no outage: after two in succession a call that doesn't wait tells which it is

Cause: StoreAvailability took two failed calls in succession for an outage, in which records of sound instances expire, so that the deletion waited for 2,000 ms from the next answer, which itself came 125 to 375 ms after the second cut. The two can't be told apart from watches: a watch that waits may be cut, as often as the store likes, while it is available. Seen in the entry's log as "published store unreachable", and "reachable again" with graceMs 2000.

Ruled out: news that came late (the first answer after the cuts has the deletion); peers (the case has one entry). A shorter wait after each outage would fail the tests of outages in CutWatches.test.ts, which the users' page on registrations asks for.

Change: only a call that doesn't wait shows an outage. After two failed watches the reader asks for the store's position (`PublishedStore.readPosition`; state "unwatched" if that is answered), and watches again at once. During an outage these calls take the place of the watches; its end costs one more.

--- a/src/common/RoutingPorts.ts
+++ b/src/common/RoutingPorts.ts
@@ -32,6 +32,8 @@
      * it gave out that revision; the changes are of no use then.
      */
     watch(revision: number, waitMs: number, signal: AbortSignal): ports.Reply<PublishedChanges>;
+    /** Reads only the store's position, with a call that doesn't wait. */
+    readPosition(signal: AbortSignal): ports.Reply<positions.Position>;
     /** Decodes one key; never throws. */
     decode(item: routing.PublishedItem): routing.PublishedRecord;
 }
--- a/src/process/peers/StoreSimulation.ts
+++ b/src/process/peers/StoreSimulation.ts
@@ -265,6 +265,7 @@
                     ...this.content(revision),
                     isHistoryLost: false,
                 }), revision),
+            readPosition: signal => this.call(entry, 0, WATCH_MARGIN_MS, signal, () => ({ ...this.content(Infinity) })),
             decode: item => ({ kind: "out-of-service", failureDomain: item.key }),
         };
     }
--- a/src/process/published/CutWatches.test.ts
+++ b/src/process/published/CutWatches.test.ts
@@ -16,14 +16,21 @@
 const LENGTH_MS = 20_000;
 const INSTANCE_KEY = "instance-1";
 
+interface Span {
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 /** What happens to the store. */
 interface Scenario {
     /** When the watches that wait are cut, without an outage. */
     readonly cutsAtMs?: readonly number[];
+    /** While each watch that would wait is cut; the store answers all other calls. */
+    readonly unwatched?: Span;
     /** Each connection that was opened before turns silent; later ones are sound. */
     readonly silentAtMs?: number;
     /** While the store resets all calls. */
-    readonly outage?: { readonly fromMs: number; readonly toMs: number };
+    readonly outage?: Span;
     readonly deletedAtMs: number;
 }
 
@@ -39,6 +46,10 @@
     coldLeftMs: 0,
 };
 
+function isIn(atMs: number, span: Span | undefined): boolean {
+    return span !== undefined && isBetween(atMs, span.fromMs, span.toMs);
+}
+
 function isBetween(atMs: number, fromMs: number, toMs: number): boolean {
     return atMs > fromMs && atMs <= toMs;
 }
@@ -54,19 +65,20 @@
 
     async watch(revision: number, waitMs: number): ReturnType<routingPorts.PublishedStore["watch"]> {
         const startMs = this.clock.now();
-        const { cutsAtMs = [], silentAtMs = Infinity, deletedAtMs, outage } = this.scenario;
+        const { cutsAtMs = [], silentAtMs = Infinity, deletedAtMs, outage, unwatched } = this.scenario;
         for (;;) {
             await clocks.sleep(this.clock, STEP_MS);
             const nowMs = this.clock.now();
-            const isDown = outage !== undefined && isBetween(nowMs, outage.fromMs, outage.toMs);
-            if (isDown || cutsAtMs.some(cutMs => isBetween(cutMs, startMs, nowMs))) {
+            const hasEvents = nowMs >= deletedAtMs && revision < 2;
+            const isCut = !hasEvents && isIn(nowMs, unwatched);
+            if (isCut || isIn(nowMs, outage) || cutsAtMs.some(cutMs => isBetween(cutMs, startMs, nowMs))) {
                 return result.err(codes.failure(codes.codes.upstreamReset, "test"));
             }
             if (isBetween(silentAtMs, startMs, nowMs)) {
                 await clocks.sleep(this.clock, waitMs);
                 return result.err(codes.failure(codes.codes.upstreamTimeout, "test"));
             }
-            if (nowMs >= deletedAtMs && revision < 2) {
+            if (hasEvents) {
                 const item = { key: INSTANCE_KEY, era: 0, revision: 2, content: undefined };
                 return result.ok({ items: [item], era: 0, revision: 2, isHistoryLost: false });
             }
@@ -76,6 +88,14 @@
         }
     }
 
+    async readPosition(): ReturnType<routingPorts.PublishedStore["readPosition"]> {
+        await clocks.sleep(this.clock, STEP_MS);
+        const nowMs = this.clock.now();
+        return isIn(nowMs, this.scenario.outage)
+            ? result.err(codes.failure(codes.codes.upstreamReset, "test"))
+            : result.ok({ era: 0, revision: nowMs >= this.scenario.deletedAtMs ? 2 : 1 });
+    }
+
     decode(): routing.PublishedRecord {
         return { kind: "instance", instance: record };
     }
@@ -120,6 +140,17 @@
             cutsAtMs: Array.from({ length: 40 }, (_, index) => 3_000 + index * 150),
             deletedAtMs: 4_020,
         },
+        {
+            name: "just after two watches in succession were cut",
+            unwatched: { fromMs: 3_990, toMs: 4_010 },
+            deletedAtMs: 4_030,
+        },
+        {
+            name: "after each watch that waited was cut for long",
+            unwatched: { fromMs: 3_000, toMs: 9_000 },
+            deletedAtMs: 8_900,
+        },
+        { name: "while each is cut", unwatched: { fromMs: 3_000, toMs: 9_000 }, deletedAtMs: 3_040 },
         { name: "after the connection had turned silent and was given up", silentAtMs: 3_000, deletedAtMs: 5_020 },
     ])("$name", async scenario => {
         vitest.expect(await findRemovalMs(scenario) - scenario.deletedAtMs).toBeLessThan(DRAIN_MS);
--- a/src/process/published/PacedStore.ts
+++ b/src/process/published/PacedStore.ts
@@ -49,6 +49,7 @@
     return {
         list: (after, signal) => callInTurn(() => store.list(after, signal), signal),
         watch: (revision, waitMs, signal) => callInTurn(() => store.watch(revision, waitMs, signal), signal),
+        readPosition: signal => callInTurn(() => store.readPosition(signal), signal),
         decode: item => store.decode(item),
     };
 }
--- a/src/process/published/PublishedReader.test.ts
+++ b/src/process/published/PublishedReader.test.ts
@@ -49,6 +49,10 @@
                 }) as ports.Reply<routingPorts.PublishedChanges>
                 : Promise.resolve(next);
         },
+        readPosition: () => {
+            requests.push("position");
+            return Promise.resolve(result.ok({ era: 0, revision: 5 }));
+        },
         decode: () => ({ kind: "other" }),
     };
     return { store, requests };
@@ -97,6 +101,18 @@
         watches: [result.err(STORE_UNAVAILABLE), changes([], 6)],
         expectedRequests: ["list -", "watch 5", "watch 5", "watch 6"],
     },
+    {
+        name: "asks for the position after two failures, and watches again at once when that is answered",
+        pages: [onlyPage],
+        watches: [
+            ...[result.err(STORE_UNAVAILABLE), result.err(STORE_UNAVAILABLE)] as const,
+            ...[result.err(STORE_UNAVAILABLE), changes([], 6)] as const,
+        ],
+        expectedRequests: [
+            ...["list -", "watch 5", "watch 5", "position", "watch 5", "position", "watch 5"],
+            "watch 6",
+        ],
+    },
     {
         name: "lists again when a watch is answered in another era, whose revisions have gone beyond the known one",
         pages: [firstPage, lastPage, laterFirstPage, laterLastPage],
--- a/src/process/published/PublishedReader.ts
+++ b/src/process/published/PublishedReader.ts
@@ -64,7 +64,8 @@
         let isListed = false;
         let isLost = false;
         while (!this.stop.signal.aborted) {
-            const failure = await this.tryRead(isListed);
+            const call = this.nextCall(isListed);
+            const failure = await this.tryCall(call);
             if (failure === undefined) {
                 isLost &&= !isListed;
                 isListed = true;
@@ -81,7 +82,7 @@
                 isLost = true;
                 continue;
             }
-            if (!this.recordFailure(failure)) {
+            if (!this.recordFailure(call, failure)) {
                 await this.sleepBeforeRetry();
             }
         }
@@ -92,10 +93,24 @@
         return clocks.sleep(this.options.clock, delayMs, this.stop.signal);
     }
 
-    /** Lists or watches; an exception, which is a defect of this program, doesn't end the reading. */
-    private async tryRead(isListed: boolean): Promise<codes.Failure | undefined> {
+    private nextCall(isListed: boolean): availabilities.StoreCall {
+        if (!isListed) {
+            return "list";
+        }
+        return this.availability.isCheckDue ? "check" : "watch";
+    }
+
+    /** Makes a call; an exception, which is a defect of this program, doesn't end the reading. */
+    private async tryCall(call: availabilities.StoreCall): Promise<codes.Failure | undefined> {
         try {
-            return isListed ? await this.watchOnce() : await this.listAll();
+            switch (call) {
+                case "list":
+                    return await this.listAll();
+                case "watch":
+                    return await this.watchOnce();
+                case "check":
+                    return await this.checkStore();
+            }
         }
         catch (error) {
             this.options.log.error({ decision: "exception", err: error }, "reading the published store failed");
@@ -128,7 +143,7 @@
             after = page.value.nextAfter;
         }
         while (after !== undefined);
-        this.recordAnswer();
+        this.recordAnswer("list");
         this.isInStep = true;
         this.options.view.apply({ items, ...position, isWhole: true }, "store", this.deletionGraceMs());
         return undefined;
@@ -152,7 +167,7 @@
         if (failure !== undefined) {
             return failure;
         }
-        const wasAvailable = this.recordAnswer() === "available";
+        const wasAvailable = this.recordAnswer("watch") === "available";
         const { items } = changes.value;
         const position = positions.positionOf(changes.value);
         view.apply({ items, ...position, isWhole: false }, "store", this.deletionGraceMs());
@@ -162,6 +177,17 @@
         return undefined;
     }
 
+    /** Asks whether the store answers; what it says is learned from the next watch. */
+    private async checkStore(): Promise<codes.Failure | undefined> {
+        this.storeCalls++;
+        const answer = await this.options.store.readPosition(this.stop.signal);
+        if (answer.isErr) {
+            return answer.error;
+        }
+        this.recordAnswer("check");
+        return undefined;
+    }
+
     /** The failure of a call that was made in one era and answered in another; undefined if the answer is of use. */
     private checkEra(callEra: number, answerEra: number): codes.Failure | undefined {
         if (answerEra < this.options.view.position.era) {
@@ -186,16 +212,16 @@
     }
 
     /** Returns whether the next call is due at once. */
-    private recordFailure(failure: codes.Failure): boolean {
+    private recordFailure(call: availabilities.StoreCall, failure: codes.Failure): boolean {
         if (this.stop.signal.aborted) {
             return false;
         }
         const previous = this.availability.state;
-        const isPrompt = this.availability.recordFailure(this.options.clock.now());
+        const isPrompt = this.availability.recordFailure(call, this.options.clock.now());
         const { state } = this.availability;
         if (state !== previous) {
             const { name, code } = failure.code;
-            const fields = { dependency: "store", state, code, name, detail: failure.detail };
+            const fields = { dependency: "store", state, call, code, name, detail: failure.detail };
             if (state === "doubtful") {
                 this.options.log.info(fields, "call of the published store failed; trying again");
             }
@@ -207,14 +233,18 @@
     }
 
     /** Returns the state before the answer. */
-    private recordAnswer(): availabilities.StoreState {
+    private recordAnswer(call: availabilities.StoreCall): availabilities.StoreState {
         const nowMs = this.options.clock.now();
-        this.confirmedAtMs = nowMs;
-        const previous = this.availability.recordAnswer(nowMs);
-        if (previous !== "available") {
-            const fields = { dependency: "store", state: "available", ...this.options.view.position };
+        this.confirmedAtMs = call === "check" ? this.confirmedAtMs : nowMs;
+        const previous = this.availability.recordAnswer(call, nowMs);
+        const { state } = this.availability;
+        if (state !== previous) {
             const graceMs = this.availability.deletionGraceMs(nowMs);
-            this.options.log.info({ ...fields, previous, graceMs }, "published store reachable again");
+            const fields = { dependency: "store", state, previous, graceMs, ...this.options.view.position };
+            const text = state === "available"
+                ? "published store reachable again"
+                : "published store answers; watching";
+            this.options.log.info(fields, text);
         }
         return previous;
     }
