All requests of a caller that leaves end, also those behind the one that is being answered

Cause: Node.js emits the event close of a response only once the response has its socket, which those behind the first one get in turn. All that follows the end of a request waits for that event: the cancelling, the accounts of bodies, answers and open requests, the waits for room. Beside that, a FIN behind requests that wait unread (more than four in progress) was learned only with the next answer (PacedSocket).

Change: the connection's end closes the responses that wait for their turn (RequestLimit, so for callers of both kinds and the admin server). A FIN that arrives while the reader is busy ends the connection, without the requests that it hasn't read.

--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -193,9 +193,18 @@
             return passEnd();
         }
         this.passEnd = passEnd;
+        this.endIfBusy();
         return false;
     }
 
+    /** Passes on the end without what is unread: the other side has left before the reader takes more. */
+    private endIfBusy(): void {
+        if (this.passEnd !== undefined && this.limits.isBusy()) {
+            this.drop();
+            this.passEnd();
+        }
+    }
+
     /** Called by Node.js when the reader takes more. */
     private demand(size: number): void {
         if (this.hasUnread) {
@@ -258,6 +267,7 @@
         }
         else if (this.unread !== undefined) {
             this.resume();
+            this.endIfBusy();
         }
         else if (this.passEnd !== undefined) {
             this.passEnd();
--- a/src/connection/RequestLimit.ts
+++ b/src/connection/RequestLimit.ts
@@ -1,6 +1,7 @@
 /**
  * Bounds the requests of one connection that a server has in progress. Further ones wait unread until an answer has
- * been sent. So that each is read by itself, pieces end where a head or a body ends, or may end.
+ * been sent. So that each is read by itself, pieces end where a head or a body ends, or may end. The responses to all of
+ * them are told when the connection closes.
  */
 import * as http from "node:http";
 import * as net from "node:net";
@@ -34,7 +35,7 @@
 /** The requests of one connection. */
 class ConnectionRequests {
     private readonly paced: pacedSockets.PacedSocket;
-    private openCount = 0;
+    private readonly openResponses = new Set<http.ServerResponse>();
     private last: http.IncomingMessage | undefined;
     /** Bytes to come that belong to a body of a stated length. */
     private bodyBytes = 0;
@@ -46,32 +47,44 @@
         turns: readTurns.ReadTurns,
     ) {
         this.paced = pacedSockets.paceAccepted(socket, kind, {
-            isBusy: () => this.openCount >= this.maxRequests && this.last?.complete === true,
+            isBusy: () => this.openResponses.size >= this.maxRequests && this.last?.complete === true,
             findPieceBytes: (bytes, maxBytes) => this.findPieceBytes(bytes, maxBytes),
             onPiece: bytes => this.countPiece(bytes),
         }, turns);
         // The HTTP server reads the socket's descriptor itself, past the socket, until the socket has another reader.
         socket.on("data", ignore);
         socket.removeListener("data", ignore);
+        socket.once("close", () => this.closeQueuedResponses());
     }
 
     /** Counts a request until it is answered. */
     add(request: http.IncomingMessage, response: http.ServerResponse): void {
-        this.openCount++;
+        this.openResponses.add(response);
         this.last = request;
         this.bodyBytes = Number(request.headers["content-length"] ?? 0);
         response.once("close", () => {
-            this.openCount--;
+            this.openResponses.delete(response);
             this.paced.resume();
         });
     }
 
+    /** Node.js tells the end of a connection only to the response that is being written, not to those that wait behind it. */
+    private closeQueuedResponses(): void {
+        for (const response of this.openResponses) {
+            if (response.socket === null && !response.writableFinished) {
+                response.destroy();
+                response.emit("close");
+            }
+        }
+    }
+
     private findPieceBytes(bytes: Buffer, maxBytes: number): number {
         if (this.bodyBytes > 0) {
             return Math.min(bytes.length, maxBytes, this.bodyBytes);
         }
         const piece = bytes.subarray(0, maxBytes);
-        const isBody = this.last?.complete === false && this.openCount + MAX_HEADS_IN_PIECE <= this.maxRequests;
+        const isBody = this.last?.complete === false
+            && this.openResponses.size + MAX_HEADS_IN_PIECE <= this.maxRequests;
         return findBlankLineEnd(piece, isBody ? MIN_BODY_PIECE_BYTES : 0);
     }
 
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -195,7 +195,7 @@
         }
         open.call = undefined; // Its body is no longer needed, while the caller may read the answer for long.
         buffers.releaseBody();
-        if (response.closed) {
+        if (response.destroyed) {
             buffers.releaseAnswer();
         }
     }
