In a planned stop, a connection ends with the answer to its last request, not with the first answer

Cause: beginDrain made each answer that hadn't begun close its connection; Node.js closes it after the first one that says so. The same with an answer that an instance delimited by its connection and that others follow (CallerResponse.writeCloseDelimited).

Change: ConnectionEnds knows the open answers of each connection in order. An answer that others follow is given a length. What is recorded of answers moved from RouteServer to AnswerRecord, unchanged.

--- a/src/connection/RequestLimit.ts
+++ b/src/connection/RequestLimit.ts
@@ -71,7 +71,7 @@
     /** Node.js tells the end of a connection only to the response that is being written, not to those that wait behind it. */
     private closeQueuedResponses(): void {
         for (const response of this.openResponses) {
-            if (response.socket === null && !response.writableFinished) {
+            if (!response.socket && !response.writableFinished) {
                 response.destroy();
                 response.emit("close");
             }
--- a/src/process/routing/RouteServer.ts
+++ b/src/process/routing/RouteServer.ts
@@ -8,6 +8,7 @@
 import * as readTimers from "../../common/ReadTimer";
 import * as routing from "../../common/Routing";
 import * as settingsShapes from "../../common/Settings";
+import * as answerFramings from "../../connection/AnswerFraming";
 import * as listeners from "../../connection/Listener";
 import * as requestLimits from "../../connection/RequestLimit";
 import * as callDurations from "../../request/routed/CallDurations";
@@ -19,8 +20,10 @@
 import * as metrics from "../metrics/RouteMetrics";
 import * as callerConnections from "../serving/CallerConnections";
 import * as callerWatches from "../serving/CallerWatch";
+import * as connectionEnds from "../serving/ConnectionEnds";
 import * as descriptorLimits from "../serving/DescriptorLimit";
 import * as idleConnections from "../serving/IdleConnections";
+import * as answerRecords from "./AnswerRecord";
 import * as bodies from "./CallerBody";
 import * as callerRequests from "./CallerRequest";
 import * as responses from "./CallerResponse";
@@ -77,16 +80,17 @@
     /** The bytes of bodies and answers held. */
     readonly buffers: bufferAccounts.BufferAccount;
     private listener: listeners.Listener | undefined;
-    private readonly durations: callDurations.CallDurations;
+    private readonly records: answerRecords.AnswerRecord;
     private readonly requestContext: callerRequests.RequestContext;
     private limits = DEFAULT_LIMITS;
-    private isDraining = false;
+    private readonly ends = new connectionEnds.ConnectionEnds();
     /** Requests without a complete answer. */
     private readonly openRequests = new Set<OpenRequest>();
 
     constructor(private readonly context: RouteServerContext) {
-        this.durations = new callDurations.CallDurations(context.clock);
-        this.requestContext = { ...context, durations: this.durations };
+        const durations = new callDurations.CallDurations(context.clock);
+        this.records = new answerRecords.AnswerRecord(context, durations);
+        this.requestContext = { ...context, durations };
         this.server = http.createServer({
             maxHeaderSize: MAX_PARSED_HEADER_BYTES,
             requestTimeout: 0,
@@ -130,10 +134,9 @@
         this.server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
     }
 
-    /** Every answer that starts from now on closes its connection. */
+    /** From now on, the answer to the last request of each connection closes it. */
     beginDrain(): void {
-        this.isDraining = true;
-        this.openRequests.forEach(({ response }) => response.shouldKeepAlive = false);
+        this.ends.begin();
     }
 
     /** Stops accepting connections and closes those without a request. */
@@ -166,6 +169,10 @@
     }
 
     private async handleRequest(message: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (!this.ends.tryAdd(message.socket, response)) {
+            this.dropRequest(message);
+            return;
+        }
         // The request may have waited unread for the whole pause, and its caller may have left since.
         const pauseMs = this.context.pauses.recentPauseMs(PAUSE_WINDOW_MS);
         const arrivedMs = this.context.clock.now() - pauseMs;
@@ -181,7 +188,6 @@
             isAnswered: false,
         };
         this.openRequests.add(open);
-        response.shouldKeepAlive &&= !this.isDraining;
         response.on("error", () => response.destroy());
         response.on("close", () => {
             this.openRequests.delete(open);
@@ -200,6 +206,12 @@
         }
     }
 
+    /** Discards a request that crosses the end of its connection; the caller sees that it got no answer. */
+    private dropRequest(message: http.IncomingMessage): void {
+        message.resume();
+        this.records.logCrossed(this.context.run.wire.readAttempt(message.headers));
+    }
+
     /** Ends a request whose run failed with an exception, which is a defect of this program. */
     private handleException(open: OpenRequest, error: unknown): void {
         const { abortController, message, response } = open;
@@ -235,7 +247,7 @@
         }
         const call = accepted.value;
         if (abortController.signal.aborted) {
-            this.recordAnswer(call, "gone", {});
+            this.records.recordEnd(call, "gone", {});
             return;
         }
         open.call = call;
@@ -259,26 +271,31 @@
                 if (end.body.length > bufferAccounts.SMALL_BYTES) {
                     this.limitWriting(open.response, call, sink);
                 }
-                sink.writeComplete(end.status, end.headers, end.body, end.framing);
-                this.recordAnswer(call, String(end.status), { instance: end.instance });
+                sink.writeComplete(end.status, end.headers, end.body, this.framingOf(open, end.framing));
+                this.records.recordEnd(call, String(end.status), { instance: end.instance });
                 return;
             case "streamed":
-                this.recordAnswer(call, end.isComplete ? "200" : "broken-off", {});
+                this.records.recordEnd(call, end.isComplete ? "200" : "broken-off", {});
                 return;
             case "disconnected":
                 open.response.destroy();
-                this.recordAnswer(call, "gone", {});
+                this.records.recordEnd(call, "gone", {});
                 return;
             case "local-failure":
                 if (sink.hasBegun) {
                     sink.abort();
-                    this.recordAnswer(call, "broken-off", { code: end.failure.code.name });
+                    this.records.recordEnd(call, "broken-off", { code: end.failure.code.name });
                     return;
                 }
                 this.answerFailure(open, end.failure);
         }
     }
 
+    /** An answer that others follow on its connection can't end with the connection. */
+    private framingOf({ message, response }: OpenRequest, framing: answerFramings.Framing): answerFramings.Framing {
+        return framing === "connection" && this.ends.hasLater(message.socket, response) ? "length" : framing;
+    }
+
     /** Aborts an answer of which its caller reads nothing for the idle time, so that it doesn't keep its connection. */
     private limitWriting(response: http.ServerResponse, call: calls.RoutedCall, sink: responses.CallerResponse): void {
         const { socket } = response;
@@ -305,44 +322,6 @@
         const attempt = this.context.run.wire.readAttempt(message.headers);
         const headers = this.context.run.wire.errorHeaders(attempt, failure.retryAfterMs);
         responses.writeLocalAnswer(response, failure.code.status, headers, failure.code, bodyEnd);
-        this.context.metrics.countEnd(call?.route.name ?? "none", String(failure.code.status));
-        this.context.log.info({
-            decision: "answer",
-            attempt,
-            route: call?.route.name,
-            team: call?.team?.name,
-            version: this.context.table()?.configuration.version,
-            status: failure.code.status,
-            code: failure.code.code,
-            name: failure.code.name,
-            detail: failure.detail,
-            retryAfterMs: failure.retryAfterMs,
-            elapsedMs: Math.round(this.context.clock.now() - arrivedMs),
-        }, "answered by this process");
+        this.records.recordFailure(attempt, call, arrivedMs, failure);
     }
-
-    private recordAnswer(call: calls.RoutedCall, end: string, extraFields: Record<string, unknown>): void {
-        const elapsedMs = this.context.clock.now() - call.arrivedMs;
-        if (end === "200") {
-            this.durations.record(call.service, call.route, call.metadata, elapsedMs);
-        }
-        this.context.metrics.countEnd(call.route.name, end);
-        this.context.metrics.recordDuration(call.route.name, elapsedMs);
-        this.context.log.info({
-            decision: "answer",
-            attempt: call.metadata.attempt,
-            route: call.route.name,
-            team: call.team?.name,
-            version: this.context.table()?.configuration.version,
-            end,
-            ...extraFields,
-            stagesMs: roundMs(call.progress.stagesMs),
-            firstEventMs: roundMs(call.progress.firstEventMs),
-            elapsedMs: Math.round(elapsedMs),
-        }, "call ended");
-    }
-}
-
-function roundMs(ms: number | undefined): number | undefined {
-    return ms === undefined ? undefined : Math.round(ms);
 }
