The relay of the soak passes on a reset as a reset

Cause: TcpRelay, which stands before the soak's engines, closed the other side of a connection with a FIN, whatever had ended the first one, so that an entry had to take an answer without a length for whole. Not a fault of the entry.

Change: a reset, also one that Node.js reports as an end since bytes came with it (PacedSocket.isReset), resets the other side. The check of the soak stays as it is.

--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -72,7 +72,7 @@
  * Whether a socket that seems to have ended was reset. Node.js reports an end if bytes arrived together with a reset, or if
  * a failing write has taken the error. A socket that has ended on both sides can't be told from one that was reset.
  */
-function isReset(socket: net.Socket): boolean {
+export function isReset(socket: net.Socket): boolean {
     const { _handle: handle } = socket as unknown as { readonly _handle?: Handle };
     return !socket.writableEnded && (handle?.getpeername?.({}) ?? 0) !== 0;
 }
--- a/standins/TcpRelay.ts
+++ b/standins/TcpRelay.ts
@@ -1,9 +1,10 @@
 /**
  * Simulates the network between two processes: relays TCP connections to one target, and can delay or hold back
- * data or close the connections.
+ * data or close the connections. What ends one side of a connection, a FIN or a reset, ends the other one.
  */
 import * as net from "node:net";
 import * as clocks from "../src/common/Clock";
+import * as pacedSockets from "../src/connection/PacedSocket";
 
 /**
  * `hold` holds bytes back until the mode is `pass` again, `hold-requests` and `hold-answers` only those of one
@@ -15,10 +16,15 @@
 interface RelayedConnection {
     readonly client: net.Socket;
     readonly target: net.Socket;
+    /** Whether one side was reset, so that the other one is as well. */
+    wasReset: boolean;
     /** Directions in which it forwards nothing any more, whatever the mode. */
     silent: SilentDirections | undefined;
 }
 
+/** Errors of a socket whose other side was reset, and of a write to such a one. */
+const RESET_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
+
 /** Directions of a connection. */
 export type SilentDirections = "requests" | "answers" | "both";
 
@@ -82,7 +88,7 @@
 
     private accept(client: net.Socket): void {
         const target = net.connect({ host: "127.0.0.1", port: this.targetPort, allowHalfOpen: true });
-        const connection: RelayedConnection = { client, target, silent: undefined };
+        const connection: RelayedConnection = { client, target, wasReset: false, silent: undefined };
         this.connections.add(connection);
         client.setNoDelay(true);
         target.setNoDelay(true);
@@ -103,8 +109,14 @@
             setTimeout(() => delayedActions.shift()!(), this.delayMs);
         };
         from.on("data", chunk => runDelayed(() => to.write(chunk)));
-        from.on("end", () => runDelayed(() => to.end()));
-        from.on("error", () => this.close(connection));
+        from.on("end", () => {
+            connection.wasReset ||= pacedSockets.isReset(from); // An end is also reported after bytes and a reset at once.
+            runDelayed(() => connection.wasReset ? this.close(connection) : to.end());
+        });
+        from.on("error", (error: NodeJS.ErrnoException) => {
+            connection.wasReset ||= RESET_CODES.has(error.code ?? "");
+            this.close(connection);
+        });
         from.on("close", () => this.close(connection));
     }
 
@@ -126,7 +138,7 @@
             return;
         }
         for (const socket of [connection.client, connection.target]) {
-            if (this.relayMode === "reset") {
+            if (this.relayMode === "reset" || connection.wasReset) {
                 socket.resetAndDestroy();
             }
             else {
