Test of a key after its agent was killed: the key's lifetime is longer than the test

Cause: the test's. The fleet runs with a key lifetime of 1 s, so that it needn't wait at its start. A new agent rejects a key without a time in it for one lifetime from its start (docs/design/at-most-once.md); a repeat that is decided later than that is beyond what is promised, and runs.

Change: before the agent starts again, the lifetime is published as 600 s; the key must be rejected at once and once more after 1.5 s, so the check is stricter than before.

--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -16,6 +16,10 @@
 const BOOK_PATH = "/v1/services/bookings/book";
 const POLL_MS = 20;
 const KEY_WITHOUT_TIME = "order-1";
+/** Longer than any test. */
+const LONG_KEY_LIFETIME_MS = 600_000;
+/** Longer than the key lifetime with which the fleets start. */
+const LATE_REPEAT_MS = 1_500;
 
 let fleet: fleets.ProcessFleet | undefined;
 
@@ -137,10 +141,14 @@
         expect(["unknown", "completed"]).toContain((await reply).answer?.outcome);
         await waitUntil(async () => await countBookings() > runsBefore);
         await fleet!.processOf(slot).waitForExit();
+        // A key without a time in it may run again one lifetime after the start, which may have passed before the repeat.
+        await fleet!.publish(draft => draft.keyLifetimeMs = LONG_KEY_LIFETIME_MS);
         fleet!.processOf(slot).start();
         await fleet!.waitUntilConnected();
         if (key !== undefined) {
             expect((await callUntilDecided(key)).answer?.code).toBe(codes.codes.keyTooOld.code);
+            await clocks.sleep(clocks.systemClock, LATE_REPEAT_MS);
+            expect((await callUntilDecided(key)).answer?.code).toBe(codes.codes.keyTooOld.code);
         }
         expect(await countBookings()).toBe(runsBefore + 1);
     });
