A reset of a pooled connection between two of its readers ends no process

Cause: Node.js reports the error of a socket in a later turn than its cause. If the response that was read ends in between, the connection goes back to its pool, and for that moment nothing listens to its errors.

Change: a paced socket always has a listener of errors; those that read or write have their own beside it. The error has its errno.

--- a/src/connection/PacedSocket.test.ts
+++ b/src/connection/PacedSocket.test.ts
@@ -183,3 +183,19 @@
     });
     return new Promise(resolve => socket.on("end", () => resolve(Buffer.concat(chunks))));
 }
+
+// Guards against the end of the process: a pooled connection is reset while it is between two of its readers.
+vitest.it("a reset of a socket that nobody listens to ends the socket, and nothing else", async () => {
+    const uncaught: unknown[] = [];
+    const record = (error: unknown): void => void uncaught.push(error);
+    process.on("uncaughtException", record);
+    for (let count = 0; count < 20; count++) {
+        const { sender, reader } = await connect(createTurns(0));
+        reader.resume();
+        sender.write("the last bytes");
+        process.nextTick(() => sender.resetAndDestroy());
+        await new Promise(resolve => reader.once("close", resolve));
+    }
+    process.off("uncaughtException", record);
+    vitest.expect(uncaught).toEqual([]);
+});
--- a/src/connection/PacedSocket.ts
+++ b/src/connection/PacedSocket.ts
@@ -3,6 +3,7 @@
  * Reading from the socket pauses when more arrives meanwhile. The bytes and their order stay as they are.
  */
 import * as net from "node:net";
+import * as os from "node:os";
 import * as stream from "node:stream";
 import * as accounts from "./ReadAccount";
 import * as readTurns from "./ReadTurns";
@@ -78,7 +79,12 @@
 }
 
 function createResetError(): NodeJS.ErrnoException {
-    return Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET", syscall: "read" });
+    const errno = -os.constants.errno.ECONNRESET;
+    return Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET", errno, syscall: "read" });
+}
+
+function ignoreError(): void {
+    // Those that read from the socket or write to it have listeners of their own.
 }
 
 /** One socket whose reads are paced. */
@@ -111,6 +117,8 @@
         socket.destroy = error => this.destroy(destroySocket, error);
         socket.on("resume", () => this.request());
         socket.once("close", () => this.drop());
+        // Node.js reports an error in a later turn, when a pooled connection may be between two of its readers.
+        socket.on("error", ignoreError);
     }
 
     /** Bytes that wait for a later turn. */
