Fuzz: a family of answers that break off

Engines answer plain calls and streams in random framing, size and pieces, and end the connection anywhere, with a FIN or a reset, at once or some ms later. Checked: no caller gets as whole what wasn't sent so, beside the checks of all families.

--- a/fuzz/Batches.ts
+++ b/fuzz/Batches.ts
@@ -7,6 +7,7 @@
 import * as routedFleets from "../standins/platform/RoutedFleet";
 import * as clientInputs from "./ClientInputs";
 import * as fuzzFleets from "./FuzzFleet";
+import * as halfAnswers from "./HalfAnswers";
 import * as mutations from "./Mutation";
 import * as oddConnections from "./OddConnection";
 import * as peerInputs from "./PeerInputs";
@@ -26,6 +27,8 @@
 const SIGNALS = 40;
 const OUTPUT_CALLS = 40;
 const REPETITION_ROUNDS = 3;
+const HALF_CALLS = 240;
+const HALF_PATHS = ["/oddplain/1", "/oddonce/1", "/oddstream/1"];
 /** Share of the rounds with a configuration of this many wrong routes. */
 const LARGE_SHARE = 0.1;
 const LARGE_ROUTES = 2_000_000;
@@ -47,6 +50,7 @@
     connections: openManyConnections,
     output: holdOutput,
     repetition: sendRepetitions,
+    "half-answers": callHalfEngines,
 } satisfies Record<string, Batch>;
 
 /** The kind of a batch. */
@@ -182,8 +186,40 @@
     return REPETITION_ROUNDS;
 }
 
+/** Calls engines that break off their answers, and checks that no caller gets a part as the whole. */
+async function callHalfEngines(fleet: fuzzFleets.FuzzFleet, random: randoms.Random): Promise<number> {
+    const answers = new halfAnswers.HalfAnswers(random);
+    await fleet.addOddEngines(random, question => answers.create(question));
+    await clocks.sleep(clocks.systemClock, ROUND_MS);
+    let nextCall = 0;
+    await Promise.all(Array.from({ length: PARALLEL_CALLS }, async () => {
+        while (nextCall < HALF_CALLS) {
+            const path = HALF_PATHS[nextCall++ % HALF_PATHS.length]!;
+            const attempt = `half-${nextCall}`;
+            const answer = await request(fleet.target.callerAddress, path, { "Attempt-Id": attempt });
+            const isWhole = answer !== "hung" && answer?.status === 200 && answer.isComplete;
+            if (isWhole && !answers.mayBeWhole(attempt, answer.body)) {
+                const detail = `${path}, ${answer.body.length} bytes`;
+                fleet.findings.push({ check: "no part of an answer is given as the whole", detail });
+            }
+        }
+    }));
+    fleet.removeOddEngines();
+    return HALF_CALLS;
+}
+
 /** Sends a call; resolves to its status, to 0 without an answer, and to `hung` if it doesn't end. */
 export async function call(address: string, path: string, headers: Record<string, string>): Promise<number | "hung"> {
+    const answer = await request(address, path, headers);
+    return answer === "hung" ? "hung" : answer?.isComplete === true ? answer.status : 0;
+}
+
+/** Sends a call; resolves to its answer, to undefined without one, and to `hung` if it doesn't end. */
+async function request(
+    address: string,
+    path: string,
+    headers: Record<string, string>,
+): Promise<routedFleets.Answer | "hung" | undefined> {
     const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
     const callHeaders = {
         Host: "desk.example",
@@ -193,11 +229,10 @@
         ...headers,
     };
     try {
-        const answer = await routedFleets.sendRequest(address, "POST", path, callHeaders, "body", signal);
-        return answer.isComplete ? answer.status : 0;
+        return await routedFleets.sendRequest(address, "POST", path, callHeaders, "body", signal);
     }
     catch {
-        return signal.aborted ? "hung" : 0; // The process refused or reset the connection, which the checks judge.
+        return signal.aborted ? "hung" : undefined; // The process refused or reset the connection, which the checks judge.
     }
 }
 
--- a/fuzz/Fuzz.ts
+++ b/fuzz/Fuzz.ts
@@ -102,13 +102,7 @@
 
     private async check(batch: number, kind: Violation["kind"]): Promise<void> {
         this.violations.push(
-            ...this.fleet.unserved.splice(0).map(detail => ({
-                batch,
-                kind,
-                entry: "entry-1",
-                check: "calls beside endless input are served",
-                detail,
-            })),
+            ...this.fleet.findings.splice(0).map(finding => ({ batch, kind, entry: "entry-1", ...finding })),
         );
         await Promise.all(this.fleet.entries.map(async (entry, index) => {
             const failure = await this.findFailure(entry);
--- a/fuzz/FuzzFleet.ts
+++ b/fuzz/FuzzFleet.ts
@@ -10,6 +10,7 @@
 import * as engines from "../standins/platform/PlatformEngineStandIn";
 import * as stores from "../standins/platform/PlatformStoreStandIn";
 import * as routedFleets from "../standins/platform/RoutedFleet";
+import * as engineInputs from "./EngineInputs";
 import * as fuzzEntries from "./FuzzEntry";
 import * as oddEngines from "./OddEngine";
 import * as oddStores from "./OddStore";
@@ -38,6 +39,12 @@
     { path: "/drafts/1", headers: routedFleets.STAGED_HEADERS },
 ];
 
+/** A check that failed during a batch. */
+export interface Finding {
+    readonly check: string;
+    readonly detail: string;
+}
+
 /** Everything that a run of the fuzz starts. */
 export class FuzzFleet implements clocks.Disposable {
     readonly entries: fuzzEntries.FuzzEntry[] = [];
@@ -48,7 +55,7 @@
     private oddStore: oddStores.OddStore | undefined;
     private storeRelay: endlessPeers.EndlessPeerProcess | undefined;
     /** What was wrong with calls that were made during a batch. */
-    readonly unserved: string[] = [];
+    readonly findings: Finding[] = [];
     private version = FIRST_VERSION;
     private nextNumber = 1;
 
@@ -129,9 +136,12 @@
     }
 
     /** Adds new odd engines in place of the earlier ones. */
-    async addOddEngines(random: randoms.Random): Promise<void> {
+    async addOddEngines(
+        random: randoms.Random,
+        createAnswer: oddEngines.CreateAnswer = question => engineInputs.createEngineAnswer(random, question),
+    ): Promise<void> {
         for (const service of ODD_SERVICES.flatMap(name => Array.from({ length: ODD_ENGINES }, () => name))) {
-            const engine = new oddEngines.OddEngine(`odd-${this.nextNumber++}`, service, random);
+            const engine = new oddEngines.OddEngine(`odd-${this.nextNumber++}`, service, random, createAnswer);
             await engine.listen();
             this.oddEngines.push(engine);
             this.store.put(`servers/${engine.id}`, engine.createStoreRecord());
--- a/fuzz/OddEngine.ts
+++ b/fuzz/OddEngine.ts
@@ -11,13 +11,21 @@
 /** Share of the parts of a request that are answered before the rest has arrived. */
 const EARLY_SHARE = 0.1;
 
+/** Creates the answer to a request. */
+export type CreateAnswer = (question: engineInputs.EngineQuestion) => engineInputs.EngineAnswer;
+
 /** Answers all requests with odd answers. */
 export class OddEngine implements clocks.Disposable {
     /** Number of answers given. */
     answers = 0;
     private listener: listeners.Listener | undefined;
 
-    constructor(readonly id: string, readonly service: string, private readonly random: randoms.Random) {}
+    constructor(
+        readonly id: string,
+        readonly service: string,
+        private readonly random: randoms.Random,
+        private readonly createAnswer: CreateAnswer,
+    ) {}
 
     async listen(): Promise<void> {
         const server = net.createServer(socket => this.accept(socket));
@@ -66,7 +74,7 @@
 
     private async answer(socket: net.Socket, request: string): Promise<void> {
         this.answers++;
-        const answer = engineInputs.createEngineAnswer(this.random, {
+        const answer = this.createAnswer({
             path: request.split(" ")[1] ?? "",
             attempt: /^attempt-id: (.*)\r$/im.exec(request)?.[1] ?? "",
             pieces: request.split("\"Id\":").length - 1,
--- a/fuzz/Repetitions.ts
+++ b/fuzz/Repetitions.ts
@@ -102,7 +102,8 @@
     const address = fleet.target.callerAddress;
     const report = await soundCalls.makeSoundCalls({ address, path: SOUND_PATH, durationMs: DURATION_MS });
     if (Object.keys(report.failures).length > 0 || report.slowestMs > MAX_ANSWER_MS) {
-        fleet.unserved.push(`${JSON.stringify(report)} beside ${JSON.stringify(input)}`);
+        const detail = `${JSON.stringify(report)} beside ${JSON.stringify(input)}`;
+        fleet.findings.push({ check: "calls beside endless input are served", detail });
     }
 }
 
