Soak: an engine that crashes while its answers have no framing resets their connections

Cause: the soak's. Its relay (TcpRelay.refuse) ended the connections of an engine that crashed with a FIN, also in a span of the fault `unframed`, in which a FIN is the end of a whole answer: the entry can't tell, and the users' page has such answers incomplete if they are reset on the way. A trial in the engine's stand-in alone changed nothing, since the relay ended them first.

Change: in such a span the relay resets them. The check stays as it is.

--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -61,6 +61,9 @@
     standIn.crashPart = CRASH_PART;
     standIn.crashBody = CRASH_BODY;
     standIn.onCrash = attempt => {
+        if (standIn.faults.unframed === true) {
+            link.mode = "reset"; // A FIN would complete an answer that ends with its connection, and nobody could tell.
+        }
         link.refuse();
         events.onCrash(attempt);
     };
