--- a/standins/platform/RoutedFleet.ts
+++ b/standins/platform/RoutedFleet.ts
@@ -130,6 +130,13 @@
         return this.engines.filter(engine => engine.options.service === service);
     }
 
+    /** Changes the options of all engines of a service. */
+    changeEngines(service: string, change: Partial<engines.EngineOptions>): void {
+        for (const engine of this.enginesOf(service)) {
+            engine.options = { ...engine.options, ...change };
+        }
+    }
+
     /** Sends a call to an entry. */
     call(
         path: string,
--- a/tests/LongEventIds.test.ts
+++ b/tests/LongEventIds.test.ts
@@ -19,13 +19,6 @@
 
 vitest.afterEach(() => fleet.dispose());
 
-/** Makes the model engines give their events these ids. */
-function setEventIds(eventIdOf: (event: number) => string): void {
-    for (const engine of fleet.enginesOf("model")) {
-        engine.options = { ...engine.options, eventIdOf };
-    }
-}
-
 function encodeEvents(events: readonly number[], eventIdOf: (event: number) => string): string {
     return events.map(event => `id: ${eventIdOf(event)}\ndata: part ${event}\n\n`).join("");
 }
@@ -33,7 +26,7 @@
 vitest.describe("a stream whose events have long ids", () => {
     // Guards against streams that begin anew in the middle of their answer, since their ids counted as none.
     vitest.it.each(cases)("above $base has each event once when its instance breaks it off", async ({ eventIdOf }) => {
-        setEventIds(eventIdOf);
+        fleet.changeEngines("model", { eventIdOf });
         const [first, second] = fleet.enginesOf("model");
         first!.faults = { breakAfterEvent: BREAK_AFTER_EVENT };
         while (first!.runs.length === 0) {
@@ -46,7 +39,7 @@
 
     // Guards against a caller that gets events once more which it has already.
     vitest.it.each(cases)("above $base goes on after the one that its caller states", async ({ eventIdOf }) => {
-        setEventIds(eventIdOf);
+        fleet.changeEngines("model", { eventIdOf });
         const headers = { ...fleets.PROMPT_HEADERS, "Last-Event-Id": eventIdOf(BREAK_AFTER_EVENT) };
         const answer = await fleet.call("/notes/1", { headers });
         vitest.expect(answer).toMatchObject({ status: 200, isComplete: true });
--- a/tests/PipelinedRequests.test.ts
+++ b/tests/PipelinedRequests.test.ts
@@ -66,9 +66,7 @@
     vitest.it.each(cases)("leaves $count with $name: all end at their instances", async ({ count, leave }) => {
         const engines = fleet.enginesOf("desk");
         const ranBefore = countRuns();
-        for (const engine of engines) {
-            engine.options = { ...engine.options, serviceMs: SERVICE_MS, answerBytes: ANSWER_BYTES };
-        }
+        fleet.changeEngines("desk", { serviceMs: SERVICE_MS, answerBytes: ANSWER_BYTES });
         const socket = sendPipelined(Array.from({ length: count }, (_, index) => `p-${index}`));
         const inProgress = Math.min(count, MAX_IN_PROGRESS);
         await fleet.waitUntil(() => countRuns() === ranBefore + inProgress);
--- a/tests/UnreadableEventIds.test.ts
+++ b/tests/UnreadableEventIds.test.ts
@@ -29,13 +29,6 @@
     return [...answer.body.matchAll(/^data: part (\d+)$/gm)].map(match => Number(match[1]));
 }
 
-/** Makes both model engines give their events these ids. */
-function setEventIds(eventIdOf: (event: number) => string | undefined): void {
-    for (const engine of fleet.enginesOf("model")) {
-        engine.options = { ...engine.options, eventIdOf };
-    }
-}
-
 /** Calls until the first model engine runs a call, and returns the answer to that call. */
 async function callFirstModel(): Promise<fleets.Answer> {
     const headers = { ...fleets.PROMPT_HEADERS, "Deadline-Ms": String(DEADLINE_MS) };
@@ -50,7 +43,7 @@
 vitest.describe("a stream that may be resumed, but has", () => {
     // Guards against streams that begin anew in the middle of their answer, and end as complete.
     vitest.it.each(cases)("$name, ends as incomplete when its instance breaks it off", async ({ eventIdOf }) => {
-        setEventIds(eventIdOf);
+        fleet.changeEngines("model", { eventIdOf });
         fleet.enginesOf("model")[0]!.faults = { breakAfterEvent: BREAK_AFTER_EVENT };
         const answer = await callFirstModel();
         vitest.expect(answer).toMatchObject({ status: 200, isComplete: false });
@@ -58,7 +51,7 @@
     });
 
     vitest.it.each(cases)("$name, stays at an instance that is silent for long", async ({ eventIdOf }) => {
-        setEventIds(eventIdOf);
+        fleet.changeEngines("model", { eventIdOf });
         const pause = { afterEvent: SILENT_AFTER_EVENT, ms: SILENCE_MS };
         fleet.enginesOf("model")[0]!.faults = { pause };
         const answer = await callFirstModel();
@@ -69,7 +62,7 @@
     // Guards against a caller that gets events once more which it has already.
     vitest.it("ids that aren't numbers, goes on after the one that its caller states", async () => {
         const eventIdOf = (event: number): string => `part-${event}`;
-        setEventIds(eventIdOf);
+        fleet.changeEngines("model", { eventIdOf });
         const headers = { ...fleets.PROMPT_HEADERS, "Last-Event-Id": eventIdOf(BREAK_AFTER_EVENT) };
         const answer = await fleet.call("/notes/1", { headers });
         vitest.expect(answer).toMatchObject({ status: 200, isComplete: true });
@@ -77,7 +70,7 @@
     });
 
     vitest.it.each(cases)("$name, is sent to another instance that answers before its first event", async testCase => {
-        setEventIds(testCase.eventIdOf);
+        fleet.changeEngines("model", { eventIdOf: testCase.eventIdOf });
         fleet.enginesOf("model")[0]!.faults = { breakAfterEvent: 0 };
         const answer = await callFirstModel();
         vitest.expect(answer).toMatchObject({ status: 200, isComplete: true });
